Workspace with errors, names, settings, sheet and platform client

Cause: nothing stood yet; the leaf crates come first since every later one depends on them. Ruled out: one crate for all, which would let decisions reach transport. Before: no test. Conclusion: the daemon can be built on checked settings and one closed list of error kinds.

--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operators' command line
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry VM's daemon
--- /dev/null
+++ b/crates/errors/src/refusal.rs
@@ -0,0 +1,51 @@
+//! Refusal of one call.
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::{row, Kind, Ran, Retry};
+
+/// Refusal of one call, as told to its caller.
+#[derive(Clone, Debug, Eq, Error, PartialEq, Serialize, Deserialize)]
+#[error("{kind}: {detail}")]
+pub struct Refusal {
+    /// Error kind.
+    pub kind: Kind,
+    /// What happened, in a sentence.
+    pub detail: String,
+    /// Whether the call ran; at most as certain as the table says.
+    pub ran: Ran,
+    /// Seconds until a repeat may succeed; absent where it can't help.
+    pub retry_after_s: Option<u32>,
+}
+
+impl Refusal {
+    /// Refusal with the table's answer.
+    pub fn new<S>(kind: Kind, detail: S) -> Refusal
+    where
+        S: Into<String>,
+    {
+        let row = row(kind);
+        let retry_after_s = match row.retry {
+            Retry::No => None,
+            Retry::After => Some(row.retry_after_s),
+        };
+        Refusal {
+            kind,
+            detail: detail.into(),
+            ran: row.ran,
+            retry_after_s,
+        }
+    }
+
+    /// Same refusal with another time to come back, in seconds.
+    pub fn with_retry_after_s(mut self, retry_after_s: u32) -> Refusal {
+        self.retry_after_s = Some(retry_after_s);
+        self
+    }
+
+    /// HTTP status of the answer.
+    pub fn status(&self) -> u16 {
+        row(self.kind).status
+    }
+}
--- /dev/null
+++ b/crates/errors/tests/table.rs
@@ -0,0 +1,50 @@
+//! The table, its order and the page that shows it.
+
+use lagoon_errors::{row, Kind, Ran, Refusal, Retry, TABLE};
+
+#[test]
+fn row_every_kind_finds_itself() {
+    for entry in TABLE {
+        assert_eq!(row(entry.kind), entry);
+    }
+    assert_eq!(TABLE.last().map(|entry| entry.kind), Some(Kind::Internal));
+}
+
+#[test]
+fn table_page_shows_each_row() {
+    let page = include_str!("../../../docs/ERRORS.md");
+    let expected: Vec<String> = TABLE
+        .iter()
+        .map(|entry| {
+            let after = match entry.retry {
+                Retry::No => "-".to_owned(),
+                Retry::After => format!("{} s", entry.retry_after_s),
+            };
+            format!(
+                "| `{}` | {} | `{}` | {} | {} |",
+                entry.kind, entry.status, entry.ran, entry.retry, after
+            )
+        })
+        .collect();
+    let shown: Vec<&str> = page
+        .lines()
+        .filter(|line| line.starts_with("| `"))
+        .map(|line| {
+            let end = line.match_indices(" |").nth(4).expect("five columns").0;
+            &line[..end + 2]
+        })
+        .collect();
+    assert_eq!(shown, expected);
+}
+
+#[yare::parameterized(
+    conflict = { Kind::CallConflict, 409, Ran::NotRun, None },
+    doubt = { Kind::InDoubt, 502, Ran::Unknown, None },
+    overload = { Kind::Overloaded, 503, Ran::NotRun, Some(2) },
+)]
+fn refusal_takes_table_answer(kind: Kind, status: u16, ran: Ran, retry_after_s: Option<u32>) {
+    let refusal = Refusal::new(kind, "detail");
+    assert_eq!(refusal.status(), status);
+    assert_eq!(refusal.ran, ran);
+    assert_eq!(refusal.retry_after_s, retry_after_s);
+}
--- /dev/null
+++ b/crates/ids/src/lib.rs
@@ -0,0 +1,19 @@
+//! Identifiers, the hash map alias and rendezvous hashing.
+//!
+//! Names are short texts that settings, sheets and callers supply. They are
+//! checked once, where they enter, and then carried as typed values.
+
+mod call;
+mod maps;
+mod names;
+mod rendezvous;
+mod trace;
+
+pub use call::{CallKey, ProgramId};
+pub use maps::{FastMap, FastSet};
+pub use names::{
+    AccountName, DomainName, Incarnation, MarketName, ModelName, NameError, ServiceName,
+    TargetName, VmName, NAME_LIMIT_BYTES,
+};
+pub use rendezvous::{hash64, rendezvous};
+pub use trace::TraceContext;
--- /dev/null
+++ b/crates/ids/src/names.rs
@@ -0,0 +1,116 @@
+//! Checked names.
+
+use std::str::FromStr;
+
+use compact_str::CompactString;
+use derive_more::{AsRef, Display};
+use serde::{Deserialize, Serialize};
+
+/// Longest name, in bytes.
+pub const NAME_LIMIT_BYTES: usize = 64;
+
+/// Reason why a text is no name.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+pub enum NameError {
+    /// Text is empty.
+    #[display("must not be empty")]
+    Empty,
+    /// Text is too long.
+    #[display("must have at most {_0} bytes")]
+    TooLong(usize),
+    /// Text holds a character that names don't have.
+    #[display("must not hold {_0:?}; allowed are letters, digits and {_1}")]
+    Character(char, &'static str),
+}
+
+impl std::error::Error for NameError {}
+
+/// Checks a text against a limit and a set of extra characters.
+pub(crate) fn check_name(
+    text: &str,
+    limit_bytes: usize,
+    extra: &'static str,
+) -> Result<(), NameError> {
+    if text.is_empty() {
+        return Err(NameError::Empty);
+    }
+    if text.len() > limit_bytes {
+        return Err(NameError::TooLong(limit_bytes));
+    }
+    match text
+        .chars()
+        .find(|c| !c.is_ascii_alphanumeric() && !extra.contains(*c))
+    {
+        Some(c) => Err(NameError::Character(c, extra)),
+        None => Ok(()),
+    }
+}
+
+macro_rules! name {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            AsRef, Clone, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+        )]
+        #[serde(try_from = "CompactString")]
+        pub struct $name(#[as_ref(str)] CompactString);
+
+        impl $name {
+            /// Text of the name.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = NameError;
+
+            fn from_str(text: &str) -> Result<Self, NameError> {
+                check_name(text, NAME_LIMIT_BYTES, "-._")?;
+                Ok(Self(CompactString::new(text)))
+            }
+        }
+
+        impl TryFrom<CompactString> for $name {
+            type Error = NameError;
+
+            fn try_from(text: CompactString) -> Result<Self, NameError> {
+                check_name(&text, NAME_LIMIT_BYTES, "-._")?;
+                Ok(Self(text))
+            }
+        }
+    };
+}
+
+name!(
+    /// Client account.
+    AccountName
+);
+name!(
+    /// Failure domain.
+    DomainName
+);
+name!(
+    /// One run of one VM's daemon.
+    Incarnation
+);
+name!(
+    /// Market.
+    MarketName
+);
+name!(
+    /// Model.
+    ModelName
+);
+name!(
+    /// Plain service.
+    ServiceName
+);
+name!(
+    /// Target.
+    TargetName
+);
+name!(
+    /// Entry VM.
+    VmName
+);
--- /dev/null
+++ b/crates/ids/tests/ids.rs
@@ -0,0 +1,49 @@
+//! Names, program identifiers and rendezvous hashing.
+
+use lagoon_ids::{rendezvous, ProgramId, VmName};
+
+fn program(text: &str) -> ProgramId {
+    text.parse().expect("program")
+}
+
+#[yare::parameterized(
+    root = { "p1", "p1", None },
+    child = { "p1/s1", "p1", Some("p1") },
+    grandchild = { "p1/s1/t", "p1", Some("p1/s1") },
+)]
+fn family_of_program(text: &str, family: &str, parent: Option<&str>) {
+    let id = program(text);
+    assert_eq!(id.family(), family);
+    assert_eq!(id.parent(), parent.map(program));
+}
+
+#[yare::parameterized(
+    empty = { "" },
+    space = { "a b" },
+    empty_part = { "a//b" },
+    leading = { "/a" },
+)]
+fn program_bad_text_is_refused(text: &str) {
+    assert!(text.parse::<ProgramId>().is_err());
+}
+
+#[test]
+fn under_joins_once() {
+    let parent = program("p1");
+    let child = program("s1").under(&parent).expect("child");
+    assert_eq!(child.as_str(), "p1/s1");
+    assert_eq!(child.under(&parent).expect("child"), child);
+}
+
+#[test]
+fn rendezvous_removal_moves_only_its_keys() {
+    let vms: Vec<VmName> = (0..10)
+        .map(|n| format!("vm{n}").parse().expect("name"))
+        .collect();
+    for key in 0..500 {
+        let key = format!("program{key}");
+        let before = rendezvous(&key, &vms).expect("owner");
+        let after = rendezvous(&key, vms.iter().skip(1)).expect("owner");
+        assert!(before == after || before == &vms[0]);
+    }
+}
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Live and leaving VMs of a failure domain
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions of one entry VM without clock, thread or socket
--- /dev/null
+++ b/crates/platform/src/client.rs
@@ -0,0 +1,196 @@
+//! Carrying a request out over HTTP.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rand::RngExt;
+use serde::de::DeserializeOwned;
+use ureq::http::Response;
+use ureq::{Agent, Body};
+
+use crate::wire::{TxnJson, TxnReplyJson, VmListJson};
+use crate::{
+    Breaker, BreakerSettings, RetryBudget, RetrySettings, StoreError, StoreReply, StoreRequest, Txn,
+};
+
+/// Largest object or reply, in bytes.
+const REPLY_LIMIT_BYTES: u64 = 256_000_000;
+
+/// Settings of a [`Client`].
+#[derive(Clone, Debug, PartialEq)]
+pub struct ClientSettings {
+    /// Address of the platform.
+    pub address: SocketAddr,
+    /// Longest wait for one try.
+    pub timeout_ms: u64,
+    /// Retries.
+    pub retry: RetrySettings,
+    /// Circuit breaker.
+    pub breaker: BreakerSettings,
+}
+
+impl ClientSettings {
+    /// Default settings for an address.
+    pub fn at(address: SocketAddr) -> ClientSettings {
+        ClientSettings {
+            address,
+            timeout_ms: 1_000,
+            retry: RetrySettings::default(),
+            breaker: BreakerSettings::default(),
+        }
+    }
+}
+
+struct Guard {
+    breaker: Breaker,
+    budget: RetryBudget,
+}
+
+/// Client of the platform, shared by threads.
+pub struct Client {
+    settings: ClientSettings,
+    agent: Agent,
+    guard: Mutex<Guard>,
+    started: Instant,
+}
+
+impl Client {
+    /// Client that has not connected yet.
+    pub fn new(settings: ClientSettings) -> Client {
+        let config = Agent::config_builder()
+            .timeout_global(Some(Duration::from_millis(settings.timeout_ms)))
+            .http_status_as_error(false)
+            .build();
+        let guard = Guard {
+            breaker: Breaker::new(settings.breaker),
+            budget: RetryBudget::new(settings.retry),
+        };
+        Client {
+            settings,
+            agent: config.into(),
+            guard: Mutex::new(guard),
+            started: Instant::now(),
+        }
+    }
+
+    /// Carries a request out, with retries; blocks.
+    ///
+    /// A transaction that is repeated after a lost reply finds its own rows,
+    /// so each one must say in its conditions what it would find then.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no try got a reply, the breaker is open or the platform
+    /// refuses.
+    pub fn execute(&self, request: &StoreRequest) -> Result<StoreReply, StoreError> {
+        self.guard().budget.earn();
+        let mut attempt = 0;
+        loop {
+            let permit = self.guard().breaker.permit(self.now_ms());
+            permit.map_err(StoreError::NotSent)?;
+            let result = self.send(request);
+            let failed = matches!(result, Err(StoreError::NoReply(_)));
+            self.guard().breaker.record(!failed, self.now_ms());
+            attempt += 1;
+            if !failed || attempt >= self.settings.retry.tries || !self.guard().budget.take() {
+                return result;
+            }
+            let pause_ms = self.settings.retry.pause_ms(attempt, rand::rng().random());
+            thread::sleep(Duration::from_millis(pause_ms));
+        }
+    }
+
+    fn guard(&self) -> MutexGuard<'_, Guard> {
+        self.guard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.settings.address)
+    }
+
+    fn send(&self, request: &StoreRequest) -> Result<StoreReply, StoreError> {
+        match request {
+            StoreRequest::Txn(txn) => self.send_txn(txn),
+            StoreRequest::PutObject { key, bytes } => self.put_object(key, bytes),
+            StoreRequest::GetObject { key } => self.get_object(key),
+            StoreRequest::Vms => self.vms(),
+        }
+    }
+
+    fn send_txn(&self, txn: &Txn) -> Result<StoreReply, StoreError> {
+        let result = self
+            .agent
+            .post(self.url("/v3/kv/txn"))
+            .send_json(TxnJson::from(txn));
+        let json: TxnReplyJson = read_json(accepted(result)?)?;
+        let reply = json.try_into().map_err(StoreError::NoReply)?;
+        Ok(StoreReply::Txn(reply))
+    }
+
+    fn put_object(&self, key: &str, bytes: &[u8]) -> Result<StoreReply, StoreError> {
+        let result = self.agent.put(self.url(&object_path(key))).send(bytes);
+        accepted(result)?;
+        Ok(StoreReply::Stored)
+    }
+
+    fn get_object(&self, key: &str) -> Result<StoreReply, StoreError> {
+        let result = self.agent.get(self.url(&object_path(key))).call();
+        if let Ok(response) = &result {
+            if response.status() == 404 {
+                return Ok(StoreReply::Object(None));
+            }
+        }
+        let bytes = accepted(result)?
+            .body_mut()
+            .with_config()
+            .limit(REPLY_LIMIT_BYTES)
+            .read_to_vec()
+            .map_err(no_reply)?;
+        Ok(StoreReply::Object(Some(bytes)))
+    }
+
+    fn vms(&self) -> Result<StoreReply, StoreError> {
+        let result = self.agent.get(self.url("/vms")).call();
+        let list: VmListJson = read_json(accepted(result)?)?;
+        Ok(StoreReply::Vms(list.vms))
+    }
+}
+
+fn object_path(key: &str) -> String {
+    format!("/objects/{key}")
+}
+
+fn no_reply(error: ureq::Error) -> StoreError {
+    StoreError::NoReply(error.to_string())
+}
+
+/// Response with a status that says the request was carried out.
+fn accepted(result: Result<Response<Body>, ureq::Error>) -> Result<Response<Body>, StoreError> {
+    let response = result.map_err(no_reply)?;
+    let status = response.status();
+    if status.is_success() {
+        Ok(response)
+    } else if status.is_client_error() {
+        Err(StoreError::Refused(format!("status {status}")))
+    } else {
+        Err(StoreError::NoReply(format!("status {status}")))
+    }
+}
+
+fn read_json<T>(mut response: Response<Body>) -> Result<T, StoreError>
+where
+    T: DeserializeOwned,
+{
+    response
+        .body_mut()
+        .with_config()
+        .limit(REPLY_LIMIT_BYTES)
+        .read_json()
+        .map_err(no_reply)
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of target, windows and order between programs
--- /dev/null
+++ b/crates/program/src/lib.rs
@@ -0,0 +1,1 @@
+//! One program: order, budget and non-idempotent calls
--- /dev/null
+++ b/crates/sheet/tests/files.rs
@@ -0,0 +1,65 @@
+//! Sheets, valid and invalid.
+
+use lagoon_sheet::{parse, Repeat, Serves, SheetFault};
+
+const KUMABARK: &str = include_str!("../../../samples/kumabark.csv");
+const SERASI: &str = include_str!("../../../samples/serasi.csv");
+const TRIAL: &str = include_str!("../../../samples/trial.csv");
+const MANY: &str = include_str!("invalid/many.csv");
+
+#[yare::parameterized(
+    kumabark = { KUMABARK, 1, 2, 18 },
+    serasi = { SERASI, 1, 3, 16 },
+    trial = { TRIAL, 2, 2, 6 },
+)]
+fn parse_sample_is_taken(text: &str, markets: usize, accounts: usize, targets: usize) {
+    let sheet = parse(text).expect("valid");
+    assert_eq!(sheet.markets.len(), markets);
+    assert_eq!(sheet.accounts.len(), accounts);
+    assert_eq!(sheet.targets.len(), targets);
+}
+
+#[test]
+fn parse_sample_finds_what_it_holds() {
+    let sheet = parse(KUMABARK).expect("valid");
+    let account = sheet.account("grower-desk-key").expect("account");
+    let service = sheet.service("booking", account.market).expect("service");
+    assert_eq!(sheet.services[service.index()].repeat, Repeat::Once);
+    assert_eq!(sheet.targets_of(Serves::Service(service)).count(), 4);
+    assert!(sheet.account("other-key").is_none());
+    assert!(sheet.model("planner", account.market).is_none());
+}
+
+#[test]
+fn parse_faulty_sheet_reports_every_fault() {
+    let faults = parse(MANY).expect_err("faulty");
+    let found: Vec<(u64, &str)> = faults
+        .iter()
+        .map(|fault| (fault.row, fault.column.as_str()))
+        .collect();
+    let expected = [
+        (2, "budget_tokens"),
+        (3, "name"),
+        (4, "key_sha256"),
+        (5, "market"),
+        (7, "repeat"),
+        (8, "address"),
+        (8, "slots"),
+        (9, "serves"),
+        (10, "kind"),
+        (11, "-"),
+        (12, "weight_latency"),
+        (12, "name"),
+    ];
+    assert_eq!(found, expected);
+    assert!(faults
+        .iter()
+        .all(|fault: &SheetFault| !fault.allowed.is_empty()));
+}
+
+#[test]
+fn parse_other_head_is_refused() {
+    let faults = parse("a,b\n1,2\n").expect_err("faulty");
+    assert_eq!(faults.len(), 1);
+    assert_eq!(faults[0].row, 1);
+}
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Logs, metrics and traces
