--- /dev/null
+++ b/crates/journal/src/incarnation.rs
@@ -0,0 +1,64 @@
+//! Row of an incarnation.
+
+use std::net::SocketAddr;
+
+use lagoon_ids::{DomainName, Incarnation, VmName};
+use serde::{Deserialize, Serialize};
+
+/// Whether an incarnation may still append.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum IncarnationState {
+    /// Its daemon may append.
+    Open,
+    /// Its programs belong to another incarnation.
+    Sealed {
+        /// Failure domain of the successor.
+        by_domain: DomainName,
+        /// Successor.
+        by: Incarnation,
+    },
+}
+
+/// Row of an incarnation.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct IncarnationRow {
+    /// Incarnation.
+    pub incarnation: Incarnation,
+    /// VM that it runs on.
+    pub vm: VmName,
+    /// Failure domain of the VM.
+    pub domain: DomainName,
+    /// Address for messages between VMs.
+    pub peer_address: SocketAddr,
+    /// Whether it may still append.
+    pub state: IncarnationState,
+}
+
+impl IncarnationRow {
+    /// Value of the row.
+    pub fn encode(&self) -> Vec<u8> {
+        // A struct of plain fields has no value that can't be written.
+        serde_json::to_vec(self).unwrap_or_default()
+    }
+
+    /// Row from its value.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the value is no such row.
+    pub fn decode(value: &[u8]) -> Result<IncarnationRow, serde_json::Error> {
+        serde_json::from_slice(value)
+    }
+
+    /// Same row, sealed by a successor.
+    pub fn sealed_by(&self, successor: &IncarnationRow) -> IncarnationRow {
+        IncarnationRow {
+            state: IncarnationState::Sealed {
+                by_domain: successor.domain.clone(),
+                by: successor.incarnation.clone(),
+            },
+            ..self.clone()
+        }
+    }
+}
--- /dev/null
+++ b/crates/journal/src/keys.rs
@@ -0,0 +1,51 @@
+//! Keys of the table's rows and of the objects.
+
+use lagoon_ids::{DomainName, Incarnation};
+
+/// Value of the row of a family that has ended.
+pub const FAMILY_ENDED: &[u8] = b"ended";
+
+/// Prefix of the rows of all incarnations.
+pub fn incarnations_prefix() -> String {
+    "incarnation/".to_owned()
+}
+
+/// Prefix of the rows of one failure domain's incarnations.
+pub fn incarnation_prefix(domain: &DomainName) -> String {
+    format!("incarnation/{domain}/")
+}
+
+/// Row of an incarnation.
+pub fn incarnation_key(domain: &DomainName, incarnation: &Incarnation) -> String {
+    format!("incarnation/{domain}/{incarnation}")
+}
+
+/// Prefix of an incarnation's journal.
+pub fn log_prefix(incarnation: &Incarnation) -> String {
+    format!("log/{incarnation}/")
+}
+
+/// Row of one batch of an incarnation's journal.
+pub fn log_key(incarnation: &Incarnation, sequence: u64) -> String {
+    format!("log/{incarnation}/{sequence:012}")
+}
+
+/// Prefix of the rows of families.
+pub fn family_prefix() -> String {
+    "family/".to_owned()
+}
+
+/// Row that names the owner of a family.
+pub fn family_key(family: &str) -> String {
+    format!("family/{family}")
+}
+
+/// Row that names an incarnation's latest snapshot.
+pub fn snapshot_pointer_key(incarnation: &Incarnation) -> String {
+    format!("snapshot/{incarnation}")
+}
+
+/// Object of a snapshot that covers the journal before `sequence`.
+pub fn snapshot_key(incarnation: &Incarnation, sequence: u64) -> String {
+    format!("snapshot/{incarnation}/{sequence:012}")
+}
--- /dev/null
+++ b/crates/journal/tests/append.rs
@@ -0,0 +1,279 @@
+//! Appends against a small table under lost replies, outages and seals.
+
+use std::collections::BTreeMap;
+
+use lagoon_ids::CallKey;
+use lagoon_journal::{
+    decode_batch, incarnation_key, log_prefix, Group, IncarnationRow, IncarnationState, Journal,
+    Waiter,
+};
+use lagoon_platform::{Compare, Op, Row, StoreError, Txn, TxnReply};
+use lagoon_program::{Amounts, Record};
+use proptest::prelude::{prop, prop_assert, prop_assert_eq, proptest, ProptestConfig};
+use proptest::strategy::{Just, Strategy};
+use proptest::test_runner::{RngAlgorithm, RngSeed};
+
+#[derive(Default)]
+struct Table(BTreeMap<String, Vec<u8>>);
+
+impl Table {
+    fn execute(&mut self, txn: &Txn) -> TxnReply {
+        let holds = |compare: &Compare| match compare {
+            Compare::Absent { key } => !self.0.contains_key(key),
+            Compare::ValueIs { key, value } => self.0.get(key) == Some(value),
+        };
+        let succeeded = txn.compare.iter().all(holds);
+        let ops = if succeeded {
+            &txn.success
+        } else {
+            &txn.failure
+        };
+        let results = ops.iter().map(|op| self.operate(op)).collect();
+        TxnReply { succeeded, results }
+    }
+
+    fn operate(&mut self, op: &Op) -> Vec<Row> {
+        match op {
+            Op::Put { key, value } => {
+                self.0.insert(key.clone(), value.clone());
+                Vec::new()
+            }
+            Op::Get { key } => self.rows(|found| found == key),
+            Op::Range { prefix } => self.rows(|found| found.starts_with(prefix)),
+            Op::Delete { key } => {
+                self.0.remove(key);
+                Vec::new()
+            }
+            Op::DeleteRange { from, to } => {
+                self.0.retain(|key, _| key < from || key >= to);
+                Vec::new()
+            }
+        }
+    }
+
+    fn rows<F>(&self, f: F) -> Vec<Row>
+    where
+        F: Fn(&str) -> bool,
+    {
+        let found = self.0.iter().filter(|(key, _)| f(key));
+        found
+            .map(|(key, value)| Row {
+                key: key.clone(),
+                value: value.clone(),
+            })
+            .collect()
+    }
+
+    fn turns(&self, row: &IncarnationRow) -> Vec<u64> {
+        let prefix = log_prefix(&row.incarnation);
+        let mut turns = Vec::new();
+        for found in self.rows(|key| key.starts_with(&prefix)) {
+            for record in decode_batch(&found.key, &found.value).expect("batch") {
+                match record {
+                    Record::Charged { used, .. } => turns.push(used.turns),
+                    other => panic!("{other:?}"),
+                }
+            }
+        }
+        turns
+    }
+}
+
+fn row(name: &str) -> IncarnationRow {
+    IncarnationRow {
+        incarnation: name.parse().expect("incarnation"),
+        vm: "vm1".parse().expect("vm"),
+        domain: "d1".parse().expect("domain"),
+        peer_address: "127.0.0.1:1".parse().expect("address"),
+        state: IncarnationState::Open,
+    }
+}
+
+fn opened(table: &mut Table, name: &str) -> Journal {
+    let row = row(name);
+    let key = incarnation_key(&row.domain, &row.incarnation);
+    table.0.insert(key, row.encode());
+    Journal::new(row)
+}
+
+fn seal(table: &mut Table, sealed: &IncarnationRow) {
+    let key = incarnation_key(&sealed.domain, &sealed.incarnation);
+    table
+        .0
+        .insert(key, sealed.sealed_by(&row("successor")).encode());
+}
+
+fn group(turns: u64) -> Group {
+    Group {
+        records: vec![Record::Charged {
+            call: CallKey {
+                program: "p".parse().expect("program"),
+                number: 1,
+            },
+            used: Amounts {
+                turns,
+                ..Amounts::default()
+            },
+        }],
+        waiter: Some(Waiter(turns)),
+        ..Group::default()
+    }
+}
+
+fn claim(family: &str, turns: u64) -> Group {
+    Group {
+        claim: Some(family.to_owned()),
+        ..group(turns)
+    }
+}
+
+fn lost() -> StoreError {
+    StoreError::NoReply("lost".to_owned())
+}
+
+#[test]
+fn on_reply_lost_after_effect_counts_as_success() {
+    let mut table = Table::default();
+    let mut journal = opened(&mut table, "i1");
+    journal.push(group(1));
+    let txn = journal.poll(0).expect("batch");
+    table.execute(&txn);
+    assert!(journal.on_reply(Err(lost())).waiters.is_empty());
+    let again = journal.poll(0).expect("same batch");
+    assert_eq!(again, txn);
+    let committed = journal.on_reply(Ok(table.execute(&again)));
+    assert_eq!(committed.waiters, [Waiter(1)]);
+    assert_eq!(table.turns(journal.row()), [1]);
+}
+
+#[test]
+fn on_reply_after_seal_is_fenced_for_good() {
+    let mut table = Table::default();
+    let mut journal = opened(&mut table, "i1");
+    journal.push(group(1));
+    let txn = journal.poll(0).expect("batch");
+    seal(&mut table, journal.row());
+    let committed = journal.on_reply(Ok(table.execute(&txn)));
+    assert!(committed.fenced);
+    journal.push(group(2));
+    assert_eq!(journal.poll(1_000), None);
+    assert!(table.turns(journal.row()).is_empty());
+}
+
+#[test]
+fn on_reply_taken_family_drops_only_its_group() {
+    let mut table = Table::default();
+    let mut first = opened(&mut table, "i1");
+    let mut second = opened(&mut table, "i2");
+    first.push(claim("f", 1));
+    let txn = first.poll(0).expect("batch");
+    first.on_reply(Ok(table.execute(&txn)));
+    second.push(claim("f", 2));
+    second.push(group(3));
+    let txn = second.poll(0).expect("batch");
+    let committed = second.on_reply(Ok(table.execute(&txn)));
+    assert_eq!(committed.conflicts.len(), 1);
+    assert_eq!(committed.conflicts[0].holder, b"i1");
+    let txn = second.poll(0).expect("rest");
+    let committed = second.on_reply(Ok(table.execute(&txn)));
+    assert_eq!(committed.waiters, [Waiter(3)]);
+    assert_eq!(table.turns(second.row()), [3]);
+}
+
+#[test]
+fn poll_within_interval_gathers_groups() {
+    let mut table = Table::default();
+    let mut journal = opened(&mut table, "i1");
+    journal.set_interval_ms(40);
+    journal.push(group(1));
+    let txn = journal.poll(100).expect("batch");
+    journal.on_reply(Ok(table.execute(&txn)));
+    journal.push(group(2));
+    assert_eq!(journal.poll(120), None);
+    journal.push(group(3));
+    let txn = journal.poll(140).expect("batch");
+    let committed = journal.on_reply(Ok(table.execute(&txn)));
+    assert_eq!(committed.waiters, [Waiter(2), Waiter(3)]);
+}
+
+/// Step of a generated schedule.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Push,
+    Commit,
+    LoseRequest,
+    LoseReply,
+    Seal,
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop::sample::select(vec![
+        Just(Step::Push),
+        Just(Step::Push),
+        Just(Step::Commit),
+        Just(Step::LoseRequest),
+        Just(Step::LoseReply),
+    ]);
+    let seal = prop::bool::weighted(0.05);
+    let step = (step, seal).prop_map(|(step, seal)| if seal { Step::Seal } else { step.0 });
+    prop::collection::vec(step, 1..80)
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 512,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(21),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// What is said to be durable is in the table once, in order, and
+    /// nothing is added after a seal.
+    #[test]
+    fn append_any_schedule_keeps_order_once(steps in steps()) {
+        let mut table = Table::default();
+        let mut journal = opened(&mut table, "i1");
+        let mut pushed = 0;
+        let mut durable = Vec::new();
+        let mut at_seal = None;
+        for step in steps {
+            match step {
+                Step::Push => {
+                    pushed += 1;
+                    journal.push(group(pushed));
+                    continue;
+                }
+                Step::Seal => {
+                    seal(&mut table, journal.row());
+                    at_seal.get_or_insert_with(|| table.turns(journal.row()));
+                    continue;
+                }
+                _ => {}
+            }
+            let Some(txn) = journal.poll(0) else { continue };
+            let reply = match step {
+                Step::LoseRequest => Err(lost()),
+                Step::LoseReply => {
+                    table.execute(&txn);
+                    Err(lost())
+                }
+                _ => Ok(table.execute(&txn)),
+            };
+            let committed = journal.on_reply(reply);
+            durable.extend(committed.waiters.iter().map(|waiter| waiter.0));
+        }
+        let kept = table.turns(journal.row());
+        let expected: Vec<u64> = (1..=kept.len() as u64).collect();
+        prop_assert_eq!(&kept, &expected);
+        prop_assert!(durable.len() <= kept.len());
+        prop_assert_eq!(&kept[..durable.len()], &durable[..]);
+        if let Some(at_seal) = at_seal {
+            prop_assert_eq!(kept, at_seal);
+        }
+    }
+}
--- a/crates/platform/src/table.rs
+++ b/crates/platform/src/table.rs
@@ -50,10 +50,17 @@
         /// Prefix.
         prefix: String,
     },
-    /// Deletes the rows whose keys begin with a prefix.
+    /// Deletes a row.
+    Delete {
+        /// Key.
+        key: String,
+    },
+    /// Deletes the rows whose keys lie from `from` up to `to`, exclusive.
     DeleteRange {
-        /// Prefix.
-        prefix: String,
+        /// First key.
+        from: String,
+        /// Key after the last.
+        to: String,
     },
 }
 
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -192,10 +192,16 @@
                     range_end: encode(&range_end(prefix)),
                 });
             }
-            Op::DeleteRange { prefix } => {
+            Op::Delete { key } => {
                 json.request_delete_range = Some(DeleteJson {
-                    key: encode(prefix.as_bytes()),
-                    range_end: encode(&range_end(prefix)),
+                    key: encode(key.as_bytes()),
+                    range_end: String::new(),
+                });
+            }
+            Op::DeleteRange { from, to } => {
+                json.request_delete_range = Some(DeleteJson {
+                    key: encode(from.as_bytes()),
+                    range_end: encode(to.as_bytes()),
                 });
             }
         }
--- a/crates/program/src/lib.rs
+++ b/crates/program/src/lib.rs
@@ -1,1 +1,19 @@
-//! One program: order, budget and non-idempotent calls
+//! Programs: the order of their calls, their budgets and their outcomes.
+//!
+//! Every change that must outlive the VM is a [`Record`]. Live code makes a
+//! record, applies it and journals it; a successor applies the same records
+//! to an empty [`Programs`] and gets the same state.
+
+mod amounts;
+mod budget;
+mod outcome;
+mod program;
+mod programs;
+mod record;
+
+pub use amounts::Amounts;
+pub use budget::{Budget, Reserve};
+pub use outcome::{Body, Finished, Outcome};
+pub use program::{Arrival, Program};
+pub use programs::{Cover, Opening, ProgramKey, Programs};
+pub use record::{ProgramImage, Record};
--- /dev/null
+++ b/crates/program/src/programs.rs
@@ -0,0 +1,401 @@
+//! Programs of one owner, by family.
+//!
+//! A family is a program with all that it spawned. It has one owner, so its
+//! budget needs no shared counter: a call is counted in its own program and
+//! in each ancestor.
+
+use lagoon_errors::{Kind, Refusal};
+use lagoon_ids::{AccountName, CallKey, FastMap, MarketName, ProgramId};
+use slotmap::{new_key_type, SlotMap};
+
+use crate::program::Intent;
+use crate::{Amounts, Finished, Outcome, Program, ProgramImage, Record};
+
+/// Largest part of a family's budget reserved ahead, as a divisor.
+const RESERVE_DIVISOR: u64 = 8;
+
+new_key_type! {
+    /// Key of a [`Program`].
+    pub struct ProgramKey;
+}
+
+/// What a program begins with.
+#[derive(Clone, Debug)]
+pub struct Opening {
+    /// Program.
+    pub program: ProgramId,
+    /// Account that pays.
+    pub account: AccountName,
+    /// Market whose rules hold.
+    pub market: MarketName,
+    /// Budget, within its parent's.
+    pub limit: Amounts,
+}
+
+/// Whether the durable reserve covers a call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Cover {
+    /// Call may be sent.
+    Covered,
+    /// Call may be sent once the pending reserve is durable.
+    Pending,
+    /// This much has to be reserved first.
+    Short(Amounts),
+}
+
+/// Programs of one owner.
+#[derive(Clone, Debug, Default)]
+pub struct Programs {
+    arena: SlotMap<ProgramKey, Program>,
+    by_id: FastMap<ProgramId, ProgramKey>,
+}
+
+impl Programs {
+    /// Key of a program.
+    pub fn find(&self, id: &ProgramId) -> Option<ProgramKey> {
+        self.by_id.get(id).copied()
+    }
+
+    /// Program of a key.
+    pub fn get(&self, key: ProgramKey) -> Option<&Program> {
+        self.arena.get(key)
+    }
+
+    /// Program of a key, to change.
+    pub fn get_mut(&mut self, key: ProgramKey) -> Option<&mut Program> {
+        self.arena.get_mut(key)
+    }
+
+    /// All programs.
+    pub fn iter(&self) -> impl Iterator<Item = (ProgramKey, &Program)> {
+        self.arena.iter()
+    }
+
+    /// Number of programs.
+    pub fn len(&self) -> usize {
+        self.arena.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.arena.is_empty()
+    }
+
+    /// Record that opens a program.
+    ///
+    /// # Errors
+    ///
+    /// Fails when its parent is unknown or has ended.
+    pub fn open(&self, opening: Opening) -> Result<Record, Refusal> {
+        if let Some(parent) = opening.program.parent() {
+            let found = self.find(&parent).and_then(|key| self.get(key));
+            match found {
+                None => {
+                    let detail = format!("parent {parent} is not under way");
+                    return Err(Refusal::new(Kind::UnknownProgram, detail));
+                }
+                Some(program) if program.ended => {
+                    let detail = format!("parent {parent} has ended");
+                    return Err(Refusal::new(Kind::ProgramEnded, detail));
+                }
+                Some(_) => {}
+            }
+        }
+        Ok(Record::Opened {
+            program: opening.program,
+            account: opening.account,
+            market: opening.market,
+            limit: opening.limit,
+        })
+    }
+
+    /// Program and its ancestors, the first program of the family last.
+    fn line(&self, key: ProgramKey) -> Vec<ProgramKey> {
+        let mut line = vec![key];
+        let mut next = self.arena.get(key).and_then(|program| program.parent);
+        while let Some(key) = next {
+            line.push(key);
+            next = self.arena.get(key).and_then(|program| program.parent);
+        }
+        line
+    }
+
+    /// First program of the family.
+    pub fn root(&self, key: ProgramKey) -> ProgramKey {
+        self.line(key).pop().unwrap_or(key)
+    }
+
+    fn on_line<F>(&mut self, key: ProgramKey, mut f: F)
+    where
+        F: FnMut(&mut Program),
+    {
+        for member in self.line(key) {
+            if let Some(program) = self.arena.get_mut(member) {
+                f(program);
+            }
+        }
+    }
+
+    /// Counts the worst case of a call in its program and each ancestor.
+    ///
+    /// # Errors
+    ///
+    /// Fails when one of them has too little left.
+    pub fn admit(&mut self, key: ProgramKey, worst: Amounts) -> Result<(), Refusal> {
+        for member in self.line(key) {
+            let Some(program) = self.arena.get(member) else {
+                continue;
+            };
+            let left = program.budget.left();
+            if !worst.fits(left) {
+                let detail = format!(
+                    "{} has {} tokens, {} micros and {} turns left; the call may need {}, {} and {}",
+                    program.id,
+                    left.tokens,
+                    left.money_micros,
+                    left.turns,
+                    worst.tokens,
+                    worst.money_micros,
+                    worst.turns
+                );
+                return Err(Refusal::new(Kind::BudgetExhausted, detail));
+            }
+        }
+        self.on_line(key, |program| {
+            program.budget.in_flight = program.budget.in_flight.plus(worst);
+        });
+        Ok(())
+    }
+
+    /// Takes back the worst case of a call that no longer is under way.
+    pub fn release(&mut self, key: ProgramKey, worst: Amounts) {
+        self.on_line(key, |program| {
+            program.budget.in_flight = program.budget.in_flight.minus(worst);
+        });
+    }
+
+    /// Whether the family's durable reserve covers all calls under way.
+    pub fn cover(&self, key: ProgramKey) -> Cover {
+        let Some(root) = self.arena.get(self.root(key)) else {
+            return Cover::Covered;
+        };
+        let budget = &root.budget;
+        if budget.in_flight.fits(root.reserve.durable) {
+            return Cover::Covered;
+        }
+        let reserved = root.reserve.durable.plus(root.reserve.pending);
+        if budget.in_flight.fits(reserved) {
+            return Cover::Pending;
+        }
+        let missing = budget.in_flight.minus(reserved);
+        let ahead = budget.limit.share(RESERVE_DIVISOR);
+        let wanted = missing.plus(ahead.min(budget.in_flight));
+        let allowed = budget.limit.minus(budget.spent).minus(reserved);
+        Cover::Short(wanted.min(allowed))
+    }
+
+    /// Notes a reservation that is journaled but not durable yet.
+    pub fn reserve_pending(&mut self, root: ProgramKey, amounts: Amounts) {
+        if let Some(program) = self.arena.get_mut(root) {
+            program.reserve.pending = program.reserve.pending.plus(amounts);
+        }
+    }
+
+    /// Notes that a pending reservation is durable.
+    pub fn reserve_durable(&mut self, root: &ProgramId, amounts: Amounts) {
+        let Some(key) = self.find(root) else {
+            return;
+        };
+        if let Some(program) = self.arena.get_mut(key) {
+            program.reserve.pending = program.reserve.pending.minus(amounts);
+            program.reserve.durable = program.reserve.durable.plus(amounts);
+        }
+    }
+
+    fn charge(&mut self, key: ProgramKey, used: Amounts) {
+        self.on_line(key, |program| {
+            program.budget.spent = program.budget.spent.plus(used);
+        });
+        let root = self.root(key);
+        if let Some(program) = self.arena.get_mut(root) {
+            program.reserve.durable = program.reserve.durable.minus(used);
+        }
+    }
+
+    /// Applies a record, live or from the journal.
+    pub fn apply(&mut self, record: &Record) {
+        match record {
+            Record::Opened {
+                program,
+                account,
+                market,
+                limit,
+            } => {
+                let parent = program.parent().and_then(|parent| self.find(&parent));
+                self.insert(Program::new(
+                    program.clone(),
+                    account.clone(),
+                    market.clone(),
+                    parent,
+                    *limit,
+                ));
+            }
+            Record::Reserved { root, amounts } => self.reserve_durable(root, *amounts),
+            Record::Intent {
+                call,
+                content_hash,
+                target,
+                worst,
+            } => {
+                let intent = Intent {
+                    content_hash: *content_hash,
+                    target: target.clone(),
+                    worst: *worst,
+                };
+                self.with_call(call, |program| {
+                    program.intents.insert(call.number, intent);
+                });
+            }
+            Record::Withdrawn { call } => self.with_call(call, |program| {
+                program.intents.remove(&call.number);
+            }),
+            Record::Finished { call, finished } => self.finish(call, finished.clone()),
+            Record::Charged { call, used } => {
+                if let Some(key) = self.find(&call.program) {
+                    self.charge(key, *used);
+                }
+            }
+            Record::Settled { call, ran } => self.with_call(call, |program| {
+                if let Some(finished) = program.finished.get_mut(&call.number) {
+                    finished.outcome = Outcome::Settled { ran: *ran };
+                }
+            }),
+            Record::Ended { program } => {
+                if let Some(key) = self.find(program) {
+                    self.arena[key].ended = true;
+                }
+            }
+            Record::Forgotten { program } => self.forget(program),
+            Record::Image(image) => self.restore(image),
+        }
+    }
+
+    fn insert(&mut self, program: Program) -> ProgramKey {
+        let id = program.id.clone();
+        if let Some(old) = self.by_id.get(&id) {
+            return *old;
+        }
+        let key = self.arena.insert(program);
+        self.by_id.insert(id, key);
+        key
+    }
+
+    fn with_call<F>(&mut self, call: &CallKey, f: F)
+    where
+        F: FnOnce(&mut Program),
+    {
+        let key = self.find(&call.program);
+        if let Some(program) = key.and_then(|key| self.arena.get_mut(key)) {
+            f(program);
+        }
+    }
+
+    fn finish(&mut self, call: &CallKey, finished: Finished) {
+        let Some(key) = self.find(&call.program) else {
+            return;
+        };
+        let used = finished.used;
+        let program = &mut self.arena[key];
+        program.intents.remove(&call.number);
+        if program.finished.insert(call.number, finished).is_none() {
+            self.charge(key, used);
+        }
+    }
+
+    fn forget(&mut self, id: &ProgramId) {
+        if let Some(key) = self.by_id.remove(id) {
+            self.arena.remove(key);
+        }
+    }
+
+    fn restore(&mut self, image: &ProgramImage) {
+        let parent = image.program.parent().and_then(|parent| self.find(&parent));
+        let key = self.insert(Program::new(
+            image.program.clone(),
+            image.account.clone(),
+            image.market.clone(),
+            parent,
+            image.budget.limit,
+        ));
+        let program = &mut self.arena[key];
+        program.budget = image.budget;
+        program.reserve = image.reserve;
+        program.finished = image.finished.iter().cloned().collect();
+        program.ended = image.ended;
+        program.intents = image
+            .intents
+            .iter()
+            .map(|(number, content_hash, target, worst)| {
+                let intent = Intent {
+                    content_hash: *content_hash,
+                    target: target.clone(),
+                    worst: *worst,
+                };
+                (*number, intent)
+            })
+            .collect();
+    }
+
+    /// Images of all programs, parents before those they spawned.
+    pub fn images(&self) -> Vec<ProgramImage> {
+        let mut images: Vec<ProgramImage> = self.arena.values().map(Program::image).collect();
+        images.sort_by(|a, b| a.program.cmp(&b.program));
+        images
+    }
+
+    /// Turns replayed state into the state of a new owner.
+    ///
+    /// Nobody knows which calls the old owner had under way, so the whole
+    /// reserve counts as spent and each intent without an outcome is in
+    /// doubt. Returns the records that say so.
+    pub fn take_over(&mut self) -> Vec<Record> {
+        let mut records = Vec::new();
+        for program in self.arena.values() {
+            for (number, intent) in &program.intents {
+                records.push(Record::Finished {
+                    call: CallKey {
+                        program: program.id.clone(),
+                        number: *number,
+                    },
+                    finished: Finished {
+                        content_hash: intent.content_hash,
+                        target: intent.target.clone(),
+                        used: intent.worst,
+                        outcome: Outcome::InDoubt,
+                    },
+                });
+            }
+        }
+        for record in &records {
+            self.apply(record);
+        }
+        let mut charges = Vec::new();
+        for program in self.arena.values() {
+            let held = program.reserve.durable;
+            if program.parent.is_none() && held != Amounts::default() {
+                charges.push(Record::Charged {
+                    call: CallKey {
+                        program: program.id.clone(),
+                        number: program.next_number(),
+                    },
+                    used: held,
+                });
+            }
+        }
+        for record in &charges {
+            self.apply(record);
+        }
+        records.extend(charges);
+        records
+    }
+}
--- /dev/null
+++ b/crates/program/src/record.rs
@@ -0,0 +1,99 @@
+//! Records of the journal.
+
+use lagoon_ids::{AccountName, CallKey, MarketName, ProgramId, TargetName};
+use serde::{Deserialize, Serialize};
+
+use crate::{Amounts, Budget, Finished, Reserve};
+
+/// Change that outlives the VM.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Record {
+    /// Program began.
+    Opened {
+        /// Program.
+        program: ProgramId,
+        /// Account that pays.
+        account: AccountName,
+        /// Market whose rules hold.
+        market: MarketName,
+        /// Budget, within its parent's.
+        limit: Amounts,
+    },
+    /// Part of a family's budget may be spent from now on.
+    Reserved {
+        /// First program of the family.
+        root: ProgramId,
+        /// Amount added to the reserve.
+        amounts: Amounts,
+    },
+    /// Call that must not be repeated is about to be sent.
+    Intent {
+        /// Call.
+        call: CallKey,
+        /// Hash of the request.
+        content_hash: u128,
+        /// Target it goes to.
+        target: TargetName,
+        /// Worst case of what it uses.
+        worst: Amounts,
+    },
+    /// Call that was about to be sent surely did not run.
+    Withdrawn {
+        /// Call.
+        call: CallKey,
+    },
+    /// Call finished.
+    Finished {
+        /// Call.
+        call: CallKey,
+        /// Result.
+        finished: Finished,
+    },
+    /// Call used budget without an answer that counts.
+    Charged {
+        /// Call.
+        call: CallKey,
+        /// What it used.
+        used: Amounts,
+    },
+    /// Operator settled a call in doubt.
+    Settled {
+        /// Call.
+        call: CallKey,
+        /// Whether it ran.
+        ran: bool,
+    },
+    /// Program ended.
+    Ended {
+        /// Program.
+        program: ProgramId,
+    },
+    /// Program is dropped from memory.
+    Forgotten {
+        /// Program.
+        program: ProgramId,
+    },
+    /// Whole state of a program, in a snapshot.
+    Image(Box<ProgramImage>),
+}
+
+/// Whole state of a program.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ProgramImage {
+    /// Program.
+    pub program: ProgramId,
+    /// Account that pays.
+    pub account: AccountName,
+    /// Market whose rules hold.
+    pub market: MarketName,
+    /// Budget.
+    pub budget: Budget,
+    /// Durable reserve of the family, in its first program.
+    pub reserve: Reserve,
+    /// Finished calls with their numbers.
+    pub finished: Vec<(u32, Finished)>,
+    /// Calls whose intent is durable, without an outcome.
+    pub intents: Vec<(u32, u128, TargetName, Amounts)>,
+    /// Whether the program has ended.
+    pub ended: bool,
+}
--- /dev/null
+++ b/crates/program/tests/budget.rs
@@ -0,0 +1,190 @@
+//! Budgets of families, live and after a takeover.
+
+mod support;
+
+use lagoon_errors::Kind;
+use lagoon_ids::CallKey;
+use lagoon_program::{Amounts, Cover, Outcome, ProgramKey, Programs, Record};
+use proptest::prelude::{any, prop, prop_assert, proptest, ProptestConfig};
+use proptest::test_runner::{RngAlgorithm, RngSeed};
+use support::{call, finished, open, program_id, tokens};
+
+const LIMIT_TOKENS: u64 = 1_000;
+
+/// Reserves what the family is short of and makes it durable.
+fn reserve(programs: &mut Programs, key: ProgramKey, journal: &mut Vec<Record>) {
+    let Cover::Short(amounts) = programs.cover(key) else {
+        return;
+    };
+    let root_key = programs.root(key);
+    let root = programs.get(root_key).expect("root").id.clone();
+    programs.reserve_pending(root_key, amounts);
+    let record = Record::Reserved { root, amounts };
+    programs.apply(&record);
+    journal.push(record);
+}
+
+#[test]
+fn admit_fifty_children_stays_within_parent() {
+    let mut programs = Programs::default();
+    open(&mut programs, "p", LIMIT_TOKENS);
+    let children: Vec<ProgramKey> = (0..50)
+        .map(|n| open(&mut programs, &format!("p/s{n}"), LIMIT_TOKENS))
+        .collect();
+    let admitted = children
+        .iter()
+        .filter(|key| programs.admit(**key, tokens(30)).is_ok())
+        .count();
+    assert_eq!(admitted, 33);
+    let refusal = programs
+        .admit(children[49], tokens(30))
+        .expect_err("nothing left");
+    assert_eq!(refusal.kind, Kind::BudgetExhausted);
+}
+
+#[test]
+fn open_under_ended_parent_is_refused() {
+    let mut programs = Programs::default();
+    open(&mut programs, "p", LIMIT_TOKENS);
+    programs.apply(&Record::Ended {
+        program: program_id("p"),
+    });
+    let refusal = programs
+        .open(lagoon_program::Opening {
+            program: program_id("p/s"),
+            account: "account".parse().expect("account"),
+            market: "market".parse().expect("market"),
+            limit: tokens(1),
+        })
+        .expect_err("ended");
+    assert_eq!(refusal.kind, Kind::ProgramEnded);
+}
+
+#[test]
+fn take_over_puts_open_intent_in_doubt_and_charges_it() {
+    let mut programs = Programs::default();
+    let key = open(&mut programs, "p", LIMIT_TOKENS);
+    programs.admit(key, tokens(10)).expect("admitted");
+    reserve(&mut programs, key, &mut Vec::new());
+    programs.apply(&Record::Intent {
+        call: call("p", 1),
+        content_hash: 4,
+        target: "desk-1".parse().expect("target"),
+        worst: tokens(10),
+    });
+    let images: Vec<Record> = programs
+        .images()
+        .into_iter()
+        .map(|image| Record::Image(Box::new(image)))
+        .collect();
+    let mut successor = Programs::default();
+    images.iter().for_each(|record| successor.apply(record));
+    successor.take_over();
+    let key = successor.find(&program_id("p")).expect("program");
+    let program = successor.get(key).expect("program");
+    assert_eq!(
+        program.result(1).map(|call| &call.outcome),
+        Some(&Outcome::InDoubt)
+    );
+    assert_eq!(program.doubts().count(), 1);
+    assert!(program.budget.spent.tokens >= 10);
+    assert_eq!(program.reserve.durable, Amounts::default());
+}
+
+/// One step of a generated schedule.
+#[derive(Clone, Debug)]
+struct Step {
+    child: u8,
+    worst_tokens: u64,
+    used_share: u8,
+    crash: bool,
+}
+
+fn steps() -> impl proptest::strategy::Strategy<Value = Vec<Step>> {
+    let step = (0u8..6, 1u64..200, 0u8..=100, prop::bool::weighted(0.1));
+    let step =
+        proptest::strategy::Strategy::prop_map(step, |(child, worst_tokens, used_share, crash)| {
+            Step {
+                child,
+                worst_tokens,
+                used_share,
+                crash,
+            }
+        });
+    prop::collection::vec(step, 1..60)
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 256,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn member(programs: &mut Programs, child: u8, journal: &mut Vec<Record>) -> ProgramKey {
+    let id = if child == 0 {
+        "p".to_owned()
+    } else {
+        format!("p/s{child}")
+    };
+    if let Some(key) = programs.find(&program_id(&id)) {
+        return key;
+    }
+    let key = open(programs, &id, LIMIT_TOKENS);
+    let program = programs.get(key).expect("program");
+    journal.push(Record::Opened {
+        program: program.id.clone(),
+        account: program.account.clone(),
+        market: program.market.clone(),
+        limit: program.budget.limit,
+    });
+    key
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// What targets were really made to spend never exceeds the limit, with
+    /// owners that die while a call is under way.
+    #[test]
+    fn spending_with_crashes_stays_within_limit(steps in steps(), salt in any::<u8>()) {
+        let mut journal = Vec::new();
+        let mut programs = Programs::default();
+        member(&mut programs, 0, &mut journal);
+        let mut really_spent = 0;
+        for (turn, step) in steps.iter().enumerate() {
+            let key = member(&mut programs, step.child, &mut journal);
+            let worst = tokens(step.worst_tokens);
+            if programs.admit(key, worst).is_err() {
+                continue;
+            }
+            reserve(&mut programs, key, &mut journal);
+            prop_assert!(programs.cover(key) == Cover::Covered);
+            let used = step.worst_tokens * u64::from(step.used_share) / 100;
+            really_spent += used;
+            if step.crash {
+                // The successor sees only what was journaled.
+                programs = Programs::default();
+                journal.iter().for_each(|record| programs.apply(record));
+                journal.extend(programs.take_over());
+                continue;
+            }
+            programs.release(key, worst);
+            let program = programs.get(key).expect("program");
+            let record = Record::Finished {
+                call: CallKey { program: program.id.clone(), number: program.next_number() },
+                finished: finished(u128::from(salt) + turn as u128, used),
+            };
+            programs.apply(&record);
+            journal.push(record);
+        }
+        prop_assert!(really_spent <= LIMIT_TOKENS, "spent {really_spent}");
+        let root = programs.find(&program_id("p")).expect("root");
+        let counted = programs.get(root).expect("root").budget.spent.tokens;
+        prop_assert!(counted >= really_spent);
+        prop_assert!(counted <= LIMIT_TOKENS);
+    }
+}
