--- a/crates/ids/src/call.rs
+++ b/crates/ids/src/call.rs
@@ -10,11 +10,13 @@
 use derive_more::{AsRef, Display};
 use serde::{Deserialize, Serialize};
 
-use crate::names::{check_name, NameError};
+use crate::names::{check_name, Incarnation, NameError};
 
 /// Longest program identifier, in bytes.
 const PROGRAM_LIMIT_BYTES: usize = 200;
 const FAMILY_SEPARATOR: char = '/';
+/// Separator of issuer and number in an identifier that a VM issued.
+const ISSUER_SEPARATOR: char = ':';
 
 /// Program, with its ancestors.
 #[derive(
@@ -37,6 +39,21 @@
             .unwrap_or(self.0.as_str())
     }
 
+    /// Identifier that an incarnation issues; no other one can.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the text is too long.
+    pub fn issued(issuer: &Incarnation, count: u64) -> Result<ProgramId, NameError> {
+        format_compact!("{issuer}{ISSUER_SEPARATOR}{count:x}").try_into()
+    }
+
+    /// Incarnation that issued the family's identifier.
+    pub fn issuer(&self) -> Option<Incarnation> {
+        let (issuer, _) = self.family().split_once(ISSUER_SEPARATOR)?;
+        issuer.parse().ok()
+    }
+
     /// Program that spawned this one.
     pub fn parent(&self) -> Option<ProgramId> {
         let (parent, _) = self.0.rsplit_once(FAMILY_SEPARATOR)?;
@@ -70,7 +87,7 @@
     type Error = NameError;
 
     fn try_from(text: CompactString) -> Result<Self, NameError> {
-        check_name(&text, PROGRAM_LIMIT_BYTES, "-._:/")?;
+        check_name(&text, PROGRAM_LIMIT_BYTES, "-._~:/")?;
         if text.split(FAMILY_SEPARATOR).any(str::is_empty) {
             return Err(NameError::Empty);
         }
--- a/crates/ids/src/names.rs
+++ b/crates/ids/src/names.rs
@@ -2,12 +2,14 @@
 
 use std::str::FromStr;
 
-use compact_str::CompactString;
+use compact_str::{format_compact, CompactString};
 use derive_more::{AsRef, Display};
 use serde::{Deserialize, Serialize};
 
 /// Longest name, in bytes.
 pub const NAME_LIMIT_BYTES: usize = 64;
+/// Separator of domain, VM and start in an incarnation.
+const INCARNATION_SEPARATOR: char = '~';
 
 /// Reason why a text is no name.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
@@ -47,7 +49,7 @@
 }
 
 macro_rules! name {
-    ($(#[$doc:meta])* $name:ident) => {
+    ($(#[$doc:meta])* $name:ident, $extra:literal) => {
         $(#[$doc])*
         #[derive(
             AsRef, Clone, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
@@ -66,7 +68,7 @@
             type Err = NameError;
 
             fn from_str(text: &str) -> Result<Self, NameError> {
-                check_name(text, NAME_LIMIT_BYTES, "-._")?;
+                check_name(text, NAME_LIMIT_BYTES, $extra)?;
                 Ok(Self(CompactString::new(text)))
             }
         }
@@ -75,7 +77,7 @@
             type Error = NameError;
 
             fn try_from(text: CompactString) -> Result<Self, NameError> {
-                check_name(&text, NAME_LIMIT_BYTES, "-._")?;
+                check_name(&text, NAME_LIMIT_BYTES, $extra)?;
                 Ok(Self(text))
             }
         }
@@ -84,33 +86,60 @@
 
 name!(
     /// Client account.
-    AccountName
+    AccountName,
+    "-._"
 );
 name!(
     /// Failure domain.
-    DomainName
+    DomainName,
+    "-._"
 );
 name!(
     /// One run of one VM's daemon.
-    Incarnation
+    Incarnation,
+    "-._~"
 );
 name!(
     /// Market.
-    MarketName
+    MarketName,
+    "-._"
 );
 name!(
     /// Model.
-    ModelName
+    ModelName,
+    "-._"
 );
 name!(
     /// Plain service.
-    ServiceName
+    ServiceName,
+    "-._"
 );
 name!(
     /// Target.
-    TargetName
+    TargetName,
+    "-._"
 );
 name!(
     /// Entry VM.
-    VmName
+    VmName,
+    "-._"
 );
+
+impl Incarnation {
+    /// Incarnation of a VM's daemon that starts now.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the names are too long together.
+    pub fn of(domain: &DomainName, vm: &VmName, started_ms: u64) -> Result<Self, NameError> {
+        let text = format_compact!(
+            "{domain}{INCARNATION_SEPARATOR}{vm}{INCARNATION_SEPARATOR}{started_ms:x}"
+        );
+        text.try_into()
+    }
+
+    /// Prefix of all incarnations in a failure domain.
+    pub fn prefix(domain: &DomainName) -> String {
+        format!("{domain}{INCARNATION_SEPARATOR}")
+    }
+}
--- a/crates/journal/src/incarnation.rs
+++ b/crates/journal/src/incarnation.rs
@@ -13,8 +13,6 @@
     Open,
     /// Its programs belong to another incarnation.
     Sealed {
-        /// Failure domain of the successor.
-        by_domain: DomainName,
         /// Successor.
         by: Incarnation,
     },
@@ -29,6 +27,8 @@
     pub vm: VmName,
     /// Failure domain of the VM.
     pub domain: DomainName,
+    /// Number of its start, which grows with each start of the VM.
+    pub started_ms: u64,
     /// Address for messages between VMs.
     pub peer_address: SocketAddr,
     /// Whether it may still append.
@@ -52,11 +52,10 @@
     }
 
     /// Same row, sealed by a successor.
-    pub fn sealed_by(&self, successor: &IncarnationRow) -> IncarnationRow {
+    pub fn sealed_by(&self, successor: &Incarnation) -> IncarnationRow {
         IncarnationRow {
             state: IncarnationState::Sealed {
-                by_domain: successor.domain.clone(),
-                by: successor.incarnation.clone(),
+                by: successor.clone(),
             },
             ..self.clone()
         }
--- a/crates/journal/src/keys.rs
+++ b/crates/journal/src/keys.rs
@@ -5,19 +5,14 @@
 /// Value of the row of a family that has ended.
 pub const FAMILY_ENDED: &[u8] = b"ended";
 
-/// Prefix of the rows of all incarnations.
-pub fn incarnations_prefix() -> String {
-    "incarnation/".to_owned()
-}
-
 /// Prefix of the rows of one failure domain's incarnations.
 pub fn incarnation_prefix(domain: &DomainName) -> String {
-    format!("incarnation/{domain}/")
+    format!("incarnation/{}", Incarnation::prefix(domain))
 }
 
 /// Row of an incarnation.
-pub fn incarnation_key(domain: &DomainName, incarnation: &Incarnation) -> String {
-    format!("incarnation/{domain}/{incarnation}")
+pub fn incarnation_key(incarnation: &Incarnation) -> String {
+    format!("incarnation/{incarnation}")
 }
 
 /// Prefix of an incarnation's journal.
@@ -30,9 +25,14 @@
     format!("log/{incarnation}/{sequence:012}")
 }
 
-/// Prefix of the rows of families.
-pub fn family_prefix() -> String {
-    "family/".to_owned()
+/// Prefix of the rows that name what an incarnation sealed.
+pub fn sealed_prefix(successor: &Incarnation) -> String {
+    format!("sealed/{successor}/")
+}
+
+/// Row that says that `successor` sealed an incarnation.
+pub fn sealed_key(successor: &Incarnation, sealed: &Incarnation) -> String {
+    format!("sealed/{successor}/{sealed}")
 }
 
 /// Row that names the owner of a family.
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -13,7 +13,7 @@
 pub use batch::{decode_batch, Group, JournalError, Waiter};
 pub use incarnation::{IncarnationRow, IncarnationState};
 pub use keys::{
-    family_key, family_prefix, incarnation_key, incarnation_prefix, incarnations_prefix, log_key,
-    log_prefix, snapshot_key, snapshot_pointer_key, FAMILY_ENDED,
+    family_key, incarnation_key, incarnation_prefix, log_key, log_prefix, sealed_key,
+    sealed_prefix, snapshot_key, snapshot_pointer_key, FAMILY_ENDED,
 };
 pub use log::{Committed, Conflict, Journal};
--- a/crates/journal/src/log.rs
+++ b/crates/journal/src/log.rs
@@ -156,7 +156,7 @@
     }
 
     fn own_key(&self) -> String {
-        incarnation_key(&self.row.domain, &self.row.incarnation)
+        incarnation_key(&self.row.incarnation)
     }
 
     fn append(&self, batch: &Batch) -> Txn {
--- a/crates/journal/tests/append.rs
+++ b/crates/journal/tests/append.rs
@@ -84,6 +84,7 @@
         incarnation: name.parse().expect("incarnation"),
         vm: "vm1".parse().expect("vm"),
         domain: "d1".parse().expect("domain"),
+        started_ms: 1,
         peer_address: "127.0.0.1:1".parse().expect("address"),
         state: IncarnationState::Open,
     }
@@ -91,16 +92,17 @@
 
 fn opened(table: &mut Table, name: &str) -> Journal {
     let row = row(name);
-    let key = incarnation_key(&row.domain, &row.incarnation);
+    let key = incarnation_key(&row.incarnation);
     table.0.insert(key, row.encode());
     Journal::new(row)
 }
 
 fn seal(table: &mut Table, sealed: &IncarnationRow) {
-    let key = incarnation_key(&sealed.domain, &sealed.incarnation);
-    table
-        .0
-        .insert(key, sealed.sealed_by(&row("successor")).encode());
+    let key = incarnation_key(&sealed.incarnation);
+    table.0.insert(
+        key,
+        sealed.sealed_by(&row("successor").incarnation).encode(),
+    );
 }
 
 fn group(turns: u64) -> Group {
--- /dev/null
+++ b/crates/membership/src/members.rs
@@ -0,0 +1,198 @@
+//! Members of one failure domain.
+
+use std::net::SocketAddr;
+
+use lagoon_ids::{rendezvous, DomainName, FastMap, Incarnation, VmName};
+
+use crate::Heartbeat;
+
+/// Settings of [`Members`].
+#[derive(Clone, Debug, PartialEq)]
+pub struct MemberSettings {
+    /// Own VM.
+    pub vm: VmName,
+    /// Own failure domain.
+    pub domain: DomainName,
+    /// Own incarnation.
+    pub incarnation: Incarnation,
+    /// Silence after which a VM counts as dead.
+    pub suspect_ms: u64,
+}
+
+/// One other VM.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Member {
+    /// Its latest incarnation.
+    pub incarnation: Incarnation,
+    /// Number of that incarnation's start.
+    pub started_ms: u64,
+    /// Where it takes messages.
+    pub peer_address: SocketAddr,
+    /// Time of the last sign of life.
+    pub heard_ms: u64,
+    /// Whether any source called it leaving.
+    pub leaving: bool,
+    /// Whether it has been silent for too long.
+    pub dead: bool,
+    /// Version of the sheet it has in force.
+    pub sheet_version: u64,
+}
+
+/// Change of the membership.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// VM was heard for the first time, or in a new incarnation.
+    Joined(VmName),
+    /// VM is leaving.
+    Leaving(VmName),
+    /// Incarnation is dead.
+    Dead {
+        /// VM that it ran on.
+        vm: VmName,
+        /// Incarnation.
+        incarnation: Incarnation,
+    },
+}
+
+/// Members of one failure domain, without the own VM.
+#[derive(Clone, Debug)]
+pub struct Members {
+    settings: MemberSettings,
+    others: FastMap<VmName, Member>,
+    leaving: bool,
+}
+
+impl Members {
+    /// Membership that knows just the own VM.
+    pub fn new(settings: MemberSettings) -> Members {
+        Members {
+            settings,
+            others: FastMap::default(),
+            leaving: false,
+        }
+    }
+
+    /// Own settings.
+    pub fn settings(&self) -> &MemberSettings {
+        &self.settings
+    }
+
+    /// Marks the own VM as leaving.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Whether the own VM is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Other VMs that were ever heard.
+    pub fn others(&self) -> impl Iterator<Item = (&VmName, &Member)> {
+        self.others.iter()
+    }
+
+    /// One other VM.
+    pub fn get(&self, vm: &VmName) -> Option<&Member> {
+        self.others.get(vm)
+    }
+
+    /// VM that runs an incarnation, if it is its latest one.
+    pub fn vm_of(&self, incarnation: &Incarnation) -> Option<(&VmName, &Member)> {
+        self.others
+            .iter()
+            .find(|(_, member)| member.incarnation == *incarnation)
+    }
+
+    /// VMs that take new work, the own one included unless it is leaving.
+    pub fn live(&self) -> Vec<&VmName> {
+        let others = self
+            .others
+            .iter()
+            .filter(|(_, member)| !member.dead && !member.leaving)
+            .map(|(vm, _)| vm);
+        let own = (!self.leaving).then_some(&self.settings.vm);
+        let mut live: Vec<&VmName> = others.chain(own).collect();
+        live.sort();
+        live
+    }
+
+    /// VM that `key` falls to among those that take new work.
+    pub fn holder(&self, key: &str) -> Option<&VmName> {
+        rendezvous(key, self.live())
+    }
+
+    /// Takes a heartbeat.
+    pub fn on_heartbeat(&mut self, beat: &Heartbeat, now_ms: u64) -> Vec<Change> {
+        if beat.domain != self.settings.domain || beat.vm == self.settings.vm {
+            return Vec::new();
+        }
+        let mut changes = Vec::new();
+        let known = self.others.get(&beat.vm);
+        let newer = known.is_none_or(|member| beat.started_ms > member.started_ms);
+        if newer {
+            if let Some(old) = known.filter(|member| !member.dead) {
+                changes.push(Change::Dead {
+                    vm: beat.vm.clone(),
+                    incarnation: old.incarnation.clone(),
+                });
+            }
+            changes.push(Change::Joined(beat.vm.clone()));
+            self.others
+                .insert(beat.vm.clone(), first_heard(beat, now_ms));
+        }
+        let Some(member) = self.others.get_mut(&beat.vm) else {
+            return changes;
+        };
+        if member.incarnation != beat.incarnation || member.dead {
+            // An incarnation that was given up never comes back.
+            return changes;
+        }
+        member.heard_ms = now_ms;
+        member.sheet_version = beat.sheet_version;
+        if beat.leaving && (newer || !member.leaving) {
+            member.leaving = true;
+            changes.push(Change::Leaving(beat.vm.clone()));
+        }
+        changes
+    }
+
+    /// Takes the word of another source that a VM is leaving.
+    pub fn on_leaving(&mut self, vm: &VmName) -> Vec<Change> {
+        match self.others.get_mut(vm) {
+            Some(member) if !member.leaving => {
+                member.leaving = true;
+                vec![Change::Leaving(vm.clone())]
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Finds the VMs that have been silent for too long.
+    pub fn tick(&mut self, now_ms: u64) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for (vm, member) in &mut self.others {
+            let silent = now_ms >= member.heard_ms + self.settings.suspect_ms;
+            if silent && !member.dead {
+                member.dead = true;
+                changes.push(Change::Dead {
+                    vm: vm.clone(),
+                    incarnation: member.incarnation.clone(),
+                });
+            }
+        }
+        changes
+    }
+}
+
+fn first_heard(beat: &Heartbeat, now_ms: u64) -> Member {
+    Member {
+        incarnation: beat.incarnation.clone(),
+        started_ms: beat.started_ms,
+        peer_address: beat.peer_address,
+        heard_ms: now_ms,
+        leaving: false,
+        dead: false,
+        sheet_version: beat.sheet_version,
+    }
+}
--- /dev/null
+++ b/crates/membership/tests/members.rs
@@ -0,0 +1,90 @@
+//! Signs of life, of leaving and of death.
+
+use lagoon_ids::VmName;
+use lagoon_membership::{Change, Heartbeat, MemberSettings, Members};
+
+const SUSPECT_MS: u64 = 1_000;
+
+fn vm(name: &str) -> VmName {
+    name.parse().expect("vm")
+}
+
+fn members() -> Members {
+    Members::new(MemberSettings {
+        vm: vm("vm1"),
+        domain: "d1".parse().expect("domain"),
+        incarnation: "vm1-1".parse().expect("incarnation"),
+        suspect_ms: SUSPECT_MS,
+    })
+}
+
+fn beat(name: &str, started_ms: u64) -> Heartbeat {
+    Heartbeat {
+        vm: vm(name),
+        domain: "d1".parse().expect("domain"),
+        incarnation: format!("{name}-{started_ms}").parse().expect("incarnation"),
+        started_ms,
+        peer_address: "127.0.0.1:1".parse().expect("address"),
+        leaving: false,
+        sheet_version: 0,
+        loads: Vec::new(),
+    }
+}
+
+fn dead(name: &str, started_ms: u64) -> Change {
+    Change::Dead {
+        vm: vm(name),
+        incarnation: format!("{name}-{started_ms}").parse().expect("incarnation"),
+    }
+}
+
+#[test]
+fn tick_silence_is_death_once() {
+    let mut members = members();
+    members.on_heartbeat(&beat("vm2", 1), 0);
+    assert!(members.tick(SUSPECT_MS - 1).is_empty());
+    assert_eq!(members.tick(SUSPECT_MS), [dead("vm2", 1)]);
+    assert!(members.tick(SUSPECT_MS + 1).is_empty());
+    assert_eq!(members.live(), [&vm("vm1")]);
+}
+
+#[test]
+fn on_heartbeat_after_death_does_not_revive() {
+    let mut members = members();
+    members.on_heartbeat(&beat("vm2", 1), 0);
+    members.tick(SUSPECT_MS);
+    assert!(members
+        .on_heartbeat(&beat("vm2", 1), SUSPECT_MS + 1)
+        .is_empty());
+    assert_eq!(members.live().len(), 1);
+    let changes = members.on_heartbeat(&beat("vm2", 2), SUSPECT_MS + 2);
+    assert_eq!(changes, [Change::Joined(vm("vm2"))]);
+    assert_eq!(members.live().len(), 2);
+}
+
+#[test]
+fn on_heartbeat_new_incarnation_ends_the_old_at_once() {
+    let mut members = members();
+    members.on_heartbeat(&beat("vm2", 1), 0);
+    let changes = members.on_heartbeat(&beat("vm2", 2), 1);
+    assert_eq!(changes, [dead("vm2", 1), Change::Joined(vm("vm2"))]);
+    assert!(members.on_heartbeat(&beat("vm2", 1), 2).is_empty());
+}
+
+#[test]
+fn on_leaving_any_source_wins_over_live() {
+    let mut members = members();
+    members.on_heartbeat(&beat("vm2", 1), 0);
+    assert_eq!(members.on_leaving(&vm("vm2")), [Change::Leaving(vm("vm2"))]);
+    members.on_heartbeat(&beat("vm2", 1), 1);
+    assert_eq!(members.live(), [&vm("vm1")]);
+}
+
+#[test]
+fn on_heartbeat_other_domain_is_no_member() {
+    let mut members = members();
+    let mut other = beat("vm2", 1);
+    other.domain = "d2".parse().expect("domain");
+    assert!(members.on_heartbeat(&other, 0).is_empty());
+    assert_eq!(members.live().len(), 1);
+}
--- a/crates/program/src/programs.rs
+++ b/crates/program/src/programs.rs
@@ -276,6 +276,7 @@
                 }
             }
             Record::Forgotten { program } => self.forget(program),
+            Record::Imported { .. } => {}
             Record::Image(image) => self.restore(image),
         }
     }
--- a/crates/program/src/record.rs
+++ b/crates/program/src/record.rs
@@ -1,6 +1,6 @@
 //! Records of the journal.
 
-use lagoon_ids::{AccountName, CallKey, MarketName, ProgramId, TargetName};
+use lagoon_ids::{AccountName, CallKey, Incarnation, MarketName, ProgramId, TargetName};
 use serde::{Deserialize, Serialize};
 
 use crate::{Amounts, Budget, Finished, Reserve};
@@ -73,6 +73,11 @@
         /// Program.
         program: ProgramId,
     },
+    /// All programs of another incarnation have been taken over.
+    Imported {
+        /// Incarnation that was sealed.
+        from: Incarnation,
+    },
     /// Whole state of a program, in a snapshot.
     Image(Box<ProgramImage>),
 }
