--- /dev/null
+++ b/crates/cli/src/canvas.rs
@@ -0,0 +1,7 @@
+//! Showing answers.
+
+mod table;
+mod tree;
+
+pub use table::Table;
+pub use tree::{read_spans, trees, Span};
--- /dev/null
+++ b/crates/cli/src/canvas/tree.rs
@@ -0,0 +1,108 @@
+//! Spans as trees.
+
+use std::collections::BTreeMap;
+
+use opentelemetry_proto::tonic::common::v1::any_value::Value;
+use opentelemetry_proto::tonic::common::v1::KeyValue;
+use opentelemetry_proto::tonic::resource::v1::Resource;
+use opentelemetry_proto::tonic::trace::v1::TracesData;
+
+/// Span of a file.
+#[derive(Clone, Debug)]
+pub struct Span {
+    trace_id: Vec<u8>,
+    span_id: Vec<u8>,
+    parent_id: Vec<u8>,
+    name: String,
+    vm: String,
+    start_ns: u64,
+    end_ns: u64,
+    attributes: Vec<(String, String)>,
+}
+
+/// Spans of a file's text; lines that can't be read are left out.
+pub fn read_spans(text: &str) -> Vec<Span> {
+    let files = text
+        .lines()
+        .filter_map(|line| serde_json::from_str::<TracesData>(line).ok());
+    let mut spans = Vec::new();
+    for resource_spans in files.flat_map(|file| file.resource_spans) {
+        let vm = vm_name(resource_spans.resource.as_ref());
+        let scopes = resource_spans.scope_spans.into_iter();
+        spans.extend(scopes.flat_map(|scope| scope.spans).map(|span| Span {
+            trace_id: span.trace_id,
+            span_id: span.span_id,
+            parent_id: span.parent_span_id,
+            name: span.name,
+            vm: vm.clone(),
+            start_ns: span.start_time_unix_nano,
+            end_ns: span.end_time_unix_nano,
+            attributes: span.attributes.iter().filter_map(attribute).collect(),
+        }));
+    }
+    spans
+}
+
+fn attribute(pair: &KeyValue) -> Option<(String, String)> {
+    match pair.value.as_ref()?.value.as_ref()? {
+        Value::StringValue(text) => Some((pair.key.clone(), text.clone())),
+        _ => None,
+    }
+}
+
+fn vm_name(resource: Option<&Resource>) -> String {
+    let attributes = resource.map(|resource| resource.attributes.as_slice());
+    attributes
+        .unwrap_or_default()
+        .iter()
+        .filter_map(attribute)
+        .find(|(key, _)| key == "host.name")
+        .map_or_else(String::new, |(_, value)| value)
+}
+
+/// Trees of spans, a line each; only trees that hold the filter's text.
+pub fn trees(spans: &[Span], filter: Option<&str>) -> String {
+    let mut traces: BTreeMap<&[u8], Vec<&Span>> = BTreeMap::new();
+    for span in spans {
+        traces.entry(&span.trace_id).or_default().push(span);
+    }
+    let mut ordered: Vec<Vec<&Span>> = traces.into_values().collect();
+    for trace in &mut ordered {
+        trace.sort_by_key(|span| span.start_ns);
+    }
+    ordered.sort_by_key(|trace| trace[0].start_ns);
+    let texts = ordered.iter().map(|trace| tree(trace));
+    texts
+        .filter(|text| filter.is_none_or(|filter| text.contains(filter)))
+        .collect()
+}
+
+fn tree(trace: &[&Span]) -> String {
+    let start_ns = trace[0].start_ns;
+    let known = |id: &[u8]| trace.iter().any(|span| span.span_id == id);
+    let mut text = String::new();
+    for root in trace.iter().filter(|span| !known(&span.parent_id)) {
+        add(&mut text, trace, root, 0, start_ns);
+    }
+    text
+}
+
+fn add(text: &mut String, trace: &[&Span], span: &Span, depth: usize, start_ns: u64) {
+    let label = format!("{:indent$}{}", "", span.name, indent = depth * 2);
+    let attributes: Vec<String> = span
+        .attributes
+        .iter()
+        .filter(|(key, _)| key != "lagoon.vm")
+        .map(|(key, value)| format!("{}={value}", key.rsplit('.').next().unwrap_or(key)))
+        .collect();
+    text.push_str(&format!(
+        "{label:<16} {:>8.1} ms +{:>7.1} ms  {:<6} {}\n",
+        (span.start_ns - start_ns) as f64 / 1e6,
+        span.end_ns.saturating_sub(span.start_ns) as f64 / 1e6,
+        span.vm,
+        attributes.join(" "),
+    ));
+    for child in trace.iter().filter(|child| child.parent_id == span.span_id) {
+        add(text, trace, child, depth + 1, start_ns);
+    }
+}
--- /dev/null
+++ b/crates/cli/src/collection.rs
@@ -0,0 +1,5 @@
+//! Asking a VM.
+
+mod vm;
+
+pub use vm::{AskError, Vm};
--- /dev/null
+++ b/crates/cli/src/commands.rs
@@ -0,0 +1,98 @@
+//! Commands carried out.
+
+mod programs;
+mod sheet;
+mod status;
+
+use std::fs;
+use std::path::PathBuf;
+
+use serde::Serialize;
+use thiserror::Error;
+
+use crate::canvas::{read_spans, trees};
+use crate::collection::{AskError, Vm};
+use crate::options::{Command, Options};
+
+/// Reason why a command failed.
+#[derive(Debug, Error)]
+pub enum CommandError {
+    /// VM gave no answer.
+    #[error(transparent)]
+    Ask(#[from] AskError),
+    /// File can't be read.
+    #[error("{file}: {source}")]
+    File {
+        /// Path.
+        file: String,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// Sheet has faults.
+    #[error("{0}")]
+    Faulty(String),
+    /// Another sheet came first.
+    #[error("{0}")]
+    Conflict(String),
+    /// VM refused.
+    #[error("{0}")]
+    Refused(String),
+}
+
+impl CommandError {
+    /// Exit code.
+    pub fn code(&self) -> u8 {
+        match self {
+            CommandError::File { .. } | CommandError::Refused(_) => 1,
+            CommandError::Faulty(_) => 2,
+            CommandError::Conflict(_) => 3,
+            CommandError::Ask(_) => 4,
+        }
+    }
+}
+
+/// Carries a command out; returns what to print.
+///
+/// # Errors
+///
+/// Fails when a file can't be read, or the VM refuses or can't be reached.
+pub fn run(options: &Options) -> Result<String, CommandError> {
+    let vm = Vm::at(options.operators);
+    let json = options.json;
+    match &options.command {
+        Command::Status => status::show(&vm, json),
+        Command::Programs => programs::list(&vm, json),
+        Command::Program(id) => programs::show(&vm, id, json),
+        Command::Doubts => programs::doubts(&vm, json),
+        Command::Settle { program, call, ran } => programs::settle(&vm, program, *call, *ran),
+        Command::SheetCheck(file) => sheet::check(file),
+        Command::SheetShow => sheet::show(&vm, json),
+        Command::SheetApply { file, base, author } => sheet::apply(&vm, file, *base, author),
+        Command::Trace { files, filter } => trace(files, filter.as_deref()),
+    }
+}
+
+fn read_file(file: &PathBuf) -> Result<String, CommandError> {
+    fs::read_to_string(file).map_err(|source| CommandError::File {
+        file: file.display().to_string(),
+        source,
+    })
+}
+
+fn trace(files: &[PathBuf], filter: Option<&str>) -> Result<String, CommandError> {
+    let mut spans = Vec::new();
+    for file in files {
+        spans.extend(read_spans(&read_file(file)?));
+    }
+    Ok(trees(&spans, filter))
+}
+
+/// Text of a value as JSON.
+fn to_json<T>(value: &T) -> String
+where
+    T: Serialize,
+{
+    // Reports are plain data, which always can be written.
+    let text = serde_json::to_string_pretty(value).unwrap_or_default();
+    format!("{text}\n")
+}
--- /dev/null
+++ b/crates/cli/src/commands/programs.rs
@@ -0,0 +1,124 @@
+//! Programs and calls in doubt.
+
+use lagoon_ids::ProgramId;
+use lagoon_node::{DoubtReport, ProgramReport};
+use serde::Deserialize;
+use serde_json::json;
+
+use crate::canvas::Table;
+use crate::collection::Vm;
+use crate::commands::{to_json, CommandError};
+
+#[derive(Deserialize)]
+struct Settled {
+    settled: bool,
+}
+
+pub(super) fn list(vm: &Vm, json: bool) -> Result<String, CommandError> {
+    let programs: Vec<ProgramReport> = vm.get("/v1/programs")?;
+    if json {
+        return Ok(to_json(&programs));
+    }
+    let mut table = Table::new(&[
+        "program", "account", "market", "state", "calls", "tokens", "of", "idle_ms",
+    ]);
+    for program in &programs {
+        table.row([
+            program.program.to_string(),
+            program.account.to_string(),
+            program.market.to_string(),
+            program.state.to_string(),
+            program.calls.len().to_string(),
+            program.budget.spent.tokens.to_string(),
+            program.budget.limit.tokens.to_string(),
+            program.idle_ms.to_string(),
+        ]);
+    }
+    Ok(table.to_string())
+}
+
+pub(super) fn show(vm: &Vm, id: &ProgramId, json: bool) -> Result<String, CommandError> {
+    let program: Option<ProgramReport> = vm.get(&format!("/v1/programs/{id}"))?;
+    let Some(program) = program else {
+        let detail = format!("program {id} is not held by this VM");
+        return Err(CommandError::Refused(detail));
+    };
+    if json {
+        return Ok(to_json(&program));
+    }
+    let mut table = Table::new(&["budget", "limit", "spent", "in_flight"]);
+    let budget = &program.budget;
+    let rows = [
+        (
+            "tokens",
+            budget.limit.tokens,
+            budget.spent.tokens,
+            budget.in_flight.tokens,
+        ),
+        (
+            "money_micros",
+            budget.limit.money_micros,
+            budget.spent.money_micros,
+            budget.in_flight.money_micros,
+        ),
+        (
+            "turns",
+            budget.limit.turns,
+            budget.spent.turns,
+            budget.in_flight.turns,
+        ),
+    ];
+    for (name, limit, spent, in_flight) in rows {
+        table.row([
+            name.to_owned(),
+            limit.to_string(),
+            spent.to_string(),
+            in_flight.to_string(),
+        ]);
+    }
+    let mut calls = Table::new(&["call", "target", "outcome", "tokens"]);
+    for call in &program.calls {
+        calls.row([
+            call.number.to_string(),
+            call.target.to_string(),
+            call.outcome.to_string(),
+            call.used_tokens.to_string(),
+        ]);
+    }
+    Ok(format!(
+        "{id} ({}, {})\n\n{table}\n{calls}",
+        program.account, program.state
+    ))
+}
+
+pub(super) fn doubts(vm: &Vm, json: bool) -> Result<String, CommandError> {
+    let doubts: Vec<DoubtReport> = vm.get("/v1/doubts")?;
+    if json {
+        return Ok(to_json(&doubts));
+    }
+    let mut table = Table::new(&["program", "call", "target", "account"]);
+    for doubt in &doubts {
+        table.row([
+            doubt.program.to_string(),
+            doubt.number.to_string(),
+            doubt.target.to_string(),
+            doubt.account.to_string(),
+        ]);
+    }
+    Ok(table.to_string())
+}
+
+pub(super) fn settle(
+    vm: &Vm,
+    program: &ProgramId,
+    call: u32,
+    ran: bool,
+) -> Result<String, CommandError> {
+    let body = json!({"program": program, "call": call, "ran": ran});
+    let settled: Settled = vm.post("/v1/doubts/settle", &body)?;
+    if settled.settled {
+        return Ok("settled\n".to_owned());
+    }
+    let detail = format!("call {call} of {program} is not in doubt at this VM");
+    Err(CommandError::Refused(detail))
+}
--- /dev/null
+++ b/crates/cli/src/commands/sheet.rs
@@ -0,0 +1,103 @@
+//! Sheets.
+
+use std::path::PathBuf;
+
+use lagoon_node::{ApplyReply, SheetRow};
+use lagoon_sheet::{parse, SheetFault};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use crate::canvas::Table;
+use crate::collection::Vm;
+use crate::commands::{read_file, to_json, CommandError};
+
+#[derive(Deserialize, Serialize)]
+struct InForce {
+    row: Option<SheetRow>,
+    text: String,
+}
+
+pub(super) fn check(file: &PathBuf) -> Result<String, CommandError> {
+    let sheet = parse(&read_file(file)?).map_err(|faults| faulty(file, &faults))?;
+    Ok(format!(
+        "{}: valid; {} markets, {} accounts, {} models, {} services, {} targets\n",
+        file.display(),
+        sheet.markets.len(),
+        sheet.accounts.len(),
+        sheet.models.len(),
+        sheet.services.len(),
+        sheet.targets.len(),
+    ))
+}
+
+fn faulty(file: &PathBuf, faults: &[SheetFault]) -> CommandError {
+    let mut table = Table::new(&["row", "column", "value", "allowed"]);
+    for fault in faults {
+        table.row([
+            fault.row.to_string(),
+            fault.column.to_string(),
+            format!("{:?}", fault.value),
+            fault.allowed.clone(),
+        ]);
+    }
+    let count = faults.len();
+    CommandError::Faulty(format!(
+        "{}: {count} faults, nothing is taken\n{table}",
+        file.display()
+    ))
+}
+
+pub(super) fn show(vm: &Vm, as_json: bool) -> Result<String, CommandError> {
+    let in_force: InForce = vm.get("/v1/sheet")?;
+    if as_json {
+        return Ok(to_json(&in_force));
+    }
+    let head = in_force.row.as_ref().map_or_else(
+        || "# no sheet is in force\n".to_owned(),
+        |row| {
+            format!(
+                "# version {} from {} by {}\n",
+                row.version, row.base, row.author
+            )
+        },
+    );
+    Ok(head + &in_force.text)
+}
+
+pub(super) fn apply(
+    vm: &Vm,
+    file: &PathBuf,
+    base: Option<u64>,
+    author: &str,
+) -> Result<String, CommandError> {
+    let text = read_file(file)?;
+    let base = match base {
+        Some(base) => base,
+        None => {
+            let in_force: InForce = vm.get("/v1/sheet")?;
+            in_force.row.map_or(0, |row| row.version)
+        }
+    };
+    let body = json!({"base": base, "author": author, "text": text});
+    match vm.post("/v1/sheet", &body)? {
+        ApplyReply::Accepted { row } => Ok(format!("version {} is accepted\n", row.version)),
+        ApplyReply::Faulty { faults } => Err(faulty(file, &faults)),
+        ApplyReply::Conflict { current } => {
+            let first = current.map_or_else(
+                || "none".to_owned(),
+                |row| {
+                    format!(
+                        "version {} by {} at {} ms",
+                        row.version, row.author, row.applied_ms
+                    )
+                },
+            );
+            let detail = format!("base {base} is not in force; in force is {first}");
+            Err(CommandError::Conflict(detail))
+        }
+        ApplyReply::Unknown { detail } => {
+            let detail = format!("{detail}; the same command may be given again");
+            Err(CommandError::Refused(detail))
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/options.rs
@@ -0,0 +1,7 @@
+//! Command line.
+
+mod args;
+mod command;
+
+pub use args::{parse_args, usage, Options, Parsed, UsageError};
+pub use command::Command;
--- /dev/null
+++ b/crates/cli/src/options/args.rs
@@ -0,0 +1,171 @@
+//! Arguments and flags.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use getopts::{Matches, Options as Flags};
+use thiserror::Error;
+
+use crate::options::Command;
+
+const DEFAULT_OPERATORS: &str = "127.0.0.1:7201";
+const BRIEF: &str = "\
+Usage: lagoon [FLAGS] COMMAND
+
+Commands:
+    status                              state of a VM
+    programs                            programs that it holds
+    program ID                          one program with its calls
+    doubts                              calls whose outcome nobody saw
+    doubts settle PROGRAM CALL ran|not-run
+    sheet check FILE                    every fault of a sheet
+    sheet show                          sheet in force
+    sheet apply FILE                    puts a sheet in force
+    trace FILE...                       spans of files, as trees
+
+Exit codes: 0 done, 1 failed, 2 bad command line or faulty sheet,
+3 refused since another sheet came first, 4 VM can't be reached.";
+
+/// Checked options.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Options {
+    /// Operators' address of a VM.
+    pub operators: SocketAddr,
+    /// Whether to print JSON.
+    pub json: bool,
+    /// Command.
+    pub command: Command,
+}
+
+/// What the command line asks for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Parsed {
+    /// Carry a command out.
+    Run(Box<Options>),
+    /// Show a text.
+    Show(String),
+}
+
+/// Fault of the command line.
+#[derive(Clone, Debug, Error, Eq, PartialEq)]
+#[error("{0}; see lagoon --help")]
+pub struct UsageError(String);
+
+fn flags() -> Flags {
+    let mut flags = Flags::new();
+    flags.optopt(
+        "o",
+        "operators",
+        "operators' address of a VM (127.0.0.1:7201)",
+        "IP:PORT",
+    );
+    flags.optflag("j", "json", "prints JSON");
+    flags.optopt(
+        "b",
+        "base",
+        "sheet apply: version that the sheet was prepared from",
+        "N",
+    );
+    flags.optopt("a", "author", "sheet apply: who applies it", "NAME");
+    flags.optopt(
+        "f",
+        "filter",
+        "trace: just trees that hold this text",
+        "TEXT",
+    );
+    flags.optflag("h", "help", "shows this text");
+    flags.optflag("V", "version", "shows the version");
+    flags
+}
+
+/// Text of `--help`.
+pub fn usage() -> String {
+    flags().usage(BRIEF)
+}
+
+/// Reads the command line without the program's name.
+///
+/// # Errors
+///
+/// Fails on the first argument that isn't understood.
+pub fn parse_args<S>(args: &[S]) -> Result<Parsed, UsageError>
+where
+    S: AsRef<std::ffi::OsStr>,
+{
+    let matches = flags()
+        .parse(args)
+        .map_err(|error| UsageError(error.to_string()))?;
+    if matches.opt_present("help") {
+        return Ok(Parsed::Show(usage()));
+    }
+    if matches.opt_present("version") {
+        return Ok(Parsed::Show(format!(
+            "lagoon {}\n",
+            env!("CARGO_PKG_VERSION")
+        )));
+    }
+    let operators = matches
+        .opt_str("operators")
+        .unwrap_or_else(|| DEFAULT_OPERATORS.to_owned());
+    Ok(Parsed::Run(Box::new(Options {
+        operators: parse("--operators", &operators)?,
+        json: matches.opt_present("json"),
+        command: command(&matches)?,
+    })))
+}
+
+fn parse<T>(name: &str, text: &str) -> Result<T, UsageError>
+where
+    T: std::str::FromStr,
+    T::Err: std::fmt::Display,
+{
+    text.parse()
+        .map_err(|error| UsageError(format!("{name} {text:?}: {error}")))
+}
+
+fn command(matches: &Matches) -> Result<Command, UsageError> {
+    let words: Vec<&str> = matches.free.iter().map(String::as_str).collect();
+    match words.as_slice() {
+        ["status"] => Ok(Command::Status),
+        ["programs"] => Ok(Command::Programs),
+        ["program", id] => Ok(Command::Program(parse("program", id)?)),
+        ["doubts"] => Ok(Command::Doubts),
+        ["doubts", "settle", program, call, outcome] => Ok(Command::Settle {
+            program: parse("program", program)?,
+            call: parse("call", call)?,
+            ran: outcome_word(outcome)?,
+        }),
+        ["sheet", "check", file] => Ok(Command::SheetCheck(PathBuf::from(file))),
+        ["sheet", "show"] => Ok(Command::SheetShow),
+        ["sheet", "apply", file] => sheet_apply(matches, file),
+        ["trace", files @ ..] if !files.is_empty() => Ok(Command::Trace {
+            files: files.iter().map(PathBuf::from).collect(),
+            filter: matches.opt_str("filter"),
+        }),
+        [] => Err(UsageError("no command".to_owned())),
+        other => Err(UsageError(format!("unknown command `{}`", other.join(" ")))),
+    }
+}
+
+fn outcome_word(word: &str) -> Result<bool, UsageError> {
+    match word {
+        "ran" => Ok(true),
+        "not-run" => Ok(false),
+        other => Err(UsageError(format!("{other:?} is neither ran nor not-run"))),
+    }
+}
+
+fn sheet_apply(matches: &Matches, file: &str) -> Result<Command, UsageError> {
+    let base = match matches.opt_str("base") {
+        Some(text) => Some(parse("--base", &text)?),
+        None => None,
+    };
+    let author = matches
+        .opt_str("author")
+        .ok_or_else(|| UsageError("sheet apply needs --author".to_owned()))?;
+    Ok(Command::SheetApply {
+        file: PathBuf::from(file),
+        base,
+        author,
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/actors.rs
@@ -0,0 +1,11 @@
+//! Actors: the node and one for each kind of neighbour.
+
+mod node;
+mod peers;
+mod store;
+mod targets;
+
+pub(crate) use node::{Exit, NodeActor, NodeParts};
+pub(crate) use peers::{listen, PeersActor};
+pub(crate) use store::StoreActor;
+pub(crate) use targets::{TargetIo, TargetsActor};
--- /dev/null
+++ b/crates/daemon/src/actors/node.rs
@@ -0,0 +1,200 @@
+//! Actor that owns the node and carries its effects out.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::Sender;
+use std::sync::Arc;
+use std::time::Duration;
+
+use lagoon_ids::FastMap;
+use lagoon_node::{CallRef, Effect, Event, HopSpan, Node, OperatorRef, OperatorReply, Piece};
+use lagoon_telemetry::{FinishedSpan, Metrics, SpanSide, Tracer};
+use stakker::{after, call, Actor, CX};
+
+use crate::actors::{PeersActor, StoreActor, TargetsActor};
+use crate::clock::Clock;
+use crate::constants::{GAUGE_PERIOD, TICK};
+use crate::input::Input;
+
+/// How the daemon ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Exit {
+    /// Planned stop is done.
+    Stopped,
+    /// Successor sealed this incarnation.
+    Fenced,
+}
+
+/// What the actor works with.
+pub(crate) struct NodeParts {
+    pub(crate) node: Node,
+    pub(crate) clock: Clock,
+    pub(crate) tracer: Arc<Tracer>,
+    pub(crate) metrics: Metrics,
+    pub(crate) ready: Arc<AtomicBool>,
+    pub(crate) exit: Rc<Cell<Option<Exit>>>,
+    pub(crate) peers: Actor<PeersActor>,
+    pub(crate) store: Actor<StoreActor>,
+    pub(crate) targets: Actor<TargetsActor>,
+}
+
+/// Actor that owns the node.
+pub(crate) struct NodeActor {
+    parts: NodeParts,
+    callers: FastMap<CallRef, Sender<Piece>>,
+    operators: FastMap<OperatorRef, Sender<OperatorReply>>,
+}
+
+impl NodeActor {
+    pub(crate) fn init(cx: CX![], parts: NodeParts) -> Option<Self> {
+        call!([cx], tick());
+        call!([cx], gauge());
+        Some(NodeActor {
+            parts,
+            callers: FastMap::default(),
+            operators: FastMap::default(),
+        })
+    }
+
+    pub(crate) fn input(&mut self, cx: CX![], input: Input) {
+        let event = match input {
+            Input::Call {
+                call_ref,
+                incoming,
+                pieces,
+            } => {
+                self.callers.insert(call_ref, pieces);
+                self.parts.metrics.count("calls", 1);
+                Event::Call { call_ref, incoming }
+            }
+            Input::EndProgram {
+                call_ref,
+                api_key,
+                program,
+                pieces,
+            } => {
+                self.callers.insert(call_ref, pieces);
+                Event::EndProgram {
+                    call_ref,
+                    api_key: api_key.into(),
+                    program: program.into(),
+                }
+            }
+            Input::Operator {
+                operator_ref,
+                request,
+                reply,
+            } => {
+                self.operators.insert(operator_ref, reply);
+                Event::Operator {
+                    operator_ref,
+                    request,
+                }
+            }
+            Input::Event(event) => event,
+        };
+        if let Event::CallerGone { call_ref } = &event {
+            self.callers.remove(call_ref);
+        }
+        self.take(cx, event);
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        self.take(cx, Event::Tick);
+        after!(TICK, [cx], tick());
+    }
+
+    fn gauge(&mut self, cx: CX![]) {
+        let status = self.parts.node.status();
+        let metrics = &self.parts.metrics;
+        metrics.gauge("programs", status.programs as u64);
+        metrics.gauge("calls_under_way", status.calls as u64);
+        metrics.gauge("queued", status.queued as u64);
+        metrics.gauge("forwarded", status.forwarded as u64);
+        metrics.gauge("journal_backlog", status.journal_backlog as u64);
+        after!(GAUGE_PERIOD, [cx], gauge());
+    }
+
+    fn take(&mut self, cx: CX![], event: Event) {
+        let now_us = self.parts.clock.now_us();
+        for effect in self.parts.node.handle(event, now_us) {
+            self.carry_out(cx, effect);
+        }
+    }
+
+    fn carry_out(&mut self, _cx: CX![], effect: Effect) {
+        let parts = &self.parts;
+        match effect {
+            Effect::Reply { call_ref, piece } => self.reply(call_ref, piece),
+            Effect::Send { to, message } => call!([parts.peers], send(to, message)),
+            Effect::Dispatch(dispatch) => call!([parts.targets], dispatch(dispatch)),
+            Effect::Resume(resume) => call!([parts.targets], resume(resume)),
+            Effect::Cancel {
+                address, resume_id, ..
+            } => call!([parts.targets], cancel(address, resume_id)),
+            Effect::Store { ticket, request } => call!([parts.store], ask(ticket, request)),
+            Effect::Operator {
+                operator_ref,
+                reply,
+            } => {
+                if let Some(sender) = self.operators.remove(&operator_ref) {
+                    // An operator that gave up waiting needs no answer.
+                    let _ = sender.send(reply);
+                }
+            }
+            Effect::PollLoads(polls) => call!([parts.targets], poll(polls)),
+            Effect::Span(span) => parts.tracer.record(finished(span)),
+            Effect::Ready(ready) => {
+                log::info!(ready; "readiness changed");
+                parts.ready.store(ready, Ordering::SeqCst);
+            }
+            Effect::Greet { vm, address } => {
+                log::info!(vm = vm.as_str(), address = address.to_string(); "VM joined");
+            }
+            Effect::Exit { fenced } => {
+                let exit = if fenced { Exit::Fenced } else { Exit::Stopped };
+                parts.exit.set(Some(exit));
+            }
+        }
+    }
+
+    fn reply(&mut self, call_ref: CallRef, piece: Piece) {
+        let last = match &piece {
+            Piece::Head { .. } | Piece::Data { .. } => false,
+            Piece::End { .. } => {
+                self.parts.metrics.count("answers", 1);
+                true
+            }
+            Piece::Refused { refusal, .. } => {
+                let kind = refusal.kind.to_string();
+                self.parts.metrics.count_tagged("refusals", "kind", &kind);
+                true
+            }
+            Piece::Ended { .. } => true,
+        };
+        if let Some(sender) = self.callers.get(&call_ref) {
+            // A caller that went away is reported by its own thread.
+            let _ = sender.send(piece);
+        }
+        if last {
+            self.callers.remove(&call_ref);
+        }
+    }
+}
+
+fn finished(span: HopSpan) -> FinishedSpan {
+    let side = match span.name {
+        "target" | "store" | "forward" => SpanSide::Client,
+        _ => SpanSide::Internal,
+    };
+    FinishedSpan {
+        name: span.name,
+        side,
+        context: span.context,
+        parent: span.parent,
+        start_us: span.start_us,
+        end_us: span.end_us,
+        attributes: span.attributes,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/actors/peers.rs
@@ -0,0 +1,115 @@
+//! Actor for messages between VMs, over nng pipelines.
+//!
+//! Each VM pulls at its own address and pushes to each other's. A message
+//! that can't be buffered is dropped; whoever needs it asks again.
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Instant;
+
+use lagoon_ids::FastMap;
+use lagoon_node::{Event, PeerMessage};
+use nng::options::{Options, RecvMaxSize, SendBufferSize};
+use nng::{Protocol, Socket};
+use stakker::CX;
+
+use crate::constants::{
+    PEER_BUFFER_MESSAGES, PEER_IDLE, PEER_MESSAGE_LIMIT_BYTES, WORKER_STACK_BYTES,
+};
+use crate::input::Inbox;
+
+struct Peer {
+    socket: Socket,
+    used: Instant,
+}
+
+/// Actor for other VMs.
+pub(crate) struct PeersActor {
+    peers: FastMap<SocketAddr, Peer>,
+    own: SocketAddr,
+}
+
+impl PeersActor {
+    pub(crate) fn init(_: CX![], socket: Socket, own: SocketAddr, inbox: Inbox) -> Option<Self> {
+        thread::Builder::new()
+            .name("peers".to_owned())
+            .stack_size(WORKER_STACK_BYTES)
+            .spawn(move || receive(&socket, &inbox))
+            .ok()?;
+        Some(PeersActor {
+            peers: FastMap::default(),
+            own,
+        })
+    }
+
+    pub(crate) fn send(&mut self, cx: CX![], to: SocketAddr, message: PeerMessage) {
+        if to == self.own {
+            return;
+        }
+        let now = cx.now();
+        self.peers
+            .retain(|_, peer| now.saturating_duration_since(peer.used) < PEER_IDLE);
+        if let Err(error) = self.try_send(to, &message, now) {
+            log::debug!(to = to.to_string(), error = error.as_str(); "message dropped");
+        }
+    }
+
+    fn try_send(
+        &mut self,
+        to: SocketAddr,
+        message: &PeerMessage,
+        now: Instant,
+    ) -> Result<(), String> {
+        let bytes = postcard::to_stdvec(message).map_err(|error| error.to_string())?;
+        let peer = match self.peers.get_mut(&to) {
+            Some(peer) => peer,
+            None => {
+                let socket = dial(to).map_err(|error| error.to_string())?;
+                self.peers.entry(to).or_insert(Peer { socket, used: now })
+            }
+        };
+        peer.used = now;
+        peer.socket
+            .try_send(bytes.as_slice())
+            .map_err(|(_, error)| error.to_string())
+    }
+}
+
+/// Socket that takes other VMs' messages.
+///
+/// # Errors
+///
+/// Fails when the address can't be listened on.
+pub(crate) fn listen(address: SocketAddr) -> Result<Socket, nng::Error> {
+    let socket = Socket::new(Protocol::Pull0)?;
+    socket.set_opt::<RecvMaxSize>(PEER_MESSAGE_LIMIT_BYTES)?;
+    socket.listen(&format!("tcp://{address}"))?;
+    Ok(socket)
+}
+
+fn dial(address: SocketAddr) -> Result<Socket, nng::Error> {
+    let socket = Socket::new(Protocol::Push0)?;
+    socket.set_opt::<SendBufferSize>(PEER_BUFFER_MESSAGES)?;
+    socket.dial_async(&format!("tcp://{address}"))?;
+    Ok(socket)
+}
+
+fn receive(socket: &Socket, inbox: &Inbox) {
+    loop {
+        let message = match socket.recv() {
+            Ok(message) => message,
+            Err(error) => {
+                log::error!(error = error.to_string(); "no more messages of other VMs");
+                return;
+            }
+        };
+        match postcard::from_bytes(message.as_slice()) {
+            Ok(message) => {
+                if inbox.send(Event::Peer(message).into()).is_err() {
+                    return;
+                }
+            }
+            Err(error) => log::warn!(error = error.to_string(); "message can't be read"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/actors/store.rs
@@ -0,0 +1,67 @@
+//! Actor that hands requests to the threads that talk to the platform.
+
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+
+use lagoon_node::{Event, Ticket};
+use lagoon_platform::{Client, StoreRequest};
+use stakker::CX;
+
+use crate::constants::WORKER_STACK_BYTES;
+use crate::input::Inbox;
+
+struct Job {
+    ticket: Ticket,
+    request: StoreRequest,
+}
+
+/// Actor for the platform.
+pub(crate) struct StoreActor {
+    jobs: Sender<Job>,
+}
+
+impl StoreActor {
+    pub(crate) fn init(_: CX![], client: Client, workers: u64, inbox: Inbox) -> Option<Self> {
+        let (jobs, queue) = channel();
+        let queue = Arc::new(Mutex::new(queue));
+        let client = Arc::new(client);
+        for _ in 0..workers {
+            let queue = Arc::clone(&queue);
+            let client = Arc::clone(&client);
+            let inbox = inbox.clone();
+            thread::Builder::new()
+                .name("store".to_owned())
+                .stack_size(WORKER_STACK_BYTES)
+                .spawn(move || work(&queue, &client, &inbox))
+                .ok()?;
+        }
+        Some(StoreActor { jobs })
+    }
+
+    pub(crate) fn ask(&mut self, _: CX![], ticket: Ticket, request: StoreRequest) {
+        if self.jobs.send(Job { ticket, request }).is_err() {
+            log::error!("no thread talks to the platform");
+        }
+    }
+}
+
+fn work(queue: &Mutex<Receiver<Job>>, client: &Client, inbox: &Inbox) {
+    loop {
+        let job = queue.lock().unwrap_or_else(PoisonError::into_inner).recv();
+        let Ok(job) = job else {
+            return;
+        };
+        let reply = client.execute(&job.request);
+        if let Err(error) = &reply {
+            log::warn!(error = error.to_string(); "store gave no reply");
+        }
+        let event = Event::Store {
+            ticket: job.ticket,
+            reply,
+        };
+        if inbox.send(event.into()).is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/actors/targets/loads.rs
@@ -0,0 +1,61 @@
+//! Load reports of the targets that this VM polls.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+use lagoon_membership::LoadReport;
+use lagoon_node::{Event, LoadPoll};
+use serde::Deserialize;
+use ureq::Agent;
+
+use crate::input::Inbox;
+
+#[derive(Deserialize)]
+struct Load {
+    running: u32,
+    waiting: u32,
+    #[serde(default)]
+    leaving: bool,
+}
+
+/// Thread that reads loads.
+pub(super) struct Poller {
+    pub(super) agent: Agent,
+    pub(super) period: Duration,
+    pub(super) polls: Arc<Mutex<Vec<LoadPoll>>>,
+    pub(super) inbox: Inbox,
+}
+
+impl Poller {
+    pub(super) fn run(&self) {
+        loop {
+            let polls = self
+                .polls
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .clone();
+            for poll in &polls {
+                let Some(report) = self.read(poll) else {
+                    continue;
+                };
+                if self.inbox.send(Event::Load(report).into()).is_err() {
+                    return;
+                }
+            }
+            thread::sleep(self.period);
+        }
+    }
+
+    fn read(&self, poll: &LoadPoll) -> Option<LoadReport> {
+        let url = format!("http://{}/load", poll.address);
+        let mut response = self.agent.get(url).call().ok()?;
+        let load: Load = response.body_mut().read_json().ok()?;
+        Some(LoadReport {
+            target: poll.target.clone(),
+            running: load.running,
+            waiting: load.waiting,
+            leaving: load.leaving,
+        })
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/http/answer.rs
@@ -0,0 +1,239 @@
+//! Answers to callers, piece by piece.
+
+use std::io::Write;
+use std::sync::mpsc::Receiver;
+
+use chunked_transfer::Encoder;
+use lagoon_errors::{Kind, Refusal};
+use lagoon_ids::CallKey;
+use lagoon_node::{Piece, Summary};
+use serde::Serialize;
+use serde_json::json;
+use tiny_http::{Header, Request, Response};
+
+const JSON: &str = "application/json";
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// How an answer went.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Sent {
+    /// Caller has all there was to say.
+    Whole,
+    /// Caller went away.
+    CallerGone,
+}
+
+/// Answers with JSON.
+pub(super) fn answer_json<T>(request: Request, status: u16, value: &T)
+where
+    T: Serialize,
+{
+    // Reports are plain data, which always can be written.
+    let bytes = serde_json::to_vec(value).unwrap_or_default();
+    respond(request, status, &[("Content-Type", JSON)], bytes);
+}
+
+/// Answers with bytes.
+pub(super) fn respond(request: Request, status: u16, headers: &[(&str, &str)], bytes: Vec<u8>) {
+    let mut response = Response::from_data(bytes).with_status_code(status);
+    for (name, value) in headers {
+        if let Ok(header) = Header::from_bytes(*name, *value) {
+            response.add_header(header);
+        }
+    }
+    // A caller that went away needs no answer.
+    let _ = request.respond(response);
+}
+
+/// JSON of a refusal.
+fn error_json(call: Option<&CallKey>, refusal: &Refusal) -> serde_json::Value {
+    json!({"error": {
+        "type": refusal.kind,
+        "code": refusal.kind,
+        "message": refusal.detail,
+        "ran": refusal.ran,
+        "retry_after_s": refusal.retry_after_s,
+        "program": call.map(|call| call.program.as_str()),
+        "call": call.map(|call| call.number),
+    }})
+}
+
+/// Refuses a request.
+pub(super) fn refuse(request: Request, call: Option<&CallKey>, refusal: &Refusal) {
+    let kind = refusal.kind.to_string();
+    let ran = refusal.ran.to_string();
+    let mut headers = vec![
+        ("Content-Type", JSON.to_owned()),
+        ("Lagoon-Error", kind),
+        ("Lagoon-Ran", ran),
+    ];
+    if let Some(call) = call {
+        headers.extend(call_headers(call));
+    }
+    if let Some(after_s) = refusal.retry_after_s {
+        headers.push(("Retry-After", after_s.to_string()));
+    }
+    let headers: Vec<(&str, &str)> = headers
+        .iter()
+        .map(|(name, value)| (*name, value.as_str()))
+        .collect();
+    let bytes = serde_json::to_vec(&error_json(call, refusal)).unwrap_or_default();
+    respond(request, refusal.status(), &headers, bytes);
+}
+
+fn call_headers(call: &CallKey) -> [(&'static str, String); 2] {
+    [
+        ("Lagoon-Program", call.program.to_string()),
+        ("Lagoon-Call", call.number.to_string()),
+    ]
+}
+
+fn summary_headers(summary: &Summary) -> Vec<(&'static str, String)> {
+    let mut headers = call_headers(&summary.call).to_vec();
+    headers.extend([
+        ("Lagoon-Target", summary.target.to_string()),
+        ("Lagoon-Owner", summary.owner.to_string()),
+        ("Lagoon-Durable", summary.durable.to_string()),
+        ("Lagoon-Replayed", summary.replayed.to_string()),
+        ("Lagoon-Left-Tokens", summary.left_tokens.to_string()),
+        (
+            "Lagoon-Left-Money-Micros",
+            summary.left_money_micros.to_string(),
+        ),
+        ("Lagoon-Left-Turns", summary.left_turns.to_string()),
+    ]);
+    headers
+}
+
+/// Answer of which nothing has been sent.
+struct Unsent {
+    request: Request,
+    call: Option<CallKey>,
+    status: u16,
+    content_type: String,
+    body: Vec<u8>,
+}
+
+/// Sends the pieces of an answer to its caller.
+pub(super) fn send_pieces(request: Request, pieces: &Receiver<Piece>) -> Sent {
+    let mut unsent = Unsent {
+        request,
+        call: None,
+        status: 200,
+        content_type: String::new(),
+        body: Vec::new(),
+    };
+    for piece in pieces {
+        match piece {
+            Piece::Head {
+                call,
+                status,
+                content_type,
+            } => {
+                if content_type.starts_with(EVENT_STREAM) {
+                    return stream(unsent.request, &call, pieces);
+                }
+                unsent.call = Some(call);
+                unsent.status = status;
+                unsent.content_type = content_type.to_string();
+                unsent.body.clear();
+            }
+            Piece::Data { bytes, .. } => unsent.body.extend_from_slice(&bytes),
+            Piece::End { summary, .. } => {
+                send_whole(unsent, &summary);
+                return Sent::Whole;
+            }
+            Piece::Refused { call, refusal } => {
+                refuse(unsent.request, call.as_ref(), &refusal);
+                return Sent::Whole;
+            }
+            Piece::Ended { program } => {
+                let ended = json!({"program": program, "ended": true});
+                answer_json(unsent.request, 200, &ended);
+                return Sent::Whole;
+            }
+        }
+    }
+    let refusal = Refusal::new(Kind::OwnerUnreachable, "VM stopped before the answer");
+    refuse(unsent.request, unsent.call.as_ref(), &refusal);
+    Sent::Whole
+}
+
+fn send_whole(unsent: Unsent, summary: &Summary) {
+    let mut headers = vec![("Content-Type", unsent.content_type)];
+    headers.extend(summary_headers(summary));
+    let headers: Vec<(&str, &str)> = headers
+        .iter()
+        .map(|(name, value)| (*name, value.as_str()))
+        .collect();
+    respond(unsent.request, unsent.status, &headers, unsent.body);
+}
+
+/// Streams an answer; each piece is flushed as it comes.
+fn stream(request: Request, call: &CallKey, pieces: &Receiver<Piece>) -> Sent {
+    match try_stream(request, call, pieces) {
+        Ok(()) => Sent::Whole,
+        Err(_) => Sent::CallerGone,
+    }
+}
+
+fn try_stream(request: Request, call: &CallKey, pieces: &Receiver<Piece>) -> std::io::Result<()> {
+    let mut writer = request.into_writer();
+    write!(writer, "HTTP/1.1 200 OK\r\n")?;
+    write!(
+        writer,
+        "Content-Type: {EVENT_STREAM}\r\nCache-Control: no-cache\r\n"
+    )?;
+    for (name, value) in call_headers(call) {
+        write!(writer, "{name}: {value}\r\n")?;
+    }
+    write!(writer, "Transfer-Encoding: chunked\r\n\r\n")?;
+    writer.flush()?;
+    let mut encoder = Encoder::with_flush_after_write(writer);
+    let mut sent = 0;
+    for piece in pieces {
+        match piece {
+            Piece::Head { .. } | Piece::Ended { .. } => {}
+            Piece::Data { offset, bytes } if offset == sent => {
+                encoder.write_all(&bytes)?;
+                sent += bytes.len() as u64;
+            }
+            Piece::End { length, summary } if length == sent => {
+                let summary = serde_json::to_string(&summary_json(&summary)).unwrap_or_default();
+                return encoder
+                    .write_all(format!(": lagoon {summary}\n\ndata: [DONE]\n\n").as_bytes());
+            }
+            Piece::Refused { refusal, .. } => return end_with_error(&mut encoder, call, &refusal),
+            Piece::Data { .. } | Piece::End { .. } => {
+                let refusal = Refusal::new(Kind::AnswerBroken, "pieces do not join");
+                return end_with_error(&mut encoder, call, &refusal);
+            }
+        }
+    }
+    let refusal = Refusal::new(Kind::AnswerBroken, "VM stopped during the answer");
+    end_with_error(&mut encoder, call, &refusal)
+}
+
+/// Summary for the comment at the end of a stream.
+fn summary_json(summary: &Summary) -> serde_json::Value {
+    json!({
+        "program": summary.call.program,
+        "call": summary.call.number,
+        "target": summary.target,
+        "owner": summary.owner,
+        "durable": summary.durable,
+        "replayed": summary.replayed,
+        "used_tokens": summary.used_tokens,
+        "left_tokens": summary.left_tokens,
+        "left_money_micros": summary.left_money_micros,
+        "left_turns": summary.left_turns,
+    })
+}
+
+fn end_with_error<W>(writer: &mut W, call: &CallKey, refusal: &Refusal) -> std::io::Result<()>
+where
+    W: Write,
+{
+    let error = error_json(Some(call), refusal);
+    writer.write_all(format!("data: {error}\n\n").as_bytes())
+}
--- /dev/null
+++ b/crates/daemon/src/http/callers.rs
@@ -0,0 +1,203 @@
+//! Routes of callers.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::mpsc::channel;
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use lagoon_errors::{Kind, Refusal};
+use lagoon_ids::TraceContext;
+use lagoon_node::{CallKind, CallRef, Event, Incoming};
+use lagoon_telemetry::{extract, new_root, FinishedSpan, SpanSide, Tracer, TRACEPARENT};
+use tiny_http::{Method, Request};
+use xxhash_rust::xxh3::xxh3_128;
+
+use crate::clock::Clock;
+use crate::http::answer::{answer_json, refuse, respond, send_pieces, Sent};
+use crate::http::chat::read_chat;
+use crate::http::server::{header, read_body};
+use crate::input::{Inbox, Input};
+
+const CHAT_PATH: &str = "/v1/chat/completions";
+const SERVICE_PATH: &str = "/v1/call/";
+const PROGRAM_PATH: &str = "/v1/programs/";
+
+/// Callers' API.
+pub(crate) struct CallerApi {
+    pub(crate) inbox: Inbox,
+    pub(crate) clock: Clock,
+    pub(crate) tracer: Arc<Tracer>,
+    pub(crate) ready: Arc<AtomicBool>,
+    pub(crate) body_limit_bytes: u64,
+    pub(crate) sample_percent: u64,
+    pub(crate) next_ref: AtomicU64,
+}
+
+/// Caller's request, checked as far as HTTP goes.
+struct Checked {
+    incoming: Incoming,
+    parent: TraceContext,
+}
+
+impl CallerApi {
+    pub(crate) fn handle(&self, request: Request) {
+        let path = request
+            .url()
+            .split('?')
+            .next()
+            .unwrap_or_default()
+            .to_owned();
+        match (request.method(), path.as_str()) {
+            (Method::Get, "/healthz") => {
+                respond(
+                    request,
+                    200,
+                    &[("Content-Type", "text/plain")],
+                    b"ok\n".to_vec(),
+                );
+            }
+            (Method::Get, "/readyz") => self.answer_ready(request),
+            (Method::Post, CHAT_PATH) => self.call(request, None),
+            (Method::Post, path) if path.starts_with(SERVICE_PATH) => {
+                let service = CompactString::new(&path[SERVICE_PATH.len()..]);
+                self.call(request, Some(service));
+            }
+            (Method::Delete, path) if path.starts_with(PROGRAM_PATH) => {
+                let program = path[PROGRAM_PATH.len()..].to_owned();
+                self.end_program(request, program);
+            }
+            _ => answer_json(
+                request,
+                404,
+                &serde_json::json!({"error": {"type": "not_found", "message": "no such route"}}),
+            ),
+        }
+    }
+
+    fn answer_ready(&self, request: Request) {
+        let ready = self.ready.load(Ordering::SeqCst);
+        let (status, text) = if ready {
+            (200, "ready\n")
+        } else {
+            (503, "not ready\n")
+        };
+        respond(
+            request,
+            status,
+            &[("Content-Type", "text/plain")],
+            text.as_bytes().to_vec(),
+        );
+    }
+
+    fn new_ref(&self) -> CallRef {
+        CallRef(self.next_ref.fetch_add(1, Ordering::SeqCst))
+    }
+
+    fn call(&self, mut request: Request, service: Option<CompactString>) {
+        let start_us = self.clock.now_us();
+        let checked = match self.check(&mut request, service) {
+            Ok(checked) => checked,
+            Err(refusal) => return refuse(request, None, &refusal),
+        };
+        let context = checked.incoming.trace;
+        let parent = checked.parent;
+        let call_ref = self.new_ref();
+        let (pieces, receiver) = channel();
+        let input = Input::Call {
+            call_ref,
+            incoming: Box::new(checked.incoming),
+            pieces,
+        };
+        let path = request.url().to_owned();
+        // Without a receiver the channel of pieces ends at once.
+        let _ = self.inbox.send(input);
+        let sent = send_pieces(request, &receiver);
+        if sent == Sent::CallerGone {
+            let _ = self.inbox.send(Event::CallerGone { call_ref }.into());
+        }
+        self.tracer.record(FinishedSpan {
+            name: "accept",
+            side: SpanSide::Server,
+            context,
+            parent,
+            start_us,
+            end_us: self.clock.now_us(),
+            attributes: vec![
+                ("url.path", path),
+                ("lagoon.sent", format!("{sent:?}").to_lowercase()),
+            ],
+        });
+    }
+
+    fn check(
+        &self,
+        request: &mut Request,
+        service: Option<CompactString>,
+    ) -> Result<Checked, Refusal> {
+        let body = read_body(request, self.body_limit_bytes)?;
+        let mut hashed = request.url().as_bytes().to_vec();
+        hashed.push(0);
+        hashed.extend_from_slice(&body);
+        let content_hash = xxh3_128(&hashed);
+        let (kind, body) = match service {
+            Some(service) => (CallKind::Service { service }, body),
+            None => {
+                let (kind, body) = read_chat(&body)?;
+                (kind, body.into_owned())
+            }
+        };
+        let parent = header(request, TRACEPARENT)
+            .and_then(extract)
+            .unwrap_or_else(|| new_root(self.sample_percent));
+        let call = format!("accept {}", self.next_ref.load(Ordering::SeqCst));
+        let incoming = Incoming {
+            api_key: api_key(request),
+            program: header(request, "Lagoon-Program").map(CompactString::new),
+            number: number(request, "Lagoon-Call")?,
+            parent: header(request, "Lagoon-Parent").map(CompactString::new),
+            window_ms: number(request, "Lagoon-Window-Ms")?,
+            budget_tokens: number(request, "Lagoon-Budget-Tokens")?,
+            kind,
+            content_type: header(request, "Content-Type").map_or(
+                CompactString::const_new("application/json"),
+                CompactString::new,
+            ),
+            body: body.into(),
+            content_hash,
+            trace: parent.child(&call),
+        };
+        Ok(Checked { incoming, parent })
+    }
+
+    fn end_program(&self, request: Request, program: String) {
+        let call_ref = self.new_ref();
+        let (pieces, receiver) = channel();
+        let input = Input::EndProgram {
+            call_ref,
+            api_key: api_key(&request).to_string(),
+            program,
+            pieces,
+        };
+        let _ = self.inbox.send(input);
+        send_pieces(request, &receiver);
+    }
+}
+
+fn api_key(request: &Request) -> CompactString {
+    let value = header(request, "Authorization").unwrap_or_default();
+    CompactString::new(value.strip_prefix("Bearer ").unwrap_or(value))
+}
+
+/// Number of a header.
+fn number<T>(request: &Request, name: &str) -> Result<Option<T>, Refusal>
+where
+    T: std::str::FromStr,
+    T::Err: std::fmt::Display,
+{
+    let Some(text) = header(request, name) else {
+        return Ok(None);
+    };
+    text.parse()
+        .map(Some)
+        .map_err(|error| Refusal::new(Kind::BadRequest, format!("{name}: {error}")))
+}
--- /dev/null
+++ b/crates/daemon/src/http/chat.rs
@@ -0,0 +1,62 @@
+//! Reading of a chat-completion request.
+
+use std::borrow::Cow;
+
+use compact_str::CompactString;
+use lagoon_errors::{Kind, Refusal};
+use lagoon_node::CallKind;
+use serde::Deserialize;
+use serde_json::{json, Value};
+
+use crate::constants::DEFAULT_OUTPUT_TOKENS;
+
+/// What the scheduler reads of a request.
+#[derive(Deserialize)]
+struct Chat {
+    model: CompactString,
+    #[serde(default)]
+    stream: bool,
+    max_tokens: Option<u64>,
+    max_completion_tokens: Option<u64>,
+    n: Option<u64>,
+    stream_options: Option<StreamOptions>,
+}
+
+#[derive(Deserialize)]
+struct StreamOptions {
+    #[serde(default)]
+    include_usage: bool,
+}
+
+/// Kind of the call, and its body with the limits that the engine needs.
+///
+/// An output limit and the usage are asked for where the caller did not, so
+/// that the worst case is known before and the real use after.
+pub(super) fn read_chat(body: &[u8]) -> Result<(CallKind, Cow<'_, [u8]>), Refusal> {
+    let invalid = |error: serde_json::Error| Refusal::new(Kind::BadRequest, error.to_string());
+    let chat: Chat = serde_json::from_slice(body).map_err(invalid)?;
+    let limit = chat.max_completion_tokens.or(chat.max_tokens);
+    let wants_usage = chat
+        .stream_options
+        .is_some_and(|options| options.include_usage);
+    let each = limit.unwrap_or(DEFAULT_OUTPUT_TOKENS);
+    let kind = CallKind::Chat {
+        model: chat.model,
+        stream: chat.stream,
+        wants_usage,
+        output_tokens: each.saturating_mul(chat.n.unwrap_or(1)),
+    };
+    let complete = limit.is_some() && (wants_usage || !chat.stream);
+    if complete {
+        return Ok((kind, Cow::Borrowed(body)));
+    }
+    let mut value: Value = serde_json::from_slice(body).map_err(invalid)?;
+    if limit.is_none() {
+        value["max_tokens"] = json!(DEFAULT_OUTPUT_TOKENS);
+    }
+    if chat.stream {
+        value["stream_options"]["include_usage"] = json!(true);
+    }
+    let bytes = serde_json::to_vec(&value).map_err(invalid)?;
+    Ok((kind, Cow::Owned(bytes)))
+}
--- /dev/null
+++ b/crates/daemon/src/http/operators.rs
@@ -0,0 +1,123 @@
+//! Routes of operators.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::channel;
+
+use compact_str::CompactString;
+use lagoon_errors::{Kind, Refusal};
+use lagoon_ids::{CallKey, ProgramId};
+use lagoon_node::{ApplyReply, OperatorRef, OperatorReply, OperatorRequest};
+use serde::Deserialize;
+use tiny_http::{Method, Request};
+
+use crate::constants::OPERATOR_WAIT;
+use crate::http::answer::{answer_json, refuse};
+use crate::http::server::read_body;
+use crate::input::{Inbox, Input};
+
+const PROGRAM_PATH: &str = "/v1/programs/";
+
+/// Operators' API.
+pub(crate) struct OperatorApi {
+    pub(crate) inbox: Inbox,
+    pub(crate) body_limit_bytes: u64,
+    pub(crate) next_ref: AtomicU64,
+}
+
+#[derive(Deserialize)]
+struct SettleJson {
+    program: ProgramId,
+    call: u32,
+    ran: bool,
+}
+
+#[derive(Deserialize)]
+struct ApplyJson {
+    base: u64,
+    author: CompactString,
+    text: String,
+}
+
+impl OperatorApi {
+    pub(crate) fn handle(&self, mut request: Request) {
+        match self.read(&mut request) {
+            Ok(operator_request) => self.ask(request, operator_request),
+            Err(refusal) => refuse(request, None, &refusal),
+        }
+    }
+
+    fn read(&self, request: &mut Request) -> Result<OperatorRequest, Refusal> {
+        let path = request.url().to_owned();
+        let method = request.method().clone();
+        match (method, path.as_str()) {
+            (Method::Get, "/v1/status") => Ok(OperatorRequest::Status),
+            (Method::Get, "/v1/programs") => Ok(OperatorRequest::Programs),
+            (Method::Get, path) if path.starts_with(PROGRAM_PATH) => {
+                let program = CompactString::new(&path[PROGRAM_PATH.len()..]);
+                Ok(OperatorRequest::Program(program))
+            }
+            (Method::Get, "/v1/sheet") => Ok(OperatorRequest::Sheet),
+            (Method::Get, "/v1/doubts") => Ok(OperatorRequest::Doubts),
+            (Method::Post, "/v1/sheet") => {
+                let apply: ApplyJson = self.read_json(request)?;
+                Ok(OperatorRequest::Apply {
+                    base: apply.base,
+                    author: apply.author,
+                    text: apply.text,
+                })
+            }
+            (Method::Post, "/v1/doubts/settle") => {
+                let settle: SettleJson = self.read_json(request)?;
+                let call = CallKey {
+                    program: settle.program,
+                    number: settle.call,
+                };
+                let ran = settle.ran;
+                Ok(OperatorRequest::Settle { call, ran })
+            }
+            (method, path) => {
+                let detail = format!("no route {method} {path}");
+                Err(Refusal::new(Kind::BadRequest, detail))
+            }
+        }
+    }
+
+    fn read_json<T>(&self, request: &mut Request) -> Result<T, Refusal>
+    where
+        T: serde::de::DeserializeOwned,
+    {
+        let body = read_body(request, self.body_limit_bytes)?;
+        serde_json::from_slice(&body)
+            .map_err(|error| Refusal::new(Kind::BadRequest, error.to_string()))
+    }
+
+    fn ask(&self, request: Request, operator_request: OperatorRequest) {
+        let operator_ref = OperatorRef(self.next_ref.fetch_add(1, Ordering::SeqCst));
+        let (reply, receiver) = channel();
+        let input = Input::Operator {
+            operator_ref,
+            request: operator_request,
+            reply,
+        };
+        // Without a receiver the wait below ends at once.
+        let _ = self.inbox.send(input);
+        match receiver.recv_timeout(OPERATOR_WAIT) {
+            Ok(answer) => answer_json(request, status(&answer), &answer),
+            Err(_) => {
+                let refusal = Refusal::new(Kind::Internal, "node gives no answer");
+                refuse(request, None, &refusal);
+            }
+        }
+    }
+}
+
+/// HTTP status of an answer.
+fn status(reply: &OperatorReply) -> u16 {
+    match reply {
+        OperatorReply::Apply(ApplyReply::Faulty { .. }) => 422,
+        OperatorReply::Apply(ApplyReply::Conflict { .. }) => 409,
+        OperatorReply::Apply(ApplyReply::Unknown { .. }) => 503,
+        OperatorReply::Program(None) | OperatorReply::Settled { settled: false } => 404,
+        _ => 200,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/http/server.rs
@@ -0,0 +1,114 @@
+//! Serving requests, one thread each.
+
+use std::io::Read;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::thread;
+
+use lagoon_errors::{Kind, Refusal};
+use tiny_http::{Request, Server};
+
+use crate::constants::{CALLER_LIMIT, WORKER_STACK_BYTES};
+use crate::http::answer::refuse;
+
+/// Requests that are being served.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Active(Arc<AtomicUsize>);
+
+impl Active {
+    pub(crate) fn count(&self) -> usize {
+        self.0.load(Ordering::SeqCst)
+    }
+
+    fn enter(&self) -> Entered {
+        self.0.fetch_add(1, Ordering::SeqCst);
+        Entered(Arc::clone(&self.0))
+    }
+}
+
+struct Entered(Arc<AtomicUsize>);
+
+impl Drop for Entered {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// Serves an address in threads of its own.
+///
+/// # Errors
+///
+/// Fails when the address can't be listened on.
+pub(crate) fn serve<F>(name: &str, address: SocketAddr, handle: F) -> Result<Active, String>
+where
+    F: Fn(Request) + Send + Sync + 'static,
+{
+    let server = Server::http(address).map_err(|error| format!("{address}: {error}"))?;
+    let active = Active::default();
+    let counted = active.clone();
+    let handle = Arc::new(handle);
+    thread::Builder::new()
+        .name(name.to_owned())
+        .stack_size(WORKER_STACK_BYTES)
+        .spawn(move || {
+            for request in server.incoming_requests() {
+                take(request, &counted, &handle);
+            }
+        })
+        .map_err(|error| error.to_string())?;
+    Ok(active)
+}
+
+fn take<F>(request: Request, active: &Active, handle: &Arc<F>)
+where
+    F: Fn(Request) + Send + Sync + 'static,
+{
+    if active.count() >= CALLER_LIMIT {
+        let detail = format!("{CALLER_LIMIT} requests are served already");
+        refuse(request, None, &Refusal::new(Kind::Overloaded, detail));
+        return;
+    }
+    let entered = active.enter();
+    let handle = Arc::clone(handle);
+    let spawned = thread::Builder::new()
+        .stack_size(WORKER_STACK_BYTES)
+        .spawn(move || {
+            handle(request);
+            drop(entered);
+        });
+    if let Err(error) = spawned {
+        // The request went with the closure; its connection closes.
+        log::error!(error = error.to_string(); "no thread for a request");
+    }
+}
+
+/// Body of a request, at most `limit_bytes` long.
+pub(super) fn read_body(request: &mut Request, limit_bytes: u64) -> Result<Vec<u8>, Refusal> {
+    let too_large = || {
+        let detail = format!("body has more than {limit_bytes} bytes");
+        Refusal::new(Kind::RequestTooLarge, detail)
+    };
+    if request.body_length().unwrap_or_default() as u64 > limit_bytes {
+        return Err(too_large());
+    }
+    let mut bytes = Vec::new();
+    let read = request
+        .as_reader()
+        .take(limit_bytes + 1)
+        .read_to_end(&mut bytes);
+    match read {
+        Err(error) => Err(Refusal::new(Kind::BadRequest, error.to_string())),
+        Ok(length) if length as u64 > limit_bytes => Err(too_large()),
+        Ok(_) => Ok(bytes),
+    }
+}
+
+/// Value of a header.
+pub(super) fn header<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
+    request
+        .headers()
+        .iter()
+        .find(|header| header.field.as_str().as_str().eq_ignore_ascii_case(name))
+        .map(|header| header.value.as_str())
+}
--- /dev/null
+++ b/crates/daemon/src/options.rs
@@ -0,0 +1,5 @@
+//! Command line of the daemon.
+
+mod args;
+
+pub use args::{parse_args, Command, UsageError};
--- /dev/null
+++ b/crates/daemon/src/run.rs
@@ -0,0 +1,239 @@
+//! Start, main loop and end of the daemon.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, AtomicU64};
+use std::sync::mpsc::{channel, Receiver, RecvTimeoutError};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use lagoon_node::{Event, Node, NodeSettings};
+use lagoon_platform::{Client, ClientSettings, RetrySettings};
+use lagoon_settings::Settings;
+use lagoon_telemetry::{Metrics, TraceError, Tracer};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use stakker::{actor, call, ret_nop, ActorOwn, Stakker};
+use thiserror::Error;
+
+use crate::actors::{Exit, NodeActor, NodeParts, PeersActor, StoreActor, TargetIo, TargetsActor};
+use crate::clock::Clock;
+use crate::constants::{EXIT_WAIT, INPUTS_AT_ONCE};
+use crate::http::{serve, Active, CallerApi, OperatorApi};
+use crate::input::{Inbox, Input};
+
+/// Reason why the daemon ends other than by a planned stop.
+#[derive(Debug, Error)]
+pub enum RunError {
+    /// Names of domain and VM can't form an incarnation.
+    #[error("vm.name: {0}")]
+    Name(#[from] lagoon_ids::NameError),
+    /// Traces can't begin.
+    #[error(transparent)]
+    Traces(#[from] TraceError),
+    /// Socket can't be opened.
+    #[error("{key}: {detail}")]
+    Socket {
+        /// Key of the address in the settings.
+        key: &'static str,
+        /// Cause.
+        detail: String,
+    },
+    /// Successor sealed this incarnation.
+    #[error("a successor took this VM's programs over")]
+    Fenced,
+}
+
+fn socket_error<E>(key: &'static str) -> impl FnOnce(E) -> RunError
+where
+    E: ToString,
+{
+    move |error| RunError::Socket {
+        key,
+        detail: error.to_string(),
+    }
+}
+
+/// Runs until a planned stop is done.
+///
+/// # Errors
+///
+/// Fails when a socket can't be opened, and when a successor sealed this
+/// incarnation.
+pub fn run(settings: &Settings) -> Result<(), RunError> {
+    let clock = Clock::start();
+    let vm = settings.vm.name.as_str();
+    let tracer = Arc::new(Tracer::new(
+        &settings.traces,
+        vm,
+        settings.vm.domain.as_str(),
+    )?);
+    let metrics =
+        Metrics::new(settings.metrics.statsd, vm).map_err(socket_error("metrics.statsd"))?;
+    let node = Node::new(node_settings(settings, clock))?;
+    let (inbox, inputs) = channel();
+    let ready = Arc::new(AtomicBool::new(false));
+    let peers =
+        crate::actors::listen(settings.listen.peers).map_err(socket_error("listen.peers"))?;
+    let active = start_callers(settings, clock, &inbox, &tracer, &ready)?;
+    start_operators(settings, &inbox)?;
+    watch_signals(&inbox).map_err(socket_error("signals"))?;
+
+    let mut stakker = Stakker::new(Instant::now());
+    let s = &mut stakker;
+    let exit = Rc::new(Cell::new(None));
+    let client = Client::new(client_settings(settings));
+    let workers = settings.platform.workers;
+    let io = TargetIo {
+        silence: Duration::from_millis(settings.targets.stream_silence_ms),
+        load_period: Duration::from_millis(settings.targets.load_poll_ms),
+    };
+    let own = settings.listen.peers;
+    let peers = actor!(s, PeersActor::init(peers, own, inbox.clone()), ret_nop!());
+    let store = actor!(
+        s,
+        StoreActor::init(client, workers, inbox.clone()),
+        ret_nop!()
+    );
+    let targets = actor!(s, TargetsActor::init(io, inbox.clone()), ret_nop!());
+    let parts = NodeParts {
+        node,
+        clock,
+        tracer: Arc::clone(&tracer),
+        metrics,
+        ready,
+        exit: Rc::clone(&exit),
+        peers: peers.clone(),
+        store: store.clone(),
+        targets: targets.clone(),
+    };
+    let node = actor!(s, NodeActor::init(parts), ret_nop!());
+    log::info!(
+        vm_domain = settings.vm.domain.as_str(),
+        callers = settings.listen.callers.to_string();
+        "started"
+    );
+    let exit = main_loop(s, &node, &inputs, &exit);
+    finish(s, &active, &tracer);
+    match exit {
+        Exit::Stopped => Ok(()),
+        Exit::Fenced => Err(RunError::Fenced),
+    }
+}
+
+fn main_loop(
+    s: &mut Stakker,
+    node: &ActorOwn<NodeActor>,
+    inputs: &Receiver<Input>,
+    exit: &Cell<Option<Exit>>,
+) -> Exit {
+    s.run(Instant::now(), false);
+    loop {
+        if let Some(exit) = exit.get() {
+            return exit;
+        }
+        let wait = s.next_wait_max(Instant::now(), Duration::from_secs(1), false);
+        match inputs.recv_timeout(wait) {
+            Ok(input) => {
+                call!([node], input(input));
+                for input in inputs.try_iter().take(INPUTS_AT_ONCE) {
+                    call!([node], input(input));
+                }
+            }
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return Exit::Stopped,
+        }
+        s.run(Instant::now(), false);
+    }
+}
+
+/// Waits for answers that are still being written.
+fn finish(s: &mut Stakker, active: &Active, tracer: &Tracer) {
+    let until = Instant::now() + EXIT_WAIT;
+    while active.count() > 0 && Instant::now() < until {
+        s.run(Instant::now(), false);
+        thread::sleep(Duration::from_millis(10));
+    }
+    tracer.flush();
+    log::info!(unanswered = active.count(); "stopped");
+}
+
+fn node_settings(settings: &Settings, clock: Clock) -> NodeSettings {
+    let vm = &settings.vm;
+    NodeSettings {
+        started_ms: clock.started_ms(),
+        seeds: settings.peers.seeds.clone(),
+        heartbeat_ms: settings.members.heartbeat_ms,
+        suspect_ms: settings.members.suspect_ms,
+        sheet_poll_ms: settings.members.sheet_poll_ms,
+        stop_wait_ms: settings.members.stop_wait_ms,
+        gap_wait_ms: settings.callers.gap_wait_ms,
+        queue_limit: settings.callers.queue_limit as usize,
+        idle_limit_ms: settings.callers.idle_limit_ms,
+        commit_wait_ms: settings.callers.commit_wait_ms,
+        ..NodeSettings::of(vm.name.clone(), vm.domain.clone(), settings.listen.peers)
+    }
+}
+
+fn client_settings(settings: &Settings) -> ClientSettings {
+    let platform = &settings.platform;
+    ClientSettings {
+        timeout_ms: platform.timeout_ms,
+        retry: RetrySettings {
+            tries: platform.tries as u32,
+            ..RetrySettings::default()
+        },
+        ..ClientSettings::at(platform.address)
+    }
+}
+
+fn start_callers(
+    settings: &Settings,
+    clock: Clock,
+    inbox: &Inbox,
+    tracer: &Arc<Tracer>,
+    ready: &Arc<AtomicBool>,
+) -> Result<Active, RunError> {
+    let api = CallerApi {
+        inbox: inbox.clone(),
+        clock,
+        tracer: Arc::clone(tracer),
+        ready: Arc::clone(ready),
+        body_limit_bytes: settings.callers.body_limit_bytes,
+        sample_percent: settings.traces.sample_percent,
+        // References of an earlier run must not come up again.
+        next_ref: AtomicU64::new(clock.started_ms() << 20),
+    };
+    serve("callers", settings.listen.callers, move |request| {
+        api.handle(request);
+    })
+    .map_err(socket_error("listen.callers"))
+}
+
+fn start_operators(settings: &Settings, inbox: &Inbox) -> Result<(), RunError> {
+    let api = OperatorApi {
+        inbox: inbox.clone(),
+        body_limit_bytes: settings.callers.body_limit_bytes,
+        next_ref: AtomicU64::new(1),
+    };
+    serve("operators", settings.listen.operators, move |request| {
+        api.handle(request);
+    })
+    .map_err(socket_error("listen.operators"))?;
+    Ok(())
+}
+
+/// Turns the first signal to end into a planned stop.
+fn watch_signals(inbox: &Inbox) -> Result<(), std::io::Error> {
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let inbox = inbox.clone();
+    thread::Builder::new().spawn(move || {
+        for _ in signals.forever() {
+            if inbox.send(Event::Stop.into()).is_err() {
+                return;
+            }
+        }
+    })?;
+    Ok(())
+}
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -168,6 +168,13 @@
         }
     }
 
+    /// Counts the silence of all VMs anew, after a pause of the own one.
+    pub fn forgive(&mut self, now_ms: u64) {
+        for member in self.others.values_mut() {
+            member.heard_ms = now_ms;
+        }
+    }
+
     /// Finds the VMs that have been silent for too long.
     pub fn tick(&mut self, now_ms: u64) -> Vec<Change> {
         let mut changes = Vec::new();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,26 @@
-//! Decisions of one entry VM without clock, thread or socket
+//! Decisions of one entry VM.
+//!
+//! [`Node`] takes events with a time and gives effects. It has no clock,
+//! thread, socket or random source, so tests drive the very code that the
+//! daemon runs. Callers' calls go one way: arrival, owner, order, budget,
+//! queue, target, and back piece by piece.
+
+mod constants;
+mod effect;
+mod event;
+mod message;
+mod node;
+mod request;
+mod status;
+
+pub use effect::{Dispatch, Effect, HopSpan, LoadPoll, Resume};
+pub use event::{
+    AttemptId, CallRef, Event, Failure, Incoming, OperatorRef, OperatorRequest, TargetEvent, Ticket,
+};
+pub use message::{Forwarded, PeerMessage, Piece, Summary};
+pub use node::{Node, NodeSettings};
+pub use request::{CallKind, CallRequest};
+pub use status::{
+    ApplyReply, CallReport, DoubtReport, MemberReport, NodeStatus, OperatorReply, ProgramReport,
+    SheetRow, TargetReport,
+};
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,417 @@
+//! State of a node and the way in.
+
+mod answer;
+mod arrival;
+mod call;
+mod commit;
+mod config;
+mod forward;
+mod operators;
+mod owner;
+mod ownership;
+mod sending;
+mod stop;
+mod store;
+mod sweep;
+mod takeover;
+
+use std::net::SocketAddr;
+
+use lagoon_ids::{DomainName, FastMap, FastSet, Incarnation, NameError, ProgramId, VmName};
+use lagoon_journal::{IncarnationRow, IncarnationState, Journal, Waiter};
+use lagoon_membership::{Change, Heartbeat, LoadReport, MemberSettings, Members};
+use lagoon_policy::{Balancer, BalancerSettings, WaitQueue};
+use lagoon_program::Programs;
+use slotmap::SlotMap;
+
+use crate::constants::{COMMIT_INTERVAL_LIMIT_MS, TABLE_WRITES_PER_S};
+use crate::effect::Effect;
+use crate::event::{AttemptId, CallRef, Event, Ticket};
+use crate::message::PeerMessage;
+
+use call::{Call, CallSlot};
+use commit::Commit;
+use config::Config;
+use forward::Forwarding;
+use ownership::Ownership;
+use stop::Stopping;
+use store::StoreUse;
+use takeover::TakeOver;
+
+/// Settings of a [`Node`].
+#[derive(Clone, Debug)]
+pub struct NodeSettings {
+    /// Own VM.
+    pub vm: VmName,
+    /// Own failure domain.
+    pub domain: DomainName,
+    /// Where other VMs send messages.
+    pub peer_address: SocketAddr,
+    /// Number of this start, which grows with each start of the VM.
+    pub started_ms: u64,
+    /// Peer addresses to greet when the platform can't name any.
+    pub seeds: Vec<SocketAddr>,
+    /// Time between heartbeats.
+    pub heartbeat_ms: u64,
+    /// Silence after which a VM counts as dead.
+    pub suspect_ms: u64,
+    /// Time between looks at the sheet's version.
+    pub sheet_poll_ms: u64,
+    /// Longest wait for programs under way at a planned stop.
+    pub stop_wait_ms: u64,
+    /// Longest wait for a missing call number.
+    pub gap_wait_ms: u64,
+    /// Calls waiting for a target before new ones are refused.
+    pub queue_limit: usize,
+    /// Silence after which a program counts as gone.
+    pub idle_limit_ms: u64,
+    /// Longest wait for a record that must be durable first.
+    pub commit_wait_ms: u64,
+    /// Choice of targets.
+    pub balancer: BalancerSettings,
+}
+
+impl NodeSettings {
+    /// Default settings for a VM.
+    pub fn of(vm: VmName, domain: DomainName, peer_address: SocketAddr) -> NodeSettings {
+        NodeSettings {
+            vm,
+            domain,
+            peer_address,
+            started_ms: 0,
+            seeds: Vec::new(),
+            heartbeat_ms: 500,
+            suspect_ms: 2_500,
+            sheet_poll_ms: 3_000,
+            stop_wait_ms: 600_000,
+            gap_wait_ms: 2_000,
+            queue_limit: 2_000,
+            idle_limit_ms: 900_000,
+            commit_wait_ms: 1_000,
+            balancer: BalancerSettings::default(),
+        }
+    }
+}
+
+/// Decisions of one entry VM.
+#[derive(Debug)]
+pub struct Node {
+    settings: NodeSettings,
+    now_us: u64,
+    started_us: u64,
+    effects: Vec<Effect>,
+    last_id: u64,
+    members: Members,
+    balancer: Balancer,
+    loads: FastMap<lagoon_ids::TargetName, LoadReport>,
+    journal: Journal,
+    commits: FastMap<Waiter, Commit>,
+    config: Config,
+    store: FastMap<Ticket, StoreUse>,
+    store_down: bool,
+    programs: Programs,
+    /// Programs whose opening is not durable yet.
+    opening: FastSet<ProgramId>,
+    calls: SlotMap<CallSlot, Call>,
+    by_key: FastMap<lagoon_ids::CallKey, CallSlot>,
+    attempts: FastMap<AttemptId, CallSlot>,
+    queue: WaitQueue<CallSlot>,
+    forwards: FastMap<CallRef, Forwarding>,
+    ownership: Ownership,
+    takeovers: FastMap<Incarnation, TakeOver>,
+    stopping: Option<Stopping>,
+    last_takeover_ms: Option<u64>,
+    last_tick_ms: u64,
+    ready: bool,
+    heartbeat_due_ms: u64,
+    discovery_due_ms: u64,
+    sweep_due_ms: u64,
+}
+
+impl Node {
+    /// Node that knows nothing yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the names of domain and VM are too long together.
+    pub fn new(settings: NodeSettings) -> Result<Node, NameError> {
+        let incarnation = Incarnation::of(&settings.domain, &settings.vm, settings.started_ms)?;
+        let row = IncarnationRow {
+            incarnation: incarnation.clone(),
+            vm: settings.vm.clone(),
+            domain: settings.domain.clone(),
+            started_ms: settings.started_ms,
+            peer_address: settings.peer_address,
+            state: IncarnationState::Open,
+        };
+        let members = Members::new(MemberSettings {
+            vm: settings.vm.clone(),
+            domain: settings.domain.clone(),
+            incarnation,
+            suspect_ms: settings.suspect_ms,
+        });
+        Ok(Node {
+            balancer: Balancer::new(settings.domain.clone(), settings.balancer),
+            settings,
+            now_us: 0,
+            started_us: 0,
+            effects: Vec::new(),
+            last_id: 0,
+            members,
+            loads: FastMap::default(),
+            journal: Journal::new(row),
+            commits: FastMap::default(),
+            config: Config::default(),
+            store: FastMap::default(),
+            store_down: false,
+            programs: Programs::default(),
+            opening: FastSet::default(),
+            calls: SlotMap::default(),
+            by_key: FastMap::default(),
+            attempts: FastMap::default(),
+            queue: WaitQueue::default(),
+            forwards: FastMap::default(),
+            ownership: Ownership::default(),
+            takeovers: FastMap::default(),
+            stopping: None,
+            last_takeover_ms: None,
+            last_tick_ms: 0,
+            ready: false,
+            heartbeat_due_ms: 0,
+            discovery_due_ms: 0,
+            sweep_due_ms: 0,
+        })
+    }
+
+    /// Own incarnation.
+    pub fn incarnation(&self) -> &Incarnation {
+        self.journal.incarnation()
+    }
+
+    /// Whether it takes new calls.
+    pub fn is_ready(&self) -> bool {
+        self.ready
+    }
+
+    /// Programs held.
+    pub fn programs(&self) -> &Programs {
+        &self.programs
+    }
+
+    /// Takes an event at a time, in microseconds since the Unix epoch.
+    ///
+    /// Times never go back. Returns what is to be done, in order.
+    pub fn handle(&mut self, event: Event, now_us: u64) -> Vec<Effect> {
+        self.now_us = self.now_us.max(now_us);
+        if self.started_us == 0 {
+            self.started_us = self.now_us;
+        }
+        match event {
+            Event::Call { call_ref, incoming } => self.on_call(call_ref, *incoming),
+            Event::CallerGone { call_ref } => self.on_caller_gone(call_ref),
+            Event::EndProgram {
+                call_ref,
+                api_key,
+                program,
+            } => self.on_end_program(call_ref, &api_key, &program),
+            Event::Peer(message) => self.on_peer(message),
+            Event::Target { attempt, event } => self.on_target(attempt, event),
+            Event::Store { ticket, reply } => self.on_store(ticket, reply),
+            Event::Load(report) => self.on_load(report),
+            Event::Operator {
+                operator_ref,
+                request,
+            } => self.on_operator(operator_ref, request),
+            Event::Tick => self.on_tick(),
+            Event::Stop => self.on_stop(),
+        }
+        self.poll_journal();
+        std::mem::take(&mut self.effects)
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.now_us / 1_000
+    }
+
+    fn emit(&mut self, effect: Effect) {
+        self.effects.push(effect);
+    }
+
+    fn send(&mut self, to: SocketAddr, message: PeerMessage) {
+        self.emit(Effect::Send { to, message });
+    }
+
+    fn next_id(&mut self) -> u64 {
+        self.last_id += 1;
+        self.last_id
+    }
+
+    fn on_peer(&mut self, message: PeerMessage) {
+        match message {
+            PeerMessage::Heartbeat(beat) => self.on_heartbeat(&beat),
+            PeerMessage::Forward(forwarded) => self.on_forward(*forwarded),
+            PeerMessage::Piece { call_ref, piece } => self.on_piece(call_ref, piece),
+            PeerMessage::Redirect { call_ref, owner } => self.on_redirect(call_ref, owner),
+            PeerMessage::Missing {
+                origin,
+                origin_address,
+                call_ref,
+                call,
+                offset,
+            } => {
+                let listener = call::Listener::Peer {
+                    vm: origin,
+                    address: origin_address,
+                    call_ref,
+                };
+                self.on_missing(&listener, &call, offset);
+            }
+            PeerMessage::CallerGone {
+                origin,
+                call_ref,
+                call,
+            } => self.drop_listener(&call, &origin, call_ref),
+            PeerMessage::Handover { incarnation } => self.start_takeover(incarnation),
+            PeerMessage::End {
+                call_ref,
+                origin,
+                origin_address,
+                account,
+                program,
+            } => {
+                let listener = call::Listener::Peer {
+                    vm: origin,
+                    address: origin_address,
+                    call_ref,
+                };
+                self.end_program(&listener, &account, &program);
+            }
+        }
+    }
+
+    fn on_tick(&mut self) {
+        let now_ms = self.now_ms();
+        let since_tick_ms = now_ms - std::mem::replace(&mut self.last_tick_ms, now_ms);
+        if since_tick_ms > self.settings.suspect_ms / 2 {
+            // This VM was paused: the others were not silent, it was deaf.
+            self.members.forgive(now_ms);
+        }
+        if now_ms >= self.discovery_due_ms {
+            self.discover();
+        }
+        if now_ms >= self.heartbeat_due_ms {
+            self.beat();
+        }
+        let changes = self.members.tick(now_ms);
+        self.on_changes(changes);
+        self.check_takeovers();
+        self.poll_sheet();
+        self.check_calls();
+        self.check_forwards();
+        self.drain_queue();
+        if now_ms >= self.sweep_due_ms {
+            self.sweep();
+        }
+        self.check_stop();
+        self.check_ready();
+    }
+
+    /// Tells the others of the failure domain that this VM lives.
+    fn beat(&mut self) {
+        self.heartbeat_due_ms = self.now_ms() + self.settings.heartbeat_ms;
+        let beat = Heartbeat {
+            vm: self.settings.vm.clone(),
+            domain: self.settings.domain.clone(),
+            incarnation: self.incarnation().clone(),
+            started_ms: self.settings.started_ms,
+            peer_address: self.settings.peer_address,
+            leaving: self.members.is_leaving(),
+            sheet_version: self.config.version(),
+            loads: self.loads.values().cloned().collect(),
+        };
+        for address in self.beat_addresses() {
+            self.send(address, PeerMessage::Heartbeat(beat.clone()));
+        }
+    }
+
+    fn beat_addresses(&self) -> Vec<SocketAddr> {
+        let others = self.members.others();
+        let mut addresses: Vec<SocketAddr> = others
+            .filter(|(_, member)| !member.dead)
+            .map(|(_, member)| member.peer_address)
+            .collect();
+        if addresses.is_empty() {
+            addresses.clone_from(&self.settings.seeds);
+        }
+        addresses.sort();
+        addresses.dedup();
+        addresses
+    }
+
+    fn on_heartbeat(&mut self, beat: &Heartbeat) {
+        let changes = self.members.on_heartbeat(beat, self.now_ms());
+        self.on_changes(changes);
+        for report in &beat.loads {
+            self.take_load(report);
+        }
+        if beat.sheet_version > self.config.version() {
+            self.config.due_ms = 0;
+        }
+    }
+
+    fn on_changes(&mut self, changes: Vec<Change>) {
+        if changes.is_empty() {
+            return;
+        }
+        for change in changes {
+            log::info!(change:? = change; "membership changed");
+            match change {
+                Change::Joined(vm) => self.greet(&vm),
+                Change::Leaving(_) => {}
+                Change::Dead { incarnation, .. } => self.on_dead(incarnation),
+            }
+        }
+        self.consider_orphans();
+        self.assign_polls();
+    }
+
+    /// Answers the first sign of a VM at once, so that it learns of this one.
+    fn greet(&mut self, vm: &VmName) {
+        if let Some(member) = self.members.get(vm) {
+            let address = member.peer_address;
+            self.emit(Effect::Greet {
+                vm: vm.clone(),
+                address,
+            });
+            self.heartbeat_due_ms = 0;
+        }
+    }
+
+    /// Spreads the table's writes over the VMs that share it.
+    fn set_commit_interval(&mut self, vms: usize) {
+        let interval_ms = vms as u64 * 1_000 / TABLE_WRITES_PER_S;
+        self.journal
+            .set_interval_ms(interval_ms.min(COMMIT_INTERVAL_LIMIT_MS));
+    }
+
+    fn check_ready(&mut self) {
+        let ready = self.not_ready_reason().is_none();
+        if ready != self.ready {
+            self.ready = ready;
+            self.emit(Effect::Ready(ready));
+        }
+    }
+
+    fn not_ready_reason(&self) -> Option<String> {
+        if self.stopping.is_some() {
+            return Some("stopping".to_owned());
+        }
+        if !self.ownership.registered {
+            return Some("incarnation is not in the table yet".to_owned());
+        }
+        if self.config.sheet.is_none() {
+            return Some("no sheet is known yet".to_owned());
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/node/src/node/answer.rs
@@ -0,0 +1,519 @@
+//! From a target back to the callers.
+
+use lagoon_errors::{Kind, Refusal};
+use lagoon_ids::{CallKey, ProgramId, VmName};
+use lagoon_program::{Body, Finished, Outcome, Record};
+use lagoon_sheet::Repeat;
+use serde::Deserialize;
+
+use crate::constants::{ANSWER_LIMIT_BYTES, RESUME_TRIES, TARGET_TRIES};
+use crate::effect::{Effect, Resume};
+use crate::event::{AttemptId, CallRef, Failure, TargetEvent};
+use crate::message::Piece;
+use crate::node::call::{CallSlot, Listener, Phase};
+use crate::node::commit::Commit;
+use crate::node::sending::is_stream;
+use crate::node::Node;
+use crate::request::CallKind;
+
+/// Part of an answer that is read for its usage.
+#[derive(Deserialize)]
+struct UsagePart {
+    usage: Option<Usage>,
+    choices: Option<Vec<serde::de::IgnoredAny>>,
+}
+
+#[derive(Deserialize)]
+struct Usage {
+    total_tokens: u64,
+}
+
+impl Node {
+    pub(super) fn on_target(&mut self, attempt: AttemptId, event: TargetEvent) {
+        // A late event of a try that was given up finds no call.
+        let Some(slot) = self.attempts.get(&attempt).copied() else {
+            return;
+        };
+        match event {
+            TargetEvent::Head {
+                status,
+                content_type,
+                resume_id,
+            } => self.on_head(slot, status, content_type, resume_id),
+            TargetEvent::Chunk { sequence, data } => self.on_chunk(slot, sequence, &data),
+            TargetEvent::Body { bytes } => {
+                self.read_usage(slot, &bytes);
+                self.add_bytes(slot, &bytes);
+                self.finish(slot);
+            }
+            TargetEvent::Done => self.finish(slot),
+            TargetEvent::Failed { failure, detail } => self.on_failed(slot, failure, &detail),
+        }
+    }
+
+    fn on_head(
+        &mut self,
+        slot: CallSlot,
+        status: u16,
+        content_type: compact_str::CompactString,
+        resume_id: Option<compact_str::CompactString>,
+    ) {
+        let call = &mut self.calls[slot];
+        if call.answer.head.is_some() {
+            return;
+        }
+        call.answer.head = Some((status, content_type.clone()));
+        call.answer.resume_id = resume_id;
+        let piece = Piece::Head {
+            call: call.request.key.clone(),
+            status,
+            content_type,
+        };
+        self.tell_all(slot, &piece);
+    }
+
+    fn on_chunk(&mut self, slot: CallSlot, sequence: Option<u64>, data: &str) {
+        let call = &mut self.calls[slot];
+        if let Some(sequence) = sequence {
+            if sequence <= call.answer.last_sequence {
+                return;
+            }
+            if sequence > call.answer.last_sequence + 1 {
+                let detail = format!("event {sequence} came after {}", call.answer.last_sequence);
+                self.on_failed(slot, Failure::Broken, &detail);
+                return;
+            }
+            call.answer.last_sequence = sequence;
+        }
+        let hidden = self.read_usage(slot, data.as_bytes());
+        if hidden {
+            return;
+        }
+        let bytes = format!("data: {data}\n\n");
+        self.add_bytes(slot, bytes.as_bytes());
+    }
+
+    /// Reads the usage that an engine counted.
+    ///
+    /// Returns whether the part holds nothing else and was not asked for.
+    fn read_usage(&mut self, slot: CallSlot, bytes: &[u8]) -> bool {
+        let call = &mut self.calls[slot];
+        let CallKind::Chat { wants_usage, .. } = call.request.kind else {
+            return false;
+        };
+        let Ok(part) = serde_json::from_slice::<UsagePart>(bytes) else {
+            return false;
+        };
+        let Some(usage) = part.usage else {
+            return false;
+        };
+        call.answer.used_tokens = Some(usage.total_tokens);
+        !wants_usage && part.choices.is_some_and(|choices| choices.is_empty())
+    }
+
+    fn add_bytes(&mut self, slot: CallSlot, bytes: &[u8]) {
+        let call = &mut self.calls[slot];
+        let offset = call.answer.bytes.len() as u64;
+        call.answer.bytes.extend_from_slice(bytes);
+        let piece = Piece::Data {
+            offset,
+            bytes: bytes.into(),
+        };
+        self.tell_all(slot, &piece);
+        if self.calls[slot].answer.bytes.len() > ANSWER_LIMIT_BYTES {
+            self.break_off(slot, "answer is longer than the limit");
+        }
+    }
+
+    fn tell_all(&mut self, slot: CallSlot, piece: &Piece) {
+        let listeners = self.calls[slot].listeners.clone();
+        for listener in &listeners {
+            self.tell(listener, piece.clone());
+        }
+    }
+
+    /// Gives a listener the answer so far from an offset on.
+    pub(super) fn tell_from(&mut self, slot: CallSlot, listener: &Listener, offset: u64) {
+        let call = &self.calls[slot];
+        let Some((status, content_type)) = call.answer.head.clone() else {
+            return;
+        };
+        let head = Piece::Head {
+            call: call.request.key.clone(),
+            status,
+            content_type,
+        };
+        let bytes = call.bytes_from(offset);
+        self.tell(listener, head);
+        if !bytes.is_empty() {
+            self.tell(listener, Piece::Data { offset, bytes });
+        }
+    }
+
+    /// Target gave a whole answer.
+    fn finish(&mut self, slot: CallSlot) {
+        let call = &self.calls[slot];
+        let Some((status, content_type)) = call.answer.head.clone() else {
+            self.on_failed(slot, Failure::Broken, "end without a beginning");
+            return;
+        };
+        let used = self.used(call);
+        let target = match &call.target {
+            Some((target, _)) => target.clone(),
+            None => return,
+        };
+        let finished = Finished {
+            content_hash: call.request.content_hash,
+            target,
+            used,
+            outcome: Outcome::Answered(Body {
+                status,
+                content_type,
+                bytes: call.answer.bytes.as_slice().into(),
+            }),
+        };
+        self.hop_span(slot, "target");
+        self.record_outcome(slot, finished);
+        self.set_phase(slot, Phase::Finishing);
+        if self.store_down {
+            self.end_answer(slot, false);
+        }
+        self.drain_queue();
+    }
+
+    /// Records what became of a call and lets the next one run.
+    fn record_outcome(&mut self, slot: CallSlot, finished: Finished) {
+        let call = &mut self.calls[slot];
+        call.used = finished.used;
+        let key = call.request.key.clone();
+        let record = Record::Finished {
+            call: key.clone(),
+            finished,
+        };
+        self.leave_target(slot);
+        self.settle(slot);
+        self.programs.apply(&record);
+        self.journal(vec![record], Some(Commit::Finished(slot)));
+        self.advance_next(&key);
+    }
+
+    /// Takes back the worst case of a call and marks it as not under way.
+    fn settle(&mut self, slot: CallSlot) {
+        let now_ms = self.now_ms();
+        let call = &mut self.calls[slot];
+        let worst = std::mem::take(&mut call.worst);
+        let number = call.request.key.number;
+        let Some(key) = self.programs.find(&call.request.key.program) else {
+            return;
+        };
+        let Some(program) = self.programs.get_mut(key) else {
+            return;
+        };
+        if program.running() == Some(number) {
+            program.stop();
+            program.active_ms = now_ms;
+            self.programs.release(key, worst);
+        }
+    }
+
+    fn advance_next(&mut self, key: &CallKey) {
+        let next = CallKey {
+            program: key.program.clone(),
+            number: key.number + 1,
+        };
+        if let Some(slot) = self.by_key.get(&next).copied() {
+            self.advance(slot);
+        }
+    }
+
+    /// Tells the callers that the answer is whole.
+    pub(super) fn end_answer(&mut self, slot: CallSlot, durable: bool) {
+        let Some(call) = self.calls.get(slot) else {
+            return;
+        };
+        let key = call.request.key.clone();
+        let length = call.answer.bytes.len() as u64;
+        self.hop_span(slot, "store");
+        let found = self
+            .programs
+            .find(&key.program)
+            .and_then(|key| self.programs.get(key));
+        let finished = found
+            .and_then(|program| program.result(key.number))
+            .cloned();
+        if let Some(finished) = finished {
+            if let Outcome::Answered(_) = finished.outcome {
+                let summary = self.summary(&key, &finished, durable, false);
+                self.tell_all(slot, &Piece::End { length, summary });
+            }
+        }
+        self.remove_call(slot);
+    }
+
+    fn on_failed(&mut self, slot: CallSlot, failure: Failure, detail: &str) {
+        let call = &self.calls[slot];
+        log::warn!(
+            call = call.request.key.to_string(),
+            failure = failure.to_string(),
+            detail;
+            "try failed"
+        );
+        match failure {
+            Failure::NotConnected if call.answer.head.is_some() => self.on_broken(slot, detail),
+            Failure::NotConnected | Failure::NotRun => {
+                self.hop_span(slot, "target");
+                self.not_run(slot, failure, detail);
+            }
+            Failure::Rejected => {
+                self.hop_span(slot, "target");
+                if call_is_once(self, slot) {
+                    self.withdraw(slot);
+                }
+                self.refuse(slot, Refusal::new(Kind::TargetRejected, detail));
+            }
+            Failure::Broken => self.on_broken(slot, detail),
+        }
+    }
+
+    fn on_broken(&mut self, slot: CallSlot, detail: &str) {
+        if self.resume(slot) {
+            return;
+        }
+        self.hop_span(slot, "target");
+        let call = &self.calls[slot];
+        match (call.repeat, is_chat(&call.request.kind)) {
+            (Repeat::Once, _) => self.doubt(slot, detail),
+            (_, true) if !call.answer.bytes.is_empty() => self.break_off(slot, detail),
+            _ if call.tries >= TARGET_TRIES => self.break_off(slot, detail),
+            _ => self.repeat(slot),
+        }
+    }
+
+    /// Takes a broken stream up again, if its engine can.
+    fn resume(&mut self, slot: CallSlot) -> bool {
+        let call = &mut self.calls[slot];
+        let (Some(attempt), Some(resume_id)) = (call.attempt, call.answer.resume_id.clone()) else {
+            return false;
+        };
+        if !is_stream(call) || call.resumes >= RESUME_TRIES {
+            return false;
+        }
+        let Some((_, address)) = call.target else {
+            return false;
+        };
+        call.resumes += 1;
+        let resume = Resume {
+            attempt,
+            address,
+            resume_id,
+            last_event: call.answer.last_sequence,
+        };
+        self.emit(Effect::Resume(Box::new(resume)));
+        true
+    }
+
+    /// Runs a repeatable call again; what the broken try used is charged.
+    fn repeat(&mut self, slot: CallSlot) {
+        self.avoid_target(slot);
+        self.leave_target(slot);
+        self.charge_worst(slot);
+        self.settle(slot);
+        self.set_phase(slot, Phase::Ordering);
+        self.advance(slot);
+    }
+
+    /// Charges the worst case of a try that gave no whole answer.
+    fn charge_worst(&mut self, slot: CallSlot) {
+        let call = &self.calls[slot];
+        if call.repeat == Repeat::Keyed {
+            return;
+        }
+        let record = Record::Charged {
+            call: call.request.key.clone(),
+            used: call.worst,
+        };
+        self.programs.apply(&record);
+        self.journal(vec![record], None);
+    }
+
+    /// Gives an answer up that can't be completed.
+    fn break_off(&mut self, slot: CallSlot, detail: &str) {
+        self.cancel_try(slot);
+        self.charge_worst(slot);
+        self.refuse(slot, Refusal::new(Kind::AnswerBroken, detail));
+    }
+
+    /// Records that nobody knows whether a call ran.
+    fn doubt(&mut self, slot: CallSlot, detail: &str) {
+        let call = &self.calls[slot];
+        let Some((target, _)) = call.target.clone() else {
+            return;
+        };
+        let finished = Finished {
+            content_hash: call.request.content_hash,
+            target: target.clone(),
+            used: call.worst,
+            outcome: Outcome::InDoubt,
+        };
+        self.record_outcome(slot, finished);
+        let detail = format!("{target}: {detail}");
+        self.refuse(slot, Refusal::new(Kind::InDoubt, detail));
+    }
+
+    fn cancel_try(&mut self, slot: CallSlot) {
+        let call = &self.calls[slot];
+        if let (Some(attempt), Some((_, address))) = (call.attempt, call.target.clone()) {
+            let resume_id = call.answer.resume_id.clone();
+            self.emit(Effect::Cancel {
+                attempt,
+                address,
+                resume_id,
+            });
+        }
+    }
+
+    /// Refuses a call; its number stays free unless an outcome is recorded.
+    pub(super) fn refuse(&mut self, slot: CallSlot, refusal: Refusal) {
+        let Some(call) = self.calls.get(slot) else {
+            return;
+        };
+        let call_key = call.request.key.clone();
+        log::info!(
+            call = call_key.to_string(),
+            kind = refusal.kind.to_string(),
+            detail = refusal.detail.as_str();
+            "call refused"
+        );
+        let piece = Piece::Refused {
+            call: Some(call_key),
+            refusal,
+        };
+        self.tell_all(slot, &piece);
+        self.queue.remove(slot);
+        self.leave_target(slot);
+        self.settle(slot);
+        self.remove_call(slot);
+    }
+
+    pub(super) fn remove_call(&mut self, slot: CallSlot) {
+        if let Some(call) = self.calls.remove(slot) {
+            self.by_key.remove(&call.request.key);
+        }
+    }
+
+    /// Cancels the model calls of a program at their engines.
+    pub(super) fn cancel_chats(&mut self, program: &ProgramId) {
+        let slots: Vec<CallSlot> = self
+            .calls
+            .iter()
+            .filter(|(_, call)| call.request.key.program == *program)
+            .filter(|(_, call)| call.phase == Phase::Sent && is_chat(&call.request.kind))
+            .map(|(slot, _)| slot)
+            .collect();
+        for slot in slots {
+            self.cancel_try(slot);
+            self.charge_worst(slot);
+            let detail = format!("program {program} has ended");
+            self.refuse(slot, Refusal::new(Kind::ProgramEnded, detail));
+        }
+    }
+
+    /// Another VM misses bytes of an answer.
+    pub(super) fn on_missing(&mut self, listener: &Listener, key: &CallKey, offset: u64) {
+        if let Some(slot) = self.by_key.get(key).copied() {
+            self.tell_from(slot, listener, offset);
+            return;
+        }
+        let found = self
+            .programs
+            .find(&key.program)
+            .and_then(|key| self.programs.get(key));
+        if let Some(finished) = found
+            .and_then(|program| program.result(key.number))
+            .cloned()
+        {
+            self.tell_recorded(listener, key, &finished, offset);
+        }
+    }
+
+    pub(super) fn drop_listener(&mut self, key: &CallKey, origin: &VmName, gone: CallRef) {
+        if let Some(slot) = self.by_key.get(key).copied() {
+            self.calls[slot].listeners.retain(|listener| {
+                !matches!(listener, Listener::Peer { vm, call_ref, .. } if vm == origin && *call_ref == gone)
+            });
+        }
+    }
+
+    pub(super) fn drop_local_listener(&mut self, gone: CallRef) {
+        for call in self.calls.values_mut() {
+            call.listeners
+                .retain(|listener| *listener != Listener::Local(gone));
+        }
+    }
+
+    /// Refuses calls that have waited for too long.
+    pub(super) fn check_calls(&mut self) {
+        let slots: Vec<CallSlot> = self.calls.keys().collect();
+        for slot in slots {
+            self.check_call(slot);
+        }
+    }
+
+    fn check_call(&mut self, slot: CallSlot) {
+        let Some(call) = self.calls.get(slot) else {
+            return;
+        };
+        let waited_ms = (self.now_us - call.phase_us) / 1_000;
+        let key = &call.request.key;
+        match call.phase {
+            Phase::Ordering if waited_ms >= self.settings.gap_wait_ms && self.has_gap(key) => {
+                let detail = format!("an earlier call than {} did not arrive", key.number);
+                self.refuse(slot, Refusal::new(Kind::OrderGap, detail));
+            }
+            Phase::Opening | Phase::Reserving if waited_ms >= self.settings.commit_wait_ms => {
+                let refusal = Refusal::new(Kind::StoreUnavailable, "no durable reserve in time");
+                self.refuse(slot, refusal);
+            }
+            Phase::Intending if waited_ms >= self.settings.commit_wait_ms => {
+                self.withdraw(slot);
+                let refusal = Refusal::new(Kind::StoreUnavailable, "no durable record in time");
+                self.refuse(slot, refusal);
+            }
+            Phase::Queued
+                if call
+                    .deadline_ms
+                    .is_some_and(|end_ms| self.now_ms() >= end_ms) =>
+            {
+                let refusal = Refusal::new(Kind::WindowClosed, "window passed in the queue");
+                self.refuse(slot, refusal);
+            }
+            Phase::Finishing if waited_ms >= self.settings.commit_wait_ms => {
+                self.end_answer(slot, false);
+            }
+            _ => {}
+        }
+    }
+
+    /// Whether the call waits for one that is not here.
+    fn has_gap(&self, key: &CallKey) -> bool {
+        let program = self
+            .programs
+            .find(&key.program)
+            .and_then(|key| self.programs.get(key));
+        let next = program.map_or(1, lagoon_program::Program::next_number);
+        let expected = CallKey {
+            program: key.program.clone(),
+            number: next,
+        };
+        let running = program.is_some_and(|program| program.running().is_some());
+        !running && !self.by_key.contains_key(&expected)
+    }
+}
+
+fn is_chat(kind: &CallKind) -> bool {
+    matches!(kind, CallKind::Chat { .. })
+}
+
+fn call_is_once(node: &Node, slot: CallSlot) -> bool {
+    node.calls[slot].repeat == Repeat::Once
+}
--- /dev/null
+++ b/crates/node/src/node/arrival.rs
@@ -0,0 +1,275 @@
+//! Calls that reach this VM, from callers and from other VMs.
+
+use lagoon_errors::{Kind, Refusal};
+use lagoon_ids::{AccountName, CallKey, MarketName, NameError, ProgramId};
+
+use crate::effect::Effect;
+use crate::event::{CallRef, Incoming};
+use crate::message::{Forwarded, PeerMessage, Piece};
+use crate::node::call::Listener;
+use crate::node::forward::Forwarding;
+use crate::node::ownership::Route;
+use crate::node::Node;
+use crate::request::CallRequest;
+
+/// Call that has not found its owner yet.
+#[derive(Clone, Debug)]
+pub(crate) struct Waiting {
+    pub(crate) request: CallRequest,
+    pub(crate) listener: Listener,
+    pub(crate) hops: u8,
+}
+
+impl Node {
+    pub(super) fn on_call(&mut self, call_ref: CallRef, incoming: Incoming) {
+        match self.check(incoming) {
+            Ok(request) => self.place(Waiting {
+                request,
+                listener: Listener::Local(call_ref),
+                hops: 0,
+            }),
+            Err(refusal) => self.reply(
+                call_ref,
+                Piece::Refused {
+                    call: None,
+                    refusal,
+                },
+            ),
+        }
+    }
+
+    /// Account of an API key, and its market.
+    fn authenticate(&self, api_key: &str) -> Result<(AccountName, MarketName), Refusal> {
+        let Some(sheet) = &self.config.sheet else {
+            let reason = self.not_ready_reason().unwrap_or_default();
+            return Err(Refusal::new(Kind::NotReady, reason));
+        };
+        match sheet.account(api_key) {
+            Some(account) => {
+                let market = sheet.market(account.market).name.clone();
+                Ok((account.name.clone(), market))
+            }
+            None => Err(Refusal::new(Kind::Unauthorized, "API key is not known")),
+        }
+    }
+
+    /// Checks a caller's request and names its program.
+    fn check(&mut self, incoming: Incoming) -> Result<CallRequest, Refusal> {
+        let (account, market) = self.authenticate(&incoming.api_key)?;
+        let named = incoming.program.is_some();
+        let program = self.name_program(&incoming)?;
+        let fresh = !named && program.parent().is_none();
+        if incoming.number == Some(0) {
+            return Err(Refusal::new(Kind::BadRequest, "Lagoon-Call counts from 1"));
+        }
+        Ok(CallRequest {
+            key: CallKey {
+                program,
+                number: incoming.number.unwrap_or(1),
+            },
+            unnumbered: incoming.number.is_none(),
+            named,
+            fresh,
+            account,
+            market,
+            window_ms: incoming.window_ms,
+            budget_tokens: incoming.budget_tokens,
+            kind: incoming.kind,
+            content_type: incoming.content_type,
+            body: incoming.body,
+            content_hash: incoming.content_hash,
+            trace: incoming.trace,
+        })
+    }
+
+    fn name_program(&mut self, incoming: &Incoming) -> Result<ProgramId, Refusal> {
+        let own = match &incoming.program {
+            Some(text) => parse_program("Lagoon-Program", text)?,
+            None => self.issue()?,
+        };
+        let program = match &incoming.parent {
+            Some(text) => {
+                let parent = parse_program("Lagoon-Parent", text)?;
+                // An issued identifier names an owner; below a parent it would not.
+                let own = own.as_str().replace([':', '~'], ".");
+                let own: ProgramId = own
+                    .parse()
+                    .map_err(|error| bad_name("Lagoon-Program", &error))?;
+                own.under(&parent)
+                    .map_err(|error| bad_name("Lagoon-Parent", &error))?
+            }
+            None => own,
+        };
+        Ok(program)
+    }
+
+    fn issue(&mut self) -> Result<ProgramId, Refusal> {
+        self.ownership.issued += 1;
+        ProgramId::issued(self.incarnation(), self.ownership.issued)
+            .map_err(|error| bad_name("vm.name", &error))
+    }
+
+    /// Runs a call here or sends it to the program's owner.
+    pub(super) fn place(&mut self, waiting: Waiting) {
+        match self.route(&waiting.request.key.program) {
+            Route::Here => self.accept_unless_stopping(waiting),
+            Route::To(address) => self.pass_on(waiting, address),
+            Route::Lookup(incarnation) => self.look_up(incarnation, waiting),
+            Route::Refuse(refusal) => self.refuse_waiting(waiting, refusal),
+        }
+    }
+
+    fn accept_unless_stopping(&mut self, waiting: Waiting) {
+        let under_way = self.by_key.contains_key(&waiting.request.key);
+        let waiting = if under_way {
+            Some(waiting)
+        } else {
+            self.hold_for_stop(waiting)
+        };
+        if let Some(waiting) = waiting {
+            self.accept(waiting.request, waiting.listener);
+        }
+    }
+
+    fn pass_on(&mut self, waiting: Waiting, address: std::net::SocketAddr) {
+        match waiting.listener {
+            Listener::Local(call_ref) => {
+                let forwarding =
+                    Forwarding::new(waiting.request, address, waiting.hops, self.now_us);
+                self.forwards.insert(call_ref, forwarding);
+                self.send_forward(call_ref);
+            }
+            Listener::Peer { .. } => {
+                let owner = self.owner_hint(&waiting.request.key.program);
+                match (owner, &waiting.listener) {
+                    (
+                        Some(owner),
+                        Listener::Peer {
+                            address, call_ref, ..
+                        },
+                    ) => {
+                        let message = PeerMessage::Redirect {
+                            call_ref: *call_ref,
+                            owner,
+                        };
+                        self.send(*address, message);
+                    }
+                    _ => {
+                        let refusal =
+                            Refusal::new(Kind::OwnerUnreachable, "VMs disagree on the owner");
+                        self.refuse_waiting(waiting, refusal.with_retry_after_s(1));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Call that another VM sent here as the owner's.
+    pub(super) fn on_forward(&mut self, forwarded: Forwarded) {
+        let listener = Listener::Peer {
+            vm: forwarded.origin,
+            address: forwarded.origin_address,
+            call_ref: forwarded.call_ref,
+        };
+        let waiting = Waiting {
+            request: forwarded.request,
+            listener,
+            hops: forwarded.hops,
+        };
+        // The sender chose this VM by its own view, which may be newer.
+        let program = &waiting.request.key.program;
+        let claimable = program.issuer().is_none() && self.claimed_owner(program).is_none();
+        if claimable {
+            self.accept_unless_stopping(waiting);
+        } else {
+            self.place(waiting);
+        }
+    }
+
+    pub(super) fn refuse_waiting(&mut self, waiting: Waiting, refusal: Refusal) {
+        let piece = Piece::Refused {
+            call: Some(waiting.request.key),
+            refusal,
+        };
+        self.tell(&waiting.listener, piece);
+    }
+
+    /// Gives a piece to a listener.
+    pub(super) fn tell(&mut self, listener: &Listener, piece: Piece) {
+        match listener {
+            Listener::Local(call_ref) => self.reply(*call_ref, piece),
+            Listener::Peer {
+                address, call_ref, ..
+            } => {
+                let message = PeerMessage::Piece {
+                    call_ref: *call_ref,
+                    piece,
+                };
+                self.send(*address, message);
+            }
+        }
+    }
+
+    pub(super) fn reply(&mut self, call_ref: CallRef, piece: Piece) {
+        self.emit(Effect::Reply { call_ref, piece });
+    }
+
+    pub(super) fn on_end_program(&mut self, call_ref: CallRef, api_key: &str, program: &str) {
+        let checked = self
+            .authenticate(api_key)
+            .and_then(|(account, _)| Ok((account, parse_program("program", program)?)));
+        let (account, program) = match checked {
+            Ok(checked) => checked,
+            Err(refusal) => {
+                self.reply(
+                    call_ref,
+                    Piece::Refused {
+                        call: None,
+                        refusal,
+                    },
+                );
+                return;
+            }
+        };
+        let listener = Listener::Local(call_ref);
+        match self.route(&program) {
+            Route::Here => self.end_program(&listener, &account, &program),
+            Route::To(address) => {
+                let message = PeerMessage::End {
+                    call_ref,
+                    origin: self.settings.vm.clone(),
+                    origin_address: self.settings.peer_address,
+                    account,
+                    program,
+                };
+                self.send(address, message);
+            }
+            Route::Lookup(incarnation) => {
+                let detail = format!("owner {incarnation} is not known yet");
+                let refusal = Refusal::new(Kind::OwnerUnreachable, detail);
+                self.tell(
+                    &listener,
+                    Piece::Refused {
+                        call: None,
+                        refusal,
+                    },
+                );
+            }
+            Route::Refuse(refusal) => self.tell(
+                &listener,
+                Piece::Refused {
+                    call: None,
+                    refusal,
+                },
+            ),
+        }
+    }
+}
+
+fn parse_program(header: &str, text: &str) -> Result<ProgramId, Refusal> {
+    text.parse().map_err(|error| bad_name(header, &error))
+}
+
+fn bad_name(header: &str, error: &NameError) -> Refusal {
+    Refusal::new(Kind::BadRequest, format!("{header} {error}"))
+}
--- /dev/null
+++ b/crates/node/src/node/operators.rs
@@ -0,0 +1,191 @@
+//! Answers to operators.
+
+use compact_str::CompactString;
+use lagoon_ids::{CallKey, ProgramId};
+use lagoon_membership::Member;
+use lagoon_program::{Outcome, Program, Record};
+
+use crate::effect::Effect;
+use crate::event::{OperatorRef, OperatorRequest};
+use crate::node::Node;
+use crate::status::{
+    CallReport, DoubtReport, MemberReport, NodeStatus, OperatorReply, ProgramReport, TargetReport,
+};
+
+impl Node {
+    pub(super) fn on_operator(&mut self, operator_ref: OperatorRef, request: OperatorRequest) {
+        let reply = match request {
+            OperatorRequest::Status => OperatorReply::Status(Box::new(self.status())),
+            OperatorRequest::Programs => OperatorReply::Programs(self.program_reports()),
+            OperatorRequest::Program(id) => OperatorReply::Program(self.program_report(&id)),
+            OperatorRequest::Sheet => OperatorReply::Sheet {
+                row: self.config.row.clone(),
+                text: self.config.text.clone(),
+            },
+            OperatorRequest::Doubts => OperatorReply::Doubts(self.doubt_reports()),
+            OperatorRequest::Settle { call, ran } => OperatorReply::Settled {
+                settled: self.settle_doubt(call, ran),
+            },
+            OperatorRequest::Apply { base, author, text } => {
+                self.apply_sheet(operator_ref, base, author, text);
+                return;
+            }
+        };
+        self.emit(Effect::Operator {
+            operator_ref,
+            reply,
+        });
+    }
+
+    /// State of the VM.
+    pub fn status(&self) -> NodeStatus {
+        NodeStatus {
+            vm: self.settings.vm.clone(),
+            domain: self.settings.domain.clone(),
+            incarnation: self.incarnation().clone(),
+            ready: self.ready,
+            not_ready_reason: self.not_ready_reason(),
+            sheet: self.config.row.clone(),
+            sheet_age_ms: self.now_ms().saturating_sub(self.config.confirmed_ms),
+            programs: self.programs.len(),
+            calls: self.calls.len(),
+            forwarded: self.forwards.len(),
+            queued: self.queue.len(),
+            journal_backlog: self.journal.backlog(),
+            journal_batches: self.journal.sequence() - 1,
+            members: self.member_reports(),
+            targets: self.target_reports(),
+        }
+    }
+
+    fn member_reports(&self) -> Vec<MemberReport> {
+        let mut reports: Vec<MemberReport> = self
+            .members
+            .others()
+            .map(|(vm, member)| MemberReport {
+                vm: vm.clone(),
+                incarnation: member.incarnation.clone(),
+                state: CompactString::const_new(member_state(member)),
+                silent_ms: self.now_ms().saturating_sub(member.heard_ms),
+                sheet_version: member.sheet_version,
+            })
+            .collect();
+        reports.sort_by(|a, b| a.vm.cmp(&b.vm));
+        reports
+    }
+
+    fn target_reports(&self) -> Vec<TargetReport> {
+        let Some(sheet) = &self.config.sheet else {
+            return Vec::new();
+        };
+        let own = sheet
+            .targets
+            .iter()
+            .filter(|target| target.domain == self.settings.domain);
+        own.map(|target| {
+            let state = self.balancer.state(&target.name);
+            let word = if state.leaving {
+                "leaving"
+            } else if state.ejected_until_ms > self.now_ms() {
+                "ejected"
+            } else {
+                "live"
+            };
+            TargetReport {
+                target: target.name.clone(),
+                serves: CompactString::new(sheet.serves_name(target.serves)),
+                in_flight: state.in_flight,
+                load: state.load(),
+                slots: target.slots,
+                state: CompactString::const_new(word),
+            }
+        })
+        .collect()
+    }
+
+    fn program_reports(&self) -> Vec<ProgramReport> {
+        let programs = self.programs.iter();
+        let mut reports: Vec<ProgramReport> =
+            programs.map(|(_, program)| self.report(program)).collect();
+        reports.sort_by(|a, b| a.program.cmp(&b.program));
+        reports
+    }
+
+    fn program_report(&self, id: &str) -> Option<Box<ProgramReport>> {
+        let key = self.programs.find(&id.parse::<ProgramId>().ok()?)?;
+        Some(Box::new(self.report(self.programs.get(key)?)))
+    }
+
+    fn report(&self, program: &Program) -> ProgramReport {
+        let state = if program.ended {
+            "ended"
+        } else if program.running().is_some() {
+            "running"
+        } else {
+            "paused"
+        };
+        ProgramReport {
+            program: program.id.clone(),
+            account: program.account.clone(),
+            market: program.market.clone(),
+            state: CompactString::const_new(state),
+            budget: program.budget,
+            idle_ms: self.now_ms().saturating_sub(program.active_ms),
+            calls: program
+                .finished()
+                .map(|(number, finished)| CallReport {
+                    number,
+                    target: finished.target.clone(),
+                    outcome: CompactString::const_new(outcome_word(&finished.outcome)),
+                    used_tokens: finished.used.tokens,
+                })
+                .collect(),
+        }
+    }
+
+    fn doubt_reports(&self) -> Vec<DoubtReport> {
+        let mut reports = Vec::new();
+        for (_, program) in self.programs.iter() {
+            reports.extend(program.doubts().map(|(number, target)| DoubtReport {
+                program: program.id.clone(),
+                number,
+                target: target.clone(),
+                account: program.account.clone(),
+            }));
+        }
+        reports.sort_by(|a, b| (&a.program, a.number).cmp(&(&b.program, b.number)));
+        reports
+    }
+
+    fn settle_doubt(&mut self, call: CallKey, ran: bool) -> bool {
+        let found = self
+            .programs
+            .find(&call.program)
+            .and_then(|key| self.programs.get(key))
+            .and_then(|program| program.result(call.number));
+        if found.map(|finished| &finished.outcome) != Some(&Outcome::InDoubt) {
+            return false;
+        }
+        let record = Record::Settled { call, ran };
+        self.programs.apply(&record);
+        self.journal(vec![record], None);
+        true
+    }
+}
+
+fn member_state(member: &Member) -> &'static str {
+    match (member.dead, member.leaving) {
+        (true, _) => "dead",
+        (false, true) => "leaving",
+        (false, false) => "live",
+    }
+}
+
+fn outcome_word(outcome: &Outcome) -> &'static str {
+    match outcome {
+        Outcome::Answered(_) => "answered",
+        Outcome::InDoubt => "in_doubt",
+        Outcome::Settled { ran: true } => "settled_ran",
+        Outcome::Settled { ran: false } => "settled_not_run",
+    }
+}
--- /dev/null
+++ b/crates/node/src/node/owner.rs
@@ -0,0 +1,594 @@
+//! Calls of the programs that this VM owns, up to the queue.
+
+use lagoon_errors::{Kind, Refusal};
+use lagoon_ids::{CallKey, Incarnation, ProgramId};
+use lagoon_journal::Group;
+use lagoon_program::{Amounts, Arrival, Cover, Finished, Opening, Outcome, ProgramKey, Record};
+use lagoon_sheet::{Repeat, Serves};
+
+use crate::constants::FAMILY_LIMIT;
+use crate::message::{Piece, Summary};
+use crate::node::arrival::Waiting;
+use crate::node::call::{Call, CallSlot, Listener, Phase};
+use crate::node::commit::Commit;
+use crate::node::Node;
+use crate::request::{CallKind, CallRequest};
+
+impl Node {
+    /// Takes a call whose program this VM owns or may open.
+    pub(super) fn accept(&mut self, mut request: CallRequest, listener: Listener) {
+        if request.unnumbered && request.named {
+            request.key.number = self.free_number(&request.key.program);
+        }
+        if let Some(slot) = self.by_key.get(&request.key).copied() {
+            self.attach(slot, &request, listener);
+            return;
+        }
+        let known = match self.find_served(&request) {
+            Ok(known) => known,
+            Err(refusal) => {
+                let call = Some(request.key);
+                self.tell(&listener, Piece::Refused { call, refusal });
+                return;
+            }
+        };
+        let key = request.key.clone();
+        let mut call = Call::new(request, listener, known.0, known.1, self.now_us);
+        call.deadline_ms = self.deadline_ms(&call.request);
+        let slot = self.calls.insert(call);
+        self.by_key.insert(key, slot);
+        self.advance(slot);
+    }
+
+    /// Next number that no call of the program has.
+    fn free_number(&self, program: &ProgramId) -> u32 {
+        let key = self.programs.find(program);
+        let next = key
+            .and_then(|key| self.programs.get(key))
+            .map_or(1, lagoon_program::Program::next_number);
+        let taken = |number: &u32| {
+            self.by_key.contains_key(&CallKey {
+                program: program.clone(),
+                number: *number,
+            })
+        };
+        (next..).find(|number| !taken(number)).unwrap_or(next)
+    }
+
+    /// Adds a listener to a call under way and gives it what there is.
+    fn attach(&mut self, slot: CallSlot, request: &CallRequest, listener: Listener) {
+        let call = &mut self.calls[slot];
+        if call.request.content_hash != request.content_hash {
+            let key = request.key.clone();
+            let detail = format!("call {} of {} was another request", key.number, key.program);
+            let refusal = Refusal::new(Kind::CallConflict, detail);
+            let call = Some(key);
+            self.tell(&listener, Piece::Refused { call, refusal });
+            return;
+        }
+        call.attach(listener.clone());
+        self.tell_from(slot, &listener, 0);
+    }
+
+    /// What the request needs, and whether it may be repeated.
+    fn find_served(&self, request: &CallRequest) -> Result<(Serves, Repeat), Refusal> {
+        let Some(sheet) = &self.config.sheet else {
+            return Err(Refusal::new(Kind::NotReady, "no sheet is known yet"));
+        };
+        find_served_in(sheet, request)
+    }
+
+    /// End of the program's window; the first call that names one sets it.
+    fn deadline_ms(&self, request: &CallRequest) -> Option<u64> {
+        let program = self
+            .programs
+            .find(&request.key.program)
+            .and_then(|key| self.programs.get(key));
+        let known = program.and_then(|program| program.deadline_ms);
+        let given = request.window_ms.map(|window_ms| self.now_ms() + window_ms);
+        match (known, given) {
+            (Some(known), Some(given)) => Some(known.min(given)),
+            (known, given) => known.or(given),
+        }
+    }
+
+    /// Looks up anew what waiting calls need, since keys are of one sheet.
+    pub(super) fn move_calls_to(&mut self, sheet: &lagoon_sheet::Sheet) {
+        let slots: Vec<CallSlot> = self.calls.keys().collect();
+        for slot in slots {
+            match find_served_in(sheet, &self.calls[slot].request) {
+                Ok((serves, repeat)) => {
+                    let call = &mut self.calls[slot];
+                    call.serves = serves;
+                    if !call.is_at_target() {
+                        call.repeat = repeat;
+                    }
+                }
+                Err(refusal) if !self.calls[slot].is_at_target() => self.refuse(slot, refusal),
+                Err(_) => {}
+            }
+        }
+    }
+
+    pub(super) fn set_phase(&mut self, slot: CallSlot, phase: Phase) {
+        let now_us = self.now_us;
+        let call = &mut self.calls[slot];
+        call.phase = phase;
+        call.phase_us = now_us;
+    }
+
+    /// Moves a call on as far as it can go now.
+    pub(super) fn advance(&mut self, slot: CallSlot) {
+        let Some(call) = self.calls.get(slot) else {
+            return;
+        };
+        match call.phase {
+            Phase::Ordering | Phase::Opening => self.advance_order(slot),
+            Phase::Reserving => self.advance_reserve(slot),
+            _ => {}
+        }
+    }
+
+    /// Moves on the calls of a family that wait for a commit.
+    pub(super) fn advance_family(&mut self, program: &ProgramId) {
+        let family = program.family();
+        let slots: Vec<CallSlot> = self
+            .calls
+            .iter()
+            .filter(|(_, call)| call.request.key.program.family() == family)
+            .map(|(slot, _)| slot)
+            .collect();
+        for slot in slots {
+            self.advance(slot);
+        }
+    }
+
+    fn advance_order(&mut self, slot: CallSlot) {
+        let call = &self.calls[slot];
+        let request = &call.request;
+        let key = request.key.clone();
+        let Some(program_key) = self.programs.find(&key.program) else {
+            if key.number == 1 {
+                self.open_program(slot);
+            }
+            return;
+        };
+        if self.opening.contains(&key.program) && key.program.issuer().is_none() {
+            self.set_phase(slot, Phase::Opening);
+            return;
+        }
+        let Some(program) = self.programs.get(program_key) else {
+            return;
+        };
+        if program.account != request.account {
+            let refusal = Refusal::new(Kind::Unauthorized, "program belongs to another account");
+            self.refuse(slot, refusal);
+            return;
+        }
+        match program.arrive(key.number, request.content_hash) {
+            Arrival::Run => self.start_call(slot, program_key),
+            Arrival::Attach | Arrival::Wait => {}
+            Arrival::Replay(finished) => {
+                let finished = finished.clone();
+                self.replay(slot, &finished);
+            }
+            Arrival::Refuse(refusal) => self.refuse(slot, refusal),
+        }
+    }
+
+    fn open_program(&mut self, slot: CallSlot) {
+        let request = &self.calls[slot].request;
+        let program = request.key.program.clone();
+        if let Some(refusal) = self.refuse_opening(request) {
+            self.refuse(slot, refusal);
+            return;
+        }
+        let opening = Opening {
+            program: program.clone(),
+            account: request.account.clone(),
+            market: request.market.clone(),
+            limit: self.limit(request),
+        };
+        let record = match self.programs.open(opening) {
+            Ok(record) => record,
+            Err(refusal) => {
+                self.refuse(slot, refusal);
+                return;
+            }
+        };
+        self.programs.apply(&record);
+        self.opening.insert(program.clone());
+        let is_claim = program.parent().is_none() && program.issuer().is_none();
+        let claim = is_claim.then(|| program.family().to_owned());
+        self.journal_group(
+            Group {
+                records: vec![record],
+                claim,
+                ..Group::default()
+            },
+            Some(Commit::Opened(program)),
+        );
+        self.advance_order(slot);
+    }
+
+    /// Why no program may be opened by this request.
+    fn refuse_opening(&self, request: &CallRequest) -> Option<Refusal> {
+        let program = &request.key.program;
+        if self.stopping.is_some() && program.parent().is_none() {
+            return Some(Refusal::new(Kind::Stopping, "VM takes no new programs"));
+        }
+        let issued_before =
+            program.issuer().is_some() && !request.fresh && program.parent().is_none();
+        if issued_before {
+            let detail = format!("program {program} is not under way");
+            return Some(Refusal::new(Kind::UnknownProgram, detail));
+        }
+        let family = program.family();
+        let members = self
+            .programs
+            .iter()
+            .filter(|(_, other)| other.id.family() == family);
+        if program.parent().is_some() && members.count() >= FAMILY_LIMIT {
+            let detail = format!("family {family} has {FAMILY_LIMIT} programs");
+            return Some(Refusal::new(Kind::LoopStopped, detail));
+        }
+        None
+    }
+
+    /// Budget that a new program begins with.
+    fn limit(&self, request: &CallRequest) -> Amounts {
+        let mut limit = self.config.market_limit(&request.market);
+        if let Some(tokens) = request.budget_tokens {
+            limit.tokens = limit.tokens.min(tokens);
+        }
+        limit
+    }
+
+    fn start_call(&mut self, slot: CallSlot, program_key: ProgramKey) {
+        let worst = self.worst(&self.calls[slot]);
+        let deadline_ms = self.calls[slot].deadline_ms;
+        if let Err(refusal) = self.check_start(slot) {
+            self.refuse(slot, refusal);
+            return;
+        }
+        if let Err(refusal) = self.programs.admit(program_key, worst) {
+            self.refuse(slot, refusal);
+            return;
+        }
+        let call = &mut self.calls[slot];
+        call.worst = worst;
+        let (number, content_hash) = (call.request.key.number, call.request.content_hash);
+        let now_ms = self.now_ms();
+        if let Some(program) = self.programs.get_mut(program_key) {
+            program.start(number, content_hash);
+            program.deadline_ms = deadline_ms;
+            program.active_ms = now_ms;
+        }
+        self.set_phase(slot, Phase::Reserving);
+        self.advance_reserve(slot);
+    }
+
+    /// Refuses early what surely can't run.
+    fn check_start(&self, slot: CallSlot) -> Result<(), Refusal> {
+        let call = &self.calls[slot];
+        if call
+            .deadline_ms
+            .is_some_and(|deadline_ms| self.now_ms() >= deadline_ms)
+        {
+            return Err(Refusal::new(
+                Kind::WindowClosed,
+                "window of the program has passed",
+            ));
+        }
+        let served = self
+            .config
+            .sheet
+            .as_ref()
+            .is_some_and(|sheet| self.balancer.is_served(sheet, call.serves));
+        if !served {
+            let detail = "no live target of this failure domain serves it";
+            return Err(Refusal::new(Kind::NoTarget, detail));
+        }
+        if self.queue.len() >= self.settings.queue_limit {
+            let detail = format!("{} calls wait already", self.queue.len());
+            return Err(Refusal::new(Kind::Overloaded, detail));
+        }
+        Ok(())
+    }
+
+    /// Most that a call can use; no token is shorter than a byte.
+    fn worst(&self, call: &Call) -> Amounts {
+        match &call.request.kind {
+            CallKind::Chat { output_tokens, .. } => {
+                let tokens = call.request.body.len() as u64 + output_tokens;
+                self.token_amounts(call.serves, tokens)
+            }
+            CallKind::Service { .. } => Amounts {
+                tokens: 0,
+                money_micros: self.config.price_micros(call.serves),
+                turns: 1,
+            },
+        }
+    }
+
+    pub(super) fn token_amounts(&self, serves: Serves, tokens: u64) -> Amounts {
+        let price_micros = self.config.price_micros(serves);
+        Amounts {
+            tokens,
+            money_micros: (tokens * price_micros).div_ceil(1_000),
+            turns: 1,
+        }
+    }
+
+    fn advance_reserve(&mut self, slot: CallSlot) {
+        let program = self.calls[slot].request.key.program.clone();
+        let Some(key) = self.programs.find(&program) else {
+            return;
+        };
+        let root_key = self.programs.root(key);
+        let root = match self.programs.get(root_key) {
+            Some(root) => root.id.clone(),
+            None => return,
+        };
+        match self.programs.cover(key) {
+            Cover::Covered => self.enqueue(slot),
+            Cover::Pending if self.is_provisional(&root) => self.enqueue(slot),
+            Cover::Pending => {}
+            Cover::Short(amounts) => {
+                self.reserve(&root, amounts);
+                if self.is_provisional(&root) {
+                    self.enqueue(slot);
+                }
+            }
+        }
+    }
+
+    fn reserve(&mut self, root: &ProgramId, amounts: Amounts) {
+        let Some(root_key) = self.programs.find(root) else {
+            return;
+        };
+        self.programs.reserve_pending(root_key, amounts);
+        let record = Record::Reserved {
+            root: root.clone(),
+            amounts,
+        };
+        self.journal(vec![record], Some(Commit::Reserved(root.clone(), amounts)));
+    }
+
+    /// Whether a family is known to nobody but this incarnation.
+    ///
+    /// Until its opening is durable no successor can continue it, so what it
+    /// spends needs no durable reserve.
+    fn is_provisional(&self, root: &ProgramId) -> bool {
+        self.opening.contains(root) && root.issuer().as_ref() == Some(self.incarnation())
+    }
+
+    /// Gives a recorded result.
+    fn replay(&mut self, slot: CallSlot, finished: &Finished) {
+        let refusal = match &finished.outcome {
+            Outcome::Answered(_) => None,
+            Outcome::InDoubt => Some(Refusal::new(
+                Kind::InDoubt,
+                format!(
+                    "call was sent to {} and its outcome was not seen",
+                    finished.target
+                ),
+            )),
+            Outcome::Settled { ran: true } => Some(Refusal {
+                ran: lagoon_errors::Ran::Ran,
+                ..Refusal::new(Kind::InDoubt, "operator found that the call ran")
+            }),
+            Outcome::Settled { ran: false } => Some(Refusal {
+                ran: lagoon_errors::Ran::NotRun,
+                ..Refusal::new(Kind::InDoubt, "operator found that the call did not run")
+            }),
+        };
+        if let Some(refusal) = refusal {
+            self.refuse(slot, refusal);
+            return;
+        }
+        let listeners = self.calls[slot].listeners.clone();
+        let key = self.calls[slot].request.key.clone();
+        for listener in &listeners {
+            self.tell_recorded(listener, &key, finished, 0);
+        }
+        self.remove_call(slot);
+    }
+
+    /// Gives a listener a recorded answer from an offset on.
+    pub(super) fn tell_recorded(
+        &mut self,
+        listener: &Listener,
+        key: &CallKey,
+        finished: &Finished,
+        offset: u64,
+    ) {
+        let Outcome::Answered(body) = &finished.outcome else {
+            return;
+        };
+        let head = Piece::Head {
+            call: key.clone(),
+            status: body.status,
+            content_type: body.content_type.clone(),
+        };
+        let start = usize::try_from(offset).unwrap_or(usize::MAX);
+        let bytes = body.bytes.get(start..).unwrap_or_default().into();
+        let length = body.bytes.len() as u64;
+        let summary = self.summary(key, finished, true, true);
+        self.tell(listener, head);
+        self.tell(listener, Piece::Data { offset, bytes });
+        self.tell(listener, Piece::End { length, summary });
+    }
+
+    pub(super) fn summary(
+        &self,
+        key: &CallKey,
+        finished: &Finished,
+        durable: bool,
+        replayed: bool,
+    ) -> Summary {
+        let program = self
+            .programs
+            .find(&key.program)
+            .and_then(|key| self.programs.get(key));
+        let left = program
+            .map(|program| program.budget.left())
+            .unwrap_or_default();
+        Summary {
+            call: key.clone(),
+            target: finished.target.clone(),
+            owner: self.settings.vm.clone(),
+            durable,
+            replayed,
+            used_tokens: finished.used.tokens,
+            left_tokens: left.tokens,
+            left_money_micros: left.money_micros,
+            left_turns: left.turns,
+        }
+    }
+
+    /// Refuses what waits for a family that can't be opened.
+    pub(super) fn refuse_family(&mut self, program: &ProgramId, refusal: &Refusal) {
+        for slot in self.family_slots(program) {
+            self.refuse(slot, refusal.clone());
+        }
+    }
+
+    /// Sends what waits for a family to its owner.
+    pub(super) fn move_family(&mut self, program: &ProgramId, owner: &Incarnation) {
+        self.ownership.note_owner(program.family(), owner.clone());
+        for slot in self.family_slots(program) {
+            let Some(call) = self.calls.remove(slot) else {
+                continue;
+            };
+            self.by_key.remove(&call.request.key);
+            for listener in call.listeners {
+                self.place(Waiting {
+                    request: call.request.clone(),
+                    listener,
+                    hops: 1,
+                });
+            }
+        }
+    }
+
+    fn family_slots(&self, program: &ProgramId) -> Vec<CallSlot> {
+        let family = program.family();
+        self.calls
+            .iter()
+            .filter(|(_, call)| call.request.key.program.family() == family)
+            .map(|(slot, _)| slot)
+            .collect()
+    }
+
+    /// Ends a program and all that it spawned at its caller's wish.
+    pub(super) fn end_program(
+        &mut self,
+        listener: &Listener,
+        account: &lagoon_ids::AccountName,
+        program: &ProgramId,
+    ) {
+        let found = self
+            .programs
+            .find(program)
+            .and_then(|key| self.programs.get(key));
+        let refusal = match found {
+            None => Some(Refusal::new(
+                Kind::UnknownProgram,
+                format!("program {program} is not under way"),
+            )),
+            Some(found) if found.account != *account => Some(Refusal::new(
+                Kind::Unauthorized,
+                "program belongs to another account",
+            )),
+            Some(_) => None,
+        };
+        if let Some(refusal) = refusal {
+            self.tell(
+                listener,
+                Piece::Refused {
+                    call: None,
+                    refusal,
+                },
+            );
+            return;
+        }
+        self.end_with_descendants(program);
+        let program = program.clone();
+        self.tell(listener, Piece::Ended { program });
+    }
+
+    pub(super) fn end_with_descendants(&mut self, program: &ProgramId) {
+        let below = format!("{program}/");
+        let ended: Vec<ProgramId> = self
+            .programs
+            .iter()
+            .filter(|(_, other)| other.id == *program || other.id.as_str().starts_with(&below))
+            .filter(|(_, other)| !other.ended)
+            .map(|(_, other)| other.id.clone())
+            .collect();
+        let now_ms = self.now_ms();
+        for id in ended {
+            let record = Record::Ended {
+                program: id.clone(),
+            };
+            self.programs.apply(&record);
+            if let Some(found) = self
+                .programs
+                .find(&id)
+                .and_then(|key| self.programs.get_mut(key))
+            {
+                found.active_ms = now_ms;
+            }
+            self.journal(vec![record], None);
+            self.stop_calls(&id);
+        }
+    }
+
+    /// Gives up the calls of an ended program that can be given up.
+    fn stop_calls(&mut self, program: &ProgramId) {
+        let slots: Vec<CallSlot> = self
+            .calls
+            .iter()
+            .filter(|(_, call)| call.request.key.program == *program)
+            .filter(|(_, call)| {
+                !matches!(
+                    call.phase,
+                    Phase::Sent | Phase::Finishing | Phase::Intending
+                )
+            })
+            .map(|(slot, _)| slot)
+            .collect();
+        for slot in slots {
+            let refusal = Refusal::new(Kind::ProgramEnded, format!("program {program} has ended"));
+            self.refuse(slot, refusal);
+        }
+        self.cancel_chats(program);
+    }
+}
+
+fn find_served_in(
+    sheet: &lagoon_sheet::Sheet,
+    request: &CallRequest,
+) -> Result<(Serves, Repeat), Refusal> {
+    let Some(market) = sheet.market_key(&request.market) else {
+        let detail = format!("market {} is not in the sheet", request.market);
+        return Err(Refusal::new(Kind::Unauthorized, detail));
+    };
+    match &request.kind {
+        CallKind::Chat { model, .. } => match sheet.model(model, market) {
+            Some(key) => Ok((Serves::Model(key), Repeat::Repeatable)),
+            None => {
+                let detail = format!("no model {model} answers market {}", request.market);
+                Err(Refusal::new(Kind::UnknownModel, detail))
+            }
+        },
+        CallKind::Service { service } => match sheet.service(service, market) {
+            Some(key) => Ok((Serves::Service(key), sheet.services[key.index()].repeat)),
+            None => {
+                let detail = format!("no service {service} answers market {}", request.market);
+                Err(Refusal::new(Kind::UnknownService, detail))
+            }
+        },
+    }
+}
--- /dev/null
+++ b/crates/node/src/node/sending.rs
@@ -0,0 +1,285 @@
+//! From the queue to a target.
+
+use lagoon_errors::{Kind, Refusal};
+use lagoon_ids::{hash64, ProgramId, TargetName};
+use lagoon_membership::LoadReport;
+use lagoon_policy::{Hint, Priority};
+use lagoon_program::{Amounts, Record};
+use lagoon_sheet::Repeat;
+
+use crate::constants::{INTENT_AGE_LIMIT_MS, TARGET_TRIES};
+use crate::effect::{Dispatch, Effect, HopSpan, LoadPoll};
+use crate::event::{AttemptId, Failure};
+use crate::node::call::{Call, CallSlot, Phase};
+use crate::node::commit::Commit;
+use crate::node::Node;
+use crate::request::CallKind;
+
+impl Node {
+    /// Puts a call that may be sent into the queue.
+    pub(super) fn enqueue(&mut self, slot: CallSlot) {
+        self.hop_span(slot, "store");
+        self.set_phase(slot, Phase::Queued);
+        let call = &self.calls[slot];
+        let priority = Priority {
+            attained_tokens: self.attained_tokens(&call.request.key.program),
+            since_ms: self.now_ms(),
+            deadline_ms: call.deadline_ms,
+        };
+        self.queue.push(slot, priority);
+        self.drain_queue();
+    }
+
+    /// Tokens that the whole family was served, so that spawning gains nothing.
+    fn attained_tokens(&self, program: &ProgramId) -> u64 {
+        let key = self
+            .programs
+            .find(program)
+            .map(|key| self.programs.root(key));
+        key.and_then(|key| self.programs.get(key))
+            .map_or(0, |root| root.budget.spent.tokens)
+    }
+
+    /// Sends what waits as far as targets have room.
+    pub(super) fn drain_queue(&mut self) {
+        if self.queue.is_empty() {
+            return;
+        }
+        for slot in self.queue.order(self.now_ms()) {
+            let Some(target) = self.choose_target(slot) else {
+                continue;
+            };
+            self.queue.remove(slot);
+            self.hop_span(slot, "queue");
+            self.take_target(slot, target);
+        }
+    }
+
+    fn choose_target(&self, slot: CallSlot) -> Option<(TargetName, std::net::SocketAddr)> {
+        let call = self.calls.get(slot)?;
+        let sheet = self.config.sheet.as_ref()?;
+        let program = self.programs.find(&call.request.key.program);
+        let last = program
+            .and_then(|key| self.programs.get(key))
+            .and_then(|program| program.finished().last())
+            .map(|(_, finished)| &finished.target);
+        let hint = Hint {
+            last,
+            avoid: call.avoid.as_ref(),
+            salt: hash64(self.settings.vm.as_str().as_bytes()) ^ self.last_id,
+        };
+        let name = self
+            .balancer
+            .choose(sheet, call.serves, hint, self.now_ms())?;
+        let target = sheet.targets.iter().find(|target| target.name == *name)?;
+        Some((target.name.clone(), target.address))
+    }
+
+    fn take_target(&mut self, slot: CallSlot, target: (TargetName, std::net::SocketAddr)) {
+        self.balancer.on_sent(&target.0);
+        let call = &mut self.calls[slot];
+        call.target = Some(target.clone());
+        if call.repeat != Repeat::Once {
+            self.dispatch(slot);
+            return;
+        }
+        let record = Record::Intent {
+            call: call.request.key.clone(),
+            content_hash: call.request.content_hash,
+            target: target.0,
+            worst: call.worst,
+        };
+        self.programs.apply(&record);
+        self.journal(vec![record], Some(Commit::Intent(slot)));
+        self.set_phase(slot, Phase::Intending);
+    }
+
+    /// Sends a call that must not be repeated, now that a successor knows.
+    pub(super) fn on_intent_durable(&mut self, slot: CallSlot) {
+        let Some(call) = self.calls.get(slot) else {
+            return;
+        };
+        if call.phase != Phase::Intending {
+            return;
+        }
+        let age_ms = (self.now_us - call.phase_us) / 1_000;
+        if age_ms > INTENT_AGE_LIMIT_MS {
+            self.withdraw(slot);
+            let refusal =
+                Refusal::new(Kind::StoreUnavailable, "record took too long to be durable");
+            self.refuse(slot, refusal);
+            return;
+        }
+        self.hop_span(slot, "store");
+        self.dispatch(slot);
+    }
+
+    /// Takes an intent back; the call surely was not sent under it.
+    pub(super) fn withdraw(&mut self, slot: CallSlot) {
+        let record = Record::Withdrawn {
+            call: self.calls[slot].request.key.clone(),
+        };
+        self.programs.apply(&record);
+        self.journal(vec![record], None);
+    }
+
+    fn dispatch(&mut self, slot: CallSlot) {
+        let attempt = AttemptId(self.next_id());
+        let call = &mut self.calls[slot];
+        call.attempt = Some(attempt);
+        call.tries += 1;
+        call.answer = Default::default();
+        let Some((_, address)) = call.target else {
+            return;
+        };
+        let dispatch = Dispatch {
+            attempt,
+            call: call.request.key.clone(),
+            address,
+            path: target_path(call),
+            stream: is_stream(call),
+            content_type: call.request.content_type.clone(),
+            body: call.request.body.clone(),
+            trace: call.request.trace.child(&hop_label("target", call)),
+        };
+        self.attempts.insert(attempt, slot);
+        self.emit(Effect::Dispatch(Box::new(dispatch)));
+        self.set_phase(slot, Phase::Sent);
+    }
+
+    /// Ends a try and gives its place at the target back.
+    pub(super) fn leave_target(&mut self, slot: CallSlot) {
+        let Some(call) = self.calls.get_mut(slot) else {
+            return;
+        };
+        if let Some(attempt) = call.attempt.take() {
+            self.attempts.remove(&attempt);
+        }
+        if let Some((target, _)) = call.target.take() {
+            self.balancer.on_done(&target);
+        }
+    }
+
+    /// Tries a call again elsewhere, or gives it up; it surely did not run.
+    pub(super) fn not_run(&mut self, slot: CallSlot, failure: Failure, detail: &str) {
+        let call = &self.calls[slot];
+        let target = call.target.as_ref().map(|(name, _)| name.clone());
+        if call.repeat == Repeat::Once {
+            self.withdraw(slot);
+        }
+        if let Some(target) = target.filter(|_| failure == Failure::NotConnected) {
+            let now_ms = self.now_ms();
+            self.balancer.eject(&target, now_ms);
+        }
+        let name = self.avoid_target(slot);
+        self.leave_target(slot);
+        if self.calls[slot].tries >= TARGET_TRIES {
+            let kind = match failure {
+                Failure::NotRun => Kind::Overloaded,
+                _ => Kind::NoTarget,
+            };
+            self.refuse(
+                slot,
+                Refusal::new(kind, format!("{name}: {failure}: {detail}")),
+            );
+            return;
+        }
+        self.enqueue(slot);
+    }
+
+    /// Notes that the next try should go to another target.
+    pub(super) fn avoid_target(&mut self, slot: CallSlot) -> String {
+        let call = &mut self.calls[slot];
+        call.avoid = call.target.as_ref().map(|(name, _)| name.clone());
+        call.avoid
+            .as_ref()
+            .map_or_else(String::new, |name| name.to_string())
+    }
+
+    /// Emits the span of the phase that ends now.
+    pub(super) fn hop_span(&mut self, slot: CallSlot, name: &'static str) {
+        let Some(call) = self.calls.get(slot) else {
+            return;
+        };
+        let mut attributes = vec![
+            ("lagoon.vm", self.settings.vm.to_string()),
+            ("lagoon.call", call.request.key.to_string()),
+        ];
+        if let Some((target, _)) = &call.target {
+            attributes.push(("lagoon.target", target.to_string()));
+        }
+        let span = HopSpan {
+            name,
+            context: call.request.trace.child(&hop_label(name, call)),
+            parent: call.request.trace,
+            start_us: call.phase_us,
+            end_us: self.now_us,
+            attributes,
+        };
+        self.emit(Effect::Span(span));
+    }
+
+    /// Amounts that a call used, as the engine counted.
+    pub(super) fn used(&self, call: &Call) -> Amounts {
+        match (&call.request.kind, call.answer.used_tokens) {
+            (CallKind::Chat { .. }, Some(tokens)) => {
+                self.token_amounts(call.serves, tokens).min(call.worst)
+            }
+            _ => call.worst,
+        }
+    }
+
+    pub(super) fn on_load(&mut self, report: LoadReport) {
+        self.take_load(&report);
+        self.loads.insert(report.target.clone(), report);
+    }
+
+    pub(super) fn take_load(&mut self, report: &LoadReport) {
+        let load = report.running + report.waiting;
+        let now_ms = self.now_ms();
+        self.balancer.on_load(&report.target, load, now_ms);
+        if report.leaving {
+            self.balancer.on_leaving(&report.target);
+        }
+    }
+
+    /// Spreads the polls of the domain's targets over its VMs.
+    pub(super) fn assign_polls(&mut self) {
+        let Some(sheet) = &self.config.sheet else {
+            return;
+        };
+        let own = Some(&self.settings.vm);
+        let polls: Vec<LoadPoll> = sheet
+            .targets
+            .iter()
+            .filter(|target| target.domain == self.settings.domain)
+            .filter(|target| self.members.holder(target.name.as_str()) == own)
+            .map(|target| LoadPoll {
+                target: target.name.clone(),
+                address: target.address,
+            })
+            .collect();
+        self.loads
+            .retain(|name, _| polls.iter().any(|poll| poll.target == *name));
+        self.emit(Effect::PollLoads(polls));
+    }
+}
+
+/// Label that makes a hop's span differ from others of the same call.
+fn hop_label(name: &str, call: &Call) -> String {
+    format!(
+        "{name} {} {} {}",
+        call.request.key, call.tries, call.phase_us
+    )
+}
+
+fn target_path(call: &Call) -> String {
+    match &call.request.kind {
+        CallKind::Chat { .. } => "/v1/chat/completions".to_owned(),
+        CallKind::Service { service } => format!("/v1/call/{service}"),
+    }
+}
+
+pub(super) fn is_stream(call: &Call) -> bool {
+    matches!(call.request.kind, CallKind::Chat { stream: true, .. })
+}
--- /dev/null
+++ b/crates/node/src/node/stop.rs
@@ -0,0 +1,212 @@
+//! Planned stop.
+//!
+//! Readiness goes first. Calls under way finish, the journal becomes
+//! durable, then the own row is sealed in favour of a successor. Calls that
+//! arrive from then on are forwarded to it until none is left.
+
+use lagoon_errors::{Kind, Refusal};
+use lagoon_ids::VmName;
+use lagoon_journal::{incarnation_key, sealed_key};
+use lagoon_platform::{Compare, Op, StoreError, StoreRequest, Txn, TxnReply};
+use lagoon_program::{Amounts, Programs, Record};
+
+use crate::constants::STORE_AGAIN_MS;
+use crate::effect::Effect;
+use crate::message::PeerMessage;
+use crate::node::arrival::Waiting;
+use crate::node::store::StoreUse;
+use crate::node::Node;
+
+/// Time during which programs under way may still make calls here.
+const ACCEPT_MS: u64 = 3_000;
+
+/// Planned stop under way.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Stopping {
+    since_ms: u64,
+    held: Vec<Waiting>,
+    unreserved: bool,
+    asked: bool,
+    due_ms: u64,
+    successor: Option<VmName>,
+    handed_over: bool,
+    exited: bool,
+}
+
+impl Node {
+    pub(super) fn on_stop(&mut self) {
+        if self.stopping.is_some() {
+            return;
+        }
+        log::info!("planned stop begins");
+        self.members.leave();
+        self.stopping = Some(Stopping {
+            since_ms: self.now_ms(),
+            ..Stopping::default()
+        });
+        self.check_ready();
+        self.beat();
+        self.check_stop();
+    }
+
+    pub(super) fn is_handed_over(&self) -> bool {
+        self.stopping
+            .as_ref()
+            .is_some_and(|stopping| stopping.handed_over)
+    }
+
+    /// Whether a call of a held program has to wait for the handover.
+    pub(super) fn hold_for_stop(&mut self, waiting: Waiting) -> Option<Waiting> {
+        let now_ms = self.now_ms();
+        match &mut self.stopping {
+            Some(stopping) if !stopping.handed_over && now_ms >= stopping.since_ms + ACCEPT_MS => {
+                stopping.held.push(waiting);
+                None
+            }
+            _ => Some(waiting),
+        }
+    }
+
+    pub(super) fn check_stop(&mut self) {
+        let now_ms = self.now_ms();
+        let Some(stopping) = &self.stopping else {
+            return;
+        };
+        if stopping.exited {
+            return;
+        }
+        let late = now_ms >= stopping.since_ms + self.settings.stop_wait_ms;
+        let quiet = self.calls.is_empty() && self.takeovers.is_empty();
+        if stopping.handed_over || late {
+            if self.forwards.is_empty() || late {
+                self.exit();
+            }
+            return;
+        }
+        if !quiet {
+            return;
+        }
+        if !self.ownership.registered {
+            self.exit();
+            return;
+        }
+        self.unreserve();
+        if self.journal.is_idle() {
+            self.seal_own();
+        }
+    }
+
+    /// Gives reserves back, so that the successor charges nothing for them.
+    fn unreserve(&mut self) {
+        let Some(stopping) = &mut self.stopping else {
+            return;
+        };
+        if std::mem::replace(&mut stopping.unreserved, true) {
+            return;
+        }
+        let records: Vec<Record> = self
+            .programs
+            .iter()
+            .filter(|(_, program)| program.reserve.durable != Amounts::default())
+            .map(|(_, program)| Record::Unreserved {
+                root: program.id.clone(),
+            })
+            .collect();
+        if records.is_empty() {
+            return;
+        }
+        for record in &records {
+            self.programs.apply(record);
+        }
+        self.journal(records, None);
+    }
+
+    fn seal_own(&mut self) {
+        let now_ms = self.now_ms();
+        let successor = self
+            .members
+            .holder(self.incarnation().as_str())
+            .and_then(|vm| Some((vm.clone(), self.members.get(vm)?.incarnation.clone())));
+        let Some((vm, incarnation)) = successor else {
+            // Nobody is left in the failure domain; the next VM finds the row.
+            self.exit();
+            return;
+        };
+        let Some(stopping) = &mut self.stopping else {
+            return;
+        };
+        if stopping.asked || now_ms < stopping.due_ms {
+            return;
+        }
+        stopping.asked = true;
+        stopping.successor = Some(vm);
+        let own = self.journal.row();
+        let key = incarnation_key(&own.incarnation);
+        let txn = Txn {
+            compare: vec![Compare::ValueIs {
+                key: key.clone(),
+                value: own.encode(),
+            }],
+            success: vec![
+                Op::Put {
+                    key: key.clone(),
+                    value: own.sealed_by(&incarnation).encode(),
+                },
+                Op::Put {
+                    key: sealed_key(&incarnation, &own.incarnation),
+                    value: Vec::new(),
+                },
+            ],
+            failure: vec![Op::Get { key }],
+        };
+        self.ask_store(StoreRequest::Txn(txn), StoreUse::SealOwn);
+    }
+
+    pub(super) fn on_sealed_own(&mut self, reply: Result<TxnReply, StoreError>) {
+        let again_ms = self.now_ms() + STORE_AGAIN_MS;
+        let Some(stopping) = &mut self.stopping else {
+            return;
+        };
+        stopping.asked = false;
+        stopping.due_ms = again_ms;
+        let Ok(_) = reply else {
+            return;
+        };
+        // Sealed now, by an earlier try, or by a VM that held this one for
+        // dead: the programs have another owner in each case.
+        stopping.handed_over = true;
+        let held = std::mem::take(&mut stopping.held);
+        let successor = stopping.successor.clone();
+        let own = self.incarnation().clone();
+        let member = successor.and_then(|vm| self.members.get(&vm)).cloned();
+        self.programs = Programs::default();
+        if let Some(member) = member {
+            log::info!(successor = member.incarnation.as_str(); "programs handed over");
+            self.ownership
+                .note_successor(own.clone(), member.incarnation.clone());
+            self.send(
+                member.peer_address,
+                PeerMessage::Handover { incarnation: own },
+            );
+        }
+        for waiting in held {
+            self.place(waiting);
+        }
+        self.check_stop();
+    }
+
+    fn exit(&mut self) {
+        let held = match &mut self.stopping {
+            Some(stopping) => {
+                stopping.exited = true;
+                std::mem::take(&mut stopping.held)
+            }
+            None => Vec::new(),
+        };
+        for waiting in held {
+            let refusal = Refusal::new(Kind::Stopping, "VM stops without a successor");
+            self.refuse_waiting(waiting, refusal);
+        }
+        self.emit(Effect::Exit { fenced: false });
+    }
+}
--- /dev/null
+++ b/crates/node/src/node/store.rs
@@ -0,0 +1,86 @@
+//! Requests to the store and what their replies are for.
+
+use lagoon_ids::Incarnation;
+use lagoon_platform::{StoreError, StoreReply, StoreRequest, TxnReply};
+
+use crate::effect::Effect;
+use crate::event::{OperatorRef, Ticket};
+use crate::node::Node;
+use crate::status::SheetRow;
+
+/// What a reply is for.
+#[derive(Clone, Debug)]
+pub(crate) enum StoreUse {
+    /// Own row is written.
+    Register,
+    /// Rows of the domain's incarnations and of what this one sealed.
+    Discover,
+    /// VM list.
+    Vms,
+    /// Batch of the journal.
+    Append,
+    /// Snapshot of the journal before a sequence.
+    Snapshot(u64),
+    /// Pointer to that snapshot.
+    SnapshotPointer,
+    /// Row of an incarnation that owns a program.
+    Lookup(Incarnation),
+    /// Step of a takeover.
+    TakeOver(Incarnation),
+    /// Row of the sheet in force.
+    SheetRow,
+    /// Text of a sheet.
+    SheetText(Box<SheetRow>),
+    /// Text of a new sheet is stored.
+    ApplyText(OperatorRef, Box<SheetRow>),
+    /// New sheet is compared and set.
+    ApplyRow(OperatorRef, Box<SheetRow>),
+    /// Own row is sealed at a planned stop.
+    SealOwn,
+}
+
+impl Node {
+    pub(super) fn ask_store(&mut self, request: StoreRequest, purpose: StoreUse) {
+        let ticket = Ticket(self.next_id());
+        self.store.insert(ticket, purpose);
+        self.emit(Effect::Store { ticket, request });
+    }
+
+    pub(super) fn on_store(&mut self, ticket: Ticket, reply: Result<StoreReply, StoreError>) {
+        let Some(purpose) = self.store.remove(&ticket) else {
+            return;
+        };
+        let down = matches!(reply, Err(StoreError::NoReply(_) | StoreError::NotSent(_)));
+        if down != self.store_down {
+            log::warn!(down; "store changed");
+            self.store_down = down;
+        }
+        match purpose {
+            StoreUse::Register => self.on_registered(txn(reply)),
+            StoreUse::Discover => self.on_discovered(txn(reply)),
+            StoreUse::Vms => self.on_vms(reply),
+            StoreUse::Append => self.on_append(txn(reply)),
+            StoreUse::Snapshot(sequence) => self.on_snapshot(sequence, reply),
+            StoreUse::SnapshotPointer => {}
+            StoreUse::Lookup(incarnation) => self.on_lookup(&incarnation, txn(reply)),
+            StoreUse::TakeOver(incarnation) => self.on_takeover_reply(incarnation, reply),
+            StoreUse::SheetRow => self.on_sheet_row(txn(reply)),
+            StoreUse::SheetText(row) => self.on_sheet_text(*row, reply),
+            StoreUse::ApplyText(operator_ref, row) => {
+                self.on_apply_text(operator_ref, *row, reply);
+            }
+            StoreUse::ApplyRow(operator_ref, row) => {
+                self.on_apply_row(operator_ref, *row, txn(reply));
+            }
+            StoreUse::SealOwn => self.on_sealed_own(txn(reply)),
+        }
+    }
+}
+
+/// Reply of a transaction.
+fn txn(reply: Result<StoreReply, StoreError>) -> Result<TxnReply, StoreError> {
+    match reply? {
+        StoreReply::Txn(reply) => Ok(reply),
+        other => Err(StoreError::Refused(format!("unexpected reply {other:?}"))),
+    }
+}
--- /dev/null
+++ b/crates/node/src/node/takeover.rs
@@ -0,0 +1,368 @@
+//! Programs of a dead or stopped incarnation.
+//!
+//! Seal, read the journal, import, in this order. The seal is a transaction
+//! that also checks that the own incarnation is open, so of two VMs that
+//! hold each other for dead one survives. Each step may be repeated.
+
+use lagoon_ids::{FastSet, Incarnation};
+use lagoon_journal::{
+    decode_batch, incarnation_key, log_key, log_prefix, sealed_key, sealed_prefix, snapshot_key,
+    snapshot_pointer_key, IncarnationRow, IncarnationState,
+};
+use lagoon_platform::{Compare, Op, StoreError, StoreReply, StoreRequest, Txn, TxnReply};
+use lagoon_program::{Programs, Record};
+
+use crate::constants::STORE_AGAIN_MS;
+use crate::node::commit::Commit;
+use crate::node::store::StoreUse;
+use crate::node::Node;
+
+/// How far a takeover has come.
+#[derive(Clone, Debug)]
+enum Step {
+    /// Row has to be read.
+    Read,
+    /// Row has to be sealed.
+    Seal(IncarnationRow),
+    /// Journal has to be read.
+    Replay,
+    /// Snapshot has to be read.
+    Snapshot { sequence: u64, batches: Batches },
+    /// Import waits for its commit.
+    Import(Vec<Record>),
+}
+
+/// Journal of the old owner.
+type Batches = Vec<Record>;
+
+/// Takeover under way.
+#[derive(Clone, Debug)]
+pub(crate) struct TakeOver {
+    step: Step,
+    asked: bool,
+    due_ms: u64,
+    started_ms: u64,
+}
+
+impl Node {
+    /// Notes that an incarnation is dead and has programs without an owner.
+    pub(super) fn on_dead(&mut self, incarnation: Incarnation) {
+        if incarnation != *self.incarnation() {
+            self.ownership.orphans.insert(incarnation);
+        }
+        self.consider_orphans();
+    }
+
+    /// Takes over the orphans that fall to this VM.
+    pub(super) fn consider_orphans(&mut self) {
+        let own = &self.settings.vm;
+        let due: Vec<Incarnation> = self
+            .ownership
+            .orphans
+            .iter()
+            .filter(|orphan| self.members.holder(orphan.as_str()) == Some(own))
+            .cloned()
+            .collect();
+        for orphan in due {
+            self.start_takeover(orphan);
+        }
+    }
+
+    pub(super) fn start_takeover(&mut self, incarnation: Incarnation) {
+        let known = self.takeovers.contains_key(&incarnation)
+            || self.ownership.absorbed.contains(&incarnation);
+        if known || incarnation == *self.incarnation() || self.is_handed_over() {
+            return;
+        }
+        log::info!(incarnation = incarnation.as_str(); "takeover begins");
+        let takeover = TakeOver {
+            step: Step::Read,
+            asked: false,
+            due_ms: 0,
+            started_ms: self.now_ms(),
+        };
+        self.takeovers.insert(incarnation.clone(), takeover);
+        self.step_takeover(&incarnation);
+    }
+
+    /// Asks the store again where it gave no reply.
+    pub(super) fn check_takeovers(&mut self) {
+        let now_ms = self.now_ms();
+        let due: Vec<Incarnation> = self
+            .takeovers
+            .iter()
+            .filter(|(_, takeover)| !takeover.asked && now_ms >= takeover.due_ms)
+            .map(|(incarnation, _)| incarnation.clone())
+            .collect();
+        for incarnation in due {
+            self.step_takeover(&incarnation);
+        }
+    }
+
+    fn set_step(&mut self, incarnation: &Incarnation, step: Step) {
+        if let Some(takeover) = self.takeovers.get_mut(incarnation) {
+            takeover.step = step;
+            takeover.asked = false;
+            takeover.due_ms = 0;
+        }
+        self.step_takeover(incarnation);
+    }
+
+    fn step_takeover(&mut self, incarnation: &Incarnation) {
+        let Some(takeover) = self.takeovers.get_mut(incarnation) else {
+            return;
+        };
+        takeover.asked = true;
+        let request = match &takeover.step {
+            Step::Read => StoreRequest::Txn(read(incarnation)),
+            Step::Seal(row) => {
+                let row = row.clone();
+                StoreRequest::Txn(self.seal(&row))
+            }
+            Step::Replay => StoreRequest::Txn(replay(incarnation)),
+            Step::Snapshot { sequence, .. } => StoreRequest::GetObject {
+                key: snapshot_key(incarnation, *sequence),
+            },
+            Step::Import(_) => return,
+        };
+        self.ask_store(request, StoreUse::TakeOver(incarnation.clone()));
+    }
+
+    /// Transaction that seals an incarnation in favour of the own one.
+    fn seal(&self, row: &IncarnationRow) -> Txn {
+        let own = self.journal.row();
+        let key = incarnation_key(&row.incarnation);
+        Txn {
+            compare: vec![
+                Compare::ValueIs {
+                    key: incarnation_key(&own.incarnation),
+                    value: own.encode(),
+                },
+                Compare::ValueIs {
+                    key: key.clone(),
+                    value: row.encode(),
+                },
+            ],
+            success: vec![
+                Op::Put {
+                    key: key.clone(),
+                    value: row.sealed_by(&own.incarnation).encode(),
+                },
+                Op::Put {
+                    key: sealed_key(&own.incarnation, &row.incarnation),
+                    value: Vec::new(),
+                },
+            ],
+            failure: vec![Op::Get { key }],
+        }
+    }
+
+    pub(super) fn on_takeover_reply(
+        &mut self,
+        incarnation: Incarnation,
+        reply: Result<StoreReply, StoreError>,
+    ) {
+        let now_ms = self.now_ms();
+        let Some(takeover) = self.takeovers.get_mut(&incarnation) else {
+            return;
+        };
+        let Ok(reply) = reply else {
+            takeover.asked = false;
+            takeover.due_ms = now_ms + STORE_AGAIN_MS;
+            return;
+        };
+        match (takeover.step.clone(), reply) {
+            (Step::Read, StoreReply::Txn(reply)) => self.on_row_read(&incarnation, &reply),
+            (Step::Seal(_), StoreReply::Txn(reply)) if reply.succeeded => {
+                self.set_step(&incarnation, Step::Replay);
+            }
+            // Somebody else changed the row, or an earlier try took effect.
+            (Step::Seal(_), StoreReply::Txn(_)) => self.set_step(&incarnation, Step::Read),
+            (Step::Replay, StoreReply::Txn(reply)) => self.on_journal_read(&incarnation, &reply),
+            (Step::Snapshot { batches, .. }, StoreReply::Object(object)) => {
+                self.on_snapshot_read(&incarnation, object, batches);
+            }
+            (step, reply) => log::error!(step:? = step, reply:? = reply; "reply fits no step"),
+        }
+    }
+
+    fn on_row_read(&mut self, incarnation: &Incarnation, reply: &TxnReply) {
+        let row = reply
+            .rows()
+            .next()
+            .and_then(|row| IncarnationRow::decode(&row.value).ok());
+        let Some(row) = row else {
+            self.drop_takeover(incarnation);
+            return;
+        };
+        match &row.state {
+            IncarnationState::Open => self.set_step(incarnation, Step::Seal(row)),
+            IncarnationState::Sealed { by } => {
+                let by = by.clone();
+                let mine = by == *self.incarnation()
+                    || self.ownership.absorbed.contains(&by)
+                    || self.takeovers.contains_key(&by);
+                self.ownership.note_successor(incarnation.clone(), by);
+                if mine {
+                    self.set_step(incarnation, Step::Replay);
+                } else {
+                    self.drop_takeover(incarnation);
+                }
+            }
+        }
+    }
+
+    fn drop_takeover(&mut self, incarnation: &Incarnation) {
+        self.takeovers.remove(incarnation);
+        self.ownership.orphans.remove(incarnation);
+    }
+
+    fn on_journal_read(&mut self, incarnation: &Incarnation, reply: &TxnReply) {
+        let mut batches = Vec::new();
+        for row in reply.results.first().into_iter().flatten() {
+            match decode_batch(&row.key, &row.value) {
+                Ok(records) => batches.extend(records),
+                Err(error) => log::error!(error = error.to_string(); "journal is damaged"),
+            }
+        }
+        self.take_over_chain(incarnation, &batches, reply);
+        let pointer = reply.value(&snapshot_pointer_key(incarnation));
+        let sequence = pointer
+            .and_then(|value| std::str::from_utf8(value).ok())
+            .and_then(|text| text.parse().ok());
+        match sequence {
+            Some(sequence) => {
+                self.set_step(incarnation, Step::Snapshot { sequence, batches });
+            }
+            None => self.import(incarnation, Vec::new(), batches),
+        }
+    }
+
+    /// Takes over what the old owner had sealed and not imported.
+    fn take_over_chain(&mut self, incarnation: &Incarnation, batches: &[Record], reply: &TxnReply) {
+        let imported: FastSet<&Incarnation> = batches
+            .iter()
+            .filter_map(|record| match record {
+                Record::Imported { from } => Some(from),
+                _ => None,
+            })
+            .collect();
+        let prefix = sealed_prefix(incarnation);
+        let sealed: Vec<Incarnation> = reply
+            .rows()
+            .filter_map(|row| row.key.strip_prefix(&prefix)?.parse().ok())
+            .filter(|sealed| !imported.contains(sealed))
+            .collect();
+        for sealed in sealed {
+            self.start_takeover(sealed);
+        }
+    }
+
+    fn on_snapshot_read(
+        &mut self,
+        incarnation: &Incarnation,
+        object: Option<Vec<u8>>,
+        batches: Batches,
+    ) {
+        let images = object.map(|bytes| postcard::from_bytes::<Vec<Record>>(&bytes));
+        match images {
+            Some(Ok(images)) => self.import(incarnation, images, batches),
+            other => {
+                log::error!(snapshot:? = other.map(|result| result.err()); "snapshot is damaged");
+                self.import(incarnation, Vec::new(), batches);
+            }
+        }
+    }
+
+    /// Replays the old owner's records and journals the result as the own.
+    fn import(&mut self, incarnation: &Incarnation, images: Vec<Record>, batches: Batches) {
+        let mut programs = Programs::default();
+        for record in images.iter().chain(&batches) {
+            programs.apply(record);
+        }
+        programs.take_over();
+        let mut records: Vec<Record> = programs
+            .images()
+            .into_iter()
+            .map(|image| Record::Image(Box::new(image)))
+            .collect();
+        records.push(Record::Imported {
+            from: incarnation.clone(),
+        });
+        if let Some(takeover) = self.takeovers.get_mut(incarnation) {
+            takeover.step = Step::Import(records.clone());
+        }
+        self.journal(records, Some(Commit::Imported(incarnation.clone())));
+    }
+
+    /// Import is durable: its programs run here from now on.
+    pub(super) fn on_imported(&mut self, incarnation: &Incarnation) {
+        let Some(takeover) = self.takeovers.remove(incarnation) else {
+            return;
+        };
+        let Step::Import(records) = takeover.step else {
+            return;
+        };
+        let now_ms = self.now_ms();
+        let count = records.len() - 1;
+        for record in &records {
+            self.programs.apply(record);
+            if let Record::Image(image) = record {
+                let key = self.programs.find(&image.program);
+                if let Some(program) = key.and_then(|key| self.programs.get_mut(key)) {
+                    program.active_ms = now_ms;
+                }
+            }
+        }
+        self.ownership.orphans.remove(incarnation);
+        self.ownership.absorbed.insert(incarnation.clone());
+        let own = self.incarnation().clone();
+        self.ownership
+            .note_successor(incarnation.clone(), own.clone());
+        let took_ms = now_ms - takeover.started_ms;
+        log::info!(incarnation = incarnation.as_str(), programs = count, took_ms; "takeover done");
+        self.last_takeover_ms = Some(took_ms);
+        let txn = Txn {
+            success: vec![
+                Op::Delete {
+                    key: sealed_key(&own, incarnation),
+                },
+                Op::Delete {
+                    key: snapshot_pointer_key(incarnation),
+                },
+                Op::DeleteRange {
+                    from: log_key(incarnation, 0),
+                    to: log_key(incarnation, 999_999_999_999),
+                },
+            ],
+            ..Txn::default()
+        };
+        self.ask_store(StoreRequest::Txn(txn), StoreUse::SnapshotPointer);
+    }
+}
+
+fn read(incarnation: &Incarnation) -> Txn {
+    Txn {
+        success: vec![Op::Get {
+            key: incarnation_key(incarnation),
+        }],
+        ..Txn::default()
+    }
+}
+
+fn replay(incarnation: &Incarnation) -> Txn {
+    Txn {
+        success: vec![
+            Op::Range {
+                prefix: log_prefix(incarnation),
+            },
+            Op::Get {
+                key: snapshot_pointer_key(incarnation),
+            },
+            Op::Range {
+                prefix: sealed_prefix(incarnation),
+            },
+        ],
+        ..Txn::default()
+    }
+}
--- a/crates/program/src/programs.rs
+++ b/crates/program/src/programs.rs
@@ -241,6 +241,11 @@
                 ));
             }
             Record::Reserved { root, amounts } => self.reserve_durable(root, *amounts),
+            Record::Unreserved { root } => {
+                if let Some(key) = self.find(root) {
+                    self.arena[key].reserve.durable = Amounts::default();
+                }
+            }
             Record::Intent {
                 call,
                 content_hash,
--- a/crates/program/src/record.rs
+++ b/crates/program/src/record.rs
@@ -26,6 +26,11 @@
         /// Amount added to the reserve.
         amounts: Amounts,
     },
+    /// Nothing of a family's reserve is spent any more.
+    Unreserved {
+        /// First program of the family.
+        root: ProgramId,
+    },
     /// Call that must not be repeated is about to be sent.
     Intent {
         /// Call.
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,228 @@
+//! The platform: a transactional table, objects and a VM list.
+//!
+//! Control: `POST /control` with `{"mode": "up" | "down" | "slow" |
+//! "lose_replies", "delay_ms": n}`, and `PUT /vms` with a VM list.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+use base64::prelude::{Engine, BASE64_STANDARD};
+use lagoon_platform::{
+    KvJson, RangeReplyJson, TxnCompareJson, TxnJson, TxnOpJson, TxnReplyJson, TxnResultJson,
+    VmListJson,
+};
+use serde::{Deserialize, Serialize};
+use tiny_http::{Method, Request};
+
+use crate::http::{answer, answer_json, body, serve};
+
+/// How the platform behaves.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "snake_case")]
+enum Mode {
+    #[default]
+    Up,
+    Down,
+    Slow,
+    LoseReplies,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+struct Control {
+    mode: Mode,
+    #[serde(default)]
+    delay_ms: u64,
+}
+
+/// Requests served, by kind.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+struct Counts {
+    txn_writes: u64,
+    txn_reads: u64,
+    rows_written: u64,
+    object_writes: u64,
+    object_reads: u64,
+}
+
+#[derive(Default)]
+struct State {
+    rows: BTreeMap<Vec<u8>, Vec<u8>>,
+    objects: BTreeMap<String, Vec<u8>>,
+    vms: VmListJson,
+    control: Control,
+    counts: Counts,
+}
+
+struct Platform {
+    state: Mutex<State>,
+}
+
+/// Serves the platform until the process ends.
+///
+/// # Errors
+///
+/// Fails when the address can't be listened on.
+pub fn run(address: SocketAddr, write_ms: u64) -> Result<(), String> {
+    let platform = Platform {
+        state: Mutex::new(State::default()),
+    };
+    serve(address, move |request| platform.handle(request, write_ms))
+}
+
+impl Platform {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn handle(&self, mut request: Request, write_ms: u64) {
+        let bytes = body(&mut request);
+        let path = request.url().to_owned();
+        match (request.method().clone(), path.as_str()) {
+            (Method::Post, "/control") => self.set_control(request, &bytes),
+            (Method::Get, "/counts") => answer_json(request, 200, &self.state().counts),
+            (Method::Put, "/vms") => self.set_vms(request, &bytes),
+            (method, path) => {
+                let control = self.state().control;
+                if control.mode == Mode::Down {
+                    return answer(request, 503, "text/plain", b"down".to_vec());
+                }
+                if control.mode == Mode::Slow {
+                    thread::sleep(Duration::from_millis(control.delay_ms));
+                }
+                let reply = self.serve(&method, path, &bytes, write_ms);
+                if control.mode == Mode::LoseReplies {
+                    return answer(request, 504, "text/plain", b"reply lost".to_vec());
+                }
+                answer(request, reply.0, reply.1, reply.2);
+            }
+        }
+    }
+
+    fn set_control(&self, request: Request, bytes: &[u8]) {
+        match serde_json::from_slice(bytes) {
+            Ok(control) => {
+                self.state().control = control;
+                answer(request, 204, "text/plain", Vec::new());
+            }
+            Err(error) => answer(request, 400, "text/plain", error.to_string().into_bytes()),
+        }
+    }
+
+    fn set_vms(&self, request: Request, bytes: &[u8]) {
+        match serde_json::from_slice(bytes) {
+            Ok(vms) => {
+                self.state().vms = vms;
+                answer(request, 204, "text/plain", Vec::new());
+            }
+            Err(error) => answer(request, 400, "text/plain", error.to_string().into_bytes()),
+        }
+    }
+
+    fn serve(
+        &self,
+        method: &Method,
+        path: &str,
+        bytes: &[u8],
+        write_ms: u64,
+    ) -> (u16, &'static str, Vec<u8>) {
+        let text = "text/plain";
+        match (method, path) {
+            (Method::Post, "/v3/kv/txn") => match serde_json::from_slice(bytes) {
+                Ok(txn) => {
+                    thread::sleep(Duration::from_millis(write_ms));
+                    let reply = self.state().txn(&txn);
+                    let bytes = serde_json::to_vec(&reply).unwrap_or_default();
+                    (200, "application/json", bytes)
+                }
+                Err(error) => (400, text, error.to_string().into_bytes()),
+            },
+            (Method::Get, "/vms") => {
+                let bytes = serde_json::to_vec(&self.state().vms).unwrap_or_default();
+                (200, "application/json", bytes)
+            }
+            (Method::Put, path) if path.starts_with("/objects/") => {
+                let mut state = self.state();
+                state.counts.object_writes += 1;
+                state.objects.insert(path.to_owned(), bytes.to_vec());
+                (200, text, Vec::new())
+            }
+            (Method::Get, path) if path.starts_with("/objects/") => {
+                let mut state = self.state();
+                state.counts.object_reads += 1;
+                match state.objects.get(path) {
+                    Some(bytes) => (200, "application/octet-stream", bytes.clone()),
+                    None => (404, text, Vec::new()),
+                }
+            }
+            _ => (404, text, Vec::new()),
+        }
+    }
+}
+
+impl State {
+    fn txn(&mut self, txn: &TxnJson) -> TxnReplyJson {
+        let succeeded = txn.compare.iter().all(|compare| self.holds(compare));
+        let ops = if succeeded {
+            &txn.success
+        } else {
+            &txn.failure
+        };
+        let writes = ops.iter().any(|op| op.request_range.is_none());
+        if writes {
+            self.counts.txn_writes += 1;
+        } else {
+            self.counts.txn_reads += 1;
+        }
+        let responses = ops.iter().map(|op| self.operate(op)).collect();
+        TxnReplyJson {
+            succeeded,
+            responses,
+        }
+    }
+
+    fn holds(&self, compare: &TxnCompareJson) -> bool {
+        let row = self.rows.get(&decode(&compare.key));
+        match &compare.value {
+            Some(value) => row == Some(&decode(value)),
+            None => row.is_none(),
+        }
+    }
+
+    fn operate(&mut self, op: &TxnOpJson) -> TxnResultJson {
+        let mut result = TxnResultJson::default();
+        if let Some(put) = &op.request_put {
+            self.counts.rows_written += 1;
+            self.rows.insert(decode(&put.key), decode(&put.value));
+        }
+        if let Some(delete) = &op.request_delete_range {
+            let range = (decode(&delete.key), decode(&delete.range_end));
+            self.rows.retain(|key, _| !within(key, &range));
+        }
+        if let Some(read) = &op.request_range {
+            let range = (decode(&read.key), decode(&read.range_end));
+            let found = self.rows.iter().filter(|(key, _)| within(key, &range));
+            let kvs = found.map(|(key, value)| KvJson {
+                key: BASE64_STANDARD.encode(key),
+                value: BASE64_STANDARD.encode(value),
+            });
+            result.response_range = Some(RangeReplyJson { kvs: kvs.collect() });
+        }
+        result
+    }
+}
+
+/// Whether a key is the range's first, or lies before its end.
+fn within(key: &[u8], range: &(Vec<u8>, Vec<u8>)) -> bool {
+    if range.1.is_empty() {
+        key == range.0
+    } else {
+        key >= range.0.as_slice() && key < range.1.as_slice()
+    }
+}
+
+fn decode(text: &str) -> Vec<u8> {
+    BASE64_STANDARD.decode(text).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/standin/src/service.rs
@@ -0,0 +1,142 @@
+//! A plain service whose calls count.
+//!
+//! `GET /runs` tells how often each idempotency key ran. Control: `POST
+//! /control` with `{"fail": "not_run" | "lose_reply" | "none", "delay_ms": n}`.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use tiny_http::{Header, Method, Request, Response};
+
+use crate::http::{answer, answer_json, body, break_connection, header, serve};
+
+/// How calls fail.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "snake_case")]
+enum Fail {
+    #[default]
+    None,
+    NotRun,
+    LoseReply,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+struct Control {
+    fail: Fail,
+    #[serde(default)]
+    delay_ms: u64,
+}
+
+/// Settings of a service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ServiceSettings {
+    /// Address.
+    pub address: SocketAddr,
+    /// Whether a key that ran before gets its first answer again.
+    pub deduplicates: bool,
+    /// Time that a call takes.
+    pub work_ms: u64,
+}
+
+/// One run of a call.
+#[derive(Clone, Debug, Serialize)]
+struct Run {
+    key: String,
+    body: String,
+}
+
+#[derive(Default)]
+struct State {
+    control: Control,
+    runs: Vec<Run>,
+    answers: BTreeMap<String, serde_json::Value>,
+}
+
+struct Service {
+    settings: ServiceSettings,
+    state: Mutex<State>,
+}
+
+/// Serves a service until the process ends.
+///
+/// # Errors
+///
+/// Fails when the address can't be listened on.
+pub fn run(settings: ServiceSettings) -> Result<(), String> {
+    let service = Service {
+        settings,
+        state: Mutex::new(State::default()),
+    };
+    serve(settings.address, move |request| service.handle(request))
+}
+
+impl Service {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn handle(&self, mut request: Request) {
+        let bytes = body(&mut request);
+        let path = request.url().to_owned();
+        match (request.method().clone(), path.as_str()) {
+            (Method::Get, "/load") => {
+                let load = json!({"running": 0, "waiting": 0, "leaving": false});
+                answer_json(request, 200, &load);
+            }
+            (Method::Get, "/runs") => answer_json(request, 200, &self.state().runs),
+            (Method::Post, "/control") => {
+                self.state().control = serde_json::from_slice(&bytes).unwrap_or_default();
+                answer(request, 204, "text/plain", Vec::new());
+            }
+            (Method::Post, path) if path.starts_with("/v1/call/") => self.call(request, &bytes),
+            _ => answer(request, 404, "text/plain", Vec::new()),
+        }
+    }
+
+    fn call(&self, request: Request, bytes: &[u8]) {
+        let control = self.state().control;
+        if control.fail == Fail::NotRun {
+            let mut response = Response::from_data(b"busy".to_vec()).with_status_code(503);
+            if let Ok(header) = Header::from_bytes("Lagoon-Ran", "not_run") {
+                response.add_header(header);
+            }
+            let _ = request.respond(response);
+            return;
+        }
+        thread::sleep(Duration::from_millis(
+            self.settings.work_ms + control.delay_ms,
+        ));
+        let key = header(&request, "Idempotency-Key").unwrap_or_default();
+        let reply = self.run_once(key, bytes);
+        if control.fail == Fail::LoseReply {
+            break_connection(&mut request.into_writer());
+            return;
+        }
+        answer_json(request, 200, &reply);
+    }
+
+    fn run_once(&self, key: String, bytes: &[u8]) -> serde_json::Value {
+        let mut state = self.state();
+        if let Some(first) = state
+            .answers
+            .get(&key)
+            .filter(|_| self.settings.deduplicates)
+        {
+            return first.clone();
+        }
+        let body = String::from_utf8_lossy(bytes).into_owned();
+        state.runs.push(Run {
+            key: key.clone(),
+            body,
+        });
+        let number = state.runs.len();
+        let reply = json!({"confirmed": true, "number": number, "key": key});
+        state.answers.insert(key, reply.clone());
+        reply
+    }
+}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,1 +1,12 @@
-//! Logs, metrics and traces
+//! Logs, metrics and traces.
+
+mod exporter;
+mod logs;
+mod metrics;
+mod propagation;
+mod tracer;
+
+pub use logs::{init_logs, LogError};
+pub use metrics::Metrics;
+pub use propagation::{extract, inject, new_root, TRACEPARENT};
+pub use tracer::{FinishedSpan, SpanSide, TraceError, Tracer};
