--- a/crates/daemon/src/http/answer.rs
+++ b/crates/daemon/src/http/answer.rs
@@ -169,6 +169,21 @@
     respond(unsent.request, unsent.status, &headers, unsent.body);
 }
 
+/// Writer that holds nothing back, not even what an encoder writes last.
+struct Flushed(Box<dyn Write + Send>);
+
+impl Write for Flushed {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.0.write_all(bytes)?;
+        self.0.flush()?;
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        self.0.flush()
+    }
+}
+
 /// Streams an answer; each piece is flushed as it comes.
 fn stream(request: Request, call: &CallKey, pieces: &Receiver<Piece>) -> Sent {
     match try_stream(request, call, pieces) {
@@ -189,7 +204,7 @@
     }
     write!(writer, "Transfer-Encoding: chunked\r\n\r\n")?;
     writer.flush()?;
-    let mut encoder = Encoder::with_flush_after_write(writer);
+    let mut encoder = Encoder::with_flush_after_write(Flushed(writer));
     let mut sent = 0;
     for piece in pieces {
         match piece {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! chat-completions API with resumable server-sent events, and the service
 //! one `POST` with an idempotency key. Faults are set while they run.
 
+pub mod caller;
 pub mod engine;
 pub mod http;
 pub mod platform;
