--- a/crates/daemon/src/http/answer.rs
+++ b/crates/daemon/src/http/answer.rs
@@ -102,6 +102,9 @@
         ),
         ("Lagoon-Left-Turns", summary.left_turns.to_string()),
     ]);
+    if let Some(proof) = &summary.continuation {
+        headers.push(("Lagoon-Continue", proof.to_string()));
+    }
     headers
 }
 
@@ -237,6 +240,7 @@
         "target": summary.target,
         "owner": summary.owner,
         "durable": summary.durable,
+        "continue": summary.continuation,
         "replayed": summary.replayed,
         "used_tokens": summary.used_tokens,
         "left_tokens": summary.left_tokens,
--- a/crates/daemon/src/http/callers.rs
+++ b/crates/daemon/src/http/callers.rs
@@ -157,6 +157,7 @@
             parent: header(request, "Lagoon-Parent").map(CompactString::new),
             window_ms: number(request, "Lagoon-Window-Ms")?,
             budget_tokens: number(request, "Lagoon-Budget-Tokens")?,
+            continuation: header(request, "Lagoon-Continue").map(CompactString::new),
             kind,
             content_type: header(request, "Content-Type").map_or(
                 CompactString::const_new("application/json"),
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -12,6 +12,7 @@
 use lagoon_platform::{Client, ClientSettings, RetrySettings};
 use lagoon_settings::Settings;
 use lagoon_telemetry::{Metrics, TraceError, Tracer};
+use rand::RngExt;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use stakker::{actor, call, ret_nop, ActorOwn, Stakker};
@@ -162,6 +163,7 @@
 fn node_settings(settings: &Settings, clock: Clock) -> NodeSettings {
     let vm = &settings.vm;
     NodeSettings {
+        secret_seed: rand::rng().random(),
         started_ms: clock.started_ms(),
         seeds: settings.peers.seeds.clone(),
         heartbeat_ms: settings.members.heartbeat_ms,
--- a/crates/errors/src/kind.rs
+++ b/crates/errors/src/kind.rs
@@ -55,6 +55,9 @@
     /// Answer broke off and could not be resumed.
     #[display("answer_broken")]
     AnswerBroken,
+    /// Call finished, but its answer was never durable and is lost.
+    #[display("answer_lost")]
+    AnswerLost,
     /// Outcome of a non-idempotent call is unknown.
     #[display("in_doubt")]
     InDoubt,
--- a/crates/errors/src/table.rs
+++ b/crates/errors/src/table.rs
@@ -55,6 +55,7 @@
     after(Kind::NoTarget, 503, Ran::NotRun, 5),
     never(Kind::TargetRejected, 422, Ran::NotRun),
     after(Kind::AnswerBroken, 502, Ran::Unknown, 1),
+    never(Kind::AnswerLost, 410, Ran::Ran),
     never(Kind::InDoubt, 502, Ran::Unknown),
     after(Kind::StoreUnavailable, 503, Ran::NotRun, 5),
     after(Kind::OwnerUnreachable, 503, Ran::Unknown, 3),
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -117,6 +117,19 @@
         live
     }
 
+    /// Whether this VM and those it hears are most of the failure domain.
+    ///
+    /// Of two equal halves the one with the first name counts as most.
+    pub fn hears_most(&self) -> bool {
+        let heard = self.others.values().filter(|member| !member.dead).count() + 1;
+        let total = self.others.len() + 1;
+        let first = self
+            .others
+            .iter()
+            .all(|(vm, member)| member.dead && *vm > self.settings.vm || !member.dead);
+        2 * heard > total || (2 * heard == total && first)
+    }
+
     /// VM that `key` falls to among those that take new work.
     pub fn holder(&self, key: &str) -> Option<&VmName> {
         rendezvous(key, self.live())
--- a/crates/membership/tests/members.rs
+++ b/crates/membership/tests/members.rs
@@ -88,3 +88,27 @@
     assert!(members.on_heartbeat(&other, 0).is_empty());
     assert_eq!(members.live().len(), 1);
 }
+
+#[yare::parameterized(
+    alone = { "vm1", &[], &[], true },
+    one_of_three = { "vm1", &[], &["vm2", "vm3"], false },
+    two_of_three = { "vm1", &["vm2"], &["vm3"], true },
+    half_with_first = { "vm1", &[], &["vm2"], true },
+    half_without_first = { "vm2", &[], &["vm1"], false },
+)]
+fn hears_most_counts_own_side(own: &str, heard: &[&str], silent: &[&str], expected: bool) {
+    let mut members = Members::new(MemberSettings {
+        vm: vm(own),
+        domain: "d1".parse().expect("domain"),
+        incarnation: format!("{own}-1").parse().expect("incarnation"),
+        suspect_ms: SUSPECT_MS,
+    });
+    for name in silent {
+        members.on_heartbeat(&beat(name, 1), 0);
+    }
+    for name in heard {
+        members.on_heartbeat(&beat(name, 1), SUSPECT_MS);
+    }
+    members.tick(SUSPECT_MS);
+    assert_eq!(members.hears_most(), expected);
+}
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -43,6 +43,8 @@
     pub window_ms: Option<u64>,
     /// `Lagoon-Budget-Tokens`.
     pub budget_tokens: Option<u64>,
+    /// `Lagoon-Continue`.
+    pub continuation: Option<CompactString>,
     /// What it asks for.
     pub kind: CallKind,
     /// Content type of the body.
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -23,6 +23,8 @@
     pub owner: VmName,
     /// Whether the answer's record is durable.
     pub durable: bool,
+    /// Proof of the calls so far, for an answer that is not durable.
+    pub continuation: Option<CompactString>,
     /// Whether the answer is a recorded one.
     pub replayed: bool,
     /// Tokens that the call used.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -5,6 +5,7 @@
 mod call;
 mod commit;
 mod config;
+mod continuation;
 mod forward;
 mod operators;
 mod owner;
@@ -69,6 +70,8 @@
     pub commit_wait_ms: u64,
     /// Choice of targets.
     pub balancer: BalancerSettings,
+    /// Random bytes, for the secret that VMs share if there is none yet.
+    pub secret_seed: [u8; 32],
 }
 
 impl NodeSettings {
@@ -89,6 +92,7 @@
             idle_limit_ms: 900_000,
             commit_wait_ms: 1_000,
             balancer: BalancerSettings::default(),
+            secret_seed: [0; 32],
         }
     }
 }
@@ -119,6 +123,8 @@
     forwards: FastMap<CallRef, Forwarding>,
     ownership: Ownership,
     takeovers: FastMap<Incarnation, TakeOver>,
+    /// Secret that proofs are signed with, once it is known.
+    secret: Option<Vec<u8>>,
     stopping: Option<Stopping>,
     last_takeover_ms: Option<u64>,
     last_tick_ms: u64,
@@ -173,6 +179,7 @@
             forwards: FastMap::default(),
             ownership: Ownership::default(),
             takeovers: FastMap::default(),
+            secret: None,
             stopping: None,
             last_takeover_ms: None,
             last_tick_ms: 0,
--- a/crates/node/src/node/answer.rs
+++ b/crates/node/src/node/answer.rs
@@ -460,6 +460,9 @@
     }
 
     fn check_call(&mut self, slot: CallSlot) {
+        // What a waiting call needs may have come by another way, such as
+        // a takeover that brought its program.
+        self.advance(slot);
         let Some(call) = self.calls.get(slot) else {
             return;
         };
--- a/crates/node/src/node/arrival.rs
+++ b/crates/node/src/node/arrival.rs
@@ -18,6 +18,8 @@
     pub(crate) request: CallRequest,
     pub(crate) listener: Listener,
     pub(crate) hops: u8,
+    /// Whether the table was asked who claimed the family.
+    pub(crate) looked_up: bool,
 }
 
 impl Node {
@@ -27,6 +29,7 @@
                 request,
                 listener: Listener::Local(call_ref),
                 hops: 0,
+                looked_up: false,
             }),
             Err(refusal) => self.reply(
                 call_ref,
@@ -74,6 +77,7 @@
             market,
             window_ms: incoming.window_ms,
             budget_tokens: incoming.budget_tokens,
+            continuation: incoming.continuation,
             kind: incoming.kind,
             content_type: incoming.content_type,
             body: incoming.body,
@@ -120,6 +124,10 @@
     }
 
     fn accept_unless_stopping(&mut self, waiting: Waiting) {
+        if self.may_be_claimed(&waiting) {
+            self.look_up_family(waiting);
+            return;
+        }
         let under_way = self.by_key.contains_key(&waiting.request.key);
         let waiting = if under_way {
             Some(waiting)
@@ -131,6 +139,15 @@
         }
     }
 
+    /// Whether another VM may hold a family that this one knows nothing of.
+    ///
+    /// A first call finds that out by claiming it.
+    fn may_be_claimed(&self, waiting: &Waiting) -> bool {
+        let program = &waiting.request.key.program;
+        let first = waiting.request.key.number == 1 && program.parent().is_none();
+        !first && !waiting.looked_up && program.issuer().is_none() && !self.holds_family(program)
+    }
+
     fn pass_on(&mut self, waiting: Waiting, address: std::net::SocketAddr) {
         match waiting.listener {
             Listener::Local(call_ref) => {
@@ -175,6 +192,7 @@
             request: forwarded.request,
             listener,
             hops: forwarded.hops,
+            looked_up: false,
         };
         // The sender chose this VM by its own view, which may be newer.
         let program = &waiting.request.key.program;
--- a/crates/node/src/node/forward.rs
+++ b/crates/node/src/node/forward.rs
@@ -172,6 +172,7 @@
             request: forwarding.request,
             listener: Listener::Local(call_ref),
             hops: forwarding.hops,
+            looked_up: false,
         });
     }
 
@@ -261,6 +262,7 @@
                 request: forwarding.request,
                 listener: Listener::Local(call_ref),
                 hops: forwarding.hops,
+                looked_up: false,
             });
         }
     }
--- a/crates/node/src/node/owner.rs
+++ b/crates/node/src/node/owner.rs
@@ -144,8 +144,8 @@
     }
 
     fn advance_order(&mut self, slot: CallSlot) {
-        let call = &self.calls[slot];
-        let request = &call.request;
+        self.take_continuation(slot);
+        let request = &self.calls[slot].request;
         let key = request.key.clone();
         let Some(program_key) = self.programs.find(&key.program) else {
             if key.number == 1 {
@@ -154,7 +154,9 @@
             return;
         };
         if self.opening.contains(&key.program) && key.program.issuer().is_none() {
-            self.set_phase(slot, Phase::Opening);
+            if self.calls[slot].phase != Phase::Opening {
+                self.set_phase(slot, Phase::Opening);
+            }
             return;
         }
         let Some(program) = self.programs.get(program_key) else {
@@ -197,6 +199,7 @@
             }
         };
         self.programs.apply(&record);
+        self.touch(&program);
         self.opening.insert(program.clone());
         let is_claim = program.parent().is_none() && program.issuer().is_none();
         let claim = is_claim.then(|| program.family().to_owned());
@@ -211,6 +214,15 @@
         self.advance_order(slot);
     }
 
+    /// Notes that something happened to a program.
+    fn touch(&mut self, program: &ProgramId) {
+        let now_ms = self.now_ms();
+        let key = self.programs.find(program);
+        if let Some(program) = key.and_then(|key| self.programs.get_mut(key)) {
+            program.active_ms = now_ms;
+        }
+    }
+
     /// Why no program may be opened by this request.
     fn refuse_opening(&self, request: &CallRequest) -> Option<Refusal> {
         let program = &request.key.program;
@@ -434,6 +446,7 @@
             target: finished.target.clone(),
             owner: self.settings.vm.clone(),
             durable,
+            continuation: if durable { None } else { self.prove(key) },
             replayed,
             used_tokens: finished.used.tokens,
             left_tokens: left.tokens,
@@ -462,6 +475,7 @@
                     request: call.request.clone(),
                     listener,
                     hops: 1,
+                    looked_up: true,
                 });
             }
         }
@@ -522,19 +536,12 @@
             .filter(|(_, other)| !other.ended)
             .map(|(_, other)| other.id.clone())
             .collect();
-        let now_ms = self.now_ms();
         for id in ended {
             let record = Record::Ended {
                 program: id.clone(),
             };
             self.programs.apply(&record);
-            if let Some(found) = self
-                .programs
-                .find(&id)
-                .and_then(|key| self.programs.get_mut(key))
-            {
-                found.active_ms = now_ms;
-            }
+            self.touch(&id);
             self.journal(vec![record], None);
             self.stop_calls(&id);
         }
--- a/crates/node/src/node/ownership.rs
+++ b/crates/node/src/node/ownership.rs
@@ -9,7 +9,8 @@
 use lagoon_errors::{Kind, Refusal};
 use lagoon_ids::{FastMap, FastSet, Incarnation, ProgramId};
 use lagoon_journal::{
-    incarnation_key, incarnation_prefix, sealed_prefix, IncarnationRow, IncarnationState,
+    family_key, incarnation_key, incarnation_prefix, sealed_prefix, IncarnationRow,
+    IncarnationState, FAMILY_ENDED,
 };
 use lagoon_membership::Heartbeat;
 use lagoon_platform::{Compare, Op, StoreError, StoreReply, StoreRequest, Txn, TxnReply, VmStatus};
@@ -28,8 +29,8 @@
 pub(crate) struct Ownership {
     /// Whether the own row is in the table.
     pub(crate) registered: bool,
-    /// Dead incarnations whose programs have no owner yet.
-    pub(crate) orphans: FastSet<Incarnation>,
+    /// Dead incarnations whose programs have no owner yet, and since when.
+    pub(crate) orphans: FastMap<Incarnation, u64>,
     /// Identifiers issued so far.
     pub(crate) issued: u64,
     /// Incarnations whose programs this one has.
@@ -40,6 +41,8 @@
     successors: FastMap<Incarnation, Incarnation>,
     /// Addresses of incarnations in other failure domains.
     remote: FastMap<Incarnation, SocketAddr>,
+    /// Calls that wait for the row of a family.
+    claims: FastMap<String, Vec<Waiting>>,
     /// Calls that wait for the row of an incarnation.
     lookups: FastMap<Incarnation, Vec<Waiting>>,
 }
@@ -154,6 +157,7 @@
             self.register();
             return;
         }
+        self.ask_secret();
         let domain = &self.settings.domain;
         let txn = Txn {
             success: vec![
@@ -273,6 +277,54 @@
         self.on_changes(changes);
     }
 
+    /// Lets a call wait for the row that names its family's owner.
+    pub(super) fn look_up_family(&mut self, waiting: Waiting) {
+        let family = waiting.request.key.program.family().to_owned();
+        let first = !self.ownership.claims.contains_key(&family);
+        let waiters = self.ownership.claims.entry(family.clone()).or_default();
+        waiters.push(waiting);
+        if first {
+            let txn = Txn {
+                success: vec![Op::Get {
+                    key: family_key(&family),
+                }],
+                ..Txn::default()
+            };
+            self.ask_store(StoreRequest::Txn(txn), StoreUse::Family(family));
+        }
+    }
+
+    pub(super) fn on_family(&mut self, family: &str, reply: Result<TxnReply, StoreError>) {
+        let waiting = self.ownership.claims.remove(family).unwrap_or_default();
+        let refusal = match reply {
+            Err(error) => Some(Refusal::new(Kind::OwnerUnreachable, error.to_string())),
+            Ok(reply) => self.learn_family(family, reply.value(&family_key(family))),
+        };
+        for mut call in waiting {
+            call.looked_up = true;
+            match &refusal {
+                Some(refusal) => self.refuse_waiting(call, refusal.clone()),
+                None => self.place(call),
+            }
+        }
+    }
+
+    /// Learns a family's owner from its row; a refusal says why there is none.
+    fn learn_family(&mut self, family: &str, row: Option<&[u8]>) -> Option<Refusal> {
+        let row = row?;
+        if row == FAMILY_ENDED {
+            let detail = format!("program {family} has ended");
+            return Some(Refusal::new(Kind::ProgramEnded, detail));
+        }
+        let owner = std::str::from_utf8(row)
+            .ok()
+            .and_then(|text| text.parse().ok());
+        if let Some(owner) = owner {
+            self.ownership.note_owner(family, owner);
+        }
+        None
+    }
+
     /// Lets a call wait for the row of an incarnation.
     pub(super) fn look_up(&mut self, incarnation: Incarnation, waiting: Waiting) {
         let first = !self.ownership.lookups.contains_key(&incarnation);
--- a/crates/node/src/node/stop.rs
+++ b/crates/node/src/node/stop.rs
@@ -6,7 +6,7 @@
 
 use lagoon_errors::{Kind, Refusal};
 use lagoon_ids::VmName;
-use lagoon_journal::{incarnation_key, sealed_key};
+use lagoon_journal::{incarnation_key, sealed_key, IncarnationRow, IncarnationState};
 use lagoon_platform::{Compare, Op, StoreError, StoreRequest, Txn, TxnReply};
 use lagoon_program::{Amounts, Programs, Record};
 
@@ -123,11 +123,7 @@
 
     fn seal_own(&mut self) {
         let now_ms = self.now_ms();
-        let successor = self
-            .members
-            .holder(self.incarnation().as_str())
-            .and_then(|vm| Some((vm.clone(), self.members.get(vm)?.incarnation.clone())));
-        let Some((vm, incarnation)) = successor else {
+        let Some(successor) = self.open_successor() else {
             // Nobody is left in the failure domain; the next VM finds the row.
             self.exit();
             return;
@@ -139,21 +135,28 @@
             return;
         }
         stopping.asked = true;
-        stopping.successor = Some(vm);
+        stopping.successor = Some(successor.vm.clone());
         let own = self.journal.row();
         let key = incarnation_key(&own.incarnation);
         let txn = Txn {
-            compare: vec![Compare::ValueIs {
-                key: key.clone(),
-                value: own.encode(),
-            }],
+            compare: vec![
+                Compare::ValueIs {
+                    key: key.clone(),
+                    value: own.encode(),
+                },
+                // Two VMs that stop at once must not name each other.
+                Compare::ValueIs {
+                    key: incarnation_key(&successor.incarnation),
+                    value: successor.encode(),
+                },
+            ],
             success: vec![
                 Op::Put {
                     key: key.clone(),
-                    value: own.sealed_by(&incarnation).encode(),
+                    value: own.sealed_by(&successor.incarnation).encode(),
                 },
                 Op::Put {
-                    key: sealed_key(&incarnation, &own.incarnation),
+                    key: sealed_key(&successor.incarnation, &own.incarnation),
                     value: Vec::new(),
                 },
             ],
@@ -162,6 +165,33 @@
         self.ask_store(StoreRequest::Txn(txn), StoreUse::SealOwn);
     }
 
+    /// Row of the VM that the programs fall to, as it is while it is open.
+    fn open_successor(&self) -> Option<IncarnationRow> {
+        let vm = self.members.holder(self.incarnation().as_str())?;
+        let member = self.members.get(vm)?;
+        Some(IncarnationRow {
+            incarnation: member.incarnation.clone(),
+            vm: vm.clone(),
+            domain: self.settings.domain.clone(),
+            started_ms: member.started_ms,
+            peer_address: member.peer_address,
+            state: IncarnationState::Open,
+        })
+    }
+
+    /// Turns away from a successor whose row is no longer open.
+    fn give_up_successor(&mut self) {
+        let successor = self
+            .stopping
+            .as_mut()
+            .and_then(|stopping| stopping.successor.take());
+        if let Some(vm) = successor {
+            let changes = self.members.on_leaving(&vm);
+            self.on_changes(changes);
+        }
+        self.check_stop();
+    }
+
     pub(super) fn on_sealed_own(&mut self, reply: Result<TxnReply, StoreError>) {
         let again_ms = self.now_ms() + STORE_AGAIN_MS;
         let Some(stopping) = &mut self.stopping else {
@@ -169,9 +199,14 @@
         };
         stopping.asked = false;
         stopping.due_ms = again_ms;
-        let Ok(_) = reply else {
+        let Ok(reply) = reply else {
             return;
         };
+        let own = self.journal.row().encode();
+        if !reply.succeeded && reply.rows().any(|row| row.value == own) {
+            self.give_up_successor();
+            return;
+        }
         // Sealed now, by an earlier try, or by a VM that held this one for
         // dead: the programs have another owner in each case.
         stopping.handed_over = true;
--- a/crates/node/src/node/store.rs
+++ b/crates/node/src/node/store.rs
@@ -15,6 +15,8 @@
     Register,
     /// Rows of the domain's incarnations and of what this one sealed.
     Discover,
+    /// Secret that VMs share.
+    Secret,
     /// VM list.
     Vms,
     /// Batch of the journal.
@@ -23,6 +25,8 @@
     Snapshot(u64),
     /// Pointer to that snapshot.
     SnapshotPointer,
+    /// Row that names the owner of a family.
+    Family(String),
     /// Row of an incarnation that owns a program.
     Lookup(Incarnation),
     /// Step of a takeover.
@@ -58,10 +62,12 @@
         match purpose {
             StoreUse::Register => self.on_registered(txn(reply)),
             StoreUse::Discover => self.on_discovered(txn(reply)),
+            StoreUse::Secret => self.on_secret(txn(reply)),
             StoreUse::Vms => self.on_vms(reply),
             StoreUse::Append => self.on_append(txn(reply)),
             StoreUse::Snapshot(sequence) => self.on_snapshot(sequence, reply),
             StoreUse::SnapshotPointer => {}
+            StoreUse::Family(family) => self.on_family(&family, txn(reply)),
             StoreUse::Lookup(incarnation) => self.on_lookup(&incarnation, txn(reply)),
             StoreUse::TakeOver(incarnation) => self.on_takeover_reply(incarnation, reply),
             StoreUse::SheetRow => self.on_sheet_row(txn(reply)),
--- a/crates/node/src/node/takeover.rs
+++ b/crates/node/src/node/takeover.rs
@@ -17,6 +17,9 @@
 use crate::node::store::StoreUse;
 use crate::node::Node;
 
+/// Silences that a VM which hears few others waits for.
+const LONELY_PATIENCE: u64 = 2;
+
 /// How far a takeover has come.
 #[derive(Clone, Debug)]
 enum Step {
@@ -48,7 +51,8 @@
     /// Notes that an incarnation is dead and has programs without an owner.
     pub(super) fn on_dead(&mut self, incarnation: Incarnation) {
         if incarnation != *self.incarnation() {
-            self.ownership.orphans.insert(incarnation);
+            let now_ms = self.now_ms();
+            self.ownership.orphans.entry(incarnation).or_insert(now_ms);
         }
         self.consider_orphans();
     }
@@ -56,12 +60,21 @@
     /// Takes over the orphans that fall to this VM.
     pub(super) fn consider_orphans(&mut self) {
         let own = &self.settings.vm;
+        let now_ms = self.now_ms();
+        // A VM that hears few others may itself be the one that is cut off.
+        // It waits until those who hear each other would have sealed it.
+        let patience_ms = if self.members.hears_most() {
+            0
+        } else {
+            LONELY_PATIENCE * self.settings.suspect_ms
+        };
         let due: Vec<Incarnation> = self
             .ownership
             .orphans
             .iter()
-            .filter(|orphan| self.members.holder(orphan.as_str()) == Some(own))
-            .cloned()
+            .filter(|(_, since_ms)| now_ms >= *since_ms + patience_ms)
+            .filter(|(orphan, _)| self.members.holder(orphan.as_str()) == Some(own))
+            .map(|(orphan, _)| orphan.clone())
             .collect();
         for orphan in due {
             self.start_takeover(orphan);
@@ -87,6 +100,7 @@
 
     /// Asks the store again where it gave no reply.
     pub(super) fn check_takeovers(&mut self) {
+        self.consider_orphans();
         let now_ms = self.now_ms();
         let due: Vec<Incarnation> = self
             .takeovers
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -46,6 +46,8 @@
     pub window_ms: Option<u64>,
     /// Token budget that the caller wants for the program.
     pub budget_tokens: Option<u64>,
+    /// Proof of calls that may not be recorded.
+    pub continuation: Option<CompactString>,
     /// What it asks for.
     pub kind: CallKind,
     /// Content type of the body.
--- a/crates/node/tests/scenarios.rs
+++ b/crates/node/tests/scenarios.rs
@@ -77,6 +77,13 @@
         Some(program.expect("answer names its program").to_string())
     }
 
+    /// Proof that the answer of call `after=ID` carries.
+    fn continuation(&mut self, case: &mut TestCase) -> Option<compact_str::CompactString> {
+        let id = self.named[&maybe(case, "after")?];
+        let summary = self.world().outcome(id).summary.clone();
+        summary.expect("whole").continuation
+    }
+
     fn call(&mut self, case: &mut TestCase) -> String {
         let id = word(case, "id");
         let vm = word(case, "vm");
@@ -94,6 +101,7 @@
             number: maybe(case, "n").map(|n| n.parse().expect("number")),
             parent: self.program(parent).map(Into::into),
             budget_tokens: maybe(case, "budget").map(|n| n.parse().expect("number")),
+            continuation: self.continuation(case),
             work,
             tag: maybe(case, "tag").unwrap_or_else(|| id.clone()),
         };
--- a/crates/program/src/program.rs
+++ b/crates/program/src/program.rs
@@ -55,6 +55,8 @@
     pub deadline_ms: Option<u64>,
     /// Time of its last call's arrival or end.
     pub active_ms: u64,
+    /// Number from which calls are recorded; earlier ones were continued.
+    pub(crate) recorded_from: u32,
     pub(crate) finished: BTreeMap<u32, Finished>,
     pub(crate) intents: BTreeMap<u32, Intent>,
     running: Option<(u32, u128)>,
@@ -78,6 +80,7 @@
             ended: false,
             deadline_ms: None,
             active_ms: 0,
+            recorded_from: 1,
             finished: BTreeMap::new(),
             intents: BTreeMap::new(),
             running: None,
@@ -86,9 +89,11 @@
 
     /// Number of the next call to run.
     pub fn next_number(&self) -> u32 {
-        self.finished
+        let after_last = self
+            .finished
             .last_key_value()
-            .map_or(1, |(last, _)| last + 1)
+            .map_or(1, |(last, _)| last + 1);
+        after_last.max(self.recorded_from)
     }
 
     /// Number of the call under way.
@@ -115,6 +120,10 @@
                 Arrival::Refuse(self.conflict(number))
             };
         }
+        if number < self.recorded_from {
+            let detail = format!("answer to call {number} of {} was not durable", self.id);
+            return Arrival::Refuse(Refusal::new(Kind::AnswerLost, detail));
+        }
         if let Some((running, running_hash)) = self.running {
             return match (running == number, running_hash == content_hash) {
                 (true, true) => Arrival::Attach,
@@ -187,6 +196,7 @@
             reserve: self.reserve,
             finished: self.finished.clone().into_iter().collect(),
             intents: intents.collect(),
+            recorded_from: self.recorded_from,
             ended: self.ended,
         }
     }
--- a/crates/program/src/programs.rs
+++ b/crates/program/src/programs.rs
@@ -278,6 +278,12 @@
                     self.charge(key, *used);
                 }
             }
+            Record::Continued {
+                program,
+                next_number,
+                spent,
+                family_spent,
+            } => self.go_on(program, *next_number, *spent, *family_spent),
             Record::Settled { call, ran } => self.with_call(call, |program| {
                 if let Some(finished) = program.finished.get_mut(&call.number) {
                     finished.outcome = Outcome::Settled { ran: *ran };
@@ -326,6 +332,21 @@
         }
     }
 
+    /// Takes a caller's proof of calls that are not recorded here.
+    fn go_on(&mut self, id: &ProgramId, next_number: u32, spent: Amounts, family_spent: Amounts) {
+        let Some(key) = self.find(id) else {
+            return;
+        };
+        let root = self.root(key);
+        let program = &mut self.arena[key];
+        if next_number > program.next_number() {
+            program.recorded_from = next_number;
+        }
+        program.budget.spent = program.budget.spent.max(spent);
+        let root = &mut self.arena[root];
+        root.budget.spent = root.budget.spent.max(family_spent);
+    }
+
     fn forget(&mut self, id: &ProgramId) {
         if let Some(key) = self.by_id.remove(id) {
             self.arena.remove(key);
@@ -345,6 +366,7 @@
         program.budget = image.budget;
         program.reserve = image.reserve;
         program.finished = image.finished.iter().cloned().collect();
+        program.recorded_from = image.recorded_from;
         program.ended = image.ended;
         program.intents = image
             .intents
--- a/crates/program/src/record.rs
+++ b/crates/program/src/record.rs
@@ -61,6 +61,17 @@
         /// What it used.
         used: Amounts,
     },
+    /// Caller continued a program past calls whose records were lost.
+    Continued {
+        /// Program.
+        program: ProgramId,
+        /// Number of the next call.
+        next_number: u32,
+        /// Spent by the program when the last of them finished.
+        spent: Amounts,
+        /// Spent by its family.
+        family_spent: Amounts,
+    },
     /// Operator settled a call in doubt.
     Settled {
         /// Call.
@@ -104,6 +115,8 @@
     pub finished: Vec<(u32, Finished)>,
     /// Calls whose intent is durable, without an outcome.
     pub intents: Vec<(u32, u128, TargetName, Amounts)>,
+    /// Number from which calls are recorded.
+    pub recorded_from: u32,
     /// Whether the program has ended.
     pub ended: bool,
 }
--- a/crates/testkit/src/callers.rs
+++ b/crates/testkit/src/callers.rs
@@ -33,6 +33,8 @@
     pub parent: Option<CompactString>,
     /// `Lagoon-Budget-Tokens`.
     pub budget_tokens: Option<u64>,
+    /// `Lagoon-Continue`.
+    pub continuation: Option<CompactString>,
     /// What it asks for.
     pub work: Work,
     /// What tells it from other calls.
@@ -84,6 +86,7 @@
             parent: self.parent.clone(),
             window_ms: None,
             budget_tokens: self.budget_tokens,
+            continuation: self.continuation.clone(),
             kind,
             content_type: "application/json".into(),
             body: body.into_bytes().into(),
