--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -118,6 +118,8 @@
     programs: Programs,
     /// Programs whose opening is not durable yet.
     opening: FastSet<ProgramId>,
+    /// Calls whose outcome is not durable yet.
+    undurable: FastSet<lagoon_ids::CallKey>,
     calls: SlotMap<CallSlot, Call>,
     by_key: FastMap<lagoon_ids::CallKey, CallSlot>,
     attempts: FastMap<AttemptId, CallSlot>,
@@ -174,6 +176,7 @@
             store_down: false,
             programs: Programs::default(),
             opening: FastSet::default(),
+            undurable: FastSet::default(),
             calls: SlotMap::default(),
             by_key: FastMap::default(),
             attempts: FastMap::default(),
--- a/crates/node/src/node/answer.rs
+++ b/crates/node/src/node/answer.rs
@@ -193,7 +193,8 @@
         self.leave_target(slot);
         self.settle(slot);
         self.programs.apply(&record);
-        self.journal(vec![record], Some(Commit::Finished(slot)));
+        self.undurable.insert(key.clone());
+        self.journal(vec![record], Some(Commit::Finished(slot, key.clone())));
         self.advance_next(&key);
     }
 
--- a/crates/node/src/node/commit.rs
+++ b/crates/node/src/node/commit.rs
@@ -1,7 +1,7 @@
 //! Group commits and those who wait for them.
 
 use lagoon_errors::{Kind, Refusal};
-use lagoon_ids::ProgramId;
+use lagoon_ids::{CallKey, ProgramId};
 use lagoon_journal::{
     log_key, snapshot_key, snapshot_pointer_key, Conflict, Group, Waiter, FAMILY_ENDED,
 };
@@ -24,7 +24,7 @@
     /// Call may be sent.
     Intent(CallSlot),
     /// Answer may end.
-    Finished(CallSlot),
+    Finished(CallSlot, CallKey),
     /// Programs of another incarnation may run.
     Imported(lagoon_ids::Incarnation),
 }
@@ -90,7 +90,10 @@
                 self.advance_family(&root);
             }
             Commit::Intent(slot) => self.on_intent_durable(slot),
-            Commit::Finished(slot) => self.end_answer(slot, true),
+            Commit::Finished(slot, key) => {
+                self.undurable.remove(&key);
+                self.end_answer(slot, true);
+            }
             Commit::Imported(incarnation) => self.on_imported(&incarnation),
         }
     }
--- a/crates/node/src/node/owner.rs
+++ b/crates/node/src/node/owner.rs
@@ -431,7 +431,8 @@
         let start = usize::try_from(offset).unwrap_or(usize::MAX);
         let bytes = body.bytes.get(start..).unwrap_or_default().into();
         let length = body.bytes.len() as u64;
-        let summary = self.summary(key, finished, true, true);
+        let durable = !self.undurable.contains(key);
+        let summary = self.summary(key, finished, durable, true);
         self.tell(listener, head);
         self.tell(listener, Piece::Data { offset, bytes });
         self.tell(listener, Piece::End { length, summary });
--- a/crates/node/tests/schedules.rs
+++ b/crates/node/tests/schedules.rs
@@ -65,6 +65,7 @@
     }
     calm(&mut world);
     for _ in 0..CALM_MS / STEP_MS {
+        restart(&mut world);
         callers.step(&mut world);
         world.run_ms(STEP_MS);
         if callers.are_done() {
@@ -87,6 +88,12 @@
     }
     for vm in VMS {
         world.resume(vm);
+    }
+}
+
+/// Starts the daemons that have ended, as a supervisor would.
+fn restart(world: &mut World) {
+    for vm in VMS {
         if world.host(vm).is_none() {
             world.start(vm);
         }
