A VM that is sealed during its stop leaves, and seals nobody

A stopping VM that was held for dead ignored that its row was sealed and kept its queued call for good; a VM whose own row was sealed tried to seal another one, was refused, read the row again and so on without end (20,000 requests in 2 s of virtual time). Ruled out: the stop's own seal, which names its successor in the same transaction.

--- /dev/null
+++ b/crates/daemon/tests/processes.rs
@@ -0,0 +1,218 @@
+//! Daemons as processes: streams, deaths, freezes and planned stops.
+
+mod site;
+
+use std::sync::mpsc::channel;
+use std::thread;
+
+use lagoon_standin::caller::Reply;
+use nix::sys::signal::Signal;
+use serde_json::json;
+use site::{post_json, wait_for, Site};
+
+fn headers<'a>(program: &'a str, number: &'a str) -> [(&'a str, &'a str); 2] {
+    [("Lagoon-Program", program), ("Lagoon-Call", number)]
+}
+
+/// Calls until the answer is whole, as a caller that heeds errors would.
+fn chat_until_whole(site: &Site, vm: usize, program: &str, number: &str) -> Reply {
+    let client = site.client(vm);
+    wait_for("whole answer", || {
+        let reply = client.chat(
+            "contract-agent",
+            number,
+            8,
+            &headers(program, number),
+            |_| {},
+        );
+        reply.ok().filter(|reply| reply.whole)
+    })
+}
+
+fn book_until_answered(site: &Site, vm: usize, program: &str, number: &str) -> Reply {
+    let client = site.client(vm);
+    let body = json!({"slot": number});
+    wait_for("booking", || {
+        let reply = client.call_service("booking", &headers(program, number), &body);
+        reply.ok().filter(|reply| reply.status == 200)
+    })
+}
+
+#[test]
+fn chat_through_either_vm_is_whole() {
+    let site = Site::start(2);
+    let first = site
+        .client(0)
+        .chat("contract-agent", "one", 30, &[], |_| {});
+    let first = first.expect("answer");
+    assert!(first.whole, "{}", first.text);
+    let words = first.text.split_whitespace().count();
+    assert_eq!(words, 30);
+    let second = chat_until_whole(&site, 1, &first.program, "2");
+    assert_eq!(second.program, first.program);
+    assert!(
+        second.summary.contains("\"owner\":\"vm1\""),
+        "{}",
+        second.summary
+    );
+    let again = chat_until_whole(&site, 0, &first.program, "2");
+    assert_eq!(again.text, second.text);
+    assert!(
+        again.summary.contains("\"replayed\":true"),
+        "{}",
+        again.summary
+    );
+}
+
+#[test]
+fn chat_broken_engine_stream_is_resumed() {
+    let site = Site::start(1);
+    post_json(site.engine, "/control", &json!({"break_after": 5}));
+    let reply = site
+        .client(0)
+        .chat("contract-agent", "one", 30, &[], |_| {});
+    let reply = reply.expect("answer");
+    assert!(reply.whole, "{}", reply.summary);
+    assert_eq!(reply.text.split_whitespace().count(), 30);
+}
+
+#[test]
+fn chat_plain_answer_is_one_body() {
+    let site = Site::start(1);
+    let url = format!("http://{}/v1/chat/completions", site.vms[0].callers);
+    let body = json!({
+        "model": "contract-agent",
+        "messages": [{"role": "user", "content": "quote"}],
+    });
+    let mut response = ureq::post(url)
+        .header("Authorization", "Bearer grower-desk-key")
+        .send_json(&body)
+        .expect("answer");
+    assert!(response.headers().contains_key("Lagoon-Program"));
+    let value: serde_json::Value = response.body_mut().read_json().expect("json");
+    assert_eq!(value["object"], "chat.completion");
+    // The limit that the daemon adds where the caller gave none.
+    assert_eq!(value["usage"]["completion_tokens"], 4_096);
+}
+
+#[test]
+fn chat_unknown_key_and_model_are_refused() {
+    let site = Site::start(1);
+    let url = format!("http://{}/v1/chat/completions", site.vms[0].callers);
+    let ask = |key: &str, model: &str| {
+        let agent: ureq::Agent = ureq::Agent::config_builder()
+            .http_status_as_error(false)
+            .build()
+            .into();
+        let response = agent
+            .post(&url)
+            .header("Authorization", format!("Bearer {key}"))
+            .send_json(json!({"model": model, "messages": []}))
+            .expect("answer");
+        let kind = response.headers().get("Lagoon-Error").cloned();
+        (response.status().as_u16(), kind.expect("kind"))
+    };
+    assert_eq!(ask("wrong", "contract-agent").0, 401);
+    let (status, kind) = ask("grower-desk-key", "other");
+    assert_eq!(
+        (status, kind.to_str().expect("text")),
+        (404, "unknown_model")
+    );
+}
+
+#[test]
+fn killed_owner_successor_has_its_programs() {
+    let mut site = Site::start(3);
+    let first = chat_until_whole(&site, 0, "harvest", "1");
+    let booked = book_until_answered(&site, 1, "harvest", "2");
+    let owner = site
+        .vms
+        .iter()
+        .position(|vm| {
+            first
+                .summary
+                .contains(&format!("\"owner\":\"{}\"", vm.name))
+        })
+        .expect("owner");
+    site.vms[owner].signal(Signal::SIGKILL);
+    let other = (owner + 1) % 3;
+    let again = book_until_answered(&site, other, "harvest", "2");
+    assert_eq!(again.text, booked.text);
+    chat_until_whole(&site, other, "harvest", "3");
+    assert_eq!(site.bookings().len(), 1);
+    site.vms[owner].exit_code();
+}
+
+#[test]
+fn frozen_owner_leaves_when_it_wakes() {
+    let mut site = Site::start(3);
+    let first = chat_until_whole(&site, 0, "harvest", "1");
+    let owner = site
+        .vms
+        .iter()
+        .position(|vm| {
+            first
+                .summary
+                .contains(&format!("\"owner\":\"{}\"", vm.name))
+        })
+        .expect("owner");
+    site.vms[owner].signal(Signal::SIGSTOP);
+    let other = (owner + 1) % 3;
+    book_until_answered(&site, other, "harvest", "2");
+    site.vms[owner].signal(Signal::SIGCONT);
+    assert_eq!(site.vms[owner].exit_code(), Some(3));
+    assert_eq!(site.bookings(), ["harvest#2"]);
+}
+
+#[test]
+fn planned_stop_finishes_streams_and_hands_over() {
+    let mut site = Site::start(2);
+    let client = site.client(0);
+    let (started, begun) = channel();
+    let long = thread::spawn(move || {
+        client.chat("contract-agent", "long", 300, &[], |_| {
+            let _ = started.send(());
+        })
+    });
+    begun.recv().expect("first event");
+    site.vms[0].signal(Signal::SIGTERM);
+    let reply = long.join().expect("caller").expect("answer");
+    assert!(reply.whole, "{}", reply.summary);
+    assert_eq!(reply.text.split_whitespace().count(), 300);
+    assert_eq!(site.vms[0].exit_code(), Some(0));
+    chat_until_whole(&site, 1, &reply.program, "2");
+}
+
+#[test]
+fn stops_of_all_vms_in_turn_lose_no_program() {
+    let mut site = Site::start(3);
+    let first = site.client(0).chat("contract-agent", "one", 8, &[], |_| {});
+    let program = first.expect("answer").program;
+    for vm in 0..3 {
+        site.vms[vm].signal(Signal::SIGTERM);
+        assert_eq!(site.vms[vm].exit_code(), Some(0));
+        site.vms[vm].start();
+        site.vms[vm].wait_ready();
+        chat_until_whole(&site, (vm + 1) % 3, &program, &(vm + 2).to_string());
+    }
+}
+
+#[test]
+fn platform_down_programs_under_way_go_on() {
+    let site = Site::start(2);
+    let first = site.client(0).chat("contract-agent", "one", 8, &[], |_| {});
+    let program = first.expect("answer").program;
+    post_json(site.platform, "/control", &json!({"mode": "down"}));
+    let second = chat_until_whole(&site, 1, &program, "2");
+    assert!(
+        second.summary.contains("\"durable\":false"),
+        "{}",
+        second.summary
+    );
+    let headers = headers(&program, "3");
+    let refused = site.client(0).call_service("booking", &headers, &json!({}));
+    assert_eq!(refused.expect("answer").status, 503);
+    post_json(site.platform, "/control", &json!({"mode": "up"}));
+    book_until_answered(&site, 1, &program, "3");
+    assert_eq!(site.bookings().len(), 1);
+}
--- /dev/null
+++ b/crates/daemon/tests/site/mod.rs
@@ -0,0 +1,214 @@
+//! A small site on loopback: daemons as processes, stand-ins as threads.
+
+use std::fs;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use lagoon_standin::caller::Client;
+use lagoon_standin::engine::EngineSettings;
+use lagoon_standin::service::ServiceSettings;
+use lagoon_standin::{engine, platform, service};
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+use serde_json::{json, Value};
+use tempfile::TempDir;
+
+/// Longest wait for anything; reached only when it never comes.
+const PATIENCE: Duration = Duration::from_secs(30);
+const HEAD: &str = "kind,name,market,domain,address,serves,slots,price_micros,budget_tokens,\
+budget_money_micros,budget_turns,weight_latency,weight_cache,repeat,fencing,version,key_sha256";
+/// SHA-256 of `grower-desk-key`.
+const KEY_SHA256: &str = "d2d9664c46048f8e9386419aaf2d2db044705edf6da4cce93d947fd5bf0f4056";
+
+/// Daemon of one VM.
+pub(crate) struct Vm {
+    pub(crate) name: String,
+    pub(crate) callers: SocketAddr,
+    pub(crate) operators: SocketAddr,
+    settings: PathBuf,
+    child: Option<Child>,
+}
+
+/// Site with its stand-ins.
+pub(crate) struct Site {
+    pub(crate) vms: Vec<Vm>,
+    pub(crate) engine: SocketAddr,
+    pub(crate) desk: SocketAddr,
+    pub(crate) platform: SocketAddr,
+    _files: TempDir,
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("port");
+    listener.local_addr().expect("address")
+}
+
+/// Waits until `f` gives something.
+pub(crate) fn wait_for<T, F>(what: &str, mut f: F) -> T
+where
+    F: FnMut() -> Option<T>,
+{
+    let until = Instant::now() + PATIENCE;
+    while Instant::now() < until {
+        if let Some(value) = f() {
+            return value;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    panic!("{what} never came");
+}
+
+pub(crate) fn get_json(address: SocketAddr, path: &str) -> Option<Value> {
+    let mut response = ureq::get(format!("http://{address}{path}")).call().ok()?;
+    response.body_mut().read_json().ok()
+}
+
+pub(crate) fn post_json(address: SocketAddr, path: &str, body: &Value) {
+    let url = format!("http://{address}{path}");
+    ureq::post(url).send_json(body).expect("accepted");
+}
+
+fn spawn<F>(address: SocketAddr, run: F)
+where
+    F: FnOnce() -> Result<(), String> + Send + 'static,
+{
+    thread::spawn(move || run().expect("stand-in"));
+    wait_for("stand-in", || std::net::TcpStream::connect(address).ok());
+}
+
+impl Site {
+    /// Starts stand-ins and VMs, and puts a sheet in force.
+    pub(crate) fn start(vms: usize) -> Site {
+        let files = TempDir::new().expect("folder");
+        let (platform, engine, desk) = (free_address(), free_address(), free_address());
+        spawn(platform, move || platform::run(platform, 1));
+        spawn(engine, move || {
+            engine::run(EngineSettings {
+                address: engine,
+                step_us: 5_000,
+                sequence_us: 100,
+                prefill_tokens_per_ms: 20,
+                cache_blocks: 1_024,
+                load_lag_ms: 200,
+            })
+        });
+        spawn(desk, move || {
+            service::run(ServiceSettings {
+                address: desk,
+                deduplicates: false,
+                work_ms: 5,
+            })
+        });
+        let vms = (1..=vms).map(|n| Vm::new(n, platform, &files)).collect();
+        let mut site = Site {
+            vms,
+            engine,
+            desk,
+            platform,
+            _files: files,
+        };
+        for vm in &mut site.vms {
+            vm.start();
+        }
+        site.apply_sheet();
+        for vm in &site.vms {
+            vm.wait_ready();
+        }
+        site
+    }
+
+    fn sheet(&self) -> String {
+        let (engine, desk) = (self.engine, self.desk);
+        format!(
+            "{HEAD}\n\
+             market,kumabark,,,,,,,200000,50000000,40,3.0,1.0,,,,\n\
+             account,grower-desk,kumabark,,,,,,,,,,,,,,{KEY_SHA256}\n\
+             model,contract-agent,kumabark,,,,,400,,,,,,,,v1,\n\
+             service,booking,kumabark,,,,,1000,,,,,,once,,,\n\
+             target,engine-1,,kumamoto,{engine},contract-agent,64,,,,,,,,checked,,\n\
+             target,desk-1,,kumamoto,{desk},booking,16,,,,,,,,ignored,,\n"
+        )
+    }
+
+    fn apply_sheet(&self) {
+        let body = json!({"base": 0, "author": "test", "text": self.sheet()});
+        let url = format!("http://{}/v1/sheet", self.vms[0].operators);
+        wait_for("sheet", || ureq::post(&url).send_json(&body).ok());
+    }
+
+    pub(crate) fn client(&self, vm: usize) -> Client {
+        Client::new(self.vms[vm].callers, "grower-desk-key")
+    }
+
+    /// Bookings that ran, by idempotency key.
+    pub(crate) fn bookings(&self) -> Vec<String> {
+        let runs = get_json(self.desk, "/runs").expect("runs");
+        let runs = runs.as_array().expect("list").iter();
+        runs.map(|run| run["key"].as_str().unwrap_or_default().to_owned())
+            .collect()
+    }
+}
+
+impl Vm {
+    fn new(n: usize, platform: SocketAddr, files: &TempDir) -> Vm {
+        let (callers, operators, peers) = (free_address(), free_address(), free_address());
+        let settings = files.path().join(format!("vm{n}.toml"));
+        let log = files.path().join(format!("vm{n}.log"));
+        let text = format!(
+            "[vm]\nname = \"vm{n}\"\ndomain = \"kumamoto\"\n\n\
+             [listen]\ncallers = \"{callers}\"\noperators = \"{operators}\"\npeers = \"{peers}\"\n\n\
+             [platform]\naddress = \"{platform}\"\n\n\
+             [members]\nheartbeat_ms = 200\nsuspect_ms = 1000\n\n\
+             [log]\nfile = {log:?}\n"
+        );
+        fs::write(&settings, text).expect("settings");
+        Vm {
+            name: format!("vm{n}"),
+            callers,
+            operators,
+            settings,
+            child: None,
+        }
+    }
+
+    pub(crate) fn start(&mut self) {
+        let child = Command::new(env!("CARGO_BIN_EXE_lagoond"))
+            .arg("--settings")
+            .arg(&self.settings)
+            .stderr(Stdio::null())
+            .spawn();
+        self.child = Some(child.expect("daemon"));
+    }
+
+    pub(crate) fn wait_ready(&self) {
+        wait_for(&self.name, || {
+            let status = get_json(self.operators, "/v1/status")?;
+            status["ready"].as_bool()?.then_some(())
+        });
+    }
+
+    pub(crate) fn signal(&self, signal: Signal) {
+        let child = self.child.as_ref().expect("runs");
+        kill(Pid::from_raw(child.id() as i32), signal).expect("signal");
+    }
+
+    /// Exit code of the daemon, once it ends by itself.
+    pub(crate) fn exit_code(&mut self) -> Option<i32> {
+        let mut child = self.child.take().expect("runs");
+        let status = wait_for(&self.name, || child.try_wait().expect("status"));
+        status.code()
+    }
+}
+
+impl Drop for Vm {
+    fn drop(&mut self) {
+        if let Some(child) = &mut self.child {
+            // A stopped process takes a kill too.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
--- a/crates/node/src/node/stop.rs
+++ b/crates/node/src/node/stop.rs
@@ -233,7 +233,11 @@
     /// Own row is sealed: by a planned stop, or by a VM that held this one
     /// for dead while it was paused or cut off.
     pub(super) fn on_own_row_sealed(&mut self) {
-        if self.stopping.is_none() {
+        let planned = self
+            .stopping
+            .as_ref()
+            .is_some_and(|stopping| stopping.asked || stopping.handed_over);
+        if !planned {
             self.on_fenced();
         }
     }
--- a/crates/node/src/node/takeover.rs
+++ b/crates/node/src/node/takeover.rs
@@ -167,7 +167,12 @@
                     value: Vec::new(),
                 },
             ],
-            failure: vec![Op::Get { key }],
+            failure: vec![
+                Op::Get { key },
+                Op::Get {
+                    key: incarnation_key(&own.incarnation),
+                },
+            ],
         }
     }
 
@@ -190,8 +195,7 @@
             (Step::Seal(_), StoreReply::Txn(reply)) if reply.succeeded => {
                 self.set_step(&incarnation, Step::Replay);
             }
-            // Somebody else changed the row, or an earlier try took effect.
-            (Step::Seal(_), StoreReply::Txn(_)) => self.set_step(&incarnation, Step::Read),
+            (Step::Seal(_), StoreReply::Txn(reply)) => self.on_seal_refused(&incarnation, &reply),
             (Step::Replay, StoreReply::Txn(reply)) => self.on_journal_read(&incarnation, &reply),
             (Step::Snapshot { batches, .. }, StoreReply::Object(object)) => {
                 self.on_snapshot_read(&incarnation, object, batches);
@@ -226,6 +230,19 @@
         }
     }
 
+    /// Somebody sealed the own row, or changed the other one, or an earlier
+    /// try took effect.
+    fn on_seal_refused(&mut self, incarnation: &Incarnation, reply: &TxnReply) {
+        let own = self.journal.row();
+        let open = reply.value(&incarnation_key(&own.incarnation)) == Some(own.encode().as_slice());
+        if open {
+            self.set_step(incarnation, Step::Read);
+        } else {
+            self.drop_takeover(incarnation);
+            self.on_own_row_sealed();
+        }
+    }
+
     fn drop_takeover(&mut self, incarnation: &Incarnation) {
         self.takeovers.remove(incarnation);
         self.ownership.orphans.remove(incarnation);
--- a/crates/node/tests/schedules.rs
+++ b/crates/node/tests/schedules.rs
@@ -118,6 +118,8 @@
     later_call_of_claimed_program = { found::later_call_of_claimed_program() },
     owner_lost_in_outage = { found::owner_lost_in_outage() },
     repeatable_call_after_pause = { found::repeatable_call_after_pause() },
+    sealed_during_its_stop = { found::sealed_during_its_stop() },
+    seal_by_a_sealed_vm = { found::seal_by_a_sealed_vm() },
 )]
 fn run_found_plan_holds(plan: Plan) {
     if let Err(error) = run(&plan) {
--- a/crates/node/tests/schedules/found.rs
+++ b/crates/node/tests/schedules/found.rs
@@ -83,3 +83,39 @@
         ],
     }
 }
+
+/// VM was held for dead and sealed while it stopped, and stayed for good.
+pub(crate) fn sealed_during_its_stop() -> Plan {
+    Plan {
+        seed: 16787343837835871919,
+        programs: vec![
+            vec![1, 2, 0, 2, 1],
+            vec![3, 0, 2, 1, 3, 2, 0, 1],
+            vec![0, 0, 1, 1, 2],
+        ],
+        faults: vec![
+            fault(Stop(1), Stop(0), 4),
+            fault(Cut(1), Target(4, TargetMode::Hang), 10),
+            fault(Stop(2), Nothing, 52),
+            fault(Stop(0), Nothing, 11),
+            fault(Cut(2), Target(1, TargetMode::NotRun), 27),
+        ],
+    }
+}
+
+/// VM whose own row was sealed tried to seal another one without end.
+pub(crate) fn seal_by_a_sealed_vm() -> Plan {
+    Plan {
+        seed: 7409967927738293,
+        programs: vec![
+            vec![1, 1, 3, 1, 3, 1, 0, 0, 3],
+            vec![3, 3, 2],
+            vec![2, 0, 0, 2, 3, 2, 0, 3, 0],
+            vec![1, 1, 3, 0],
+        ],
+        faults: vec![
+            fault(Store(StoreMode::Down), Cut(2), 51),
+            fault(Store(StoreMode::Down), Stop(0), 18),
+        ],
+    }
+}
--- a/crates/testkit/src/targets.rs
+++ b/crates/testkit/src/targets.rs
@@ -57,6 +57,8 @@
     pub(crate) runs: Vec<Run>,
     /// Streams that can be taken up again, with the events still due.
     streams: BTreeMap<String, Vec<Planned>>,
+    /// Streams begun; their numbers are the names they are resumed by.
+    begun: u64,
 }
 
 /// Number of tokens that a body asks for, `... tokens=N`.
@@ -119,7 +121,8 @@
         let events = if service {
             answer_events(&body)
         } else {
-            stream_events(&body, tokens, prompt_tokens, dispatch.attempt.0)
+            self.begun += 1;
+            stream_events(&body, tokens, prompt_tokens, self.begun)
         };
         self.apply_mode(mode, events, dispatch)
     }
@@ -136,8 +139,7 @@
                 let sent = events.len().min(4);
                 let (sent, due) = events.split_at(sent);
                 let at_us = sent.last().map_or(0, |(at_us, _)| at_us + 1_000);
-                self.streams
-                    .insert(dispatch.attempt.0.to_string(), due.to_vec());
+                self.streams.insert(self.begun.to_string(), due.to_vec());
                 let mut events = sent.to_vec();
                 events.push((at_us, broken()));
                 events
@@ -183,11 +185,11 @@
     vec![(FIRST_US, head), (FIRST_US, TargetEvent::Body { bytes })]
 }
 
-fn stream_events(body: &str, tokens: u64, prompt_tokens: u64, attempt: u64) -> Vec<Planned> {
+fn stream_events(body: &str, tokens: u64, prompt_tokens: u64, name: u64) -> Vec<Planned> {
     let head = TargetEvent::Head {
         status: 200,
         content_type: "text/event-stream".into(),
-        resume_id: Some(attempt.to_string().into()),
+        resume_id: Some(name.to_string().into()),
     };
     let mut events = vec![(FIRST_US, head)];
     for sequence in 1..=tokens {
