Whole answers have their own, longer wait

Cause: test chat_plain_answer_is_one_body: a plain answer of 4,096 tokens sends nothing for 20 s at 5 ms a token, and the silence that breaks a stream (10 s) broke it three times over; the caller got 502. Ruled out: a slow read of the body (the daemon logged three broken tries of 10 s each). After: targets.answer_wait_ms (120 s) holds for plain chat and for services, stream_silence_ms just for streams; the test passes. The engine of the process tests makes a token in 1 ms instead of 5, which makes that test 4 s long and changes no bound.

--- a/crates/daemon/src/actors/targets.rs
+++ b/crates/daemon/src/actors/targets.rs
@@ -19,15 +19,18 @@
 /// Settings of the actor.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct TargetIo {
-    /// Silence after which an answer counts as broken.
+    /// Silence after which a stream counts as broken.
     pub(crate) silence: Duration,
+    /// Longest wait for an answer that comes as a whole.
+    pub(crate) answer_wait: Duration,
     /// Time between load reports of one target.
     pub(crate) load_period: Duration,
 }
 
 /// Actor for targets.
 pub(crate) struct TargetsActor {
-    agent: Agent,
+    streams: Agent,
+    answers: Agent,
     short: Agent,
     polls: Arc<Mutex<Vec<LoadPoll>>>,
     inbox: Inbox,
@@ -49,7 +52,8 @@
             .spawn(move || poller.run())
             .ok()?;
         Some(TargetsActor {
-            agent: agent(settings.silence),
+            streams: agent(settings.silence),
+            answers: agent(settings.answer_wait),
             short,
             polls,
             inbox,
@@ -57,13 +61,17 @@
     }
 
     pub(crate) fn dispatch(&mut self, _: CX![], dispatch: Box<Dispatch>) {
-        let agent = self.agent.clone();
+        let agent = if dispatch.stream {
+            self.streams.clone()
+        } else {
+            self.answers.clone()
+        };
         let id = dispatch.attempt;
         self.spawn(id, move |inbox| attempt::dispatch(&agent, &dispatch, inbox));
     }
 
     pub(crate) fn resume(&mut self, _: CX![], resume: Box<Resume>) {
-        let agent = self.agent.clone();
+        let agent = self.streams.clone();
         let id = resume.attempt;
         self.spawn(id, move |inbox| attempt::resume(&agent, &resume, inbox));
     }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -88,6 +88,7 @@
     let workers = settings.platform.workers;
     let io = TargetIo {
         silence: Duration::from_millis(settings.targets.stream_silence_ms),
+        answer_wait: Duration::from_millis(settings.targets.answer_wait_ms),
         load_period: Duration::from_millis(settings.targets.load_poll_ms),
     };
     let own = settings.listen.peers;
--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -170,7 +170,7 @@
     let client = site.client(0);
     let (started, begun) = channel();
     let long = thread::spawn(move || {
-        client.chat("contract-agent", "long", 300, &[], |_| {
+        client.chat("contract-agent", "long", 1_500, &[], |_| {
             let _ = started.send(());
         })
     });
@@ -178,7 +178,7 @@
     site.vms[0].signal(Signal::SIGTERM);
     let reply = long.join().expect("caller").expect("answer");
     assert!(reply.whole, "{}", reply.summary);
-    assert_eq!(reply.text.split_whitespace().count(), 300);
+    assert_eq!(reply.text.split_whitespace().count(), 1_500);
     assert_eq!(site.vms[0].exit_code(), Some(0));
     chat_until_whole(&site, 1, &reply.program, "2");
 }
--- a/crates/daemon/tests/site/mod.rs
+++ b/crates/daemon/tests/site/mod.rs
@@ -88,7 +88,7 @@
         spawn(engine, move || {
             engine::run(EngineSettings {
                 address: engine,
-                step_us: 5_000,
+                step_us: 1_000,
                 sequence_us: 100,
                 prefill_tokens_per_ms: 20,
                 cache_blocks: 1_024,
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -105,7 +105,7 @@
 }
 
 fn check_numbers(settings: &Settings) -> Result<(), KeyFault> {
-    let numbers: [(&str, u64, RangeInclusive<u64>); 15] = [
+    let numbers: [(&str, u64, RangeInclusive<u64>); 16] = [
         (
             "platform.timeout_ms",
             settings.platform.timeout_ms,
@@ -171,6 +171,11 @@
             settings.targets.stream_silence_ms,
             limits::STREAM_SILENCE_MS,
         ),
+        (
+            "targets.answer_wait_ms",
+            settings.targets.answer_wait_ms,
+            limits::ANSWER_WAIT_MS,
+        ),
         (
             "targets.load_poll_ms",
             settings.targets.load_poll_ms,
--- a/crates/settings/src/constants.rs
+++ b/crates/settings/src/constants.rs
@@ -13,6 +13,7 @@
 pub(crate) const BODY_LIMIT_BYTES: RangeInclusive<u64> = 1_024..=64_000_000;
 pub(crate) const IDLE_LIMIT_MS: RangeInclusive<u64> = 1_000..=86_400_000;
 pub(crate) const STREAM_SILENCE_MS: RangeInclusive<u64> = 100..=600_000;
+pub(crate) const ANSWER_WAIT_MS: RangeInclusive<u64> = 100..=3_600_000;
 pub(crate) const COMMIT_WAIT_MS: RangeInclusive<u64> = 10..=60_000;
 pub(crate) const LOAD_POLL_MS: RangeInclusive<u64> = 50..=60_000;
 pub(crate) const SAMPLE_PERCENT: RangeInclusive<u64> = 0..=100;
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -160,6 +160,8 @@
 pub struct TargetSettings {
     /// Silence after which a stream counts as broken.
     pub stream_silence_ms: u64,
+    /// Longest wait for an answer that comes as a whole.
+    pub answer_wait_ms: u64,
     /// Time between load reports of one target.
     pub load_poll_ms: u64,
 }
@@ -168,6 +170,7 @@
     fn default() -> Self {
         TargetSettings {
             stream_silence_ms: 10_000,
+            answer_wait_ms: 120_000,
             load_poll_ms: 1_000,
         }
     }
