A takeover's program outlives the claim that came too late

A VM opened and claimed a program while it was taking over the incarnation that held it. Ruled out: lost replies (the loop ran with the store up). Before: plan fails, one program lost. After: an import ends the claim, a conflict on a program that is held here changes nothing, and a family that is held here but unknown is refused instead of opened again.

--- a/crates/node/src/node/commit.rs
+++ b/crates/node/src/node/commit.rs
@@ -105,7 +105,11 @@
         else {
             return;
         };
-        self.opening.remove(&program);
+        if !self.opening.remove(&program) {
+            // A takeover brought the program while the claim was under way.
+            self.advance_family(&program);
+            return;
+        }
         self.programs.apply(&Record::Forgotten {
             program: program.clone(),
         });
@@ -116,6 +120,10 @@
             return;
         }
         match holder.parse() {
+            Ok(owner) if self.owns(&owner) => {
+                let detail = format!("program {program} is not under way");
+                self.refuse_family(&program, &Refusal::new(Kind::UnknownProgram, detail));
+            }
             Ok(owner) => self.move_family(&program, &owner),
             Err(_) => {
                 let detail = format!("row of {program} can't be read");
--- a/crates/node/src/node/ownership.rs
+++ b/crates/node/src/node/ownership.rs
@@ -124,11 +124,15 @@
         root.is_some_and(|root| self.programs.find(&root).is_some())
     }
 
+    /// Whether an incarnation's programs are this one's.
+    pub(super) fn owns(&self, owner: &Incarnation) -> bool {
+        owner == self.incarnation() || self.ownership.absorbed.contains(owner)
+    }
+
     fn resolve(&self, owner: &Incarnation) -> Route {
         let mut owner = owner;
         for _ in 0..CHAIN_LIMIT {
-            let mine = owner == self.incarnation() || self.ownership.absorbed.contains(owner);
-            if mine && !self.is_handed_over() {
+            if self.owns(owner) && !self.is_handed_over() {
                 return Route::Here;
             }
             if self.takeovers.contains_key(owner) {
--- a/crates/node/src/node/takeover.rs
+++ b/crates/node/src/node/takeover.rs
@@ -339,6 +339,7 @@
         for record in &records {
             self.programs.apply(record);
             if let Record::Image(image) = record {
+                self.opening.remove(&image.program);
                 let key = self.programs.find(&image.program);
                 if let Some(program) = key.and_then(|key| self.programs.get_mut(key)) {
                     program.active_ms = now_ms;
--- a/crates/node/tests/schedules.rs
+++ b/crates/node/tests/schedules.rs
@@ -120,6 +120,7 @@
     repeatable_call_after_pause = { found::repeatable_call_after_pause() },
     sealed_during_its_stop = { found::sealed_during_its_stop() },
     seal_by_a_sealed_vm = { found::seal_by_a_sealed_vm() },
+    import_during_a_claim = { found::import_during_a_claim() },
 )]
 fn run_found_plan_holds(plan: Plan) {
     if let Err(error) = run(&plan) {
--- a/crates/node/tests/schedules/found.rs
+++ b/crates/node/tests/schedules/found.rs
@@ -119,3 +119,23 @@
         ],
     }
 }
+
+/// Takeover brought a program whose claim was under way, and it was dropped.
+pub(crate) fn import_during_a_claim() -> Plan {
+    Plan {
+        seed: 14842222457233456072,
+        programs: vec![
+            vec![2, 2, 0, 2, 3, 1],
+            vec![3, 3, 2, 3, 1],
+            vec![2, 2, 0, 3, 0],
+            vec![3, 0, 1, 2, 1, 1, 0, 0, 2],
+        ],
+        faults: vec![
+            fault(Stop(1), Loss(24), 3),
+            fault(Loss(33), Target(0, TargetMode::Hang), 47),
+            fault(Pause(1), Loss(53), 19),
+            fault(Loss(34), Pause(0), 10),
+            fault(Loss(58), Nothing, 24),
+        ],
+    }
+}
