--- a/crates/daemon/src/actors/node.rs
+++ b/crates/daemon/src/actors/node.rs
@@ -14,7 +14,7 @@
 
 use crate::actors::{PeersActor, StoreActor, TargetsActor};
 use crate::clock::Clock;
-use crate::constants::{GAUGE_PERIOD, TICK};
+use crate::constants::{GAUGE_PERIOD, IDLE_TICK, TICK};
 use crate::input::Input;
 
 /// How the daemon ends.
@@ -42,16 +42,19 @@
 /// Actor that owns the node.
 pub(crate) struct NodeActor {
     parts: NodeParts,
+    /// Whether the next short tick is due already.
+    ticking: bool,
     callers: FastMap<CallRef, Sender<Piece>>,
     operators: FastMap<OperatorRef, Sender<OperatorReply>>,
 }
 
 impl NodeActor {
     pub(crate) fn init(cx: CX![], parts: NodeParts) -> Option<Self> {
-        call!([cx], tick());
+        call!([cx], idle_tick());
         call!([cx], gauge());
         Some(NodeActor {
             parts,
+            ticking: false,
             callers: FastMap::default(),
             operators: FastMap::default(),
         })
@@ -101,8 +104,21 @@
     }
 
     fn tick(&mut self, cx: CX![]) {
+        self.ticking = false;
         self.take(cx, Event::Tick);
-        after!(TICK, [cx], tick());
+    }
+
+    fn idle_tick(&mut self, cx: CX![]) {
+        self.take(cx, Event::Tick);
+        after!(IDLE_TICK, [cx], idle_tick());
+    }
+
+    /// Ticks often only while something waits for it.
+    fn tick_soon(&mut self, cx: CX![]) {
+        if !self.ticking && self.parts.node.is_busy() {
+            self.ticking = true;
+            after!(TICK, [cx], tick());
+        }
     }
 
     fn gauge(&mut self, cx: CX![]) {
@@ -121,6 +137,7 @@
         for effect in self.parts.node.handle(event, now_us) {
             self.carry_out(cx, effect);
         }
+        self.tick_soon(cx);
     }
 
     fn carry_out(&mut self, _cx: CX![], effect: Effect) {
--- a/crates/daemon/src/constants.rs
+++ b/crates/daemon/src/constants.rs
@@ -8,8 +8,10 @@
 pub(crate) const CALLER_LIMIT: usize = 4_096;
 /// Output limit given to a model call that names none, in tokens.
 pub(crate) const DEFAULT_OUTPUT_TOKENS: u64 = 4_096;
-/// Time between ticks of the node.
+/// Time between ticks while calls or records are under way.
 pub(crate) const TICK: Duration = Duration::from_millis(20);
+/// Time between ticks otherwise.
+pub(crate) const IDLE_TICK: Duration = Duration::from_millis(100);
 /// Time between gauges.
 pub(crate) const GAUGE_PERIOD: Duration = Duration::from_secs(1);
 /// Inputs taken in a row before timers are looked at.
--- /dev/null
+++ b/crates/node/examples/slopes.rs
@@ -0,0 +1,161 @@
+//! Measures the slopes of docs/CAPACITY.md and prints them as its tables.
+//!
+//! Nodes run under virtual time; processor time and memory are the process's
+//! own. `cargo run --release -p lagoon-node --example slopes`
+
+use std::fs;
+use std::time::Instant;
+
+use lagoon_testkit::{Request, Work, World};
+
+const IDLE_S: u64 = 20;
+
+fn world(vms: usize) -> World {
+    let mut world = World::new(1);
+    for n in 1..=vms {
+        world.start(&format!("vm{n}"));
+    }
+    world.run_ms(5_000);
+    world
+}
+
+fn request(program: String, number: u32, work: Work) -> Request {
+    Request {
+        program: Some(program.into()),
+        number: Some(number),
+        parent: None,
+        budget_tokens: None,
+        continuation: None,
+        work,
+        tag: format!("call {number}"),
+    }
+}
+
+/// Resident memory of this process.
+fn resident_bytes() -> u64 {
+    let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text
+        .split_whitespace()
+        .nth(1)
+        .and_then(|n| n.parse::<u64>().ok());
+    pages.unwrap_or_default() * 4_096
+}
+
+/// Cost of membership and discovery against the number of VMs.
+fn membership() {
+    println!("\n| VMs of the domain | messages/s a VM | bytes/s a VM | µs of processor/s a VM | store reads/s, all |");
+    println!("|---|---|---|---|---|");
+    for vms in [4, 16, 64] {
+        let mut world = world(vms);
+        let (messages, bytes, reads) = (world.sent_messages, world.sent_bytes, world.table.reads);
+        let started = Instant::now();
+        world.run_ms(IDLE_S * 1_000);
+        let took = started.elapsed();
+        let each = (IDLE_S * vms as u64) as f64;
+        println!(
+            "| {vms} | {:.1} | {:.0} | {:.0} | {:.1} |",
+            (world.sent_messages - messages) as f64 / each,
+            (world.sent_bytes - bytes) as f64 / each,
+            took.as_micros() as f64 / each,
+            (world.table.reads - reads) as f64 / IDLE_S as f64,
+        );
+    }
+}
+
+/// Memory and processor time of programs that wait for a tool.
+fn programs() {
+    println!("\n| programs held by one VM | bytes a program | µs of processor/s, idle |");
+    println!("|---|---|---|");
+    for count in [100, 1_000, 10_000] {
+        let mut world = world(1);
+        let before = resident_bytes();
+        open(&mut world, count);
+        let after = resident_bytes();
+        let started = Instant::now();
+        world.run_ms(IDLE_S * 1_000);
+        println!(
+            "| {count} | {} | {:.0} |",
+            (after.saturating_sub(before)) / count as u64,
+            started.elapsed().as_micros() as f64 / IDLE_S as f64,
+        );
+    }
+}
+
+fn open(world: &mut World, count: usize) {
+    for n in 0..count {
+        let work = Work::Service("lookup".into());
+        world.request("vm1", request(format!("p{n}"), 1, work));
+        if n % 8 == 7 {
+            world.run_ms(30);
+        }
+    }
+    world.run_ms(5_000);
+}
+
+/// Table writes for each call against calls at once.
+fn journal() {
+    println!("\n| callers at once | calls | table writes | writes a call | virtual writes/s |");
+    println!("|---|---|---|---|---|");
+    for callers in [1, 8, 64] {
+        let mut world = world(1);
+        let calls = 10;
+        let (writes, start_us) = (world.table.writes, world.now_us);
+        for number in 1..=calls {
+            let ids: Vec<_> = (0..callers)
+                .map(|n| {
+                    world.request(
+                        "vm1",
+                        request(format!("p{n}"), number, Work::Chat { tokens: 20 }),
+                    )
+                })
+                .collect();
+            while ids.iter().any(|id| !world.outcome(*id).is_over()) {
+                world.run_ms(10);
+            }
+        }
+        let (writes, count) = (world.table.writes - writes, u64::from(calls) * callers);
+        let took_s = (world.now_us - start_us) as f64 / 1e6;
+        println!(
+            "| {callers} | {count} | {writes} | {:.2} | {:.1} |",
+            writes as f64 / count as f64,
+            writes as f64 / took_s,
+        );
+    }
+}
+
+/// Takeover of a dead VM against the programs that it held.
+fn takeover() {
+    println!("\n| programs held | from death to served, ms | of that after the silence, ms | µs of processor | rows written |");
+    println!("|---|---|---|---|---|");
+    for count in [10, 100, 1_000] {
+        let mut world = world(3);
+        open(&mut world, count);
+        world.kill("vm1");
+        let (start_us, rows) = (world.now_us, world.table.writes);
+        let started = Instant::now();
+        loop {
+            world.run_ms(5);
+            let held: usize = world
+                .hosts()
+                .map(|(_, host)| host.node.programs().len())
+                .sum();
+            if held >= count {
+                break;
+            }
+        }
+        let took_ms = (world.now_us - start_us) / 1_000;
+        println!(
+            "| {count} | {took_ms} | {} | {} | {} |",
+            took_ms.saturating_sub(2_500),
+            started.elapsed().as_micros(),
+            world.table.writes - rows,
+        );
+    }
+}
+
+fn main() {
+    membership();
+    programs();
+    journal();
+    takeover();
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -205,6 +205,11 @@
         self.ready
     }
 
+    /// Whether calls or records are under way.
+    pub fn is_busy(&self) -> bool {
+        !self.calls.is_empty() || !self.journal.is_idle() || self.stopping.is_some()
+    }
+
     /// Programs held.
     pub fn programs(&self) -> &Programs {
         &self.programs
--- a/crates/standin/src/caller/load.rs
+++ b/crates/standin/src/caller/load.rs
@@ -15,7 +15,7 @@
 /// Settings of a load.
 #[derive(Clone, Debug)]
 pub struct LoadSettings {
-    /// Entry VMs or an engine; callers are spread over them.
+    /// Entry VMs or an engine; a caller's calls go to them in turn.
     pub addresses: Vec<SocketAddr>,
     /// API key.
     pub api_key: String,
@@ -81,8 +81,11 @@
 }
 
 fn run_caller(settings: &LoadSettings, caller: usize, figures: &Mutex<Figures>) {
-    let address = settings.addresses[caller % settings.addresses.len()];
-    let client = Client::new(address, &settings.api_key);
+    let clients: Vec<Client> = settings
+        .addresses
+        .iter()
+        .map(|address| Client::new(*address, &settings.api_key))
+        .collect();
     let mut program = String::new();
     for call in 0..settings.calls {
         let turn = call % settings.turns;
@@ -92,6 +95,7 @@
             headers.push(("Lagoon-Program", program.as_str()));
         }
         let prompt = prompt(settings.prompt_chars, caller, call);
+        let client = &clients[(caller + call) % clients.len()];
         let started = Instant::now();
         let reply = client.chat(&settings.model, &prompt, settings.tokens, &headers, |_| {});
         let took = started.elapsed();
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -81,6 +81,10 @@
     pub table: Table,
     /// How the store behaves.
     pub store_mode: StoreMode,
+    /// Messages that VMs have sent to each other.
+    pub sent_messages: u64,
+    /// Bytes of those messages.
+    pub sent_bytes: u64,
     /// Share of messages between VMs that are lost, in percent.
     pub lost_percent: u32,
     /// Longest further delay of a message between VMs, in microseconds.
@@ -112,6 +116,8 @@
             now_us: START_US,
             table: Table::default(),
             store_mode: StoreMode::Up,
+            sent_messages: 0,
+            sent_bytes: 0,
             lost_percent: 0,
             jitter_us: 0,
             hosts: BTreeMap::new(),
@@ -439,6 +445,9 @@
     }
 
     fn send(&mut self, from: &VmName, to: SocketAddr, message: PeerMessage) {
+        self.sent_messages += 1;
+        let bytes = postcard::to_stdvec(&message).map_or(0, |bytes| bytes.len());
+        self.sent_bytes += bytes as u64;
         let receiver = self
             .hosts
             .keys()
