Ports of the process tests lie outside the range of connections

The tests took free ports by binding port 0, which gives ports that the many outgoing connections of the same tests may take before the daemon binds. That is the likely cause; the daemon's own word was thrown away, so it was not seen.

--- a/crates/daemon/tests/site/mod.rs
+++ b/crates/daemon/tests/site/mod.rs
@@ -3,7 +3,8 @@
 use std::fs;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -18,6 +19,8 @@
 
 /// Longest wait for anything; reached only when it never comes.
 const PATIENCE: Duration = Duration::from_secs(30);
+const FIRST_PORT: u16 = 20_000;
+const LAST_PORT: u16 = 30_000;
 const HEAD: &str = "kind,name,market,domain,address,serves,slots,price_micros,budget_tokens,\
 budget_money_micros,budget_turns,weight_latency,weight_cache,repeat,fencing,version,key_sha256";
 /// SHA-256 of `grower-desk-key`.
@@ -41,9 +44,20 @@
     _files: TempDir,
 }
 
+/// Address that nobody listens on.
+///
+/// The ports lie below those that the system gives to connections, and no
+/// two tests of this process get the same one.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("port");
-    listener.local_addr().expect("address")
+    static NEXT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+    loop {
+        let port = NEXT.fetch_add(1, Ordering::SeqCst);
+        assert!(port < LAST_PORT, "no port is left");
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// Waits until `f` gives something.
@@ -178,7 +192,6 @@
         let child = Command::new(env!("CARGO_BIN_EXE_lagoond"))
             .arg("--settings")
             .arg(&self.settings)
-            .stderr(Stdio::null())
             .spawn();
         self.child = Some(child.expect("daemon"));
     }
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -126,7 +126,7 @@
         let first = self
             .others
             .iter()
-            .all(|(vm, member)| member.dead && *vm > self.settings.vm || !member.dead);
+            .all(|(vm, member)| !member.dead || *vm > self.settings.vm);
         2 * heard > total || (2 * heard == total && first)
     }
 
