--- a/crates/telemetry/src/propagation.rs
+++ b/crates/telemetry/src/propagation.rs
@@ -12,8 +12,15 @@
 /// Header that carries the context.
 pub const TRACEPARENT: &str = "traceparent";
 
+/// Length of a value of version 00; later versions may be longer.
+const SHORTEST_CHARS: usize = 55;
+
 /// Context of a header's value, if it is valid.
 pub fn extract(value: &str) -> Option<TraceContext> {
+    // The library takes shorter identities; W3C says to ignore them.
+    if value.len() < SHORTEST_CHARS {
+        return None;
+    }
     let carrier = HashMap::from([(TRACEPARENT.to_owned(), value.to_owned())]);
     let context = TraceContextPropagator::new().extract_with_context(&Context::new(), &carrier);
     let span = context.span().span_context().clone();
