Read as a newcomer: smaller modules, one seal, no effect without a use

Cause: owner.rs had 599 lines and four jobs, answer.rs 523; the transaction that seals an incarnation stood twice, in takeover and stop; the effect Greet did nothing but log what was logged before.

--- a/crates/daemon/src/actors/node.rs
+++ b/crates/daemon/src/actors/node.rs
@@ -166,9 +166,6 @@
                 log::info!(ready; "readiness changed");
                 parts.ready.store(ready, Ordering::SeqCst);
             }
-            Effect::Greet { vm, address } => {
-                log::info!(vm = vm.as_str(), address = address.to_string(); "VM joined");
-            }
             Effect::Exit { fenced } => {
                 let exit = if fenced { Exit::Fenced } else { Exit::Stopped };
                 parts.exit.set(Some(exit));
--- a/crates/journal/src/incarnation.rs
+++ b/crates/journal/src/incarnation.rs
@@ -3,8 +3,11 @@
 use std::net::SocketAddr;
 
 use lagoon_ids::{DomainName, Incarnation, VmName};
+use lagoon_platform::{Compare, Op, Txn};
 use serde::{Deserialize, Serialize};
 
+use crate::keys::{incarnation_key, sealed_key};
+
 /// Whether an incarnation may still append.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -61,3 +64,36 @@
         }
     }
 }
+
+/// Transaction that seals an incarnation in favour of a successor.
+///
+/// Both rows have to be as given, so a VM that is sealed itself seals nobody,
+/// and two VMs that stop at once do not name each other. If one of them is
+/// not, the reply holds both.
+pub fn seal(sealed: &IncarnationRow, successor: &IncarnationRow) -> Txn {
+    let sealed_at = incarnation_key(&sealed.incarnation);
+    let successor_at = incarnation_key(&successor.incarnation);
+    Txn {
+        compare: vec![
+            Compare::ValueIs {
+                key: sealed_at.clone(),
+                value: sealed.encode(),
+            },
+            Compare::ValueIs {
+                key: successor_at.clone(),
+                value: successor.encode(),
+            },
+        ],
+        success: vec![
+            Op::Put {
+                key: sealed_at.clone(),
+                value: sealed.sealed_by(&successor.incarnation).encode(),
+            },
+            Op::Put {
+                key: sealed_key(&successor.incarnation, &sealed.incarnation),
+                value: Vec::new(),
+            },
+        ],
+        failure: vec![Op::Get { key: sealed_at }, Op::Get { key: successor_at }],
+    }
+}
--- a/crates/node/src/effect.rs
+++ b/crates/node/src/effect.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use compact_str::CompactString;
-use lagoon_ids::{CallKey, TargetName, TraceContext, VmName};
+use lagoon_ids::{CallKey, TargetName, TraceContext};
 use lagoon_platform::StoreRequest;
 
 use crate::event::{AttemptId, CallRef, OperatorRef, Ticket};
@@ -121,13 +121,6 @@
     Span(HopSpan),
     /// VM began to or ceased to take new calls.
     Ready(bool),
-    /// VM that left this one's programs behind.
-    Greet {
-        /// VM.
-        vm: VmName,
-        /// Address.
-        address: SocketAddr,
-    },
     /// Daemon has nothing left to do.
     Exit {
         /// Whether a successor sealed this incarnation.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,10 +7,14 @@
 mod config;
 mod confirm;
 mod continuation;
+mod ending;
 mod forward;
+mod listeners;
 mod operators;
+mod overdue;
 mod owner;
 mod ownership;
+mod recorded;
 mod sending;
 mod stop;
 mod store;
@@ -19,7 +23,9 @@
 
 use std::net::SocketAddr;
 
-use lagoon_ids::{DomainName, FastMap, FastSet, Incarnation, NameError, ProgramId, VmName};
+use lagoon_ids::{
+    CallKey, DomainName, FastMap, FastSet, Incarnation, NameError, ProgramId, TargetName, VmName,
+};
 use lagoon_journal::{IncarnationRow, IncarnationState, Journal, Waiter};
 use lagoon_membership::{Change, Heartbeat, LoadReport, MemberSettings, Members};
 use lagoon_policy::{Balancer, BalancerSettings, WaitQueue};
@@ -109,7 +115,7 @@
     last_id: u64,
     members: Members,
     balancer: Balancer,
-    loads: FastMap<lagoon_ids::TargetName, LoadReport>,
+    loads: FastMap<TargetName, LoadReport>,
     journal: Journal,
     commits: FastMap<Waiter, Commit>,
     config: Config,
@@ -119,9 +125,9 @@
     /// Programs whose opening is not durable yet.
     opening: FastSet<ProgramId>,
     /// Calls whose outcome is not durable yet.
-    undurable: FastSet<lagoon_ids::CallKey>,
+    undurable: FastSet<CallKey>,
     calls: SlotMap<CallSlot, Call>,
-    by_key: FastMap<lagoon_ids::CallKey, CallSlot>,
+    by_key: FastMap<CallKey, CallSlot>,
     attempts: FastMap<AttemptId, CallSlot>,
     queue: WaitQueue<CallSlot>,
     forwards: FastMap<CallRef, Forwarding>,
@@ -380,7 +386,8 @@
         for change in changes {
             log::info!(change:? = change; "membership changed");
             match change {
-                Change::Joined(vm) => self.greet(&vm),
+                // The new VM learns of this one at once.
+                Change::Joined(_) => self.heartbeat_due_ms = 0,
                 Change::Leaving(_) => {}
                 Change::Dead { incarnation, .. } => self.on_dead(incarnation),
             }
@@ -389,18 +396,6 @@
         self.assign_polls();
     }
 
-    /// Answers the first sign of a VM at once, so that it learns of this one.
-    fn greet(&mut self, vm: &VmName) {
-        if let Some(member) = self.members.get(vm) {
-            let address = member.peer_address;
-            self.emit(Effect::Greet {
-                vm: vm.clone(),
-                address,
-            });
-            self.heartbeat_due_ms = 0;
-        }
-    }
-
     /// Spreads the table's writes over the VMs that share it.
     fn set_commit_interval(&mut self, vms: usize) {
         let interval_ms = vms as u64 * 1_000 / TABLE_WRITES_PER_S;
--- a/crates/node/src/node/answer.rs
+++ b/crates/node/src/node/answer.rs
@@ -1,18 +1,17 @@
 //! From a target back to the callers.
 
 use lagoon_errors::{Kind, Refusal};
-use lagoon_ids::{CallKey, ProgramId, VmName};
+use lagoon_ids::CallKey;
 use lagoon_program::{Body, Finished, Outcome, Record};
 use lagoon_sheet::Repeat;
 use serde::Deserialize;
 
 use crate::constants::{ANSWER_LIMIT_BYTES, RESUME_TRIES, TARGET_TRIES};
 use crate::effect::{Effect, Resume};
-use crate::event::{AttemptId, CallRef, Failure, TargetEvent};
+use crate::event::{AttemptId, Failure, TargetEvent};
 use crate::message::Piece;
-use crate::node::call::{CallSlot, Listener, Phase};
+use crate::node::call::{CallSlot, Phase};
 use crate::node::commit::Commit;
-use crate::node::sending::is_stream;
 use crate::node::Node;
 use crate::request::CallKind;
 
@@ -125,31 +124,6 @@
         }
     }
 
-    fn tell_all(&mut self, slot: CallSlot, piece: &Piece) {
-        let listeners = self.calls[slot].listeners.clone();
-        for listener in &listeners {
-            self.tell(listener, piece.clone());
-        }
-    }
-
-    /// Gives a listener the answer so far from an offset on.
-    pub(super) fn tell_from(&mut self, slot: CallSlot, listener: &Listener, offset: u64) {
-        let call = &self.calls[slot];
-        let Some((status, content_type)) = call.answer.head.clone() else {
-            return;
-        };
-        let head = Piece::Head {
-            call: call.request.key.clone(),
-            status,
-            content_type,
-        };
-        let bytes = call.bytes_from(offset);
-        self.tell(listener, head);
-        if !bytes.is_empty() {
-            self.tell(listener, Piece::Data { offset, bytes });
-        }
-    }
-
     /// Target gave a whole answer.
     fn finish(&mut self, slot: CallSlot) {
         let call = &self.calls[slot];
@@ -267,7 +241,7 @@
             }
             Failure::Rejected => {
                 self.hop_span(slot, "target");
-                if call_is_once(self, slot) {
+                if self.calls[slot].repeat == Repeat::Once {
                     self.withdraw(slot);
                 }
                 self.refuse(slot, Refusal::new(Kind::TargetRejected, detail));
@@ -282,7 +256,7 @@
         }
         self.hop_span(slot, "target");
         let call = &self.calls[slot];
-        match (call.repeat, is_chat(&call.request.kind)) {
+        match (call.repeat, call.request.kind.is_chat()) {
             (Repeat::Once, _) => self.doubt(slot, detail),
             (_, true) if !call.answer.bytes.is_empty() => self.break_off(slot, detail),
             _ if call.tries >= TARGET_TRIES => self.break_off(slot, detail),
@@ -296,7 +270,7 @@
         let (Some(attempt), Some(resume_id)) = (call.attempt, call.answer.resume_id.clone()) else {
             return false;
         };
-        if !is_stream(call) || call.resumes >= RESUME_TRIES {
+        if !call.request.kind.is_stream() || call.resumes >= RESUME_TRIES {
             return false;
         }
         let Some((_, address)) = call.target else {
@@ -324,7 +298,7 @@
     }
 
     /// Charges the worst case of a try that gave no whole answer.
-    fn charge_worst(&mut self, slot: CallSlot) {
+    pub(super) fn charge_worst(&mut self, slot: CallSlot) {
         let call = &self.calls[slot];
         if call.repeat == Repeat::Keyed {
             return;
@@ -361,7 +335,7 @@
         self.refuse(slot, Refusal::new(Kind::InDoubt, detail));
     }
 
-    fn cancel_try(&mut self, slot: CallSlot) {
+    pub(super) fn cancel_try(&mut self, slot: CallSlot) {
         let call = &self.calls[slot];
         if let (Some(attempt), Some((_, address))) = (call.attempt, call.target.clone()) {
             let resume_id = call.answer.resume_id.clone();
@@ -401,123 +375,4 @@
             self.by_key.remove(&call.request.key);
         }
     }
-
-    /// Cancels the model calls of a program at their engines.
-    pub(super) fn cancel_chats(&mut self, program: &ProgramId) {
-        let slots: Vec<CallSlot> = self
-            .calls
-            .iter()
-            .filter(|(_, call)| call.request.key.program == *program)
-            .filter(|(_, call)| call.phase == Phase::Sent && is_chat(&call.request.kind))
-            .map(|(slot, _)| slot)
-            .collect();
-        for slot in slots {
-            self.cancel_try(slot);
-            self.charge_worst(slot);
-            let detail = format!("program {program} has ended");
-            self.refuse(slot, Refusal::new(Kind::ProgramEnded, detail));
-        }
-    }
-
-    /// Another VM misses bytes of an answer.
-    pub(super) fn on_missing(&mut self, listener: &Listener, key: &CallKey, offset: u64) {
-        if let Some(slot) = self.by_key.get(key).copied() {
-            self.tell_from(slot, listener, offset);
-            return;
-        }
-        let found = self
-            .programs
-            .find(&key.program)
-            .and_then(|key| self.programs.get(key));
-        if let Some(finished) = found
-            .and_then(|program| program.result(key.number))
-            .cloned()
-        {
-            self.tell_recorded(listener, key, &finished, offset);
-        }
-    }
-
-    pub(super) fn drop_listener(&mut self, key: &CallKey, origin: &VmName, gone: CallRef) {
-        if let Some(slot) = self.by_key.get(key).copied() {
-            self.calls[slot].listeners.retain(|listener| {
-                !matches!(listener, Listener::Peer { vm, call_ref, .. } if vm == origin && *call_ref == gone)
-            });
-        }
-    }
-
-    pub(super) fn drop_local_listener(&mut self, gone: CallRef) {
-        for call in self.calls.values_mut() {
-            call.listeners
-                .retain(|listener| *listener != Listener::Local(gone));
-        }
-    }
-
-    /// Refuses calls that have waited for too long.
-    pub(super) fn check_calls(&mut self) {
-        let slots: Vec<CallSlot> = self.calls.keys().collect();
-        for slot in slots {
-            self.check_call(slot);
-        }
-    }
-
-    fn check_call(&mut self, slot: CallSlot) {
-        // What a waiting call needs may have come by another way, such as
-        // a takeover that brought its program.
-        self.advance(slot);
-        let Some(call) = self.calls.get(slot) else {
-            return;
-        };
-        let waited_ms = (self.now_us - call.phase_us) / 1_000;
-        let key = &call.request.key;
-        match call.phase {
-            Phase::Ordering if waited_ms >= self.settings.gap_wait_ms && self.has_gap(key) => {
-                let detail = format!("an earlier call than {} did not arrive", key.number);
-                self.refuse(slot, Refusal::new(Kind::OrderGap, detail));
-            }
-            Phase::Opening | Phase::Reserving if waited_ms >= self.settings.commit_wait_ms => {
-                let refusal = Refusal::new(Kind::StoreUnavailable, "no durable reserve in time");
-                self.refuse(slot, refusal);
-            }
-            Phase::Intending if waited_ms >= self.settings.commit_wait_ms => {
-                self.withdraw(slot);
-                let refusal = Refusal::new(Kind::StoreUnavailable, "no durable record in time");
-                self.refuse(slot, refusal);
-            }
-            Phase::Queued
-                if call
-                    .deadline_ms
-                    .is_some_and(|end_ms| self.now_ms() >= end_ms) =>
-            {
-                let refusal = Refusal::new(Kind::WindowClosed, "window passed in the queue");
-                self.refuse(slot, refusal);
-            }
-            Phase::Finishing if waited_ms >= self.settings.commit_wait_ms => {
-                self.end_answer(slot, false);
-            }
-            _ => {}
-        }
-    }
-
-    /// Whether the call waits for one that is not here.
-    fn has_gap(&self, key: &CallKey) -> bool {
-        let program = self
-            .programs
-            .find(&key.program)
-            .and_then(|key| self.programs.get(key));
-        let next = program.map_or(1, lagoon_program::Program::next_number);
-        let expected = CallKey {
-            program: key.program.clone(),
-            number: next,
-        };
-        let running = program.is_some_and(|program| program.running().is_some());
-        !running && !self.by_key.contains_key(&expected)
-    }
-}
-
-fn is_chat(kind: &CallKind) -> bool {
-    matches!(kind, CallKind::Chat { .. })
-}
-
-fn call_is_once(node: &Node, slot: CallSlot) -> bool {
-    node.calls[slot].repeat == Repeat::Once
 }
--- a/crates/node/src/node/arrival.rs
+++ b/crates/node/src/node/arrival.rs
@@ -3,7 +3,6 @@
 use lagoon_errors::{Kind, Refusal};
 use lagoon_ids::{AccountName, CallKey, MarketName, NameError, ProgramId};
 
-use crate::effect::Effect;
 use crate::event::{CallRef, Incoming};
 use crate::message::{Forwarded, PeerMessage, Piece};
 use crate::node::call::Listener;
@@ -212,26 +211,6 @@
         self.tell(&waiting.listener, piece);
     }
 
-    /// Gives a piece to a listener.
-    pub(super) fn tell(&mut self, listener: &Listener, piece: Piece) {
-        match listener {
-            Listener::Local(call_ref) => self.reply(*call_ref, piece),
-            Listener::Peer {
-                address, call_ref, ..
-            } => {
-                let message = PeerMessage::Piece {
-                    call_ref: *call_ref,
-                    piece,
-                };
-                self.send(*address, message);
-            }
-        }
-    }
-
-    pub(super) fn reply(&mut self, call_ref: CallRef, piece: Piece) {
-        self.emit(Effect::Reply { call_ref, piece });
-    }
-
     pub(super) fn on_end_program(&mut self, call_ref: CallRef, api_key: &str, program: &str) {
         let checked = self
             .authenticate(api_key)
--- a/crates/node/src/node/commit.rs
+++ b/crates/node/src/node/commit.rs
@@ -192,6 +192,6 @@
             ],
             failure: Vec::new(),
         };
-        self.ask_store(StoreRequest::Txn(txn), StoreUse::SnapshotPointer);
+        self.ask_store(StoreRequest::Txn(txn), StoreUse::Cleaned);
     }
 }
--- /dev/null
+++ b/crates/node/src/node/ending.rs
@@ -0,0 +1,106 @@
+//! Programs that end at their caller's wish or for want of calls.
+
+use lagoon_errors::{Kind, Refusal};
+use lagoon_ids::{AccountName, ProgramId};
+use lagoon_program::Record;
+
+use crate::message::Piece;
+use crate::node::call::{CallSlot, Listener, Phase};
+use crate::node::Node;
+
+impl Node {
+    /// Ends a program and all that it spawned at its caller's wish.
+    pub(super) fn end_program(
+        &mut self,
+        listener: &Listener,
+        account: &AccountName,
+        program: &ProgramId,
+    ) {
+        let found = self
+            .programs
+            .find(program)
+            .and_then(|key| self.programs.get(key));
+        let refusal = match found {
+            None => Some(Refusal::new(
+                Kind::UnknownProgram,
+                format!("program {program} is not under way"),
+            )),
+            Some(found) if found.account != *account => Some(Refusal::new(
+                Kind::Unauthorized,
+                "program belongs to another account",
+            )),
+            Some(_) => None,
+        };
+        if let Some(refusal) = refusal {
+            self.tell(
+                listener,
+                Piece::Refused {
+                    call: None,
+                    refusal,
+                },
+            );
+            return;
+        }
+        self.end_with_descendants(program);
+        let program = program.clone();
+        self.tell(listener, Piece::Ended { program });
+    }
+
+    pub(super) fn end_with_descendants(&mut self, program: &ProgramId) {
+        let below = format!("{program}/");
+        let ended: Vec<ProgramId> = self
+            .programs
+            .family(program.family())
+            .filter(|other| other.id == *program || other.id.as_str().starts_with(&below))
+            .filter(|other| !other.ended)
+            .map(|other| other.id.clone())
+            .collect();
+        for id in ended {
+            let record = Record::Ended {
+                program: id.clone(),
+            };
+            self.programs.apply(&record);
+            self.touch(&id);
+            self.journal(vec![record], None);
+            self.stop_calls(&id);
+        }
+    }
+
+    /// Gives up the calls of an ended program that can be given up.
+    pub(super) fn stop_calls(&mut self, program: &ProgramId) {
+        let slots: Vec<CallSlot> = self
+            .calls
+            .iter()
+            .filter(|(_, call)| call.request.key.program == *program)
+            .filter(|(_, call)| {
+                !matches!(
+                    call.phase,
+                    Phase::Sent | Phase::Finishing | Phase::Intending
+                )
+            })
+            .map(|(slot, _)| slot)
+            .collect();
+        for slot in slots {
+            let refusal = Refusal::new(Kind::ProgramEnded, format!("program {program} has ended"));
+            self.refuse(slot, refusal);
+        }
+        self.cancel_chats(program);
+    }
+
+    /// Cancels the model calls of a program at their engines.
+    pub(super) fn cancel_chats(&mut self, program: &ProgramId) {
+        let slots: Vec<CallSlot> = self
+            .calls
+            .iter()
+            .filter(|(_, call)| call.request.key.program == *program)
+            .filter(|(_, call)| call.phase == Phase::Sent && call.request.kind.is_chat())
+            .map(|(slot, _)| slot)
+            .collect();
+        for slot in slots {
+            self.cancel_try(slot);
+            self.charge_worst(slot);
+            let detail = format!("program {program} has ended");
+            self.refuse(slot, Refusal::new(Kind::ProgramEnded, detail));
+        }
+    }
+}
--- a/crates/node/src/node/operators.rs
+++ b/crates/node/src/node/operators.rs
@@ -53,6 +53,7 @@
             queued: self.queue.len(),
             journal_backlog: self.journal.backlog(),
             journal_batches: self.journal.sequence() - 1,
+            last_takeover_ms: self.last_takeover_ms,
             members: self.member_reports(),
             targets: self.target_reports(),
         }
--- /dev/null
+++ b/crates/node/src/node/overdue.rs
@@ -0,0 +1,71 @@
+//! Calls that have waited for too long.
+
+use lagoon_errors::{Kind, Refusal};
+use lagoon_ids::CallKey;
+use lagoon_program::Program;
+
+use crate::node::call::{CallSlot, Phase};
+use crate::node::Node;
+
+impl Node {
+    /// Refuses calls that have waited for too long.
+    pub(super) fn check_calls(&mut self) {
+        let slots: Vec<CallSlot> = self.calls.keys().collect();
+        for slot in slots {
+            self.check_call(slot);
+        }
+    }
+
+    pub(super) fn check_call(&mut self, slot: CallSlot) {
+        // What a waiting call needs may have come by another way, such as
+        // a takeover that brought its program.
+        self.advance(slot);
+        let Some(call) = self.calls.get(slot) else {
+            return;
+        };
+        let waited_ms = (self.now_us - call.phase_us) / 1_000;
+        let key = &call.request.key;
+        match call.phase {
+            Phase::Ordering if waited_ms >= self.settings.gap_wait_ms && self.has_gap(key) => {
+                let detail = format!("an earlier call than {} did not arrive", key.number);
+                self.refuse(slot, Refusal::new(Kind::OrderGap, detail));
+            }
+            Phase::Opening | Phase::Reserving if waited_ms >= self.settings.commit_wait_ms => {
+                let refusal = Refusal::new(Kind::StoreUnavailable, "no durable reserve in time");
+                self.refuse(slot, refusal);
+            }
+            Phase::Intending if waited_ms >= self.settings.commit_wait_ms => {
+                self.withdraw(slot);
+                let refusal = Refusal::new(Kind::StoreUnavailable, "no durable record in time");
+                self.refuse(slot, refusal);
+            }
+            Phase::Queued
+                if call
+                    .deadline_ms
+                    .is_some_and(|end_ms| self.now_ms() >= end_ms) =>
+            {
+                let refusal = Refusal::new(Kind::WindowClosed, "window passed in the queue");
+                self.refuse(slot, refusal);
+            }
+            Phase::Finishing if waited_ms >= self.settings.commit_wait_ms => {
+                self.end_answer(slot, false);
+            }
+            _ => {}
+        }
+    }
+
+    /// Whether the call waits for one that is not here.
+    pub(super) fn has_gap(&self, key: &CallKey) -> bool {
+        let program = self
+            .programs
+            .find(&key.program)
+            .and_then(|key| self.programs.get(key));
+        let next = program.map_or(1, Program::next_number);
+        let expected = CallKey {
+            program: key.program.clone(),
+            number: next,
+        };
+        let running = program.is_some_and(|program| program.running().is_some());
+        !running && !self.by_key.contains_key(&expected)
+    }
+}
--- a/crates/node/src/node/owner.rs
+++ b/crates/node/src/node/owner.rs
@@ -3,11 +3,11 @@
 use lagoon_errors::{Kind, Refusal};
 use lagoon_ids::{CallKey, Incarnation, ProgramId};
 use lagoon_journal::Group;
-use lagoon_program::{Amounts, Arrival, Cover, Finished, Opening, Outcome, ProgramKey, Record};
+use lagoon_program::{Amounts, Arrival, Cover, Opening, ProgramKey, Record};
 use lagoon_sheet::{Repeat, Serves};
 
 use crate::constants::FAMILY_LIMIT;
-use crate::message::{Piece, Summary};
+use crate::message::Piece;
 use crate::node::arrival::Waiting;
 use crate::node::call::{Call, CallSlot, Listener, Phase};
 use crate::node::commit::Commit;
@@ -215,7 +215,7 @@
     }
 
     /// Notes that something happened to a program.
-    fn touch(&mut self, program: &ProgramId) {
+    pub(super) fn touch(&mut self, program: &ProgramId) {
         let now_ms = self.now_ms();
         let key = self.programs.find(program);
         if let Some(program) = key.and_then(|key| self.programs.get_mut(key)) {
@@ -377,87 +377,6 @@
         root.is_ok_and(|root| self.is_provisional(&root))
     }
 
-    /// Gives a recorded result.
-    fn replay(&mut self, slot: CallSlot, finished: &Finished) {
-        let refusal = match &finished.outcome {
-            Outcome::Answered(_) => None,
-            Outcome::InDoubt => Some(Refusal::new(
-                Kind::InDoubt,
-                format!(
-                    "call was sent to {} and its outcome was not seen",
-                    finished.target
-                ),
-            )),
-            Outcome::Settled { ran: true } => Some(Refusal {
-                ran: lagoon_errors::Ran::Ran,
-                ..Refusal::new(Kind::InDoubt, "operator found that the call ran")
-            }),
-            Outcome::Settled { ran: false } => Some(Refusal {
-                ran: lagoon_errors::Ran::NotRun,
-                ..Refusal::new(Kind::InDoubt, "operator found that the call did not run")
-            }),
-        };
-        if let Some(refusal) = refusal {
-            self.refuse(slot, refusal);
-            return;
-        }
-        let listeners = self.calls[slot].listeners.clone();
-        let key = self.calls[slot].request.key.clone();
-        for listener in &listeners {
-            self.tell_recorded(listener, &key, finished, 0);
-        }
-        self.remove_call(slot);
-    }
-
-    /// Gives a listener a recorded answer from an offset on.
-    pub(super) fn tell_recorded(
-        &mut self,
-        listener: &Listener,
-        key: &CallKey,
-        finished: &Finished,
-        offset: u64,
-    ) {
-        let Outcome::Answered(body) = &finished.outcome else {
-            return;
-        };
-        let head = Piece::Head {
-            call: key.clone(),
-            status: body.status,
-            content_type: body.content_type.clone(),
-        };
-        let start = usize::try_from(offset).unwrap_or(usize::MAX);
-        let bytes = body.bytes.get(start..).unwrap_or_default().into();
-        let length = body.bytes.len() as u64;
-        let durable = !self.undurable.contains(key);
-        let summary = self.summary(key, finished, durable, true);
-        self.tell(listener, head);
-        self.tell(listener, Piece::Data { offset, bytes });
-        self.tell(listener, Piece::End { length, summary });
-    }
-
-    pub(super) fn summary(
-        &self,
-        key: &CallKey,
-        finished: &Finished,
-        durable: bool,
-        replayed: bool,
-    ) -> Summary {
-        let found = self.programs.find(&key.program);
-        let left = found.map(|key| self.programs.left(key)).unwrap_or_default();
-        Summary {
-            call: key.clone(),
-            target: finished.target.clone(),
-            owner: self.settings.vm.clone(),
-            durable,
-            continuation: if durable { None } else { self.prove(key) },
-            replayed,
-            used_tokens: finished.used.tokens,
-            left_tokens: left.tokens,
-            left_money_micros: left.money_micros,
-            left_turns: left.turns,
-        }
-    }
-
     /// Refuses what waits for a family that can't be opened.
     pub(super) fn refuse_family(&mut self, program: &ProgramId, refusal: &Refusal) {
         for slot in self.family_slots(program) {
@@ -492,84 +411,6 @@
             .map(|(slot, _)| slot)
             .collect()
     }
-
-    /// Ends a program and all that it spawned at its caller's wish.
-    pub(super) fn end_program(
-        &mut self,
-        listener: &Listener,
-        account: &lagoon_ids::AccountName,
-        program: &ProgramId,
-    ) {
-        let found = self
-            .programs
-            .find(program)
-            .and_then(|key| self.programs.get(key));
-        let refusal = match found {
-            None => Some(Refusal::new(
-                Kind::UnknownProgram,
-                format!("program {program} is not under way"),
-            )),
-            Some(found) if found.account != *account => Some(Refusal::new(
-                Kind::Unauthorized,
-                "program belongs to another account",
-            )),
-            Some(_) => None,
-        };
-        if let Some(refusal) = refusal {
-            self.tell(
-                listener,
-                Piece::Refused {
-                    call: None,
-                    refusal,
-                },
-            );
-            return;
-        }
-        self.end_with_descendants(program);
-        let program = program.clone();
-        self.tell(listener, Piece::Ended { program });
-    }
-
-    pub(super) fn end_with_descendants(&mut self, program: &ProgramId) {
-        let below = format!("{program}/");
-        let ended: Vec<ProgramId> = self
-            .programs
-            .family(program.family())
-            .filter(|other| other.id == *program || other.id.as_str().starts_with(&below))
-            .filter(|other| !other.ended)
-            .map(|other| other.id.clone())
-            .collect();
-        for id in ended {
-            let record = Record::Ended {
-                program: id.clone(),
-            };
-            self.programs.apply(&record);
-            self.touch(&id);
-            self.journal(vec![record], None);
-            self.stop_calls(&id);
-        }
-    }
-
-    /// Gives up the calls of an ended program that can be given up.
-    fn stop_calls(&mut self, program: &ProgramId) {
-        let slots: Vec<CallSlot> = self
-            .calls
-            .iter()
-            .filter(|(_, call)| call.request.key.program == *program)
-            .filter(|(_, call)| {
-                !matches!(
-                    call.phase,
-                    Phase::Sent | Phase::Finishing | Phase::Intending
-                )
-            })
-            .map(|(slot, _)| slot)
-            .collect();
-        for slot in slots {
-            let refusal = Refusal::new(Kind::ProgramEnded, format!("program {program} has ended"));
-            self.refuse(slot, refusal);
-        }
-        self.cancel_chats(program);
-    }
 }
 
 fn find_served_in(
--- /dev/null
+++ b/crates/node/src/node/recorded.rs
@@ -0,0 +1,92 @@
+//! Recorded results of finished calls.
+
+use lagoon_errors::{Kind, Ran, Refusal};
+use lagoon_ids::CallKey;
+use lagoon_program::{Finished, Outcome};
+
+use crate::message::{Piece, Summary};
+use crate::node::call::{CallSlot, Listener};
+use crate::node::Node;
+
+impl Node {
+    /// Gives a recorded result.
+    pub(super) fn replay(&mut self, slot: CallSlot, finished: &Finished) {
+        let refusal = match &finished.outcome {
+            Outcome::Answered(_) => None,
+            Outcome::InDoubt => Some(Refusal::new(
+                Kind::InDoubt,
+                format!(
+                    "call was sent to {} and its outcome was not seen",
+                    finished.target
+                ),
+            )),
+            Outcome::Settled { ran: true } => Some(Refusal {
+                ran: Ran::Ran,
+                ..Refusal::new(Kind::InDoubt, "operator found that the call ran")
+            }),
+            Outcome::Settled { ran: false } => Some(Refusal {
+                ran: Ran::NotRun,
+                ..Refusal::new(Kind::InDoubt, "operator found that the call did not run")
+            }),
+        };
+        if let Some(refusal) = refusal {
+            self.refuse(slot, refusal);
+            return;
+        }
+        let listeners = self.calls[slot].listeners.clone();
+        let key = self.calls[slot].request.key.clone();
+        for listener in &listeners {
+            self.tell_recorded(listener, &key, finished, 0);
+        }
+        self.remove_call(slot);
+    }
+
+    /// Gives a listener a recorded answer from an offset on.
+    pub(super) fn tell_recorded(
+        &mut self,
+        listener: &Listener,
+        key: &CallKey,
+        finished: &Finished,
+        offset: u64,
+    ) {
+        let Outcome::Answered(body) = &finished.outcome else {
+            return;
+        };
+        let head = Piece::Head {
+            call: key.clone(),
+            status: body.status,
+            content_type: body.content_type.clone(),
+        };
+        let start = usize::try_from(offset).unwrap_or(usize::MAX);
+        let bytes = body.bytes.get(start..).unwrap_or_default().into();
+        let length = body.bytes.len() as u64;
+        let durable = !self.undurable.contains(key);
+        let summary = self.summary(key, finished, durable, true);
+        self.tell(listener, head);
+        self.tell(listener, Piece::Data { offset, bytes });
+        self.tell(listener, Piece::End { length, summary });
+    }
+
+    pub(super) fn summary(
+        &self,
+        key: &CallKey,
+        finished: &Finished,
+        durable: bool,
+        replayed: bool,
+    ) -> Summary {
+        let found = self.programs.find(&key.program);
+        let left = found.map(|key| self.programs.left(key)).unwrap_or_default();
+        Summary {
+            call: key.clone(),
+            target: finished.target.clone(),
+            owner: self.settings.vm.clone(),
+            durable,
+            continuation: if durable { None } else { self.prove(key) },
+            replayed,
+            used_tokens: finished.used.tokens,
+            left_tokens: left.tokens,
+            left_money_micros: left.money_micros,
+            left_turns: left.turns,
+        }
+    }
+}
--- a/crates/node/src/node/sending.rs
+++ b/crates/node/src/node/sending.rs
@@ -140,7 +140,7 @@
             call: call.request.key.clone(),
             address,
             path: target_path(call),
-            stream: is_stream(call),
+            stream: call.request.kind.is_stream(),
             content_type: call.request.content_type.clone(),
             body: call.request.body.clone(),
             trace: call.request.trace.child(&hop_label("target", call)),
@@ -282,7 +282,3 @@
         CallKind::Service { service } => format!("/v1/call/{service}"),
     }
 }
-
-pub(super) fn is_stream(call: &Call) -> bool {
-    matches!(call.request.kind, CallKind::Chat { stream: true, .. })
-}
--- a/crates/node/src/node/stop.rs
+++ b/crates/node/src/node/stop.rs
@@ -6,8 +6,8 @@
 
 use lagoon_errors::{Kind, Refusal};
 use lagoon_ids::VmName;
-use lagoon_journal::{incarnation_key, sealed_key, IncarnationRow, IncarnationState};
-use lagoon_platform::{Compare, Op, StoreError, StoreRequest, Txn, TxnReply};
+use lagoon_journal::{seal, IncarnationRow, IncarnationState};
+use lagoon_platform::{StoreError, StoreRequest, TxnReply};
 use lagoon_program::{Amounts, Programs, Record};
 
 use crate::constants::STORE_AGAIN_MS;
@@ -142,32 +142,7 @@
         }
         stopping.asked = true;
         stopping.successor = Some(successor.vm.clone());
-        let own = self.journal.row();
-        let key = incarnation_key(&own.incarnation);
-        let txn = Txn {
-            compare: vec![
-                Compare::ValueIs {
-                    key: key.clone(),
-                    value: own.encode(),
-                },
-                // Two VMs that stop at once must not name each other.
-                Compare::ValueIs {
-                    key: incarnation_key(&successor.incarnation),
-                    value: successor.encode(),
-                },
-            ],
-            success: vec![
-                Op::Put {
-                    key: key.clone(),
-                    value: own.sealed_by(&successor.incarnation).encode(),
-                },
-                Op::Put {
-                    key: sealed_key(&successor.incarnation, &own.incarnation),
-                    value: Vec::new(),
-                },
-            ],
-            failure: vec![Op::Get { key }],
-        };
+        let txn = seal(self.journal.row(), &successor);
         self.ask_store(StoreRequest::Txn(txn), StoreUse::SealOwn);
     }
 
--- a/crates/node/src/node/store.rs
+++ b/crates/node/src/node/store.rs
@@ -25,8 +25,8 @@
     Append,
     /// Snapshot of the journal before a sequence.
     Snapshot(u64),
-    /// Pointer to that snapshot.
-    SnapshotPointer,
+    /// Rows and objects that nobody needs any more are gone.
+    Cleaned,
     /// Row that names the owner of a family.
     Family(String),
     /// Row of an incarnation that owns a program.
@@ -69,7 +69,7 @@
             StoreUse::Vms => self.on_vms(reply),
             StoreUse::Append => self.on_append(txn(reply)),
             StoreUse::Snapshot(sequence) => self.on_snapshot(sequence, reply),
-            StoreUse::SnapshotPointer => {}
+            StoreUse::Cleaned => {}
             StoreUse::Family(family) => self.on_family(&family, txn(reply)),
             StoreUse::Lookup(incarnation) => self.on_lookup(&incarnation, txn(reply)),
             StoreUse::TakeOver(incarnation) => self.on_takeover_reply(incarnation, reply),
--- a/crates/node/src/node/takeover.rs
+++ b/crates/node/src/node/takeover.rs
@@ -6,10 +6,10 @@
 
 use lagoon_ids::{FastSet, Incarnation};
 use lagoon_journal::{
-    decode_batch, incarnation_key, log_key, log_prefix, sealed_key, sealed_prefix, snapshot_key,
-    snapshot_pointer_key, IncarnationRow, IncarnationState,
+    decode_batch, incarnation_key, log_key, log_prefix, seal, sealed_key, sealed_prefix,
+    snapshot_key, snapshot_pointer_key, IncarnationRow, IncarnationState,
 };
-use lagoon_platform::{Compare, Op, StoreError, StoreReply, StoreRequest, Txn, TxnReply};
+use lagoon_platform::{Op, StoreError, StoreReply, StoreRequest, Txn, TxnReply};
 use lagoon_program::{Programs, Record};
 
 use crate::constants::STORE_AGAIN_MS;
@@ -30,14 +30,11 @@
     /// Journal has to be read.
     Replay,
     /// Snapshot has to be read.
-    Snapshot { sequence: u64, batches: Batches },
+    Snapshot { sequence: u64, batches: Vec<Record> },
     /// Import waits for its commit.
     Import(Vec<Record>),
 }
 
-/// Journal of the old owner.
-type Batches = Vec<Record>;
-
 /// Takeover under way.
 #[derive(Clone, Debug)]
 pub(crate) struct TakeOver {
@@ -129,10 +126,7 @@
         takeover.asked = true;
         let request = match &takeover.step {
             Step::Read => StoreRequest::Txn(read(incarnation)),
-            Step::Seal(row) => {
-                let row = row.clone();
-                StoreRequest::Txn(self.seal(&row))
-            }
+            Step::Seal(row) => StoreRequest::Txn(seal(row, self.journal.row())),
             Step::Replay => StoreRequest::Txn(replay(incarnation)),
             Step::Snapshot { sequence, .. } => StoreRequest::GetObject {
                 key: snapshot_key(incarnation, *sequence),
@@ -142,40 +136,6 @@
         self.ask_store(request, StoreUse::TakeOver(incarnation.clone()));
     }
 
-    /// Transaction that seals an incarnation in favour of the own one.
-    fn seal(&self, row: &IncarnationRow) -> Txn {
-        let own = self.journal.row();
-        let key = incarnation_key(&row.incarnation);
-        Txn {
-            compare: vec![
-                Compare::ValueIs {
-                    key: incarnation_key(&own.incarnation),
-                    value: own.encode(),
-                },
-                Compare::ValueIs {
-                    key: key.clone(),
-                    value: row.encode(),
-                },
-            ],
-            success: vec![
-                Op::Put {
-                    key: key.clone(),
-                    value: row.sealed_by(&own.incarnation).encode(),
-                },
-                Op::Put {
-                    key: sealed_key(&own.incarnation, &row.incarnation),
-                    value: Vec::new(),
-                },
-            ],
-            failure: vec![
-                Op::Get { key },
-                Op::Get {
-                    key: incarnation_key(&own.incarnation),
-                },
-            ],
-        }
-    }
-
     pub(super) fn on_takeover_reply(
         &mut self,
         incarnation: Incarnation,
@@ -293,7 +253,7 @@
         &mut self,
         incarnation: &Incarnation,
         object: Option<Vec<u8>>,
-        batches: Batches,
+        batches: Vec<Record>,
     ) {
         let images = object.map(|bytes| postcard::from_bytes::<Vec<Record>>(&bytes));
         match images {
@@ -306,7 +266,7 @@
     }
 
     /// Replays the old owner's records and journals the result as the own.
-    fn import(&mut self, incarnation: &Incarnation, images: Vec<Record>, batches: Batches) {
+    fn import(&mut self, incarnation: &Incarnation, images: Vec<Record>, batches: Vec<Record>) {
         let mut programs = Programs::default();
         for record in images.iter().chain(&batches) {
             programs.apply(record);
@@ -369,7 +329,7 @@
             ],
             ..Txn::default()
         };
-        self.ask_store(StoreRequest::Txn(txn), StoreUse::SnapshotPointer);
+        self.ask_store(StoreRequest::Txn(txn), StoreUse::Cleaned);
     }
 }
 
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -27,6 +27,18 @@
     },
 }
 
+impl CallKind {
+    /// Whether a model answers it.
+    pub fn is_chat(&self) -> bool {
+        matches!(self, CallKind::Chat { .. })
+    }
+
+    /// Whether its answer comes as server-sent events.
+    pub fn is_stream(&self) -> bool {
+        matches!(self, CallKind::Chat { stream: true, .. })
+    }
+}
+
 /// Checked call.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct CallRequest {
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -82,6 +82,8 @@
     pub journal_backlog: usize,
     /// Batches written.
     pub journal_batches: u64,
+    /// Time that the last takeover took.
+    pub last_takeover_ms: Option<u64>,
     /// Other VMs of the failure domain.
     pub members: Vec<MemberReport>,
     /// Targets of the failure domain.
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -424,11 +424,7 @@
                 self.lose_requests(vm);
                 log_exit(vm, fenced);
             }
-            Effect::Cancel { .. }
-            | Effect::PollLoads(_)
-            | Effect::Span(_)
-            | Effect::Ready(_)
-            | Effect::Greet { .. } => {}
+            Effect::Cancel { .. } | Effect::PollLoads(_) | Effect::Span(_) | Effect::Ready(_) => {}
         }
     }
 
