--- a/crates/daemon/src/actors/node.rs
+++ b/crates/daemon/src/actors/node.rs
@@ -129,6 +129,7 @@
         metrics.gauge("queued", status.queued as u64);
         metrics.gauge("forwarded", status.forwarded as u64);
         metrics.gauge("journal_backlog", status.journal_backlog as u64);
+        metrics.flush();
         after!(GAUGE_PERIOD, [cx], gauge());
     }
 
--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -38,6 +38,13 @@
     })
 }
 
+/// Place of the VM that an answer names as the owner.
+fn owner(site: &Site, reply: &Reply) -> usize {
+    let names = |name: &str| reply.summary.contains(&format!("\"owner\":\"{name}\""));
+    let owner = site.vms.iter().position(|vm| names(&vm.name));
+    owner.expect("owner")
+}
+
 #[test]
 fn chat_through_either_vm_is_whole() {
     let site = Site::start(2);
@@ -125,15 +132,7 @@
     let mut site = Site::start(3);
     let first = chat_until_whole(&site, 0, "harvest", "1");
     let booked = book_until_answered(&site, 1, "harvest", "2");
-    let owner = site
-        .vms
-        .iter()
-        .position(|vm| {
-            first
-                .summary
-                .contains(&format!("\"owner\":\"{}\"", vm.name))
-        })
-        .expect("owner");
+    let owner = owner(&site, &first);
     site.vms[owner].signal(Signal::SIGKILL);
     let other = (owner + 1) % 3;
     let again = book_until_answered(&site, other, "harvest", "2");
@@ -147,15 +146,7 @@
 fn frozen_owner_leaves_when_it_wakes() {
     let mut site = Site::start(3);
     let first = chat_until_whole(&site, 0, "harvest", "1");
-    let owner = site
-        .vms
-        .iter()
-        .position(|vm| {
-            first
-                .summary
-                .contains(&format!("\"owner\":\"{}\"", vm.name))
-        })
-        .expect("owner");
+    let owner = owner(&site, &first);
     site.vms[owner].signal(Signal::SIGSTOP);
     let other = (owner + 1) % 3;
     book_until_answered(&site, other, "harvest", "2");
--- a/crates/journal/tests/append.rs
+++ b/crates/journal/tests/append.rs
@@ -1,82 +1,30 @@
 //! Appends against a small table under lost replies, outages and seals.
 
-use std::collections::BTreeMap;
-
 use lagoon_ids::CallKey;
 use lagoon_journal::{
     decode_batch, incarnation_key, log_prefix, Group, IncarnationRow, IncarnationState, Journal,
     Waiter,
 };
-use lagoon_platform::{Compare, Op, Row, StoreError, Txn, TxnReply};
+use lagoon_platform::StoreError;
 use lagoon_program::{Amounts, Record};
+use lagoon_testkit::Table;
 use proptest::prelude::{prop, prop_assert, prop_assert_eq, proptest, ProptestConfig};
 use proptest::strategy::{Just, Strategy};
 use proptest::test_runner::{RngAlgorithm, RngSeed};
 
-#[derive(Default)]
-struct Table(BTreeMap<String, Vec<u8>>);
-
-impl Table {
-    fn execute(&mut self, txn: &Txn) -> TxnReply {
-        let holds = |compare: &Compare| match compare {
-            Compare::Absent { key } => !self.0.contains_key(key),
-            Compare::ValueIs { key, value } => self.0.get(key) == Some(value),
-        };
-        let succeeded = txn.compare.iter().all(holds);
-        let ops = if succeeded {
-            &txn.success
-        } else {
-            &txn.failure
-        };
-        let results = ops.iter().map(|op| self.operate(op)).collect();
-        TxnReply { succeeded, results }
-    }
-
-    fn operate(&mut self, op: &Op) -> Vec<Row> {
-        match op {
-            Op::Put { key, value } => {
-                self.0.insert(key.clone(), value.clone());
-                Vec::new()
-            }
-            Op::Get { key } => self.rows(|found| found == key),
-            Op::Range { prefix } => self.rows(|found| found.starts_with(prefix)),
-            Op::Delete { key } => {
-                self.0.remove(key);
-                Vec::new()
-            }
-            Op::DeleteRange { from, to } => {
-                self.0.retain(|key, _| key < from || key >= to);
-                Vec::new()
-            }
-        }
-    }
-
-    fn rows<F>(&self, f: F) -> Vec<Row>
-    where
-        F: Fn(&str) -> bool,
-    {
-        let found = self.0.iter().filter(|(key, _)| f(key));
-        found
-            .map(|(key, value)| Row {
-                key: key.clone(),
-                value: value.clone(),
-            })
-            .collect()
-    }
-
-    fn turns(&self, row: &IncarnationRow) -> Vec<u64> {
-        let prefix = log_prefix(&row.incarnation);
-        let mut turns = Vec::new();
-        for found in self.rows(|key| key.starts_with(&prefix)) {
-            for record in decode_batch(&found.key, &found.value).expect("batch") {
-                match record {
-                    Record::Charged { used, .. } => turns.push(used.turns),
-                    other => panic!("{other:?}"),
-                }
+/// Turns of the records that an incarnation's journal holds, in order.
+fn turns(table: &Table, row: &IncarnationRow) -> Vec<u64> {
+    let prefix = log_prefix(&row.incarnation);
+    let mut turns = Vec::new();
+    for found in table.found(|key| key.starts_with(&prefix)) {
+        for record in decode_batch(&found.key, &found.value).expect("batch") {
+            match record {
+                Record::Charged { used, .. } => turns.push(used.turns),
+                other => panic!("{other:?}"),
             }
         }
-        turns
     }
+    turns
 }
 
 fn row(name: &str) -> IncarnationRow {
@@ -93,13 +41,13 @@
 fn opened(table: &mut Table, name: &str) -> Journal {
     let row = row(name);
     let key = incarnation_key(&row.incarnation);
-    table.0.insert(key, row.encode());
+    table.rows.insert(key, row.encode());
     Journal::new(row)
 }
 
 fn seal(table: &mut Table, sealed: &IncarnationRow) {
     let key = incarnation_key(&sealed.incarnation);
-    table.0.insert(
+    table.rows.insert(
         key,
         sealed.sealed_by(&row("successor").incarnation).encode(),
     );
@@ -139,13 +87,13 @@
     let mut journal = opened(&mut table, "i1");
     journal.push(group(1));
     let txn = journal.poll(0).expect("batch");
-    table.execute(&txn);
+    table.transact(&txn);
     assert!(journal.on_reply(Err(lost())).waiters.is_empty());
     let again = journal.poll(0).expect("same batch");
     assert_eq!(again, txn);
-    let committed = journal.on_reply(Ok(table.execute(&again)));
+    let committed = journal.on_reply(Ok(table.transact(&again)));
     assert_eq!(committed.waiters, [Waiter(1)]);
-    assert_eq!(table.turns(journal.row()), [1]);
+    assert_eq!(turns(&table, journal.row()), [1]);
 }
 
 #[test]
@@ -155,11 +103,11 @@
     journal.push(group(1));
     let txn = journal.poll(0).expect("batch");
     seal(&mut table, journal.row());
-    let committed = journal.on_reply(Ok(table.execute(&txn)));
+    let committed = journal.on_reply(Ok(table.transact(&txn)));
     assert!(committed.fenced);
     journal.push(group(2));
     assert_eq!(journal.poll(1_000), None);
-    assert!(table.turns(journal.row()).is_empty());
+    assert!(turns(&table, journal.row()).is_empty());
 }
 
 #[test]
@@ -169,17 +117,17 @@
     let mut second = opened(&mut table, "i2");
     first.push(claim("f", 1));
     let txn = first.poll(0).expect("batch");
-    first.on_reply(Ok(table.execute(&txn)));
+    first.on_reply(Ok(table.transact(&txn)));
     second.push(claim("f", 2));
     second.push(group(3));
     let txn = second.poll(0).expect("batch");
-    let committed = second.on_reply(Ok(table.execute(&txn)));
+    let committed = second.on_reply(Ok(table.transact(&txn)));
     assert_eq!(committed.conflicts.len(), 1);
     assert_eq!(committed.conflicts[0].holder, b"i1");
     let txn = second.poll(0).expect("rest");
-    let committed = second.on_reply(Ok(table.execute(&txn)));
+    let committed = second.on_reply(Ok(table.transact(&txn)));
     assert_eq!(committed.waiters, [Waiter(3)]);
-    assert_eq!(table.turns(second.row()), [3]);
+    assert_eq!(turns(&table, second.row()), [3]);
 }
 
 #[test]
@@ -189,12 +137,12 @@
     journal.set_interval_ms(40);
     journal.push(group(1));
     let txn = journal.poll(100).expect("batch");
-    journal.on_reply(Ok(table.execute(&txn)));
+    journal.on_reply(Ok(table.transact(&txn)));
     journal.push(group(2));
     assert_eq!(journal.poll(120), None);
     journal.push(group(3));
     let txn = journal.poll(140).expect("batch");
-    let committed = journal.on_reply(Ok(table.execute(&txn)));
+    let committed = journal.on_reply(Ok(table.transact(&txn)));
     assert_eq!(committed.waiters, [Waiter(2), Waiter(3)]);
 }
 
@@ -252,7 +200,7 @@
                 }
                 Step::Seal => {
                     seal(&mut table, journal.row());
-                    at_seal.get_or_insert_with(|| table.turns(journal.row()));
+                    at_seal.get_or_insert_with(|| turns(&table, journal.row()));
                     continue;
                 }
                 _ => {}
@@ -261,15 +209,15 @@
             let reply = match step {
                 Step::LoseRequest => Err(lost()),
                 Step::LoseReply => {
-                    table.execute(&txn);
+                    table.transact(&txn);
                     Err(lost())
                 }
-                _ => Ok(table.execute(&txn)),
+                _ => Ok(table.transact(&txn)),
             };
             let committed = journal.on_reply(reply);
             durable.extend(committed.waiters.iter().map(|waiter| waiter.0));
         }
-        let kept = table.turns(journal.row());
+        let kept = turns(&table, journal.row());
         let expected: Vec<u64> = (1..=kept.len() as u64).collect();
         prop_assert_eq!(&kept, &expected);
         prop_assert!(durable.len() <= kept.len());
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -2,9 +2,7 @@
 
 use std::net::{SocketAddr, UdpSocket};
 
-use cadence::{
-    BufferedUdpMetricSink, Counted, Gauged, NopMetricSink, QueuingMetricSink, StatsdClient, Timed,
-};
+use cadence::{BufferedUdpMetricSink, Counted, Gauged, NopMetricSink, StatsdClient};
 
 const PREFIX: &str = "lagoon";
 
@@ -25,9 +23,11 @@
             None => StatsdClient::builder(PREFIX, NopMetricSink),
             Some(address) => {
                 let socket = UdpSocket::bind((std::net::Ipv4Addr::UNSPECIFIED, 0))?;
+                // A full socket drops metrics; it never holds the daemon up.
+                socket.set_nonblocking(true)?;
                 let sink = BufferedUdpMetricSink::from(address, socket)
                     .map_err(|error| std::io::Error::other(error.to_string()))?;
-                StatsdClient::builder(PREFIX, QueuingMetricSink::from(sink))
+                StatsdClient::builder(PREFIX, sink)
             }
         };
         let client = builder
@@ -55,8 +55,9 @@
         self.client.gauge_with_tags(name, value).send();
     }
 
-    /// Adds a duration.
-    pub fn time_ms(&self, name: &str, duration_ms: u64) {
-        self.client.time_with_tags(name, duration_ms).send();
+    /// Sends what is buffered.
+    pub fn flush(&self) {
+        // Metrics that can't be sent are dropped, as everywhere here.
+        let _ = self.client.flush();
     }
 }
