Messages between VMs come twice, the second time after later ones

Cause: of 16 mechanisms switched off, the one that drops older pieces of a forwarded answer was caught by no test: the kit never delivered an older piece after a newer one.

--- a/crates/node/tests/scenarios.rs
+++ b/crates/node/tests/scenarios.rs
@@ -3,7 +3,8 @@
 //! Directives: `vms` starts VMs; `call` sends a request; `run ms=` lets time
 //! pass; `outcome` and `runs` show what happened; `kill`, `start`, `pause`,
 //! `resume`, `stop`, `cut`, `heal`, `store`, `target`, `loss` set faults;
-//! `doubts`, `settle`, `end`, `programs` act as operator or caller. A program
+//! `double` lets messages between VMs come twice,
+//! the second time after later ones; `doubts`, `settle`, `end`, `programs` act as operator or caller. A program
 //! `of.ID` is the one that the answer to call `ID` names.
 
 use std::collections::BTreeMap;
@@ -215,6 +216,9 @@
             }
             "heal" => self.world().heal(),
             "loss" => self.world().lost_percent = word(case, "percent").parse().expect("number"),
+            "double" => {
+                self.world().doubled_percent = word(case, "percent").parse().expect("number");
+            }
             "store" => {
                 self.world().store_mode = match word(case, "mode").as_str() {
                     "up" => StoreMode::Up,
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -24,6 +24,7 @@
 const TICK_US: u64 = 20_000;
 const STORE_US: u64 = 2_000;
 const PEER_US: u64 = 500;
+const SECOND_TIME_US: u64 = 30_000;
 const BASE_PORT: u16 = 7_000;
 
 /// Node with the state of its VM.
@@ -87,6 +88,8 @@
     pub sent_bytes: u64,
     /// Share of messages between VMs that are lost, in percent.
     pub lost_percent: u32,
+    /// Share of messages between VMs that come a second time, in percent.
+    pub doubled_percent: u32,
     /// Longest further delay of a message between VMs, in microseconds.
     pub jitter_us: u64,
     hosts: BTreeMap<VmName, Host>,
@@ -119,6 +122,7 @@
             sent_messages: 0,
             sent_bytes: 0,
             lost_percent: 0,
+            doubled_percent: 0,
             jitter_us: 0,
             hosts: BTreeMap::new(),
             targets: Targets::default(),
@@ -463,6 +467,10 @@
             0 => 0,
             most_us => self.rng.random_range(0..most_us),
         };
+        if self.doubled_percent > 0 && self.rng.random_range(0..100) < self.doubled_percent {
+            let again = Delivery::Event(Event::Peer(message.clone()));
+            self.schedule(PEER_US + SECOND_TIME_US, &receiver, again);
+        }
         let event = Event::Peer(message);
         self.schedule(PEER_US + jitter_us, &receiver, Delivery::Event(event));
     }
