--- a/crates/node/src/node/takeover.rs
+++ b/crates/node/src/node/takeover.rs
@@ -30,7 +30,12 @@
     /// Journal has to be read.
     Replay,
     /// Snapshot has to be read.
-    Snapshot { sequence: u64, batches: Vec<Record> },
+    Snapshot {
+        sequence: u64,
+        batches: Vec<Record>,
+        /// What the old owner had sealed itself.
+        sealed: Vec<Incarnation>,
+    },
     /// Import waits for its commit.
     Import(Vec<Record>),
 }
@@ -84,9 +89,13 @@
         if known || incarnation == *self.incarnation() || self.is_handed_over() {
             return;
         }
+        self.begin_takeover(incarnation, Step::Read);
+    }
+
+    fn begin_takeover(&mut self, incarnation: Incarnation, step: Step) {
         log::info!(incarnation = incarnation.as_str(); "takeover begins");
         let takeover = TakeOver {
-            step: Step::Read,
+            step,
             asked: false,
             due_ms: 0,
             started_ms: self.now_ms(),
@@ -157,8 +166,15 @@
             }
             (Step::Seal(_), StoreReply::Txn(reply)) => self.on_seal_refused(&incarnation, &reply),
             (Step::Replay, StoreReply::Txn(reply)) => self.on_journal_read(&incarnation, &reply),
-            (Step::Snapshot { batches, .. }, StoreReply::Object(object)) => {
-                self.on_snapshot_read(&incarnation, object, batches);
+            (
+                Step::Snapshot {
+                    batches, sealed, ..
+                },
+                StoreReply::Object(object),
+            ) => {
+                let mut records = read_snapshot(object);
+                records.extend(batches);
+                self.import(&incarnation, records, sealed);
             }
             (step, reply) => log::error!(step:? = step, reply:? = reply; "reply fits no step"),
         }
@@ -176,10 +192,10 @@
         match &row.state {
             IncarnationState::Open => self.set_step(incarnation, Step::Seal(row)),
             IncarnationState::Sealed { by } => {
+                // What another one sealed is its own, or its successor's, who
+                // finds it while it replays that one's journal.
                 let by = by.clone();
-                let mine = by == *self.incarnation()
-                    || self.ownership.absorbed.contains(&by)
-                    || self.takeovers.contains_key(&by);
+                let mine = by == *self.incarnation();
                 self.ownership.note_successor(incarnation.clone(), by);
                 if mine {
                     self.set_step(incarnation, Step::Replay);
@@ -216,59 +232,59 @@
                 Err(error) => log::error!(error = error.to_string(); "journal is damaged"),
             }
         }
-        self.take_over_chain(incarnation, &batches, reply);
+        let prefix = sealed_prefix(incarnation);
+        let sealed: Vec<Incarnation> = reply
+            .rows()
+            .filter_map(|row| row.key.strip_prefix(&prefix)?.parse().ok())
+            .collect();
         let pointer = reply.value(&snapshot_pointer_key(incarnation));
         let sequence = pointer
             .and_then(|value| std::str::from_utf8(value).ok())
             .and_then(|text| text.parse().ok());
         match sequence {
             Some(sequence) => {
-                self.set_step(incarnation, Step::Snapshot { sequence, batches });
+                let step = Step::Snapshot {
+                    sequence,
+                    batches,
+                    sealed,
+                };
+                self.set_step(incarnation, step);
             }
-            None => self.import(incarnation, Vec::new(), batches),
+            None => self.import(incarnation, batches, sealed),
         }
     }
 
     /// Takes over what the old owner had sealed and not imported.
-    fn take_over_chain(&mut self, incarnation: &Incarnation, batches: &[Record], reply: &TxnReply) {
-        let imported: FastSet<&Incarnation> = batches
+    ///
+    /// Nobody else can: the old owner's only successor is this incarnation.
+    fn take_over_chain(&mut self, sealed: Vec<Incarnation>, replayed: &[Record]) {
+        let imported: FastSet<&Incarnation> = replayed
             .iter()
             .filter_map(|record| match record {
                 Record::Imported { from } => Some(from),
                 _ => None,
             })
             .collect();
-        let prefix = sealed_prefix(incarnation);
-        let sealed: Vec<Incarnation> = reply
-            .rows()
-            .filter_map(|row| row.key.strip_prefix(&prefix)?.parse().ok())
-            .filter(|sealed| !imported.contains(sealed))
-            .collect();
-        for sealed in sealed {
-            self.start_takeover(sealed);
+        for incarnation in sealed {
+            let known = imported.contains(&incarnation)
+                || self.takeovers.contains_key(&incarnation)
+                || self.ownership.absorbed.contains(&incarnation);
+            if !known {
+                self.begin_takeover(incarnation, Step::Replay);
+            }
         }
     }
 
-    fn on_snapshot_read(
+    /// Replays the old owner's records and journals the result as the own.
+    fn import(
         &mut self,
         incarnation: &Incarnation,
-        object: Option<Vec<u8>>,
-        batches: Vec<Record>,
+        replayed: Vec<Record>,
+        sealed: Vec<Incarnation>,
     ) {
-        let images = object.map(|bytes| postcard::from_bytes::<Vec<Record>>(&bytes));
-        match images {
-            Some(Ok(images)) => self.import(incarnation, images, batches),
-            other => {
-                log::error!(snapshot:? = other.map(|result| result.err()); "snapshot is damaged");
-                self.import(incarnation, Vec::new(), batches);
-            }
-        }
-    }
-
-    /// Replays the old owner's records and journals the result as the own.
-    fn import(&mut self, incarnation: &Incarnation, images: Vec<Record>, batches: Vec<Record>) {
+        self.take_over_chain(sealed, &replayed);
         let mut programs = Programs::default();
-        for record in images.iter().chain(&batches) {
+        for record in &replayed {
             programs.apply(record);
         }
         programs.take_over();
@@ -358,3 +374,14 @@
         ..Txn::default()
     }
 }
+
+/// Records of a snapshot; none if it is damaged.
+fn read_snapshot(object: Option<Vec<u8>>) -> Vec<Record> {
+    match object.map(|bytes| postcard::from_bytes(&bytes)) {
+        Some(Ok(records)) => records,
+        other => {
+            log::error!(snapshot:? = other.map(Result::err); "snapshot is damaged");
+            Vec::new()
+        }
+    }
+}
--- a/crates/node/tests/schedules.rs
+++ b/crates/node/tests/schedules.rs
@@ -121,6 +121,7 @@
     sealed_during_its_stop = { found::sealed_during_its_stop() },
     seal_by_a_sealed_vm = { found::seal_by_a_sealed_vm() },
     import_during_a_claim = { found::import_during_a_claim() },
+    two_successors_of_one_chain = { found::two_successors_of_one_chain() },
 )]
 fn run_found_plan_holds(plan: Plan) {
     if let Err(error) = run(&plan) {
--- a/crates/node/tests/schedules/found.rs
+++ b/crates/node/tests/schedules/found.rs
@@ -139,3 +139,18 @@
         ],
     }
 }
+
+/// VM that had not sealed an incarnation yet imported what that one had
+/// sealed, and so did the one that came first.
+pub(crate) fn two_successors_of_one_chain() -> Plan {
+    Plan {
+        seed: 2846967204945078748,
+        programs: vec![vec![2, 3, 2, 3, 3, 2, 1], vec![0, 0, 1, 0, 3, 3, 3, 3, 1]],
+        faults: vec![
+            fault(Stop(2), Store(StoreMode::Down), 16),
+            fault(Pause(0), Kill(1), 50),
+            fault(Stop(0), Cut(2), 42),
+            fault(Kill(1), Target(2, TargetMode::Break), 25),
+        ],
+    }
+}
