A chain of sealed incarnations is noted before it is imported

Cause: read, not seen in a run: a successor that imports B and dies before it has imported A, which B had sealed, leaves A's row under B's name, where its own successor does not look, since B counts as imported by then. Ruled out: waiting with B's import for A's, which chains of any length would hold up. Before: A's programs without an owner; after: one transaction, while the own row is open, notes A as the own before B's import is journaled. All found plans and schedules pass; a test that dies just there is not written.

--- a/crates/node/src/node/takeover.rs
+++ b/crates/node/src/node/takeover.rs
@@ -9,7 +9,7 @@
     decode_batch, incarnation_key, log_key, log_prefix, seal, sealed_key, sealed_prefix,
     snapshot_key, snapshot_pointer_key, IncarnationRow, IncarnationState,
 };
-use lagoon_platform::{Op, StoreError, StoreReply, StoreRequest, Txn, TxnReply};
+use lagoon_platform::{Compare, Op, StoreError, StoreReply, StoreRequest, Txn, TxnReply};
 use lagoon_program::{Programs, Record};
 
 use crate::constants::STORE_AGAIN_MS;
@@ -36,6 +36,11 @@
         /// What the old owner had sealed itself.
         sealed: Vec<Incarnation>,
     },
+    /// What the old owner had sealed has to be noted as the own one's.
+    Adopt {
+        replayed: Vec<Record>,
+        sealed: Vec<Incarnation>,
+    },
     /// Import waits for its commit.
     Import(Vec<Record>),
 }
@@ -140,6 +145,7 @@
             Step::Snapshot { sequence, .. } => StoreRequest::GetObject {
                 key: snapshot_key(incarnation, *sequence),
             },
+            Step::Adopt { sealed, .. } => StoreRequest::Txn(adopt(self.journal.row(), sealed)),
             Step::Import(_) => return,
         };
         self.ask_store(request, StoreUse::TakeOver(incarnation.clone()));
@@ -174,7 +180,17 @@
             ) => {
                 let mut records = read_snapshot(object);
                 records.extend(batches);
-                self.import(&incarnation, records, sealed);
+                self.adopt_or_import(&incarnation, records, sealed);
+            }
+            (Step::Adopt { replayed, sealed }, StoreReply::Txn(reply)) if reply.succeeded => {
+                for incarnation in sealed {
+                    self.begin_takeover(incarnation, Step::Replay);
+                }
+                self.import(&incarnation, &replayed);
+            }
+            (Step::Adopt { .. }, StoreReply::Txn(_)) => {
+                self.drop_takeover(&incarnation);
+                self.on_own_row_sealed();
             }
             (step, reply) => log::error!(step:? = step, reply:? = reply; "reply fits no step"),
         }
@@ -250,14 +266,20 @@
                 };
                 self.set_step(incarnation, step);
             }
-            None => self.import(incarnation, batches, sealed),
+            None => self.adopt_or_import(incarnation, batches, sealed),
         }
     }
 
-    /// Takes over what the old owner had sealed and not imported.
+    /// Imports, after what the old owner had sealed and not imported is noted.
     ///
-    /// Nobody else can: the old owner's only successor is this incarnation.
-    fn take_over_chain(&mut self, sealed: Vec<Incarnation>, replayed: &[Record]) {
+    /// Nobody else can take that: the old owner's only successor is this
+    /// incarnation. Noted first, it is found even if this one dies next.
+    fn adopt_or_import(
+        &mut self,
+        incarnation: &Incarnation,
+        replayed: Vec<Record>,
+        sealed: Vec<Incarnation>,
+    ) {
         let imported: FastSet<&Incarnation> = replayed
             .iter()
             .filter_map(|record| match record {
@@ -265,26 +287,23 @@
                 _ => None,
             })
             .collect();
-        for incarnation in sealed {
-            let known = imported.contains(&incarnation)
-                || self.takeovers.contains_key(&incarnation)
-                || self.ownership.absorbed.contains(&incarnation);
-            if !known {
-                self.begin_takeover(incarnation, Step::Replay);
-            }
+        let known = |sealed: &Incarnation| {
+            imported.contains(sealed)
+                || self.takeovers.contains_key(sealed)
+                || self.ownership.absorbed.contains(sealed)
+        };
+        let sealed: Vec<Incarnation> = sealed.into_iter().filter(|sealed| !known(sealed)).collect();
+        if sealed.is_empty() {
+            self.import(incarnation, &replayed);
+        } else {
+            self.set_step(incarnation, Step::Adopt { replayed, sealed });
         }
     }
 
     /// Replays the old owner's records and journals the result as the own.
-    fn import(
-        &mut self,
-        incarnation: &Incarnation,
-        replayed: Vec<Record>,
-        sealed: Vec<Incarnation>,
-    ) {
-        self.take_over_chain(sealed, &replayed);
+    fn import(&mut self, incarnation: &Incarnation, replayed: &[Record]) {
         let mut programs = Programs::default();
-        for record in &replayed {
+        for record in replayed {
             programs.apply(record);
         }
         programs.take_over();
@@ -349,6 +368,22 @@
     }
 }
 
+/// Notes incarnations as sealed by `own`, while that is open.
+fn adopt(own: &IncarnationRow, sealed: &[Incarnation]) -> Txn {
+    let notes = sealed.iter().map(|sealed| Op::Put {
+        key: sealed_key(&own.incarnation, sealed),
+        value: Vec::new(),
+    });
+    Txn {
+        compare: vec![Compare::ValueIs {
+            key: incarnation_key(&own.incarnation),
+            value: own.encode(),
+        }],
+        success: notes.collect(),
+        failure: Vec::new(),
+    }
+}
+
 fn read(incarnation: &Incarnation) -> Txn {
     Txn {
         success: vec![Op::Get {
