A VM that is heard again lives again, unless it is sealed

After cuts and pauses two VMs held each other for dead for good; the third, to which the takeover fell, heard both, so nobody sealed anything and calls between the two were refused without end. Ruled out: the takeover itself (none was under way).

--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -157,10 +157,15 @@
         let Some(member) = self.others.get_mut(&beat.vm) else {
             return changes;
         };
-        if member.incarnation != beat.incarnation || member.dead {
-            // An incarnation that was given up never comes back.
+        if member.incarnation != beat.incarnation {
+            // An incarnation that a newer one followed never comes back.
             return changes;
         }
+        if member.dead {
+            // It was cut off. Whoever knows that it is sealed asks nothing here.
+            member.dead = false;
+            changes.push(Change::Joined(beat.vm.clone()));
+        }
         member.heard_ms = now_ms;
         member.sheet_version = beat.sheet_version;
         if beat.leaving && (newer || !member.leaving) {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -369,6 +369,13 @@
     }
 
     fn on_heartbeat(&mut self, beat: &Heartbeat) {
+        let sealed = self.takeovers.contains_key(&beat.incarnation)
+            || self.ownership.is_sealed(&beat.incarnation);
+        if sealed {
+            // It does not know yet, and nothing may be sent to it.
+            return;
+        }
+        self.ownership.orphans.remove(&beat.incarnation);
         let changes = self.members.on_heartbeat(beat, self.now_ms());
         self.on_changes(changes);
         for report in &beat.loads {
--- a/crates/node/src/node/ownership.rs
+++ b/crates/node/src/node/ownership.rs
@@ -66,6 +66,10 @@
         self.claimed.get(family)
     }
 
+    pub(crate) fn is_sealed(&self, incarnation: &Incarnation) -> bool {
+        self.successors.contains_key(incarnation)
+    }
+
     /// End of the known chain of successors.
     pub(crate) fn last_successor<'a>(&'a self, owner: &'a Incarnation) -> &'a Incarnation {
         let mut last = owner;
--- a/crates/node/tests/schedules.rs
+++ b/crates/node/tests/schedules.rs
@@ -122,6 +122,7 @@
     seal_by_a_sealed_vm = { found::seal_by_a_sealed_vm() },
     import_during_a_claim = { found::import_during_a_claim() },
     two_successors_of_one_chain = { found::two_successors_of_one_chain() },
+    each_holds_the_other_for_dead = { found::each_holds_the_other_for_dead() },
 )]
 fn run_found_plan_holds(plan: Plan) {
     if let Err(error) = run(&plan) {
--- a/crates/node/tests/schedules/found.rs
+++ b/crates/node/tests/schedules/found.rs
@@ -154,3 +154,24 @@
         ],
     }
 }
+
+/// Two VMs held each other for dead for good, and no third one agreed.
+pub(crate) fn each_holds_the_other_for_dead() -> Plan {
+    Plan {
+        seed: 4906019519352391434,
+        programs: vec![
+            vec![0, 1, 1, 3, 3, 1],
+            vec![0, 3, 1, 0, 0, 0, 1, 2, 0],
+            vec![1, 1, 1, 3, 0, 3],
+            vec![0, 0, 2, 1, 2, 2, 3],
+        ],
+        faults: vec![
+            fault(Loss(25), Store(StoreMode::LoseReplies), 18),
+            fault(Loss(59), Kill(0), 55),
+            fault(Cut(1), Loss(28), 3),
+            fault(Pause(2), Store(StoreMode::Down), 48),
+            fault(Cut(2), Pause(1), 25),
+            fault(Nothing, Loss(44), 13),
+        ],
+    }
+}
