One way to open a program

Ruled out: a difference that was meant. Before: two copies; after: Node::open serves both. A field that was written and never read is gone.

--- a/crates/node/src/node/answer.rs
+++ b/crates/node/src/node/answer.rs
@@ -157,9 +157,7 @@
 
     /// Records what became of a call and lets the next one run.
     fn record_outcome(&mut self, slot: CallSlot, finished: Finished) {
-        let call = &mut self.calls[slot];
-        call.used = finished.used;
-        let key = call.request.key.clone();
+        let key = self.calls[slot].request.key.clone();
         let record = Record::Finished {
             call: key.clone(),
             finished,
--- a/crates/node/src/node/call.rs
+++ b/crates/node/src/node/call.rs
@@ -75,7 +75,6 @@
     pub(crate) tries: u32,
     pub(crate) resumes: u32,
     pub(crate) answer: Answer,
-    pub(crate) used: Amounts,
     pub(crate) deadline_ms: Option<u64>,
 }
 
@@ -101,7 +100,6 @@
             tries: 0,
             resumes: 0,
             answer: Answer::default(),
-            used: Amounts::default(),
             deadline_ms: None,
         }
     }
--- a/crates/node/src/node/continuation.rs
+++ b/crates/node/src/node/continuation.rs
@@ -10,14 +10,12 @@
 use compact_str::CompactString;
 use hmac::{Hmac, KeyInit, Mac};
 use lagoon_ids::{AccountName, CallKey, MarketName, ProgramId};
-use lagoon_journal::Group;
 use lagoon_platform::{Compare, Op, StoreError, StoreRequest, Txn, TxnReply};
 use lagoon_program::{Amounts, Opening, Record};
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
 
 use crate::node::call::CallSlot;
-use crate::node::commit::Commit;
 use crate::node::store::StoreUse;
 use crate::node::Node;
 
@@ -122,21 +120,7 @@
             market: proof.market.clone(),
             limit: proof.limit,
         };
-        let Ok(record) = self.programs.open(opening) else {
-            return false;
-        };
-        self.programs.apply(&record);
-        let program = proof.program.clone();
-        self.opening.insert(program.clone());
-        let is_claim = program.parent().is_none() && program.issuer().is_none();
-        let claim = is_claim.then(|| program.family().to_owned());
-        let group = Group {
-            records: vec![record],
-            claim,
-            ..Group::default()
-        };
-        self.journal_group(group, Some(Commit::Opened(program)));
-        true
+        self.open(opening).is_ok()
     }
 }
 
--- a/crates/node/src/node/owner.rs
+++ b/crates/node/src/node/owner.rs
@@ -180,38 +180,37 @@
 
     fn open_program(&mut self, slot: CallSlot) {
         let request = &self.calls[slot].request;
-        let program = request.key.program.clone();
         if let Some(refusal) = self.refuse_opening(request) {
             self.refuse(slot, refusal);
             return;
         }
         let opening = Opening {
-            program: program.clone(),
+            program: request.key.program.clone(),
             account: request.account.clone(),
             market: request.market.clone(),
             limit: self.limit(request),
         };
-        let record = match self.programs.open(opening) {
-            Ok(record) => record,
-            Err(refusal) => {
-                self.refuse(slot, refusal);
-                return;
-            }
-        };
+        match self.open(opening) {
+            Ok(()) => self.advance_order(slot),
+            Err(refusal) => self.refuse(slot, refusal),
+        }
+    }
+
+    /// Opens a program, and claims its family if a caller named it.
+    pub(super) fn open(&mut self, opening: Opening) -> Result<(), Refusal> {
+        let program = opening.program.clone();
+        let record = self.programs.open(opening)?;
         self.programs.apply(&record);
         self.touch(&program);
         self.opening.insert(program.clone());
         let is_claim = program.parent().is_none() && program.issuer().is_none();
-        let claim = is_claim.then(|| program.family().to_owned());
-        self.journal_group(
-            Group {
-                records: vec![record],
-                claim,
-                ..Group::default()
-            },
-            Some(Commit::Opened(program)),
-        );
-        self.advance_order(slot);
+        let group = Group {
+            records: vec![record],
+            claim: is_claim.then(|| program.family().to_owned()),
+            ..Group::default()
+        };
+        self.journal_group(group, Some(Commit::Opened(program)));
+        Ok(())
     }
 
     /// Notes that something happened to a program.
