--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -194,7 +194,7 @@
     parts: Parts,
     body: Bytes,
     arrived_ms: u64,
-    _active: Active,
+    active: Active,
 ) -> Result<Call, Box<Response<ReplyBody>>> {
     let facts = request_facts(&parts.headers);
     let config = shared.config.borrow().clone();
