Stop: no new connections, then until the last one has closed

The process left once no handler was active; an answer not yet written, or a request on a connection just accepted, was cut. It now stops accepting and waits for the connections themselves.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -66,23 +66,6 @@
     may_run: bool,
     choice: Option<Choice>,
     target: CompactString,
-    _active: Active,
-}
-
-/// Counts requests under way.
-struct Active(Rc<Shared>);
-
-impl Active {
-    fn new(shared: &Rc<Shared>) -> Active {
-        shared.active.set(shared.active.get() + 1);
-        Active(Rc::clone(shared))
-    }
-}
-
-impl Drop for Active {
-    fn drop(&mut self) {
-        self.0.active.set(self.0.active.get() - 1);
-    }
 }
 
 /// Counts a request at its target.
@@ -149,7 +132,6 @@
 
 /// Answers one request.
 pub(crate) async fn handle(shared: Rc<Shared>, request: Request<Incoming>) -> Response<ReplyBody> {
-    let active = Active::new(&shared);
     let arrived_ms = shared.now_ms();
     let (parts, body) = request.into_parts();
     let limits = {
@@ -160,7 +142,7 @@
         Ok(body) => body,
         Err(answer) => return *answer,
     };
-    let call = match admit(shared, parts, body, arrived_ms, active) {
+    let call = match admit(shared, parts, body, arrived_ms) {
         Ok(call) => call,
         Err(answer) => return *answer,
     };
@@ -194,7 +176,6 @@
     parts: Parts,
     body: Bytes,
     arrived_ms: u64,
-    active: Active,
 ) -> Result<Call, Box<Response<ReplyBody>>> {
     let facts = request_facts(&parts.headers);
     let config = shared.config.borrow().clone();
@@ -233,7 +214,6 @@
         may_run: false,
         choice: None,
         target: CompactString::default(),
-        _active: active,
         shared,
     })
 }
@@ -284,11 +264,15 @@
         log::info!(
             request = self.facts.request_id.as_str(),
             program = self.facts.program.as_deref().unwrap_or("-"),
+            session = self.facts.session.as_deref().unwrap_or("-"),
             route = self.route.name.as_str(),
             config_version = self.config_version,
             status = status.as_u16(),
             target_id = self.target.as_str(),
             failed_tries = self.attempts.count(),
+            prompt_parts = self.facts.prefix.len(),
+            budget_tokens = self.facts.turn.as_ref().map_or(0, |turn| turn.budget_tokens),
+            used_tokens = self.charged.as_ref().map_or(0, Charged::used_tokens),
             load = choice.map_or(0.0, |choice| choice.load),
             load_age_ms = choice.and_then(|choice| choice.load_age_ms).map_or(-1, |age| age as i64),
             left_ms = self.until_ms as i64 - now_ms as i64,
--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -50,6 +50,10 @@
     pub(crate) fn use_tokens(&mut self, tokens: u64) {
         self.used_tokens += tokens;
     }
+
+    pub(crate) fn used_tokens(&self) -> u64 {
+        self.used_tokens
+    }
 }
 
 impl Drop for Charged {
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -20,7 +20,7 @@
     charge_s: Histogram,
     config_version: IntGauge,
     targets: IntGauge,
-    callers: IntGauge,
+    connections: IntGauge,
 }
 
 /// Metrics of the daemon.
@@ -54,7 +54,7 @@
             charge_s: histogram("lagoon_charge_seconds", "Wait for a budget's charge")?,
             config_version: gauge("lagoon_config_version", "Configuration in force")?,
             targets: gauge("lagoon_targets", "Targets known")?,
-            callers: gauge("lagoon_caller_connections", "Callers' connections")?,
+            connections: gauge("lagoon_connections", "Connections that are open here")?,
             registry,
         })))
     }
@@ -87,12 +87,8 @@
         self.0.targets.set(count as i64);
     }
 
-    pub(crate) fn caller_opened(&self) {
-        self.0.callers.inc();
-    }
-
-    pub(crate) fn caller_closed(&self) {
-        self.0.callers.dec();
+    pub(crate) fn connections(&self, count: usize) {
+        self.0.connections.set(count as i64);
     }
 
     /// Text exposition.
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -88,11 +88,6 @@
             !kept.is_empty()
         });
     }
-
-    /// Idle connections.
-    pub(crate) fn len(&self) -> usize {
-        self.idle.borrow().values().map(Vec::len).sum()
-    }
 }
 
 impl Lease {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -193,10 +193,8 @@
     log::info!(wait_s; "stopping");
     sleep(BALANCER_WAIT).await;
     stop.send_replace(true);
-    while shared.active.get() > 0 && Instant::now() < until {
+    while shared.connections.get() > 0 && Instant::now() < until {
         sleep(HOUSEKEEPING_PERIOD).await;
     }
-    // Answers that are written are sent by the kernel; a moment for the rest.
-    sleep(HOUSEKEEPING_PERIOD).await;
-    log::info!(unanswered = shared.active.get(); "stopped");
+    log::info!(unclosed = shared.connections.get(); "stopped");
 }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -44,22 +44,29 @@
     TcpListener::from_std(socket.into())
 }
 
-/// Serves callers until the process ends. Connections close between two
-/// requests once `stop` says so.
+/// Accepts connections until `stop` says so; those that are open then close
+/// between two requests.
 pub(crate) async fn serve<F, R>(
     shared: Rc<Shared>,
     listener: TcpListener,
-    stop: watch::Receiver<bool>,
+    mut stop: watch::Receiver<bool>,
     handle: F,
 ) where
     F: Fn(Request<Incoming>) -> R + Clone + 'static,
     R: Future<Output = Response<ReplyBody>> + 'static,
 {
+    let stopped = stop.clone();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|stop| *stop) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
+                let shared = Rc::clone(&shared);
+                let connection = Open::new(&shared);
                 let connection =
-                    serve_connection(Rc::clone(&shared), stream, stop.clone(), handle.clone());
+                    serve_connection(connection, stream, stopped.clone(), handle.clone());
                 tokio::task::spawn_local(connection);
             }
             Err(error) => {
@@ -70,8 +77,26 @@
     }
 }
 
+/// Counts open connections.
+struct Open(Rc<Shared>);
+
+impl Open {
+    fn new(shared: &Rc<Shared>) -> Open {
+        shared.connections.set(shared.connections.get() + 1);
+        shared.metrics.connections(shared.connections.get());
+        Open(Rc::clone(shared))
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+        self.0.metrics.connections(self.0.connections.get());
+    }
+}
+
 async fn serve_connection<F, R>(
-    shared: Rc<Shared>,
+    _open: Open,
     stream: TcpStream,
     mut stop: watch::Receiver<bool>,
     handle: F,
@@ -82,7 +107,6 @@
     if let Err(error) = tune(&stream) {
         log::debug!(error = error.to_string(); "socket option refused");
     }
-    shared.metrics.caller_opened();
     let service = service_fn(|request| {
         let answer = handle(request);
         async move { Ok::<_, Infallible>(answer.await) }
@@ -103,7 +127,6 @@
     if let Err(error) = ended {
         log::debug!(error = error.to_string(); "caller's connection ended");
     }
-    shared.metrics.caller_closed();
 }
 
 /// Answers the balancer's question.
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -28,8 +28,8 @@
     /// Whether the list of targets was read since the start.
     pub(crate) targets_known: Cell<bool>,
     pub(crate) stopping: Cell<bool>,
-    /// Requests under way.
-    pub(crate) active: Cell<usize>,
+    /// Connections that others opened.
+    pub(crate) connections: Cell<usize>,
     last_targets: RefCell<FastMap<CompactString, TargetKey>>,
 }
 
@@ -51,7 +51,7 @@
             targets: RefCell::default(),
             targets_known: Cell::new(false),
             stopping: Cell::new(false),
-            active: Cell::new(0),
+            connections: Cell::new(0),
             last_targets: RefCell::default(),
         })
     }
