Tokens are charged ahead and held, so most turns need no write

Programs use about 15% of their budget, so the first VM of a program may hold up to half of it and later ones a quarter of what is left; held tokens go back when the budget is short. Ruled out: refunds after each turn (two writes a turn).

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -40,6 +40,10 @@
 /// Time to come back after a refusal for want of a place.
 const BUSY_RETRY_MS: u64 = 200;
 
+/// Time to come back while other VMs hold what is left of a budget, beyond
+/// the time after which they give it back.
+const HELD_RETRY_MS: u64 = 450;
+
 /// Time to come back while something that is needed is away.
 const AWAY_RETRY_MS: u64 = 700;
 
@@ -310,7 +314,13 @@
                 self.finished(budget_refusal(), "budget spent");
                 Err(Box::new(reply::text(budget_refusal(), "budget spent")))
             }
-            Err(_) => Err(self.refuse("budget not known", AWAY_RETRY_MS)),
+            Err(Decision::HeldElsewhere { held_tokens }) => {
+                log::info!(request = self.facts.request_id.as_str(), held_tokens; "budget is held by other VMs");
+                Err(self.refuse("budget held elsewhere", HELD_RETRY_MS))
+            }
+            Err(Decision::Granted(_) | Decision::Unavailable) => {
+                Err(self.refuse("budget not known", AWAY_RETRY_MS))
+            }
         }
     }
 
--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -5,10 +5,12 @@
 use std::time::Duration;
 
 use lagoon_gateway::{
-    Accounts, BudgetWrite, Decision, Grant, ProgramKey, StoreCall, StoreError, StoreReply, Waiter,
+    Accounts, Asked, BudgetWrite, Decision, Grant, ProgramKey, StoreCall, StoreError, StoreReply,
+    Waiter,
 };
 use lagoon_ids::FastMap;
 use tokio::sync::oneshot;
+use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout_at, Instant};
 
 use crate::clock::Clock;
@@ -74,9 +76,8 @@
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
         if self.ledger.waiting.borrow_mut().remove(&self.waiter).is_some() {
-            let now_ms = self.ledger.clock.now_ms();
             let mut accounts = self.ledger.accounts.borrow_mut();
-            accounts.withdraw(self.program, self.waiter, now_ms);
+            accounts.withdraw(self.program, self.waiter);
         }
     }
 }
@@ -100,22 +101,25 @@
     ) -> Result<Charged, Decision> {
         let waiter = Waiter(self.next_waiter.get());
         self.next_waiter.set(waiter.0 + 1);
+        let program = charge.program;
+        let asked = Asked {
+            waiter,
+            budget_tokens: charge.budget_tokens,
+            tokens: charge.tokens,
+            retention_ms: charge.retention_ms,
+        };
+        let now_ms = self.clock.now_ms();
+        let held = self.accounts.borrow_mut().ask(&program, asked, now_ms);
+        if let Some(grant) = held {
+            return Ok(self.charged(program, grant));
+        }
         let (sender, decided) = oneshot::channel();
         self.waiting.borrow_mut().insert(waiter, sender);
-        let program = charge.program;
         let waiting = Waiting {
             ledger: self,
             program: &program,
             waiter,
         };
-        self.accounts.borrow_mut().request(
-            &program,
-            waiter,
-            charge.budget_tokens,
-            charge.tokens,
-            charge.retention_ms,
-            self.clock.now_ms(),
-        );
         self.write_on(&program);
         let decision = match timeout_at(until, decided).await {
             Ok(Ok(decision)) => decision,
@@ -123,21 +127,25 @@
         };
         drop(waiting);
         match decision {
-            Decision::Granted(grant) => Ok(Charged {
-                ledger: Rc::clone(self),
-                program,
-                grant,
-                used_tokens: 0,
-            }),
+            Decision::Granted(grant) => Ok(self.charged(program, grant)),
             refusal => Err(refusal),
         }
     }
 
+    fn charged(self: &Rc<Self>, program: ProgramKey, grant: Grant) -> Charged {
+        Charged {
+            ledger: Rc::clone(self),
+            program,
+            grant,
+            used_tokens: 0,
+        }
+    }
+
     /// Starts to write what the program needs.
     fn write_on(self: &Rc<Self>, program: &ProgramKey) {
-        let next = self.accounts.borrow_mut().next_write(program);
+        let next = self.accounts.borrow_mut().charge(program);
         if let Some(first) = next {
-            tokio::task::spawn_local(Rc::clone(self).write_all(first));
+            spawn_local(Rc::clone(self).write_all(first));
         }
     }
 
@@ -146,16 +154,11 @@
         while let Some(BudgetWrite { program, write }) = next {
             let reply = self.write(StoreCall::Transact(vec![write])).await;
             let now_ms = self.clock.now_ms();
-            let decisions = self.accounts.borrow_mut().written(&program, &reply, now_ms);
+            let decisions = self.accounts.borrow_mut().written(&program, &reply);
             for (waiter, decision) in decisions {
                 self.decide(&program, waiter, decision, now_ms);
             }
-            let mut accounts = self.accounts.borrow_mut();
-            next = if accounts.has_waiting(&program) {
-                accounts.next_write(&program)
-            } else {
-                None
-            };
+            next = self.accounts.borrow_mut().charge(&program);
         }
     }
 
@@ -189,11 +192,14 @@
         Err(lost.unwrap_or(StoreError::NoReply("no try".into())))
     }
 
-    /// Writes back what calls did not use, where others may need it.
-    pub(crate) fn settle_due(self: &Rc<Self>) {
+    /// Gives back what is held where others may need it.
+    pub(crate) fn give_back_due(self: &Rc<Self>) {
         let due = self.accounts.borrow().due(self.clock.now_ms());
         for program in due {
-            self.write_on(&program);
+            let write = self.accounts.borrow_mut().give_back(&program);
+            if let Some(write) = write {
+                spawn_local(Rc::clone(self).write_all(write));
+            }
         }
     }
 
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -76,7 +76,7 @@
     let incarnation: u32 = rand::rng().random();
     let writer = compact_str::format_compact!("{incarnation:08x}");
     let accounts = Accounts::new(BudgetSettings {
-        settle_after_ms: settings.limits.settle_ms / 4,
+        return_after_ms: settings.limits.settle_ms / 4,
         ..BudgetSettings::of(writer.clone())
     });
     let ledger = Ledger::new(clock, Rc::clone(&store), accounts);
@@ -156,7 +156,7 @@
     let mut round = 0;
     loop {
         sleep(HOUSEKEEPING_PERIOD).await;
-        shared.ledger.settle_due();
+        shared.ledger.give_back_due();
         shared.targets.borrow_mut().sweep(shared.now_ms());
         round += 1;
         if round % SWEEP_ROUNDS == 0 {
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -1,10 +1,11 @@
 //! Token budgets of programs, whichever VMs their calls come through.
 //!
-//! Each program has one row in the platform's store. A call's most tokens are
-//! charged there, under the condition that nobody changed the row since,
-//! before the call is sent; what it did not use is given back with a later
-//! write. A write whose reply was lost is recognized by the number that its
-//! VM left in the row. A row can thus only overstate what was spent.
+//! Each program has one row in the platform's store. Tokens are charged there
+//! before they are spent, under the condition that nobody changed the row
+//! since. A VM charges some more than its next call needs and holds them, so
+//! that most calls need no write; what it holds goes back when the budget
+//! gets short. A write whose reply was lost is recognized by the number that
+//! its VM left in the row. A row can thus only overstate what was spent.
 
 use compact_str::CompactString;
 use derive_more::{AsRef, Display, From};
@@ -22,7 +23,7 @@
 /// Longest name that is a key as it is, in bytes.
 const KEY_BYTES: usize = 64;
 
-/// Writers whose numbers a row keeps.
+/// Writers whose marks a row keeps.
 const WRITERS: usize = 16;
 
 /// Program as callers name it.
@@ -50,11 +51,13 @@
 pub struct BudgetSettings {
     /// Name of this incarnation of the VM, unlike any other's.
     pub writer: CompactString,
-    /// Age at which what a call did not use is written back if the budget is
+    /// Time without a call after which held tokens go back if the budget is
     /// short.
-    pub settle_after_ms: u64,
+    pub return_after_ms: u64,
     /// Calls of the most tokens below which a budget is short.
     pub short_calls: u64,
+    /// Calls of the most tokens that are held at most.
+    pub held_calls: u64,
 }
 
 impl BudgetSettings {
@@ -62,32 +65,49 @@
     pub fn of(writer: CompactString) -> BudgetSettings {
         BudgetSettings {
             writer,
-            settle_after_ms: 250,
-            short_calls: 12,
+            return_after_ms: 250,
+            short_calls: 8,
+            held_calls: 5,
         }
     }
 }
 
+/// What one writer left in a row.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Mark {
+    /// Writer.
+    pub writer: CompactString,
+    /// Number of its last write.
+    pub number: u64,
+    /// Tokens that it held then beyond its calls under way.
+    pub held_tokens: u64,
+}
+
 /// Row as it is stored, as JSON.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct AccountRow {
-    /// Tokens that are spent, and those that calls under way may spend.
+    /// Tokens that are spent, held, or charged for calls under way.
     pub charged_tokens: u64,
-    /// Number of the last write of each writer, newest writer last.
-    pub writers: Vec<(CompactString, u64)>,
+    /// Marks, newest last.
+    pub marks: Vec<Mark>,
 }
 
 impl AccountRow {
     fn last_of(&self, writer: &str) -> u64 {
-        let found = self.writers.iter().find(|(name, _)| name == writer);
-        found.map_or(0, |(_, number)| *number)
+        let found = self.marks.iter().find(|mark| mark.writer == writer);
+        found.map_or(0, |mark| mark.number)
     }
 
-    fn mark(&mut self, writer: &CompactString, number: u64) {
-        self.writers.retain(|(name, _)| name != writer);
-        self.writers.push((writer.clone(), number));
-        let excess = self.writers.len().saturating_sub(WRITERS);
-        self.writers.drain(..excess);
+    fn mark(&mut self, mark: Mark) {
+        self.marks.retain(|other| other.writer != mark.writer);
+        self.marks.push(mark);
+        let excess = self.marks.len().saturating_sub(WRITERS);
+        self.marks.drain(..excess);
+    }
+
+    fn held_by_others(&self, writer: &str) -> u64 {
+        let others = self.marks.iter().filter(|mark| mark.writer != writer);
+        others.map(|mark| mark.held_tokens).sum()
     }
 }
 
@@ -112,6 +132,11 @@
         /// Tokens that are charged already.
         charged_tokens: u64,
     },
+    /// Other VMs hold what is left, and give it back soon.
+    HeldElsewhere {
+        /// Tokens that they hold.
+        held_tokens: u64,
+    },
     /// The store can't say.
     Unavailable,
 }
@@ -125,44 +150,60 @@
     pub write: Write,
 }
 
-#[derive(Clone, Debug)]
-struct Request {
-    waiter: Waiter,
-    budget_tokens: u64,
-    tokens: u64,
+/// Call that asks for its charge.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Asked {
+    /// Reference.
+    pub waiter: Waiter,
+    /// Budget of its program.
+    pub budget_tokens: u64,
+    /// Most tokens that it may spend.
+    pub tokens: u64,
+    /// How long the program may be silent and go on.
+    pub retention_ms: u64,
 }
 
+/// Write under way, or one whose end is unknown.
 #[derive(Clone, Debug)]
 struct Pending {
     number: u64,
     granted: Vec<(Waiter, Grant)>,
     /// Charged for calls that gave up waiting meanwhile.
     abandoned_tokens: u64,
-    refund_tokens: u64,
+    /// Held before, and part of what is granted.
+    held_before_tokens: u64,
+    /// Held after.
+    held_after_tokens: u64,
     row: AccountRow,
 }
 
 impl Pending {
-    fn charged_tokens(&self) -> u64 {
-        let granted = self.granted.iter().map(|(_, grant)| grant.tokens);
-        granted.sum::<u64>() + self.abandoned_tokens
+    /// Tokens of this VM once the write is applied.
+    fn owned_tokens(&self) -> u64 {
+        let granted: u64 = self.granted.iter().map(|(_, grant)| grant.tokens).sum();
+        granted + self.abandoned_tokens + self.held_after_tokens
+    }
+
+    /// Tokens of this VM whether or not the write is applied.
+    fn certain_tokens(&self) -> u64 {
+        self.owned_tokens().min(self.held_before_tokens)
     }
 }
 
 /// Account of one program at this VM.
 #[derive(Clone, Debug, Default)]
-pub struct Account {
+struct Account {
     version: u64,
     row: AccountRow,
     budget_tokens: u64,
     largest_call_tokens: u64,
-    waiting: Vec<Request>,
+    waiting: Vec<Asked>,
     pending: Option<Pending>,
     /// Writes that were given up. All have the condition of the next one, so
     /// at most one of them was applied.
     unresolved: Vec<Pending>,
-    refund_tokens: u64,
-    refund_since_ms: u64,
+    /// Charged in the row and not given to a call.
+    held_tokens: u64,
     used_ms: u64,
     retention_ms: u64,
 }
@@ -195,111 +236,138 @@
         self.accounts.is_empty()
     }
 
-    /// Asks for the charge of a call; [`Accounts::written`] decides.
-    pub fn request(
-        &mut self,
-        program: &ProgramKey,
-        waiter: Waiter,
-        budget_tokens: u64,
-        tokens: u64,
-        retention_ms: u64,
-        now_ms: u64,
-    ) {
+    /// Charges a call from what is held, or queues it for the next write, to
+    /// be decided by [`Accounts::written`].
+    pub fn ask(&mut self, program: &ProgramKey, asked: Asked, now_ms: u64) -> Option<Grant> {
         let account = self.accounts.entry(program.clone()).or_default();
         account.used_ms = now_ms;
-        account.retention_ms = account.retention_ms.max(retention_ms);
-        account.budget_tokens = budget_tokens;
-        account.largest_call_tokens = account.largest_call_tokens.max(tokens);
-        account.waiting.push(Request {
-            waiter,
-            budget_tokens,
-            tokens,
-        });
+        account.retention_ms = account.retention_ms.max(asked.retention_ms);
+        account.budget_tokens = asked.budget_tokens;
+        account.largest_call_tokens = account.largest_call_tokens.max(asked.tokens);
+        if account.held_tokens >= asked.tokens && account.waiting.is_empty() {
+            account.held_tokens -= asked.tokens;
+            return Some(Grant {
+                tokens: asked.tokens,
+            });
+        }
+        account.waiting.push(asked);
+        None
     }
 
-    /// Withdraws a call that gave up waiting. A charge that is being written
-    /// for it is given back.
-    pub fn withdraw(&mut self, program: &ProgramKey, waiter: Waiter, now_ms: u64) {
+    /// Withdraws a call that gave up waiting. What is being charged for it is
+    /// held.
+    pub fn withdraw(&mut self, program: &ProgramKey, waiter: Waiter) {
         let Some(account) = self.accounts.get_mut(program) else {
             return;
         };
-        account.waiting.retain(|request| request.waiter != waiter);
+        account.waiting.retain(|asked| asked.waiter != waiter);
         if let Some(pending) = &mut account.pending {
             let granted = &mut pending.granted;
             if let Some(index) = granted.iter().position(|(held, _)| *held == waiter) {
                 pending.abandoned_tokens += granted.swap_remove(index).1.tokens;
             }
         }
-        account.used_ms = now_ms;
     }
 
     /// Ends a charged call that used `used_tokens`.
     pub fn settle(&mut self, program: &ProgramKey, grant: Grant, used_tokens: u64, now_ms: u64) {
         if let Some(account) = self.accounts.get_mut(program) {
-            account.give_back(grant.tokens.saturating_sub(used_tokens), now_ms);
+            account.held_tokens += grant.tokens.saturating_sub(used_tokens);
             account.used_ms = now_ms;
         }
     }
 
-    /// Write that the program needs now, if none is under way.
-    pub fn next_write(&mut self, program: &ProgramKey) -> Option<BudgetWrite> {
+    /// Whether calls wait for a further write.
+    pub fn has_waiting(&self, program: &ProgramKey) -> bool {
+        let account = self.accounts.get(program);
+        account.is_some_and(|account| !account.waiting.is_empty())
+    }
+
+    /// Write that charges the waiting calls, if none is under way.
+    pub fn charge(&mut self, program: &ProgramKey) -> Option<BudgetWrite> {
         let account = self.accounts.get_mut(program)?;
-        if account.pending.is_some() {
+        if account.pending.is_some() || account.waiting.is_empty() {
             return None;
         }
-        let refund_tokens = account.refund_tokens.min(account.row.charged_tokens);
-        let mut charged_tokens = account.row.charged_tokens - refund_tokens;
+        let held_before_tokens = std::mem::take(&mut account.held_tokens);
+        let mut left_tokens = account.left_tokens() + held_before_tokens;
         let mut granted = Vec::new();
-        account.waiting.retain(|request| {
-            let fits = charged_tokens + request.tokens <= request.budget_tokens;
-            // What a fresh row says is decided by the store's version of it.
+        account.waiting.retain(|asked| {
+            let fits = asked.tokens <= left_tokens;
             if fits {
-                charged_tokens += request.tokens;
+                left_tokens -= asked.tokens;
                 let grant = Grant {
-                    tokens: request.tokens,
+                    tokens: asked.tokens,
                 };
-                granted.push((request.waiter, grant));
+                granted.push((asked.waiter, grant));
             }
             !fits
         });
-        if granted.is_empty() && refund_tokens == 0 && account.waiting.is_empty() {
+        let held_after_tokens = if granted.is_empty() {
+            // The write only makes sure that the row is current.
+            held_before_tokens
+        } else {
+            account.ahead_tokens(&self.settings, left_tokens)
+        };
+        self.begin(program, granted, held_before_tokens, held_after_tokens)
+    }
+
+    /// Write that gives back what is held, if none is under way. It also finds
+    /// out what became of writes without a reply.
+    pub fn give_back(&mut self, program: &ProgramKey) -> Option<BudgetWrite> {
+        let account = self.accounts.get_mut(program)?;
+        if account.pending.is_some() || !account.has_surplus() {
             return None;
         }
+        let held_tokens = std::mem::take(&mut account.held_tokens);
+        self.begin(program, Vec::new(), held_tokens, 0)
+    }
+
+    fn begin(
+        &mut self,
+        program: &ProgramKey,
+        granted: Vec<(Waiter, Grant)>,
+        held_before_tokens: u64,
+        held_after_tokens: u64,
+    ) -> Option<BudgetWrite> {
         let number = self.next_number;
         self.next_number += 1;
-        let mut row = AccountRow {
-            charged_tokens,
-            ..account.row.clone()
-        };
-        row.mark(&self.settings.writer, number);
-        account.refund_tokens -= refund_tokens;
-        let write = account.write(program, &row);
-        account.pending = Some(Pending {
+        let account = self.accounts.get_mut(program)?;
+        let mut pending = Pending {
             number,
             granted,
             abandoned_tokens: 0,
-            refund_tokens,
-            row,
+            held_before_tokens,
+            held_after_tokens,
+            row: account.row.clone(),
+        };
+        let charged_tokens = account.row.charged_tokens + pending.owned_tokens();
+        pending.row.charged_tokens = charged_tokens.saturating_sub(held_before_tokens);
+        pending.row.mark(Mark {
+            writer: self.settings.writer.clone(),
+            number,
+            held_tokens: held_after_tokens,
         });
+        // A struct of numbers and texts always serializes.
+        let value = serde_json::to_vec(&pending.row).unwrap_or_default();
+        let write = Write {
+            key: program.row_key(),
+            expected: account.version,
+            value: Some(value),
+        };
+        account.pending = Some(pending);
         Some(BudgetWrite {
             program: program.clone(),
             write,
         })
     }
 
-    /// Whether calls wait for a further write.
-    pub fn has_waiting(&self, program: &ProgramKey) -> bool {
-        let account = self.accounts.get(program);
-        account.is_some_and(|account| !account.waiting.is_empty())
-    }
-
     /// Takes the reply to the write under way. Calls that are decided are
     /// returned; others go into the next write.
     pub fn written(
         &mut self,
         program: &ProgramKey,
         reply: &Result<StoreReply, StoreError>,
-        now_ms: u64,
     ) -> Vec<(Waiter, Decision)> {
         let Some(account) = self.accounts.get_mut(program) else {
             return Vec::new();
@@ -307,26 +375,36 @@
         let Some(pending) = account.pending.take() else {
             return Vec::new();
         };
+        let writer = self.settings.writer.as_str();
         match reply {
-            Ok(StoreReply::Applied { version }) => {
-                account.applied(*version, pending, now_ms)
-            }
+            Ok(StoreReply::Applied { version }) => account.applied(*version, pending, writer),
             Ok(StoreReply::Conflict(rows)) => {
-                account.conflict(&self.settings.writer, program, rows, pending, now_ms)
+                let key = program.row_key();
+                let found = rows.iter().find(|row| row.key == key);
+                account.conflict(writer, found, pending)
+            }
+            Err(StoreError::NoReply(_)) => {
+                account.held_tokens += pending.certain_tokens();
+                let granted = pending.granted.clone();
+                account.unresolved.push(pending);
+                account.refuse(granted)
+            }
+            Ok(_) | Err(_) => {
+                account.held_tokens += pending.held_before_tokens;
+                account.refuse(pending.granted)
             }
-            Ok(_) | Err(_) => account.give_up(pending, reply, now_ms),
         }
     }
 
-    /// Programs whose refunds are due: the budget is short, and waiting calls
-    /// of other VMs may need them.
+    /// Programs whose held tokens should go back: the budget is short, and
+    /// calls at other VMs may need them.
     pub fn due(&self, now_ms: u64) -> Vec<ProgramKey> {
         let settings = &self.settings;
         self.accounts
             .iter()
-            .filter(|(_, account)| account.pending.is_none() && account.refund_tokens > 0)
-            .filter(|(_, account)| account.is_short(settings.short_calls))
-            .filter(|(_, account)| account.refund_since_ms + settings.settle_after_ms <= now_ms)
+            .filter(|(_, account)| account.pending.is_none() && account.has_surplus())
+            .filter(|(_, account)| account.is_short(settings))
+            .filter(|(_, account)| account.used_ms + settings.return_after_ms <= now_ms)
             .map(|(program, _)| program.clone())
             .collect()
     }
@@ -352,62 +430,70 @@
 }
 
 impl Account {
-    fn write(&self, program: &ProgramKey, row: &AccountRow) -> Write {
-        // A struct of numbers and texts always serializes.
-        let value = serde_json::to_vec(row).unwrap_or_default();
-        Write {
-            key: program.row_key(),
-            expected: self.version,
-            value: Some(value),
-        }
+    fn left_tokens(&self) -> u64 {
+        self.budget_tokens.saturating_sub(self.row.charged_tokens)
     }
 
-    fn is_short(&self, short_calls: u64) -> bool {
-        let left_tokens = self.budget_tokens.saturating_sub(self.row.charged_tokens);
-        left_tokens < short_calls * self.largest_call_tokens
+    /// Whether tokens are charged that no call needs.
+    fn has_surplus(&self) -> bool {
+        self.held_tokens > 0 || !self.unresolved.is_empty()
     }
 
-    fn give_back(&mut self, tokens: u64, now_ms: u64) {
-        if tokens == 0 {
-            return;
-        }
-        if self.refund_tokens == 0 {
-            self.refund_since_ms = now_ms;
-        }
-        self.refund_tokens += tokens;
+    fn is_short(&self, settings: &BudgetSettings) -> bool {
+        self.left_tokens() < settings.short_calls * self.largest_call_tokens
+    }
+
+    /// Tokens to charge beyond the waiting calls. The first VM of a program,
+    /// which as a rule sees most of it, takes up to half of the budget.
+    fn ahead_tokens(&self, settings: &BudgetSettings, left_tokens: u64) -> u64 {
+        let share = if self.version == 0 {
+            left_tokens.saturating_sub(self.budget_tokens / 2)
+        } else {
+            left_tokens / 4
+        };
+        share.min(settings.held_calls * self.largest_call_tokens)
     }
 
     fn applied(
         &mut self,
         version: u64,
         pending: Pending,
-        now_ms: u64,
+        writer: &str,
     ) -> Vec<(Waiter, Decision)> {
         self.version = version;
         self.row = pending.row;
-        // Their condition is void now.
+        self.held_tokens += pending.held_after_tokens + pending.abandoned_tokens;
+        // The condition of these is void now, so they never were applied.
         for unresolved in std::mem::take(&mut self.unresolved) {
-            self.give_back(unresolved.refund_tokens, now_ms);
+            self.held_tokens += unresolved.held_before_tokens - unresolved.certain_tokens();
         }
-        self.give_back(pending.abandoned_tokens, now_ms);
-        self.decide(pending.granted)
+        self.decide(pending.granted, writer)
     }
 
     /// Grants what is charged, and refuses what the row, now known to be
     /// current, does not hold.
-    fn decide(&mut self, granted: Vec<(Waiter, Grant)>) -> Vec<(Waiter, Decision)> {
+    fn decide(
+        &mut self,
+        granted: Vec<(Waiter, Grant)>,
+        writer: &str,
+    ) -> Vec<(Waiter, Decision)> {
         let granted = granted.into_iter();
         let mut decisions: Vec<_> = granted
             .map(|(waiter, grant)| (waiter, Decision::Granted(grant)))
             .collect();
+        let left_tokens = self.left_tokens() + self.held_tokens;
         let charged_tokens = self.row.charged_tokens;
-        let refund_tokens = self.refund_tokens.min(charged_tokens);
-        self.waiting.retain(|request| {
-            let fits = charged_tokens - refund_tokens + request.tokens <= request.budget_tokens;
-            if !fits {
-                decisions.push((request.waiter, Decision::Spent { charged_tokens }));
-            }
-            fits
+        let held_tokens = self.row.held_by_others(writer);
+        self.waiting.retain(|asked| {
+            let decision = if asked.tokens <= left_tokens {
+                return true;
+            } else if asked.tokens <= left_tokens + held_tokens {
+                Decision::HeldElsewhere { held_tokens }
+            } else {
+                Decision::Spent { charged_tokens }
+            };
+            decisions.push((asked.waiter, decision));
+            false
         });
         decisions
     }
@@ -415,77 +501,60 @@
     fn conflict(
         &mut self,
         writer: &str,
-        program: &ProgramKey,
-        rows: &[Row],
+        found: Option<&Row>,
         pending: Pending,
-        now_ms: u64,
     ) -> Vec<(Waiter, Decision)> {
-        let key = program.row_key();
-        let found = rows.iter().find(|row| row.key == key && row.value.is_some());
-        let (version, row) = match found {
-            None => (0, AccountRow::default()),
-            Some(found) => {
-                let bytes = found.value.as_deref().unwrap_or_default();
-                match serde_json::from_slice::<AccountRow>(bytes) {
-                    Ok(row) => (found.version, row),
-                    Err(_) => {
-                        self.refund_tokens += pending.refund_tokens;
-                        return self.refuse(pending.granted);
-                    }
-                }
+        let value = found.and_then(|row| row.value.as_deref());
+        let row = match value.map(serde_json::from_slice::<AccountRow>) {
+            None => AccountRow::default(),
+            Some(Ok(row)) => row,
+            Some(Err(_)) => {
+                self.held_tokens += pending.certain_tokens();
+                return self.refuse(pending.granted);
             }
         };
         let last = row.last_of(writer);
-        // A full list may have lost this writer's number.
-        let is_marked = last > 0 || row.writers.len() < WRITERS;
-        self.version = version;
+        // A full list may have lost this writer's mark.
+        let is_marked = last > 0 || row.marks.len() < WRITERS;
+        self.version = match value {
+            Some(_) => found.map_or(0, |row| row.version),
+            None => 0,
+        };
         self.row = row;
         for unresolved in std::mem::take(&mut self.unresolved) {
+            let certain_tokens = unresolved.certain_tokens();
             if last == unresolved.number {
-                // Its calls were refused meanwhile.
-                self.give_back(unresolved.charged_tokens(), now_ms);
+                self.held_tokens += unresolved.owned_tokens() - certain_tokens;
             } else if is_marked {
-                self.give_back(unresolved.refund_tokens, now_ms);
+                self.held_tokens += unresolved.held_before_tokens - certain_tokens;
             }
         }
         if last == pending.number {
-            self.give_back(pending.abandoned_tokens, now_ms);
-            return self.decide(pending.granted);
-        }
-        if is_marked {
-            self.give_back(pending.refund_tokens, now_ms);
+            self.held_tokens += pending.held_after_tokens + pending.abandoned_tokens;
+            return self.decide(pending.granted, writer);
         }
-        let budget_tokens = self.budget_tokens;
-        let requests = pending.granted.into_iter().map(|(waiter, grant)| Request {
+        self.held_tokens += if is_marked {
+            pending.held_before_tokens
+        } else {
+            pending.certain_tokens()
+        };
+        let (budget_tokens, retention_ms) = (self.budget_tokens, self.retention_ms);
+        let again = pending.granted.into_iter().map(|(waiter, grant)| Asked {
             waiter,
             budget_tokens,
             tokens: grant.tokens,
+            retention_ms,
         });
-        self.waiting.splice(0..0, requests);
-        self.decide(Vec::new())
-    }
-
-    fn give_up(
-        &mut self,
-        pending: Pending,
-        reply: &Result<StoreReply, StoreError>,
-        now_ms: u64,
-    ) -> Vec<(Waiter, Decision)> {
-        let granted = pending.granted.clone();
-        if matches!(reply, Err(StoreError::NoReply(_))) {
-            self.unresolved.push(pending);
-        } else {
-            self.give_back(pending.refund_tokens, now_ms);
-        }
-        self.refuse(granted)
+        self.waiting.splice(0..0, again);
+        self.decide(Vec::new(), writer)
     }
 
     fn refuse(&mut self, granted: Vec<(Waiter, Grant)>) -> Vec<(Waiter, Decision)> {
         let waiting = std::mem::take(&mut self.waiting);
+        let granted = granted.into_iter().map(|(waiter, _)| waiter);
+        let waiting = waiting.into_iter().map(|asked| asked.waiter);
         granted
-            .into_iter()
-            .map(|(waiter, _)| waiter)
-            .chain(waiting.into_iter().map(|request| request.waiter))
+            .chain(waiting)
             .map(|waiter| (waiter, Decision::Unavailable))
             .collect()
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,7 +15,8 @@
 mod targets;
 
 pub use budget::{
-    Account, AccountRow, Accounts, BudgetSettings, BudgetWrite, Decision, Grant, ProgramKey, Waiter,
+    AccountRow, Accounts, Asked, BudgetSettings, BudgetWrite, Decision, Grant, Mark, ProgramKey,
+    Waiter,
 };
 pub use config::{Config, Engine, Kind, Limits, Route, Service, Split};
 pub use events::{EventReader, EventStep};
--- /dev/null
+++ b/crates/gateway/tests/budget.rs
@@ -0,0 +1,398 @@
+//! Budgets over several VMs with a store that loses and delays writes.
+
+use std::collections::BTreeMap;
+
+use lagoon_gateway::{
+    Accounts, Asked, BudgetSettings, BudgetWrite, Decision, Grant, ProgramKey, Row, RowKey,
+    StoreError, StoreReply, Waiter, Write,
+};
+use proptest::prelude::*;
+
+const BUDGET: u64 = 1_800;
+const MOST: u64 = 288;
+
+fn program() -> ProgramKey {
+    ProgramKey("program".into())
+}
+
+fn asked(waiter: u64) -> Asked {
+    Asked {
+        waiter: Waiter(waiter),
+        budget_tokens: BUDGET,
+        tokens: MOST,
+        retention_ms: 60_000,
+    }
+}
+
+fn accounts(writer: &str) -> Accounts {
+    Accounts::new(BudgetSettings::of(writer.into()))
+}
+
+/// Store with one transaction at a time.
+#[derive(Default)]
+struct Store {
+    version: u64,
+    rows: BTreeMap<RowKey, (u64, Vec<u8>)>,
+}
+
+impl Store {
+    fn apply(&mut self, write: &Write) -> StoreReply {
+        let current = self.rows.get(&write.key);
+        if current.map_or(0, |(version, _)| *version) != write.expected {
+            let rows = current.map(|(version, value)| Row {
+                key: write.key.clone(),
+                value: Some(value.clone()),
+                version: *version,
+            });
+            return StoreReply::Conflict(rows.into_iter().collect());
+        }
+        self.version += 1;
+        match &write.value {
+            Some(value) => {
+                let row = (self.version, value.clone());
+                self.rows.insert(write.key.clone(), row);
+            }
+            None => {
+                self.rows.remove(&write.key);
+            }
+        }
+        StoreReply::Applied {
+            version: self.version,
+        }
+    }
+
+    fn charged(&self) -> u64 {
+        let row = self.rows.values().next();
+        row.map_or(0, |(_, value)| {
+            let row: lagoon_gateway::AccountRow = serde_json::from_slice(value).unwrap();
+            row.charged_tokens
+        })
+    }
+}
+
+fn charge(accounts: &mut Accounts, store: &mut Store, waiter: u64) -> Decision {
+    if let Some(grant) = accounts.ask(&program(), asked(waiter), 0) {
+        return Decision::Granted(grant);
+    }
+    loop {
+        let write = accounts.charge(&program()).unwrap();
+        let reply = Ok(store.apply(&write.write));
+        let decisions = accounts.written(&program(), &reply);
+        if let Some((_, decision)) = decisions.first() {
+            return *decision;
+        }
+    }
+}
+
+fn granted(decision: Decision) -> Grant {
+    match decision {
+        Decision::Granted(grant) => grant,
+        refusal => panic!("not granted: {refusal:?}"),
+    }
+}
+
+#[test]
+fn charge_first_vm_holds_for_its_next_calls() {
+    let mut store = Store::default();
+    let mut vm = accounts("a");
+    let grant = granted(charge(&mut vm, &mut store, 1));
+    vm.settle(&program(), grant, 60, 0);
+    let version = store.version;
+    granted(charge(&mut vm, &mut store, 2));
+    assert_eq!(store.version, version);
+}
+
+#[test]
+fn charge_other_vm_reads_the_row() {
+    let mut store = Store::default();
+    let (mut a, mut b) = (accounts("a"), accounts("b"));
+    granted(charge(&mut a, &mut store, 1));
+    granted(charge(&mut b, &mut store, 1));
+    assert!(store.charged() <= BUDGET);
+}
+
+#[test]
+fn charge_spent_budget_is_refused() {
+    let mut store = Store::default();
+    let mut vm = accounts("a");
+    let mut spent = 0;
+    for waiter in 0.. {
+        match charge(&mut vm, &mut store, waiter) {
+            Decision::Granted(grant) => {
+                spent += grant.tokens;
+                vm.settle(&program(), grant, grant.tokens, 0);
+            }
+            Decision::Spent { charged_tokens } => {
+                assert!(charged_tokens + MOST > BUDGET);
+                break;
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+    assert!(spent + MOST > BUDGET);
+}
+
+#[test]
+fn charge_held_elsewhere_is_not_spent() {
+    let mut store = Store::default();
+    let (mut a, mut b) = (accounts("a"), accounts("b"));
+    let grant = granted(charge(&mut a, &mut store, 1));
+    let mut refusal = None;
+    for waiter in 0..10 {
+        match charge(&mut b, &mut store, waiter) {
+            Decision::Granted(_) => {}
+            other => {
+                refusal = Some(other);
+                break;
+            }
+        }
+    }
+    assert!(matches!(refusal, Some(Decision::HeldElsewhere { .. })));
+    a.settle(&program(), grant, 12, 0);
+    assert_eq!(a.due(1_000), vec![program()]);
+    loop {
+        let Some(write) = a.give_back(&program()) else {
+            break;
+        };
+        let reply = Ok(store.apply(&write.write));
+        a.written(&program(), &reply);
+    }
+    granted(charge(&mut b, &mut store, 20));
+}
+
+#[test]
+fn written_lost_reply_is_recognized_by_its_number() {
+    let mut store = Store::default();
+    let mut vm = accounts("a");
+    assert_eq!(vm.ask(&program(), asked(1), 0), None);
+    let write = vm.charge(&program()).unwrap().write;
+    store.apply(&write);
+    // The same write again, as its reply was lost.
+    let reply = Ok(store.apply(&write));
+    let decisions = vm.written(&program(), &reply);
+    assert!(matches!(decisions[..], [(Waiter(1), Decision::Granted(_))]));
+}
+
+#[test]
+fn written_unreadable_row_is_no_budget() {
+    let mut vm = accounts("a");
+    vm.ask(&program(), asked(1), 0);
+    let write = vm.charge(&program()).unwrap().write;
+    let row = Row {
+        key: write.key,
+        value: Some(b"not a row".to_vec()),
+        version: 4,
+    };
+    let decisions = vm.written(&program(), &Ok(StoreReply::Conflict(vec![row])));
+    assert_eq!(decisions, vec![(Waiter(1), Decision::Unavailable)]);
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Ask(usize),
+    Settle(usize, u64),
+    GiveBack(usize),
+    /// Oldest write of a VM reaches the store and is answered.
+    Answer(usize),
+    /// It is applied and its answer is lost.
+    LoseAnswer(usize),
+    /// It has no answer yet and may be applied later.
+    Delay(usize),
+    Refuse(usize),
+    /// Delayed writes reach the store.
+    Arrive,
+    Withdraw(usize),
+    Restart(usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let vm = 0..3_usize;
+    prop_oneof![
+        6 => vm.clone().prop_map(Step::Ask),
+        4 => (vm.clone(), 0..=MOST).prop_map(|(vm, used)| Step::Settle(vm, used)),
+        1 => vm.clone().prop_map(Step::GiveBack),
+        6 => vm.clone().prop_map(Step::Answer),
+        2 => vm.clone().prop_map(Step::LoseAnswer),
+        2 => vm.clone().prop_map(Step::Delay),
+        1 => vm.clone().prop_map(Step::Refuse),
+        1 => Just(Step::Arrive),
+        1 => vm.clone().prop_map(Step::Withdraw),
+        1 => vm.prop_map(Step::Restart),
+    ]
+}
+
+struct Vm {
+    accounts: Accounts,
+    write: Option<BudgetWrite>,
+    waiting: Vec<u64>,
+    grants: Vec<Grant>,
+}
+
+struct World {
+    store: Store,
+    vms: Vec<Vm>,
+    delayed: Vec<Write>,
+    used: u64,
+    lost_by_restart: bool,
+    next: u64,
+}
+
+impl World {
+    fn new() -> World {
+        let vms = ["a", "b", "c"].map(|name| Vm {
+            accounts: accounts(name),
+            write: None,
+            waiting: Vec::new(),
+            grants: Vec::new(),
+        });
+        World {
+            store: Store::default(),
+            vms: vms.into(),
+            delayed: Vec::new(),
+            used: 0,
+            lost_by_restart: false,
+            next: 1,
+        }
+    }
+
+    fn begin(&mut self, index: usize) {
+        let vm = &mut self.vms[index];
+        if vm.write.is_none() {
+            vm.write = vm.accounts.charge(&program());
+        }
+    }
+
+    fn reply(&mut self, index: usize, reply: Result<StoreReply, StoreError>) {
+        let vm = &mut self.vms[index];
+        vm.write = None;
+        for (waiter, decision) in vm.accounts.written(&program(), &reply) {
+            vm.waiting.retain(|other| *other != waiter.0);
+            if let Decision::Granted(grant) = decision {
+                vm.grants.push(grant);
+            }
+        }
+        self.begin(index);
+    }
+
+    fn run(&mut self, step: &Step) {
+        match *step {
+            Step::Ask(index) => {
+                let waiter = self.next;
+                self.next += 1;
+                let vm = &mut self.vms[index];
+                match vm.accounts.ask(&program(), asked(waiter), 0) {
+                    Some(grant) => vm.grants.push(grant),
+                    None => vm.waiting.push(waiter),
+                }
+                self.begin(index);
+            }
+            Step::Settle(index, used) => {
+                let vm = &mut self.vms[index];
+                if let Some(grant) = vm.grants.pop() {
+                    vm.accounts.settle(&program(), grant, used, 0);
+                    self.used += used;
+                }
+            }
+            Step::GiveBack(index) => {
+                let vm = &mut self.vms[index];
+                if vm.write.is_none() {
+                    vm.write = vm.accounts.give_back(&program());
+                }
+            }
+            Step::Answer(index) => {
+                if let Some(write) = self.vms[index].write.clone() {
+                    let reply = self.store.apply(&write.write);
+                    self.reply(index, Ok(reply));
+                }
+            }
+            Step::LoseAnswer(index) => {
+                if let Some(write) = self.vms[index].write.clone() {
+                    self.store.apply(&write.write);
+                    self.reply(index, Err(StoreError::NoReply("lost".into())));
+                }
+            }
+            Step::Delay(index) => {
+                if let Some(write) = self.vms[index].write.clone() {
+                    self.delayed.push(write.write);
+                    self.reply(index, Err(StoreError::NoReply("late".into())));
+                }
+            }
+            Step::Refuse(index) => {
+                if self.vms[index].write.is_some() {
+                    self.reply(index, Err(StoreError::Refused(503)));
+                }
+            }
+            Step::Arrive => {
+                for write in std::mem::take(&mut self.delayed) {
+                    self.store.apply(&write);
+                }
+            }
+            Step::Withdraw(index) => {
+                let vm = &mut self.vms[index];
+                if let Some(waiter) = vm.waiting.pop() {
+                    vm.accounts.withdraw(&program(), Waiter(waiter));
+                }
+            }
+            Step::Restart(index) => {
+                let name = format!("r{}", self.next);
+                self.next += 1;
+                let vm = &mut self.vms[index];
+                // What calls got before counts as used.
+                self.used += vm.grants.drain(..).map(|grant| grant.tokens).sum::<u64>();
+                vm.accounts = accounts(&name);
+                vm.waiting.clear();
+                if let Some(write) = vm.write.take() {
+                    self.delayed.push(write.write);
+                }
+                self.lost_by_restart = true;
+            }
+        }
+    }
+
+    fn committed(&self) -> u64 {
+        let grants = self.vms.iter().flat_map(|vm| &vm.grants);
+        self.used + grants.map(|grant| grant.tokens).sum::<u64>()
+    }
+
+    /// Ends all calls and gives everything back.
+    fn settle(&mut self) {
+        self.run(&Step::Arrive);
+        for _ in 0..4 {
+            for index in 0..self.vms.len() {
+                while self.vms[index].write.is_some() {
+                    self.run(&Step::Answer(index));
+                }
+                while !self.vms[index].grants.is_empty() {
+                    self.run(&Step::Settle(index, 10));
+                }
+                self.run(&Step::GiveBack(index));
+                while self.vms[index].write.is_some() {
+                    self.run(&Step::Answer(index));
+                }
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        rng_seed: prop::test_runner::RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn budget_holds_over_lost_and_late_writes(steps in prop::collection::vec(step(), 1..120)) {
+        let mut world = World::new();
+        for step in &steps {
+            world.run(step);
+            prop_assert!(world.committed() <= BUDGET, "{} after {step:?}", world.committed());
+        }
+        world.settle();
+        prop_assert!(world.store.charged() >= world.used);
+        if !world.lost_by_restart {
+            prop_assert_eq!(world.store.charged(), world.used);
+        }
+    }
+}
