Entry VMs carry out each other's store writes

VMs list themselves in the store; one that can't reach it has its conditional write carried out by another, with the same condition and number, so a doubled write is recognized.

--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -14,6 +14,7 @@
 use tokio::time::{sleep, timeout_at, Instant};
 
 use crate::clock::Clock;
+use crate::peers::PeerClient;
 use crate::store::StoreClient;
 
 /// Tries of a write whose reply is lost.
@@ -26,6 +27,7 @@
 pub(crate) struct Ledger {
     clock: Clock,
     store: Rc<StoreClient>,
+    peers: Rc<PeerClient>,
     accounts: RefCell<Accounts>,
     waiting: RefCell<FastMap<Waiter, oneshot::Sender<Decision>>>,
     next_waiter: Cell<u64>,
@@ -83,10 +85,16 @@
 }
 
 impl Ledger {
-    pub(crate) fn new(clock: Clock, store: Rc<StoreClient>, accounts: Accounts) -> Rc<Ledger> {
+    pub(crate) fn new(
+        clock: Clock,
+        store: Rc<StoreClient>,
+        peers: Rc<PeerClient>,
+        accounts: Accounts,
+    ) -> Rc<Ledger> {
         Rc::new(Ledger {
             clock,
             store,
+            peers,
             accounts: RefCell::new(accounts),
             waiting: RefCell::default(),
             next_waiter: Cell::new(1),
@@ -174,12 +182,13 @@
         }
     }
 
-    /// Writes, with tries after lost replies: the same write finds its own
-    /// number if an earlier try was applied.
+    /// Writes, itself or by another VM, with tries after lost replies: the
+    /// same write finds its own number if an earlier try was applied.
     async fn write(&self, call: StoreCall) -> Result<StoreReply, StoreError> {
         let mut lost = None;
         for _ in 0..TRIES {
-            match self.store.call(&call).await {
+            let reply = self.write_once(&call).await;
+            match reply {
                 Err(error @ StoreError::NoReply(_)) => {
                     lost = Some(error);
                     sleep(RETRY_PAUSE).await;
@@ -192,6 +201,21 @@
         Err(lost.unwrap_or(StoreError::NoReply("no try".into())))
     }
 
+    async fn write_once(&self, call: &StoreCall) -> Result<StoreReply, StoreError> {
+        let own = if self.store.is_away() {
+            Err(StoreError::NotSent("store is away".into()))
+        } else {
+            self.store.call(call).await
+        };
+        match own {
+            Err(StoreError::NotSent(_) | StoreError::Refused(_)) => {
+                let carried = self.peers.carry_out(call).await;
+                carried.unwrap_or(own)
+            }
+            own => own,
+        }
+    }
+
     /// Gives back what is held where others may need it.
     pub(crate) fn give_back_due(self: &Rc<Self>) {
         let due = self.accounts.borrow().due(self.clock.now_ms());
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use lagoon_gateway::{Accounts, BudgetSettings};
+use lagoon_gateway::{Accounts, BudgetSettings, Peers};
 use rand::RngExt;
 use thiserror::Error;
 use tokio::runtime::Builder;
@@ -17,6 +17,8 @@
 use crate::forward;
 use crate::ledger::Ledger;
 use crate::metrics::Metrics;
+use crate::peers::PeerClient;
+use crate::registration::Registration;
 use crate::server;
 use crate::settings::{load, EntrySettings};
 use crate::shared::Shared;
@@ -79,17 +81,22 @@
         return_after_ms: settings.limits.settle_ms / 4,
         ..BudgetSettings::of(writer.clone())
     });
-    let ledger = Ledger::new(clock, Rc::clone(&store), accounts);
+    let own = Peers::new(settings.vm.name.clone());
+    let peers = Rc::new(PeerClient::new(clock, own));
+    let ledger = Ledger::new(clock, Rc::clone(&store), Rc::clone(&peers), accounts);
     let domain = settings.vm.domain.clone();
-    let shared = Shared::new(clock, domain, metrics, Rc::clone(&ledger));
+    let shared = Shared::new(clock, domain, metrics, ledger, peers);
 
     let (stop, stopped) = watch::channel(false);
-    listen_all(&settings, &shared, &stopped)?;
-    for table in [Table::Config, Table::Targets] {
+    listen_all(&settings, &shared, &store, &stopped)?;
+    for table in [Table::Config, Table::Targets, Table::Peers] {
         spawn_local(follow(Rc::clone(&shared), Rc::clone(&store), table));
     }
     spawn_local(housekeeping(Rc::clone(&shared)));
     spawn_local(reload(settings.clone(), file));
+    let registration = Registration::new(&settings, writer.clone(), Rc::clone(&store));
+    let registration = Rc::new(registration);
+    spawn_local(Rc::clone(&registration).keep(Rc::clone(&shared)));
     log::info!(
         domain = settings.vm.domain.as_str(),
         writer = writer.as_str(),
@@ -103,6 +110,8 @@
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
+    shared.stopping.set(true);
+    spawn_local(async move { registration.remove().await });
     leave(&settings, &shared, &stop).await;
     Ok(())
 }
@@ -110,6 +119,7 @@
 fn listen_all(
     settings: &EntrySettings,
     shared: &Rc<Shared>,
+    store: &Rc<StoreClient>,
     stopped: &watch::Receiver<bool>,
 ) -> Result<(), RunError> {
     let listen = |key, address| {
@@ -117,7 +127,7 @@
     };
     let callers = listen("listen.callers", settings.listen.callers)?;
     let ready = listen("listen.ready", settings.listen.ready)?;
-    let metrics = listen("listen.metrics", settings.listen.metrics)?;
+    let peers = listen("listen.peers", settings.listen.peers)?;
 
     let state = Rc::clone(shared);
     let handle = move |request| forward::handle(Rc::clone(&state), request);
@@ -139,13 +149,12 @@
         handle,
     ));
     let state = Rc::clone(shared);
-    let handle = move |_| {
-        let answer = server::metrics(&state);
-        async move { answer }
-    };
+    let store = Rc::clone(store);
+    let handle =
+        move |request| server::inside(Rc::clone(&state), Rc::clone(&store), request);
     spawn_local(server::serve(
         Rc::clone(shared),
-        metrics,
+        peers,
         stopped.clone(),
         handle,
     ));
@@ -189,7 +198,6 @@
 async fn leave(settings: &EntrySettings, shared: &Rc<Shared>, stop: &watch::Sender<bool>) {
     let wait_s = (settings.limits.stop_wait_s - EXIT_MARGIN_S).max(0.0);
     let until = Instant::now() + Duration::from_secs_f64(wait_s);
-    shared.stopping.set(true);
     log::info!(wait_s; "stopping");
     sleep(BALANCER_WAIT).await;
     stop.send_replace(true);
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -19,8 +19,10 @@
 
 use crate::body::ReplyBody;
 use crate::connection::tune;
+use crate::peers::{serve_store_call, STORE_PATH};
 use crate::reply;
 use crate::shared::Shared;
+use crate::store::StoreClient;
 
 /// New connections that wait to be accepted.
 const BACKLOG: i32 = 1_024;
@@ -31,6 +33,9 @@
 /// Longest time for a header section, idle time before it included.
 const HEADER_WAIT: Duration = Duration::from_secs(15);
 
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
 /// Pause after a connection that can't be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -141,8 +146,20 @@
     }
 }
 
-/// Answers with all metrics.
-pub(crate) fn metrics(shared: &Shared) -> Response<ReplyBody> {
+/// Answers other VMs and readers of metrics.
+pub(crate) async fn inside(
+    shared: Rc<Shared>,
+    store: Rc<StoreClient>,
+    request: Request<Incoming>,
+) -> Response<ReplyBody> {
+    match request.uri().path() {
+        STORE_PATH => serve_store_call(store, request).await,
+        METRICS_PATH => metrics(&shared),
+        _ => reply::text(StatusCode::NOT_FOUND, "no such path"),
+    }
+}
+
+fn metrics(shared: &Shared) -> Response<ReplyBody> {
     match shared.metrics.text() {
         Ok(text) => Response::new(ReplyBody::whole(text)),
         Err(error) => reply::text(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -45,8 +45,8 @@
     pub callers: SocketAddr,
     /// Readiness, for the balancer.
     pub ready: SocketAddr,
-    /// Metrics as text.
-    pub metrics: SocketAddr,
+    /// Other entry VMs, and metrics as text at `/metrics`.
+    pub peers: SocketAddr,
 }
 
 /// Platform's store.
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -10,6 +10,7 @@
 use crate::clock::Clock;
 use crate::ledger::Ledger;
 use crate::metrics::Metrics;
+use crate::peers::PeerClient;
 use crate::pool::Pool;
 
 /// Lines of calls whose last target is remembered at most.
@@ -22,12 +23,15 @@
     pub(crate) metrics: Metrics,
     pub(crate) pool: Rc<Pool>,
     pub(crate) ledger: Rc<Ledger>,
+    pub(crate) peers: Rc<PeerClient>,
     pub(crate) placement: PlacementSettings,
     pub(crate) config: RefCell<Option<Rc<Config>>>,
     pub(crate) targets: RefCell<Targets>,
     /// Whether the list of targets was read since the start.
     pub(crate) targets_known: Cell<bool>,
     pub(crate) stopping: Cell<bool>,
+    /// Whether the store lists this VM.
+    pub(crate) registered: Cell<bool>,
     /// Connections that others opened.
     pub(crate) connections: Cell<usize>,
     last_targets: RefCell<FastMap<CompactString, TargetKey>>,
@@ -39,6 +43,7 @@
         domain: CompactString,
         metrics: Metrics,
         ledger: Rc<Ledger>,
+        peers: Rc<PeerClient>,
     ) -> Rc<Shared> {
         Rc::new(Shared {
             clock,
@@ -46,11 +51,13 @@
             metrics,
             pool: Pool::new(clock),
             ledger,
+            peers,
             placement: PlacementSettings::default(),
             config: RefCell::new(None),
             targets: RefCell::default(),
             targets_known: Cell::new(false),
             stopping: Cell::new(false),
+            registered: Cell::new(false),
             connections: Cell::new(0),
             last_targets: RefCell::default(),
         })
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -47,10 +47,9 @@
         }
     }
 
-    /// How long calls have had no reply.
-    pub(crate) fn silent_ms(&self) -> u64 {
-        let since = self.silent_since_ms.get();
-        since.map_or(0, |since_ms| self.clock.now_ms() - since_ms)
+    /// Whether the last call had no reply.
+    pub(crate) fn is_away(&self) -> bool {
+        self.silent_since_ms.get().is_some()
     }
 
     /// Carries a call out once.
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -8,6 +8,7 @@
 use lagoon_gateway::{Row, StoreCall, StoreError, StoreReply, TargetEntry};
 use tokio::time::sleep;
 
+use crate::registration::PEER_TABLE;
 use crate::shared::Shared;
 use crate::store::StoreClient;
 
@@ -15,6 +16,9 @@
 /// after.
 const WATCH_WAIT_MS: u64 = 2_000;
 
+/// The same for the list of VMs, on which no bound of time rests.
+const PEER_WATCH_WAIT_MS: u64 = 10_000;
+
 /// Pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -45,6 +49,7 @@
 pub(crate) enum Table {
     Config,
     Targets,
+    Peers,
 }
 
 impl Table {
@@ -52,8 +57,17 @@
         CompactString::const_new(match self {
             Table::Config => OPERATOR_TABLE,
             Table::Targets => TARGET_TABLE,
+            Table::Peers => PEER_TABLE,
         })
     }
+
+    /// Longest wait of one watch.
+    fn wait_ms(self) -> u64 {
+        match self {
+            Table::Config | Table::Targets => WATCH_WAIT_MS,
+            Table::Peers => PEER_WATCH_WAIT_MS,
+        }
+    }
 }
 
 struct Follower {
@@ -131,7 +145,7 @@
             let call = StoreCall::Watch {
                 table: self.table.name(),
                 after: self.version,
-                wait_ms: WATCH_WAIT_MS,
+                wait_ms: self.table.wait_ms(),
             };
             match self.store.call(&call).await {
                 Ok(StoreReply::Rows { rows, version, .. }) => {
@@ -157,6 +171,14 @@
     fn take_all(&mut self, rows: Vec<Row>) {
         match self.table {
             Table::Config => rows.into_iter().for_each(|row| self.take(row)),
+            Table::Peers => {
+                let listed = |name: &str| rows.iter().any(|row| row.key.key == name);
+                self.shared.peers.peers.borrow_mut().retain(listed);
+                if !listed(self.shared.peers.peers.borrow().own()) {
+                    self.shared.registered.set(false);
+                }
+                rows.into_iter().for_each(|row| self.take(row));
+            }
             Table::Targets => {
                 let entries = rows.iter().filter_map(entry).collect();
                 let now_ms = self.shared.now_ms();
@@ -172,6 +194,26 @@
             Table::Config if row.key.key == CONFIG_KEY => self.take_config(&row),
             Table::Config => {}
             Table::Targets => self.take_target(&row),
+            Table::Peers => self.take_peer(row),
+        }
+    }
+
+    fn take_peer(&mut self, row: Row) {
+        let mut peers = self.shared.peers.peers.borrow_mut();
+        let name = row.key.key;
+        let Some(value) = row.value else {
+            if name == peers.own() {
+                self.shared.registered.set(false);
+            }
+            peers.remove(&name);
+            return;
+        };
+        match serde_json::from_slice(&value) {
+            Ok(entry) => peers.upsert(name, entry, row.version),
+            Err(error) => {
+                log::warn!(peer = name.as_str(), error = error.to_string(); "entry names no VM");
+                peers.remove(&name);
+            }
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod config;
 mod events;
 mod outcome;
+mod peers;
 mod placement;
 mod request;
 mod store;
@@ -21,6 +22,7 @@
 pub use config::{Config, Engine, Kind, Limits, Route, Service, Split};
 pub use events::{EventReader, EventStep};
 pub use outcome::{after_failure, Attempts, Failure, Next};
+pub use peers::{PeerEnd, PeerEntry, Peers};
 pub use placement::{place, Ask, Choice, PlacementSettings};
 pub use request::{Facts, Turn};
 pub use store::{Row, RowKey, StoreCall, StoreError, StoreReply, Write};
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -1,10 +1,11 @@
 //! Calls to the platform's store as plain values.
 
 use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 /// Place of a row.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct RowKey {
     /// Table.
     pub table: CompactString,
@@ -15,7 +16,7 @@
 }
 
 /// Row, or the news that it is gone.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Row {
     /// Place.
     pub key: RowKey,
@@ -26,7 +27,7 @@
 }
 
 /// Change of one row, if it still has the version that it was decided on.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Write {
     /// Place.
     pub key: RowKey,
@@ -37,7 +38,7 @@
 }
 
 /// Call to the store.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum StoreCall {
     /// Applies all writes or none.
     Transact(Vec<Write>),
@@ -62,7 +63,7 @@
 }
 
 /// Reply of the store.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum StoreReply {
     /// All writes are applied.
     Applied {
@@ -85,7 +86,7 @@
 }
 
 /// Reason why a call has no reply.
-#[derive(Clone, Debug, Eq, Error, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, Error, PartialEq, Serialize)]
 pub enum StoreError {
     /// Store said that nothing was done.
     #[error("refused: status {0}")]
