--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -47,6 +47,9 @@
 /// Time to come back while something that is needed is away.
 const AWAY_RETRY_MS: u64 = 700;
 
+/// Most tokens of a call over what is expected where the caller doesn't say.
+const UNHINTED_DIVISOR: u64 = 4;
+
 /// Connections that were closed while idle before a new one is opened.
 const STALE_CONNECTIONS: u32 = 2;
 
@@ -294,6 +297,10 @@
             program: ProgramKey(program.clone()),
             budget_tokens: turn.budget_tokens,
             tokens: self.facts.max_output_tokens,
+            expected_tokens: self
+                .facts
+                .expected_tokens
+                .unwrap_or(self.facts.max_output_tokens / UNHINTED_DIVISOR),
             retention_ms: self.route.retention_ms,
         };
         let started_ms = self.shared.now_ms();
--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -1,15 +1,19 @@
-//! Charges of programs' budgets, carried out at the store.
+//! Charges of programs' budgets: at the store, by another VM, or from what
+//! other VMs may still hand out.
+
+mod charged;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
+use compact_str::CompactString;
 use lagoon_gateway::{
-    Accounts, Asked, BudgetWrite, Decision, Grant, ProgramKey, StoreCall, StoreError, StoreReply,
-    Waiter,
+    steward, Accounts, AllowanceAsk, AllowanceEnd, Allowances, Asked, BudgetWrite, Decision,
+    ProgramKey, Reach, StoreCall, StoreError, StoreReply, Waiter,
 };
 use lagoon_ids::FastMap;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, Mutex};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout_at, Instant};
 
@@ -17,18 +21,27 @@
 use crate::peers::PeerClient;
 use crate::store::StoreClient;
 
+pub(crate) use charged::Charged;
+use charged::Source;
+
 /// Tries of a write whose reply is lost.
 const TRIES: u32 = 3;
 
 /// Pause between them.
 const RETRY_PAUSE: Duration = Duration::from_millis(30);
 
-/// Charges that wait for the store.
+/// Age at which what a VM can reach is looked at again.
+const REACH_AGE_MS: u64 = 400;
+
+/// Charges of this VM.
 pub(crate) struct Ledger {
     clock: Clock,
     store: Rc<StoreClient>,
     peers: Rc<PeerClient>,
     accounts: RefCell<Accounts>,
+    allowances: RefCell<Allowances>,
+    /// What this VM could reach, and when it looked.
+    reach: Mutex<Option<(Reach, u64)>>,
     waiting: RefCell<FastMap<Waiter, oneshot::Sender<Decision>>>,
     next_waiter: Cell<u64>,
 }
@@ -39,35 +52,10 @@
     pub(crate) program: ProgramKey,
     pub(crate) budget_tokens: u64,
     pub(crate) tokens: u64,
+    pub(crate) expected_tokens: u64,
     pub(crate) retention_ms: u64,
 }
 
-/// Charge of a call; gives back on drop what was not used.
-pub(crate) struct Charged {
-    ledger: Rc<Ledger>,
-    program: ProgramKey,
-    grant: Grant,
-    used_tokens: u64,
-}
-
-impl Charged {
-    pub(crate) fn use_tokens(&mut self, tokens: u64) {
-        self.used_tokens += tokens;
-    }
-
-    pub(crate) fn used_tokens(&self) -> u64 {
-        self.used_tokens
-    }
-}
-
-impl Drop for Charged {
-    fn drop(&mut self) {
-        let now_ms = self.ledger.clock.now_ms();
-        let mut accounts = self.ledger.accounts.borrow_mut();
-        accounts.settle(&self.program, self.grant, self.used_tokens, now_ms);
-    }
-}
-
 /// Withdraws a call that stops waiting.
 struct Waiting<'a> {
     ledger: &'a Ledger,
@@ -77,7 +65,8 @@
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
-        if self.ledger.waiting.borrow_mut().remove(&self.waiter).is_some() {
+        let sender = self.ledger.waiting.borrow_mut().remove(&self.waiter);
+        if sender.is_some() {
             let mut accounts = self.ledger.accounts.borrow_mut();
             accounts.withdraw(self.program, self.waiter);
         }
@@ -96,6 +85,8 @@
             store,
             peers,
             accounts: RefCell::new(accounts),
+            allowances: RefCell::default(),
+            reach: Mutex::default(),
             waiting: RefCell::default(),
             next_waiter: Cell::new(1),
         })
@@ -107,46 +98,156 @@
         charge: Charge,
         until: Instant,
     ) -> Result<Charged, Decision> {
+        match self.charge_row(&charge, until).await {
+            Err(Decision::Unavailable) => self.charge_without_store(&charge).await,
+            decided => decided,
+        }
+    }
+
+    fn asked(&self, charge: &Charge) -> Asked {
         let waiter = Waiter(self.next_waiter.get());
         self.next_waiter.set(waiter.0 + 1);
-        let program = charge.program;
-        let asked = Asked {
+        Asked {
             waiter,
             budget_tokens: charge.budget_tokens,
             tokens: charge.tokens,
             retention_ms: charge.retention_ms,
-        };
+        }
+    }
+
+    async fn charge_row(
+        self: &Rc<Self>,
+        charge: &Charge,
+        until: Instant,
+    ) -> Result<Charged, Decision> {
+        let program = &charge.program;
+        let asked = self.asked(charge);
+        let waiter = asked.waiter;
         let now_ms = self.clock.now_ms();
-        let held = self.accounts.borrow_mut().ask(&program, asked, now_ms);
+        let held = self.accounts.borrow_mut().ask(program, asked, now_ms);
         if let Some(grant) = held {
-            return Ok(self.charged(program, grant));
+            return Ok(Charged::new(self, program, Source::Row, grant.tokens));
         }
         let (sender, decided) = oneshot::channel();
         self.waiting.borrow_mut().insert(waiter, sender);
         let waiting = Waiting {
             ledger: self,
-            program: &program,
+            program,
             waiter,
         };
-        self.write_on(&program);
+        self.write_on(program);
         let decision = match timeout_at(until, decided).await {
             Ok(Ok(decision)) => decision,
             Ok(Err(_)) | Err(_) => Decision::Unavailable,
         };
         drop(waiting);
         match decision {
-            Decision::Granted(grant) => Ok(self.charged(program, grant)),
+            Decision::Granted(grant) => Ok(Charged::new(self, program, Source::Row, grant.tokens)),
             refusal => Err(refusal),
         }
     }
 
-    fn charged(self: &Rc<Self>, program: ProgramKey, grant: Grant) -> Charged {
-        Charged {
-            ledger: Rc::clone(self),
-            program,
-            grant,
-            used_tokens: 0,
+    /// Charges a call from what neighbours hold for its program, or from its
+    /// allowance.
+    async fn charge_without_store(
+        self: &Rc<Self>,
+        charge: &Charge,
+    ) -> Result<Charged, Decision> {
+        let program = &charge.program;
+        let tokens = charge.tokens;
+        if self.peers.take_held(program, tokens).await {
+            let mut accounts = self.accounts.borrow_mut();
+            accounts.add_held(program, tokens);
+            if accounts.take_held(program, tokens) {
+                return Ok(Charged::new(self, program, Source::Row, tokens));
+            }
+        }
+        let reach = self.reach().await;
+        let chosen = {
+            let peers = self.peers.peers.borrow();
+            let own = peers.own().clone();
+            steward(program, peers.group(reach)).cloned().unwrap_or(own)
+        };
+        let ask = AllowanceAsk {
+            reach,
+            program: program.0.clone(),
+            most_tokens: tokens,
+            expected_tokens: charge.expected_tokens,
+        };
+        let granted_tokens = match reach {
+            Reach::Store | Reach::Unclear => 0,
+            _ if chosen == *self.peers.peers.borrow().own() => self.hand_out(&ask).await,
+            _ => self.peers.ask_allowance(&chosen, ask).await,
+        };
+        log::info!(program = program.0.as_str(), reach = reach.to_string(), steward = chosen.as_str(), granted_tokens; "store out of reach");
+        if granted_tokens == 0 {
+            return Err(Decision::Unavailable);
+        }
+        let source = Source::Allowance { steward: chosen };
+        Ok(Charged::new(self, program, source, granted_tokens))
+    }
+
+    /// Carries a store call of another VM out.
+    pub(crate) async fn carry_out(&self, call: &StoreCall) -> Result<StoreReply, StoreError> {
+        if self.store.is_away() {
+            return Err(StoreError::NotSent("store is away here too".into()));
+        }
+        self.store.call(call).await
+    }
+
+    /// Hands tokens that are held here over to another VM.
+    pub(crate) fn hand_over(&self, program: &ProgramKey, tokens: u64) -> bool {
+        self.accounts.borrow_mut().take_held(program, tokens)
+    }
+
+    /// Hands out tokens of an allowance that this VM is the steward of.
+    pub(crate) async fn hand_out(&self, ask: &AllowanceAsk) -> u64 {
+        if self.reach().await != ask.reach {
+            return 0;
+        }
+        let program = ProgramKey(ask.program.clone());
+        let accounts = self.accounts.borrow();
+        if accounts.is_exhausted(&program, ask.most_tokens) {
+            return 0;
+        }
+        self.allowances.borrow_mut().ask(ask)
+    }
+
+    /// Whether the store did not answer last.
+    pub(crate) fn is_store_away(&self) -> bool {
+        self.store.is_away()
+    }
+
+    /// What this VM can reach, looked at again after a while.
+    async fn reach(&self) -> Reach {
+        let mut known = self.reach.lock().await;
+        let now_ms = self.clock.now_ms();
+        if let Some((reach, at_ms)) = *known {
+            if now_ms < at_ms + REACH_AGE_MS {
+                return reach;
+            }
+        }
+        let reach = if self.store.is_unreadable().await {
+            self.peers.sound_out().await
+        } else {
+            Reach::Store
+        };
+        *known = Some((reach, self.clock.now_ms()));
+        reach
+    }
+
+    /// A call with an allowance of this VM has ended.
+    pub(crate) fn end_allowance(&self, end: &AllowanceEnd) {
+        self.allowances.borrow_mut().end(end);
+    }
+
+    fn tell_steward(self: &Rc<Self>, steward: CompactString, end: AllowanceEnd) {
+        if steward == *self.peers.peers.borrow().own() {
+            self.end_allowance(&end);
+            return;
         }
+        let peers = Rc::clone(&self.peers);
+        spawn_local(async move { peers.end_allowance(&steward, end).await });
     }
 
     /// Starts to write what the program needs.
@@ -161,22 +262,22 @@
         let mut next = Some(first);
         while let Some(BudgetWrite { program, write }) = next {
             let reply = self.write(StoreCall::Transact(vec![write])).await;
-            let now_ms = self.clock.now_ms();
             let decisions = self.accounts.borrow_mut().written(&program, &reply);
             for (waiter, decision) in decisions {
-                self.decide(&program, waiter, decision, now_ms);
+                self.decide(&program, waiter, decision);
             }
             next = self.accounts.borrow_mut().charge(&program);
         }
     }
 
-    fn decide(&self, program: &ProgramKey, waiter: Waiter, decision: Decision, now_ms: u64) {
+    fn decide(&self, program: &ProgramKey, waiter: Waiter, decision: Decision) {
         let sender = self.waiting.borrow_mut().remove(&waiter);
         let undelivered = match sender {
             Some(sender) => sender.send(decision).is_err(),
             None => true,
         };
         if let (true, Decision::Granted(grant)) = (undelivered, decision) {
+            let now_ms = self.clock.now_ms();
             let mut accounts = self.accounts.borrow_mut();
             accounts.settle(program, grant, 0, now_ms);
         }
@@ -202,11 +303,7 @@
     }
 
     async fn write_once(&self, call: &StoreCall) -> Result<StoreReply, StoreError> {
-        let own = if self.store.is_away() {
-            Err(StoreError::NotSent("store is away".into()))
-        } else {
-            self.store.call(call).await
-        };
+        let own = self.carry_out(call).await;
         match own {
             Err(StoreError::NotSent(_) | StoreError::Refused(_)) => {
                 let carried = self.peers.carry_out(call).await;
@@ -216,9 +313,17 @@
         }
     }
 
-    /// Gives back what is held where others may need it.
-    pub(crate) fn give_back_due(self: &Rc<Self>) {
-        let due = self.accounts.borrow().due(self.clock.now_ms());
+    /// Writes what is due without a call that waits for it.
+    pub(crate) fn write_due(self: &Rc<Self>) {
+        if self.store.is_away() {
+            return;
+        }
+        let now_ms = self.clock.now_ms();
+        for (program, tokens) in self.allowances.borrow_mut().take_debts() {
+            log::info!(program = program.0.as_str(), tokens; "charging what was spent without the store");
+            self.accounts.borrow_mut().add_debt(&program, tokens, now_ms);
+        }
+        let due = self.accounts.borrow().due(now_ms);
         for program in due {
             let write = self.accounts.borrow_mut().give_back(&program);
             if let Some(write) = write {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -1,5 +1,8 @@
-//! Help between entry VMs: one that can't reach the store has its writes
-//! carried out by another.
+//! Messages between entry VMs, as postcard over HTTP.
+//!
+//! A VM that can't reach the store has its writes carried out by another. If
+//! none can, it asks its neighbours for tokens that they hold, and the
+//! program's steward for an allowance.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -7,29 +10,49 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use compact_str::CompactString;
+use futures::future::join_all;
+use futures::stream::{FuturesUnordered, StreamExt};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{Method, Request, Response, StatusCode};
-use lagoon_gateway::{PeerEnd, Peers, StoreCall, StoreError, StoreReply};
+use lagoon_gateway::{
+    judge, AllowanceAsk, AllowanceEnd, PeerEnd, Peers, ProgramKey, Reach, Sounding, StoreCall,
+    StoreError, StoreReply,
+};
 use lagoon_ids::FastMap;
 use rand::RngExt;
-use tokio::time::timeout;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use tokio::time::{sleep, timeout};
 
 use crate::body::ReplyBody;
 use crate::clock::Clock;
-use crate::connection::Connection;
+use crate::connection::{Connection, ExchangeError};
+use crate::ledger::Ledger;
 use crate::reply;
-use crate::store::StoreClient;
 
-/// Path of a store call that another VM carries out.
-pub(crate) const STORE_PATH: &str = "/v1/store";
+/// Path of all messages.
+pub(crate) const MESSAGE_PATH: &str = "/v1/message";
 
-/// VMs asked for one call.
-const ASKED: usize = 3;
+/// VMs asked to carry out one store call.
+const ASKED: usize = 4;
+
+/// VMs asked for held tokens.
+const NEIGHBOURS: usize = 12;
+
+/// VMs of each failure domain that are sounded out.
+const SOUNDED: usize = 4;
+
+/// Pause before the next VM is asked as well.
+const STAGGER: Duration = Duration::from_millis(40);
 
 /// Longest wait for one VM.
-const PEER_WAIT: Duration = Duration::from_millis(400);
+const PEER_WAIT: Duration = Duration::from_millis(300);
+
+/// Longest wait for a VM that needs nobody else for its answer.
+const NEAR_WAIT: Duration = Duration::from_millis(120);
 
 /// Largest message.
 const MESSAGE_BYTES: usize = 1_200_000;
@@ -37,7 +60,27 @@
 /// Kept connections to one VM.
 const KEPT: usize = 2;
 
-/// What a VM answers.
+/// Message to another VM.
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) enum PeerMessage {
+    /// Carry this call out; answered with [`Carried`].
+    Store(StoreCall),
+    /// Hand over tokens that are held; answered with whether they are.
+    Held {
+        /// Program.
+        program: CompactString,
+        /// Tokens.
+        tokens: u64,
+    },
+    /// Hand out an allowance; answered with its tokens.
+    Allowance(AllowanceAsk),
+    /// A call with an allowance has ended; answered with `true`.
+    AllowanceEnd(AllowanceEnd),
+    /// Answered with whether the VM is without the store.
+    Sound,
+}
+
+/// What became of a store call.
 type Carried = Result<StoreReply, StoreError>;
 
 /// Way to the other VMs.
@@ -56,35 +99,26 @@
         }
     }
 
-    /// Has another VM carry a call out; `None` if none can.
+    /// Has another VM carry a call out; `None` if none was reached. All get
+    /// the same conditional write, so it counts once.
     pub(crate) async fn carry_out(&self, call: &StoreCall) -> Option<Carried> {
-        let message = match postcard::to_allocvec(call) {
-            Ok(message) => Bytes::from(message),
-            Err(error) => {
-                log::error!(error = error.to_string(); "store call not encoded");
-                return None;
-            }
-        };
+        let message = PeerMessage::Store(call.clone());
         let random = rand::rng().random();
         let now_ms = self.clock.now_ms();
         let candidates = self.peers.borrow().candidates(ASKED, random, now_ms);
-        let mut lost = None;
-        for (name, address) in candidates {
-            let carried = timeout(PEER_WAIT, self.ask(address, message.clone())).await;
-            let (end, carried) = match carried {
-                Ok(Ok(Ok(reply))) => (PeerEnd::Answered, Some(Ok(reply))),
-                Ok(Ok(Err(error))) => (PeerEnd::Unable, Some(Err(error))),
-                // The other VM may still carry it out.
-                Err(_) => {
-                    let error = StoreError::NoReply("no answer of a VM in time".into());
-                    (PeerEnd::Unreachable, Some(Err(error)))
+        let mut asked: FuturesUnordered<_> = candidates
+            .into_iter()
+            .zip(0..)
+            .map(|(candidate, position)| {
+                let message = &message;
+                async move {
+                    sleep(STAGGER * position).await;
+                    self.carry_out_at(candidate, message).await
                 }
-                Ok(Err(())) => (PeerEnd::Unreachable, None),
-            };
-            self.peers
-                .borrow_mut()
-                .note(&name, end, self.clock.now_ms());
-            log::debug!(peer = name.as_str(), end = format!("{end:?}"); "store call carried out by another VM");
+            })
+            .collect();
+        let mut lost = None;
+        while let Some(carried) = asked.next().await {
             match carried {
                 Some(Ok(reply)) => return Some(Ok(reply)),
                 Some(Err(error @ StoreError::NoReply(_))) => lost = Some(Err(error)),
@@ -94,60 +128,181 @@
         lost
     }
 
-    async fn ask(&self, address: SocketAddr, message: Bytes) -> Result<Carried, ()> {
-        let kept = self.idle.borrow_mut().get_mut(&address).and_then(Vec::pop);
-        let mut connection = match kept.filter(Connection::is_ready) {
-            Some(connection) => connection,
-            None => Connection::open(address).await.map_err(drop)?,
+    async fn carry_out_at(
+        &self,
+        (name, address): (CompactString, SocketAddr),
+        message: &PeerMessage,
+    ) -> Option<Carried> {
+        let answer = self.ask(&name, address, message, PEER_WAIT).await;
+        let carried = match answer {
+            Ok(carried) => carried,
+            // It may still carry the call out.
+            Err(ExchangeError::Broken(detail)) => Err(StoreError::NoReply(detail.into())),
+            Err(ExchangeError::NotSent(_)) => return None,
+        };
+        if carried.is_err() {
+            let now_ms = self.clock.now_ms();
+            let mut peers = self.peers.borrow_mut();
+            peers.note(&name, PeerEnd::Unable, now_ms);
+        }
+        Some(carried)
+    }
+
+    /// Tokens that a neighbour holds for a program.
+    pub(crate) async fn take_held(&self, program: &ProgramKey, tokens: u64) -> bool {
+        let message = PeerMessage::Held {
+            program: program.0.clone(),
+            tokens,
         };
+        let now_ms = self.clock.now_ms();
+        let neighbours = self.peers.borrow().neighbours(NEIGHBOURS, now_ms);
+        for (name, address) in neighbours {
+            // One after the other: tokens that two hand over are lost to the
+            // program if only one call needs them.
+            if let Ok(true) = self.ask(&name, address, &message, NEAR_WAIT).await {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// What this VM, which is without the store, can reach.
+    pub(crate) async fn sound_out(&self) -> Reach {
+        let peers = self.peers.borrow().to_sound(SOUNDED);
+        let soundings = peers.into_iter().map(|(name, entry)| async move {
+            let message = PeerMessage::Sound;
+            let answer = self.ask(&name, entry.address, &message, NEAR_WAIT).await;
+            Sounding {
+                domain: entry.domain,
+                is_away: answer.ok(),
+            }
+        });
+        let soundings = join_all(soundings).await;
+        let own = self.peers.borrow().domain().clone();
+        let reach = judge(&own, &soundings);
+        let answered = soundings.iter().filter(|s| s.is_away.is_some()).count();
+        log::info!(reach = reach.to_string(), asked = soundings.len(), answered; "sounded out other VMs");
+        reach
+    }
+
+    /// Tokens of an allowance that another VM is the steward of.
+    pub(crate) async fn ask_allowance(&self, steward: &str, ask: AllowanceAsk) -> u64 {
+        let message = PeerMessage::Allowance(ask);
+        let granted = self.ask_named(steward, &message, PEER_WAIT).await;
+        granted.unwrap_or_default()
+    }
+
+    /// Tells the steward what a call spent.
+    pub(crate) async fn end_allowance(&self, steward: &str, end: AllowanceEnd) {
+        let told = self
+            .ask_named::<bool>(steward, &PeerMessage::AllowanceEnd(end), NEAR_WAIT)
+            .await;
+        if told.is_none() {
+            log::warn!(peer = steward; "steward not told what a call spent; it counts in full");
+        }
+    }
+
+    async fn ask_named<A>(
+        &self,
+        name: &str,
+        message: &PeerMessage,
+        wait: Duration,
+    ) -> Option<A>
+    where
+        A: DeserializeOwned,
+    {
+        let address = self.peers.borrow().address(name)?;
+        self.ask(name, address, message, wait).await.ok()
+    }
+
+    /// Sends a message and notes whether the VM is within reach.
+    async fn ask<A>(
+        &self,
+        name: &str,
+        address: SocketAddr,
+        message: &PeerMessage,
+        wait: Duration,
+    ) -> Result<A, ExchangeError>
+    where
+        A: DeserializeOwned,
+    {
+        let late = || ExchangeError::Broken("no answer of a VM in time".to_owned());
+        let answer = timeout(wait, self.exchange(address, message)).await;
+        let answer = answer.unwrap_or_else(|_| Err(late()));
+        let end = match &answer {
+            Ok(_) => PeerEnd::Answered,
+            Err(_) => PeerEnd::Unreachable,
+        };
+        let now_ms = self.clock.now_ms();
+        self.peers.borrow_mut().note(name, end, now_ms);
+        postcard::from_bytes(&answer?).map_err(|error| ExchangeError::Broken(error.to_string()))
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        message: &PeerMessage,
+    ) -> Result<Bytes, ExchangeError> {
+        let not_sent = |detail: String| ExchangeError::NotSent(detail);
+        let body = postcard::to_allocvec(message).map_err(|error| not_sent(error.to_string()))?;
         let request = Request::builder()
             .method(Method::POST)
-            .uri(STORE_PATH)
+            .uri(MESSAGE_PATH)
             .header(HOST, address.to_string())
-            .body(Full::new(message))
-            .map_err(drop)?;
-        let lost = |_| StoreError::NoReply("answer of a VM lost".into());
-        let response = match connection.send(request).await {
-            Ok(response) => response,
-            Err(crate::connection::ExchangeError::NotSent(_)) => return Err(()),
-            Err(error) => return Ok(Err(StoreError::NoReply(error.to_string().into()))),
-        };
-        let body = Limited::new(response.into_body(), MESSAGE_BYTES);
-        let body = match body.collect().await.map_err(lost) {
-            Ok(body) => body.to_bytes(),
-            Err(error) => return Ok(Err(error)),
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|error| not_sent(error.to_string()))?;
+        let kept = self.idle.borrow_mut().get_mut(&address).and_then(Vec::pop);
+        let mut connection = match kept.filter(Connection::is_ready) {
+            Some(connection) => connection,
+            None => Connection::open(address).await?,
         };
+        let response = connection.send(request).await?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), MESSAGE_BYTES).collect();
+        let body = body
+            .await
+            .map_err(|error| ExchangeError::Broken(error.to_string()))?
+            .to_bytes();
         let mut idle = self.idle.borrow_mut();
         let kept = idle.entry(address).or_default();
         if kept.len() < KEPT {
             kept.push(connection);
         }
-        Ok(postcard::from_bytes(&body).unwrap_or_else(|error| {
-            Err(StoreError::NoReply(error.to_string().into()))
-        }))
+        if status == StatusCode::OK {
+            Ok(body)
+        } else {
+            Err(not_sent(format!("status {status}")))
+        }
     }
 }
 
-/// Carries a call of another VM out.
-pub(crate) async fn serve_store_call(
-    store: Rc<StoreClient>,
+/// Answers a message of another VM.
+pub(crate) async fn serve_message(
+    ledger: Rc<Ledger>,
     request: Request<Incoming>,
 ) -> Response<ReplyBody> {
     let body = Limited::new(request.into_body(), MESSAGE_BYTES);
     let Ok(body) = body.collect().await else {
         return reply::text(StatusCode::BAD_REQUEST, "message not read");
     };
-    let call: StoreCall = match postcard::from_bytes(&body.to_bytes()) {
-        Ok(call) => call,
+    let message: PeerMessage = match postcard::from_bytes(&body.to_bytes()) {
+        Ok(message) => message,
         Err(error) => return reply::text(StatusCode::BAD_REQUEST, &error.to_string()),
     };
-    let carried: Carried = if store.is_away() {
-        Err(StoreError::NotSent("store is away here too".into()))
-    } else {
-        store.call(&call).await
+    let answer = match message {
+        PeerMessage::Store(call) => postcard::to_allocvec(&ledger.carry_out(&call).await),
+        PeerMessage::Held { program, tokens } => {
+            postcard::to_allocvec(&ledger.hand_over(&ProgramKey(program), tokens))
+        }
+        PeerMessage::Allowance(ask) => postcard::to_allocvec(&ledger.hand_out(&ask).await),
+        PeerMessage::AllowanceEnd(end) => {
+            ledger.end_allowance(&end);
+            postcard::to_allocvec(&true)
+        }
+        PeerMessage::Sound => postcard::to_allocvec(&ledger.is_store_away()),
     };
-    match postcard::to_allocvec(&carried) {
-        Ok(message) => Response::new(ReplyBody::whole(message)),
+    match answer {
+        Ok(answer) => Response::new(ReplyBody::whole(answer)),
         Err(error) => reply::text(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
     }
 }
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -66,7 +66,10 @@
                         continue;
                     };
                     let step = self.reader.push(&data);
-                    self.count(step.events);
+                    if !self.count(step.events) {
+                        self.end = "charge used up in the stream";
+                        return Some(Err(BrokenOff));
+                    }
                     if !step.ready.is_empty() {
                         return Some(Ok(step.ready.into()));
                     }
@@ -84,11 +87,12 @@
         }
     }
 
-    fn count(&mut self, events: u64) {
+    /// Counts events that are about to be passed on; `false` if the charge
+    /// doesn't hold them.
+    fn count(&mut self, events: u64) -> bool {
         let tokens = events * self.call.tokens_per_event;
-        if let Some(charged) = &mut self.call.charged {
-            charged.use_tokens(tokens);
-        }
+        let charged = self.call.charged.as_mut();
+        charged.is_none_or(|charged| charged.use_tokens(tokens))
     }
 
     /// The target ended its stream; bytes after the last event go along.
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -81,14 +81,14 @@
         return_after_ms: settings.limits.settle_ms / 4,
         ..BudgetSettings::of(writer.clone())
     });
-    let own = Peers::new(settings.vm.name.clone());
+    let own = Peers::new(settings.vm.name.clone(), settings.vm.domain.clone());
     let peers = Rc::new(PeerClient::new(clock, own));
     let ledger = Ledger::new(clock, Rc::clone(&store), Rc::clone(&peers), accounts);
     let domain = settings.vm.domain.clone();
     let shared = Shared::new(clock, domain, metrics, ledger, peers);
 
     let (stop, stopped) = watch::channel(false);
-    listen_all(&settings, &shared, &store, &stopped)?;
+    listen_all(&settings, &shared, &stopped)?;
     for table in [Table::Config, Table::Targets, Table::Peers] {
         spawn_local(follow(Rc::clone(&shared), Rc::clone(&store), table));
     }
@@ -119,7 +119,6 @@
 fn listen_all(
     settings: &EntrySettings,
     shared: &Rc<Shared>,
-    store: &Rc<StoreClient>,
     stopped: &watch::Receiver<bool>,
 ) -> Result<(), RunError> {
     let listen = |key, address| {
@@ -149,9 +148,7 @@
         handle,
     ));
     let state = Rc::clone(shared);
-    let store = Rc::clone(store);
-    let handle =
-        move |request| server::inside(Rc::clone(&state), Rc::clone(&store), request);
+    let handle = move |request| server::inside(Rc::clone(&state), request);
     spawn_local(server::serve(
         Rc::clone(shared),
         peers,
@@ -165,7 +162,7 @@
     let mut round = 0;
     loop {
         sleep(HOUSEKEEPING_PERIOD).await;
-        shared.ledger.give_back_due();
+        shared.ledger.write_due();
         shared.targets.borrow_mut().sweep(shared.now_ms());
         round += 1;
         if round % SWEEP_ROUNDS == 0 {
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -19,10 +19,9 @@
 
 use crate::body::ReplyBody;
 use crate::connection::tune;
-use crate::peers::{serve_store_call, STORE_PATH};
+use crate::peers::{serve_message, MESSAGE_PATH};
 use crate::reply;
 use crate::shared::Shared;
-use crate::store::StoreClient;
 
 /// New connections that wait to be accepted.
 const BACKLOG: i32 = 1_024;
@@ -149,11 +148,10 @@
 /// Answers other VMs and readers of metrics.
 pub(crate) async fn inside(
     shared: Rc<Shared>,
-    store: Rc<StoreClient>,
     request: Request<Incoming>,
 ) -> Response<ReplyBody> {
     match request.uri().path() {
-        STORE_PATH => serve_store_call(store, request).await,
+        MESSAGE_PATH => serve_message(Rc::clone(&shared.ledger), request).await,
         METRICS_PATH => metrics(&shared),
         _ => reply::text(StatusCode::NOT_FOUND, "no such path"),
     }
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use compact_str::CompactString;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::Request;
@@ -15,11 +16,19 @@
 use crate::clock::Clock;
 use crate::connection::{Connection, ExchangeError};
 use crate::metrics::Metrics;
+use crate::registration::PEER_TABLE;
 
 /// Longest wait for a reply beyond the wait that the call itself asks for. A
 /// slow store takes about half a second for a transaction.
 const REPLY_WAIT: Duration = Duration::from_millis(1_500);
 
+/// Longest wait for the reply to a probe; a slow store takes about a quarter
+/// of a second for a read.
+const PROBE_WAIT: Duration = Duration::from_millis(600);
+
+/// Key behind those of all VMs, so that a probe reads no row.
+const AFTER_ALL_KEYS: &str = "~";
+
 /// Largest reply, above the megabyte that the store sends at most.
 const REPLY_BYTES: usize = 4_000_000;
 
@@ -52,6 +61,17 @@
         self.silent_since_ms.get().is_some()
     }
 
+    /// Whether a read gets no answer now.
+    pub(crate) async fn is_unreadable(&self) -> bool {
+        let call = StoreCall::Read {
+            table: CompactString::const_new(PEER_TABLE),
+            part: CompactString::default(),
+            from: CompactString::const_new(AFTER_ALL_KEYS),
+        };
+        let read = timeout(PROBE_WAIT, self.call(&call)).await;
+        !matches!(read, Ok(Ok(_)))
+    }
+
     /// Carries a call out once.
     pub(crate) async fn call(&self, call: &StoreCall) -> Result<StoreReply, StoreError> {
         let wait = match call {
--- /dev/null
+++ b/crates/gateway/src/allowance.rs
@@ -0,0 +1,111 @@
+//! What a program may spend where the store is out of reach.
+//!
+//! A budget may be overspent by the most tokens of one call, and no more. So
+//! the VMs that are without the store (see [`crate::judge`]) have one among
+//! them, the program's steward, that hands out that much in all, counted in
+//! tokens that callers get; streams that would pass it are cut. What was
+//! spent is charged to the program's row when the store is back.
+
+use compact_str::CompactString;
+use lagoon_ids::{rendezvous, FastMap};
+use serde::{Deserialize, Serialize};
+
+use crate::budget::ProgramKey;
+use crate::reach::Reach;
+
+/// Tokens that a call asks its program's steward for.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct AllowanceAsk {
+    /// What the VM that asks can reach; the steward must see the same.
+    pub reach: Reach,
+    /// Program.
+    pub program: CompactString,
+    /// Most tokens of the call.
+    pub most_tokens: u64,
+    /// Tokens that the caller expects.
+    pub expected_tokens: u64,
+}
+
+/// End of a call that spent from an allowance.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct AllowanceEnd {
+    /// Program.
+    pub program: CompactString,
+    /// Tokens that were handed out for it.
+    pub granted_tokens: u64,
+    /// Tokens that its caller got.
+    pub used_tokens: u64,
+}
+
+/// Times the expected tokens that a call gets if there are as many.
+const GENEROUS: u64 = 3;
+
+/// Times the expected tokens below which a call would likely be cut.
+const SCANT: u64 = 3;
+const SCANT_DIVISOR: u64 = 2;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Allowance {
+    under_way_tokens: u64,
+    spent_tokens: u64,
+}
+
+/// Allowances that this VM is the steward of.
+#[derive(Debug, Default)]
+pub struct Allowances {
+    programs: FastMap<ProgramKey, Allowance>,
+}
+
+impl Allowances {
+    /// Tokens for a call; 0 if too few are left.
+    pub fn ask(&mut self, ask: &AllowanceAsk) -> u64 {
+        let program = ProgramKey(ask.program.clone());
+        let allowance = self.programs.entry(program).or_default();
+        let taken_tokens = allowance.under_way_tokens + allowance.spent_tokens;
+        let left_tokens = ask.most_tokens.saturating_sub(taken_tokens);
+        let expected_tokens = ask.expected_tokens.max(1);
+        let scant_tokens = (expected_tokens * SCANT / SCANT_DIVISOR).min(ask.most_tokens);
+        if left_tokens < scant_tokens {
+            return 0;
+        }
+        let granted_tokens = left_tokens.min(expected_tokens * GENEROUS);
+        allowance.under_way_tokens += granted_tokens;
+        granted_tokens
+    }
+
+    /// Ends a call that got tokens.
+    pub fn end(&mut self, end: &AllowanceEnd) {
+        let program = ProgramKey(end.program.clone());
+        if let Some(allowance) = self.programs.get_mut(&program) {
+            let under_way_tokens = allowance.under_way_tokens;
+            allowance.under_way_tokens = under_way_tokens.saturating_sub(end.granted_tokens);
+            allowance.spent_tokens += end.used_tokens;
+        }
+    }
+
+    /// What is to be charged now that the store is back. Calls under way are
+    /// charged with all that they got.
+    pub fn take_debts(&mut self) -> Vec<(ProgramKey, u64)> {
+        let programs = self.programs.drain();
+        programs
+            .map(|(program, allowance)| {
+                let tokens = allowance.spent_tokens + allowance.under_way_tokens;
+                (program, tokens)
+            })
+            .filter(|(_, tokens)| *tokens > 0)
+            .collect()
+    }
+
+    /// Whether nothing is handed out.
+    pub fn is_empty(&self) -> bool {
+        self.programs.is_empty()
+    }
+}
+
+/// Steward of a program among these VMs.
+pub fn steward<'a, I>(program: &ProgramKey, vms: I) -> Option<&'a CompactString>
+where
+    I: IntoIterator<Item = &'a CompactString>,
+{
+    rendezvous(&program.0, vms)
+}
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -174,6 +174,8 @@
     held_before_tokens: u64,
     /// Held after.
     held_after_tokens: u64,
+    /// Spent without the store, and charged by this write.
+    debt_tokens: u64,
     row: AccountRow,
 }
 
@@ -204,6 +206,8 @@
     unresolved: Vec<Pending>,
     /// Charged in the row and not given to a call.
     held_tokens: u64,
+    /// Spent without the store and not charged yet.
+    debt_tokens: u64,
     used_ms: u64,
     retention_ms: u64,
 }
@@ -316,7 +320,7 @@
     /// out what became of writes without a reply.
     pub fn give_back(&mut self, program: &ProgramKey) -> Option<BudgetWrite> {
         let account = self.accounts.get_mut(program)?;
-        if account.pending.is_some() || !account.has_surplus() {
+        if account.pending.is_some() || !(account.has_surplus() || account.debt_tokens > 0) {
             return None;
         }
         let held_tokens = std::mem::take(&mut account.held_tokens);
@@ -339,9 +343,11 @@
             abandoned_tokens: 0,
             held_before_tokens,
             held_after_tokens,
+            debt_tokens: std::mem::take(&mut account.debt_tokens),
             row: account.row.clone(),
         };
-        let charged_tokens = account.row.charged_tokens + pending.owned_tokens();
+        let added_tokens = pending.owned_tokens() + pending.debt_tokens;
+        let charged_tokens = account.row.charged_tokens + added_tokens;
         pending.row.charged_tokens = charged_tokens.saturating_sub(held_before_tokens);
         pending.row.mark(Mark {
             writer: self.settings.writer.clone(),
@@ -391,24 +397,58 @@
             }
             Ok(_) | Err(_) => {
                 account.held_tokens += pending.held_before_tokens;
+                account.debt_tokens += pending.debt_tokens;
                 account.refuse(pending.granted)
             }
         }
     }
 
-    /// Programs whose held tokens should go back: the budget is short, and
-    /// calls at other VMs may need them.
+    /// Programs whose row should change although no call waits: tokens were
+    /// spent without the store, or tokens are held while the budget is short
+    /// and calls at other VMs may need them.
     pub fn due(&self, now_ms: u64) -> Vec<ProgramKey> {
-        let settings = &self.settings;
         self.accounts
             .iter()
-            .filter(|(_, account)| account.pending.is_none() && account.has_surplus())
-            .filter(|(_, account)| account.is_short(settings))
-            .filter(|(_, account)| account.used_ms + settings.return_after_ms <= now_ms)
+            .filter(|(_, account)| account.pending.is_none())
+            .filter(|(_, account)| account.is_due(&self.settings, now_ms))
             .map(|(program, _)| program.clone())
             .collect()
     }
 
+    /// Takes note of tokens that were spent without the store.
+    pub fn add_debt(&mut self, program: &ProgramKey, tokens: u64, now_ms: u64) {
+        let account = self.accounts.entry(program.clone()).or_default();
+        account.debt_tokens += tokens;
+        account.used_ms = now_ms;
+    }
+
+    /// Whether tokens that were spent without the store are not charged yet,
+    /// or the budget is known to be spent.
+    pub fn is_exhausted(&self, program: &ProgramKey, tokens: u64) -> bool {
+        self.accounts.get(program).is_some_and(|account| {
+            let is_known = account.version > 0;
+            account.has_debt() || (is_known && account.left_tokens() < tokens)
+        })
+    }
+
+    /// Takes held tokens out, for a call at another VM.
+    pub fn take_held(&mut self, program: &ProgramKey, tokens: u64) -> bool {
+        let account = self.accounts.get_mut(program);
+        match account.filter(|account| account.held_tokens >= tokens) {
+            Some(account) => {
+                account.held_tokens -= tokens;
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Takes tokens in that another VM held.
+    pub fn add_held(&mut self, program: &ProgramKey, tokens: u64) {
+        let account = self.accounts.entry(program.clone()).or_default();
+        account.held_tokens += tokens;
+    }
+
     /// Forgets programs that were silent for twice their retention; the rows
     /// to be removed are returned.
     pub fn sweep(&mut self, now_ms: u64) -> Vec<Write> {
@@ -439,6 +479,21 @@
         self.held_tokens > 0 || !self.unresolved.is_empty()
     }
 
+    /// Whether the row must change although no call waits.
+    fn is_due(&self, settings: &BudgetSettings, now_ms: u64) -> bool {
+        if self.debt_tokens > 0 {
+            return true;
+        }
+        let is_silent = self.used_ms + settings.return_after_ms <= now_ms;
+        self.has_surplus() && self.is_short(settings) && is_silent
+    }
+
+    /// Whether tokens that were spent without the store may not be charged.
+    fn has_debt(&self) -> bool {
+        let writes = self.pending.iter().chain(&self.unresolved);
+        self.debt_tokens > 0 || writes.into_iter().any(|write| write.debt_tokens > 0)
+    }
+
     fn is_short(&self, settings: &BudgetSettings) -> bool {
         self.left_tokens() < settings.short_calls * self.largest_call_tokens
     }
@@ -466,6 +521,7 @@
         // The condition of these is void now, so they never were applied.
         for unresolved in std::mem::take(&mut self.unresolved) {
             self.held_tokens += unresolved.held_before_tokens - unresolved.certain_tokens();
+            self.debt_tokens += unresolved.debt_tokens;
         }
         self.decide(pending.granted, writer)
     }
@@ -510,6 +566,7 @@
             Some(Ok(row)) => row,
             Some(Err(_)) => {
                 self.held_tokens += pending.certain_tokens();
+                self.debt_tokens += pending.debt_tokens;
                 return self.refuse(pending.granted);
             }
         };
@@ -525,7 +582,10 @@
             let certain_tokens = unresolved.certain_tokens();
             if last == unresolved.number {
                 self.held_tokens += unresolved.owned_tokens() - certain_tokens;
-            } else if is_marked {
+                continue;
+            }
+            self.debt_tokens += unresolved.debt_tokens;
+            if is_marked {
                 self.held_tokens += unresolved.held_before_tokens - certain_tokens;
             }
         }
@@ -533,6 +593,7 @@
             self.held_tokens += pending.held_after_tokens + pending.abandoned_tokens;
             return self.decide(pending.granted, writer);
         }
+        self.debt_tokens += pending.debt_tokens;
         self.held_tokens += if is_marked {
             pending.held_before_tokens
         } else {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,16 +5,19 @@
 //! thread, a socket or a random source: times and random numbers come in with
 //! each call.
 
+mod allowance;
 mod budget;
 mod config;
 mod events;
 mod outcome;
 mod peers;
 mod placement;
+mod reach;
 mod request;
 mod store;
 mod targets;
 
+pub use allowance::{steward, AllowanceAsk, AllowanceEnd, Allowances};
 pub use budget::{
     AccountRow, Accounts, Asked, BudgetSettings, BudgetWrite, Decision, Grant, Mark, ProgramKey,
     Waiter,
@@ -24,6 +27,7 @@
 pub use outcome::{after_failure, Attempts, Failure, Next};
 pub use peers::{PeerEnd, PeerEntry, Peers};
 pub use placement::{place, Ask, Choice, PlacementSettings};
+pub use reach::{judge, Reach, Sounding};
 pub use request::{Facts, Turn};
 pub use store::{Row, RowKey, StoreCall, StoreError, StoreReply, Write};
 pub use targets::{Load, State, Target, TargetEntry, TargetKey, Targets, TargetSettings};
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,9 +3,11 @@
 use std::net::SocketAddr;
 
 use compact_str::CompactString;
-use lagoon_ids::FastMap;
+use lagoon_ids::{hash64, FastMap};
 use serde::{Deserialize, Serialize};
 
+use crate::reach::Reach;
+
 /// Entry that a VM writes of itself, as JSON.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PeerEntry {
@@ -53,14 +55,16 @@
 #[derive(Debug, Default)]
 pub struct Peers {
     own: CompactString,
+    domain: CompactString,
     peers: FastMap<CompactString, Peer>,
 }
 
 impl Peers {
     /// No other VM is known; `own` is left out of what is learned.
-    pub fn new(own: CompactString) -> Peers {
+    pub fn new(own: CompactString, domain: CompactString) -> Peers {
         Peers {
             own,
+            domain,
             peers: FastMap::default(),
         }
     }
@@ -101,32 +105,81 @@
         self.peers.retain(|name, _| is_kept(name));
     }
 
-    /// VMs to ask, at most `count`; `random` spreads the load.
+    /// VMs to ask, at most `count`, those of other failure domains first, as
+    /// what cuts this VM off may cut its domain off; `random` spreads the
+    /// load.
     pub fn candidates(
         &self,
         count: usize,
         random: u64,
         now_ms: u64,
     ) -> Vec<(CompactString, SocketAddr)> {
-        let mut names: Vec<&CompactString> = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| peer.avoid_until_ms <= now_ms)
-            .map(|(name, _)| name)
-            .collect();
+        let usable = |peer: &&CompactString| self.peers[*peer].avoid_until_ms <= now_ms;
+        let mut names: Vec<&CompactString> = self.peers.keys().filter(usable).collect();
+        names.sort_by_key(|name| {
+            let is_near = self.peers[*name].entry.domain == self.domain;
+            (is_near, hash64(&(hash64(name.as_bytes()) ^ random).to_le_bytes()))
+        });
+        self.addresses(names.into_iter().take(count))
+    }
+
+    /// VMs that may be within reach, at most `count`, those of the own failure
+    /// domain first.
+    pub fn neighbours(&self, count: usize, now_ms: u64) -> Vec<(CompactString, SocketAddr)> {
+        let is_sound = |peer: &Peer| peer.failures == 0 || peer.avoid_until_ms <= now_ms;
+        let sound = self.peers.iter().filter(|(_, peer)| is_sound(peer));
+        let mut names: Vec<&CompactString> = sound.map(|(name, _)| name).collect();
+        names.sort_by_key(|name| (self.peers[*name].entry.domain != self.domain, *name));
+        self.addresses(names.into_iter().take(count))
+    }
+
+    /// VMs to sound out, at most `most` of each failure domain.
+    pub fn to_sound(&self, most: usize) -> Vec<(CompactString, PeerEntry)> {
+        let mut taken: FastMap<&str, usize> = FastMap::default();
+        let mut names: Vec<&CompactString> = self.peers.keys().collect();
         names.sort();
-        if names.is_empty() {
-            return Vec::new();
-        }
-        let start = random as usize % names.len();
-        let (before, after) = names.split_at(start);
-        let order = after.iter().chain(before);
-        order
-            .take(count)
-            .map(|name| ((*name).clone(), self.peers[*name].entry.address))
+        names
+            .into_iter()
+            .map(|name| (name, &self.peers[name].entry))
+            .filter(|(_, entry)| {
+                let taken = taken.entry(entry.domain.as_str()).or_default();
+                *taken += 1;
+                *taken <= most
+            })
+            .map(|(name, entry)| (name.clone(), entry.clone()))
+            .collect()
+    }
+
+    /// VMs among which programs have their steward, this one included.
+    pub fn group(&self, reach: Reach) -> Vec<&CompactString> {
+        let is_in = |peer: &Peer| match reach {
+            Reach::AllDomains => true,
+            Reach::OwnDomain => peer.entry.domain == self.domain,
+            Reach::Store | Reach::Unclear => false,
+        };
+        let others = self.peers.iter().filter(|(_, peer)| is_in(peer));
+        others.map(|(name, _)| name).chain([&self.own]).collect()
+    }
+
+    /// Own failure domain.
+    pub fn domain(&self) -> &CompactString {
+        &self.domain
+    }
+
+    fn addresses<'a, I>(&self, names: I) -> Vec<(CompactString, SocketAddr)>
+    where
+        I: Iterator<Item = &'a CompactString>,
+    {
+        names
+            .map(|name| (name.clone(), self.peers[name].entry.address))
             .collect()
     }
 
+    /// Address of a VM.
+    pub fn address(&self, name: &str) -> Option<SocketAddr> {
+        self.peers.get(name).map(|peer| peer.entry.address)
+    }
+
     /// Takes note of the end of a request to a VM.
     pub fn note(&mut self, name: &str, end: PeerEnd, now_ms: u64) {
         let Some(peer) = self.peers.get_mut(name) else {
@@ -138,6 +191,7 @@
                 peer.failing_since_ms = None;
             }
             PeerEnd::Unable => {
+                peer.failures = 0;
                 peer.failing_since_ms = None;
                 peer.avoid_until_ms = now_ms + UNABLE_PAUSE_MS;
             }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -30,6 +30,8 @@
     pub prompt_tokens: u64,
     /// Most tokens that the answer may have.
     pub max_output_tokens: u64,
+    /// Tokens that the caller expects of the answer; often far off.
+    pub expected_tokens: Option<u64>,
     /// Parts of the prompt in order, each with its tokens.
     pub prefix: Vec<(u64, u64)>,
     /// Last event that the caller has.
--- /dev/null
+++ b/crates/gateway/tests/config.rs
@@ -0,0 +1,76 @@
+//! Choice of route and service.
+
+use lagoon_gateway::{Config, Kind, Limits, Route, Split};
+use yare::parameterized;
+
+fn route(name: &str, host: &str, prefix: &str, services: &[(&str, u32)]) -> Route {
+    Route {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        kind: Kind::Idempotent,
+        timeout_ms: 1_000,
+        target_latency_ms: 100,
+        priority: 0,
+        splits: services
+            .iter()
+            .map(|(service, weight)| Split {
+                service: (*service).into(),
+                weight: *weight,
+            })
+            .collect(),
+        max_attempts: 1,
+        resumable: false,
+        sticky: false,
+        retention_ms: 0,
+    }
+}
+
+fn config() -> Config {
+    let routes = vec![
+        route("all", "a.example", "/", &[("x", 1)]),
+        route("deep", "a.example", "/deep/er/", &[("x", 1)]),
+        route("mid", "a.example", "/deep/", &[("x", 1)]),
+        route("only", "b.example", "/only/", &[("x", 1)]),
+    ];
+    Config::new(1, Limits::default(), routes, Vec::new())
+}
+
+#[parameterized(
+    longest = { "a.example", "/deep/er/1", Some("deep") },
+    middle = { "a.example", "/deep/other", Some("mid") },
+    shortest = { "a.example", "/", Some("all") },
+    case_of_host = { "A.Example", "/deep/", Some("mid") },
+    port_of_host = { "a.example:8080", "/x", Some("all") },
+    no_slash_at_end = { "b.example", "/only", None },
+    other_host = { "c.example", "/only/1", None },
+)]
+fn route_prefix(host: &str, path: &str, expected: Option<&str>) {
+    let config = config();
+    let route = config.route(host, path);
+    assert_eq!(route.map(|route| route.name.as_str()), expected);
+}
+
+#[test]
+fn service_weights_are_shares() {
+    let route = route("r", "h", "/", &[("x", 90), ("y", 10)]);
+    let to_y = (0..1_000).filter(|hash| route.service(*hash).is_some_and(|s| s == "y"));
+    assert_eq!(to_y.count(), 100);
+}
+
+#[test]
+fn service_weight_zero_gets_nothing() {
+    let route = route("r", "h", "/", &[("x", 0), ("y", 5)]);
+    assert!((0..100).all(|hash| route.service(hash).is_some_and(|s| s == "y")));
+}
+
+#[test]
+fn service_all_weights_zero_is_the_first() {
+    let route = route("r", "h", "/", &[("x", 0), ("y", 0)]);
+    assert_eq!(route.service(7).map(|s| s.as_str()), Some("x"));
+}
+
+#[test]
+fn service_none_without_splits() {
+    assert_eq!(route("r", "h", "/", &[]).service(7), None);
+}
--- /dev/null
+++ b/crates/gateway/tests/events.rs
@@ -0,0 +1,69 @@
+//! Boundaries of server-sent events.
+
+use lagoon_gateway::EventReader;
+use proptest::prelude::*;
+
+const STREAM: &[u8] = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+
+#[test]
+fn push_keeps_half_an_event() {
+    let mut reader = EventReader::default();
+    let step = reader.push(b"id: 1\ndata: a\n\nid: 2\nda");
+    assert_eq!(step.ready, b"id: 1\ndata: a\n\n");
+    assert_eq!((step.events, reader.last_id()), (1, Some(1)));
+    assert_eq!(reader.take_tail(), b"id: 2\nda");
+}
+
+#[test]
+fn push_drops_events_that_were_passed_on() {
+    let mut reader = EventReader::default();
+    reader.push(b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
+    reader.take_tail();
+    let step = reader.push(STREAM);
+    assert_eq!(step.ready, b"id: 3\ndata: c\n\n");
+}
+
+#[test]
+fn push_after_the_callers_event() {
+    let mut reader = EventReader::after(Some(2));
+    assert_eq!(reader.push(STREAM).events, 1);
+}
+
+#[test]
+fn push_events_without_identity_pass() {
+    let mut reader = EventReader::default();
+    assert_eq!(reader.push(b"data: a\n\ndata: b\r\n\r\n").events, 2);
+    assert_eq!(reader.last_id(), None);
+}
+
+#[test]
+fn push_line_with_the_version_belongs_to_its_event() {
+    let mut reader = EventReader::default();
+    let event = b"version: 2\nid: 9\ndata: a\n\n";
+    let step = reader.push(event);
+    assert_eq!(step.ready, event);
+    assert_eq!(reader.last_id(), Some(9));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: prop::test_runner::RngSeed::Fixed(3),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn push_any_pieces_give_the_same_bytes(cuts in prop::collection::vec(0..STREAM.len(), 0..8)) {
+        let mut cuts = cuts;
+        cuts.sort_unstable();
+        cuts.push(STREAM.len());
+        let mut reader = EventReader::default();
+        let (mut start, mut passed) = (0, Vec::new());
+        for cut in cuts {
+            passed.extend(reader.push(&STREAM[start..cut]).ready);
+            start = cut;
+        }
+        prop_assert_eq!(passed, STREAM);
+        prop_assert_eq!(reader.passed(), 3);
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/peers.rs
@@ -0,0 +1,65 @@
+//! Which other VMs are asked.
+
+use lagoon_gateway::{PeerEnd, PeerEntry, Peers};
+
+fn entry(port: u16) -> PeerEntry {
+    PeerEntry {
+        address: ([127, 0, 0, 1], port).into(),
+        domain: "d1".into(),
+        writer: "w".into(),
+    }
+}
+
+fn peers() -> Peers {
+    let mut peers = Peers::new("own".into(), "d1".into());
+    for (name, port) in [("own", 1), ("a", 2), ("b", 3), ("c", 4)] {
+        peers.upsert(name.into(), entry(port), 10);
+    }
+    peers
+}
+
+fn names(peers: &Peers, random: u64, now_ms: u64) -> Vec<String> {
+    let candidates = peers.candidates(9, random, now_ms);
+    candidates.into_iter().map(|(name, _)| name.into()).collect()
+}
+
+#[test]
+fn candidates_leave_the_own_vm_out() {
+    assert_eq!(names(&peers(), 0, 0), ["a", "b", "c"]);
+    assert_eq!(names(&peers(), 4, 0), ["b", "c", "a"]);
+}
+
+#[test]
+fn candidates_pause_grows_with_failures() {
+    let mut peers = peers();
+    peers.note("a", PeerEnd::Unreachable, 0);
+    assert_eq!(names(&peers, 0, 500), ["b", "c"]);
+    assert_eq!(names(&peers, 0, 1_000), ["a", "b", "c"]);
+    peers.note("a", PeerEnd::Unreachable, 1_000);
+    assert_eq!(names(&peers, 0, 2_500), ["b", "c"]);
+    peers.note("a", PeerEnd::Answered, 3_000);
+    peers.note("a", PeerEnd::Unreachable, 3_000);
+    assert_eq!(names(&peers, 0, 4_000), ["a", "b", "c"]);
+}
+
+#[test]
+fn upsert_new_incarnation_is_asked_at_once() {
+    let mut peers = peers();
+    peers.note("a", PeerEnd::Unreachable, 0);
+    let new = PeerEntry {
+        writer: "new".into(),
+        ..entry(2)
+    };
+    peers.upsert("a".into(), new, 11);
+    assert_eq!(names(&peers, 0, 1), ["a", "b", "c"]);
+}
+
+#[test]
+fn gone_after_long_silence_only() {
+    let mut peers = peers();
+    peers.note("a", PeerEnd::Unreachable, 0);
+    assert!(peers.gone(100_000).is_empty());
+    peers.note("b", PeerEnd::Unreachable, 0);
+    peers.note("b", PeerEnd::Unable, 50_000);
+    assert_eq!(peers.gone(120_000), [("a".into(), 10)]);
+}
