--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -189,7 +189,10 @@
     let Some(config) = config.filter(|_| shared.targets_known.get()) else {
         log::info!(request = facts.request_id.as_str(), status = 503; "refused: no configuration yet");
         shared.metrics.answer(503, 0);
-        return Err(Box::new(reply::refusal("no configuration yet", AWAY_RETRY_MS)));
+        return Err(Box::new(reply::refusal(
+            "no configuration yet",
+            AWAY_RETRY_MS,
+        )));
     };
     let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
@@ -433,11 +436,14 @@
         let mut stale = 0;
         let (mut lease, response) = loop {
             let pool = &self.shared.pool;
-            let mut lease = pool.lease(key, entry.address).await.map_err(|error| Failed {
-                failure: Failure::NotSent,
-                detail: error.to_string(),
-                is_unreachable: true,
-            })?;
+            let mut lease = pool
+                .lease(key, entry.address)
+                .await
+                .map_err(|error| Failed {
+                    failure: Failure::NotSent,
+                    detail: error.to_string(),
+                    is_unreachable: true,
+                })?;
             let request = self.request(entry, last_event_id);
             self.may_run = true;
             match lease.connection.send(request).await {
@@ -536,9 +542,9 @@
     *head.version_mut() = http::Version::HTTP_11;
     head.extensions_mut().clear();
     let headers = std::mem::take(head.headers_mut());
-    let kept = headers.iter().filter(|(name, _)| {
-        is_forwarded(name, &[]) && *name != http::header::CONTENT_LENGTH
-    });
+    let kept = headers
+        .iter()
+        .filter(|(name, _)| is_forwarded(name, &[]) && *name != http::header::CONTENT_LENGTH);
     for (name, value) in kept {
         head.headers_mut().append(name.clone(), value.clone());
     }
--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -10,7 +10,7 @@
 use compact_str::CompactString;
 use lagoon_gateway::{
     steward, Accounts, AllowanceAsk, AllowanceEnd, Allowances, Asked, BudgetWrite, Decision,
-    ProgramKey, Reach, StoreCall, StoreError, StoreReply, Waiter,
+    ProgramKey, Reach, RowKey, StoreCall, StoreError, StoreReply, Waiter, Write,
 };
 use lagoon_ids::FastMap;
 use tokio::sync::{oneshot, Mutex};
@@ -33,6 +33,24 @@
 /// Age at which what a VM can reach is looked at again.
 const REACH_AGE_MS: u64 = 400;
 
+/// Table of the overdrawn programs.
+pub(crate) const OVERDRAWN_TABLE: &str = "overdrawn";
+
+/// How long a program stays listed, beyond the time for which it may go on.
+const LISTED_MS: u64 = 600_000;
+
+fn overdrawn_write(program: &ProgramKey, expected: u64, is_listed: bool) -> Write {
+    Write {
+        key: RowKey {
+            table: CompactString::const_new(OVERDRAWN_TABLE),
+            part: CompactString::default(),
+            key: program.0.clone(),
+        },
+        expected,
+        value: is_listed.then(|| b"1".to_vec()),
+    }
+}
+
 /// Charges of this VM.
 pub(crate) struct Ledger {
     clock: Clock,
@@ -42,6 +60,8 @@
     allowances: RefCell<Allowances>,
     /// What this VM could reach, and when it looked.
     reach: Mutex<Option<(Reach, u64)>>,
+    /// Programs that this VM listed as overdrawn: version and time.
+    listed: RefCell<Vec<(ProgramKey, u64, u64)>>,
     waiting: RefCell<FastMap<Waiter, oneshot::Sender<Decision>>>,
     next_waiter: Cell<u64>,
 }
@@ -87,6 +107,7 @@
             accounts: RefCell::new(accounts),
             allowances: RefCell::default(),
             reach: Mutex::default(),
+            listed: RefCell::default(),
             waiting: RefCell::default(),
             next_waiter: Cell::new(1),
         })
@@ -149,18 +170,14 @@
 
     /// Charges a call from what neighbours hold for its program, or from its
     /// allowance.
-    async fn charge_without_store(
-        self: &Rc<Self>,
-        charge: &Charge,
-    ) -> Result<Charged, Decision> {
+    async fn charge_without_store(self: &Rc<Self>, charge: &Charge) -> Result<Charged, Decision> {
         let program = &charge.program;
         let tokens = charge.tokens;
-        if self.peers.take_held(program, tokens).await {
-            let mut accounts = self.accounts.borrow_mut();
-            accounts.add_held(program, tokens);
-            if accounts.take_held(program, tokens) {
-                return Ok(Charged::new(self, program, Source::Row, tokens));
-            }
+        // An account opens here, to take in what the call won't use.
+        let now_ms = self.clock.now_ms();
+        self.accounts.borrow_mut().add_held(program, 0, now_ms);
+        if self.hand_over(program, tokens) || self.peers.take_held(program, tokens).await {
+            return Ok(Charged::new(self, program, Source::Row, tokens));
         }
         let reach = self.reach().await;
         let chosen = {
@@ -171,6 +188,7 @@
         let ask = AllowanceAsk {
             reach,
             program: program.0.clone(),
+            budget_tokens: charge.budget_tokens,
             most_tokens: tokens,
             expected_tokens: charge.expected_tokens,
         };
@@ -262,7 +280,8 @@
         let mut next = Some(first);
         while let Some(BudgetWrite { program, write }) = next {
             let reply = self.write(StoreCall::Transact(vec![write])).await;
-            let decisions = self.accounts.borrow_mut().written(&program, &reply);
+            let now_ms = self.clock.now_ms();
+            let decisions = self.accounts.borrow_mut().written(&program, &reply, now_ms);
             for (waiter, decision) in decisions {
                 self.decide(&program, waiter, decision);
             }
@@ -319,9 +338,11 @@
             return;
         }
         let now_ms = self.clock.now_ms();
-        for (program, tokens) in self.allowances.borrow_mut().take_debts() {
-            log::info!(program = program.0.as_str(), tokens; "charging what was spent without the store");
-            self.accounts.borrow_mut().add_debt(&program, tokens, now_ms);
+        for debt in self.allowances.borrow_mut().take_debts() {
+            let program = debt.program.clone();
+            log::info!(program = program.0.as_str(), tokens = debt.tokens; "charging what was spent without the store");
+            self.accounts.borrow_mut().add_debt(&debt, now_ms);
+            spawn_local(Rc::clone(self).list_overdrawn(program));
         }
         let due = self.accounts.borrow().due(now_ms);
         for program in due {
@@ -332,8 +353,62 @@
         }
     }
 
+    /// Lists a program as overdrawn once its debt is charged, if it is.
+    async fn list_overdrawn(self: Rc<Self>, program: ProgramKey) {
+        while self.accounts.borrow().is_exhausted(&program, 0) {
+            sleep(RETRY_PAUSE).await;
+        }
+        if !self.accounts.borrow().is_spent(&program) {
+            return;
+        }
+        self.set_overdrawn(program.clone(), true);
+        for _ in 0..TRIES {
+            let call = StoreCall::Transact(vec![overdrawn_write(&program, 0, true)]);
+            match self.store.call(&call).await {
+                Ok(StoreReply::Applied { version }) => {
+                    self.listed
+                        .borrow_mut()
+                        .push((program, version, self.clock.now_ms()));
+                    return;
+                }
+                // Another VM listed it, or an earlier try did.
+                Ok(_) => return,
+                Err(error) => {
+                    log::warn!(program = program.0.as_str(), error = error.to_string(); "overdrawn program not listed");
+                    sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Takes note whether a program is listed as overdrawn.
+    pub(crate) fn set_overdrawn(&self, program: ProgramKey, is_overdrawn: bool) {
+        let mut allowances = self.allowances.borrow_mut();
+        allowances.set_overdrawn(program, is_overdrawn);
+    }
+
+    /// Takes programs that are long silent off the list.
+    async fn sweep_overdrawn(&self) {
+        let now_ms = self.clock.now_ms();
+        let over: Vec<_> = {
+            let mut listed = self.listed.borrow_mut();
+            let is_kept = |at_ms: u64| now_ms < at_ms + LISTED_MS;
+            let over = listed.iter().filter(|(_, _, at_ms)| !is_kept(*at_ms));
+            let over = over.cloned().collect();
+            listed.retain(|(_, _, at_ms)| is_kept(*at_ms));
+            over
+        };
+        for (program, version, _) in over {
+            let call = StoreCall::Transact(vec![overdrawn_write(&program, version, false)]);
+            if let Err(error) = self.store.call(&call).await {
+                log::debug!(error = error.to_string(); "program stays listed as overdrawn");
+            }
+        }
+    }
+
     /// Removes rows of programs that are long silent.
     pub(crate) async fn sweep(&self) {
+        self.sweep_overdrawn().await;
         let writes = self.accounts.borrow_mut().sweep(self.clock.now_ms());
         for write in writes {
             // A row that changed meanwhile is another VM's to remove; one
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -202,12 +202,7 @@
         }
     }
 
-    async fn ask_named<A>(
-        &self,
-        name: &str,
-        message: &PeerMessage,
-        wait: Duration,
-    ) -> Option<A>
+    async fn ask_named<A>(&self, name: &str, message: &PeerMessage, wait: Duration) -> Option<A>
     where
         A: DeserializeOwned,
     {
--- a/crates/entry/src/registration.rs
+++ b/crates/entry/src/registration.rs
@@ -59,7 +59,9 @@
     pub(crate) async fn keep(self: Rc<Self>, shared: Rc<Shared>) {
         while !shared.stopping.get() {
             if !shared.registered.get() && !self.store.is_away() {
-                shared.registered.set(self.write(Some(self.value.clone())).await);
+                shared
+                    .registered
+                    .set(self.write(Some(self.value.clone())).await);
             }
             let gone = shared.peers.peers.borrow().gone(shared.now_ms());
             for (name, version) in gone {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -89,7 +89,12 @@
 
     let (stop, stopped) = watch::channel(false);
     listen_all(&settings, &shared, &stopped)?;
-    for table in [Table::Config, Table::Targets, Table::Peers] {
+    for table in [
+        Table::Config,
+        Table::Targets,
+        Table::Peers,
+        Table::Overdrawn,
+    ] {
         spawn_local(follow(Rc::clone(&shared), Rc::clone(&store), table));
     }
     spawn_local(housekeeping(Rc::clone(&shared)));
@@ -121,9 +126,8 @@
     shared: &Rc<Shared>,
     stopped: &watch::Receiver<bool>,
 ) -> Result<(), RunError> {
-    let listen = |key, address| {
-        server::listen(address).map_err(|source| RunError::Socket { key, source })
-    };
+    let listen =
+        |key, address| server::listen(address).map_err(|source| RunError::Socket { key, source });
     let callers = listen("listen.callers", settings.listen.callers)?;
     let ready = listen("listen.ready", settings.listen.ready)?;
     let peers = listen("listen.peers", settings.listen.peers)?;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -40,7 +40,11 @@
 
 /// Opens a listening socket.
 pub(crate) fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    let socket = Socket::new(
+        Domain::for_address(address),
+        Type::STREAM,
+        Some(Protocol::TCP),
+    )?;
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
     socket.bind(&address.into())?;
@@ -146,10 +150,7 @@
 }
 
 /// Answers other VMs and readers of metrics.
-pub(crate) async fn inside(
-    shared: Rc<Shared>,
-    request: Request<Incoming>,
-) -> Response<ReplyBody> {
+pub(crate) async fn inside(shared: Rc<Shared>, request: Request<Incoming>) -> Response<ReplyBody> {
     match request.uri().path() {
         MESSAGE_PATH => serve_message(Rc::clone(&shared.ledger), request).await,
         METRICS_PATH => metrics(&shared),
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -131,19 +131,22 @@
     };
     let deserializer = toml::Deserializer::parse(text)
         .map_err(|error| fault(".".to_owned(), error.message().to_owned()))?;
-    let settings: EntrySettings =
-        serde_path_to_error::deserialize(deserializer).map_err(|error| {
-            fault(
-                error.path().to_string(),
-                error.inner().message().to_owned(),
-            )
-        })?;
+    let settings: EntrySettings = serde_path_to_error::deserialize(deserializer)
+        .map_err(|error| fault(error.path().to_string(), error.inner().message().to_owned()))?;
     let limits = &settings.limits;
     let checks = [
-        ("limits.stop_wait_s", limits.stop_wait_s >= 1.0, "at least 1"),
+        (
+            "limits.stop_wait_s",
+            limits.stop_wait_s >= 1.0,
+            "at least 1",
+        ),
         ("limits.settle_ms", limits.settle_ms >= 100, "at least 100"),
         ("limits.memory_mb", limits.memory_mb >= 16, "at least 16"),
-        ("limits.descriptors", limits.descriptors >= 256, "at least 256"),
+        (
+            "limits.descriptors",
+            limits.descriptors >= 256,
+            "at least 256",
+        ),
         ("vm.name", !settings.vm.name.is_empty(), "not empty"),
     ];
     for (key, is_valid, allowed) in checks {
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -32,6 +32,12 @@
 /// Largest reply, above the megabyte that the store sends at most.
 const REPLY_BYTES: usize = 4_000_000;
 
+/// Failures in a row after which the store counts as away.
+const AWAY_FAILURES: u32 = 2;
+
+/// Status of a call beyond the store's rates.
+const TOO_MANY_REQUESTS: u16 = 429;
+
 /// Kept connections; more are closed after use.
 const KEPT: usize = 4;
 
@@ -43,6 +49,8 @@
     idle: RefCell<Vec<Connection>>,
     /// Since when no call had a reply.
     silent_since_ms: Cell<Option<u64>>,
+    /// Calls without a reply since the last one that had one.
+    failures: Cell<u32>,
 }
 
 impl StoreClient {
@@ -53,12 +61,13 @@
             metrics,
             idle: RefCell::default(),
             silent_since_ms: Cell::new(None),
+            failures: Cell::new(0),
         }
     }
 
-    /// Whether the last call had no reply.
+    /// Whether calls are not worth a try.
     pub(crate) fn is_away(&self) -> bool {
-        self.silent_since_ms.get().is_some()
+        self.failures.get() >= AWAY_FAILURES
     }
 
     /// Whether a read gets no answer now.
@@ -95,6 +104,7 @@
         match reply {
             Ok(_) => {
                 self.metrics.store_call(name, "reply");
+                self.failures.set(0);
                 if let Some(since_ms) = self.silent_since_ms.take() {
                     let away_ms = self.clock.now_ms() - since_ms;
                     log::info!(away_ms; "store answers again");
@@ -102,6 +112,7 @@
             }
             Err(error) => {
                 self.metrics.store_call(name, "error");
+                self.failures.set(self.failures.get() + weight(error));
                 if self.silent_since_ms.get().is_none() {
                     self.silent_since_ms.set(Some(self.clock.now_ms()));
                     log::warn!(call = name, error = error.to_string(); "store lost");
@@ -154,6 +165,17 @@
     }
 }
 
+/// Failures that an error counts for.
+fn weight(error: &StoreError) -> u32 {
+    match error {
+        // The store is there, and has too much to do.
+        StoreError::Refused(TOO_MANY_REQUESTS) => 0,
+        StoreError::Refused(_) | StoreError::NotSent(_) => AWAY_FAILURES,
+        // One answer may get lost.
+        StoreError::NoReply(_) => 1,
+    }
+}
+
 fn store_error(error: ExchangeError) -> StoreError {
     match error {
         ExchangeError::NotSent(detail) => StoreError::NotSent(detail.into()),
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -5,9 +5,10 @@
 
 use compact_str::CompactString;
 use lagoon_adapter::{decode_config, decode_target, CONFIG_KEY, OPERATOR_TABLE, TARGET_TABLE};
-use lagoon_gateway::{Row, StoreCall, StoreError, StoreReply, TargetEntry};
+use lagoon_gateway::{ProgramKey, Row, StoreCall, StoreError, StoreReply, TargetEntry};
 use tokio::time::sleep;
 
+use crate::ledger::OVERDRAWN_TABLE;
 use crate::registration::PEER_TABLE;
 use crate::shared::Shared;
 use crate::store::StoreClient;
@@ -16,8 +17,8 @@
 /// after.
 const WATCH_WAIT_MS: u64 = 2_000;
 
-/// The same for the list of VMs, on which no bound of time rests.
-const PEER_WATCH_WAIT_MS: u64 = 10_000;
+/// The same for tables on which no bound of time rests.
+const SLOW_WATCH_WAIT_MS: u64 = 10_000;
 
 /// Pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
@@ -50,6 +51,7 @@
     Config,
     Targets,
     Peers,
+    Overdrawn,
 }
 
 impl Table {
@@ -58,6 +60,7 @@
             Table::Config => OPERATOR_TABLE,
             Table::Targets => TARGET_TABLE,
             Table::Peers => PEER_TABLE,
+            Table::Overdrawn => OVERDRAWN_TABLE,
         })
     }
 
@@ -65,7 +68,7 @@
     fn wait_ms(self) -> u64 {
         match self {
             Table::Config | Table::Targets => WATCH_WAIT_MS,
-            Table::Peers => PEER_WATCH_WAIT_MS,
+            Table::Peers | Table::Overdrawn => SLOW_WATCH_WAIT_MS,
         }
     }
 }
@@ -170,7 +173,7 @@
 
     fn take_all(&mut self, rows: Vec<Row>) {
         match self.table {
-            Table::Config => rows.into_iter().for_each(|row| self.take(row)),
+            Table::Config | Table::Overdrawn => rows.into_iter().for_each(|row| self.take(row)),
             Table::Peers => {
                 let listed = |name: &str| rows.iter().any(|row| row.key.key == name);
                 self.shared.peers.peers.borrow_mut().retain(listed);
@@ -195,6 +198,11 @@
             Table::Config => {}
             Table::Targets => self.take_target(&row),
             Table::Peers => self.take_peer(row),
+            Table::Overdrawn => {
+                let program = ProgramKey(row.key.key);
+                let ledger = &self.shared.ledger;
+                ledger.set_overdrawn(program, row.value.is_some());
+            }
         }
     }
 
--- a/crates/gateway/src/allowance.rs
+++ b/crates/gateway/src/allowance.rs
@@ -4,13 +4,15 @@
 //! the VMs that are without the store (see [`crate::judge`]) have one among
 //! them, the program's steward, that hands out that much in all, counted in
 //! tokens that callers get; streams that would pass it are cut. What was
-//! spent is charged to the program's row when the store is back.
+//! spent is charged to the program's row when the store is back. A program
+//! whose row then holds more than its budget is listed as overdrawn, and gets
+//! no allowance again.
 
 use compact_str::CompactString;
-use lagoon_ids::{rendezvous, FastMap};
+use lagoon_ids::{rendezvous, FastMap, FastSet};
 use serde::{Deserialize, Serialize};
 
-use crate::budget::ProgramKey;
+use crate::budget::{Debt, ProgramKey};
 use crate::reach::Reach;
 
 /// Tokens that a call asks its program's steward for.
@@ -20,6 +22,8 @@
     pub reach: Reach,
     /// Program.
     pub program: CompactString,
+    /// Budget of the program.
+    pub budget_tokens: u64,
     /// Most tokens of the call.
     pub most_tokens: u64,
     /// Tokens that the caller expects.
@@ -46,6 +50,8 @@
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Allowance {
+    budget_tokens: u64,
+    most_tokens: u64,
     under_way_tokens: u64,
     spent_tokens: u64,
 }
@@ -54,13 +60,19 @@
 #[derive(Debug, Default)]
 pub struct Allowances {
     programs: FastMap<ProgramKey, Allowance>,
+    overdrawn: FastSet<ProgramKey>,
 }
 
 impl Allowances {
     /// Tokens for a call; 0 if too few are left.
     pub fn ask(&mut self, ask: &AllowanceAsk) -> u64 {
         let program = ProgramKey(ask.program.clone());
+        if self.overdrawn.contains(&program) {
+            return 0;
+        }
         let allowance = self.programs.entry(program).or_default();
+        allowance.budget_tokens = ask.budget_tokens;
+        allowance.most_tokens = allowance.most_tokens.max(ask.most_tokens);
         let taken_tokens = allowance.under_way_tokens + allowance.spent_tokens;
         let left_tokens = ask.most_tokens.saturating_sub(taken_tokens);
         let expected_tokens = ask.expected_tokens.max(1);
@@ -85,17 +97,28 @@
 
     /// What is to be charged now that the store is back. Calls under way are
     /// charged with all that they got.
-    pub fn take_debts(&mut self) -> Vec<(ProgramKey, u64)> {
+    pub fn take_debts(&mut self) -> Vec<Debt> {
         let programs = self.programs.drain();
         programs
-            .map(|(program, allowance)| {
-                let tokens = allowance.spent_tokens + allowance.under_way_tokens;
-                (program, tokens)
+            .map(|(program, allowance)| Debt {
+                program,
+                tokens: allowance.spent_tokens + allowance.under_way_tokens,
+                budget_tokens: allowance.budget_tokens,
+                most_tokens: allowance.most_tokens,
             })
-            .filter(|(_, tokens)| *tokens > 0)
+            .filter(|debt| debt.tokens > 0)
             .collect()
     }
 
+    /// Takes note whether a program is listed as overdrawn.
+    pub fn set_overdrawn(&mut self, program: ProgramKey, is_overdrawn: bool) {
+        if is_overdrawn {
+            self.overdrawn.insert(program);
+        } else {
+            self.overdrawn.remove(&program);
+        }
+    }
+
     /// Whether nothing is handed out.
     pub fn is_empty(&self) -> bool {
         self.programs.is_empty()
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -23,6 +23,14 @@
 /// Longest name that is a key as it is, in bytes.
 const KEY_BYTES: usize = 64;
 
+/// Retention of a program whose calls come through other VMs only, so that
+/// theirs is not known here.
+const OTHERS_RETENTION_MS: u64 = 600_000;
+
+/// Retentions of silence after which a program's row is removed. A VM that
+/// spends from what it holds writes the row at least once in two of them.
+const SWEEP_RETENTIONS: u64 = 4;
+
 /// Writers whose marks a row keeps.
 const WRITERS: usize = 16;
 
@@ -141,6 +149,19 @@
     Unavailable,
 }
 
+/// Tokens that a program spent without the store.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Debt {
+    /// Program.
+    pub program: ProgramKey,
+    /// Tokens.
+    pub tokens: u64,
+    /// Budget of the program.
+    pub budget_tokens: u64,
+    /// Most tokens of one of its calls.
+    pub most_tokens: u64,
+}
+
 /// Write that a program's account needs.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct BudgetWrite {
@@ -209,6 +230,7 @@
     /// Spent without the store and not charged yet.
     debt_tokens: u64,
     used_ms: u64,
+    written_ms: u64,
     retention_ms: u64,
 }
 
@@ -248,7 +270,8 @@
         account.retention_ms = account.retention_ms.max(asked.retention_ms);
         account.budget_tokens = asked.budget_tokens;
         account.largest_call_tokens = account.largest_call_tokens.max(asked.tokens);
-        if account.held_tokens >= asked.tokens && account.waiting.is_empty() {
+        let is_fresh = now_ms <= account.written_ms + account.retention_ms;
+        if is_fresh && account.held_tokens >= asked.tokens && account.waiting.is_empty() {
             account.held_tokens -= asked.tokens;
             return Some(Grant {
                 tokens: asked.tokens,
@@ -374,6 +397,7 @@
         &mut self,
         program: &ProgramKey,
         reply: &Result<StoreReply, StoreError>,
+        now_ms: u64,
     ) -> Vec<(Waiter, Decision)> {
         let Some(account) = self.accounts.get_mut(program) else {
             return Vec::new();
@@ -382,6 +406,9 @@
             return Vec::new();
         };
         let writer = self.settings.writer.as_str();
+        if reply.is_ok() {
+            account.written_ms = now_ms;
+        }
         match reply {
             Ok(StoreReply::Applied { version }) => account.applied(*version, pending, writer),
             Ok(StoreReply::Conflict(rows)) => {
@@ -416,12 +443,21 @@
     }
 
     /// Takes note of tokens that were spent without the store.
-    pub fn add_debt(&mut self, program: &ProgramKey, tokens: u64, now_ms: u64) {
-        let account = self.accounts.entry(program.clone()).or_default();
-        account.debt_tokens += tokens;
+    pub fn add_debt(&mut self, debt: &Debt, now_ms: u64) {
+        let account = self.accounts.entry(debt.program.clone()).or_default();
+        account.debt_tokens += debt.tokens;
+        account.budget_tokens = debt.budget_tokens;
+        account.largest_call_tokens = account.largest_call_tokens.max(debt.most_tokens);
         account.used_ms = now_ms;
     }
 
+    /// Whether a program's charges, as its row was last seen, leave no room
+    /// for one more call.
+    pub fn is_spent(&self, program: &ProgramKey) -> bool {
+        let account = self.accounts.get(program);
+        account.is_some_and(|account| account.left_tokens() < account.largest_call_tokens)
+    }
+
     /// Whether tokens that were spent without the store are not charged yet,
     /// or the budget is known to be spent.
     pub fn is_exhausted(&self, program: &ProgramKey, tokens: u64) -> bool {
@@ -444,26 +480,31 @@
     }
 
     /// Takes tokens in that another VM held.
-    pub fn add_held(&mut self, program: &ProgramKey, tokens: u64) {
+    pub fn add_held(&mut self, program: &ProgramKey, tokens: u64, now_ms: u64) {
         let account = self.accounts.entry(program.clone()).or_default();
         account.held_tokens += tokens;
+        account.used_ms = now_ms;
     }
 
-    /// Forgets programs that were silent for twice their retention; the rows
-    /// to be removed are returned.
+    /// Forgets programs that are long silent; the rows to be removed are
+    /// returned. A row is the last writer's to remove.
     pub fn sweep(&mut self, now_ms: u64) -> Vec<Write> {
         let mut writes = Vec::new();
+        let writer = &self.settings.writer;
         self.accounts.retain(|program, account| {
-            let is_over = now_ms > account.used_ms + 2 * account.retention_ms;
             let is_idle = account.pending.is_none() && account.waiting.is_empty();
-            if is_over && is_idle && account.version > 0 {
+            if !is_idle || account.has_debt() || !account.is_over(now_ms) {
+                return true;
+            }
+            let newest = account.row.marks.last();
+            if account.version > 0 && newest.is_some_and(|mark| mark.writer == *writer) {
                 writes.push(Write {
                     key: program.row_key(),
                     expected: account.version,
                     value: None,
                 });
             }
-            !(is_over && is_idle)
+            false
         });
         writes
     }
@@ -474,6 +515,14 @@
         self.budget_tokens.saturating_sub(self.row.charged_tokens)
     }
 
+    fn is_over(&self, now_ms: u64) -> bool {
+        let retention_ms = match self.retention_ms {
+            0 => OTHERS_RETENTION_MS,
+            retention_ms => retention_ms,
+        };
+        now_ms > self.used_ms + SWEEP_RETENTIONS * retention_ms
+    }
+
     /// Whether tokens are charged that no call needs.
     fn has_surplus(&self) -> bool {
         self.held_tokens > 0 || !self.unresolved.is_empty()
@@ -509,12 +558,7 @@
         share.min(settings.held_calls * self.largest_call_tokens)
     }
 
-    fn applied(
-        &mut self,
-        version: u64,
-        pending: Pending,
-        writer: &str,
-    ) -> Vec<(Waiter, Decision)> {
+    fn applied(&mut self, version: u64, pending: Pending, writer: &str) -> Vec<(Waiter, Decision)> {
         self.version = version;
         self.row = pending.row;
         self.held_tokens += pending.held_after_tokens + pending.abandoned_tokens;
@@ -528,11 +572,7 @@
 
     /// Grants what is charged, and refuses what the row, now known to be
     /// current, does not hold.
-    fn decide(
-        &mut self,
-        granted: Vec<(Waiter, Grant)>,
-        writer: &str,
-    ) -> Vec<(Waiter, Decision)> {
+    fn decide(&mut self, granted: Vec<(Waiter, Grant)>, writer: &str) -> Vec<(Waiter, Decision)> {
         let granted = granted.into_iter();
         let mut decisions: Vec<_> = granted
             .map(|(waiter, grant)| (waiter, Decision::Granted(grant)))
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -70,7 +70,11 @@
 
     /// Service for a request; `hash` of its subject keeps a subject at one.
     pub fn service(&self, hash: u64) -> Option<&CompactString> {
-        let total: u64 = self.splits.iter().map(|split| u64::from(split.weight)).sum();
+        let total: u64 = self
+            .splits
+            .iter()
+            .map(|split| u64::from(split.weight))
+            .sum();
         if total == 0 {
             return self.splits.first().map(|split| &split.service);
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,8 +19,8 @@
 
 pub use allowance::{steward, AllowanceAsk, AllowanceEnd, Allowances};
 pub use budget::{
-    AccountRow, Accounts, Asked, BudgetSettings, BudgetWrite, Decision, Grant, Mark, ProgramKey,
-    Waiter,
+    AccountRow, Accounts, Asked, BudgetSettings, BudgetWrite, Debt, Decision, Grant, Mark,
+    ProgramKey, Waiter,
 };
 pub use config::{Config, Engine, Kind, Limits, Route, Service, Split};
 pub use events::{EventReader, EventStep};
@@ -30,4 +30,4 @@
 pub use reach::{judge, Reach, Sounding};
 pub use request::{Facts, Turn};
 pub use store::{Row, RowKey, StoreCall, StoreError, StoreReply, Write};
-pub use targets::{Load, State, Target, TargetEntry, TargetKey, Targets, TargetSettings};
+pub use targets::{Load, State, Target, TargetEntry, TargetKey, TargetSettings, Targets};
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -118,7 +118,10 @@
         let mut names: Vec<&CompactString> = self.peers.keys().filter(usable).collect();
         names.sort_by_key(|name| {
             let is_near = self.peers[*name].entry.domain == self.domain;
-            (is_near, hash64(&(hash64(name.as_bytes()) ^ random).to_le_bytes()))
+            (
+                is_near,
+                hash64(&(hash64(name.as_bytes()) ^ random).to_le_bytes()),
+            )
         });
         self.addresses(names.into_iter().take(count))
     }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -138,7 +138,13 @@
             return Some(last);
         }
     }
-    let seed = hash64(ask.facts.program.as_deref().unwrap_or(ask.facts.subject()).as_bytes());
+    let seed = hash64(
+        ask.facts
+            .program
+            .as_deref()
+            .unwrap_or(ask.facts.subject())
+            .as_bytes(),
+    );
     candidates
         .iter()
         .max_by_key(|(_, target)| {
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -45,7 +45,10 @@
 /// Judges the answers of other VMs, for a VM of `own` that is without the
 /// store.
 pub fn judge(own: &str, soundings: &[Sounding]) -> Reach {
-    if soundings.iter().any(|sounding| sounding.is_away == Some(false)) {
+    if soundings
+        .iter()
+        .any(|sounding| sounding.is_away == Some(false))
+    {
         return Reach::Store;
     }
     let mut domains: FastMap<&str, Tally> = FastMap::default();
--- /dev/null
+++ b/crates/gateway/tests/allowance.rs
@@ -0,0 +1,154 @@
+//! Allowances where the store is out of reach.
+
+use lagoon_gateway::{
+    judge, AllowanceAsk, AllowanceEnd, Allowances, Debt, PeerEntry, Peers, ProgramKey, Reach,
+    Sounding,
+};
+use yare::parameterized;
+
+const MOST: u64 = 288;
+
+fn ask(expected_tokens: u64) -> AllowanceAsk {
+    AllowanceAsk {
+        reach: Reach::OwnDomain,
+        program: "p".into(),
+        budget_tokens: 900,
+        most_tokens: MOST,
+        expected_tokens,
+    }
+}
+
+fn end(granted_tokens: u64, used_tokens: u64) -> AllowanceEnd {
+    AllowanceEnd {
+        program: "p".into(),
+        granted_tokens,
+        used_tokens,
+    }
+}
+
+#[test]
+fn ask_never_more_than_one_call_in_all() {
+    let mut allowances = Allowances::default();
+    let mut spent = 0;
+    for turn in 0..50 {
+        let granted = allowances.ask(&ask(20 + turn));
+        let used = granted / 2;
+        spent += used;
+        allowances.end(&end(granted, used));
+    }
+    assert!(spent <= MOST);
+    assert_eq!(allowances.ask(&ask(MOST)), 0);
+}
+
+#[test]
+fn ask_calls_at_once_share() {
+    let mut allowances = Allowances::default();
+    let granted: u64 = (0..10).map(|_| allowances.ask(&ask(40))).sum();
+    assert!(granted <= MOST);
+}
+
+#[test]
+fn ask_scant_rest_is_kept() {
+    let mut allowances = Allowances::default();
+    let granted = allowances.ask(&ask(90));
+    assert_eq!(granted, 270);
+    allowances.end(&end(granted, 250));
+    assert_eq!(allowances.ask(&ask(90)), 0);
+    assert_eq!(allowances.ask(&ask(12)), 36);
+}
+
+#[test]
+fn take_debts_counts_calls_under_way_in_full() {
+    let mut allowances = Allowances::default();
+    let first = allowances.ask(&ask(30));
+    allowances.ask(&ask(30));
+    allowances.end(&end(first, 12));
+    let debt = Debt {
+        program: ProgramKey("p".into()),
+        tokens: 12 + 90,
+        budget_tokens: 900,
+        most_tokens: MOST,
+    };
+    assert_eq!(allowances.take_debts(), [debt]);
+    assert!(allowances.is_empty());
+}
+
+#[test]
+fn ask_overdrawn_program_gets_nothing() {
+    let mut allowances = Allowances::default();
+    allowances.set_overdrawn(ProgramKey("p".into()), true);
+    assert_eq!(allowances.ask(&ask(12)), 0);
+    allowances.set_overdrawn(ProgramKey("p".into()), false);
+    assert_eq!(allowances.ask(&ask(12)), 36);
+}
+
+fn sounding(domain: &str, is_away: Option<bool>) -> Sounding {
+    Sounding {
+        domain: domain.into(),
+        is_away,
+    }
+}
+
+const AWAY: Option<bool> = Some(true);
+const SILENT: Option<bool> = None;
+const HAS_STORE: Option<bool> = Some(false);
+
+#[parameterized(
+    outage = { &[("a", AWAY), ("b", AWAY), ("c", AWAY)], Reach::AllDomains },
+    outage_some_silent = { &[("a", SILENT), ("b", AWAY), ("b", SILENT), ("c", AWAY)], Reach::AllDomains },
+    only_this_vm_is_without = { &[("a", AWAY), ("b", HAS_STORE), ("c", SILENT)], Reach::Store },
+    domain_is_cut_off = { &[("a", AWAY), ("a", AWAY), ("b", SILENT), ("c", SILENT)], Reach::OwnDomain },
+    half_of_the_domain_is_cut_off = { &[("a", SILENT), ("a", SILENT), ("a", AWAY), ("b", SILENT)], Reach::Unclear },
+    vm_is_cut_off_alone = { &[("a", SILENT), ("a", SILENT), ("b", SILENT), ("c", SILENT)], Reach::Unclear },
+    one_other_domain_answers = { &[("a", AWAY), ("b", AWAY), ("c", SILENT)], Reach::Unclear },
+    one_domain_in_all = { &[("a", AWAY), ("a", AWAY)], Reach::OwnDomain },
+)]
+fn judge_soundings(soundings: &[(&str, Option<bool>)], expected: Reach) {
+    let soundings: Vec<Sounding> = soundings
+        .iter()
+        .map(|(d, away)| sounding(d, *away))
+        .collect();
+    assert_eq!(judge("a", &soundings), expected);
+}
+
+#[test]
+fn judge_never_sees_two_groups_at_once() {
+    // Three domains of three VMs, one domain cut off from the others: no VM
+    // on either side takes part with the other side.
+    for cut in ["a", "b", "c"] {
+        let reaches = ["a", "b", "c"].map(|own| {
+            let others = ["a", "b", "c"].into_iter().flat_map(|domain| {
+                let is_same_side = (own == cut) == (domain == cut);
+                let count = if domain == own { 2 } else { 3 };
+                vec![sounding(domain, is_same_side.then_some(true)); count]
+            });
+            (own, judge(own, &others.collect::<Vec<_>>()))
+        });
+        for (own, reach) in reaches {
+            let expected = if own == cut {
+                Reach::OwnDomain
+            } else {
+                Reach::Unclear
+            };
+            assert_eq!(reach, expected, "{own} with {cut} cut off");
+        }
+    }
+}
+
+#[test]
+fn group_of_the_own_domain() {
+    let mut peers = Peers::new("own".into(), "d1".into());
+    for (name, domain) in [("a", "d1"), ("b", "d2")] {
+        let entry = PeerEntry {
+            address: ([127, 0, 0, 1], 1).into(),
+            domain: domain.into(),
+            writer: "w".into(),
+        };
+        peers.upsert(name.into(), entry, 1);
+    }
+    let mut near = peers.group(Reach::OwnDomain);
+    near.sort();
+    assert_eq!(near, ["a", "own"]);
+    assert_eq!(peers.group(Reach::AllDomains).len(), 3);
+    assert_eq!(peers.group(Reach::Unclear), ["own"]);
+}
--- a/crates/gateway/tests/budget.rs
+++ b/crates/gateway/tests/budget.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use lagoon_gateway::{
-    Accounts, Asked, BudgetSettings, BudgetWrite, Decision, Grant, ProgramKey, Row, RowKey,
+    Accounts, Asked, BudgetSettings, BudgetWrite, Debt, Decision, Grant, ProgramKey, Row, RowKey,
     StoreError, StoreReply, Waiter, Write,
 };
 use proptest::prelude::*;
@@ -24,6 +24,15 @@
     }
 }
 
+fn debt(tokens: u64) -> Debt {
+    Debt {
+        program: program(),
+        tokens,
+        budget_tokens: BUDGET,
+        most_tokens: MOST,
+    }
+}
+
 fn accounts(writer: &str) -> Accounts {
     Accounts::new(BudgetSettings::of(writer.into()))
 }
@@ -64,7 +73,8 @@
     fn charged(&self) -> u64 {
         let row = self.rows.values().next();
         row.map_or(0, |(_, value)| {
-            let row: lagoon_gateway::AccountRow = serde_json::from_slice(value).unwrap();
+            let row: lagoon_gateway::AccountRow =
+                serde_json::from_slice(value).expect("row is readable");
             row.charged_tokens
         })
     }
@@ -75,9 +85,9 @@
         return Decision::Granted(grant);
     }
     loop {
-        let write = accounts.charge(&program()).unwrap();
+        let write = accounts.charge(&program()).expect("a call waits");
         let reply = Ok(store.apply(&write.write));
-        let decisions = accounts.written(&program(), &reply);
+        let decisions = accounts.written(&program(), &reply, 0);
         if let Some((_, decision)) = decisions.first() {
             return *decision;
         }
@@ -155,7 +165,7 @@
             break;
         };
         let reply = Ok(store.apply(&write.write));
-        a.written(&program(), &reply);
+        a.written(&program(), &reply, 0);
     }
     granted(charge(&mut b, &mut store, 20));
 }
@@ -169,7 +179,7 @@
     store.apply(&write);
     // The same write again, as its reply was lost.
     let reply = Ok(store.apply(&write));
-    let decisions = vm.written(&program(), &reply);
+    let decisions = vm.written(&program(), &reply, 0);
     assert!(matches!(decisions[..], [(Waiter(1), Decision::Granted(_))]));
 }
 
@@ -183,10 +193,61 @@
         value: Some(b"not a row".to_vec()),
         version: 4,
     };
-    let decisions = vm.written(&program(), &Ok(StoreReply::Conflict(vec![row])));
+    let decisions = vm.written(&program(), &Ok(StoreReply::Conflict(vec![row])), 0);
     assert_eq!(decisions, vec![(Waiter(1), Decision::Unavailable)]);
 }
 
+fn write_due(accounts: &mut Accounts, store: &mut Store, now_ms: u64) {
+    for program in accounts.due(now_ms) {
+        while let Some(write) = accounts.give_back(&program) {
+            let reply = Ok(store.apply(&write.write));
+            accounts.written(&program, &reply, now_ms);
+        }
+    }
+}
+
+#[test]
+fn sweep_debt_of_a_program_of_other_vms_keeps_its_row() {
+    let mut store = Store::default();
+    let (mut a, mut steward) = (accounts("a"), accounts("b"));
+    granted(charge(&mut a, &mut store, 1));
+    steward.add_debt(&debt(100), 10);
+    write_due(&mut steward, &mut store, 10);
+    assert_eq!(store.charged(), BUDGET / 2 + 100);
+    assert_eq!(steward.sweep(60_000), []);
+}
+
+#[test]
+fn sweep_row_is_the_last_writers() {
+    let mut store = Store::default();
+    let (mut a, mut b) = (accounts("a"), accounts("b"));
+    granted(charge(&mut a, &mut store, 1));
+    granted(charge(&mut b, &mut store, 1));
+    // What this VM last saw of the row is old, so its removal fails.
+    let removals = a.sweep(1_000_000);
+    let removed = removals.iter().map(|write| store.apply(write));
+    assert!(removed
+        .into_iter()
+        .all(|reply| matches!(reply, StoreReply::Conflict(_))));
+    let writes = b.sweep(1_000_000);
+    assert_eq!(writes.len(), 1);
+    assert!(matches!(
+        store.apply(&writes[0]),
+        StoreReply::Applied { .. }
+    ));
+    assert!(a.is_empty() && b.is_empty());
+}
+
+#[test]
+fn ask_from_held_writes_now_and_then() {
+    let mut store = Store::default();
+    let mut vm = accounts("a");
+    let grant = granted(charge(&mut vm, &mut store, 1));
+    vm.settle(&program(), grant, 0, 0);
+    assert!(vm.ask(&program(), asked(2), 60_000).is_some());
+    assert!(vm.ask(&program(), asked(3), 60_001).is_none());
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Ask(usize),
@@ -203,6 +264,10 @@
     Arrive,
     Withdraw(usize),
     Restart(usize),
+    /// One VM hands held tokens over to another, or they get lost on the way.
+    HandOver(usize, usize, bool),
+    /// Tokens were spent without the store.
+    Debt(usize, u64),
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -217,7 +282,10 @@
         1 => vm.clone().prop_map(Step::Refuse),
         1 => Just(Step::Arrive),
         1 => vm.clone().prop_map(Step::Withdraw),
-        1 => vm.prop_map(Step::Restart),
+        1 => vm.clone().prop_map(Step::Restart),
+        1 => (vm.clone(), 0..3_usize, any::<bool>())
+            .prop_map(|(from, to, arrives)| Step::HandOver(from, to, arrives)),
+        1 => (vm, 1..100_u64).prop_map(|(vm, tokens)| Step::Debt(vm, tokens)),
     ]
 }
 
@@ -233,7 +301,9 @@
     vms: Vec<Vm>,
     delayed: Vec<Write>,
     used: u64,
-    lost_by_restart: bool,
+    debts: u64,
+    /// Tokens may stay charged that nobody has.
+    is_lossy: bool,
     next: u64,
 }
 
@@ -250,7 +320,8 @@
             vms: vms.into(),
             delayed: Vec::new(),
             used: 0,
-            lost_by_restart: false,
+            debts: 0,
+            is_lossy: false,
             next: 1,
         }
     }
@@ -265,7 +336,7 @@
     fn reply(&mut self, index: usize, reply: Result<StoreReply, StoreError>) {
         let vm = &mut self.vms[index];
         vm.write = None;
-        for (waiter, decision) in vm.accounts.written(&program(), &reply) {
+        for (waiter, decision) in vm.accounts.written(&program(), &reply, 0) {
             vm.waiting.retain(|other| *other != waiter.0);
             if let Decision::Granted(grant) = decision {
                 vm.grants.push(grant);
@@ -344,11 +415,29 @@
                 if let Some(write) = vm.write.take() {
                     self.delayed.push(write.write);
                 }
-                self.lost_by_restart = true;
+                self.is_lossy = true;
+            }
+            Step::HandOver(from, to, arrives) => self.hand_over(from, to, arrives),
+            Step::Debt(index, tokens) => {
+                // What was spent counts, whatever becomes of its record.
+                let vm = &mut self.vms[index];
+                vm.accounts.add_debt(&debt(tokens), 0);
+                self.debts += tokens;
             }
         }
     }
 
+    fn hand_over(&mut self, from: usize, to: usize, arrives: bool) {
+        if from == to || !self.vms[from].accounts.take_held(&program(), MOST) {
+            return;
+        }
+        if arrives {
+            self.vms[to].accounts.add_held(&program(), MOST, 0);
+        } else {
+            self.is_lossy = true;
+        }
+    }
+
     fn committed(&self) -> u64 {
         let grants = self.vms.iter().flat_map(|vm| &vm.grants);
         self.used + grants.map(|grant| grant.tokens).sum::<u64>()
@@ -387,12 +476,13 @@
         let mut world = World::new();
         for step in &steps {
             world.run(step);
-            prop_assert!(world.committed() <= BUDGET, "{} after {step:?}", world.committed());
+            let committed = world.committed();
+            prop_assert!(committed <= BUDGET, "{committed} after {step:?}");
         }
         world.settle();
         prop_assert!(world.store.charged() >= world.used);
-        if !world.lost_by_restart {
-            prop_assert_eq!(world.store.charged(), world.used);
+        if !world.is_lossy {
+            prop_assert_eq!(world.store.charged(), world.used + world.debts);
         }
     }
 }
--- a/crates/gateway/tests/outcome.rs
+++ b/crates/gateway/tests/outcome.rs
@@ -51,9 +51,15 @@
     let keys = keys();
     let mut attempts = Attempts::default();
     attempts.note(keys[0], Failure::Broken);
-    assert_eq!(after_failure(&route, &attempts, Failure::Broken, false), Next::Another);
+    assert_eq!(
+        after_failure(&route, &attempts, Failure::Broken, false),
+        Next::Another
+    );
     attempts.note(keys[1], Failure::Broken);
-    assert_eq!(after_failure(&route, &attempts, Failure::Broken, false), Next::Same);
+    assert_eq!(
+        after_failure(&route, &attempts, Failure::Broken, false),
+        Next::Same
+    );
 }
 
 #[parameterized(
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -19,14 +19,55 @@
 }
 
 fn names(peers: &Peers, random: u64, now_ms: u64) -> Vec<String> {
+    let mut names = ordered(peers, random, now_ms);
+    names.sort();
+    names
+}
+
+fn ordered(peers: &Peers, random: u64, now_ms: u64) -> Vec<String> {
     let candidates = peers.candidates(9, random, now_ms);
-    candidates.into_iter().map(|(name, _)| name.into()).collect()
+    candidates
+        .into_iter()
+        .map(|(name, _)| name.into())
+        .collect()
 }
 
 #[test]
 fn candidates_leave_the_own_vm_out() {
     assert_eq!(names(&peers(), 0, 0), ["a", "b", "c"]);
-    assert_eq!(names(&peers(), 4, 0), ["b", "c", "a"]);
+}
+
+#[test]
+fn candidates_order_spreads_the_load() {
+    let mut first: Vec<String> = (0..50).map(|r| ordered(&peers(), r, 0).remove(0)).collect();
+    first.sort();
+    first.dedup();
+    assert_eq!(first, ["a", "b", "c"]);
+}
+
+#[test]
+fn candidates_other_domains_come_first() {
+    let mut peers = peers();
+    let far = PeerEntry {
+        domain: "d2".into(),
+        ..entry(9)
+    };
+    peers.upsert("far".into(), far, 11);
+    assert!((0..20).all(|random| ordered(&peers, random, 0)[0] == "far"));
+    assert_eq!(peers.neighbours(9, 0).last().unwrap().0, "far");
+}
+
+#[test]
+fn to_sound_takes_some_of_each_domain() {
+    let mut peers = peers();
+    let far = PeerEntry {
+        domain: "d2".into(),
+        ..entry(9)
+    };
+    peers.upsert("far".into(), far, 11);
+    let sounded = peers.to_sound(2);
+    let names: Vec<&str> = sounded.iter().map(|(name, _)| name.as_str()).collect();
+    assert_eq!(names, ["a", "b", "far"]);
 }
 
 #[test]
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -27,7 +27,10 @@
 
 fn key(targets: &Targets, id: &str) -> TargetKey {
     let mut found = targets.of_service("s");
-    found.find(|(_, target)| target.entry.id == id).unwrap().0
+    found
+        .find(|(_, target)| target.entry.id == id)
+        .expect("is listed")
+        .0
 }
 
 fn chosen(targets: &Targets, facts: &Facts, avoid: &[TargetKey], random: u64) -> Option<Choice> {
@@ -43,7 +46,9 @@
 }
 
 fn id_of(targets: &Targets, choice: Option<Choice>) -> String {
-    let target = targets.get(choice.unwrap().key).unwrap();
+    let target = targets
+        .get(choice.expect("is chosen").key)
+        .expect("is listed");
     target.entry.id.to_string()
 }
 
--- /dev/null
+++ b/crates/standin/src/fleet/store.rs
@@ -0,0 +1,213 @@
+//! Rows with versions, and a feed of their changes.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::{Request, StatusCode};
+use lagoon_adapter::standin::{decode_call, encode_reply, encode_target};
+use lagoon_adapter::{CONFIG_KEY, OPERATOR_TABLE, TARGET_TABLE};
+use lagoon_gateway::{Row, RowKey, StoreCall, StoreReply, TargetEntry, Write};
+use tokio::time::sleep;
+
+use super::{serve, whole, Answer, Cut};
+
+/// Time between two looks for changes of a watch.
+const LOOK_PERIOD: Duration = Duration::from_millis(5);
+
+/// What is wrong with the store.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum StoreFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// Calls are refused.
+    Busy,
+    /// The next write is applied and not answered.
+    LosesReply,
+}
+
+#[derive(Default)]
+struct State {
+    version: u64,
+    rows: BTreeMap<RowKey, Row>,
+    fault: StoreFault,
+    writes: u64,
+}
+
+/// Store of the platform.
+#[derive(Clone)]
+pub struct Store {
+    /// Where it listens.
+    pub address: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Store {
+    /// Starts an empty store on a free port.
+    pub fn start() -> Store {
+        let state = Arc::new(Mutex::new(State::default()));
+        let shared = Arc::clone(&state);
+        let address = serve(0, move |request| handle(Arc::clone(&shared), request));
+        Store { address, state }
+    }
+
+    /// Sets what is wrong.
+    pub fn set_fault(&self, fault: StoreFault) {
+        lock(&self.state).fault = fault;
+    }
+
+    /// Puts a configuration in force.
+    pub fn configure(&self, config: &str) {
+        self.put(OPERATOR_TABLE, CONFIG_KEY, Some(config.into()));
+    }
+
+    /// Lists a target.
+    pub fn list(&self, entry: &TargetEntry) {
+        let value = encode_target(entry);
+        self.put(TARGET_TABLE, &entry.id, Some(value));
+    }
+
+    /// Removes a target from the list.
+    pub fn unlist(&self, id: &str) {
+        self.put(TARGET_TABLE, id, None);
+    }
+
+    /// Writes a row whatever it was before.
+    pub fn put(&self, table: &str, key: &str, value: Option<Vec<u8>>) {
+        let key = RowKey {
+            table: table.into(),
+            part: "".into(),
+            key: key.into(),
+        };
+        let mut state = lock(&self.state);
+        let expected = state.version_of(&key);
+        state.apply(&[Write {
+            key,
+            expected,
+            value,
+        }]);
+    }
+
+    /// Values of all rows of a table.
+    pub fn values(&self, table: &str) -> Vec<Vec<u8>> {
+        let state = lock(&self.state);
+        let rows = state.rows.values().filter(|row| row.key.table == table);
+        rows.filter_map(|row| row.value.clone()).collect()
+    }
+
+    /// Transactions that were applied for VMs.
+    pub fn writes(&self) -> u64 {
+        lock(&self.state).writes
+    }
+}
+
+impl State {
+    fn version_of(&self, key: &RowKey) -> u64 {
+        let row = self.rows.get(key).filter(|row| row.value.is_some());
+        row.map_or(0, |row| row.version)
+    }
+
+    fn apply(&mut self, writes: &[Write]) -> StoreReply {
+        let holds = |write: &Write| self.version_of(&write.key) == write.expected;
+        if !writes.iter().all(holds) {
+            let rows = writes.iter().filter_map(|write| self.rows.get(&write.key));
+            let rows = rows.filter(|row| row.value.is_some());
+            return StoreReply::Conflict(rows.cloned().collect());
+        }
+        self.version += 1;
+        for write in writes {
+            let row = Row {
+                key: write.key.clone(),
+                value: write.value.clone(),
+                version: self.version,
+            };
+            self.rows.insert(write.key.clone(), row);
+        }
+        StoreReply::Applied {
+            version: self.version,
+        }
+    }
+
+    fn read(&self, table: &str, part: &str, from: &str) -> StoreReply {
+        let rows = self.rows.values().filter(|row| {
+            let key = &row.key;
+            key.table == table
+                && key.part == part
+                && key.key.as_str() >= from
+                && row.value.is_some()
+        });
+        StoreReply::Rows {
+            rows: rows.cloned().collect(),
+            has_more: false,
+            version: self.version,
+        }
+    }
+
+    fn changes(&self, table: &str, after: u64) -> Vec<Row> {
+        let rows = self.rows.values();
+        let changed = rows.filter(|row| row.key.table == table && row.version > after);
+        let mut changed: Vec<Row> = changed.cloned().collect();
+        changed.sort_by_key(|row| row.version);
+        changed
+    }
+}
+
+async fn handle(state: Arc<Mutex<State>>, request: Request<Incoming>) -> Result<Answer, Cut> {
+    let path = request.uri().path().to_owned();
+    let query = request.uri().query().unwrap_or_default().to_owned();
+    let body = request.into_body().collect().await.map_err(|_| Cut)?;
+    let Ok(call) = decode_call(&path, &query, &body.to_bytes()) else {
+        return Ok(whole(StatusCode::NOT_FOUND, Vec::new()));
+    };
+    if lock(&state).fault == StoreFault::Busy {
+        return Ok(whole(StatusCode::SERVICE_UNAVAILABLE, Vec::new()));
+    }
+    let reply = match call {
+        StoreCall::Transact(writes) => {
+            let mut state = lock(&state);
+            let reply = state.apply(&writes);
+            state.writes += 1;
+            if state.fault == StoreFault::LosesReply {
+                state.fault = StoreFault::None;
+                return Err(Cut);
+            }
+            reply
+        }
+        StoreCall::Read { table, part, from } => lock(&state).read(&table, &part, &from),
+        StoreCall::Watch {
+            table,
+            after,
+            wait_ms,
+        } => watch(&state, &table, after, wait_ms).await,
+    };
+    let (status, body) = encode_reply(&reply);
+    let status = StatusCode::from_u16(status).map_err(|_| Cut)?;
+    Ok(whole(status, body))
+}
+
+async fn watch(state: &Mutex<State>, table: &str, after: u64, wait_ms: u64) -> StoreReply {
+    let mut waited_ms = 0;
+    loop {
+        let (rows, version) = {
+            let state = lock(state);
+            (state.changes(table, after), state.version)
+        };
+        if !rows.is_empty() || waited_ms >= wait_ms {
+            return StoreReply::Rows {
+                rows,
+                has_more: false,
+                version,
+            };
+        }
+        sleep(LOOK_PERIOD).await;
+        waited_ms += LOOK_PERIOD.as_millis() as u64;
+    }
+}
