--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -35,7 +35,7 @@
 const WHOLE_BYTES: usize = 8_000_000;
 
 /// Longest wait for a budget's charge.
-const CHARGE_WAIT_MS: u64 = 1_000;
+const CHARGE_WAIT_MS: u64 = 1_500;
 
 /// Time to come back after a refusal for want of a place.
 const BUSY_RETRY_MS: u64 = 200;
@@ -50,6 +50,10 @@
 /// Most tokens of a call over what is expected where the caller doesn't say.
 const UNHINTED_DIVISOR: u64 = 4;
 
+/// Time at a target after which a request that its caller or its time gave
+/// up counts against the target.
+const GIVEN_UP_MS: u64 = 800;
+
 /// Connections that were closed while idle before a new one is opened.
 const STALE_CONNECTIONS: u32 = 2;
 
@@ -79,21 +83,49 @@
 pub(crate) struct Placed {
     shared: Rc<Shared>,
     key: TargetKey,
+    began_ms: u64,
+    /// Whether the target's last word on it is known.
+    is_ended: bool,
 }
 
 impl Placed {
     fn new(shared: &Rc<Shared>, key: TargetKey) -> Placed {
-        shared.targets.borrow_mut().begin(key);
+        let began_ms = shared.now_ms();
+        shared.targets.borrow_mut().begin(key, began_ms);
         Placed {
             shared: Rc::clone(shared),
             key,
+            began_ms,
+            is_ended: false,
         }
     }
+
+    pub(crate) fn progressed(&self) {
+        let now_ms = self.shared.now_ms();
+        self.shared
+            .targets
+            .borrow_mut()
+            .progressed(self.key, now_ms);
+    }
+
+    /// The whole answer came.
+    pub(crate) fn answered(&mut self, status: StatusCode) {
+        let now_ms = self.shared.now_ms();
+        let is_good = !status.is_server_error();
+        let mut targets = self.shared.targets.borrow_mut();
+        targets.answered(self.key, is_good, now_ms);
+        self.is_ended = true;
+    }
 }
 
 impl Drop for Placed {
     fn drop(&mut self) {
-        self.shared.targets.borrow_mut().end(self.key);
+        let now_ms = self.shared.now_ms();
+        let mut targets = self.shared.targets.borrow_mut();
+        targets.end(self.key);
+        if !self.is_ended && now_ms >= self.began_ms + GIVEN_UP_MS {
+            targets.given_up(self.key);
+        }
     }
 }
 
@@ -110,7 +142,7 @@
     pub(crate) head: Response<()>,
     pub(crate) body: Incoming,
     pub(crate) lease: Lease,
-    pub(crate) _placed: Placed,
+    pub(crate) placed: Placed,
     pub(crate) keep_alive_s: Option<u64>,
     pub(crate) is_last: bool,
     pub(crate) target: TargetKey,
@@ -432,7 +464,7 @@
         entry: &TargetEntry,
         last_event_id: Option<u64>,
     ) -> Result<Answer, Failed> {
-        let placed = Placed::new(&self.shared, key);
+        let mut placed = Placed::new(&self.shared, key);
         let mut stale = 0;
         let (mut lease, response) = loop {
             let pool = &self.shared.pool;
@@ -471,7 +503,7 @@
                 head,
                 body,
                 lease,
-                _placed: placed,
+                placed,
                 keep_alive_s: facts.keep_alive_s,
                 is_last: facts.is_last,
                 target: key,
@@ -482,7 +514,7 @@
             .await
             .map_err(Failed::broken)?
             .to_bytes();
-        self.shared.targets.borrow_mut().succeeded(key);
+        placed.answered(head.status());
         if !facts.is_last {
             lease.is_reused = true;
             lease.keep(facts.keep_alive_s);
--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -25,7 +25,7 @@
 use charged::Source;
 
 /// Tries of a write whose reply is lost.
-const TRIES: u32 = 3;
+const TRIES: u32 = 4;
 
 /// Pause between them.
 const RETRY_PAUSE: Duration = Duration::from_millis(30);
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -65,6 +65,7 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
+                    stream.placed.progressed();
                     let step = self.reader.push(&data);
                     if !self.count(step.events) {
                         self.end = "charge used up in the stream";
@@ -97,10 +98,10 @@
 
     /// The target ended its stream; bytes after the last event go along.
     fn completed(&mut self) -> Option<Bytes> {
-        let stream = self.stream.take()?;
+        let mut stream = self.stream.take()?;
         let target = stream.target;
         let shared = &self.call.shared;
-        shared.targets.borrow_mut().succeeded(target);
+        stream.placed.answered(self.status);
         shared.served_line(self.call.facts.subject(), target);
         if !stream.is_last {
             stream.lease.keep(stream.keep_alive_s);
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -10,7 +10,7 @@
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::Request;
 use lagoon_adapter::{decode_reply, encode_call, Method};
-use lagoon_gateway::{StoreCall, StoreError, StoreReply};
+use lagoon_gateway::{Patience, StoreCall, StoreError, StoreReply};
 use tokio::time::timeout;
 
 use crate::clock::Clock;
@@ -18,8 +18,7 @@
 use crate::metrics::Metrics;
 use crate::registration::PEER_TABLE;
 
-/// Longest wait for a reply beyond the wait that the call itself asks for. A
-/// slow store takes about half a second for a transaction.
+/// Longest wait for a reply beyond the wait that the call itself asks for.
 const REPLY_WAIT: Duration = Duration::from_millis(1_500);
 
 /// Longest wait for the reply to a probe; a slow store takes about a quarter
@@ -51,6 +50,7 @@
     silent_since_ms: Cell<Option<u64>>,
     /// Calls without a reply since the last one that had one.
     failures: Cell<u32>,
+    patience: Cell<Patience>,
 }
 
 impl StoreClient {
@@ -62,6 +62,7 @@
             idle: RefCell::default(),
             silent_since_ms: Cell::new(None),
             failures: Cell::new(0),
+            patience: Cell::default(),
         }
     }
 
@@ -85,16 +86,32 @@
     pub(crate) async fn call(&self, call: &StoreCall) -> Result<StoreReply, StoreError> {
         let wait = match call {
             StoreCall::Watch { wait_ms, .. } => REPLY_WAIT + Duration::from_millis(*wait_ms),
-            StoreCall::Transact(_) | StoreCall::Read { .. } => REPLY_WAIT,
+            StoreCall::Transact(_) => Duration::from_millis(self.patience.get().wait_ms()),
+            StoreCall::Read { .. } => REPLY_WAIT,
         };
+        let started_ms = self.clock.now_ms();
         let reply = match timeout(wait, self.exchange(call)).await {
             Ok(reply) => reply,
             Err(_) => Err(StoreError::NoReply("no reply in time".into())),
         };
+        if matches!(call, StoreCall::Transact(_)) {
+            self.learn(&reply, self.clock.now_ms() - started_ms);
+        }
         self.note(call, &reply);
         reply
     }
 
+    /// Takes note of how long a transaction took.
+    fn learn(&self, reply: &Result<StoreReply, StoreError>, took_ms: u64) {
+        let mut patience = self.patience.get();
+        match reply {
+            Ok(_) => patience.replied(took_ms),
+            Err(StoreError::NoReply(_)) => patience.ran_out(),
+            Err(StoreError::NotSent(_) | StoreError::Refused(_)) => {}
+        }
+        self.patience.set(patience);
+    }
+
     fn note(&self, call: &StoreCall, reply: &Result<StoreReply, StoreError>) {
         let name = match call {
             StoreCall::Transact(_) => "transact",
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -17,8 +17,9 @@
 /// Table of the rows.
 const TABLE: &str = "budgets";
 
-/// Parts of the table; each carries its own transactions.
-const PARTS: u64 = 16;
+/// Parts of the table. Each carries its own transactions, one after another,
+/// so that a slow store makes programs of one part wait for each other.
+const PARTS: u64 = 1_024;
 
 /// Longest name that is a key as it is, in bytes.
 const KEY_BYTES: usize = 64;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod config;
 mod events;
 mod outcome;
+mod patience;
 mod peers;
 mod placement;
 mod reach;
@@ -25,6 +26,7 @@
 pub use config::{Config, Engine, Kind, Limits, Route, Service, Split};
 pub use events::{EventReader, EventStep};
 pub use outcome::{after_failure, Attempts, Failure, Next};
+pub use patience::Patience;
 pub use peers::{PeerEnd, PeerEntry, Peers};
 pub use placement::{place, Ask, Choice, PlacementSettings};
 pub use reach::{judge, Reach, Sounding};
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -17,6 +17,11 @@
     pub beside_ms: f64,
     /// Expected time until one place of a full target gets free.
     pub wait_ms: f64,
+    /// Cost of a target all of whose requests fail.
+    pub failing_ms: f64,
+    /// Silence of a target that has requests beyond which it counts as stuck;
+    /// the rest of the silence is its cost.
+    pub silence_ms: u64,
     /// Waiting requests, as a share of the slots, up to which a target is
     /// offered more.
     pub overfill: f64,
@@ -29,6 +34,8 @@
             prefill_tokens_per_ms: 102.0,
             beside_ms: 1.0,
             wait_ms: 20.0,
+            failing_ms: 400.0,
+            silence_ms: 250,
             overfill: 0.0,
         }
     }
@@ -108,6 +115,9 @@
             let slots = f64::from(target.entry.slots.max(1));
             let mut cost_ms = load * settings.beside_ms;
             cost_ms += (load + 1.0 - slots).max(0.0) * settings.wait_ms;
+            cost_ms += target.failure_rate() * settings.failing_ms;
+            let silence_ms = target.silence_ms(now_ms);
+            cost_ms += silence_ms.saturating_sub(settings.silence_ms) as f64;
             if target.entry.domain != ask.domain {
                 cost_ms += settings.domain_ms;
             }
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -7,6 +7,9 @@
 use lagoon_ids::{hash64, FastMap};
 use slotmap::{new_key_type, SlotMap};
 
+/// Weight of the newest request in the share that failed.
+const NEWEST: f64 = 0.15;
+
 new_key_type! {
     /// Key of a target.
     pub struct TargetKey;
@@ -89,11 +92,20 @@
     others: f64,
     reported_ms: Option<u64>,
     failures: u32,
+    /// Share of late requests that failed.
+    failure_rate: f64,
+    /// When it last showed that it works on own requests.
+    progress_ms: u64,
     paused_until_ms: u64,
     missing: bool,
 }
 
 impl Target {
+    fn learn(&mut self, is_good: bool) {
+        let failed = f64::from(u8::from(!is_good));
+        self.failure_rate += (failed - self.failure_rate) * NEWEST;
+    }
+
     /// Expected requests there at `now_ms`: own ones, and those of others as
     /// last reported, less what has ended since.
     pub fn load(&self, settings: &TargetSettings, now_ms: u64) -> f64 {
@@ -110,6 +122,19 @@
         self.reported_ms.map(|at_ms| now_ms.saturating_sub(at_ms))
     }
 
+    /// Share of late requests that failed.
+    pub fn failure_rate(&self) -> f64 {
+        self.failure_rate
+    }
+
+    /// Time for which it has shown nothing of the requests that it has.
+    pub fn silence_ms(&self, now_ms: u64) -> u64 {
+        match self.in_flight {
+            0 => 0,
+            _ => now_ms.saturating_sub(self.progress_ms),
+        }
+    }
+
     /// Whether it pauses after failures.
     pub fn is_paused(&self, now_ms: u64) -> bool {
         now_ms < self.paused_until_ms
@@ -150,6 +175,8 @@
             others: 0.0,
             reported_ms: None,
             failures: 0,
+            failure_rate: 0.0,
+            progress_ms: 0,
             paused_until_ms: 0,
             missing: false,
         });
@@ -241,8 +268,11 @@
     }
 
     /// A request goes there.
-    pub fn begin(&mut self, key: TargetKey) {
+    pub fn begin(&mut self, key: TargetKey, now_ms: u64) {
         if let Some(target) = self.arena.get_mut(key) {
+            if target.in_flight == 0 {
+                target.progress_ms = now_ms;
+            }
             target.in_flight += 1;
         }
     }
@@ -263,10 +293,27 @@
         }
     }
 
-    /// Takes note of an answer.
-    pub fn succeeded(&mut self, key: TargetKey) {
+    /// Bytes of an answer came.
+    pub fn progressed(&mut self, key: TargetKey, now_ms: u64) {
+        if let Some(target) = self.arena.get_mut(key) {
+            target.progress_ms = now_ms;
+        }
+    }
+
+    /// Takes note of a whole answer; `is_good` unless the target says that it
+    /// failed.
+    pub fn answered(&mut self, key: TargetKey, is_good: bool, now_ms: u64) {
         if let Some(target) = self.arena.get_mut(key) {
             target.failures = 0;
+            target.progress_ms = now_ms;
+            target.learn(is_good);
+        }
+    }
+
+    /// Takes note of a request that was given up without an answer.
+    pub fn given_up(&mut self, key: TargetKey) {
+        if let Some(target) = self.arena.get_mut(key) {
+            target.learn(false);
         }
     }
 
@@ -274,6 +321,7 @@
     pub fn failed(&mut self, key: TargetKey, now_ms: u64) {
         let settings = self.settings;
         if let Some(target) = self.arena.get_mut(key) {
+            target.learn(false);
             target.failures += 1;
             if target.failures >= settings.ejection_failures {
                 let doublings = (target.failures - settings.ejection_failures).min(3);
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -34,6 +34,16 @@
 }
 
 fn chosen(targets: &Targets, facts: &Facts, avoid: &[TargetKey], random: u64) -> Option<Choice> {
+    chosen_at(targets, facts, avoid, random, 0)
+}
+
+fn chosen_at(
+    targets: &Targets,
+    facts: &Facts,
+    avoid: &[TargetKey],
+    random: u64,
+    now_ms: u64,
+) -> Option<Choice> {
     let ask = Ask {
         service: "s",
         facts,
@@ -42,7 +52,7 @@
         avoid,
         random,
     };
-    place(targets, &PlacementSettings::default(), &ask, 0)
+    place(targets, &PlacementSettings::default(), &ask, now_ms)
 }
 
 fn id_of(targets: &Targets, choice: Option<Choice>) -> String {
@@ -72,7 +82,7 @@
 fn place_leaves_a_full_target() {
     let mut targets = targets(&[("a", "d1"), ("b", "d2")]);
     let full = key(&targets, "a");
-    (0..4).for_each(|_| targets.begin(full));
+    (0..4).for_each(|_| targets.begin(full, 0));
     let choice = chosen(&targets, &Facts::default(), &[], 1);
     assert_eq!(id_of(&targets, choice), "b");
 }
@@ -126,11 +136,44 @@
     assert_eq!(id_of(&targets, choice), "a");
 }
 
+#[test]
+fn place_leaves_a_target_that_fails_some_requests() {
+    let mut targets = targets(&[("a", "d1"), ("b", "d2")]);
+    let grey = key(&targets, "a");
+    for request in 0..20 {
+        targets.answered(grey, request % 3 != 0, 0);
+    }
+    let choice = chosen(&targets, &Facts::default(), &[], 0);
+    assert_eq!(id_of(&targets, choice), "b");
+    for _ in 0..40 {
+        targets.answered(grey, true, 0);
+    }
+    let choice = chosen(&targets, &Facts::default(), &[], 0);
+    assert_eq!(id_of(&targets, choice), "a");
+}
+
+#[test]
+fn place_leaves_a_target_that_is_stuck() {
+    let mut targets = targets(&[("a", "d1"), ("b", "d2")]);
+    let stuck = key(&targets, "a");
+    targets.begin(stuck, 0);
+    let at = |targets: &Targets, now_ms| {
+        id_of(
+            targets,
+            chosen_at(targets, &Facts::default(), &[], 0, now_ms),
+        )
+    };
+    assert_eq!(at(&targets, 200), "a");
+    assert_eq!(at(&targets, 400), "b");
+    targets.progressed(stuck, 400);
+    assert_eq!(at(&targets, 401), "a");
+}
+
 #[test]
 fn load_report_counts_others_and_fades() {
     let mut targets = targets(&[("a", "d1")]);
     let key = key(&targets, "a");
-    targets.begin(key);
+    targets.begin(key, 0);
     let load = Load {
         running: 3,
         waiting: 2,
@@ -170,7 +213,7 @@
 fn upsert_other_service_at_the_identity_is_another_target() {
     let mut targets = targets(&[("a", "d1")]);
     let before = key(&targets, "a");
-    targets.begin(before);
+    targets.begin(before, 0);
     targets.upsert(TargetEntry {
         service: "t".into(),
         ..entry("a", "d1")
