One steward at a time, and no wait for a store that is known to be away

By reading: an outage of all and a cut of one domain 100 ms later gave a program two stewards before the first debt was charged; VMs too busy to answer in 120 ms counted as without the store; a VM that knows no neighbour took itself for its whole domain. Now all VMs lately within reach must agree, each domain's steward notes who hands out and a steward of all asks them first, and a lone VM hands out nothing (tests in allowance.rs).

--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -30,8 +30,11 @@
 /// Pause between them.
 const RETRY_PAUSE: Duration = Duration::from_millis(30);
 
-/// Age at which what a VM can reach is looked at again.
-const REACH_AGE_MS: u64 = 400;
+/// Time between two looks at what can be reached while the store is away.
+const LOOK_PERIOD: Duration = Duration::from_millis(250);
+
+/// Age below which a look is not repeated.
+const LOOK_AGE_MS: u64 = 200;
 
 /// Table of the overdrawn programs.
 pub(crate) const OVERDRAWN_TABLE: &str = "overdrawn";
@@ -58,8 +61,10 @@
     peers: Rc<PeerClient>,
     accounts: RefCell<Accounts>,
     allowances: RefCell<Allowances>,
-    /// What this VM could reach, and when it looked.
-    reach: Mutex<Option<(Reach, u64)>>,
+    /// What this VM could reach when it looked last.
+    reach: Cell<Reach>,
+    /// When that was; locked while it looks.
+    looked_ms: Mutex<Option<u64>>,
     /// Programs that this VM listed as overdrawn: version and time.
     listed: RefCell<Vec<(ProgramKey, u64, u64)>>,
     waiting: RefCell<FastMap<Waiter, oneshot::Sender<Decision>>>,
@@ -106,7 +111,8 @@
             peers,
             accounts: RefCell::new(accounts),
             allowances: RefCell::default(),
-            reach: Mutex::default(),
+            reach: Cell::new(Reach::Store),
+            looked_ms: Mutex::default(),
             listed: RefCell::default(),
             waiting: RefCell::default(),
             next_waiter: Cell::new(1),
@@ -119,8 +125,14 @@
         charge: Charge,
         until: Instant,
     ) -> Result<Charged, Decision> {
+        if self.reach.get().is_without_store() {
+            return self.charge_without_store(&charge).await;
+        }
         match self.charge_row(&charge, until).await {
-            Err(Decision::Unavailable) => self.charge_without_store(&charge).await,
+            Err(Decision::Unavailable) => {
+                self.look_around().await;
+                self.charge_without_store(&charge).await
+            }
             decided => decided,
         }
     }
@@ -179,7 +191,7 @@
         if self.hand_over(program, tokens) || self.peers.take_held(program, tokens).await {
             return Ok(Charged::new(self, program, Source::Row, tokens));
         }
-        let reach = self.reach().await;
+        let reach = self.reach.get();
         let chosen = {
             let peers = self.peers.peers.borrow();
             let own = peers.own().clone();
@@ -220,10 +232,17 @@
 
     /// Hands out tokens of an allowance that this VM is the steward of.
     pub(crate) async fn hand_out(&self, ask: &AllowanceAsk) -> u64 {
-        if self.reach().await != ask.reach {
+        if self.reach.get() != ask.reach {
+            self.look_around().await;
+        }
+        if self.reach.get() != ask.reach {
             return 0;
         }
         let program = ProgramKey(ask.program.clone());
+        let is_open = self.allowances.borrow().is_open(&program);
+        if !is_open && !self.may_open(&program, ask.reach).await {
+            return 0;
+        }
         let accounts = self.accounts.borrow();
         if accounts.is_exhausted(&program, ask.most_tokens) {
             return 0;
@@ -231,27 +250,52 @@
         self.allowances.borrow_mut().ask(ask)
     }
 
+    /// Whether no other VM hands out for a program.
+    async fn may_open(&self, program: &ProgramKey, reach: Reach) -> bool {
+        let own = self.peers.peers.borrow().own().clone();
+        let is_first = self.note_steward(program, &own);
+        is_first && (reach == Reach::OwnDomain || self.peers.may_hand_out(program).await)
+    }
+
+    /// Notes that a VM hands out for a program; `false` if another one does.
+    pub(crate) fn note_steward(&self, program: &ProgramKey, steward: &str) -> bool {
+        let now_ms = self.clock.now_ms();
+        let mut allowances = self.allowances.borrow_mut();
+        allowances.note_steward(program, steward, now_ms)
+    }
+
     /// Whether the store did not answer last.
     pub(crate) fn is_store_away(&self) -> bool {
         self.store.is_away()
     }
 
-    /// What this VM can reach, looked at again after a while.
-    async fn reach(&self) -> Reach {
-        let mut known = self.reach.lock().await;
-        let now_ms = self.clock.now_ms();
-        if let Some((reach, at_ms)) = *known {
-            if now_ms < at_ms + REACH_AGE_MS {
-                return reach;
+    /// Keeps what this VM can reach up to date while it is without the store.
+    pub(crate) async fn keep_looking(self: Rc<Self>) {
+        loop {
+            sleep(LOOK_PERIOD).await;
+            if self.store.is_away() || self.reach.get() != Reach::Store {
+                self.look_around().await;
             }
         }
+    }
+
+    /// Finds out what this VM can reach, unless that was just done.
+    async fn look_around(&self) {
+        let mut looked_ms = self.looked_ms.lock().await;
+        let now_ms = self.clock.now_ms();
+        if looked_ms.is_some_and(|at_ms| now_ms < at_ms + LOOK_AGE_MS) {
+            return;
+        }
         let reach = if self.store.is_unreadable().await {
             self.peers.sound_out().await
         } else {
             Reach::Store
         };
-        *known = Some((reach, self.clock.now_ms()));
-        reach
+        if reach != self.reach.get() {
+            log::info!(before = self.reach.get().to_string(), now = reach.to_string(); "reach changed");
+        }
+        self.reach.set(reach);
+        *looked_ms = Some(self.clock.now_ms());
     }
 
     /// A call with an allowance of this VM has ended.
@@ -311,6 +355,10 @@
             match reply {
                 Err(error @ StoreError::NoReply(_)) => {
                     lost = Some(error);
+                    if self.store.is_away() {
+                        // Others were asked too, or will be with the next write.
+                        break;
+                    }
                     sleep(RETRY_PAUSE).await;
                 }
                 // Says nothing about an earlier try without a reply.
@@ -408,6 +456,8 @@
 
     /// Removes rows of programs that are long silent.
     pub(crate) async fn sweep(&self) {
+        let now_ms = self.clock.now_ms();
+        self.allowances.borrow_mut().sweep(now_ms);
         self.sweep_overdrawn().await;
         let writes = self.accounts.borrow_mut().sweep(self.clock.now_ms());
         for write in writes {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -18,8 +18,8 @@
 use hyper::header::HOST;
 use hyper::{Method, Request, Response, StatusCode};
 use lagoon_gateway::{
-    judge, AllowanceAsk, AllowanceEnd, PeerEnd, Peers, ProgramKey, Reach, Sounding, StoreCall,
-    StoreError, StoreReply,
+    judge, steward, AllowanceAsk, AllowanceEnd, PeerEnd, Peers, ProgramKey, Reach, Sounding,
+    StoreCall, StoreError, StoreReply,
 };
 use lagoon_ids::FastMap;
 use rand::RngExt;
@@ -78,6 +78,14 @@
     AllowanceEnd(AllowanceEnd),
     /// Answered with whether the VM is without the store.
     Sound,
+    /// A VM is about to hand out an allowance; answered with whether no other
+    /// one does.
+    Steward {
+        /// Program.
+        program: CompactString,
+        /// Name of the VM.
+        steward: CompactString,
+    },
 }
 
 /// What became of a store call.
@@ -171,10 +179,12 @@
         let peers = self.peers.borrow().to_sound(SOUNDED);
         let soundings = peers.into_iter().map(|(name, entry)| async move {
             let message = PeerMessage::Sound;
-            let answer = self.ask(&name, entry.address, &message, NEAR_WAIT).await;
+            let answer = self.ask(&name, entry.address, &message, PEER_WAIT).await;
+            let now_ms = self.clock.now_ms();
             Sounding {
                 domain: entry.domain,
                 is_away: answer.ok(),
+                is_gone: self.peers.borrow().is_gone(&name, now_ms),
             }
         });
         let soundings = join_all(soundings).await;
@@ -192,6 +202,25 @@
         granted.unwrap_or_default()
     }
 
+    /// Asks the steward of each failure domain whether this VM may hand out an
+    /// allowance; all must agree.
+    pub(crate) async fn may_hand_out(&self, program: &ProgramKey) -> bool {
+        let (own, stewards) = {
+            let peers = self.peers.borrow();
+            let domains = peers.domains().into_iter();
+            let stewards = domains.filter_map(|vms| steward(program, vms).cloned());
+            (peers.own().clone(), stewards.collect::<Vec<_>>())
+        };
+        let message = PeerMessage::Steward {
+            program: program.0.clone(),
+            steward: own.clone(),
+        };
+        let others = stewards.iter().filter(|name| **name != own);
+        let answers = others.map(|name| self.ask_named::<bool>(name, &message, PEER_WAIT));
+        let answers = join_all(answers).await;
+        answers.iter().all(|answer| *answer == Some(true))
+    }
+
     /// Tells the steward what a call spent.
     pub(crate) async fn end_allowance(&self, steward: &str, end: AllowanceEnd) {
         let told = self
@@ -294,6 +323,9 @@
             ledger.end_allowance(&end);
             postcard::to_allocvec(&true)
         }
+        PeerMessage::Steward { program, steward } => {
+            postcard::to_allocvec(&ledger.note_steward(&ProgramKey(program), &steward))
+        }
         PeerMessage::Sound => postcard::to_allocvec(&ledger.is_store_away()),
     };
     match answer {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -98,6 +98,7 @@
         spawn_local(follow(Rc::clone(&shared), Rc::clone(&store), table));
     }
     spawn_local(housekeeping(Rc::clone(&shared)));
+    spawn_local(Rc::clone(&shared.ledger).keep_looking());
     spawn_local(reload(settings.clone(), file));
     let registration = Registration::new(&settings, writer.clone(), Rc::clone(&store));
     let registration = Rc::new(registration);
--- a/crates/gateway/src/allowance.rs
+++ b/crates/gateway/src/allowance.rs
@@ -4,7 +4,11 @@
 //! the VMs that are without the store (see [`crate::judge`]) have one among
 //! them, the program's steward, that hands out that much in all, counted in
 //! tokens that callers get; streams that would pass it are cut. What was
-//! spent is charged to the program's row when the store is back. A program
+//! spent is charged to the program's row when the store is back.
+//!
+//! As groups follow each other faster than debts are charged, every failure
+//! domain has a VM that notes who hands out for a program: the domain's own
+//! steward of it. A steward of all domains asks these first. A program
 //! whose row then holds more than its budget is listed as overdrawn, and gets
 //! no allowance again.
 
@@ -61,8 +65,14 @@
 pub struct Allowances {
     programs: FastMap<ProgramKey, Allowance>,
     overdrawn: FastSet<ProgramKey>,
+    /// Stewards that hand out, as far as this VM was told, and since when.
+    stewards: FastMap<ProgramKey, (CompactString, u64)>,
 }
 
+/// How long it is remembered who hands out for a program: longer than
+/// programs are silent and go on.
+const REMEMBERED_MS: u64 = 600_000;
+
 impl Allowances {
     /// Tokens for a call; 0 if too few are left.
     pub fn ask(&mut self, ask: &AllowanceAsk) -> u64 {
@@ -110,6 +120,26 @@
             .collect()
     }
 
+    /// Notes that `steward` hands out for a program; `false` if another one
+    /// does.
+    pub fn note_steward(&mut self, program: &ProgramKey, steward: &str, now_ms: u64) -> bool {
+        let noted = self.stewards.entry(program.clone());
+        let (known, at_ms) = noted.or_insert_with(|| (steward.into(), now_ms));
+        *at_ms = now_ms;
+        known == steward
+    }
+
+    /// Whether this VM hands out for a program.
+    pub fn is_open(&self, program: &ProgramKey) -> bool {
+        self.programs.contains_key(program)
+    }
+
+    /// Forgets who handed out for programs that are long over.
+    pub fn sweep(&mut self, now_ms: u64) {
+        self.stewards
+            .retain(|_, (_, at_ms)| now_ms < *at_ms + REMEMBERED_MS);
+    }
+
     /// Takes note whether a program is listed as overdrawn.
     pub fn set_overdrawn(&mut self, program: ProgramKey, is_overdrawn: bool) {
         if is_overdrawn {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -39,6 +39,9 @@
 /// Doublings of that pause at most.
 const DOUBLINGS: u32 = 5;
 
+/// Time without any answer after which a VM is taken for gone.
+const SILENT_MS: u64 = 3_000;
+
 /// Time without any answer after which a VM's entry is removed.
 const GONE_MS: u64 = 120_000;
 
@@ -153,6 +156,26 @@
             .collect()
     }
 
+    /// Whether a VM did not answer for long.
+    pub fn is_gone(&self, name: &str, now_ms: u64) -> bool {
+        let since = self.peers.get(name).and_then(|peer| peer.failing_since_ms);
+        since.is_some_and(|since_ms| now_ms >= since_ms + SILENT_MS)
+    }
+
+    /// VMs by failure domain, this one included.
+    pub fn domains(&self) -> Vec<Vec<&CompactString>> {
+        let mut domains: FastMap<&str, Vec<&CompactString>> = FastMap::default();
+        domains
+            .entry(self.domain.as_str())
+            .or_default()
+            .push(&self.own);
+        for (name, peer) in &self.peers {
+            let domain = domains.entry(peer.entry.domain.as_str()).or_default();
+            domain.push(name);
+        }
+        domains.into_values().collect()
+    }
+
     /// VMs among which programs have their steward, this one included.
     pub fn group(&self, reach: Reach) -> Vec<&CompactString> {
         let is_in = |peer: &Peer| match reach {
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -1,9 +1,10 @@
 //! What a VM without the store can still reach.
 //!
 //! At most one group of VMs may hand out allowances at a time. So a VM takes
-//! part only if it sees one of two things: every failure domain answers and
-//! none has the store, or no other domain answers while most of its own does.
-//! As domains are cut off one at a time, both are never seen at once.
+//! part only if it sees one of two things: every VM that was within reach
+//! lately answers, in every failure domain, and none has the store; or no
+//! other domain answers while most of its own does. As domains are cut off
+//! one at a time, both are never seen at once.
 
 use compact_str::CompactString;
 use derive_more::Display;
@@ -17,6 +18,8 @@
     pub domain: CompactString,
     /// Whether it is without the store; `None` without an answer.
     pub is_away: Option<bool>,
+    /// Whether it did not answer for long, and so is taken for gone.
+    pub is_gone: bool,
 }
 
 /// What is within reach.
@@ -36,6 +39,13 @@
     Unclear,
 }
 
+impl Reach {
+    /// Whether this VM is in a group that goes on without the store.
+    pub fn is_without_store(self) -> bool {
+        matches!(self, Reach::AllDomains | Reach::OwnDomain)
+    }
+}
+
 #[derive(Default)]
 struct Tally {
     asked: usize,
@@ -58,21 +68,17 @@
         tally.answered += usize::from(sounding.is_away.is_some());
     }
     let near = domains.remove(own).unwrap_or_default();
-    // This VM counts among those of its domain.
-    let has_most_near = 2 * (near.answered + 1) > near.asked + 1;
-    if domains.is_empty() {
-        // Without another domain, the own one is all there is.
-        return match has_most_near {
-            true => Reach::OwnDomain,
-            false => Reach::Unclear,
-        };
-    }
-    if domains.values().all(|tally| tally.answered > 0) {
+    let is_whole = domains.values().all(|tally| tally.answered > 0);
+    let mut silent = soundings.iter().filter(|s| s.is_away.is_none());
+    if !domains.is_empty() && is_whole && silent.all(|sounding| sounding.is_gone) {
         return Reach::AllDomains;
     }
+    // This VM counts among those of its domain. One that knows no neighbour
+    // can't tell the domain's being cut off from its own.
+    let has_most_near = near.answered > 0 && 2 * (near.answered + 1) > near.asked + 1;
     let is_alone = domains.values().all(|tally| tally.answered == 0);
-    if is_alone && has_most_near {
-        return Reach::OwnDomain;
+    match is_alone && has_most_near {
+        true => Reach::OwnDomain,
+        false => Reach::Unclear,
     }
-    Reach::Unclear
 }
--- a/crates/gateway/tests/allowance.rs
+++ b/crates/gateway/tests/allowance.rs
@@ -86,6 +86,7 @@
     Sounding {
         domain: domain.into(),
         is_away,
+        is_gone: false,
     }
 }
 
@@ -95,7 +96,9 @@
 
 #[parameterized(
     outage = { &[("a", AWAY), ("b", AWAY), ("c", AWAY)], Reach::AllDomains },
-    outage_some_silent = { &[("a", SILENT), ("b", AWAY), ("b", SILENT), ("c", AWAY)], Reach::AllDomains },
+    outage_some_silent = { &[("a", SILENT), ("b", AWAY), ("b", SILENT), ("c", AWAY)], Reach::Unclear },
+    nobody_is_known = { &[], Reach::Unclear },
+    no_neighbour_is_known = { &[("b", SILENT), ("c", SILENT)], Reach::Unclear },
     only_this_vm_is_without = { &[("a", AWAY), ("b", HAS_STORE), ("c", SILENT)], Reach::Store },
     domain_is_cut_off = { &[("a", AWAY), ("a", AWAY), ("b", SILENT), ("c", SILENT)], Reach::OwnDomain },
     half_of_the_domain_is_cut_off = { &[("a", SILENT), ("a", SILENT), ("a", AWAY), ("b", SILENT)], Reach::Unclear },
@@ -111,6 +114,27 @@
     assert_eq!(judge("a", &soundings), expected);
 }
 
+#[test]
+fn judge_vm_that_is_long_gone_does_not_count() {
+    let gone = Sounding {
+        is_gone: true,
+        ..sounding("b", SILENT)
+    };
+    let soundings = [sounding("a", AWAY), sounding("b", AWAY), gone];
+    assert_eq!(judge("a", &soundings), Reach::AllDomains);
+}
+
+#[test]
+fn note_steward_first_one_stays() {
+    let mut allowances = Allowances::default();
+    let program = ProgramKey("p".into());
+    assert!(allowances.note_steward(&program, "a", 0));
+    assert!(!allowances.note_steward(&program, "b", 1));
+    assert!(allowances.note_steward(&program, "a", 2));
+    allowances.sweep(700_000);
+    assert!(allowances.note_steward(&program, "b", 700_000));
+}
+
 #[test]
 fn judge_never_sees_two_groups_at_once() {
     // Three domains of three VMs, one domain cut off from the others: no VM
