lagoon explain; logs bounded and never waited for; gone VMs known early

explain ID [FILE...] tells the story of a request or program from log lines. Log lines below a warning are bounded a second, written in a thread of their own, and counted where they are dropped; the count is a metric.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -5,13 +5,14 @@
 mod status;
 
 use std::fs;
+use std::io::{self, Read};
 use std::path::{Path, PathBuf};
 
 use serde::Serialize;
 use thiserror::Error;
 
-use crate::canvas::{read_spans, trees};
-use crate::collection::{AskError, Vm};
+use crate::canvas::{read_spans, story, trees};
+use crate::collection::{read_log, AskError, Vm};
 use crate::options::{Command, Options};
 
 /// Reason why a command failed.
@@ -69,6 +70,7 @@
         Command::SheetShow => sheet::show(&vm, json),
         Command::SheetApply { file, base, author } => sheet::apply(&vm, file, *base, author),
         Command::Trace { files, filter } => trace(files, filter.as_deref()),
+        Command::Explain { id, files } => explain(id, files),
     }
 }
 
@@ -87,6 +89,22 @@
     Ok(trees(&spans, filter))
 }
 
+fn explain(id: &str, files: &[PathBuf]) -> Result<String, CommandError> {
+    let mut text = String::new();
+    for file in files {
+        text.push_str(&read_file(file)?);
+    }
+    if files.is_empty() {
+        let read = io::stdin().read_to_string(&mut text);
+        read.map_err(|source| CommandError::File {
+            file: "standard input".to_owned(),
+            source,
+        })?;
+    }
+    let story = story(id, &read_log(&text));
+    story.ok_or_else(|| CommandError::Refused(format!("no log line names {id}")))
+}
+
 /// Text of a value as JSON.
 fn to_json<T>(value: &T) -> String
 where
--- a/crates/cli/src/options/args.rs
+++ b/crates/cli/src/options/args.rs
@@ -22,6 +22,8 @@
     sheet show                          sheet in force
     sheet apply FILE                    puts a sheet in force
     trace FILE...                       spans of files, as trees
+    explain ID [FILE...]                log lines of a request or program, from
+                                        files or standard input, as its story
 
 Exit codes: 0 done, 1 failed, 2 bad command line or faulty sheet,
 3 refused since another sheet came first, 4 VM can't be reached.";
@@ -142,6 +144,10 @@
             files: files.iter().map(PathBuf::from).collect(),
             filter: matches.opt_str("filter"),
         }),
+        ["explain", id, files @ ..] => Ok(Command::Explain {
+            id: (*id).to_owned(),
+            files: files.iter().map(PathBuf::from).collect(),
+        }),
         [] => Err(UsageError("no command".to_owned())),
         other => Err(UsageError(format!("unknown command `{}`", other.join(" ")))),
     }
--- a/crates/cli/src/options/command.rs
+++ b/crates/cli/src/options/command.rs
@@ -44,4 +44,11 @@
         /// Text that a span of the tree must hold.
         filter: Option<String>,
     },
+    /// Story of a request or program from log lines.
+    Explain {
+        /// Identity.
+        id: String,
+        /// Files of log lines; standard input without one.
+        files: Vec<PathBuf>,
+    },
 }
--- /dev/null
+++ b/crates/cli/tests/explain.rs
@@ -0,0 +1,42 @@
+//! Stories from log lines.
+
+use lagoon_cli::canvas::story;
+use lagoon_cli::collection::read_log;
+
+const LOG: &str = r#"
+noise before
+2.5 vm-a-1 time_ms=2000 level=info module=m vm=a-1 message="try failed" request=r1 target_id=i-1 failure="not sent" detail="not sent: \"refused\"" next="another target"
+time_ms=2010 level=info module=m vm=a-1 message="answered" request=r1 program=p1 status=200
+time_ms=2005 level=info module=m vm=a-2 message="store out of reach" program=p1 granted_tokens=0
+time_ms=2004 level=info module=m vm=a-2 message="answered" request=r2 program=p1 status=200
+time_ms=2004 level=info module=m vm=a-2 message="answered" request=r3 program=p2 status=200
+time_ms=torn
+"#;
+
+#[test]
+fn read_log_quoted_values() {
+    let lines = read_log(LOG);
+    assert_eq!(lines.len(), 5);
+    assert_eq!(lines[0].field("detail"), Some("not sent: \"refused\""));
+    assert_eq!(lines[0].vm, "a-1");
+}
+
+#[test]
+fn story_of_a_request_has_its_program_beside() {
+    let story = story("r1", &read_log(LOG)).expect("is named");
+    let expected = "r1, program p1, from time_ms=2000\n      0 ms  a-1  try failed  request=r1  \
+        target_id=i-1  failure=not sent  detail=not sent: \"refused\"  next=another target\n      \
+        5 ms  a-2  store out of reach  granted_tokens=0\n     10 ms  a-1  answered  request=r1  status=200\n";
+    assert_eq!(story, expected);
+}
+
+#[test]
+fn story_of_a_program_has_all_its_requests() {
+    let story = story("p1", &read_log(LOG)).expect("is named");
+    assert!(story.contains("request=r2") && !story.contains("request=r3"));
+}
+
+#[test]
+fn story_unknown_identity_has_none() {
+    assert_eq!(story("r9", &read_log(LOG)), None);
+}
--- a/crates/daemon/src/bin/lagoond.rs
+++ b/crates/daemon/src/bin/lagoond.rs
@@ -42,7 +42,9 @@
     if let Err(error) = init_logs(&settings.log, settings.vm.name.as_str()) {
         return fail(BAD_INPUT, &error);
     }
-    match run(settings) {
+    let end = run(settings);
+    log::logger().flush();
+    match end {
         Ok(()) => ExitCode::SUCCESS,
         Err(error @ RunError::Fenced) => fail(FENCED, &error),
         Err(error) => fail(FAILED, &error),
--- a/crates/entry/src/bin/lagoon-entry.rs
+++ b/crates/entry/src/bin/lagoon-entry.rs
@@ -39,7 +39,9 @@
     if let Err(error) = init_logs(&settings.log, settings.vm.name.as_str()) {
         return fail(BAD_INPUT, &error);
     }
-    match run(settings, file) {
+    let end = run(settings, file);
+    log::logger().flush();
+    match end {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => fail(FAILED, &error),
     }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use lagoon_telemetry::dropped_lines;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
@@ -21,6 +22,7 @@
     config_version: IntGauge,
     targets: IntGauge,
     connections: IntGauge,
+    dropped_lines: IntGauge,
 }
 
 /// Metrics of the daemon.
@@ -55,6 +57,10 @@
             config_version: gauge("lagoon_config_version", "Configuration in force")?,
             targets: gauge("lagoon_targets", "Targets known")?,
             connections: gauge("lagoon_connections", "Connections that are open here")?,
+            dropped_lines: gauge(
+                "lagoon_dropped_log_lines",
+                "Log lines dropped since the start",
+            )?,
             registry,
         })))
     }
@@ -93,6 +99,7 @@
 
     /// Text exposition.
     pub(crate) fn text(&self) -> Result<Vec<u8>, prometheus::Error> {
+        self.0.dropped_lines.set(dropped_lines() as i64);
         let mut text = Vec::new();
         TextEncoder::new().encode(&self.0.registry.gather(), &mut text)?;
         Ok(text)
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -4,7 +4,7 @@
 //! none can, it asks its neighbours for tokens that they hold, and the
 //! program's steward for an allowance.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -96,6 +96,8 @@
     clock: Clock,
     pub(crate) peers: RefCell<Peers>,
     idle: RefCell<FastMap<SocketAddr, Vec<Connection>>>,
+    /// Number of the VM that is sounded out next.
+    turn: Cell<usize>,
 }
 
 impl PeerClient {
@@ -104,6 +106,7 @@
             clock,
             peers: RefCell::new(peers),
             idle: RefCell::default(),
+            turn: Cell::new(0),
         }
     }
 
@@ -202,6 +205,22 @@
         granted.unwrap_or_default()
     }
 
+    /// Sounds out one VM, each time the next one, so that those that are gone
+    /// are known before it matters.
+    pub(crate) async fn sound_next(&self) {
+        let peers = self.peers.borrow().to_sound(SOUNDED);
+        if peers.is_empty() {
+            return;
+        }
+        let turn = self.turn.get();
+        self.turn.set(turn.wrapping_add(1));
+        let (name, entry) = &peers[turn % peers.len()];
+        let answer = self.ask::<bool>(name, entry.address, &PeerMessage::Sound, PEER_WAIT);
+        if let Err(error) = answer.await {
+            log::debug!(peer = name.as_str(), error = error.to_string(); "VM does not answer");
+        }
+    }
+
     /// Asks the steward of each failure domain whether this VM may hand out an
     /// allowance; all must agree.
     pub(crate) async fn may_hand_out(&self, program: &ProgramKey) -> bool {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -28,6 +28,9 @@
 /// Time between two looks at what is due.
 const HOUSEKEEPING_PERIOD: Duration = Duration::from_millis(100);
 
+/// Housekeeping rounds between two VMs that are sounded out.
+const SOUND_ROUNDS: u32 = 10;
+
 /// Housekeeping rounds between two sweeps.
 const SWEEP_ROUNDS: u32 = 50;
 
@@ -167,6 +170,10 @@
     let mut round = 0;
     loop {
         sleep(HOUSEKEEPING_PERIOD).await;
+        if round % SOUND_ROUNDS == 0 {
+            let peers = Rc::clone(&shared.peers);
+            spawn_local(async move { peers.sound_next().await });
+        }
         shared.ledger.write_due();
         shared.targets.borrow_mut().sweep(shared.now_ms());
         round += 1;
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -188,6 +188,8 @@
     pub file: Option<String>,
     /// Whether that stream is standard output in place of standard error.
     pub stdout: bool,
+    /// Lines a second beyond which those below a warning are dropped.
+    pub lines_per_s: u64,
 }
 
 impl Default for LogSettings {
@@ -197,6 +199,7 @@
             modules: BTreeMap::new(),
             file: None,
             stdout: false,
+            lines_per_s: 1_000,
         }
     }
 }
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,11 +1,13 @@
 //! Logs, metrics and traces.
 
 mod exporter;
+mod lines;
 mod logs;
 mod metrics;
 mod propagation;
 mod tracer;
 
+pub use lines::dropped_lines;
 pub use logs::{init_logs, LogError};
 pub use metrics::Metrics;
 pub use propagation::{extract, inject, new_root, TRACEPARENT};
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -1,18 +1,21 @@
 //! Logs, one record a line with `key=value` fields.
 
-use std::fmt::{self, Arguments, Write};
+use std::fmt::{self, Arguments, Write as _};
+use std::io::Write;
 use std::time::SystemTime;
 
 use lagoon_settings::LogSettings;
 use log::kv::{Key, Value, VisitSource};
-use log::{LevelFilter, Record};
+use log::{LevelFilter, Log, Record};
 use thiserror::Error;
 
+use crate::lines::{LineWriter, Volume};
+
 /// Reason why logs can't begin.
 #[derive(Debug, Error)]
 pub enum LogError {
-    /// File can't be opened.
-    #[error("log.file: {0}")]
+    /// File can't be opened, or the writing thread can't start.
+    #[error("log: {0}")]
     File(#[from] std::io::Error),
     /// Logs have begun before.
     #[error("logs have begun before")]
@@ -31,18 +34,27 @@
             out.finish(format_args!("{}", line(&vm, message, record)))
         })
         .level(level(&settings.level));
+    let volume = Volume::new(settings.lines_per_s);
+    dispatch = dispatch.filter(move |metadata| volume.admits(metadata.level()));
     for (module, module_level) in &settings.modules {
         dispatch = dispatch.level_for(module.clone(), level(module_level));
     }
     let dispatch = match &settings.file {
         Some(file) => dispatch.chain(fern::log_file(file)?),
-        None if settings.stdout => dispatch.chain(std::io::stdout()),
-        None => dispatch.chain(std::io::stderr()),
+        None if settings.stdout => dispatch.chain(writer(std::io::stdout())?),
+        None => dispatch.chain(writer(std::io::stderr())?),
     };
     dispatch.apply()?;
     Ok(())
 }
 
+fn writer<W>(out: W) -> Result<Box<dyn Log>, std::io::Error>
+where
+    W: Write + Send + 'static,
+{
+    Ok(Box::new(LineWriter::start(out)?))
+}
+
 fn level(text: &str) -> LevelFilter {
     text.parse().unwrap_or(LevelFilter::Info)
 }
