Held tokens go back only when wanted; watches of 10 and 30 s

Small budgets were always 'short', so what a VM held went back after each turn. A VM that finds a budget held elsewhere now asks for the tokens directly, and a holder that can't hand over writes what it has back, so that 402 is said only when it is true.

--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -133,6 +133,12 @@
                 self.look_around().await;
                 self.charge_without_store(&charge).await
             }
+            Err(refusal @ Decision::HeldElsewhere { .. }) => {
+                let is_taken = self.peers.take_held(&charge.program, charge.tokens).await;
+                let (program, tokens) = (&charge.program, charge.tokens);
+                let charged = || Charged::new(self, program, Source::Row, tokens);
+                is_taken.then(charged).ok_or(refusal)
+            }
             decided => decided,
         }
     }
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -15,10 +15,10 @@
 
 /// Longest wait of one watch: a connection that went silent is noticed soon
 /// after.
-const WATCH_WAIT_MS: u64 = 2_000;
+const WATCH_WAIT_MS: u64 = 10_000;
 
 /// The same for tables on which no bound of time rests.
-const SLOW_WATCH_WAIT_MS: u64 = 10_000;
+const SLOW_WATCH_WAIT_MS: u64 = 30_000;
 
 /// Pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -63,8 +63,6 @@
     /// Time without a call after which held tokens go back if the budget is
     /// short.
     pub return_after_ms: u64,
-    /// Calls of the most tokens below which a budget is short.
-    pub short_calls: u64,
     /// Calls of the most tokens that are held at most.
     pub held_calls: u64,
 }
@@ -75,7 +73,6 @@
         BudgetSettings {
             writer,
             return_after_ms: 250,
-            short_calls: 8,
             held_calls: 5,
         }
     }
@@ -230,6 +227,8 @@
     held_tokens: u64,
     /// Spent without the store and not charged yet.
     debt_tokens: u64,
+    /// Whether another VM asked for more than is held.
+    is_wanted: bool,
     used_ms: u64,
     written_ms: u64,
     retention_ms: u64,
@@ -344,9 +343,11 @@
     /// out what became of writes without a reply.
     pub fn give_back(&mut self, program: &ProgramKey) -> Option<BudgetWrite> {
         let account = self.accounts.get_mut(program)?;
-        if account.pending.is_some() || !(account.has_surplus() || account.debt_tokens > 0) {
+        let is_needed = account.has_surplus() || account.debt_tokens > 0 || account.is_wanted;
+        if account.pending.is_some() || !is_needed {
             return None;
         }
+        account.is_wanted = false;
         let held_tokens = std::mem::take(&mut account.held_tokens);
         self.begin(program, Vec::new(), held_tokens, 0)
     }
@@ -468,16 +469,19 @@
         })
     }
 
-    /// Takes held tokens out, for a call at another VM.
+    /// Takes held tokens out, for a call at another VM. If there are too few,
+    /// they go back to the row soon, and it no longer says that they are held.
     pub fn take_held(&mut self, program: &ProgramKey, tokens: u64) -> bool {
         let account = self.accounts.get_mut(program);
-        match account.filter(|account| account.held_tokens >= tokens) {
-            Some(account) => {
-                account.held_tokens -= tokens;
-                true
-            }
-            None => false,
+        let Some(account) = account else {
+            return false;
+        };
+        if account.held_tokens >= tokens {
+            account.held_tokens -= tokens;
+            return true;
         }
+        account.is_wanted = true;
+        false
     }
 
     /// Takes tokens in that another VM held.
@@ -531,11 +535,11 @@
 
     /// Whether the row must change although no call waits.
     fn is_due(&self, settings: &BudgetSettings, now_ms: u64) -> bool {
-        if self.debt_tokens > 0 {
+        if self.debt_tokens > 0 || (self.is_wanted && !self.has_surplus()) {
             return true;
         }
         let is_silent = self.used_ms + settings.return_after_ms <= now_ms;
-        self.has_surplus() && self.is_short(settings) && is_silent
+        self.has_surplus() && (self.is_wanted || self.is_short()) && is_silent
     }
 
     /// Whether tokens that were spent without the store may not be charged.
@@ -544,8 +548,9 @@
         self.debt_tokens > 0 || writes.into_iter().any(|write| write.debt_tokens > 0)
     }
 
-    fn is_short(&self, settings: &BudgetSettings) -> bool {
-        self.left_tokens() < settings.short_calls * self.largest_call_tokens
+    /// Whether the budget leaves other VMs less than one call.
+    fn is_short(&self) -> bool {
+        self.left_tokens() < self.largest_call_tokens
     }
 
     /// Tokens to charge beyond the waiting calls. The first VM of a program,
