--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -29,7 +29,7 @@
 use crate::pool::Lease;
 use crate::relay::Relay;
 use crate::reply;
-use crate::shared::Shared;
+use crate::shared::{Held, Shared};
 
 /// Longest answer that is read as a whole before it is passed on.
 const WHOLE_BYTES: usize = 8_000_000;
@@ -71,6 +71,7 @@
     service: CompactString,
     parts: Parts,
     body: Bytes,
+    _held: Held,
     avoid: Vec<TargetKey>,
     /// Whether a try is under way or has ended without the word that it did
     /// not run.
@@ -177,25 +178,33 @@
         let config = shared.config.borrow();
         config.as_ref().map_or_else(Limits::default, |c| c.limits)
     };
-    let body = match read_body(body, &limits).await {
-        Ok(body) => body,
+    let (body, held) = match read_body(&shared, body, &limits).await {
+        Ok(read) => read,
         Err(answer) => return *answer,
     };
-    let call = match admit(shared, parts, body, arrived_ms) {
+    let call = match admit(shared, parts, body, held, arrived_ms) {
         Ok(call) => call,
         Err(answer) => return *answer,
     };
     call.run().await
 }
 
-async fn read_body(body: Incoming, limits: &Limits) -> Result<Bytes, Box<Response<ReplyBody>>> {
+async fn read_body(
+    shared: &Rc<Shared>,
+    body: Incoming,
+    limits: &Limits,
+) -> Result<(Bytes, Held), Box<Response<ReplyBody>>> {
     let limit = usize::try_from(limits.max_body_bytes).unwrap_or(usize::MAX);
     if body.size_hint().lower() > limits.max_body_bytes {
         let answer = reply::text(StatusCode::PAYLOAD_TOO_LARGE, "body too long");
         return Err(Box::new(answer));
     }
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
+    // A body without a length is held to what it turns out to be.
+    let Some(announced) = shared.hold(body.size_hint().lower()) else {
+        return Err(too_much(shared));
+    };
+    let body = match Limited::new(body, limit).collect().await {
+        Ok(body) => body.to_bytes(),
         Err(error) => {
             log::debug!(error = error.to_string(); "body not read");
             let is_long = error.is::<http_body_util::LengthLimitError>();
@@ -204,16 +213,28 @@
             } else {
                 StatusCode::BAD_REQUEST
             };
-            Err(Box::new(reply::text(status, "body not read")))
+            return Err(Box::new(reply::text(status, "body not read")));
         }
+    };
+    drop(announced);
+    match shared.hold(body.len() as u64) {
+        Some(held) => Ok((body, held)),
+        None => Err(too_much(shared)),
     }
 }
 
+fn too_much(shared: &Shared) -> Box<Response<ReplyBody>> {
+    log::warn!("refused: too many bytes of bodies are held");
+    shared.metrics.answer(503, 0);
+    Box::new(reply::refusal("too many bytes are held", BUSY_RETRY_MS))
+}
+
 /// Finds the route of a request.
 fn admit(
     shared: Rc<Shared>,
     parts: Parts,
     body: Bytes,
+    held: Held,
     arrived_ms: u64,
 ) -> Result<Call, Box<Response<ReplyBody>>> {
     let facts = request_facts(&parts.headers);
@@ -252,6 +273,7 @@
         facts,
         parts,
         body,
+        _held: held,
         avoid: Vec::new(),
         may_run: false,
         choice: None,
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -88,7 +88,7 @@
     let peers = Rc::new(PeerClient::new(clock, own));
     let ledger = Ledger::new(clock, Rc::clone(&store), Rc::clone(&peers), accounts);
     let domain = settings.vm.domain.clone();
-    let shared = Shared::new(clock, domain, metrics, ledger, peers);
+    let shared = Shared::new(clock, domain, metrics, ledger, peers, &settings.limits);
 
     let (stop, stopped) = watch::channel(false);
     listen_all(&settings, &shared, &stopped)?;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -70,6 +70,10 @@
             _ = stop.wait_for(|stop| *stop) => return,
         };
         match accepted {
+            Ok(_) if shared.connections.get() >= shared.most_connections => {
+                // Closed unread, so the caller may go elsewhere.
+                log::warn!(connections = shared.connections.get(); "connection refused, too many are open");
+            }
             Ok((stream, _)) => {
                 let shared = Rc::clone(&shared);
                 let connection = Open::new(&shared);
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -12,10 +12,32 @@
 use crate::metrics::Metrics;
 use crate::peers::PeerClient;
 use crate::pool::Pool;
+use crate::settings::EntryLimits;
 
 /// Lines of calls whose last target is remembered at most.
 const LINES: usize = 20_000;
 
+/// Descriptors that one caller's connection may need: its own, one to a
+/// target and one to another VM or the store, and as many in reserve.
+const DESCRIPTORS_EACH: usize = 4;
+
+/// Share of the memory, as a divisor, that bodies may take: each is held
+/// once as it came and once on its way out.
+const MEMORY_SHARE: u64 = 4;
+
+/// Bytes that a request holds.
+pub(crate) struct Held {
+    shared: Rc<Shared>,
+    bytes: u64,
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        let held_bytes = self.shared.held_bytes.get();
+        self.shared.held_bytes.set(held_bytes - self.bytes);
+    }
+}
+
 /// State of the daemon.
 pub(crate) struct Shared {
     pub(crate) clock: Clock,
@@ -34,6 +56,12 @@
     pub(crate) registered: Cell<bool>,
     /// Connections that others opened.
     pub(crate) connections: Cell<usize>,
+    /// Connections beyond which new ones are closed at once.
+    pub(crate) most_connections: usize,
+    /// Bytes of bodies that are held.
+    held_bytes: Cell<u64>,
+    /// Bytes of bodies beyond which requests are refused.
+    most_held_bytes: u64,
     last_targets: RefCell<FastMap<CompactString, TargetKey>>,
 }
 
@@ -44,6 +72,7 @@
         metrics: Metrics,
         ledger: Rc<Ledger>,
         peers: Rc<PeerClient>,
+        limits: &EntryLimits,
     ) -> Rc<Shared> {
         Rc::new(Shared {
             clock,
@@ -59,6 +88,9 @@
             stopping: Cell::new(false),
             registered: Cell::new(false),
             connections: Cell::new(0),
+            most_connections: limits.descriptors as usize / DESCRIPTORS_EACH,
+            held_bytes: Cell::new(0),
+            most_held_bytes: limits.memory_mb * 1_000_000 / MEMORY_SHARE,
             last_targets: RefCell::default(),
         })
     }
@@ -72,6 +104,20 @@
         !self.stopping.get() && self.targets_known.get() && self.config.borrow().is_some()
     }
 
+    /// Holds the bytes of a body until the result is dropped; `None` if the
+    /// process holds too many.
+    pub(crate) fn hold(self: &Rc<Self>, bytes: u64) -> Option<Held> {
+        let held_bytes = self.held_bytes.get() + bytes;
+        if held_bytes > self.most_held_bytes {
+            return None;
+        }
+        self.held_bytes.set(held_bytes);
+        Some(Held {
+            shared: Rc::clone(self),
+            bytes,
+        })
+    }
+
     /// Target that served a line of calls last.
     pub(crate) fn last_target(&self, line: &str) -> Option<TargetKey> {
         self.last_targets.borrow().get(line).copied()
--- a/crates/entry/tests/fleet/mod.rs
+++ b/crates/entry/tests/fleet/mod.rs
@@ -187,6 +187,17 @@
     stream
 }
 
+/// Answer to a request that announces a body and never sends it.
+pub(crate) fn announce(address: SocketAddr, line: &str, bytes: usize) -> Reply {
+    let mut stream = TcpStream::connect(address).expect("connection");
+    stream.set_read_timeout(Some(PATIENCE)).expect("timeout");
+    let text = format!(
+        "{line} HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\nContent-Length: {bytes}\r\n\r\n"
+    );
+    stream.write_all(text.as_bytes()).expect("request is sent");
+    read(stream)
+}
+
 /// Reads an answer to its end.
 pub(crate) fn read(mut stream: TcpStream) -> Reply {
     let mut bytes = Vec::new();
--- a/crates/entry/tests/processes.rs
+++ b/crates/entry/tests/processes.rs
@@ -299,3 +299,18 @@
     assert!(matches!(reply.status, 0 | 431), "{}", reply.status);
     assert_eq!(desk_runs(&fleet), 0);
 }
+
+#[test]
+fn body_that_memory_does_not_hold_is_refused_as_not_run() {
+    let fleet = Fleet::start(1);
+    let big = "x".repeat(3_500_000);
+    let reply = call(fleet.callers(), "POST /book/x", &call_headers("r1"), &big);
+    assert_eq!(reply.status, 200);
+    let longer = CONFIG
+        .replace("\"version\": 3", "\"version\": 4")
+        .replace("4194304", "80000000");
+    fleet.store.configure(&longer);
+    wait_until("limit of memory", || {
+        fleet::announce(fleet.callers(), "POST /book/x", 31_000_000).status == 503
+    });
+}
