--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -163,9 +163,9 @@
         let asked = self.asked(charge);
         let waiter = asked.waiter;
         let now_ms = self.clock.now_ms();
-        let held = self.accounts.borrow_mut().ask(program, asked, now_ms);
-        if let Some(grant) = held {
-            return Ok(Charged::new(self, program, Source::Row, grant.tokens));
+        let known = self.accounts.borrow_mut().ask(program, asked, now_ms);
+        if let Some(decision) = known {
+            return self.decided(program, decision);
         }
         let (sender, decided) = oneshot::channel();
         self.waiting.borrow_mut().insert(waiter, sender);
@@ -180,6 +180,14 @@
             Ok(Err(_)) | Err(_) => Decision::Unavailable,
         };
         drop(waiting);
+        self.decided(program, decision)
+    }
+
+    fn decided(
+        self: &Rc<Self>,
+        program: &ProgramKey,
+        decision: Decision,
+    ) -> Result<Charged, Decision> {
         match decision {
             Decision::Granted(grant) => Ok(Charged::new(self, program, Source::Row, grant.tokens)),
             refusal => Err(refusal),
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -28,6 +28,10 @@
 /// theirs is not known here.
 const OTHERS_RETENTION_MS: u64 = 600_000;
 
+/// Time for which a refusal is not asked for again: a part of that in which
+/// what a call spent becomes known.
+const SPENT_MS: u64 = 300;
+
 /// Retentions of silence after which a program's row is removed. A VM that
 /// spends from what it holds writes the row at least once in two of them.
 const SWEEP_RETENTIONS: u64 = 4;
@@ -211,6 +215,22 @@
     }
 }
 
+/// Refusal that the row gave.
+#[derive(Clone, Copy, Debug)]
+struct Spent {
+    at_ms: u64,
+    tokens: u64,
+    charged_tokens: u64,
+}
+
+impl Spent {
+    /// Whether the refusal holds for one more call. It is not asked for
+    /// again at once, as what calls under way give back may take longer.
+    fn holds(&self, asked: &Asked, now_ms: u64) -> bool {
+        asked.tokens >= self.tokens && now_ms < self.at_ms + SPENT_MS
+    }
+}
+
 /// Account of one program at this VM.
 #[derive(Clone, Debug, Default)]
 struct Account {
@@ -229,6 +249,8 @@
     debt_tokens: u64,
     /// Whether another VM asked for more than is held.
     is_wanted: bool,
+    /// Last refusal.
+    spent: Option<Spent>,
     used_ms: u64,
     written_ms: u64,
     retention_ms: u64,
@@ -264,7 +286,7 @@
 
     /// Charges a call from what is held, or queues it for the next write, to
     /// be decided by [`Accounts::written`].
-    pub fn ask(&mut self, program: &ProgramKey, asked: Asked, now_ms: u64) -> Option<Grant> {
+    pub fn ask(&mut self, program: &ProgramKey, asked: Asked, now_ms: u64) -> Option<Decision> {
         let account = self.accounts.entry(program.clone()).or_default();
         account.used_ms = now_ms;
         account.retention_ms = account.retention_ms.max(asked.retention_ms);
@@ -273,8 +295,13 @@
         let is_fresh = now_ms <= account.written_ms + account.retention_ms;
         if is_fresh && account.held_tokens >= asked.tokens && account.waiting.is_empty() {
             account.held_tokens -= asked.tokens;
-            return Some(Grant {
+            return Some(Decision::Granted(Grant {
                 tokens: asked.tokens,
+            }));
+        }
+        if let Some(spent) = account.spent.filter(|spent| spent.holds(&asked, now_ms)) {
+            return Some(Decision::Spent {
+                charged_tokens: spent.charged_tokens,
             });
         }
         account.waiting.push(asked);
@@ -411,7 +438,7 @@
         if reply.is_ok() {
             account.written_ms = now_ms;
         }
-        match reply {
+        let decisions = match reply {
             Ok(StoreReply::Applied { version }) => account.applied(*version, pending, writer),
             Ok(StoreReply::Conflict(rows)) => {
                 let key = program.row_key();
@@ -429,7 +456,9 @@
                 account.debt_tokens += pending.debt_tokens;
                 account.refuse(pending.granted)
             }
-        }
+        };
+        account.note_spent(&decisions, now_ms);
+        decisions
     }
 
     /// Programs whose row should change although no call waits: tokens were
@@ -656,6 +685,20 @@
         self.decide(Vec::new(), writer)
     }
 
+    fn note_spent(&mut self, decisions: &[(Waiter, Decision)], now_ms: u64) {
+        let spent = decisions.iter().find_map(|(_, decision)| match decision {
+            Decision::Spent { charged_tokens } => Some(*charged_tokens),
+            _ => None,
+        });
+        if let Some(charged_tokens) = spent {
+            self.spent = Some(Spent {
+                at_ms: now_ms,
+                tokens: self.largest_call_tokens,
+                charged_tokens,
+            });
+        }
+    }
+
     fn refuse(&mut self, granted: Vec<(Waiter, Grant)>) -> Vec<(Waiter, Decision)> {
         let waiting = std::mem::take(&mut self.waiting);
         let granted = granted.into_iter().map(|(waiter, _)| waiter);
--- a/crates/gateway/tests/budget.rs
+++ b/crates/gateway/tests/budget.rs
@@ -81,13 +81,17 @@
 }
 
 fn charge(accounts: &mut Accounts, store: &mut Store, waiter: u64) -> Decision {
-    if let Some(grant) = accounts.ask(&program(), asked(waiter), 0) {
-        return Decision::Granted(grant);
+    charge_at(accounts, store, waiter, 0)
+}
+
+fn charge_at(accounts: &mut Accounts, store: &mut Store, waiter: u64, now_ms: u64) -> Decision {
+    if let Some(decision) = accounts.ask(&program(), asked(waiter), now_ms) {
+        return decision;
     }
     loop {
         let write = accounts.charge(&program()).expect("a call waits");
         let reply = Ok(store.apply(&write.write));
-        let decisions = accounts.written(&program(), &reply, 0);
+        let decisions = accounts.written(&program(), &reply, now_ms);
         if let Some((_, decision)) = decisions.first() {
             return *decision;
         }
@@ -181,6 +185,19 @@
     assert!(matches!(refused, Decision::Spent { .. }), "{refused:?}");
 }
 
+#[test]
+fn ask_spent_budget_is_not_asked_for_again_at_once() {
+    let mut store = Store::default();
+    let mut vm = accounts("a");
+    let refused = refusal(&mut vm, &mut store);
+    assert!(matches!(refused, Decision::Spent { .. }), "{refused:?}");
+    let version = store.version;
+    assert_eq!(charge_at(&mut vm, &mut store, 300, 200), refused);
+    assert_eq!(store.version, version);
+    charge_at(&mut vm, &mut store, 301, 300);
+    assert!(store.version > version);
+}
+
 #[test]
 fn written_lost_reply_is_recognized_by_its_number() {
     let mut store = Store::default();
@@ -363,7 +380,8 @@
                 self.next += 1;
                 let vm = &mut self.vms[index];
                 match vm.accounts.ask(&program(), asked(waiter), 0) {
-                    Some(grant) => vm.grants.push(grant),
+                    Some(Decision::Granted(grant)) => vm.grants.push(grant),
+                    Some(_) => {}
                     None => vm.waiting.push(waiter),
                 }
                 self.begin(index);
