A request that crashes targets is stopped over all VMs

Cause: nothing stopped it; it came again through any VM and was sent to the next engine. One request breaks three times at most. request_that_crashes_targets_is_stopped_over_all_vms fails before.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -16,11 +16,12 @@
     Sending,
 };
 use lagoon_gateway::{
-    after_failure, place, Ask, Attempts, Choice, Decision, Facts, Failure, Kind, Limits, Next,
-    ProgramKey, Route, TargetEntry, TargetKey,
+    after_failure, fingerprint, place, Ask, Attempts, Choice, Decision, Facts, Failure, Kind,
+    Limits, Next, ProgramKey, Route, TargetEntry, TargetKey,
 };
 use lagoon_ids::hash64;
 use rand::RngExt;
+use tokio::task::spawn_local;
 use tokio::time::{timeout_at, Instant};
 
 use crate::body::ReplyBody;
@@ -54,6 +55,9 @@
 /// up counts against the target.
 const GIVEN_UP_MS: u64 = 800;
 
+/// Time to come back with a request that crashed several targets.
+const CRASHER_RETRY_MS: u64 = 30_000;
+
 /// Connections that were closed while idle before a new one is opened.
 const STALE_CONNECTIONS: u32 = 2;
 
@@ -288,6 +292,9 @@
     }
 
     async fn run(mut self) -> Response<ReplyBody> {
+        if self.shared.crashes.is_refused(self.fingerprint()) {
+            return *self.refuse("crashed several targets", CRASHER_RETRY_MS);
+        }
         if let Err(answer) = self.charge().await {
             return *answer;
         }
@@ -463,6 +470,9 @@
         }
         if failed.failure.is_not_run() {
             self.avoid.push(key);
+        } else if let Some(entry) = self.entry(key) {
+            let crashes = Rc::clone(&self.shared.crashes);
+            spawn_local(crashes.look(self.fingerprint(), entry.address));
         }
         let is_listed = self.shared.targets.borrow().get(key).is_some();
         let ended = failed.is_unreachable || !is_listed;
@@ -479,6 +489,10 @@
         next
     }
 
+    fn fingerprint(&self) -> u64 {
+        fingerprint(self.parts.uri.path(), &self.body, &self.facts)
+    }
+
     /// Sends the request to one target.
     pub(crate) async fn try_target(
         &mut self,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -21,6 +21,7 @@
 mod settings;
 mod shared;
 mod store;
+mod suspects;
 mod watch;
 
 pub use options::{parse_args, Command, UsageError};
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -23,6 +23,7 @@
 use crate::settings::{load, EntrySettings};
 use crate::shared::Shared;
 use crate::store::StoreClient;
+use crate::suspects::CrashLog;
 use crate::watch::{follow, Table};
 
 /// Time between two looks at what is due.
@@ -87,8 +88,10 @@
     let own = Peers::new(settings.vm.name.clone(), settings.vm.domain.clone());
     let peers = Rc::new(PeerClient::new(clock, own));
     let ledger = Ledger::new(clock, Rc::clone(&store), Rc::clone(&peers), accounts);
+    let crashes = CrashLog::new(clock, Rc::clone(&store));
     let domain = settings.vm.domain.clone();
-    let shared = Shared::new(clock, domain, metrics, ledger, peers, &settings.limits);
+    let limits = &settings.limits;
+    let shared = Shared::new(clock, domain, metrics, ledger, peers, crashes, limits);
 
     let (stop, stopped) = watch::channel(false);
     listen_all(&settings, &shared, &stopped)?;
@@ -97,6 +100,7 @@
         Table::Targets,
         Table::Peers,
         Table::Overdrawn,
+        Table::Suspects,
     ] {
         spawn_local(follow(Rc::clone(&shared), Rc::clone(&store), table));
     }
@@ -180,6 +184,7 @@
         if round % SWEEP_ROUNDS == 0 {
             shared.pool.sweep();
             shared.ledger.sweep().await;
+            shared.crashes.sweep().await;
         }
     }
 }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -13,6 +13,7 @@
 use crate::peers::PeerClient;
 use crate::pool::Pool;
 use crate::settings::EntryLimits;
+use crate::suspects::CrashLog;
 
 /// Lines of calls whose last target is remembered at most.
 const LINES: usize = 20_000;
@@ -46,6 +47,7 @@
     pub(crate) pool: Rc<Pool>,
     pub(crate) ledger: Rc<Ledger>,
     pub(crate) peers: Rc<PeerClient>,
+    pub(crate) crashes: Rc<CrashLog>,
     pub(crate) placement: PlacementSettings,
     pub(crate) config: RefCell<Option<Rc<Config>>>,
     pub(crate) targets: RefCell<Targets>,
@@ -72,6 +74,7 @@
         metrics: Metrics,
         ledger: Rc<Ledger>,
         peers: Rc<PeerClient>,
+        crashes: Rc<CrashLog>,
         limits: &EntryLimits,
     ) -> Rc<Shared> {
         Rc::new(Shared {
@@ -81,6 +84,7 @@
             pool: Pool::new(clock),
             ledger,
             peers,
+            crashes,
             placement: PlacementSettings::default(),
             config: RefCell::new(None),
             targets: RefCell::default(),
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -12,6 +12,7 @@
 use crate::registration::PEER_TABLE;
 use crate::shared::Shared;
 use crate::store::StoreClient;
+use crate::suspects::SUSPECT_TABLE;
 
 /// Longest wait of one watch: a connection that went silent is noticed soon
 /// after.
@@ -52,6 +53,7 @@
     Targets,
     Peers,
     Overdrawn,
+    Suspects,
 }
 
 impl Table {
@@ -61,6 +63,7 @@
             Table::Targets => TARGET_TABLE,
             Table::Peers => PEER_TABLE,
             Table::Overdrawn => OVERDRAWN_TABLE,
+            Table::Suspects => SUSPECT_TABLE,
         })
     }
 
@@ -68,7 +71,7 @@
     fn wait_ms(self) -> u64 {
         match self {
             Table::Config | Table::Targets => WATCH_WAIT_MS,
-            Table::Peers | Table::Overdrawn => SLOW_WATCH_WAIT_MS,
+            Table::Peers | Table::Overdrawn | Table::Suspects => SLOW_WATCH_WAIT_MS,
         }
     }
 }
@@ -173,7 +176,9 @@
 
     fn take_all(&mut self, rows: Vec<Row>) {
         match self.table {
-            Table::Config | Table::Overdrawn => rows.into_iter().for_each(|row| self.take(row)),
+            Table::Config | Table::Overdrawn | Table::Suspects => {
+                rows.into_iter().for_each(|row| self.take(row));
+            }
             Table::Peers => {
                 let listed = |name: &str| rows.iter().any(|row| row.key.key == name);
                 self.shared.peers.peers.borrow_mut().retain(listed);
@@ -203,6 +208,7 @@
                 let ledger = &self.shared.ledger;
                 ledger.set_overdrawn(program, row.value.is_some());
             }
+            Table::Suspects => self.shared.crashes.take(&row),
         }
     }
 
--- a/crates/entry/tests/processes.rs
+++ b/crates/entry/tests/processes.rs
@@ -314,3 +314,38 @@
         fleet::announce(fleet.callers(), "POST /book/x", 31_000_000).status == 503
     });
 }
+
+#[test]
+fn request_that_crashes_targets_is_stopped_over_all_vms() {
+    let fleet = Fleet::start(2);
+    for engine in &fleet.engines {
+        engine.set_fault(TargetFault::Crashes);
+    }
+    let body = "crasher".repeat(20);
+    let mut attempt = 0;
+    wait_until("refusal", || {
+        attempt += 1;
+        let vm = &fleet.vms[attempt % 2];
+        let reply = call(vm.callers, "POST /stream/x", &turn("r1"), &body);
+        reply.status == 503 && reply.body.contains("crashed")
+    });
+    assert!(engine_runs(&fleet) <= 3 * attempt);
+    for vm in &fleet.vms {
+        wait_until("the news", || {
+            let reply = call(vm.callers, "POST /stream/x", &turn("r1"), &body);
+            reply.body.contains("crashed")
+        });
+    }
+    let runs = engine_runs(&fleet);
+    for vm in &fleet.vms {
+        call(vm.callers, "POST /stream/x", &turn("r1"), &body);
+    }
+    assert_eq!(engine_runs(&fleet), runs);
+    for engine in &fleet.engines {
+        engine.set_fault(TargetFault::None);
+    }
+    wait_until("a neighbour's answer", || {
+        let other = "neighbour".repeat(20);
+        call(fleet.callers(), "POST /stream/x", &turn("r2"), &other).body == all_events()
+    });
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod reach;
 mod request;
 mod store;
+mod suspects;
 mod targets;
 
 pub use allowance::{steward, AllowanceAsk, AllowanceEnd, Allowances};
@@ -32,4 +33,5 @@
 pub use reach::{judge, Reach, Sounding};
 pub use request::{Facts, Turn};
 pub use store::{Row, RowKey, StoreCall, StoreError, StoreReply, Write};
+pub use suspects::{fingerprint, Suspects};
 pub use targets::{Load, State, Target, TargetEntry, TargetKey, TargetSettings, Targets};
--- a/crates/gateway/src/outcome.rs
+++ b/crates/gateway/src/outcome.rs
@@ -52,9 +52,13 @@
 pub struct Attempts {
     ran_at: FastSet<TargetKey>,
     tries: u32,
-    broken: bool,
+    broken: u32,
 }
 
+/// Tries of one request at most that may have run: one that breaks three
+/// times is likely the cause itself.
+const MOST_BROKEN: u32 = 3;
+
 /// Tries of one request at most, whatever their ends: bounds the work that
 /// one request causes when every target refuses.
 const MOST_TRIES: u32 = 6;
@@ -67,14 +71,14 @@
 
     /// Whether the request may have run.
     pub fn may_have_run(&self) -> bool {
-        self.broken
+        self.broken > 0
     }
 
     /// Notes a failed try.
     pub fn note(&mut self, target: TargetKey, failure: Failure) {
         self.tries += 1;
         if failure == Failure::Broken {
-            self.broken = true;
+            self.broken += 1;
             self.ran_at.insert(target);
         }
     }
@@ -86,13 +90,13 @@
 pub fn after_failure(route: &Route, attempts: &Attempts, failure: Failure, ended: bool) -> Next {
     let spent = attempts.tries >= MOST_TRIES;
     if failure.is_not_run() {
-        return match (spent, attempts.broken) {
+        return match (spent, attempts.may_have_run()) {
             (false, _) => Next::Another,
             (true, false) => Next::Refuse,
             (true, true) => Next::Unknown,
         };
     }
-    if !route.is_repeatable() || spent {
+    if !route.is_repeatable() || spent || attempts.broken >= MOST_BROKEN {
         return Next::Unknown;
     }
     if ended || (attempts.ran_at.len() as u32) < route.max_attempts {
--- a/crates/gateway/tests/outcome.rs
+++ b/crates/gateway/tests/outcome.rs
@@ -89,3 +89,15 @@
     }
     assert_eq!(next, Next::Unknown);
 }
+
+#[test]
+fn after_failure_third_break_is_the_last() {
+    let route = route(Kind::Streaming, true, 1);
+    let keys = keys();
+    let mut attempts = Attempts::default();
+    let next = [0, 1, 2].map(|index| {
+        attempts.note(keys[index], Failure::Broken);
+        after_failure(&route, &attempts, Failure::Broken, true)
+    });
+    assert_eq!(next, [Next::Another, Next::Another, Next::Unknown]);
+}
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -10,7 +10,9 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::mpsc::channel;
+use std::sync::Arc;
 use std::thread;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
@@ -20,9 +22,11 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Builder;
+use tokio::sync::Notify;
 use tokio::task::{spawn_local, LocalSet};
+use tokio::time::sleep;
 
 pub use store::{Store, StoreFault};
 pub use target::{Run, RunEnd, Target, TargetFault};
@@ -48,8 +52,12 @@
     answer
 }
 
-/// Serves on loopback until the process ends.
-fn serve<F, R>(port: u16, handle: F) -> SocketAddr
+/// Time for which a server that crashed takes no connections.
+const DOWN_TIME: Duration = Duration::from_millis(250);
+
+/// Serves on a free port of loopback until the process ends; each `crash`
+/// closes the listening socket for a while.
+fn serve<F, R>(crash: Arc<Notify>, handle: F) -> SocketAddr
 where
     F: Fn(Request<Incoming>) -> R + Clone + Send + 'static,
     R: Future<Output = Result<Answer, Cut>> + 'static,
@@ -59,21 +67,38 @@
         let runtime = Builder::new_current_thread().enable_all().build();
         let runtime = runtime.expect("runtime starts");
         LocalSet::new().block_on(&runtime, async move {
-            let address = SocketAddr::from(([127, 0, 0, 1], port));
-            let listener = TcpListener::bind(address).await.expect("port is free");
-            let bound = listener.local_addr().expect("socket has an address");
+            let address = SocketAddr::from(([127, 0, 0, 1], 0));
+            let mut listener = TcpListener::bind(address).await.expect("port is free");
+            let address = listener.local_addr().expect("socket has an address");
             // The test that asked may be gone.
-            let _ = sender.send(bound);
-            while let Ok((stream, _)) = listener.accept().await {
-                let handle = handle.clone();
-                spawn_local(async move {
-                    let connection = http1::Builder::new()
-                        .serve_connection(TokioIo::new(stream), service_fn(handle));
-                    // Cut connections are what these servers are for.
-                    let _ = connection.await;
-                });
+            let _ = sender.send(address);
+            loop {
+                let accepted = tokio::select! {
+                    accepted = listener.accept() => accepted,
+                    () = crash.notified() => {
+                        drop(listener);
+                        sleep(DOWN_TIME).await;
+                        listener = TcpListener::bind(address).await.expect("port is free");
+                        continue;
+                    }
+                };
+                let Ok((stream, _)) = accepted else {
+                    return;
+                };
+                spawn_local(serve_connection(stream, handle.clone()));
             }
         });
     });
     bound.recv().expect("server starts")
 }
+
+async fn serve_connection<F, R>(stream: TcpStream, handle: F)
+where
+    F: Fn(Request<Incoming>) -> R,
+    R: Future<Output = Result<Answer, Cut>>,
+{
+    let connection =
+        http1::Builder::new().serve_connection(TokioIo::new(stream), service_fn(handle));
+    // Cut connections are what these servers are for.
+    let _ = connection.await;
+}
--- a/crates/standin/src/fleet/store.rs
+++ b/crates/standin/src/fleet/store.rs
@@ -55,7 +55,9 @@
     pub fn start() -> Store {
         let state = Arc::new(Mutex::new(State::default()));
         let shared = Arc::clone(&state);
-        let address = serve(0, move |request| handle(Arc::clone(&shared), request));
+        let address = serve(Arc::default(), move |request| {
+            handle(Arc::clone(&shared), request)
+        });
         Store { address, state }
     }
 
--- a/crates/standin/src/fleet/target.rs
+++ b/crates/standin/src/fleet/target.rs
@@ -13,6 +13,7 @@
 use hyper::{Request, Response, StatusCode};
 use lagoon_adapter::standin::{answer_headers, not_executed_headers, received, Received};
 use lagoon_gateway::{State as TargetState, TargetEntry};
+use tokio::sync::Notify;
 use tokio::time::sleep;
 
 use super::{serve, whole, Answer, Cut};
@@ -29,6 +30,8 @@
     LosesAnswer,
     /// The next stream ends in the middle of the event after this one.
     BreaksAfter(u64),
+    /// Whatever it begins to run crashes it, until that is over.
+    Crashes,
     /// The next answer bears another request's identity.
     AnswersAnother,
 }
@@ -89,8 +92,14 @@
         }));
         let id = CompactString::new(id);
         let (shared, own) = (Arc::clone(&state), id.clone());
-        let address = serve(0, move |request| {
-            handle(own.clone(), Arc::clone(&shared), request)
+        let crash = Arc::new(Notify::new());
+        let address = serve(Arc::clone(&crash), move |request| {
+            handle(
+                own.clone(),
+                Arc::clone(&shared),
+                Arc::clone(&crash),
+                request,
+            )
         });
         Target { id, address, state }
     }
@@ -143,6 +152,7 @@
 async fn handle(
     id: CompactString,
     state: Arc<Mutex<State>>,
+    crash: Arc<Notify>,
     request: Request<Incoming>,
 ) -> Result<Answer, Cut> {
     let received = received(request.headers());
@@ -159,7 +169,9 @@
     }
     let running = {
         let mut locked = lock(&state);
-        locked.fault = TargetFault::None;
+        if fault != TargetFault::Crashes {
+            locked.fault = TargetFault::None;
+        }
         locked.runs.push(Run {
             received: received.clone(),
             path: path.clone(),
@@ -171,6 +183,10 @@
             state: Arc::clone(&state),
         }
     };
+    if fault == TargetFault::Crashes {
+        crash.notify_one();
+        return Err(Cut);
+    }
     let request_id = match fault {
         TargetFault::AnswersAnother => "another".into(),
         _ => received.request_id.clone(),
