--- /dev/null
+++ b/crates/gateway/examples/decisions.rs
@@ -0,0 +1,115 @@
+//! Processor time of single decisions, by size.
+
+use std::hint::black_box;
+use std::time::Instant;
+
+use lagoon_gateway::{
+    place, Accounts, Ask, Asked, BudgetSettings, Decision, EventReader, Facts, Load,
+    PlacementSettings, ProgramKey, State, StoreReply, TargetEntry, Targets, Waiter,
+};
+
+const ROUNDS: u64 = 20_000;
+
+fn microseconds<F>(mut decide: F) -> f64
+where
+    F: FnMut(u64),
+{
+    let start = Instant::now();
+    (0..ROUNDS).for_each(&mut decide);
+    start.elapsed().as_secs_f64() * 1e6 / ROUNDS as f64
+}
+
+fn targets(count: u16) -> Targets {
+    let mut targets = Targets::default();
+    for number in 0..count {
+        targets.upsert(TargetEntry {
+            id: format!("i-{number}").into(),
+            service: "s".into(),
+            address: ([10, 0, 0, 1], 1_000 + number).into(),
+            domain: format!("d{}", number % 5).into(),
+            slots: 12,
+            state: State::Ready,
+        });
+    }
+    let keys: Vec<_> = targets.of_service("s").map(|(key, _)| key).collect();
+    for (number, key) in (0..).zip(keys) {
+        let load = Load {
+            running: number % 12,
+            waiting: 0,
+            slots: 12,
+        };
+        targets.report(key, load, 0);
+    }
+    targets
+}
+
+fn main() {
+    println!("| targets | placement, µs |\n|---|---|");
+    for count in [8, 40, 120, 600] {
+        let targets = targets(count);
+        let facts = Facts {
+            program: Some("p".into()),
+            prompt_tokens: 2_000,
+            prefix: vec![(1, 512), (2, 1_488)],
+            ..Facts::default()
+        };
+        let settings = PlacementSettings::default();
+        let took = microseconds(|round| {
+            let ask = Ask {
+                service: "s",
+                facts: &facts,
+                domain: "d1",
+                last: None,
+                avoid: &[],
+                random: round,
+            };
+            black_box(place(&targets, &settings, &ask, round % 300));
+        });
+        println!("| {count} | {took:.1} |");
+    }
+
+    println!("\n| programs at a VM | charge from held, µs | charge by a write, µs |\n|---|---|---|");
+    for programs in [100, 424, 10_000] {
+        let settings = BudgetSettings::of("w".into());
+        let mut accounts = Accounts::new(BudgetSettings {
+            held_calls: 0,
+            ..settings.clone()
+        });
+        let key = |round: u64| ProgramKey(format!("program-{}", round % programs).into());
+        let asked = |round| Asked {
+            waiter: Waiter(round),
+            budget_tokens: u64::MAX / 4,
+            tokens: 288,
+            retention_ms: u64::MAX / 8,
+        };
+        let written = microseconds(|round| {
+            let key = key(round);
+            if accounts.ask(&key, asked(round), 0).is_none() {
+                black_box(accounts.charge(&key));
+                let applied = Ok(StoreReply::Applied { version: round + 1 });
+                accounts.written(&key, &applied, 0);
+            }
+        });
+        accounts = Accounts::new(settings);
+        for round in 0..programs {
+            let key = key(round);
+            accounts.ask(&key, asked(round), 0);
+            accounts.charge(&key);
+            accounts.written(&key, &Ok(StoreReply::Applied { version: 1 }), 0);
+        }
+        let held = microseconds(|round| {
+            let key = key(round);
+            if let Some(Decision::Granted(grant)) = accounts.ask(&key, asked(round), 0) {
+                accounts.settle(&key, grant, 0, 0);
+            }
+        });
+        println!("| {programs} | {held:.1} | {written:.1} |");
+    }
+
+    let event = b"id: 7\ndata: some words of an answer that is passed on\n\n";
+    let took = microseconds(|_| {
+        let mut reader = EventReader::default();
+        black_box(reader.push(event));
+    });
+    println!("\nevent of a stream: {took:.2} µs");
+}
