A soak of real processes with random faults

Kills, stops, freezes, store away and losing replies, targets that break, crash, are full or drain, configurations: checked are once-only, true refusals, whole streams, budgets and service after the faults.

--- a/crates/entry/tests/fleet/mod.rs
+++ b/crates/entry/tests/fleet/mod.rs
@@ -1,5 +1,8 @@
 //! Entry daemons as processes before stand-ins on loopback.
 
+// Each test program uses a part of it.
+#![allow(dead_code)]
+
 use std::fs;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -177,14 +180,19 @@
 ) -> TcpStream {
     let mut stream = TcpStream::connect(address).expect("connection");
     stream.set_read_timeout(Some(PATIENCE)).expect("timeout");
+    let text = request(line, host, headers, body);
+    stream.write_all(text.as_bytes()).expect("request is sent");
+    stream
+}
+
+fn request(line: &str, host: &str, headers: &[String], body: &str) -> String {
     let mut text = format!("{line} HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\n");
     for header in headers {
         text.push_str(header);
         text.push_str("\r\n");
     }
     text.push_str(&format!("Content-Length: {}\r\n\r\n{body}", body.len()));
-    stream.write_all(text.as_bytes()).expect("request is sent");
-    stream
+    text
 }
 
 /// Answer to a request that announces a body and never sends it.
@@ -260,6 +268,25 @@
     read(open(address, line, "a.example", headers, body))
 }
 
+/// The same, where the VM may be gone.
+pub(crate) fn try_call(address: SocketAddr, line: &str, headers: &[String], body: &str) -> Reply {
+    let none = Reply {
+        status: 0,
+        head: String::new(),
+        body: String::new(),
+        is_whole: false,
+    };
+    let Ok(mut stream) = TcpStream::connect(address) else {
+        return none;
+    };
+    let text = request(line, "a.example", headers, body);
+    let sent = stream.set_read_timeout(Some(PATIENCE));
+    match sent.and_then(|()| stream.write_all(text.as_bytes())) {
+        Ok(()) => read(stream),
+        Err(_) => none,
+    }
+}
+
 /// Whole stream from its first event on.
 pub(crate) fn all_events() -> String {
     (1..=EVENTS)
--- /dev/null
+++ b/crates/entry/tests/soak.rs
@@ -0,0 +1,238 @@
+//! Random faults on real processes, with the promises checked from what
+//! callers and targets see.
+//!
+//! `SOAK_SEED` and `SOAKS` play other seeds, `SOAK_FAULTS` more faults each.
+
+mod fleet;
+
+use std::collections::HashMap;
+use std::env;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use fleet::{all_events, call, try_call, wait_until, Fleet, Reply, CONFIG, EVENTS};
+use lagoon_adapter::standin::{call_headers, turn_headers};
+use lagoon_gateway::State;
+use lagoon_standin::fleet::{StoreFault, TargetFault};
+use nix::sys::signal::Signal;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+const VMS: usize = 3;
+const CALLERS: u64 = 4;
+const PROGRAMS: u64 = 12;
+const BUDGET: u64 = 1_200;
+const MOST: u64 = 288;
+const TOKENS_PER_EVENT: u64 = 12;
+
+/// First seed of the short run, and runs and faults of each.
+const SEED: u64 = 1;
+const RUNS: u64 = 2;
+const FAULTS: u64 = 12;
+
+/// What a caller asked for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Asked {
+    Turn { program: u64 },
+    Booking,
+    Lookup,
+}
+
+#[derive(Debug)]
+struct Outcome {
+    id: String,
+    asked: Asked,
+    reply: Reply,
+}
+
+type Addresses = Arc<Mutex<Vec<std::net::SocketAddr>>>;
+
+fn number(name: &str, otherwise: u64) -> u64 {
+    env::var(name).map_or(otherwise, |text| text.parse().expect("a number"))
+}
+
+fn keep_calling(seed: u64, caller: u64, vms: &Addresses, stop: &AtomicBool) -> Vec<Outcome> {
+    let mut random = Pcg64::seed_from_u64(seed * 1_000 + caller);
+    let mut outcomes = Vec::new();
+    while !stop.load(Ordering::SeqCst) {
+        let address = {
+            let vms = vms.lock().expect("no caller panics");
+            vms[random.random_range(0..vms.len())]
+        };
+        let id = format!("r{caller}-{}", outcomes.len());
+        let asked = match random.random_range(0..4) {
+            0 => Asked::Booking,
+            1 => Asked::Lookup,
+            _ => Asked::Turn {
+                program: random.random_range(0..PROGRAMS),
+            },
+        };
+        let reply = match asked {
+            Asked::Turn { program } => {
+                let headers = turn_headers(&id, &format!("p{program}"), BUDGET, MOST);
+                try_call(
+                    address,
+                    "POST /stream/x",
+                    &headers,
+                    &format!("prompt of {id}"),
+                )
+            }
+            Asked::Booking => try_call(address, "POST /book/x", &call_headers(&id), &id),
+            Asked::Lookup => try_call(address, "GET /look/x", &call_headers(&id), ""),
+        };
+        outcomes.push(Outcome { id, asked, reply });
+        thread::sleep(Duration::from_millis(random.random_range(0..10)));
+    }
+    outcomes
+}
+
+/// Does something bad, and ends it if it does not end by itself.
+fn harm(fleet: &mut Fleet, random: &mut Pcg64, version: &mut u64) {
+    let index = random.random_range(0..fleet.vms.len());
+    let some_time = Duration::from_millis(random.random_range(50..600));
+    match random.random_range(0..9) {
+        0 => {
+            fleet.vms[index].signal(Signal::SIGKILL);
+            fleet.vms[index].wait();
+            fleet.vms.remove(index);
+            fleet.start_vm();
+        }
+        1 => {
+            fleet.vms[index].signal(Signal::SIGSTOP);
+            thread::sleep(some_time);
+            fleet.vms[index].signal(Signal::SIGCONT);
+        }
+        2 => {
+            fleet.vms[index].signal(Signal::SIGTERM);
+            let mut leaving = fleet.vms.remove(index);
+            fleet.start_vm();
+            assert!(leaving.wait(), "a planned stop");
+        }
+        3 => {
+            fleet.store.set_fault(StoreFault::Busy);
+            thread::sleep(some_time);
+            fleet.store.set_fault(StoreFault::None);
+        }
+        4 => fleet.store.set_fault(StoreFault::LosesReply),
+        5 => {
+            let desk = &fleet.desks[random.random_range(0..2)];
+            fleet.store.list(&desk.entry("desks", State::Draining));
+            thread::sleep(some_time);
+            fleet.store.list(&desk.entry("desks", State::Ready));
+        }
+        6 => {
+            *version += 1;
+            let new = CONFIG.replace("\"version\": 3", &format!("\"version\": {version}"));
+            fleet.store.configure(&new);
+        }
+        7 => {
+            let engine = &fleet.engines[random.random_range(0..2)];
+            let fault = match random.random_range(0..3) {
+                0 => TargetFault::BreaksAfter(random.random_range(0..EVENTS)),
+                1 => TargetFault::AnswersAnother,
+                _ => TargetFault::Crashes,
+            };
+            engine.set_fault(fault);
+            thread::sleep(some_time);
+            engine.set_fault(TargetFault::None);
+        }
+        _ => {
+            let desk = &fleet.desks[random.random_range(0..2)];
+            let fault = match random.random_range(0..3) {
+                0 => TargetFault::LosesAnswer,
+                1 => TargetFault::Full,
+                _ => TargetFault::AnswersAnother,
+            };
+            desk.set_fault(fault);
+            thread::sleep(some_time);
+            desk.set_fault(TargetFault::None);
+        }
+    }
+}
+
+fn check(seed: u64, fleet: &Fleet, outcomes: &[Outcome]) {
+    let mut runs: HashMap<String, u64> = HashMap::new();
+    let targets = fleet.engines.iter().chain(&fleet.desks);
+    for run in targets.flat_map(|target| target.runs()) {
+        *runs.entry(run.received.request_id.to_string()).or_default() += 1;
+    }
+    let mut tokens: HashMap<u64, u64> = HashMap::new();
+    for outcome in outcomes {
+        let ran = runs.get(&outcome.id).copied().unwrap_or(0);
+        let reply = &outcome.reply;
+        if matches!(reply.status, 402 | 429 | 503) {
+            assert_eq!(ran, 0, "seed {seed}: refused and ran: {outcome:?}");
+        }
+        match outcome.asked {
+            Asked::Booking => assert!(ran <= 1, "seed {seed}: ran twice: {outcome:?}"),
+            Asked::Lookup if reply.status == 200 => assert_eq!(reply.body, "done", "seed {seed}"),
+            Asked::Lookup => {}
+            Asked::Turn { program } if reply.status == 200 => {
+                let whole = all_events();
+                let is_right = match reply.is_whole {
+                    true => reply.body == whole,
+                    false => whole.starts_with(&reply.body),
+                };
+                assert!(is_right, "seed {seed}: {outcome:?}");
+                let events = reply.body.matches("\n\n").count() as u64;
+                *tokens.entry(program).or_default() += events * TOKENS_PER_EVENT;
+            }
+            Asked::Turn { .. } => {}
+        }
+    }
+    for (program, tokens) in tokens {
+        assert!(
+            tokens <= BUDGET + MOST,
+            "seed {seed}: p{program} got {tokens}"
+        );
+    }
+}
+
+fn play(seed: u64, faults: u64) {
+    let mut fleet = Fleet::start(VMS);
+    let vms: Addresses = Arc::default();
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut random = Pcg64::seed_from_u64(seed);
+    let mut version = 3;
+    let publish = |fleet: &Fleet| {
+        let callers = fleet.vms.iter().map(|vm| vm.callers);
+        *vms.lock().expect("no caller panics") = callers.collect();
+    };
+    publish(&fleet);
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|caller| {
+            let (vms, stop) = (Arc::clone(&vms), Arc::clone(&stop));
+            thread::spawn(move || keep_calling(seed, caller, &vms, &stop))
+        })
+        .collect();
+    for _ in 0..faults {
+        harm(&mut fleet, &mut random, &mut version);
+        publish(&fleet);
+    }
+    stop.store(true, Ordering::SeqCst);
+    let outcomes = callers
+        .into_iter()
+        .flat_map(|caller| caller.join().expect("caller"));
+    let outcomes: Vec<Outcome> = outcomes.collect();
+    assert!(outcomes.len() > 20, "seed {seed}: callers were served");
+    check(seed, &fleet, &outcomes);
+    for line in ["POST /book/x", "GET /look/x"] {
+        wait_until("service after the faults", || {
+            call(fleet.callers(), line, &call_headers("after"), "").status == 200
+        });
+    }
+    let headers = turn_headers("after", "after", BUDGET, MOST);
+    wait_until("a stream after the faults", || {
+        call(fleet.callers(), "POST /stream/x", &headers, "p").body == all_events()
+    });
+}
+
+#[test]
+fn soak_random_faults_keep_the_promises() {
+    let first = number("SOAK_SEED", SEED);
+    for seed in first..first + number("SOAKS", RUNS) {
+        play(seed, number("SOAK_FAULTS", FAULTS));
+    }
+}
--- a/crates/gateway/examples/decisions.rs
+++ b/crates/gateway/examples/decisions.rs
@@ -68,7 +68,9 @@
         println!("| {count} | {took:.1} |");
     }
 
-    println!("\n| programs at a VM | charge from held, µs | charge by a write, µs |\n|---|---|---|");
+    println!(
+        "\n| programs at a VM | charge from held, µs | charge by a write, µs |\n|---|---|---|"
+    );
     for programs in [100, 424, 10_000] {
         let settings = BudgetSettings::of("w".into());
         let mut accounts = Accounts::new(BudgetSettings {
