--- a/crates/gateway/examples/decisions.rs
+++ b/crates/gateway/examples/decisions.rs
@@ -59,6 +59,7 @@
                 service: "s",
                 facts: &facts,
                 domain: "d1",
+                units: 8.0,
                 last: None,
                 avoid: &[],
                 random: round,
