--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -48,9 +48,6 @@
 /// Time to come back while something that is needed is away.
 const AWAY_RETRY_MS: u64 = 700;
 
-/// Events whose time an engine takes for a prompt, about.
-const PROMPT_EVENTS: u64 = 2;
-
 /// Most tokens of a call over what is expected where the caller doesn't say.
 const UNHINTED_DIVISOR: u64 = 4;
 
@@ -116,13 +113,12 @@
             .progressed(self.key, now_ms);
     }
 
-    /// The whole answer came, for `units` of work.
-    pub(crate) fn answered(&mut self, status: StatusCode, units: f64) {
+    /// The whole answer came.
+    pub(crate) fn answered(&mut self, status: StatusCode) {
         let now_ms = self.shared.now_ms();
         let is_good = !status.is_server_error();
         let mut targets = self.shared.targets.borrow_mut();
         targets.answered(self.key, is_good, now_ms);
-        targets.took(self.key, now_ms - self.began_ms, units, now_ms);
         self.is_ended = true;
     }
 }
@@ -356,19 +352,6 @@
         );
     }
 
-    fn expected_tokens(&self) -> u64 {
-        let unhinted = self.facts.max_output_tokens / UNHINTED_DIVISOR;
-        self.facts.expected_tokens.unwrap_or(unhinted)
-    }
-
-    /// Work that the request is for its target.
-    fn expected_units(&self) -> f64 {
-        match self.route.kind {
-            Kind::Streaming => stream_units(self.expected_tokens() / self.tokens_per_event),
-            Kind::Idempotent | Kind::NonIdempotent => 1.0,
-        }
-    }
-
     /// Charges the most tokens of a model call to its program.
     async fn charge(&mut self) -> Result<(), Box<Response<ReplyBody>>> {
         let (Some(turn), Some(program)) = (&self.facts.turn, &self.facts.program) else {
@@ -378,7 +361,10 @@
             program: ProgramKey(program.clone()),
             budget_tokens: turn.budget_tokens,
             tokens: self.facts.max_output_tokens,
-            expected_tokens: self.expected_tokens(),
+            expected_tokens: self
+                .facts
+                .expected_tokens
+                .unwrap_or(self.facts.max_output_tokens / UNHINTED_DIVISOR),
             retention_ms: self.route.retention_ms,
         };
         let started_ms = self.shared.now_ms();
@@ -416,7 +402,6 @@
             service: &self.service,
             facts: &self.facts,
             domain: &self.shared.domain,
-            units: self.expected_units(),
             last: self.shared.last_target(self.facts.subject()),
             avoid: &self.avoid,
             random: rand::rng().random(),
@@ -565,7 +550,7 @@
             .await
             .map_err(Failed::broken)?
             .to_bytes();
-        placed.answered(head.status(), 1.0);
+        placed.answered(head.status());
         if !facts.is_last {
             lease.is_reused = true;
             lease.keep(facts.keep_alive_s);
@@ -620,11 +605,6 @@
     }
 }
 
-/// Units of work of a stream: its events, and its prompt as some more.
-pub(crate) fn stream_units(events: u64) -> f64 {
-    (events + PROMPT_EVENTS) as f64
-}
-
 /// Head of a target's answer as the caller gets it.
 pub(crate) fn passed_on(mut head: Response<()>) -> Response<()> {
     *head.version_mut() = http::Version::HTTP_11;
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -9,7 +9,7 @@
 use tokio::time::{sleep, timeout_at};
 
 use crate::body::{BrokenOff, ReplyBody};
-use crate::forward::{passed_on, stream_units, Answer, Call, Failed, OpenStream, RESUME_PAUSE};
+use crate::forward::{passed_on, Answer, Call, Failed, OpenStream, RESUME_PAUSE};
 
 /// One stream; it stops the target's work when it is dropped.
 pub(crate) struct Relay {
@@ -122,8 +122,7 @@
         };
         let target = stream.target;
         let shared = &self.call.shared;
-        let units = stream_units(self.reader.passed());
-        stream.placed.answered(self.status, units);
+        stream.placed.answered(self.status);
         shared.served_line(self.call.facts.subject(), target);
         if !stream.is_last {
             stream.lease.keep(stream.keep_alive_s);
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -22,8 +22,6 @@
     /// Silence of a target that has requests beyond which it counts as stuck;
     /// the rest of the silence is its cost.
     pub silence_ms: u64,
-    /// Times the usual pace beyond which a target counts as slow.
-    pub slow_pace: f64,
     /// Waiting requests, as a share of the slots, up to which a target is
     /// offered more.
     pub overfill: f64,
@@ -38,7 +36,6 @@
             wait_ms: 20.0,
             failing_ms: 400.0,
             silence_ms: 250,
-            slow_pace: 1.6,
             overfill: 0.0,
         }
     }
@@ -53,8 +50,6 @@
     pub facts: &'a Facts,
     /// Own failure domain.
     pub domain: &'a str,
-    /// Expected units of work, as in [`Targets::took`].
-    pub units: f64,
     /// Target that served the line of calls last.
     pub last: Option<TargetKey>,
     /// Targets that failed this request.
@@ -113,7 +108,6 @@
 {
     let candidates: Vec<_> = candidates.collect();
     let home = home(&candidates, ask);
-    let usual_pace_ms = usual_pace_ms(targets, &candidates, now_ms);
     candidates
         .into_iter()
         .map(|(key, target)| {
@@ -121,11 +115,6 @@
             let slots = f64::from(target.entry.slots.max(1));
             let mut cost_ms = load * settings.beside_ms;
             cost_ms += (load + 1.0 - slots).max(0.0) * settings.wait_ms;
-            let pace = target.pace(&targets.settings, now_ms);
-            if let (Some((pace_ms, weight)), Some(usual_ms)) = (pace, usual_pace_ms) {
-                let excess_ms = (pace_ms - settings.slow_pace * usual_ms).max(0.0);
-                cost_ms += excess_ms * weight * ask.units;
-            }
             cost_ms += target.failure_rate() * settings.failing_ms;
             let silence_ms = target.silence_ms(now_ms);
             cost_ms += silence_ms.saturating_sub(settings.silence_ms) as f64;
@@ -148,25 +137,6 @@
         .min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
 }
 
-/// Median pace of the targets. Only those far above it are left: where all
-/// VMs went to the fastest, these would be the slowest soon.
-fn usual_pace_ms(
-    targets: &Targets,
-    candidates: &[(TargetKey, &Target)],
-    now_ms: u64,
-) -> Option<f64> {
-    let paces = candidates
-        .iter()
-        .filter_map(|(_, target)| target.pace(&targets.settings, now_ms));
-    let mut paces: Vec<f64> = paces.map(|(pace_ms, _)| pace_ms).collect();
-    let middle = paces.len() / 2;
-    if paces.is_empty() {
-        return None;
-    }
-    let (_, median, _) = paces.select_nth_unstable_by(middle, f64::total_cmp);
-    Some(*median)
-}
-
 /// Target that is believed to keep the request's prompt: the last one of its
 /// line, else the one that every VM would choose for the program.
 fn home(candidates: &[(TargetKey, &Target)], ask: &Ask<'_>) -> Option<TargetKey> {
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -10,9 +10,6 @@
 /// Weight of the newest request in the share that failed.
 const NEWEST: f64 = 0.15;
 
-/// Weight of the newest request in the pace.
-const NEWEST_PACE: f64 = 0.15;
-
 new_key_type! {
     /// Key of a target.
     pub struct TargetKey;
@@ -62,9 +59,6 @@
 pub struct TargetSettings {
     /// Time after which half of a reported load is taken as gone.
     pub load_half_life_ms: f64,
-    /// Time after which half of what is believed of a target's pace is taken
-    /// as gone, so that one that was slow is tried again.
-    pub pace_half_life_ms: f64,
     /// First pause after failures in a row.
     pub ejection_ms: u64,
     /// Failures in a row before a pause.
@@ -78,8 +72,6 @@
         TargetSettings {
             // About the length of one model call at an idle engine.
             load_half_life_ms: 250.0,
-            // About the time for which a target stays slow.
-            pace_half_life_ms: 5_000.0,
             ejection_ms: 500,
             ejection_failures: 2,
             // Entries that lapsed in an outage are back within 2 s.
@@ -102,9 +94,6 @@
     failures: u32,
     /// Share of late requests that failed.
     failure_rate: f64,
-    /// Usual time for one unit of work, and when it was last seen.
-    pace_ms: Option<f64>,
-    paced_ms: u64,
     /// When it last showed that it works on own requests.
     progress_ms: u64,
     paused_until_ms: u64,
@@ -138,14 +127,6 @@
         self.failure_rate
     }
 
-    /// Usual time for one unit of work, and the weight of that belief, which
-    /// fades with its age.
-    pub fn pace(&self, settings: &TargetSettings, now_ms: u64) -> Option<(f64, f64)> {
-        let pace_ms = self.pace_ms?;
-        let age_ms = now_ms.saturating_sub(self.paced_ms) as f64;
-        Some((pace_ms, 0.5_f64.powf(age_ms / settings.pace_half_life_ms)))
-    }
-
     /// Time for which it has shown nothing of the requests that it has.
     pub fn silence_ms(&self, now_ms: u64) -> u64 {
         match self.in_flight {
@@ -195,8 +176,6 @@
             reported_ms: None,
             failures: 0,
             failure_rate: 0.0,
-            pace_ms: None,
-            paced_ms: 0,
             progress_ms: 0,
             paused_until_ms: 0,
             missing: false,
@@ -331,16 +310,6 @@
         }
     }
 
-    /// Takes note of the time that `units` of work took.
-    pub fn took(&mut self, key: TargetKey, took_ms: u64, units: f64, now_ms: u64) {
-        if let Some(target) = self.arena.get_mut(key) {
-            let newest_ms = took_ms as f64 / units.max(1.0);
-            let pace_ms = target.pace_ms.unwrap_or(newest_ms);
-            target.pace_ms = Some(pace_ms + (newest_ms - pace_ms) * NEWEST_PACE);
-            target.paced_ms = now_ms;
-        }
-    }
-
     /// Takes note of a request that was given up without an answer.
     pub fn given_up(&mut self, key: TargetKey) {
         if let Some(target) = self.arena.get_mut(key) {
