--- /dev/null
+++ b/crates/entry/src/forward/attempt.rs
@@ -0,0 +1,241 @@
+//! One try of a request at one target.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use lagoon_adapter::{answer_facts, is_forwarded, sending_headers, AnswerFacts, Sending};
+use lagoon_gateway::{Failure, Kind, TargetEntry, TargetKey};
+
+use crate::connection::ExchangeError;
+use crate::forward::Call;
+use crate::pool::Lease;
+use crate::shared::Shared;
+
+/// Longest answer that is read as a whole before it is passed on.
+const WHOLE_BYTES: usize = 8_000_000;
+
+/// Time at a target after which a request that its caller or its time gave
+/// up counts against the target.
+const GIVEN_UP_MS: u64 = 800;
+
+/// Connections that were closed while idle before a new one is opened.
+const STALE_CONNECTIONS: u32 = 2;
+/// Counts a request at its target.
+pub(crate) struct Placed {
+    shared: Rc<Shared>,
+    key: TargetKey,
+    began_ms: u64,
+    /// Whether the target's last word on it is known.
+    is_ended: bool,
+}
+
+impl Placed {
+    fn new(shared: &Rc<Shared>, key: TargetKey) -> Placed {
+        let began_ms = shared.now_ms();
+        shared.targets.borrow_mut().begin(key, began_ms);
+        Placed {
+            shared: Rc::clone(shared),
+            key,
+            began_ms,
+            is_ended: false,
+        }
+    }
+
+    pub(crate) fn progressed(&self) {
+        let now_ms = self.shared.now_ms();
+        self.shared
+            .targets
+            .borrow_mut()
+            .progressed(self.key, now_ms);
+    }
+
+    /// The whole answer came.
+    pub(crate) fn answered(&mut self, status: StatusCode) {
+        let now_ms = self.shared.now_ms();
+        let is_good = !status.is_server_error();
+        let mut targets = self.shared.targets.borrow_mut();
+        targets.answered(self.key, is_good, now_ms);
+        self.is_ended = true;
+    }
+}
+
+impl Drop for Placed {
+    fn drop(&mut self) {
+        let now_ms = self.shared.now_ms();
+        let mut targets = self.shared.targets.borrow_mut();
+        targets.end(self.key);
+        if !self.is_ended && now_ms >= self.began_ms + GIVEN_UP_MS {
+            targets.given_up(self.key);
+        }
+    }
+}
+
+/// Answer of a target.
+pub(crate) enum Answer {
+    /// Known as a whole.
+    Whole(Response<Bytes>),
+    /// Events follow.
+    Stream(Box<OpenStream>),
+}
+
+/// Stream whose head is here.
+pub(crate) struct OpenStream {
+    pub(crate) head: Response<()>,
+    pub(crate) body: Incoming,
+    pub(crate) lease: Lease,
+    pub(crate) placed: Placed,
+    pub(crate) keep_alive_s: Option<u64>,
+    pub(crate) is_last: bool,
+    pub(crate) target: TargetKey,
+}
+
+/// Try that has no answer.
+pub(crate) struct Failed {
+    pub(crate) failure: Failure,
+    pub(crate) detail: String,
+    /// Whether the target can't be reached.
+    pub(crate) is_unreachable: bool,
+}
+
+impl Failed {
+    pub(crate) fn broken<D>(detail: D) -> Failed
+    where
+        D: ToString,
+    {
+        Failed {
+            failure: Failure::Broken,
+            detail: detail.to_string(),
+            is_unreachable: false,
+        }
+    }
+}
+
+impl Call {
+    /// Sends the request to one target.
+    pub(crate) async fn try_target(
+        &mut self,
+        key: TargetKey,
+        entry: &TargetEntry,
+        last_event_id: Option<u64>,
+    ) -> Result<Answer, Failed> {
+        let mut placed = Placed::new(&self.shared, key);
+        let mut stale = 0;
+        let (mut lease, response) = loop {
+            let pool = &self.shared.pool;
+            let mut lease = pool
+                .lease(key, entry.address)
+                .await
+                .map_err(|error| Failed {
+                    failure: Failure::NotSent,
+                    detail: error.to_string(),
+                    is_unreachable: true,
+                })?;
+            let request = self.request(entry, last_event_id);
+            self.may_run = true;
+            match lease.connection.send(request).await {
+                Ok(response) => break (lease, response),
+                Err(ExchangeError::NotSent(_)) if lease.is_reused && stale < STALE_CONNECTIONS => {
+                    stale += 1;
+                }
+                Err(ExchangeError::NotSent(detail)) => {
+                    return Err(Failed {
+                        failure: Failure::NotSent,
+                        detail,
+                        is_unreachable: false,
+                    });
+                }
+                Err(ExchangeError::Broken(detail)) => return Err(Failed::broken(detail)),
+            }
+        };
+        let (head, body) = response.into_parts();
+        let facts = answer_facts(&head.headers);
+        self.check(key, head.status, &facts)?;
+        let head = Response::from_parts(head, ());
+        let is_stream = self.route.kind == Kind::Streaming && head.status().is_success();
+        if is_stream {
+            return Ok(Answer::Stream(Box::new(OpenStream {
+                head,
+                body,
+                lease,
+                placed,
+                keep_alive_s: facts.keep_alive_s,
+                is_last: facts.is_last,
+                target: key,
+            })));
+        }
+        let body = Limited::new(body, WHOLE_BYTES)
+            .collect()
+            .await
+            .map_err(Failed::broken)?
+            .to_bytes();
+        placed.answered(head.status());
+        if !facts.is_last {
+            lease.is_reused = true;
+            lease.keep(facts.keep_alive_s);
+        }
+        Ok(Answer::Whole(passed_on(head).map(|()| body)))
+    }
+
+    /// Judges the head of an answer.
+    fn check(&self, key: TargetKey, status: StatusCode, facts: &AnswerFacts) -> Result<(), Failed> {
+        let mut targets = self.shared.targets.borrow_mut();
+        if let Some(load) = facts.load {
+            targets.report(key, load, self.shared.now_ms());
+        }
+        let own = facts.request_id.as_ref();
+        if own.is_some_and(|id| *id != self.facts.request_id) {
+            return Err(Failed::broken("answer to another request"));
+        }
+        let not_run = |failure| Failed {
+            failure,
+            detail: format!("status {}", status.as_u16()),
+            is_unreachable: false,
+        };
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            return Err(not_run(Failure::OtherInstance));
+        }
+        if facts.is_not_executed && status != StatusCode::BAD_REQUEST {
+            return Err(not_run(Failure::NotExecuted));
+        }
+        if status.is_success() && !facts.is_stamped {
+            return Err(Failed::broken("answer without signature"));
+        }
+        if status.is_informational() {
+            return Err(Failed::broken("informational answer"));
+        }
+        Ok(())
+    }
+
+    fn request(&self, entry: &TargetEntry, last_event_id: Option<u64>) -> Request<Full<Bytes>> {
+        let left_ms = self.until_ms.saturating_sub(self.shared.now_ms());
+        let has_body = !self.body.is_empty() || self.parts.method != http::Method::GET;
+        let sending = Sending {
+            instance: &entry.id,
+            deadline_ms: left_ms.max(1),
+            last_event_id,
+            body_bytes: has_body.then_some(self.body.len()),
+        };
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.parts.method.clone();
+        *request.uri_mut() = self.parts.uri.clone();
+        *request.headers_mut() = sending_headers(&self.parts.headers, &sending);
+        request
+    }
+}
+
+/// Head of a target's answer as the caller gets it.
+pub(crate) fn passed_on(mut head: Response<()>) -> Response<()> {
+    *head.version_mut() = http::Version::HTTP_11;
+    head.extensions_mut().clear();
+    let headers = std::mem::take(head.headers_mut());
+    let kept = headers
+        .iter()
+        .filter(|(name, _)| is_forwarded(name, &[]) && *name != http::header::CONTENT_LENGTH);
+    for (name, value) in kept {
+        head.headers_mut().append(name.clone(), value.clone());
+    }
+    head
+}
--- /dev/null
+++ b/crates/entry/src/forward/reading.rs
@@ -0,0 +1,55 @@
+//! Bodies of callers' requests.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::{Response, StatusCode};
+use lagoon_gateway::Limits;
+
+use crate::body::ReplyBody;
+use crate::forward::BUSY_RETRY_MS;
+use crate::reply;
+use crate::shared::{Held, Shared};
+
+/// Reads a body, within the limits and what the process may hold.
+pub(super) async fn read_body(
+    shared: &Rc<Shared>,
+    body: Incoming,
+    limits: &Limits,
+) -> Result<(Bytes, Held), Box<Response<ReplyBody>>> {
+    let limit = usize::try_from(limits.max_body_bytes).unwrap_or(usize::MAX);
+    if body.size_hint().lower() > limits.max_body_bytes {
+        let answer = reply::text(StatusCode::PAYLOAD_TOO_LARGE, "body too long");
+        return Err(Box::new(answer));
+    }
+    // A body without a length is held to what it turns out to be.
+    let Some(announced) = shared.hold(body.size_hint().lower()) else {
+        return Err(too_much(shared));
+    };
+    let body = match Limited::new(body, limit).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            log::debug!(error = error.to_string(); "body not read");
+            let is_long = error.is::<http_body_util::LengthLimitError>();
+            let status = if is_long {
+                StatusCode::PAYLOAD_TOO_LARGE
+            } else {
+                StatusCode::BAD_REQUEST
+            };
+            return Err(Box::new(reply::text(status, "body not read")));
+        }
+    };
+    drop(announced);
+    match shared.hold(body.len() as u64) {
+        Some(held) => Ok((body, held)),
+        None => Err(too_much(shared)),
+    }
+}
+
+fn too_much(shared: &Shared) -> Box<Response<ReplyBody>> {
+    log::warn!("refused: too many bytes of bodies are held");
+    shared.metrics.answer(503, 0);
+    Box::new(reply::refusal("too many bytes are held", BUSY_RETRY_MS))
+}
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -7,57 +7,17 @@
 //! gets short. A write whose reply was lost is recognized by the number that
 //! its VM left in the row. A row can thus only overstate what was spent.
 
-use compact_str::CompactString;
-use derive_more::{AsRef, Display, From};
-use lagoon_ids::{hash64, FastMap};
-use serde::{Deserialize, Serialize};
-
-use crate::store::{Row, RowKey, StoreError, StoreReply, Write};
-
-/// Table of the rows.
-const TABLE: &str = "budgets";
-
-/// Parts of the table. Each carries its own transactions, one after another,
-/// so that a slow store makes programs of one part wait for each other.
-const PARTS: u64 = 1_024;
-
-/// Longest name that is a key as it is, in bytes.
-const KEY_BYTES: usize = 64;
-
-/// Retention of a program whose calls come through other VMs only, so that
-/// theirs is not known here.
-const OTHERS_RETENTION_MS: u64 = 600_000;
+mod account;
+mod row;
 
-/// Time for which a refusal is not asked for again: a part of that in which
-/// what a call spent becomes known.
-const SPENT_MS: u64 = 300;
-
-/// Retentions of silence after which a program's row is removed. A VM that
-/// spends from what it holds writes the row at least once in two of them.
-const SWEEP_RETENTIONS: u64 = 4;
+use compact_str::CompactString;
+use derive_more::Display;
+use lagoon_ids::FastMap;
 
-/// Writers whose marks a row keeps.
-const WRITERS: usize = 16;
+use crate::store::{StoreError, StoreReply, Write};
 
-/// Program as callers name it.
-#[derive(AsRef, Clone, Debug, Display, Eq, From, Hash, Ord, PartialEq, PartialOrd)]
-pub struct ProgramKey(pub CompactString);
-
-impl ProgramKey {
-    fn row_key(&self) -> RowKey {
-        let hash = hash64(self.0.as_bytes());
-        let key = if self.0.len() <= KEY_BYTES {
-            self.0.clone()
-        } else {
-            compact_str::format_compact!("{hash:016x}")
-        };
-        RowKey {
-            table: CompactString::const_new(TABLE),
-            part: compact_str::format_compact!("p{}", hash % PARTS),
-            key,
-        }
-    }
-}
+use account::{Account, Pending};
+pub use row::{AccountRow, Mark, ProgramKey};
 
 /// Settings of [`Accounts`].
 #[derive(Clone, Debug, PartialEq)]
@@ -82,45 +42,6 @@
     }
 }
 
-/// What one writer left in a row.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Mark {
-    /// Writer.
-    pub writer: CompactString,
-    /// Number of its last write.
-    pub number: u64,
-    /// Tokens that it held then beyond its calls under way.
-    pub held_tokens: u64,
-}
-
-/// Row as it is stored, as JSON.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct AccountRow {
-    /// Tokens that are spent, held, or charged for calls under way.
-    pub charged_tokens: u64,
-    /// Marks, newest last.
-    pub marks: Vec<Mark>,
-}
-
-impl AccountRow {
-    fn last_of(&self, writer: &str) -> u64 {
-        let found = self.marks.iter().find(|mark| mark.writer == writer);
-        found.map_or(0, |mark| mark.number)
-    }
-
-    fn mark(&mut self, mark: Mark) {
-        self.marks.retain(|other| other.writer != mark.writer);
-        self.marks.push(mark);
-        let excess = self.marks.len().saturating_sub(WRITERS);
-        self.marks.drain(..excess);
-    }
-
-    fn held_by_others(&self, writer: &str) -> u64 {
-        let others = self.marks.iter().filter(|mark| mark.writer != writer);
-        others.map(|mark| mark.held_tokens).sum()
-    }
-}
-
 /// Reference of a call that waits for its charge.
 #[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq)]
 pub struct Waiter(pub u64);
@@ -186,76 +107,6 @@
     pub retention_ms: u64,
 }
 
-/// Write under way, or one whose end is unknown.
-#[derive(Clone, Debug)]
-struct Pending {
-    number: u64,
-    granted: Vec<(Waiter, Grant)>,
-    /// Charged for calls that gave up waiting meanwhile.
-    abandoned_tokens: u64,
-    /// Held before, and part of what is granted.
-    held_before_tokens: u64,
-    /// Held after.
-    held_after_tokens: u64,
-    /// Spent without the store, and charged by this write.
-    debt_tokens: u64,
-    row: AccountRow,
-}
-
-impl Pending {
-    /// Tokens of this VM once the write is applied.
-    fn owned_tokens(&self) -> u64 {
-        let granted: u64 = self.granted.iter().map(|(_, grant)| grant.tokens).sum();
-        granted + self.abandoned_tokens + self.held_after_tokens
-    }
-
-    /// Tokens of this VM whether or not the write is applied.
-    fn certain_tokens(&self) -> u64 {
-        self.owned_tokens().min(self.held_before_tokens)
-    }
-}
-
-/// Refusal that the row gave.
-#[derive(Clone, Copy, Debug)]
-struct Spent {
-    at_ms: u64,
-    tokens: u64,
-    charged_tokens: u64,
-}
-
-impl Spent {
-    /// Whether the refusal holds for one more call. It is not asked for
-    /// again at once, as what calls under way give back may take longer.
-    fn holds(&self, asked: &Asked, now_ms: u64) -> bool {
-        asked.tokens >= self.tokens && now_ms < self.at_ms + SPENT_MS
-    }
-}
-
-/// Account of one program at this VM.
-#[derive(Clone, Debug, Default)]
-struct Account {
-    version: u64,
-    row: AccountRow,
-    budget_tokens: u64,
-    largest_call_tokens: u64,
-    waiting: Vec<Asked>,
-    pending: Option<Pending>,
-    /// Writes that were given up. All have the condition of the next one, so
-    /// at most one of them was applied.
-    unresolved: Vec<Pending>,
-    /// Charged in the row and not given to a call.
-    held_tokens: u64,
-    /// Spent without the store and not charged yet.
-    debt_tokens: u64,
-    /// Whether another VM asked for more than is held.
-    is_wanted: bool,
-    /// Last refusal.
-    spent: Option<Spent>,
-    used_ms: u64,
-    written_ms: u64,
-    retention_ms: u64,
-}
-
 /// Accounts of all programs that come through this VM.
 #[derive(Debug)]
 pub struct Accounts {
@@ -561,169 +412,3 @@
         writes
     }
 }
-
-impl Account {
-    fn left_tokens(&self) -> u64 {
-        self.budget_tokens.saturating_sub(self.row.charged_tokens)
-    }
-
-    fn is_over(&self, now_ms: u64) -> bool {
-        let retention_ms = match self.retention_ms {
-            0 => OTHERS_RETENTION_MS,
-            retention_ms => retention_ms,
-        };
-        now_ms > self.used_ms + SWEEP_RETENTIONS * retention_ms
-    }
-
-    /// Whether tokens are charged that no call needs.
-    fn has_surplus(&self) -> bool {
-        self.held_tokens > 0 || !self.unresolved.is_empty()
-    }
-
-    /// Whether the row must change although no call waits.
-    fn is_due(&self, settings: &BudgetSettings, now_ms: u64) -> bool {
-        if self.debt_tokens > 0 || (self.is_wanted && !self.has_surplus()) {
-            return true;
-        }
-        let is_silent = self.used_ms + settings.return_after_ms <= now_ms;
-        self.has_surplus() && (self.is_wanted || self.is_short()) && is_silent
-    }
-
-    /// Whether tokens that were spent without the store may not be charged.
-    fn has_debt(&self) -> bool {
-        let writes = self.pending.iter().chain(&self.unresolved);
-        self.debt_tokens > 0 || writes.into_iter().any(|write| write.debt_tokens > 0)
-    }
-
-    /// Whether the budget leaves other VMs less than one call.
-    fn is_short(&self) -> bool {
-        self.left_tokens() < self.largest_call_tokens
-    }
-
-    /// Tokens to charge beyond the waiting calls. The first VM of a program,
-    /// which as a rule sees most of it, takes up to half of the budget.
-    fn ahead_tokens(&self, settings: &BudgetSettings, left_tokens: u64) -> u64 {
-        let share = if self.version == 0 {
-            left_tokens.saturating_sub(self.budget_tokens / 2)
-        } else {
-            left_tokens / 4
-        };
-        share.min(settings.held_calls * self.largest_call_tokens)
-    }
-
-    fn applied(&mut self, version: u64, pending: Pending, writer: &str) -> Vec<(Waiter, Decision)> {
-        self.version = version;
-        self.row = pending.row;
-        self.held_tokens += pending.held_after_tokens + pending.abandoned_tokens;
-        // The condition of these is void now, so they never were applied.
-        for unresolved in std::mem::take(&mut self.unresolved) {
-            self.held_tokens += unresolved.held_before_tokens - unresolved.certain_tokens();
-            self.debt_tokens += unresolved.debt_tokens;
-        }
-        self.decide(pending.granted, writer)
-    }
-
-    /// Grants what is charged, and refuses what the row, now known to be
-    /// current, does not hold.
-    fn decide(&mut self, granted: Vec<(Waiter, Grant)>, writer: &str) -> Vec<(Waiter, Decision)> {
-        let granted = granted.into_iter();
-        let mut decisions: Vec<_> = granted
-            .map(|(waiter, grant)| (waiter, Decision::Granted(grant)))
-            .collect();
-        let left_tokens = self.left_tokens() + self.held_tokens;
-        let charged_tokens = self.row.charged_tokens;
-        let held_tokens = self.row.held_by_others(writer);
-        self.waiting.retain(|asked| {
-            let decision = if asked.tokens <= left_tokens {
-                return true;
-            } else if asked.tokens <= left_tokens + held_tokens {
-                Decision::HeldElsewhere { held_tokens }
-            } else {
-                Decision::Spent { charged_tokens }
-            };
-            decisions.push((asked.waiter, decision));
-            false
-        });
-        decisions
-    }
-
-    fn conflict(
-        &mut self,
-        writer: &str,
-        found: Option<&Row>,
-        pending: Pending,
-    ) -> Vec<(Waiter, Decision)> {
-        let value = found.and_then(|row| row.value.as_deref());
-        let row = match value.map(serde_json::from_slice::<AccountRow>) {
-            None => AccountRow::default(),
-            Some(Ok(row)) => row,
-            Some(Err(_)) => {
-                self.held_tokens += pending.certain_tokens();
-                self.debt_tokens += pending.debt_tokens;
-                return self.refuse(pending.granted);
-            }
-        };
-        let last = row.last_of(writer);
-        // A full list may have lost this writer's mark.
-        let is_marked = last > 0 || row.marks.len() < WRITERS;
-        self.version = match value {
-            Some(_) => found.map_or(0, |row| row.version),
-            None => 0,
-        };
-        self.row = row;
-        for unresolved in std::mem::take(&mut self.unresolved) {
-            let certain_tokens = unresolved.certain_tokens();
-            if last == unresolved.number {
-                self.held_tokens += unresolved.owned_tokens() - certain_tokens;
-                continue;
-            }
-            self.debt_tokens += unresolved.debt_tokens;
-            if is_marked {
-                self.held_tokens += unresolved.held_before_tokens - certain_tokens;
-            }
-        }
-        if last == pending.number {
-            self.held_tokens += pending.held_after_tokens + pending.abandoned_tokens;
-            return self.decide(pending.granted, writer);
-        }
-        self.debt_tokens += pending.debt_tokens;
-        self.held_tokens += if is_marked {
-            pending.held_before_tokens
-        } else {
-            pending.certain_tokens()
-        };
-        let (budget_tokens, retention_ms) = (self.budget_tokens, self.retention_ms);
-        let again = pending.granted.into_iter().map(|(waiter, grant)| Asked {
-            waiter,
-            budget_tokens,
-            tokens: grant.tokens,
-            retention_ms,
-        });
-        self.waiting.splice(0..0, again);
-        self.decide(Vec::new(), writer)
-    }
-
-    fn note_spent(&mut self, decisions: &[(Waiter, Decision)], now_ms: u64) {
-        let spent = decisions.iter().find_map(|(_, decision)| match decision {
-            Decision::Spent { charged_tokens } => Some(*charged_tokens),
-            _ => None,
-        });
-        if let Some(charged_tokens) = spent {
-            self.spent = Some(Spent {
-                at_ms: now_ms,
-                tokens: self.largest_call_tokens,
-                charged_tokens,
-            });
-        }
-    }
-
-    fn refuse(&mut self, granted: Vec<(Waiter, Grant)>) -> Vec<(Waiter, Decision)> {
-        let waiting = std::mem::take(&mut self.waiting);
-        let granted = granted.into_iter().map(|(waiter, _)| waiter);
-        let waiting = waiting.into_iter().map(|asked| asked.waiter);
-        granted
-            .chain(waiting)
-            .map(|waiter| (waiter, Decision::Unavailable))
-            .collect()
-    }
-}
