--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -78,10 +78,7 @@
 pub(crate) async fn handle(shared: Rc<Shared>, request: Request<Incoming>) -> Response<ReplyBody> {
     let arrived_ms = shared.now_ms();
     let (parts, body) = request.into_parts();
-    let limits = {
-        let config = shared.config.borrow();
-        config.as_ref().map_or_else(Limits::default, |c| c.limits)
-    };
+    let limits = shared.limits();
     let (body, held) = match read_body(&shared, body, &limits).await {
         Ok(read) => read,
         Err(answer) => return *answer,
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -26,11 +26,10 @@
 /// New connections that wait to be accepted.
 const BACKLOG: i32 = 1_024;
 
-/// Longest header section, and room for the start of a body.
-const HEADER_BYTES: usize = 20_000;
-
-/// Longest time for a header section, idle time before it included.
-const HEADER_WAIT: Duration = Duration::from_secs(15);
+/// Room for the start of a body behind the longest header section, and the
+/// least that the HTTP library takes.
+const BODY_START_BYTES: u64 = 4_096;
+const LEAST_BUFFER_BYTES: u64 = 8_192;
 
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
@@ -108,7 +107,7 @@
 }
 
 async fn serve_connection<F, R>(
-    _open: Open,
+    open: Open,
     stream: TcpStream,
     mut stop: watch::Receiver<bool>,
     handle: F,
@@ -123,10 +122,14 @@
         let answer = handle(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
+    let limits = open.0.limits();
+    let buffer_bytes = (limits.max_header_bytes + BODY_START_BYTES).max(LEAST_BUFFER_BYTES);
+    // The library counts idle time before a header section to its reading.
+    let wait = Duration::from_millis(limits.header_timeout_ms.max(limits.idle_timeout_ms));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_WAIT)
-        .max_buf_size(HEADER_BYTES)
+        .header_read_timeout(wait)
+        .max_buf_size(usize::try_from(buffer_bytes).unwrap_or(usize::MAX))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let ended = tokio::select! {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use compact_str::CompactString;
-use lagoon_gateway::{Config, PlacementSettings, TargetKey, Targets};
+use lagoon_gateway::{Config, Limits, PlacementSettings, TargetKey, Targets};
 use lagoon_ids::FastMap;
 
 use crate::clock::Clock;
@@ -103,6 +103,14 @@
         self.clock.now_ms()
     }
 
+    /// Limits on what callers send, as of now.
+    pub(crate) fn limits(&self) -> Limits {
+        let config = self.config.borrow();
+        config
+            .as_ref()
+            .map_or_else(Limits::default, |config| config.limits)
+    }
+
     /// Whether callers should come here.
     pub(crate) fn is_ready(&self) -> bool {
         !self.stopping.get() && self.targets_known.get() && self.config.borrow().is_some()
