--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -15,8 +15,8 @@
 use hyper::{Request, Response, StatusCode};
 use lagoon_adapter::{budget_refusal, request_facts};
 use lagoon_gateway::{
-    after_failure, fingerprint, place, Ask, Attempts, Choice, Decision, Facts, Failure, Limits,
-    Next, ProgramKey, Route, TargetEntry, TargetKey,
+    after_failure, fingerprint, place, Ask, Attempts, Choice, Decision, Facts, Failure, Next,
+    ProgramKey, Route, TargetEntry, TargetKey,
 };
 use lagoon_ids::hash64;
 use rand::RngExt;
