--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -21,6 +21,7 @@
     charge_s: Histogram,
     config_version: IntGauge,
     targets: IntGauge,
+    vms: IntGauge,
     connections: IntGauge,
     dropped_lines: IntGauge,
 }
@@ -56,6 +57,7 @@
             charge_s: histogram("lagoon_charge_seconds", "Wait for a budget's charge")?,
             config_version: gauge("lagoon_config_version", "Configuration in force")?,
             targets: gauge("lagoon_targets", "Targets known")?,
+            vms: gauge("lagoon_other_vms", "Other entry VMs known")?,
             connections: gauge("lagoon_connections", "Connections that are open here")?,
             dropped_lines: gauge(
                 "lagoon_dropped_log_lines",
@@ -93,6 +95,10 @@
         self.0.targets.set(count as i64);
     }
 
+    pub(crate) fn vms(&self, count: usize) {
+        self.0.vms.set(count as i64);
+    }
+
     pub(crate) fn connections(&self, count: usize) {
         self.0.connections.set(count as i64);
     }
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -272,6 +272,7 @@
     fn publish(&self) {
         let shared = &self.shared;
         shared.metrics.targets(shared.targets.borrow().len());
+        shared.metrics.vms(shared.peers.peers.borrow().len());
         if let Some(config) = shared.config.borrow().as_ref() {
             shared.metrics.config_version(config.version);
         }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -77,6 +77,16 @@
         &self.own
     }
 
+    /// Number of other VMs.
+    pub fn len(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Whether no other VM is known.
+    pub fn is_empty(&self) -> bool {
+        self.peers.is_empty()
+    }
+
     /// Takes an entry of the store's version `version`.
     pub fn upsert(&mut self, name: CompactString, entry: PeerEntry, version: u64) {
         if name == self.own {
