--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -123,7 +123,7 @@
     ) -> Result<Answer, Failed> {
         let mut placed = Placed::new(&self.shared, key);
         let mut stale = 0;
-        let (mut lease, response) = loop {
+        let (lease, response) = loop {
             let pool = &self.shared.pool;
             let mut lease = pool
                 .lease(key, entry.address)
@@ -173,7 +173,6 @@
             .to_bytes();
         placed.answered(head.status());
         if !facts.is_last {
-            lease.is_reused = true;
             lease.keep(facts.keep_alive_s);
         }
         Ok(Answer::Whole(passed_on(head).map(|()| body)))
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -28,9 +28,9 @@
 
 impl Relay {
     /// Answer whose body passes the stream on.
-    pub(crate) fn start(call: Call, open: OpenStream) -> Response<ReplyBody> {
+    pub(crate) fn start(call: Call, mut open: OpenStream) -> Response<ReplyBody> {
         let status = open.head.status();
-        let head = passed_on(copy(&open.head));
+        let head = passed_on(std::mem::take(&mut open.head));
         let relay = Relay {
             reader: EventReader::after(call.facts.last_event_id),
             call,
@@ -163,10 +163,3 @@
         }
     }
 }
-
-fn copy(head: &Response<()>) -> Response<()> {
-    let mut copy = Response::new(());
-    *copy.status_mut() = head.status();
-    *copy.headers_mut() = head.headers().clone();
-    copy
-}
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -22,9 +22,6 @@
     /// Silence of a target that has requests beyond which it counts as stuck;
     /// the rest of the silence is its cost.
     pub silence_ms: u64,
-    /// Waiting requests, as a share of the slots, up to which a target is
-    /// offered more.
-    pub overfill: f64,
 }
 
 impl Default for PlacementSettings {
@@ -36,7 +33,6 @@
             wait_ms: 20.0,
             failing_ms: 400.0,
             silence_ms: 250,
-            overfill: 0.0,
         }
     }
 }
@@ -69,8 +65,6 @@
     pub load_age_ms: Option<u64>,
     /// Expected delay.
     pub cost_ms: f64,
-    /// Whether all its places are believed taken.
-    pub is_full: bool,
 }
 
 /// Target with the smallest expected delay; `None` if none may be used.
@@ -131,7 +125,6 @@
                 load,
                 load_age_ms: target.load_age_ms(now_ms),
                 cost_ms,
-                is_full: load >= slots * (1.0 + settings.overfill),
             }
         })
         .min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
