VMs tell each other of loads and of where lines of calls are served

Now: datagrams each 100 ms tell neighbours of the own domain the requests at each target and the loads that targets told; all VMs are told of a line that is served where they would not expect it. A new program has two homes and begins at the less loaded one.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -255,11 +255,12 @@
     /// Chooses a target for the next try.
     pub(crate) fn choose(&mut self) -> Option<(TargetKey, TargetEntry)> {
         let targets = self.shared.targets.borrow();
+        let last = self.shared.lines.borrow().last(&self.facts);
         let ask = Ask {
             service: &self.service,
             facts: &self.facts,
             domain: &self.shared.domain,
-            last: self.shared.last_target(self.facts.subject()),
+            last: last.and_then(|tag| targets.tagged(tag)),
             avoid: &self.avoid,
             random: rand::rng().random(),
         };
@@ -271,6 +272,15 @@
         Some((choice.key, entry))
     }
 
+    /// Takes note of the target that keeps the prompt of the line.
+    pub(crate) fn served_by(&self, key: TargetKey) {
+        let targets = self.shared.targets.borrow();
+        if let Some(target) = targets.get(key) {
+            let mut lines = self.shared.lines.borrow_mut();
+            lines.served(&self.facts, target.tag(), self.shared.now_ms());
+        }
+    }
+
     async fn send_until_answered(&mut self) -> Result<Answer, Box<Response<ReplyBody>>> {
         let mut same: Option<TargetKey> = None;
         loop {
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -57,7 +57,8 @@
         let now_ms = self.shared.now_ms();
         let is_good = !status.is_server_error();
         let mut targets = self.shared.targets.borrow_mut();
-        targets.answered(self.key, is_good, now_ms);
+        let took_ms = now_ms - self.began_ms;
+        targets.answered(self.key, is_good, took_ms, now_ms);
         self.is_ended = true;
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod forward;
 mod ledger;
 mod metrics;
+mod news;
 mod options;
 mod peers;
 mod pool;
--- /dev/null
+++ b/crates/entry/src/news.rs
@@ -0,0 +1,119 @@
+//! Datagrams in which VMs tell each other of loads and of lines of calls.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use lagoon_gateway::News;
+use tokio::net::UdpSocket;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use crate::shared::Shared;
+
+/// Time between two messages: less than half of a model call at an idle
+/// engine.
+const PERIOD: Duration = Duration::from_millis(100);
+
+/// Neighbours that are told; bounds the datagrams of one VM to 120 a second
+/// each way.
+const NEIGHBOURS: usize = 12;
+
+/// Largest message: 100 targets, within one packet.
+const MESSAGE_BYTES: usize = 1_400;
+
+/// Pause after a datagram that can't be received.
+const RECEIVE_PAUSE: Duration = Duration::from_millis(50);
+
+/// Tells other VMs what is new and takes in what they tell.
+///
+/// # Errors
+///
+/// Fails when the socket can't be opened.
+pub(crate) fn exchange(shared: &Rc<Shared>, address: SocketAddr) -> std::io::Result<()> {
+    let socket = std::net::UdpSocket::bind(address)?;
+    socket.set_nonblocking(true)?;
+    let socket = Rc::new(UdpSocket::from_std(socket)?);
+    spawn_local(tell(Rc::clone(shared), Rc::clone(&socket)));
+    spawn_local(hear(Rc::clone(shared), socket));
+    Ok(())
+}
+
+async fn tell(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
+    let mut is_quiet = true;
+    loop {
+        sleep(PERIOD).await;
+        let targets = shared.targets.borrow_mut().news(shared.now_ms());
+        let lines = shared.lines.borrow_mut().news();
+        // Silence says the same as a message without targets, but for the
+        // first one.
+        let was_quiet = std::mem::replace(&mut is_quiet, targets.is_empty());
+        let is_told = !(was_quiet && is_quiet);
+        if !is_told && lines.is_empty() {
+            continue;
+        }
+        let (neighbours, others) = shared.peers.peers.borrow().neighbours_first(NEIGHBOURS);
+        let far = News {
+            targets: None,
+            lines,
+        };
+        if !far.lines.is_empty() {
+            send(&socket, &far, &others);
+        }
+        let near = News {
+            targets: is_told.then_some(targets),
+            ..far
+        };
+        send(&socket, &near, &neighbours);
+    }
+}
+
+fn send(socket: &UdpSocket, news: &News, receivers: &[SocketAddr]) {
+    let message = match postcard::to_allocvec(news) {
+        Ok(message) if message.len() <= MESSAGE_BYTES => message,
+        Ok(message) => {
+            log::warn!(bytes = message.len(); "news are too long for a packet");
+            return;
+        }
+        Err(error) => {
+            log::warn!(error = error.to_string(); "news not encoded");
+            return;
+        }
+    };
+    for receiver in receivers {
+        // The next message makes up for a lost one.
+        if let Err(error) = socket.try_send_to(&message, *receiver) {
+            log::debug!(peer = receiver.to_string(), error = error.to_string(); "news not sent");
+        }
+    }
+}
+
+async fn hear(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; MESSAGE_BYTES];
+    loop {
+        let (length, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                log::debug!(error = error.to_string(); "news not received");
+                sleep(RECEIVE_PAUSE).await;
+                continue;
+            }
+        };
+        if !shared.peers.peers.borrow().is_known(from) {
+            continue;
+        }
+        match postcard::from_bytes::<News>(&buffer[..length]) {
+            Ok(news) => {
+                let now_ms = shared.now_ms();
+                if let Some(targets) = &news.targets {
+                    let mut known = shared.targets.borrow_mut();
+                    known.take_news(from, targets, now_ms);
+                }
+                shared.lines.borrow_mut().take(&news.lines, now_ms);
+            }
+            Err(error) => {
+                log::debug!(peer = from.to_string(), error = error.to_string(); "news can't be read");
+            }
+        }
+    }
+}
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -30,6 +30,7 @@
     /// Answer whose body passes the stream on.
     pub(crate) fn start(call: Call, mut open: OpenStream) -> Response<ReplyBody> {
         let status = open.head.status();
+        call.served_by(open.target);
         let head = passed_on(std::mem::take(&mut open.head));
         let relay = Relay {
             reader: EventReader::after(call.facts.last_event_id),
@@ -120,10 +121,7 @@
         let Some(mut stream) = self.stream.take() else {
             return;
         };
-        let target = stream.target;
-        let shared = &self.call.shared;
         stream.placed.answered(self.status);
-        shared.served_line(self.call.facts.subject(), target);
         if !stream.is_last {
             stream.lease.keep(stream.keep_alive_s);
         }
@@ -154,6 +152,7 @@
             let answer = timeout_at(until, self.call.try_target(key, &entry, last_id)).await;
             match answer {
                 Ok(Ok(Answer::Stream(stream))) => {
+                    self.call.served_by(stream.target);
                     self.stream = Some(*stream);
                     return true;
                 }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -17,6 +17,7 @@
 use crate::forward;
 use crate::ledger::Ledger;
 use crate::metrics::Metrics;
+use crate::news;
 use crate::peers::PeerClient;
 use crate::registration::Registration;
 use crate::server;
@@ -139,6 +140,10 @@
     let callers = listen("listen.callers", settings.listen.callers)?;
     let ready = listen("listen.ready", settings.listen.ready)?;
     let peers = listen("listen.peers", settings.listen.peers)?;
+    news::exchange(shared, settings.listen.peers).map_err(|source| RunError::Socket {
+        key: "listen.peers",
+        source,
+    })?;
 
     let state = Rc::clone(shared);
     let handle = move |request| forward::handle(Rc::clone(&state), request);
@@ -183,6 +188,7 @@
         round += 1;
         if round % SWEEP_ROUNDS == 0 {
             shared.pool.sweep();
+            shared.lines.borrow_mut().sweep(shared.now_ms());
             shared.ledger.sweep().await;
             shared.crashes.sweep().await;
         }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -4,8 +4,7 @@
 use std::rc::Rc;
 
 use compact_str::CompactString;
-use lagoon_gateway::{Config, Limits, PlacementSettings, TargetKey, Targets};
-use lagoon_ids::FastMap;
+use lagoon_gateway::{Config, Limits, Lines, PlacementSettings, Targets};
 
 use crate::clock::Clock;
 use crate::ledger::Ledger;
@@ -15,9 +14,6 @@
 use crate::settings::EntryLimits;
 use crate::suspects::CrashLog;
 
-/// Lines of calls whose last target is remembered at most.
-const LINES: usize = 20_000;
-
 /// Descriptors that one caller's connection may need: its own, one to a
 /// target and one to another VM or the store, and as many in reserve.
 const DESCRIPTORS_EACH: usize = 4;
@@ -64,7 +60,7 @@
     held_bytes: Cell<u64>,
     /// Bytes of bodies beyond which requests are refused.
     most_held_bytes: u64,
-    last_targets: RefCell<FastMap<CompactString, TargetKey>>,
+    pub(crate) lines: RefCell<Lines>,
 }
 
 impl Shared {
@@ -95,7 +91,7 @@
             most_connections: limits.descriptors as usize / DESCRIPTORS_EACH,
             held_bytes: Cell::new(0),
             most_held_bytes: limits.memory_mb * 1_000_000 / MEMORY_SHARE,
-            last_targets: RefCell::default(),
+            lines: RefCell::default(),
         })
     }
 
@@ -129,17 +125,4 @@
             bytes,
         })
     }
-
-    /// Target that served a line of calls last.
-    pub(crate) fn last_target(&self, line: &str) -> Option<TargetKey> {
-        self.last_targets.borrow().get(line).copied()
-    }
-
-    pub(crate) fn served_line(&self, line: &str, target: TargetKey) {
-        let mut lines = self.last_targets.borrow_mut();
-        if lines.len() >= LINES {
-            lines.clear();
-        }
-        lines.insert(line.into(), target);
-    }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,8 @@
 mod budget;
 mod config;
 mod events;
+mod lines;
+mod news;
 mod outcome;
 mod patience;
 mod peers;
@@ -26,6 +28,8 @@
 };
 pub use config::{Config, Engine, Kind, Limits, Route, Service, Split};
 pub use events::{EventReader, EventStep};
+pub use lines::Lines;
+pub use news::{LineNews, LineTag, News, Reported, TargetNews, TargetTag};
 pub use outcome::{after_failure, Attempts, Failure, Next};
 pub use patience::Patience;
 pub use peers::{PeerEnd, PeerEntry, Peers};
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -160,6 +160,25 @@
         self.addresses(names.into_iter().take(count))
     }
 
+    /// Addresses of all other VMs. First are at most `count` neighbours: those
+    /// of the own failure domain that follow this VM in the order of names,
+    /// so that each VM has as many before it as after it.
+    pub fn neighbours_first(&self, count: usize) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        let mut peers: Vec<(&CompactString, &Peer)> = self.peers.iter().collect();
+        let is_far = |peer: &Peer| peer.entry.domain != self.domain;
+        peers.sort_by_key(|(name, peer)| (is_far(peer), **name < self.own, *name));
+        let near = peers.iter().take_while(|(_, peer)| !is_far(peer)).count();
+        let mut addresses = peers.iter().map(|(_, peer)| peer.entry.address);
+        let neighbours = addresses.by_ref().take(near.min(count)).collect();
+        (neighbours, addresses.collect())
+    }
+
+    /// Whether a VM has this address.
+    pub fn is_known(&self, address: SocketAddr) -> bool {
+        let mut peers = self.peers.values();
+        peers.any(|peer| peer.entry.address == address)
+    }
+
     /// VMs to sound out, at most `most` of each failure domain.
     pub fn to_sound(&self, most: usize) -> Vec<(CompactString, PeerEntry)> {
         let mut taken: FastMap<&str, usize> = FastMap::default();
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -15,8 +15,6 @@
     pub prefill_tokens_per_ms: f64,
     /// Slowdown by each request that runs beside.
     pub beside_ms: f64,
-    /// Expected time until one place of a full target gets free.
-    pub wait_ms: f64,
     /// Cost of a target all of whose requests fail.
     pub failing_ms: f64,
     /// Silence of a target that has requests beyond which it counts as stuck;
@@ -28,9 +26,8 @@
     fn default() -> Self {
         PlacementSettings {
             domain_ms: 4.0,
-            prefill_tokens_per_ms: 102.0,
+            prefill_tokens_per_ms: 40.0,
             beside_ms: 1.0,
-            wait_ms: 20.0,
             failing_ms: 400.0,
             silence_ms: 250,
         }
@@ -101,21 +98,22 @@
     I: Iterator<Item = (TargetKey, &'a Target)>,
 {
     let candidates: Vec<_> = candidates.collect();
-    let home = home(&candidates, ask);
+    let homes = homes(&candidates, ask);
+    let run_ms = targets.run_ms(ask.service);
     candidates
         .into_iter()
         .map(|(key, target)| {
             let load = target.load(&targets.settings, now_ms);
             let slots = f64::from(target.entry.slots.max(1));
             let mut cost_ms = load * settings.beside_ms;
-            cost_ms += (load + 1.0 - slots).max(0.0) * settings.wait_ms;
+            cost_ms += (load + 1.0 - slots).max(0.0) * run_ms / slots;
             cost_ms += target.failure_rate() * settings.failing_ms;
             let silence_ms = target.silence_ms(now_ms);
             cost_ms += silence_ms.saturating_sub(settings.silence_ms) as f64;
             if target.entry.domain != ask.domain {
                 cost_ms += settings.domain_ms;
             }
-            if home != Some(key) {
+            if !homes.contains(&Some(key)) {
                 cost_ms += ask.facts.prompt_tokens as f64 / settings.prefill_tokens_per_ms;
             }
             // Below one, so that it decides only between equals.
@@ -130,15 +128,15 @@
         .min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
 }
 
-/// Target that is believed to keep the request's prompt: the last one of its
-/// line, else the one that every VM would choose for the program.
-fn home(candidates: &[(TargetKey, &Target)], ask: &Ask<'_>) -> Option<TargetKey> {
+/// Targets without a penalty for the prompt: the last one of the line, which
+/// keeps it; else the two that every VM would choose between for the program.
+fn homes(candidates: &[(TargetKey, &Target)], ask: &Ask<'_>) -> [Option<TargetKey>; 2] {
     if ask.facts.prefix.is_empty() {
-        return None;
+        return [None; 2];
     }
     if let Some(last) = ask.last {
         if candidates.iter().any(|(key, _)| *key == last) {
-            return Some(last);
+            return [Some(last), None];
         }
     }
     let seed = hash64(
@@ -148,11 +146,18 @@
             .unwrap_or(ask.facts.subject())
             .as_bytes(),
     );
-    candidates
-        .iter()
-        .max_by_key(|(_, target)| {
-            let near = target.entry.domain == ask.domain;
-            (near, hash64(&(target.hash ^ seed).to_le_bytes()))
-        })
-        .map(|(key, _)| *key)
+    let rank = |target: &Target| {
+        let near = target.entry.domain == ask.domain;
+        (near, hash64(&(target.hash ^ seed).to_le_bytes()))
+    };
+    let mut homes = [None; 2];
+    for (key, target) in candidates {
+        let ranked = Some((rank(target), *key));
+        if ranked > homes[0] {
+            homes = [ranked, homes[0]];
+        } else if ranked > homes[1] {
+            homes[1] = ranked;
+        }
+    }
+    homes.map(|home| home.map(|(_, key)| key))
 }
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -7,9 +7,14 @@
 use lagoon_ids::{hash64, FastMap};
 use slotmap::{new_key_type, SlotMap};
 
+use crate::news::{Reported, TargetNews, TargetTag};
+
 /// Weight of the newest request in the share that failed.
 const NEWEST: f64 = 0.15;
 
+/// Weight of the newest answer in the time that requests of a service take.
+const NEWEST_RUN: f64 = 0.02;
+
 new_key_type! {
     /// Key of a target.
     pub struct TargetKey;
@@ -65,6 +70,10 @@
     pub ejection_failures: u32,
     /// How long a missing entry is kept after the store came back.
     pub lapse_ms: u64,
+    /// How long a neighbour's word on its own requests counts.
+    pub news_ms: u64,
+    /// Time that a request takes in a place, until its service is known.
+    pub run_ms: f64,
 }
 
 impl Default for TargetSettings {
@@ -76,10 +85,22 @@
             ejection_failures: 2,
             // Entries that lapsed in an outage are back within 2 s.
             lapse_ms: 1_900,
+            // Three periods of load news, so that one may get lost.
+            news_ms: 350,
+            // About the length of one model call at an idle engine.
+            run_ms: 250.0,
         }
     }
 }
 
+/// Requests of a neighbour at a target, as it told.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct NeighbourLoad {
+    neighbour: SocketAddr,
+    in_flight: u32,
+    until_ms: u64,
+}
+
 /// Target with what is believed of it.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -89,8 +110,12 @@
     pub hash: u64,
     /// Own requests there.
     pub in_flight: u32,
+    /// Requests that are neither own ones nor a neighbour's, when reported.
     others: f64,
-    reported_ms: Option<u64>,
+    reported: Option<(u32, u64)>,
+    neighbours: Vec<NeighbourLoad>,
+    /// Own requests and time of the report that were told last.
+    told: (u32, Option<u64>),
     failures: u32,
     /// Share of late requests that failed.
     failure_rate: f64,
@@ -106,20 +131,60 @@
         self.failure_rate += (failed - self.failure_rate) * NEWEST;
     }
 
-    /// Expected requests there at `now_ms`: own ones, and those of others as
-    /// last reported, less what has ended since.
+    /// Expected requests there at `now_ms`: own ones, those of neighbours as
+    /// they told, and those of others as last reported, less what has ended
+    /// since.
     pub fn load(&self, settings: &TargetSettings, now_ms: u64) -> f64 {
-        let Some(reported_ms) = self.reported_ms else {
-            return f64::from(self.in_flight);
+        let known = self.known(now_ms);
+        let Some((_, reported_ms)) = self.reported else {
+            return known;
         };
         let age_ms = now_ms.saturating_sub(reported_ms) as f64;
         let left = 0.5_f64.powf(age_ms / settings.load_half_life_ms);
-        f64::from(self.in_flight) + self.others * left
+        known + self.others * left
+    }
+
+    /// Short name among VMs.
+    pub fn tag(&self) -> TargetTag {
+        TargetTag(self.hash as u32)
+    }
+
+    /// Own requests there and those of neighbours.
+    fn known(&self, now_ms: u64) -> f64 {
+        let fresh = self.neighbours.iter().filter(|load| now_ms < load.until_ms);
+        f64::from(self.in_flight + fresh.map(|load| load.in_flight).sum::<u32>())
     }
 
     /// Age of the reported load.
     pub fn load_age_ms(&self, now_ms: u64) -> Option<u64> {
-        self.reported_ms.map(|at_ms| now_ms.saturating_sub(at_ms))
+        let (_, reported_ms) = self.reported?;
+        Some(now_ms.saturating_sub(reported_ms))
+    }
+
+    fn report(&mut self, requests: u32, at_ms: u64, now_ms: u64) {
+        if self.reported.is_some_and(|(_, known_ms)| known_ms > at_ms) {
+            return;
+        }
+        self.others = (f64::from(requests) - self.known(now_ms)).max(0.0);
+        self.reported = Some((requests, at_ms));
+    }
+
+    /// What neighbours should know, if there is anything new.
+    fn news(&mut self, now_ms: u64) -> Option<TargetNews> {
+        let reported = self
+            .reported
+            .filter(|(_, at_ms)| self.told.1 != Some(*at_ms))
+            .map(|(requests, at_ms)| Reported {
+                requests,
+                age_ms: now_ms.saturating_sub(at_ms),
+            });
+        let is_news = self.in_flight > 0 || self.told.0 > 0 || reported.is_some();
+        self.told = (self.in_flight, self.reported.map(|(_, at_ms)| at_ms));
+        is_news.then_some(TargetNews {
+            target: self.tag(),
+            in_flight: self.in_flight,
+            reported,
+        })
     }
 
     /// Share of late requests that failed.
@@ -148,7 +213,10 @@
     pub settings: TargetSettings,
     arena: SlotMap<TargetKey, Target>,
     by_id: FastMap<CompactString, TargetKey>,
+    by_tag: FastMap<TargetTag, TargetKey>,
     by_service: FastMap<CompactString, Vec<TargetKey>>,
+    /// Time that requests of a service take in a place.
+    run_ms: FastMap<CompactString, f64>,
     /// Until when entries that vanish may be lapsed ones.
     lapse_until_ms: u64,
 }
@@ -173,7 +241,9 @@
             entry,
             in_flight: 0,
             others: 0.0,
-            reported_ms: None,
+            reported: None,
+            neighbours: Vec::new(),
+            told: (0, None),
             failures: 0,
             failure_rate: 0.0,
             progress_ms: 0,
@@ -181,6 +251,7 @@
             missing: false,
         });
         self.by_id.insert(id, key);
+        self.by_tag.insert(self.arena[key].tag(), key);
         self.by_service.entry(service).or_default().push(key);
     }
 
@@ -240,6 +311,7 @@
             return;
         };
         self.by_id.remove(&target.entry.id);
+        self.by_tag.remove(&target.tag());
         if let Some(keys) = self.by_service.get_mut(&target.entry.service) {
             keys.retain(|other| *other != key);
         }
@@ -250,6 +322,11 @@
         self.arena.get(key)
     }
 
+    /// Target of a tag, unless it is gone.
+    pub fn tagged(&self, tag: TargetTag) -> Option<TargetKey> {
+        self.by_tag.get(&tag).copied()
+    }
+
     /// Targets of a service.
     pub fn of_service(&self, service: &str) -> impl Iterator<Item = (TargetKey, &Target)> {
         let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
@@ -287,9 +364,38 @@
     /// Takes the load that an answer told.
     pub fn report(&mut self, key: TargetKey, load: Load, now_ms: u64) {
         if let Some(target) = self.arena.get_mut(key) {
-            let all = f64::from(load.running + load.waiting);
-            target.others = (all - f64::from(target.in_flight)).max(0.0);
-            target.reported_ms = Some(now_ms);
+            target.report(load.running + load.waiting, now_ms, now_ms);
+        }
+    }
+
+    /// What neighbours should know of the loads of targets.
+    pub fn news(&mut self, now_ms: u64) -> Vec<TargetNews> {
+        let targets = self.arena.values_mut();
+        targets.filter_map(|target| target.news(now_ms)).collect()
+    }
+
+    /// Takes what a neighbour tells; targets that it doesn't name have none of
+    /// its requests.
+    pub fn take_news(&mut self, neighbour: SocketAddr, news: &[TargetNews], now_ms: u64) {
+        let told: FastMap<TargetTag, &TargetNews> =
+            news.iter().map(|told| (told.target, told)).collect();
+        let until_ms = now_ms + self.settings.news_ms;
+        for target in self.arena.values_mut() {
+            target.neighbours.retain(|load| load.neighbour != neighbour);
+            let Some(told) = told.get(&target.tag()) else {
+                continue;
+            };
+            if told.in_flight > 0 {
+                target.neighbours.push(NeighbourLoad {
+                    neighbour,
+                    in_flight: told.in_flight,
+                    until_ms,
+                });
+            }
+            if let Some(reported) = told.reported {
+                let at_ms = now_ms.saturating_sub(reported.age_ms);
+                target.report(reported.requests, at_ms, now_ms);
+            }
         }
     }
 
@@ -300,16 +406,30 @@
         }
     }
 
-    /// Takes note of a whole answer; `is_good` unless the target says that it
-    /// failed.
-    pub fn answered(&mut self, key: TargetKey, is_good: bool, now_ms: u64) {
-        if let Some(target) = self.arena.get_mut(key) {
-            target.failures = 0;
-            target.progress_ms = now_ms;
-            target.learn(is_good);
+    /// Takes note of a whole answer to a request that was there for `took_ms`;
+    /// `is_good` unless the target says that it failed.
+    pub fn answered(&mut self, key: TargetKey, is_good: bool, took_ms: u64, now_ms: u64) {
+        let Some(target) = self.arena.get_mut(key) else {
+            return;
+        };
+        target.failures = 0;
+        target.progress_ms = now_ms;
+        target.learn(is_good);
+        // With all places taken, requests wait for one before they run.
+        let has_places = target.load(&self.settings, now_ms) <= f64::from(target.entry.slots);
+        if is_good && has_places {
+            let service = target.entry.service.clone();
+            let run_ms = self.run_ms.entry(service).or_insert(self.settings.run_ms);
+            *run_ms += (took_ms as f64 - *run_ms) * NEWEST_RUN;
         }
     }
 
+    /// Time that a request of a service takes in a place.
+    pub fn run_ms(&self, service: &str) -> f64 {
+        let known = self.run_ms.get(service);
+        known.copied().unwrap_or(self.settings.run_ms)
+    }
+
     /// Takes note of a request that was given up without an answer.
     pub fn given_up(&mut self, key: TargetKey) {
         if let Some(target) = self.arena.get_mut(key) {
