Lines stay with their prompts, targets' pace is shared, new programs wait

Reading a prompt holds up the whole batch, so it now costs that much for each request beside, three times (evicted prompts are read anew too). Targets that slow down are known by the gaps between events, which neighbours share. A new program waits 120 ms for a place, then is asked to come back.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -152,6 +152,9 @@
         if self.shared.crashes.is_refused(self.fingerprint()) {
             return *self.refuse("crashed several targets", CRASHER_RETRY_MS);
         }
+        if let Err(answer) = self.wait_for_place().await {
+            return *answer;
+        }
         if let Err(answer) = self.charge().await {
             return *answer;
         }
@@ -209,6 +212,29 @@
         );
     }
 
+    async fn wait_for_place(&mut self) -> Result<(), Box<Response<ReplyBody>>> {
+        let is_new = self.facts.turn.is_some()
+            && self.shared.lines.borrow().last(&self.facts).is_none();
+        if !is_new {
+            return Ok(());
+        }
+        let until_ms = self.arrived_ms + 120;
+        loop {
+            let Some((_, entry)) = self.choose() else {
+                return Ok(());
+            };
+            let load = self.choice.map_or(0.0, |choice| choice.load);
+            if load < f64::from(entry.slots) * 0.9 {
+                return Ok(());
+            }
+            if self.shared.now_ms() > until_ms {
+                return Err(self.refuse("no place for a new program", 900));
+            }
+            let pause_ms = 15 + rand::rng().random::<u64>() % 30;
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+        }
+    }
+
     /// Charges the most tokens of a model call to its program.
     async fn charge(&mut self) -> Result<(), Box<Response<ReplyBody>>> {
         let (Some(turn), Some(program)) = (&self.facts.turn, &self.facts.program) else {
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -28,6 +28,8 @@
     shared: Rc<Shared>,
     key: TargetKey,
     began_ms: u64,
+    /// When the last event of its stream came.
+    event_ms: Option<u64>,
     /// Whether the target's last word on it is known.
     is_ended: bool,
 }
@@ -40,6 +42,7 @@
             shared: Rc::clone(shared),
             key,
             began_ms,
+            event_ms: None,
             is_ended: false,
         }
     }
@@ -52,6 +55,19 @@
             .progressed(self.key, now_ms);
     }
 
+    /// Events of its stream came.
+    pub(crate) fn brought(&mut self, events: u64) {
+        if events == 0 {
+            return;
+        }
+        let now_ms = self.shared.now_ms();
+        if let Some(before_ms) = self.event_ms.replace(now_ms) {
+            let gap_ms = (now_ms - before_ms) as f64 / events as f64;
+            let mut targets = self.shared.targets.borrow_mut();
+            targets.paced(self.key, gap_ms, now_ms);
+        }
+    }
+
     /// The whole answer came.
     pub(crate) fn answered(&mut self, status: StatusCode) {
         let now_ms = self.shared.now_ms();
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -75,6 +75,7 @@
                     };
                     stream.placed.progressed();
                     let step = self.reader.push(&data);
+                    stream.placed.brought(step.events);
                     if !self.count(step.events) {
                         self.end = "charge used up in the stream";
                         return Err(BrokenOff);
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -35,6 +35,8 @@
     pub in_flight: u32,
     /// Newest load that the target told, unless it was told before.
     pub reported: Option<Reported>,
+    /// Mean gap between the events of the VM's streams since it told last.
+    pub gap_ms: Option<u32>,
 }
 
 /// Target that serves a line of calls.
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -26,7 +26,7 @@
     fn default() -> Self {
         PlacementSettings {
             domain_ms: 4.0,
-            prefill_tokens_per_ms: 40.0,
+            prefill_tokens_per_ms: 102.0,
             beside_ms: 1.0,
             failing_ms: 400.0,
             silence_ms: 250,
@@ -108,13 +108,16 @@
             let mut cost_ms = load * settings.beside_ms;
             cost_ms += (load + 1.0 - slots).max(0.0) * run_ms / slots;
             cost_ms += target.failure_rate() * settings.failing_ms;
+            cost_ms += targets.slowness(target, now_ms) * run_ms;
             let silence_ms = target.silence_ms(now_ms);
             cost_ms += silence_ms.saturating_sub(settings.silence_ms) as f64;
             if target.entry.domain != ask.domain {
                 cost_ms += settings.domain_ms;
             }
             if !homes.contains(&Some(key)) {
-                cost_ms += ask.facts.prompt_tokens as f64 / settings.prefill_tokens_per_ms;
+                // All requests that run there wait while a prompt is read.
+                let prefill_ms = ask.facts.prompt_tokens as f64 / settings.prefill_tokens_per_ms;
+                cost_ms += 3.0 * prefill_ms * (1.0 + load.min(slots));
             }
             // Below one, so that it decides only between equals.
             cost_ms += (hash64(&(target.hash ^ ask.random).to_le_bytes()) >> 40) as f64 / 2e7;
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -12,6 +12,11 @@
 /// Weight of the newest request in the share that failed.
 const NEWEST: f64 = 0.15;
 
+/// Weight of the newest gap between events in a target's pace, and in that of
+/// its service.
+const NEWEST_GAP: f64 = 0.15;
+const NEWEST_USUAL_GAP: f64 = 0.01;
+
 /// Weight of the newest answer in the time that requests of a service take.
 const NEWEST_RUN: f64 = 0.02;
 
@@ -70,6 +75,8 @@
     pub ejection_failures: u32,
     /// How long a missing entry is kept after the store came back.
     pub lapse_ms: u64,
+    /// Time after which half of what is known of a pace is taken as gone.
+    pub pace_half_life_ms: f64,
     /// How long a neighbour's word on its own requests counts.
     pub news_ms: u64,
     /// Time that a request takes in a place, until its service is known.
@@ -80,13 +87,15 @@
     fn default() -> Self {
         TargetSettings {
             // About the length of one model call at an idle engine.
-            load_half_life_ms: 250.0,
+            load_half_life_ms: 1_500.0,
             ejection_ms: 500,
             ejection_failures: 2,
             // Entries that lapsed in an outage are back within 2 s.
             lapse_ms: 1_900,
             // Three periods of load news, so that one may get lost.
             news_ms: 350,
+            // A target that has turned slow is tried again after some seconds.
+            pace_half_life_ms: 2_000.0,
             // About the length of one model call at an idle engine.
             run_ms: 250.0,
         }
@@ -101,6 +110,33 @@
     until_ms: u64,
 }
 
+/// Gaps between the events of a target's streams.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pace {
+    gap_ms: f64,
+    learned_ms: u64,
+    /// Gaps that neighbours were not told of.
+    untold_ms: f64,
+    untold: u32,
+}
+
+impl Pace {
+    fn learn(&mut self, gap_ms: f64, now_ms: u64) {
+        if self.learned_ms == 0 {
+            self.gap_ms = gap_ms;
+        }
+        self.gap_ms += (gap_ms - self.gap_ms) * NEWEST_GAP;
+        self.learned_ms = now_ms;
+    }
+
+    /// Mean of the gaps that neighbours were not told of.
+    fn take_untold(&mut self) -> Option<u32> {
+        let (sum_ms, count) = (self.untold_ms, self.untold);
+        (self.untold_ms, self.untold) = (0.0, 0);
+        (count > 0).then(|| (sum_ms / f64::from(count)).round() as u32)
+    }
+}
+
 /// Target with what is believed of it.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -116,6 +152,7 @@
     neighbours: Vec<NeighbourLoad>,
     /// Own requests and time of the report that were told last.
     told: (u32, Option<u64>),
+    pace: Pace,
     failures: u32,
     /// Share of late requests that failed.
     failure_rate: f64,
@@ -167,6 +204,8 @@
         }
         self.others = (f64::from(requests) - self.known(now_ms)).max(0.0);
         self.reported = Some((requests, at_ms));
+        // It works, though maybe not yet on what this VM waits for.
+        self.progress_ms = self.progress_ms.max(at_ms);
     }
 
     /// What neighbours should know, if there is anything new.
@@ -178,12 +217,15 @@
                 requests,
                 age_ms: now_ms.saturating_sub(at_ms),
             });
-        let is_news = self.in_flight > 0 || self.told.0 > 0 || reported.is_some();
+        let gap_ms = self.pace.take_untold();
+        let is_news =
+            self.in_flight > 0 || self.told.0 > 0 || reported.is_some() || gap_ms.is_some();
         self.told = (self.in_flight, self.reported.map(|(_, at_ms)| at_ms));
         is_news.then_some(TargetNews {
             target: self.tag(),
             in_flight: self.in_flight,
             reported,
+            gap_ms,
         })
     }
 
@@ -217,6 +259,8 @@
     by_service: FastMap<CompactString, Vec<TargetKey>>,
     /// Time that requests of a service take in a place.
     run_ms: FastMap<CompactString, f64>,
+    /// Gap between the events of a service's streams.
+    usual_gap_ms: FastMap<CompactString, f64>,
     /// Until when entries that vanish may be lapsed ones.
     lapse_until_ms: u64,
 }
@@ -244,6 +288,7 @@
             reported: None,
             neighbours: Vec::new(),
             told: (0, None),
+            pace: Pace::default(),
             failures: 0,
             failure_rate: 0.0,
             progress_ms: 0,
@@ -380,7 +425,8 @@
         let told: FastMap<TargetTag, &TargetNews> =
             news.iter().map(|told| (told.target, told)).collect();
         let until_ms = now_ms + self.settings.news_ms;
-        for target in self.arena.values_mut() {
+        let mut gaps = Vec::new();
+        for (key, target) in &mut self.arena {
             target.neighbours.retain(|load| load.neighbour != neighbour);
             let Some(told) = told.get(&target.tag()) else {
                 continue;
@@ -396,9 +442,45 @@
                 let at_ms = now_ms.saturating_sub(reported.age_ms);
                 target.report(reported.requests, at_ms, now_ms);
             }
+            gaps.extend(told.gap_ms.map(|gap_ms| (key, f64::from(gap_ms))));
+        }
+        for (key, gap_ms) in gaps {
+            self.learn_gap(key, gap_ms, now_ms);
         }
     }
 
+    /// Takes note of the time between two events of a stream.
+    pub fn paced(&mut self, key: TargetKey, gap_ms: f64, now_ms: u64) {
+        if let Some(target) = self.arena.get_mut(key) {
+            target.pace.untold_ms += gap_ms;
+            target.pace.untold += 1;
+        }
+        self.learn_gap(key, gap_ms, now_ms);
+    }
+
+    fn learn_gap(&mut self, key: TargetKey, gap_ms: f64, now_ms: u64) {
+        let Some(target) = self.arena.get_mut(key) else {
+            return;
+        };
+        target.pace.learn(gap_ms, now_ms);
+        let service = target.entry.service.clone();
+        let usual_ms = self.usual_gap_ms.entry(service).or_insert(gap_ms);
+        *usual_ms += (gap_ms - *usual_ms) * NEWEST_USUAL_GAP;
+    }
+
+    /// How much longer than usual a target takes for its work, as a share: 0
+    /// for one that is as fast as others or of which nothing is known.
+    pub fn slowness(&self, target: &Target, now_ms: u64) -> f64 {
+        let pace = target.pace;
+        let usual_ms = self.usual_gap_ms.get(&target.entry.service);
+        let Some(usual_ms) = usual_ms.filter(|_| pace.learned_ms > 0) else {
+            return 0.0;
+        };
+        let age_ms = now_ms.saturating_sub(pace.learned_ms) as f64;
+        let left = 0.5_f64.powf(age_ms / self.settings.pace_half_life_ms);
+        (pace.gap_ms / usual_ms.max(1.0) - 1.0).max(0.0) * left
+    }
+
     /// Bytes of an answer came.
     pub fn progressed(&mut self, key: TargetKey, now_ms: u64) {
         if let Some(target) = self.arena.get_mut(key) {
