--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -1,5 +1,6 @@
 //! The way of one request: route, charge, target, answer.
 
+mod admission;
 mod attempt;
 mod reading;
 
@@ -202,6 +203,7 @@
             target_id = self.target.as_str(),
             failed_tries = self.attempts.count(),
             prompt_parts = self.facts.prefix.len(),
+            prompt_is_kept = choice.is_some_and(|choice| choice.is_home),
             budget_tokens = self.facts.turn.as_ref().map_or(0, |turn| turn.budget_tokens),
             used_tokens = self.charged.as_ref().map_or(0, Charged::used_tokens),
             load = choice.map_or(0.0, |choice| choice.load),
@@ -212,29 +214,6 @@
         );
     }
 
-    async fn wait_for_place(&mut self) -> Result<(), Box<Response<ReplyBody>>> {
-        let is_new = self.facts.turn.is_some()
-            && self.shared.lines.borrow().last(&self.facts).is_none();
-        if !is_new {
-            return Ok(());
-        }
-        let until_ms = self.arrived_ms + 120;
-        loop {
-            let Some((_, entry)) = self.choose() else {
-                return Ok(());
-            };
-            let load = self.choice.map_or(0.0, |choice| choice.load);
-            if load < f64::from(entry.slots) * 0.9 {
-                return Ok(());
-            }
-            if self.shared.now_ms() > until_ms {
-                return Err(self.refuse("no place for a new program", 900));
-            }
-            let pause_ms = 15 + rand::rng().random::<u64>() % 30;
-            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
-        }
-    }
-
     /// Charges the most tokens of a model call to its program.
     async fn charge(&mut self) -> Result<(), Box<Response<ReplyBody>>> {
         let (Some(turn), Some(program)) = (&self.facts.turn, &self.facts.program) else {
@@ -278,8 +257,8 @@
         }
     }
 
-    /// Chooses a target for the next try.
-    pub(crate) fn choose(&mut self) -> Option<(TargetKey, TargetEntry)> {
+    /// Target that the next try would go to.
+    fn place(&self) -> Option<Choice> {
         let targets = self.shared.targets.borrow();
         let last = self.shared.lines.borrow().last(&self.facts);
         let ask = Ask {
@@ -290,9 +269,13 @@
             avoid: &self.avoid,
             random: rand::rng().random(),
         };
-        let now_ms = self.shared.now_ms();
-        let choice = place(&targets, &self.shared.placement, &ask, now_ms)?;
-        let entry = targets.get(choice.key)?.entry.clone();
+        place(&targets, &self.shared.placement, &ask, self.shared.now_ms())
+    }
+
+    /// Chooses a target for the next try.
+    pub(crate) fn choose(&mut self) -> Option<(TargetKey, TargetEntry)> {
+        let choice = self.place()?;
+        let entry = self.entry(choice.key)?;
         self.choice = Some(choice);
         self.target = entry.id.clone();
         Some((choice.key, entry))
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -17,11 +17,14 @@
     answers: IntCounterVec,
     failures: IntCounterVec,
     store_calls: IntCounterVec,
+    news: IntCounterVec,
+    news_bytes: IntCounterVec,
     first_byte_s: Histogram,
     charge_s: Histogram,
     config_version: IntGauge,
     targets: IntGauge,
     vms: IntGauge,
+    lines: IntGauge,
     connections: IntGauge,
     dropped_lines: IntGauge,
 }
@@ -53,11 +56,14 @@
             answers: counters("lagoon_answers_total", "Answers by status", &["status"])?,
             failures: counters("lagoon_failed_tries_total", "Failed tries", &["failure"])?,
             store_calls: counters("lagoon_store_calls_total", "Store calls", &["call", "end"])?,
+            news: counters("lagoon_news_total", "News of other VMs", &["end"])?,
+            news_bytes: counters("lagoon_news_bytes_total", "Their bytes", &["end"])?,
             first_byte_s: histogram("lagoon_first_byte_seconds", "Arrival to answer's head")?,
             charge_s: histogram("lagoon_charge_seconds", "Wait for a budget's charge")?,
             config_version: gauge("lagoon_config_version", "Configuration in force")?,
             targets: gauge("lagoon_targets", "Targets known")?,
             vms: gauge("lagoon_other_vms", "Other entry VMs known")?,
+            lines: gauge("lagoon_lines", "Lines of calls whose target is known")?,
             connections: gauge("lagoon_connections", "Connections that are open here")?,
             dropped_lines: gauge(
                 "lagoon_dropped_log_lines",
@@ -83,6 +89,12 @@
         self.0.store_calls.with_label_values(&[call, end]).inc();
     }
 
+    pub(crate) fn news(&self, end: &str, bytes: usize) {
+        self.0.news.with_label_values(&[end]).inc();
+        let counter = self.0.news_bytes.with_label_values(&[end]);
+        counter.inc_by(bytes as u64);
+    }
+
     pub(crate) fn charge(&self, wait_ms: u64) {
         self.0.charge_s.observe(wait_ms as f64 / 1e3);
     }
@@ -99,6 +111,10 @@
         self.0.vms.set(count as i64);
     }
 
+    pub(crate) fn lines(&self, count: usize) {
+        self.0.lines.set(count as i64);
+    }
+
     pub(crate) fn connections(&self, count: usize) {
         self.0.connections.set(count as i64);
     }
--- a/crates/entry/src/news.rs
+++ b/crates/entry/src/news.rs
@@ -19,8 +19,12 @@
 /// each way.
 const NEIGHBOURS: usize = 12;
 
-/// Largest message: 100 targets, within one packet.
-const MESSAGE_BYTES: usize = 1_400;
+/// Largest message: 300 targets.
+const MESSAGE_BYTES: usize = 4_000;
+
+/// Lines in one message, so that they fit beside the targets' loads of a
+/// domain.
+const LINES_EACH: usize = 100;
 
 /// Pause after a datagram that can't be received.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(50);
@@ -53,26 +57,30 @@
             continue;
         }
         let (neighbours, others) = shared.peers.peers.borrow().neighbours_first(NEIGHBOURS);
-        let far = News {
-            targets: None,
-            lines,
-        };
-        if !far.lines.is_empty() {
-            send(&socket, &far, &others);
+        for lines in lines.chunks(LINES_EACH) {
+            let news = News {
+                targets: None,
+                lines: lines.to_vec(),
+            };
+            send(&shared, &socket, &news, &others);
+            send(&shared, &socket, &news, &neighbours);
+        }
+        if is_told {
+            let news = News {
+                targets: Some(targets),
+                lines: Vec::new(),
+            };
+            send(&shared, &socket, &news, &neighbours);
         }
-        let near = News {
-            targets: is_told.then_some(targets),
-            ..far
-        };
-        send(&socket, &near, &neighbours);
     }
 }
 
-fn send(socket: &UdpSocket, news: &News, receivers: &[SocketAddr]) {
+/// Sends one message to some VMs; the next one makes up for a lost one.
+fn send(shared: &Shared, socket: &UdpSocket, news: &News, receivers: &[SocketAddr]) {
     let message = match postcard::to_allocvec(news) {
         Ok(message) if message.len() <= MESSAGE_BYTES => message,
         Ok(message) => {
-            log::warn!(bytes = message.len(); "news are too long for a packet");
+            log::warn!(bytes = message.len(); "news are too long for a message");
             return;
         }
         Err(error) => {
@@ -81,9 +89,12 @@
         }
     };
     for receiver in receivers {
-        // The next message makes up for a lost one.
-        if let Err(error) = socket.try_send_to(&message, *receiver) {
-            log::debug!(peer = receiver.to_string(), error = error.to_string(); "news not sent");
+        match socket.try_send_to(&message, *receiver) {
+            Ok(_) => shared.metrics.news("told", message.len()),
+            Err(error) => {
+                shared.metrics.news("not sent", message.len());
+                log::debug!(peer = receiver.to_string(), error = error.to_string(); "news not sent");
+            }
         }
     }
 }
@@ -100,10 +111,12 @@
             }
         };
         if !shared.peers.peers.borrow().is_known(from) {
+            shared.metrics.news("from a stranger", length);
             continue;
         }
         match postcard::from_bytes::<News>(&buffer[..length]) {
             Ok(news) => {
+                shared.metrics.news("heard", length);
                 let now_ms = shared.now_ms();
                 if let Some(targets) = &news.targets {
                     let mut known = shared.targets.borrow_mut();
@@ -112,6 +125,7 @@
                 shared.lines.borrow_mut().take(&news.lines, now_ms);
             }
             Err(error) => {
+                shared.metrics.news("unreadable", length);
                 log::debug!(peer = from.to_string(), error = error.to_string(); "news can't be read");
             }
         }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -166,6 +166,7 @@
 }
 
 fn metrics(shared: &Shared) -> Response<ReplyBody> {
+    shared.metrics.lines(shared.lines.borrow().len());
     match shared.metrics.text() {
         Ok(text) => Response::new(ReplyBody::whole(text)),
         Err(error) => reply::text(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use compact_str::CompactString;
-use lagoon_gateway::{Config, Limits, Lines, PlacementSettings, Targets};
+use lagoon_gateway::{AdmissionSettings, Config, Limits, Lines, PlacementSettings, Targets};
 
 use crate::clock::Clock;
 use crate::ledger::Ledger;
@@ -45,6 +45,7 @@
     pub(crate) peers: Rc<PeerClient>,
     pub(crate) crashes: Rc<CrashLog>,
     pub(crate) placement: PlacementSettings,
+    pub(crate) admission: AdmissionSettings,
     pub(crate) config: RefCell<Option<Rc<Config>>>,
     pub(crate) targets: RefCell<Targets>,
     /// Whether the list of targets was read since the start.
@@ -82,6 +83,7 @@
             peers,
             crashes,
             placement: PlacementSettings::default(),
+            admission: AdmissionSettings::default(),
             config: RefCell::new(None),
             targets: RefCell::default(),
             targets_known: Cell::new(false),
--- a/crates/entry/tests/fleet/mod.rs
+++ b/crates/entry/tests/fleet/mod.rs
@@ -5,7 +5,7 @@
 
 use std::fs;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::thread;
@@ -66,7 +66,8 @@
         let port = NEXT.fetch_add(1, Ordering::SeqCst);
         assert!(port < LAST_PORT, "no port is left");
         let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(address).is_ok() {
+        // Other VMs send datagrams to the same number.
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return address;
         }
     }
--- a/crates/entry/tests/processes.rs
+++ b/crates/entry/tests/processes.rs
@@ -362,3 +362,39 @@
         call(fleet.callers(), "POST /stream/x", &turn("r2"), &other).body == all_events()
     });
 }
+
+#[test]
+fn line_of_calls_goes_on_at_its_engine_through_another_vm() {
+    const PROGRAMS: usize = 8;
+    let fleet = Fleet::start(2);
+    let engine_of = |id: &str| {
+        let ran = |engine: &&lagoon_standin::fleet::Target| {
+            let runs = engine.runs();
+            runs.iter().any(|run| run.received.request_id == id)
+        };
+        let engine = fleet.engines.iter().find(ran);
+        engine.map(|engine| engine.id.clone()).expect("ran")
+    };
+    let calls = |vm: usize, turn: &str| {
+        for program in 0..PROGRAMS {
+            let headers = turn_headers(
+                &format!("{turn}{program}"),
+                &format!("p{program}"),
+                2_000,
+                MOST,
+            );
+            let reply = call(fleet.vms[vm].callers, "POST /stream/x", &headers, "prompt");
+            assert_eq!((reply.status, reply.is_whole), (200, true));
+        }
+    };
+    calls(0, "a");
+    let known = format!("\nlagoon_lines {PROGRAMS}\n");
+    wait_until("news of the lines", || {
+        get(fleet.vms[1].peers, "/metrics").body.contains(&known)
+    });
+    calls(1, "b");
+    for program in 0..PROGRAMS {
+        let (first, second) = (format!("a{program}"), format!("b{program}"));
+        assert_eq!(engine_of(&first), engine_of(&second), "program {program}");
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! thread, a socket or a random source: times and random numbers come in with
 //! each call.
 
+mod admission;
 mod allowance;
 mod budget;
 mod config;
@@ -21,6 +22,7 @@
 mod suspects;
 mod targets;
 
+pub use admission::{admit, Admission, AdmissionSettings};
 pub use allowance::{steward, AllowanceAsk, AllowanceEnd, Allowances};
 pub use budget::{
     AccountRow, Accounts, Asked, BudgetSettings, BudgetWrite, Debt, Decision, Grant, Mark,
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -13,6 +13,10 @@
     pub domain_ms: f64,
     /// Prompt tokens that an engine reads in a millisecond.
     pub prefill_tokens_per_ms: f64,
+    /// Times that the reading of a whole prompt counts: a line of calls that
+    /// moves also takes memory from prompts that are kept, which are then read
+    /// anew in their turn.
+    pub prefill_weight: f64,
     /// Slowdown by each request that runs beside.
     pub beside_ms: f64,
     /// Cost of a target all of whose requests fail.
@@ -27,8 +31,10 @@
         PlacementSettings {
             domain_ms: 4.0,
             prefill_tokens_per_ms: 102.0,
+            // Where many callers come at once, targets recover from 3 on.
+            prefill_weight: 3.0,
             beside_ms: 1.0,
-            failing_ms: 400.0,
+            failing_ms: 2_000.0,
             silence_ms: 250,
         }
     }
@@ -60,6 +66,11 @@
     pub load: f64,
     /// Age of the reported load.
     pub load_age_ms: Option<u64>,
+    /// Requests that it runs at once.
+    pub slots: f64,
+    /// Whether it is believed to keep the prompt, or is one of those where the
+    /// program may begin.
+    pub is_home: bool,
     /// Expected delay.
     pub cost_ms: f64,
 }
@@ -105,7 +116,12 @@
         .map(|(key, target)| {
             let load = target.load(&targets.settings, now_ms);
             let slots = f64::from(target.entry.slots.max(1));
+            let is_home = homes.contains(&Some(key));
             let mut cost_ms = load * settings.beside_ms;
+            if homes[1] == Some(key) {
+                // Between equals all VMs choose the same.
+                cost_ms += settings.beside_ms;
+            }
             cost_ms += (load + 1.0 - slots).max(0.0) * run_ms / slots;
             cost_ms += target.failure_rate() * settings.failing_ms;
             cost_ms += targets.slowness(target, now_ms) * run_ms;
@@ -114,10 +130,10 @@
             if target.entry.domain != ask.domain {
                 cost_ms += settings.domain_ms;
             }
-            if !homes.contains(&Some(key)) {
+            if !is_home {
                 // All requests that run there wait while a prompt is read.
                 let prefill_ms = ask.facts.prompt_tokens as f64 / settings.prefill_tokens_per_ms;
-                cost_ms += 3.0 * prefill_ms * (1.0 + load.min(slots));
+                cost_ms += settings.prefill_weight * prefill_ms * (1.0 + load.min(slots));
             }
             // Below one, so that it decides only between equals.
             cost_ms += (hash64(&(target.hash ^ ask.random).to_le_bytes()) >> 40) as f64 / 2e7;
@@ -125,6 +141,8 @@
                 key,
                 load,
                 load_age_ms: target.load_age_ms(now_ms),
+                slots,
+                is_home,
                 cost_ms,
             }
         })
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -86,8 +86,8 @@
 impl Default for TargetSettings {
     fn default() -> Self {
         TargetSettings {
-            // About the length of one model call at an idle engine.
-            load_half_life_ms: 1_500.0,
+            // Some model calls' length: neighbours tell new reports until then.
+            load_half_life_ms: 500.0,
             ejection_ms: 500,
             ejection_failures: 2,
             // Entries that lapsed in an outage are back within 2 s.
--- /dev/null
+++ b/crates/gateway/tests/admission.rs
@@ -0,0 +1,27 @@
+//! Whether a new program begins.
+
+use lagoon_gateway::{admit, Admission, AdmissionSettings, Choice, TargetKey};
+use yare::parameterized;
+
+fn choice(load: f64) -> Choice {
+    Choice {
+        key: TargetKey::default(),
+        load,
+        load_age_ms: None,
+        slots: 10.0,
+        is_home: true,
+        cost_ms: 0.0,
+    }
+}
+
+#[parameterized(
+    place_free = { 8.9, 0, Admission::Begin },
+    place_free_after_a_wait = { 8.9, 200, Admission::Begin },
+    full = { 9.0, 0, Admission::Wait },
+    full_shortly_before_the_end = { 12.0, 119, Admission::Wait },
+    full_for_long = { 9.0, 120, Admission::Refuse },
+)]
+fn admit_new_program(load: f64, waited_ms: u64, expected: Admission) {
+    let settings = AdmissionSettings::default();
+    assert_eq!(admit(&settings, &choice(load), waited_ms), expected);
+}
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -121,3 +121,29 @@
     peers.note("b", PeerEnd::Unable, 50_000);
     assert_eq!(peers.gone(120_000), [("a".into(), 10)]);
 }
+
+#[test]
+fn neighbours_first_are_those_that_follow_in_the_own_domain() {
+    let mut peers = Peers::new("b".into(), "d1".into());
+    for (name, port, domain) in [
+        ("a", 1, "d1"),
+        ("c", 3, "d1"),
+        ("d", 4, "d1"),
+        ("far", 5, "d2"),
+    ] {
+        let entry = PeerEntry {
+            domain: domain.into(),
+            ..entry(port)
+        };
+        peers.upsert(name.into(), entry, 10);
+    }
+    let ports = |addresses: Vec<std::net::SocketAddr>| -> Vec<u16> {
+        addresses.iter().map(std::net::SocketAddr::port).collect()
+    };
+    let (neighbours, others) = peers.neighbours_first(2);
+    assert_eq!(ports(neighbours), [3, 4]);
+    assert_eq!(ports(others), [1, 5]);
+    let (neighbours, others) = peers.neighbours_first(9);
+    assert_eq!(ports(neighbours), [3, 4, 1]);
+    assert_eq!(ports(others), [5]);
+}
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -43,12 +43,23 @@
     avoid: &[TargetKey],
     random: u64,
     now_ms: u64,
+) -> Option<Choice> {
+    placed(targets, facts, None, avoid, random, now_ms)
+}
+
+fn placed(
+    targets: &Targets,
+    facts: &Facts,
+    last: Option<TargetKey>,
+    avoid: &[TargetKey],
+    random: u64,
+    now_ms: u64,
 ) -> Option<Choice> {
     let ask = Ask {
         service: "s",
         facts,
         domain: "d1",
-        last: None,
+        last,
         avoid,
         random,
     };
@@ -141,12 +152,12 @@
     let mut targets = targets(&[("a", "d1"), ("b", "d2")]);
     let grey = key(&targets, "a");
     for request in 0..20 {
-        targets.answered(grey, request % 3 != 0, 0);
+        targets.answered(grey, request % 3 != 0, 100, 0);
     }
     let choice = chosen(&targets, &Facts::default(), &[], 0);
     assert_eq!(id_of(&targets, choice), "b");
     for _ in 0..40 {
-        targets.answered(grey, true, 0);
+        targets.answered(grey, true, 100, 0);
     }
     let choice = chosen(&targets, &Facts::default(), &[], 0);
     assert_eq!(id_of(&targets, choice), "a");
@@ -221,3 +232,87 @@
     assert_eq!(targets.of_service("s").count(), 0);
     assert!(targets.get(before).is_none());
 }
+
+fn engines() -> Targets {
+    targets(&[("a", "d1"), ("b", "d1"), ("c", "d1")])
+}
+
+fn load_up(targets: &mut Targets, id: &str, requests: u32) -> TargetKey {
+    let key = key(targets, id);
+    (0..requests).for_each(|_| targets.begin(key, 0));
+    key
+}
+
+#[test]
+fn place_line_stays_where_its_prompt_is_kept_though_others_wait_less() {
+    let mut targets = engines();
+    let last = load_up(&mut targets, "a", 8);
+    load_up(&mut targets, "b", 4);
+    load_up(&mut targets, "c", 4);
+    let choice = placed(&targets, &prompt("p"), Some(last), &[], 0, 0);
+    assert_eq!(id_of(&targets, choice), "a");
+    assert!(choice.is_some_and(|choice| choice.is_home));
+}
+
+#[test]
+fn place_line_leaves_a_target_whose_queue_costs_more_than_its_prompt() {
+    let mut targets = engines();
+    let last = load_up(&mut targets, "a", 30);
+    let choice = placed(&targets, &prompt("p"), Some(last), &[], 0, 0);
+    assert_ne!(id_of(&targets, choice), "a");
+}
+
+#[test]
+fn place_line_leaves_a_target_that_has_turned_slow() {
+    let mut targets = engines();
+    let last = key(&targets, "a");
+    for id in ["b", "c"] {
+        let sound = key(&targets, id);
+        (0..100).for_each(|_| targets.paced(sound, 40.0, 1));
+    }
+    (0..30).for_each(|_| targets.paced(last, 160.0, 1));
+    let choice = placed(&targets, &prompt("p"), Some(last), &[], 0, 1);
+    assert_ne!(id_of(&targets, choice), "a");
+}
+
+#[test]
+fn place_line_leaves_a_target_that_fails_some_requests() {
+    let mut targets = engines();
+    let last = key(&targets, "a");
+    (0..20).for_each(|request| targets.answered(last, request % 3 != 0, 100, 0));
+    let choice = placed(&targets, &prompt("p"), Some(last), &[], 0, 0);
+    assert_ne!(id_of(&targets, choice), "a");
+}
+
+#[test]
+fn place_line_whose_target_left_begins_anew_at_one_of_two() {
+    let mut targets = engines();
+    let last = key(&targets, "a");
+    targets.remove("a", 10_000);
+    let choice = placed(&targets, &prompt("p"), Some(last), &[], 0, 10_000);
+    assert!(["b", "c"].contains(&id_of(&targets, choice).as_str()));
+    assert!(choice.is_some_and(|choice| choice.is_home));
+}
+
+#[test]
+fn place_new_program_takes_the_less_loaded_of_its_two_targets() {
+    let mut targets = engines();
+    let facts = prompt("p");
+    let first = id_of(&targets, chosen(&targets, &facts, &[], 0));
+    load_up(&mut targets, &first, 3);
+    let choice = chosen(&targets, &facts, &[], 0);
+    assert_ne!(id_of(&targets, choice), first);
+    assert!(choice.is_some_and(|choice| choice.is_home));
+}
+
+#[test]
+fn run_ms_is_learned_only_where_nothing_waits() {
+    let mut targets = engines();
+    let idle = key(&targets, "a");
+    (0..200).for_each(|_| targets.answered(idle, true, 40, 0));
+    assert!((targets.run_ms("s") - 40.0).abs() < 5.0);
+    let full = load_up(&mut targets, "b", 9);
+    (0..200).for_each(|_| targets.answered(full, true, 900, 0));
+    assert!((targets.run_ms("s") - 40.0).abs() < 5.0);
+    assert!(targets.run_ms("unknown") > 100.0);
+}
