--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -111,10 +111,15 @@
     let candidates: Vec<_> = candidates.collect();
     let homes = homes(&candidates, ask);
     let run_ms = targets.run_ms(ask.service);
+    let usual = usual_load(targets, &candidates, ask, now_ms);
     candidates
         .into_iter()
         .map(|(key, target)| {
-            let load = target.load(&targets.settings, now_ms);
+            let load = if target.entry.domain == ask.domain {
+                target.load(&targets.settings, now_ms)
+            } else {
+                target.far_load(&targets.settings, usual, now_ms)
+            };
             let slots = f64::from(target.entry.slots.max(1));
             let is_home = homes.contains(&Some(key));
             let mut cost_ms = load * settings.beside_ms;
@@ -149,6 +154,21 @@
         .min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
 }
 
+/// Mean load of the candidates in the own failure domain.
+fn usual_load(
+    targets: &Targets,
+    candidates: &[(TargetKey, &Target)],
+    ask: &Ask<'_>,
+    now_ms: u64,
+) -> f64 {
+    let near = candidates
+        .iter()
+        .filter(|(_, target)| target.entry.domain == ask.domain)
+        .map(|(_, target)| target.load(&targets.settings, now_ms));
+    let (count, sum) = near.fold((0.0, 0.0), |(count, sum), load| (count + 1.0, sum + load));
+    sum / f64::max(count, 1.0)
+}
+
 /// Targets without a penalty for the prompt: the last one of the line, which
 /// keeps it; else the two that every VM would choose between for the program.
 fn homes(candidates: &[(TargetKey, &Target)], ask: &Ask<'_>) -> [Option<TargetKey>; 2] {
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -186,6 +186,22 @@
         TargetTag(self.hash as u32)
     }
 
+    /// Expected requests at a target of another failure domain, whose VMs tell
+    /// nothing of theirs: what it told itself counts less with its age, and
+    /// `usual`, the load of targets nearby, in its place.
+    pub fn far_load(&self, settings: &TargetSettings, usual: f64, now_ms: u64) -> f64 {
+        let (reported, left) = match self.reported {
+            Some((requests, reported_ms)) => {
+                let age_ms = now_ms.saturating_sub(reported_ms) as f64;
+                let left = 0.5_f64.powf(age_ms / settings.load_half_life_ms);
+                (f64::from(requests), left)
+            }
+            None => (0.0, 0.0),
+        };
+        let believed = reported * left + usual * (1.0 - left);
+        believed.max(self.known(now_ms))
+    }
+
     /// Own requests there and those of neighbours.
     fn known(&self, now_ms: u64) -> f64 {
         let fresh = self.neighbours.iter().filter(|load| now_ms < load.until_ms);
--- a/crates/gateway/tests/news.rs
+++ b/crates/gateway/tests/news.rs
@@ -163,3 +163,18 @@
         0.0
     );
 }
+
+#[test]
+fn far_load_is_what_it_told_and_then_as_usual() {
+    let (mut targets, key) = targets();
+    let far_load = |targets: &Targets, now_ms| {
+        let target = targets.get(key).expect("is listed");
+        target.far_load(&targets.settings, 3.0, now_ms)
+    };
+    assert_eq!(far_load(&targets, 0), 3.0);
+    targets.report(key, report(1), 0);
+    assert_eq!(far_load(&targets, 0), 1.0);
+    assert!((far_load(&targets, 10_000) - 3.0).abs() < 0.01);
+    (0..5).for_each(|_| targets.begin(key, 10_000));
+    assert_eq!(far_load(&targets, 10_000), 5.0);
+}
