--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -102,6 +102,14 @@
     }
 }
 
+impl TargetSettings {
+    /// Share of a load reported at `at_ms` that still counts.
+    fn left(&self, at_ms: u64, now_ms: u64) -> f64 {
+        let age_ms = now_ms.saturating_sub(at_ms) as f64;
+        0.5_f64.powf(age_ms / self.load_half_life_ms)
+    }
+}
+
 /// Requests of a neighbour at a target, as it told.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct NeighbourLoad {
@@ -176,9 +184,7 @@
         let Some((_, reported_ms)) = self.reported else {
             return known;
         };
-        let age_ms = now_ms.saturating_sub(reported_ms) as f64;
-        let left = 0.5_f64.powf(age_ms / settings.load_half_life_ms);
-        known + self.others * left
+        known + self.others * settings.left(reported_ms, now_ms)
     }
 
     /// Short name among VMs.
@@ -188,18 +194,16 @@
 
     /// Expected requests at a target of another failure domain, whose VMs tell
     /// nothing of theirs: what it told itself counts less with its age, and
-    /// `usual`, the load of targets nearby, in its place.
+    /// `usual`, the load of targets nearby, in its place. One that never told
+    /// anything is worth a try.
     pub fn far_load(&self, settings: &TargetSettings, usual: f64, now_ms: u64) -> f64 {
-        let (reported, left) = match self.reported {
-            Some((requests, reported_ms)) => {
-                let age_ms = now_ms.saturating_sub(reported_ms) as f64;
-                let left = 0.5_f64.powf(age_ms / settings.load_half_life_ms);
-                (f64::from(requests), left)
-            }
-            None => (0.0, 0.0),
+        let known = self.known(now_ms);
+        let Some((requests, reported_ms)) = self.reported else {
+            return known;
         };
-        let believed = reported * left + usual * (1.0 - left);
-        believed.max(self.known(now_ms))
+        let left = settings.left(reported_ms, now_ms);
+        let believed = f64::from(requests) * left + usual * (1.0 - left);
+        believed.max(known)
     }
 
     /// Own requests there and those of neighbours.
