--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -45,7 +45,7 @@
     pub callers: SocketAddr,
     /// Readiness, for the balancer.
     pub ready: SocketAddr,
-    /// Other entry VMs, and metrics as text at `/metrics`.
+    /// Other entry VMs, by TCP and by UDP, and metrics as text at `/metrics`.
     pub peers: SocketAddr,
 }
 
