Soak: links that delay, reset and silence connections

Before the store and each target stands a link of the test's own; its faults overlap with kills, stops, freezes and configurations. Promises checked as before; the seeds of the first form draw as they did.

--- a/crates/entry/tests/fleet/mod.rs
+++ b/crates/entry/tests/fleet/mod.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use lagoon_gateway::State;
-use lagoon_standin::fleet::{Store, Target};
+use lagoon_standin::fleet::{Link, Store, Target};
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
 use tempfile::TempDir;
@@ -47,6 +47,8 @@
     pub(crate) engines: [Target; 2],
     pub(crate) desks: [Target; 2],
     pub(crate) vms: Vec<Vm>,
+    /// Links to the store, the engines and the desks, if there are any.
+    pub(crate) links: Vec<Link>,
     files: TempDir,
 }
 
@@ -91,19 +93,32 @@
 impl Fleet {
     /// Starts everything and waits until the VMs are ready.
     pub(crate) fn start(vms: usize) -> Fleet {
+        Fleet::start_with(vms, false)
+    }
+
+    /// The same with a link before the store and each target.
+    pub(crate) fn start_linked(vms: usize) -> Fleet {
+        Fleet::start_with(vms, true)
+    }
+
+    fn start_with(vms: usize, is_linked: bool) -> Fleet {
         let mut fleet = Fleet {
             store: Store::start(),
             engines: ["e1", "e2"].map(|id| Target::start(id, EVENTS, EVENT_PERIOD)),
             desks: ["d1", "d2"].map(|id| Target::start(id, 0, EVENT_PERIOD)),
             vms: Vec::new(),
+            links: Vec::new(),
             files: TempDir::new().expect("folder"),
         };
         fleet.store.configure(CONFIG);
-        for engine in &fleet.engines {
-            fleet.store.list(&engine.entry("engines", State::Ready));
+        if is_linked {
+            let targets = fleet.engines.iter().chain(&fleet.desks);
+            let targets = targets.map(|target| target.address);
+            let servers = [fleet.store.address].into_iter().chain(targets);
+            fleet.links = servers.map(Link::to).collect();
         }
-        for desk in &fleet.desks {
-            fleet.store.list(&desk.entry("desks", State::Ready));
+        for index in 0..fleet.engines.len() + fleet.desks.len() {
+            fleet.list(index, State::Ready);
         }
         for _ in 0..vms {
             fleet.start_vm();
@@ -112,6 +127,19 @@
         fleet
     }
 
+    /// Lists a target, engines first.
+    pub(crate) fn list(&self, index: usize, state: State) {
+        let engines = self.engines.len();
+        let mut entry = match index.checked_sub(engines) {
+            None => self.engines[index].entry("engines", state),
+            Some(desk) => self.desks[desk].entry("desks", state),
+        };
+        if let Some(link) = self.links.get(1 + index) {
+            entry.address = link.address;
+        }
+        self.store.list(&entry);
+    }
+
     /// Waits until all VMs know each other.
     fn wait_until_known(&self) {
         let others = format!("\nlagoon_other_vms {}\n", self.vms.len().saturating_sub(1));
@@ -138,7 +166,9 @@
             "[vm]\nname = \"{name}\"\ndomain = \"d1\"\n\
              [listen]\ncallers = \"{callers}\"\nready = \"{ready}\"\npeers = \"{peers}\"\n\
              [store]\naddress = \"{}\"\n[limits]\nstop_wait_s = 8\n",
-            self.store.address
+            self.links
+                .first()
+                .map_or(self.store.address, |link| link.address)
         );
         let file = self.files.path().join(format!("{name}.toml"));
         fs::write(&file, text).expect("settings are written");
--- a/crates/entry/tests/soak.rs
+++ b/crates/entry/tests/soak.rs
@@ -15,7 +15,7 @@
 use fleet::{all_events, call, try_call, wait_until, Fleet, Reply, CONFIG, EVENTS};
 use lagoon_adapter::standin::{call_headers, turn_headers};
 use lagoon_gateway::State;
-use lagoon_standin::fleet::{StoreFault, TargetFault};
+use lagoon_standin::fleet::{Link, LinkFault, StoreFault, TargetFault};
 use nix::sys::signal::Signal;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
@@ -120,10 +120,10 @@
         }
         4 => fleet.store.set_fault(StoreFault::LosesReply),
         5 => {
-            let desk = &fleet.desks[random.random_range(0..2)];
-            fleet.store.list(&desk.entry("desks", State::Draining));
+            let desk = fleet.engines.len() + random.random_range(0..2);
+            fleet.list(desk, State::Draining);
             thread::sleep(some_time);
-            fleet.store.list(&desk.entry("desks", State::Ready));
+            fleet.list(desk, State::Ready);
         }
         6 => {
             *version += 1;
@@ -155,6 +155,28 @@
     }
 }
 
+/// Harms a link, and does something else that is bad meanwhile.
+fn harm_link(fleet: &mut Fleet, random: &mut Pcg64, version: &mut u64) {
+    let link = fleet.links[random.random_range(0..fleet.links.len())].clone();
+    let fault = match random.random_range(0..4) {
+        0 => LinkFault::Delayed(Duration::from_millis(random.random_range(5..200))),
+        1 => LinkFault::Resets,
+        2 => LinkFault::SilentBack,
+        _ => LinkFault::Silent,
+    };
+    link.set_fault(fault);
+    thread::sleep(Duration::from_millis(random.random_range(50..600)));
+    if random.random_bool(0.5) && fault_leaves_store(&link, fleet) {
+        harm(fleet, random, version);
+    }
+    link.set_fault(LinkFault::None);
+}
+
+/// Whether VMs can start: they need the store.
+fn fault_leaves_store(link: &Link, fleet: &Fleet) -> bool {
+    link.address != fleet.links[0].address
+}
+
 fn check(seed: u64, fleet: &Fleet, outcomes: &[Outcome]) {
     let mut runs: HashMap<String, u64> = HashMap::new();
     let targets = fleet.engines.iter().chain(&fleet.desks);
@@ -193,8 +215,7 @@
     }
 }
 
-fn play(seed: u64, faults: u64) {
-    let mut fleet = Fleet::start(VMS);
+fn play(seed: u64, faults: u64, mut fleet: Fleet) {
     let vms: Addresses = Arc::default();
     let stop = Arc::new(AtomicBool::new(false));
     let mut random = Pcg64::seed_from_u64(seed);
@@ -211,7 +232,11 @@
         })
         .collect();
     for _ in 0..faults {
-        harm(&mut fleet, &mut random, &mut version);
+        if !fleet.links.is_empty() && random.random_bool(0.6) {
+            harm_link(&mut fleet, &mut random, &mut version);
+        } else {
+            harm(&mut fleet, &mut random, &mut version);
+        }
         publish(&fleet);
         thread::sleep(CALM);
     }
@@ -233,6 +258,11 @@
     });
 }
 
+fn seeds() -> std::ops::Range<u64> {
+    let first = number("SOAK_SEED", SEED);
+    first..first + number("SOAKS", RUNS)
+}
+
 /// Seeds that failed once, with the cause.
 const FOUND: [u64; 2] = [
     // A stream whose framing ended well within its last event looked whole.
@@ -242,13 +272,22 @@
 
 #[test]
 fn soak_found_seeds_pass() {
-    FOUND.iter().for_each(|seed| play(*seed, FAULTS));
+    for seed in FOUND {
+        play(seed, FAULTS, Fleet::start(VMS));
+    }
 }
 
 #[test]
 fn soak_random_faults_keep_the_promises() {
-    let first = number("SOAK_SEED", SEED);
-    for seed in first..first + number("SOAKS", RUNS) {
-        play(seed, number("SOAK_FAULTS", FAULTS));
+    for seed in seeds() {
+        play(seed, number("SOAK_FAULTS", FAULTS), Fleet::start(VMS));
+    }
+}
+
+#[test]
+fn soak_harmed_links_keep_the_promises() {
+    for seed in seeds() {
+        let fleet = Fleet::start_linked(VMS);
+        play(seed, number("SOAK_FAULTS", FAULTS), fleet);
     }
 }
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -3,6 +3,7 @@
 //! Each server has a thread of its own; faults are switches that a test sets
 //! while it runs.
 
+mod link;
 mod store;
 mod target;
 
@@ -28,6 +29,7 @@
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::sleep;
 
+pub use link::{Link, LinkFault};
 pub use store::{Store, StoreFault};
 pub use target::{Run, RunEnd, Target, TargetFault};
 
