Calls take tokens from the VM through which their program began

News of lines name the VM through which the program began; it is asked first, hands over what one call needs if its row is fresh, and gets back what was not used. Tokens only get lost on the way, never doubled. Found on the way: handing tokens over left the holder's account silent, so that it removed the row of a program that goes on elsewhere (sweep_row_of_a_program_that_goes_on_elsewhere_stays).

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -228,6 +228,7 @@
                 .expected_tokens
                 .unwrap_or(self.facts.max_output_tokens / UNHINTED_DIVISOR),
             retention_ms: self.route.retention_ms,
+            first_vm: self.shared.lines.borrow().first_vm(&self.facts),
         };
         let started_ms = self.shared.now_ms();
         let until_ms = self.until_ms.min(started_ms + CHARGE_WAIT_MS);
--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -5,6 +5,7 @@
 mod overdrawn;
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -63,6 +64,8 @@
     pub(crate) tokens: u64,
     pub(crate) expected_tokens: u64,
     pub(crate) retention_ms: u64,
+    /// Other VM through which the program began, if one told.
+    pub(crate) first_vm: Option<SocketAddr>,
 }
 
 /// Withdraws a call that stops waiting.
@@ -112,6 +115,9 @@
         if self.reach.get().is_without_store() {
             return self.charge_without_store(&charge).await;
         }
+        if let Some(charged) = self.charge_holder(&charge).await {
+            return Ok(charged);
+        }
         match self.charge_row(&charge, until).await {
             Err(Decision::Unavailable) => {
                 self.look_around().await;
@@ -167,6 +173,39 @@
         self.decided(program, decision)
     }
 
+    /// Charges a call from what the VM holds through which its program began,
+    /// which is nearer than the store.
+    async fn charge_holder(self: &Rc<Self>, charge: &Charge) -> Option<Charged> {
+        let (program, tokens) = (&charge.program, charge.tokens);
+        let address = charge.first_vm?;
+        if self.accounts.borrow().holds(program, tokens) {
+            return None;
+        }
+        let is_taken = self.peers.take_spare(address, program, tokens).await;
+        is_taken.then(|| Charged::new(self, program, Source::Holder { address }, tokens))
+    }
+
+    /// Gives tokens back to the VM that held them.
+    fn hand_back(&self, address: SocketAddr, program: &ProgramKey, tokens: u64) {
+        if tokens == 0 {
+            return;
+        }
+        let (peers, program) = (Rc::clone(&self.peers), program.clone());
+        spawn_local(async move { peers.hand_back(address, &program, tokens).await });
+    }
+
+    /// Takes tokens back that another VM did not use.
+    pub(crate) fn take_back(&self, program: &ProgramKey, tokens: u64) {
+        self.accounts.borrow_mut().take_back(program, tokens);
+    }
+
+    /// Hands spare tokens over to another VM.
+    pub(crate) fn hand_spare(&self, program: &ProgramKey, tokens: u64) -> bool {
+        let now_ms = self.clock.now_ms();
+        let mut accounts = self.accounts.borrow_mut();
+        accounts.take_spare(program, tokens, now_ms)
+    }
+
     fn decided(
         self: &Rc<Self>,
         program: &ProgramKey,
@@ -231,7 +270,9 @@
 
     /// Hands tokens that are held here over to another VM.
     pub(crate) fn hand_over(&self, program: &ProgramKey, tokens: u64) -> bool {
-        self.accounts.borrow_mut().take_held(program, tokens)
+        let now_ms = self.clock.now_ms();
+        let mut accounts = self.accounts.borrow_mut();
+        accounts.take_held(program, tokens, now_ms)
     }
 
     /// Hands out tokens of an allowance that this VM is the steward of.
--- a/crates/entry/src/ledger/charged.rs
+++ b/crates/entry/src/ledger/charged.rs
@@ -1,5 +1,6 @@
 //! Charge of one call, until it ends.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use compact_str::CompactString;
@@ -12,6 +13,11 @@
 pub(super) enum Source {
     /// Program's row.
     Row,
+    /// Another VM that held them.
+    Holder {
+        /// Its address.
+        address: SocketAddr,
+    },
     /// Allowance that a VM hands out.
     Allowance {
         /// The VM.
@@ -70,6 +76,10 @@
                 let mut accounts = ledger.accounts.borrow_mut();
                 accounts.settle(&self.program, grant, self.used_tokens, now_ms);
             }
+            Source::Holder { address } => {
+                let unused_tokens = self.granted_tokens - self.used_tokens;
+                ledger.hand_back(*address, &self.program, unused_tokens);
+            }
             Source::Allowance { steward } => {
                 let end = AllowanceEnd {
                     program: self.program.0.clone(),
--- a/crates/entry/src/news.rs
+++ b/crates/entry/src/news.rs
@@ -122,7 +122,7 @@
                     let mut known = shared.targets.borrow_mut();
                     known.take_news(from, targets, now_ms);
                 }
-                shared.lines.borrow_mut().take(&news.lines, now_ms);
+                shared.lines.borrow_mut().take(from, &news.lines, now_ms);
             }
             Err(error) => {
                 shared.metrics.news("unreadable", length);
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -54,6 +54,10 @@
 /// Longest wait for a VM that needs nobody else for its answer.
 const NEAR_WAIT: Duration = Duration::from_millis(120);
 
+/// Longest wait for spare tokens: some round trips between failure domains,
+/// beyond which the store is as fast.
+const SPARE_WAIT: Duration = Duration::from_millis(30);
+
 /// Largest message.
 const MESSAGE_BYTES: usize = 1_200_000;
 
@@ -72,6 +76,21 @@
         /// Tokens.
         tokens: u64,
     },
+    /// Hand over tokens that are held, if they are to spare; answered with
+    /// whether they are.
+    Spare {
+        /// Program.
+        program: CompactString,
+        /// Tokens.
+        tokens: u64,
+    },
+    /// Tokens that were handed over and not used; answered with `true`.
+    Unused {
+        /// Program.
+        program: CompactString,
+        /// Tokens.
+        tokens: u64,
+    },
     /// Hand out an allowance; answered with its tokens.
     Allowance(AllowanceAsk),
     /// A call with an allowance has ended; answered with `true`.
@@ -182,6 +201,42 @@
         false
     }
 
+    /// Tokens that the VM at this address holds for a program, unless it did
+    /// not answer last.
+    pub(crate) async fn take_spare(
+        &self,
+        address: SocketAddr,
+        program: &ProgramKey,
+        tokens: u64,
+    ) -> bool {
+        let name = self.peers.borrow().sound_at(address).cloned();
+        let Some(name) = name else {
+            return false;
+        };
+        let message = PeerMessage::Spare {
+            program: program.0.clone(),
+            tokens,
+        };
+        let taken = self.ask(&name, address, &message, SPARE_WAIT).await;
+        taken.unwrap_or(false)
+    }
+
+    /// Gives tokens back to the VM at this address.
+    pub(crate) async fn hand_back(&self, address: SocketAddr, program: &ProgramKey, tokens: u64) {
+        let name = self.peers.borrow().sound_at(address).cloned();
+        let Some(name) = name else {
+            return;
+        };
+        let message = PeerMessage::Unused {
+            program: program.0.clone(),
+            tokens,
+        };
+        let told: Result<bool, _> = self.ask(&name, address, &message, NEAR_WAIT).await;
+        if let Err(error) = told {
+            log::info!(peer = name.as_str(), tokens, error = error.to_string(); "unused tokens not handed back; they stay charged");
+        }
+    }
+
     /// What this VM, which is without the store, can reach.
     pub(crate) async fn sound_out(&self) -> Reach {
         let peers = self.peers.borrow().to_sound(SOUNDED);
@@ -342,6 +397,13 @@
         PeerMessage::Held { program, tokens } => {
             postcard::to_allocvec(&ledger.hand_over(&ProgramKey(program), tokens))
         }
+        PeerMessage::Spare { program, tokens } => {
+            postcard::to_allocvec(&ledger.hand_spare(&ProgramKey(program), tokens))
+        }
+        PeerMessage::Unused { program, tokens } => {
+            ledger.take_back(&ProgramKey(program), tokens);
+            postcard::to_allocvec(&true)
+        }
         PeerMessage::Allowance(ask) => postcard::to_allocvec(&ledger.hand_out(&ask).await),
         PeerMessage::AllowanceEnd(end) => {
             ledger.end_allowance(&end);
--- a/crates/entry/tests/processes.rs
+++ b/crates/entry/tests/processes.rs
@@ -398,3 +398,20 @@
         assert_eq!(engine_of(&first), engine_of(&second), "program {program}");
     }
 }
+
+#[test]
+fn calls_through_another_vm_take_tokens_from_the_first() {
+    let fleet = Fleet::start(2);
+    let reply = call(fleet.callers(), "POST /stream/x", &turn("a"), "prompt");
+    assert_eq!(reply.status, 200);
+    wait_until("news of the line", || {
+        let metrics = get(fleet.vms[1].peers, "/metrics").body;
+        metrics.contains("\nlagoon_lines 1\n")
+    });
+    let writes = fleet.store.writes();
+    for id in ["b", "c"] {
+        let reply = call(fleet.vms[1].callers, "POST /stream/x", &turn(id), "prompt");
+        assert_eq!((reply.status, reply.is_whole), (200, true));
+    }
+    assert_eq!(fleet.store.writes(), writes);
+}
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -143,8 +143,10 @@
         account.retention_ms = account.retention_ms.max(asked.retention_ms);
         account.budget_tokens = asked.budget_tokens;
         account.largest_call_tokens = account.largest_call_tokens.max(asked.tokens);
-        let is_fresh = now_ms <= account.written_ms + account.retention_ms;
-        if is_fresh && account.held_tokens >= asked.tokens && account.waiting.is_empty() {
+        if account.is_fresh(now_ms)
+            && account.held_tokens >= asked.tokens
+            && account.waiting.is_empty()
+        {
             account.held_tokens -= asked.tokens;
             return Some(Decision::Granted(Grant {
                 tokens: asked.tokens,
@@ -369,17 +371,35 @@
 
     /// Takes held tokens out, for a call at another VM. If there are too few,
     /// they go back to the row soon, and it no longer says that they are held.
-    pub fn take_held(&mut self, program: &ProgramKey, tokens: u64) -> bool {
+    pub fn take_held(&mut self, program: &ProgramKey, tokens: u64, now_ms: u64) -> bool {
         let account = self.accounts.get_mut(program);
-        let Some(account) = account else {
-            return false;
-        };
-        if account.held_tokens >= tokens {
-            account.held_tokens -= tokens;
-            return true;
+        account.is_some_and(|account| {
+            let is_taken = account.take(tokens, now_ms);
+            account.is_wanted |= !is_taken;
+            is_taken
+        })
+    }
+
+    /// Takes held tokens out, for a call at another VM that has other ways to
+    /// get them.
+    pub fn take_spare(&mut self, program: &ProgramKey, tokens: u64, now_ms: u64) -> bool {
+        let account = self.accounts.get_mut(program);
+        let fresh = account.filter(|account| account.is_fresh(now_ms));
+        fresh.is_some_and(|account| account.take(tokens, now_ms))
+    }
+
+    /// Takes spare tokens back that a call at another VM did not use; those
+    /// of a program that is forgotten stay charged.
+    pub fn take_back(&mut self, program: &ProgramKey, tokens: u64) {
+        if let Some(account) = self.accounts.get_mut(program) {
+            account.held_tokens += tokens;
         }
-        account.is_wanted = true;
-        false
+    }
+
+    /// Whether a call can be charged from what is held here.
+    pub fn holds(&self, program: &ProgramKey, tokens: u64) -> bool {
+        let account = self.accounts.get(program);
+        account.is_some_and(|account| account.held_tokens >= tokens)
     }
 
     /// Takes tokens in that another VM held.
--- a/crates/gateway/src/budget/account.rs
+++ b/crates/gateway/src/budget/account.rs
@@ -91,6 +91,22 @@
         self.budget_tokens.saturating_sub(self.row.charged_tokens)
     }
 
+    /// Whether the row was written lately, so that no VM removes it.
+    pub(super) fn is_fresh(&self, now_ms: u64) -> bool {
+        now_ms <= self.written_ms + self.retention_ms
+    }
+
+    /// Takes held tokens out, for a call at another VM.
+    pub(super) fn take(&mut self, tokens: u64, now_ms: u64) -> bool {
+        let is_enough = self.held_tokens >= tokens;
+        if is_enough {
+            self.held_tokens -= tokens;
+            // The program goes on, though not here.
+            self.used_ms = now_ms;
+        }
+        is_enough
+    }
+
     pub(super) fn is_over(&self, now_ms: u64) -> bool {
         let retention_ms = match self.retention_ms {
             0 => OTHERS_RETENTION_MS,
--- a/crates/gateway/src/lines.rs
+++ b/crates/gateway/src/lines.rs
@@ -1,5 +1,7 @@
 //! Which target serves a line of calls, and so keeps its prompt.
 
+use std::net::SocketAddr;
+
 use lagoon_ids::{hash64, FastMap};
 
 use crate::news::{LineNews, LineTag, TargetTag};
@@ -14,6 +16,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Line {
     target: TargetTag,
+    /// VM that told of it first; `None` for this one.
+    vm: Option<SocketAddr>,
     used_ms: u64,
 }
 
@@ -41,22 +45,29 @@
             .map(|line| line.target)
     }
 
+    /// Other VM through which the request's program began, and which so holds
+    /// most of its budget.
+    pub fn first_vm(&self, facts: &Facts) -> Option<SocketAddr> {
+        let program = facts.program.as_deref()?;
+        self.lines.get(&tag(program))?.vm
+    }
+
     /// Takes note that a target serves the request; it is news if other VMs
     /// would not expect it there.
     pub fn served(&mut self, facts: &Facts, target: TargetTag, now_ms: u64) {
         let line = tag(facts.subject());
         if self.last(facts) != Some(target) {
             self.news.push(LineNews { line, target });
-            self.insert(line, target, now_ms);
+            self.insert(line, target, None, now_ms);
         } else if let Some(known) = self.lines.get_mut(&line) {
             known.used_ms = now_ms;
         }
     }
 
     /// Takes in what another VM tells.
-    pub fn take(&mut self, news: &[LineNews], now_ms: u64) {
+    pub fn take(&mut self, vm: SocketAddr, news: &[LineNews], now_ms: u64) {
         for told in news {
-            self.insert(told.line, told.target, now_ms);
+            self.insert(told.line, told.target, Some(vm), now_ms);
         }
     }
 
@@ -81,9 +92,17 @@
         self.lines.is_empty()
     }
 
-    fn insert(&mut self, line: LineTag, target: TargetTag, used_ms: u64) {
-        if self.lines.len() < MOST || self.lines.contains_key(&line) {
-            self.lines.insert(line, Line { target, used_ms });
+    fn insert(&mut self, line: LineTag, target: TargetTag, vm: Option<SocketAddr>, used_ms: u64) {
+        if let Some(known) = self.lines.get_mut(&line) {
+            known.target = target;
+            known.used_ms = used_ms;
+        } else if self.lines.len() < MOST {
+            let begun = Line {
+                target,
+                vm,
+                used_ms,
+            };
+            self.lines.insert(line, begun);
         }
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -179,6 +179,15 @@
         peers.any(|peer| peer.entry.address == address)
     }
 
+    /// Name of the VM at this address, unless it did not answer last.
+    pub fn sound_at(&self, address: SocketAddr) -> Option<&CompactString> {
+        let mut peers = self.peers.iter();
+        let found = peers.find(|(_, peer)| peer.entry.address == address);
+        found
+            .filter(|(_, peer)| peer.failures == 0)
+            .map(|(name, _)| name)
+    }
+
     /// VMs to sound out, at most `most` of each failure domain.
     pub fn to_sound(&self, most: usize) -> Vec<(CompactString, PeerEntry)> {
         let mut taken: FastMap<&str, usize> = FastMap::default();
--- a/crates/gateway/tests/budget.rs
+++ b/crates/gateway/tests/budget.rs
@@ -10,6 +10,7 @@
 
 const BUDGET: u64 = 1_800;
 const MOST: u64 = 288;
+const RETENTION_MS: u64 = 60_000;
 
 fn program() -> ProgramKey {
     ProgramKey("program".into())
@@ -20,7 +21,7 @@
         waiter: Waiter(waiter),
         budget_tokens: BUDGET,
         tokens: MOST,
-        retention_ms: 60_000,
+        retention_ms: RETENTION_MS,
     }
 }
 
@@ -164,7 +165,53 @@
         matches!(refused, Decision::HeldElsewhere { .. }),
         "{refused:?}"
     );
-    assert!(a.take_held(&program(), MOST));
+    assert!(a.take_held(&program(), MOST, 0));
+}
+
+#[test]
+fn take_spare_only_what_is_held_and_while_the_row_is_fresh() {
+    let mut store = Store::default();
+    let mut vm = accounts("a");
+    assert!(!vm.take_spare(&program(), 1, 0));
+    let grant = granted(charge(&mut vm, &mut store, 1));
+    vm.settle(&program(), grant, 0, 0);
+    assert!(vm.holds(&program(), MOST));
+    assert!(vm.take_spare(&program(), MOST, 10));
+    assert!(!vm.take_spare(&program(), BUDGET, 10));
+    // Another VM may have removed a row that was not written for long.
+    vm.take_back(&program(), MOST);
+    assert!(!vm.take_spare(&program(), MOST, 10_000_000));
+}
+
+#[test]
+fn take_spare_too_little_does_not_call_it_in() {
+    let mut store = Store::default();
+    let mut vm = accounts("a");
+    granted(charge(&mut vm, &mut store, 1));
+    assert!(!vm.take_spare(&program(), BUDGET, 0));
+    assert_eq!(vm.due(100_000), []);
+    assert!(!vm.take_held(&program(), BUDGET, 0));
+    assert_eq!(vm.due(100_000), [program()]);
+}
+
+#[test]
+fn take_back_of_a_forgotten_program_stays_charged() {
+    let mut vm = accounts("a");
+    vm.take_back(&program(), MOST);
+    assert!(!vm.holds(&program(), 1));
+    assert!(vm.is_empty());
+}
+
+#[test]
+fn sweep_row_of_a_program_that_goes_on_elsewhere_stays() {
+    let mut store = Store::default();
+    let mut vm = accounts("a");
+    let grant = granted(charge(&mut vm, &mut store, 1));
+    vm.settle(&program(), grant, 0, 0);
+    let over_ms = 4 * RETENTION_MS + 1;
+    assert!(vm.take_held(&program(), 1, RETENTION_MS));
+    assert_eq!(vm.sweep(over_ms), []);
+    assert_eq!(vm.sweep(over_ms + RETENTION_MS).len(), 1);
 }
 
 #[test]
@@ -179,7 +226,7 @@
     );
     // All that this VM holds is spent meanwhile, so it can't hand over.
     while a.ask(&program(), asked(2), 0).is_some() {}
-    assert!(!a.take_held(&program(), MOST));
+    assert!(!a.take_held(&program(), MOST, 0));
     write_due(&mut a, &mut store, 1_000);
     let refused = refusal(&mut b, &mut store);
     assert!(matches!(refused, Decision::Spent { .. }), "{refused:?}");
@@ -457,7 +504,7 @@
     }
 
     fn hand_over(&mut self, from: usize, to: usize, arrives: bool) {
-        if from == to || !self.vms[from].accounts.take_held(&program(), MOST) {
+        if from == to || !self.vms[from].accounts.take_held(&program(), MOST, 0) {
             return;
         }
         if arrives {
--- a/crates/gateway/tests/crowd.rs
+++ b/crates/gateway/tests/crowd.rs
@@ -233,7 +233,7 @@
                 let vm = &mut self.vms[hearer];
                 vm.targets.take_news(address, &news, self.now_ms);
                 if self.tells_lines {
-                    vm.lines.take(&lines, self.now_ms);
+                    vm.lines.take(address, &lines, self.now_ms);
                 }
             }
         }
--- a/crates/gateway/tests/lines.rs
+++ b/crates/gateway/tests/lines.rs
@@ -10,6 +10,22 @@
     }
 }
 
+fn vm(port: u16) -> std::net::SocketAddr {
+    ([127, 0, 0, 1], port).into()
+}
+
+#[test]
+fn first_vm_is_where_the_program_began() {
+    let (mut here, mut there) = (Lines::default(), Lines::default());
+    assert_eq!(here.first_vm(&facts("p", "p")), None);
+    here.served(&facts("p", "p"), TargetTag(1), 0);
+    assert_eq!(here.first_vm(&facts("p", "p")), None);
+    let news = here.news();
+    there.take(vm(1), &news, 0);
+    there.take(vm(2), &news, 10);
+    assert_eq!(there.first_vm(&facts("p", "sub")), Some(vm(1)));
+}
+
 #[test]
 fn last_unknown_program_has_none() {
     assert_eq!(Lines::default().last(&facts("p", "p")), None);
@@ -48,7 +64,7 @@
 fn take_tells_another_vm_where_the_line_is() {
     let (mut here, mut there) = (Lines::default(), Lines::default());
     here.served(&facts("p", "p"), TargetTag(1), 0);
-    there.take(&here.news(), 0);
+    there.take(vm(1), &here.news(), 0);
     assert_eq!(there.last(&facts("p", "sub")), Some(TargetTag(1)));
     assert_eq!(there.news(), []);
 }
