What is believed of one target has a module of its own; reports that come back are no news

Cause, found by reading: a report that a neighbour told on came back a millisecond younger, counted as new, and was told on again each 100 ms. take_news_report_that_comes_back_is_no_news fails without the bound.

--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -1,20 +1,18 @@
 //! Targets that are known, and what is believed of their load.
 
+mod target;
+
 use std::net::SocketAddr;
 
 use compact_str::CompactString;
 use derive_more::Display;
-use lagoon_ids::{hash64, FastMap};
+use lagoon_ids::FastMap;
 use slotmap::{new_key_type, SlotMap};
 
-use crate::news::{Reported, TargetNews, TargetTag};
-
-/// Weight of the newest request in the share that failed.
-const NEWEST: f64 = 0.15;
+use crate::news::{TargetNews, TargetTag};
+pub use target::Target;
 
-/// Weight of the newest gap between events in a target's pace, and in that of
-/// its service.
-const NEWEST_GAP: f64 = 0.15;
+/// Weight of the newest gap between events in the pace of a service.
 const NEWEST_USUAL_GAP: f64 = 0.01;
 
 /// Weight of the newest answer in the time that requests of a service take.
@@ -110,164 +108,6 @@
     }
 }
 
-/// Requests of a neighbour at a target, as it told.
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct NeighbourLoad {
-    neighbour: SocketAddr,
-    in_flight: u32,
-    until_ms: u64,
-}
-
-/// Gaps between the events of a target's streams.
-#[derive(Clone, Copy, Debug, Default)]
-struct Pace {
-    gap_ms: f64,
-    learned_ms: u64,
-    /// Gaps that neighbours were not told of.
-    untold_ms: f64,
-    untold: u32,
-}
-
-impl Pace {
-    fn learn(&mut self, gap_ms: f64, now_ms: u64) {
-        if self.learned_ms == 0 {
-            self.gap_ms = gap_ms;
-        }
-        self.gap_ms += (gap_ms - self.gap_ms) * NEWEST_GAP;
-        self.learned_ms = now_ms;
-    }
-
-    /// Mean of the gaps that neighbours were not told of.
-    fn take_untold(&mut self) -> Option<u32> {
-        let (sum_ms, count) = (self.untold_ms, self.untold);
-        (self.untold_ms, self.untold) = (0.0, 0);
-        (count > 0).then(|| (sum_ms / f64::from(count)).round() as u32)
-    }
-}
-
-/// Target with what is believed of it.
-#[derive(Clone, Debug)]
-pub struct Target {
-    /// Entry.
-    pub entry: TargetEntry,
-    /// Hash of the identity.
-    pub hash: u64,
-    /// Own requests there.
-    pub in_flight: u32,
-    /// Requests that are neither own ones nor a neighbour's, when reported.
-    others: f64,
-    reported: Option<(u32, u64)>,
-    neighbours: Vec<NeighbourLoad>,
-    /// Own requests and time of the report that were told last.
-    told: (u32, Option<u64>),
-    pace: Pace,
-    failures: u32,
-    /// Share of late requests that failed.
-    failure_rate: f64,
-    /// When it last showed that it works on own requests.
-    progress_ms: u64,
-    paused_until_ms: u64,
-    missing: bool,
-}
-
-impl Target {
-    fn learn(&mut self, is_good: bool) {
-        let failed = f64::from(u8::from(!is_good));
-        self.failure_rate += (failed - self.failure_rate) * NEWEST;
-    }
-
-    /// Expected requests there at `now_ms`: own ones, those of neighbours as
-    /// they told, and those of others as last reported, less what has ended
-    /// since.
-    pub fn load(&self, settings: &TargetSettings, now_ms: u64) -> f64 {
-        let known = self.known(now_ms);
-        let Some((_, reported_ms)) = self.reported else {
-            return known;
-        };
-        known + self.others * settings.left(reported_ms, now_ms)
-    }
-
-    /// Short name among VMs.
-    pub fn tag(&self) -> TargetTag {
-        TargetTag(self.hash as u32)
-    }
-
-    /// Expected requests at a target of another failure domain, whose VMs tell
-    /// nothing of theirs: what it told itself counts less with its age, and
-    /// `usual`, the load of targets nearby, in its place. One that never told
-    /// anything is worth a try.
-    pub fn far_load(&self, settings: &TargetSettings, usual: f64, now_ms: u64) -> f64 {
-        let known = self.known(now_ms);
-        let Some((requests, reported_ms)) = self.reported else {
-            return known;
-        };
-        let left = settings.left(reported_ms, now_ms);
-        let believed = f64::from(requests) * left + usual * (1.0 - left);
-        believed.max(known)
-    }
-
-    /// Own requests there and those of neighbours.
-    fn known(&self, now_ms: u64) -> f64 {
-        let fresh = self.neighbours.iter().filter(|load| now_ms < load.until_ms);
-        f64::from(self.in_flight + fresh.map(|load| load.in_flight).sum::<u32>())
-    }
-
-    /// Age of the reported load.
-    pub fn load_age_ms(&self, now_ms: u64) -> Option<u64> {
-        let (_, reported_ms) = self.reported?;
-        Some(now_ms.saturating_sub(reported_ms))
-    }
-
-    fn report(&mut self, requests: u32, at_ms: u64, now_ms: u64) {
-        if self.reported.is_some_and(|(_, known_ms)| known_ms > at_ms) {
-            return;
-        }
-        self.others = (f64::from(requests) - self.known(now_ms)).max(0.0);
-        self.reported = Some((requests, at_ms));
-        // It works, though maybe not yet on what this VM waits for.
-        self.progress_ms = self.progress_ms.max(at_ms);
-    }
-
-    /// What neighbours should know, if there is anything new.
-    fn news(&mut self, now_ms: u64) -> Option<TargetNews> {
-        let reported = self
-            .reported
-            .filter(|(_, at_ms)| self.told.1 != Some(*at_ms))
-            .map(|(requests, at_ms)| Reported {
-                requests,
-                age_ms: now_ms.saturating_sub(at_ms),
-            });
-        let gap_ms = self.pace.take_untold();
-        let is_news =
-            self.in_flight > 0 || self.told.0 > 0 || reported.is_some() || gap_ms.is_some();
-        self.told = (self.in_flight, self.reported.map(|(_, at_ms)| at_ms));
-        is_news.then_some(TargetNews {
-            target: self.tag(),
-            in_flight: self.in_flight,
-            reported,
-            gap_ms,
-        })
-    }
-
-    /// Share of late requests that failed.
-    pub fn failure_rate(&self) -> f64 {
-        self.failure_rate
-    }
-
-    /// Time for which it has shown nothing of the requests that it has.
-    pub fn silence_ms(&self, now_ms: u64) -> u64 {
-        match self.in_flight {
-            0 => 0,
-            _ => now_ms.saturating_sub(self.progress_ms),
-        }
-    }
-
-    /// Whether it pauses after failures.
-    pub fn is_paused(&self, now_ms: u64) -> bool {
-        now_ms < self.paused_until_ms
-    }
-}
-
 /// All targets that are known.
 #[derive(Debug, Default)]
 pub struct Targets {
@@ -300,21 +140,7 @@
         }
         let id = entry.id.clone();
         let service = entry.service.clone();
-        let key = self.arena.insert(Target {
-            hash: hash64(id.as_bytes()),
-            entry,
-            in_flight: 0,
-            others: 0.0,
-            reported: None,
-            neighbours: Vec::new(),
-            told: (0, None),
-            pace: Pace::default(),
-            failures: 0,
-            failure_rate: 0.0,
-            progress_ms: 0,
-            paused_until_ms: 0,
-            missing: false,
-        });
+        let key = self.arena.insert(Target::new(entry));
         self.by_id.insert(id, key);
         self.by_tag.insert(self.arena[key].tag(), key);
         self.by_service.entry(service).or_default().push(key);
@@ -447,22 +273,10 @@
         let until_ms = now_ms + self.settings.news_ms;
         let mut gaps = Vec::new();
         for (key, target) in &mut self.arena {
-            target.neighbours.retain(|load| load.neighbour != neighbour);
-            let Some(told) = told.get(&target.tag()) else {
-                continue;
-            };
-            if told.in_flight > 0 {
-                target.neighbours.push(NeighbourLoad {
-                    neighbour,
-                    in_flight: told.in_flight,
-                    until_ms,
-                });
-            }
-            if let Some(reported) = told.reported {
-                let at_ms = now_ms.saturating_sub(reported.age_ms);
-                target.report(reported.requests, at_ms, now_ms);
-            }
-            gaps.extend(told.gap_ms.map(|gap_ms| (key, f64::from(gap_ms))));
+            let told = told.get(&target.tag()).copied();
+            target.take_news(neighbour, told, until_ms, now_ms);
+            let gap_ms = told.and_then(|told| told.gap_ms);
+            gaps.extend(gap_ms.map(|gap_ms| (key, f64::from(gap_ms))));
         }
         for (key, gap_ms) in gaps {
             self.learn_gap(key, gap_ms, now_ms);
@@ -472,8 +286,7 @@
     /// Takes note of the time between two events of a stream.
     pub fn paced(&mut self, key: TargetKey, gap_ms: f64, now_ms: u64) {
         if let Some(target) = self.arena.get_mut(key) {
-            target.pace.untold_ms += gap_ms;
-            target.pace.untold += 1;
+            target.pace.tell(gap_ms);
         }
         self.learn_gap(key, gap_ms, now_ms);
     }
--- a/crates/gateway/tests/news.rs
+++ b/crates/gateway/tests/news.rs
@@ -178,3 +178,16 @@
     (0..5).for_each(|_| targets.begin(key, 10_000));
     assert_eq!(far_load(&targets, 10_000), 5.0);
 }
+
+#[test]
+fn take_news_report_that_comes_back_is_no_news() {
+    let (mut here, key) = targets();
+    let (mut there, _) = targets();
+    here.report(key, report(3), 100);
+    let news = here.news(100);
+    there.take_news(neighbour(1), &news, 101);
+    let echo = there.news(200);
+    assert!(echo[0].reported.is_some(), "told on to others");
+    here.take_news(neighbour(2), &echo, 201);
+    assert_eq!(here.news(300), []);
+}
