Process tests: no VM is started while ports are tried

Tests start daemons in parallel; a process between fork and exec has the sockets with which another test tries its ports, and UDP, tried since VMs tell each other news, has no reuse of addresses.

--- a/crates/entry/tests/fleet/mod.rs
+++ b/crates/entry/tests/fleet/mod.rs
@@ -8,6 +8,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::{Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -160,6 +161,10 @@
 
     /// Starts a VM and does not wait.
     pub(crate) fn start_vm_unready(&self) -> Vm {
+        // A process that is being started has the sockets of this one until it
+        // runs its program, and so keeps ports that are only tried.
+        static STARTING: Mutex<()> = Mutex::new(());
+        let _starting = STARTING.lock().unwrap_or_else(PoisonError::into_inner);
         let (callers, ready, peers) = (free_address(), free_address(), free_address());
         let name = format!("vm-{}", callers.port());
         let text = format!(
