--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -57,12 +57,12 @@
 /// Time for which a server that crashed takes no connections.
 const DOWN_TIME: Duration = Duration::from_millis(250);
 
-/// Serves on a free port of loopback until the process ends; each `crash`
-/// closes the listening socket for a while.
-fn serve<F, R>(crash: Arc<Notify>, handle: F) -> SocketAddr
+/// Gives a listener on a free port of loopback to a server, which has a thread
+/// of its own until the process ends.
+fn start<F, R>(server: F) -> SocketAddr
 where
-    F: Fn(Request<Incoming>) -> R + Clone + Send + 'static,
-    R: Future<Output = Result<Answer, Cut>> + 'static,
+    F: FnOnce(TcpListener) -> R + Send + 'static,
+    R: Future<Output = ()>,
 {
     let (sender, bound) = channel();
     thread::spawn(move || {
@@ -70,30 +70,42 @@
         let runtime = runtime.expect("runtime starts");
         LocalSet::new().block_on(&runtime, async move {
             let address = SocketAddr::from(([127, 0, 0, 1], 0));
-            let mut listener = TcpListener::bind(address).await.expect("port is free");
-            let address = listener.local_addr().expect("socket has an address");
+            let listener = TcpListener::bind(address).await.expect("port is free");
             // The test that asked may be gone.
-            let _ = sender.send(address);
-            loop {
-                let accepted = tokio::select! {
-                    accepted = listener.accept() => accepted,
-                    () = crash.notified() => {
-                        drop(listener);
-                        sleep(DOWN_TIME).await;
-                        listener = TcpListener::bind(address).await.expect("port is free");
-                        continue;
-                    }
-                };
-                let Ok((stream, _)) = accepted else {
-                    return;
-                };
-                spawn_local(serve_connection(stream, handle.clone()));
-            }
+            let _ = sender.send(listener.local_addr().expect("socket has an address"));
+            server(listener).await;
         });
     });
     bound.recv().expect("server starts")
 }
 
+/// Serves on a free port of loopback until the process ends; each `crash`
+/// closes the listening socket for a while.
+fn serve<F, R>(crash: Arc<Notify>, handle: F) -> SocketAddr
+where
+    F: Fn(Request<Incoming>) -> R + Clone + Send + 'static,
+    R: Future<Output = Result<Answer, Cut>> + 'static,
+{
+    start(move |mut listener| async move {
+        let address = listener.local_addr().expect("socket has an address");
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = crash.notified() => {
+                    drop(listener);
+                    sleep(DOWN_TIME).await;
+                    listener = TcpListener::bind(address).await.expect("port is free");
+                    continue;
+                }
+            };
+            let Ok((stream, _)) = accepted else {
+                return;
+            };
+            spawn_local(serve_connection(stream, handle.clone()));
+        }
+    })
+}
+
 async fn serve_connection<F, R>(stream: TcpStream, handle: F)
 where
     F: Fn(Request<Incoming>) -> R,
--- a/crates/standin/src/fleet/link.rs
+++ b/crates/standin/src/fleet/link.rs
@@ -2,18 +2,17 @@
 //! connections that go through it.
 
 use std::net::SocketAddr;
-use std::sync::mpsc::channel;
 use std::sync::Arc;
-use std::thread;
 use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::runtime::Builder;
+use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::task::{spawn_local, LocalSet};
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use super::start;
+
 /// Bytes that are passed on at once.
 const CHUNK_BYTES: usize = 16_384;
 
@@ -52,22 +51,13 @@
     /// Starts a link to a server on a free port.
     pub fn to(server: SocketAddr) -> Link {
         let (fault, faults) = watch::channel(LinkFault::None);
-        let (sender, bound) = channel();
-        thread::spawn(move || {
-            let runtime = Builder::new_current_thread().enable_all().build();
-            let runtime = runtime.expect("runtime starts");
-            LocalSet::new().block_on(&runtime, async move {
-                let address = SocketAddr::from(([127, 0, 0, 1], 0));
-                let listener = TcpListener::bind(address).await.expect("port is free");
-                // The test that asked may be gone.
-                let _ = sender.send(listener.local_addr().expect("socket has an address"));
-                while let Ok((caller, _)) = listener.accept().await {
-                    spawn_local(pass(caller, server, faults.clone()));
-                }
-            });
+        let address = start(move |listener| async move {
+            while let Ok((caller, _)) = listener.accept().await {
+                spawn_local(pass(caller, server, faults.clone()));
+            }
         });
         Link {
-            address: bound.recv().expect("link starts"),
+            address,
             fault: Arc::new(fault),
         }
     }
