--- a/crates/entry/src/news.rs
+++ b/crates/entry/src/news.rs
@@ -75,7 +75,8 @@
     }
 }
 
-/// Sends one message to some VMs; the next one makes up for a lost one.
+/// Sends one message to some VMs. The next loads make up for lost ones; a lost
+/// line costs its prompt being read once more.
 fn send(shared: &Shared, socket: &UdpSocket, news: &News, receivers: &[SocketAddr]) {
     let message = match postcard::to_allocvec(news) {
         Ok(message) if message.len() <= MESSAGE_BYTES => message,
