Log and count what is known of a target's crash

The logs of a crash named neither the request nor the target, an interrupted attempt whose target was up left no line, and a refusal didn't say which count it rests on. So three causes of repeated crashes looked the same: not counted, not seen, not heeded. Now the lines carry request, fingerprint, target, count and row version; lagoon_target_crashes_total{event} counts crashed, target is up, stored and not stored, and lagoon_quarantined_requests shows what a VM refuses. No decision changes.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -30,6 +30,7 @@
 use crate::relay::Relay;
 use crate::response;
 use crate::state::{BodyMemory, DaemonState};
+use crate::suspects::InterruptedAttempt;
 
 pub(crate) use attempt::{forwarded_head, FailedAttempt, ResponseStream, TargetResponse};
 use reading::read_body;
@@ -168,6 +169,11 @@
 
     async fn run(mut self) -> Response<ResponseBody> {
         if self.state.crash_tracker.is_quarantined(self.fingerprint()) {
+            log::info!(
+                request = self.metadata.request_id.as_str(),
+                fingerprint = format!("{:016x}", self.fingerprint());
+                "request is quarantined"
+            );
             return *self.refuse("crashed several targets", QUARANTINE_RETRY_AFTER_MS);
         }
         if let Err(response) = self.wait_for_admission().await {
@@ -392,7 +398,12 @@
             self.excluded_targets.push(key);
         } else if let Some(entry) = self.target_entry(key) {
             let crash_tracker = Rc::clone(&self.state.crash_tracker);
-            spawn_local(crash_tracker.record_if_crashed(self.fingerprint(), entry.address));
+            spawn_local(crash_tracker.record_if_crashed(InterruptedAttempt {
+                request_id: self.metadata.request_id.clone(),
+                fingerprint: self.fingerprint(),
+                target_id: entry.id,
+                address: entry.address,
+            }));
         }
         let is_listed = self.state.targets.borrow().get(key).is_some();
         let is_target_gone = failed.is_unreachable || !is_listed;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -15,6 +15,7 @@
     registry: Registry,
     responses: IntCounterVec,
     failed_attempts: IntCounterVec,
+    target_crashes: IntCounterVec,
     store_calls: IntCounterVec,
     gossip_messages: IntCounterVec,
     gossip_bytes: IntCounterVec,
@@ -24,6 +25,7 @@
     targets: IntGauge,
     other_vms: IntGauge,
     sessions: IntGauge,
+    quarantined: IntGauge,
     connections: IntGauge,
     dropped_log_lines: IntGauge,
 }
@@ -54,6 +56,11 @@
         Ok(Metrics(Rc::new(MetricFamilies {
             responses: counters("lagoon_answers_total", "Answers by status", &["status"])?,
             failed_attempts: counters("lagoon_failed_tries_total", "Failed tries", &["failure"])?,
+            target_crashes: counters(
+                "lagoon_target_crashes_total",
+                "Interrupted attempts, by what became of the target and of its crash count",
+                &["event"],
+            )?,
             store_calls: counters("lagoon_store_calls_total", "Store calls", &["call", "end"])?,
             gossip_messages: counters("lagoon_news_total", "News of other VMs", &["end"])?,
             gossip_bytes: counters("lagoon_news_bytes_total", "Their bytes", &["end"])?,
@@ -63,6 +70,10 @@
             targets: gauge("lagoon_targets", "Targets known")?,
             other_vms: gauge("lagoon_other_vms", "Other entry VMs known")?,
             sessions: gauge("lagoon_lines", "Lines of calls whose target is known")?,
+            quarantined: gauge(
+                "lagoon_quarantined_requests",
+                "Requests refused because targets crashed while they ran",
+            )?,
             connections: gauge("lagoon_connections", "Connections that are open here")?,
             dropped_log_lines: gauge(
                 "lagoon_dropped_log_lines",
@@ -84,6 +95,10 @@
         self.0.failed_attempts.with_label_values(&[failure]).inc();
     }
 
+    pub(crate) fn record_target_crash(&self, event: &str) {
+        self.0.target_crashes.with_label_values(&[event]).inc();
+    }
+
     pub(crate) fn record_store_call(&self, call: &str, end: &str) {
         self.0.store_calls.with_label_values(&[call, end]).inc();
     }
@@ -114,6 +129,10 @@
         self.0.sessions.set(count as i64);
     }
 
+    pub(crate) fn set_quarantined(&self, count: usize) {
+        self.0.quarantined.set(count as i64);
+    }
+
     pub(crate) fn set_connections(&self, count: usize) {
         self.0.connections.set(count as i64);
     }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -93,7 +93,7 @@
     let peer_client = Rc::new(PeerClient::new(clock, peers));
     let budget_client =
         BudgetClient::new(clock, Rc::clone(&store), Rc::clone(&peer_client), budgets);
-    let crash_tracker = CrashTracker::new(clock, Rc::clone(&store));
+    let crash_tracker = CrashTracker::new(clock, Rc::clone(&store), metrics.clone());
     let domain = settings.vm.domain.clone();
     let limits = &settings.limits;
     let state = DaemonState::new(
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -169,6 +169,9 @@
 
 fn serve_metrics(state: &DaemonState) -> Response<ResponseBody> {
     state.metrics.set_sessions(state.affinity.borrow().len());
+    state
+        .metrics
+        .set_quarantined(state.crash_tracker.quarantined_count());
     match state.metrics.encode() {
         Ok(text) => Response::new(ResponseBody::full(text)),
         Err(error) => response::plain_text(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
--- a/crates/entry/src/suspects.rs
+++ b/crates/entry/src/suspects.rs
@@ -12,6 +12,7 @@
 
 use crate::clock::Clock;
 use crate::connection::Connection;
+use crate::metrics::Metrics;
 use crate::store::StoreClient;
 
 /// Store table of crash counts, with one row for each request fingerprint.
@@ -29,9 +30,18 @@
 pub(crate) struct CrashTracker {
     clock: Clock,
     store: Rc<StoreClient>,
+    metrics: Metrics,
     crash_counts: RefCell<CrashCounts>,
 }
 
+/// Attempt whose response was interrupted.
+pub(crate) struct InterruptedAttempt {
+    pub(crate) request_id: CompactString,
+    pub(crate) fingerprint: u64,
+    pub(crate) target_id: CompactString,
+    pub(crate) address: SocketAddr,
+}
+
 /// Write of a request's crash count; `None` deletes the row.
 fn count_write(fingerprint: u64, expected_version: u64, crashes: Option<u32>) -> RowWrite {
     RowWrite {
@@ -46,10 +56,11 @@
 }
 
 impl CrashTracker {
-    pub(crate) fn new(clock: Clock, store: Rc<StoreClient>) -> Rc<CrashTracker> {
+    pub(crate) fn new(clock: Clock, store: Rc<StoreClient>, metrics: Metrics) -> Rc<CrashTracker> {
         Rc::new(CrashTracker {
             clock,
             store,
+            metrics,
             crash_counts: RefCell::default(),
         })
     }
@@ -61,16 +72,39 @@
             .is_quarantined(fingerprint, now_ms)
     }
 
+    pub(crate) fn quarantined_count(&self) -> usize {
+        let now_ms = self.clock.now_ms();
+        self.crash_counts.borrow().quarantined_count(now_ms)
+    }
+
     /// Counts a crash if the target whose response was interrupted accepts no
     /// connections.
-    pub(crate) async fn record_if_crashed(self: Rc<Self>, fingerprint: u64, address: SocketAddr) {
+    pub(crate) async fn record_if_crashed(self: Rc<Self>, attempt: InterruptedAttempt) {
+        let InterruptedAttempt {
+            request_id,
+            fingerprint,
+            target_id,
+            address,
+        } = attempt;
         sleep(CRASH_PROBE_DELAY).await;
-        if Connection::open(address).await.is_ok() {
+        let Err(error) = Connection::open(address).await else {
+            self.metrics.record_target_crash("target is up");
+            log::info!(request = request_id.as_str(), target_id = target_id.as_str(); "target accepts connections after an interrupted response");
             return;
-        }
+        };
+        self.metrics.record_target_crash("crashed");
         let (mut crashes, mut expected_version) =
             self.crash_counts.borrow().next_count(fingerprint);
-        log::warn!(fingerprint = format!("{fingerprint:016x}"), address = address.to_string(), crashes; "target crashed while it ran a request");
+        log::warn!(
+            request = request_id.as_str(),
+            fingerprint = format!("{fingerprint:016x}"),
+            target_id = target_id.as_str(),
+            address = address.to_string(),
+            error = error.to_string(),
+            crashes,
+            row_version = expected_version;
+            "target crashed while it ran a request"
+        );
         for _ in 0..WRITE_ATTEMPTS {
             self.set_count(fingerprint, crashes, expected_version);
             let call = StoreCall::Transact(vec![count_write(
@@ -81,6 +115,7 @@
             match self.store.call(&call).await {
                 Ok(StoreReply::Applied { version }) => {
                     self.set_count(fingerprint, crashes, version);
+                    self.metrics.record_target_crash("stored");
                     return;
                 }
                 Ok(StoreReply::Conflict(rows)) => {
@@ -90,7 +125,8 @@
                 }
                 Ok(_) => return,
                 Err(error) => {
-                    log::warn!(error = error.to_string(); "cannot store a crash count; it applies to this VM only");
+                    self.metrics.record_target_crash("not stored");
+                    log::warn!(request = request_id.as_str(), fingerprint = format!("{fingerprint:016x}"), crashes, error = error.to_string(); "cannot store a crash count; it applies to this VM only");
                     return;
                 }
             }
--- a/crates/gateway/src/crash_counts.rs
+++ b/crates/gateway/src/crash_counts.rs
@@ -59,6 +59,14 @@
         })
     }
 
+    /// Number of quarantined fingerprints.
+    pub fn quarantined_count(&self, now_ms: u64) -> usize {
+        let fingerprints = self.counts.keys();
+        fingerprints
+            .filter(|fingerprint| self.is_quarantined(**fingerprint, now_ms))
+            .count()
+    }
+
     /// Count that includes one more crash, and the version of the row that it is
     /// to replace; version 0 if there is no row.
     pub fn next_count(&self, fingerprint: u64) -> (u32, u64) {
