--- a/crates/entry/tests/fleet/mod.rs
+++ b/crates/entry/tests/fleet/mod.rs
@@ -143,7 +143,8 @@
         self.store.add_target(&entry);
     }
 
-    fn wait_for_peers(&self) {
+    /// Waits until each VM knows all others.
+    pub(crate) fn wait_for_peers(&self) {
         let others = format!("\nlagoon_other_vms {}\n", self.vms.len().saturating_sub(1));
         for vm in &self.vms {
             wait_until("the other VMs", || {
@@ -157,13 +158,27 @@
 
     /// Starts one more VM and waits until it is ready.
     pub(crate) fn start_vm(&mut self) {
-        let vm = self.spawn_vm();
+        self.start_vm_at_store(self.store_address());
+    }
+
+    /// Like [`Fleet::start_vm`], for a VM that reaches the store at `store`.
+    pub(crate) fn start_vm_at_store(&mut self, store: SocketAddr) {
+        let vm = self.spawn_vm_at_store(store);
         wait_until("readiness", || get(vm.ready, "/ready").status == 200);
         self.vms.push(vm);
     }
 
+    fn store_address(&self) -> SocketAddr {
+        let proxy = self.proxies.first();
+        proxy.map_or(self.store.address, |proxy| proxy.address)
+    }
+
     /// Starts a VM without waiting for its readiness.
     pub(crate) fn spawn_vm(&self) -> Vm {
+        self.spawn_vm_at_store(self.store_address())
+    }
+
+    fn spawn_vm_at_store(&self, store: SocketAddr) -> Vm {
         // Between fork and exec, a child process inherits the sockets with
         // which `free_address` probes ports, and so keeps these ports in use.
         // Therefore one VM is started at a time.
@@ -174,10 +189,7 @@
         let text = format!(
             "[vm]\nname = \"{name}\"\ndomain = \"d1\"\n\
              [listen]\ncallers = \"{callers}\"\nready = \"{ready}\"\npeers = \"{peers}\"\n\
-             [store]\naddress = \"{}\"\n[limits]\nstop_wait_s = 8\n",
-            self.proxies
-                .first()
-                .map_or(self.store.address, |proxy| proxy.address)
+             [store]\naddress = \"{store}\"\n[limits]\nstop_wait_s = 8\n"
         );
         let file = self.files.path().join(format!("{name}.toml"));
         fs::write(&file, text).expect("settings are written");
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -26,12 +26,12 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Builder;
 use tokio::sync::Notify;
-use tokio::task::{spawn_local, LocalSet};
+use tokio::task::{JoinSet, LocalSet};
 use tokio::time::sleep;
 
 pub use proxy::{FaultProxy, ProxyFault};
 pub use store::{Store, StoreFault};
-pub use target::{Execution, ExecutionState, Target, TargetFault};
+pub use target::{Crash, Execution, ExecutionState, Target, TargetFault};
 
 /// Error of a handler or a response body that makes the server close the
 /// connection without a response, or in the middle of one.
@@ -81,7 +81,8 @@
 }
 
 /// Serves HTTP on a free loopback port until the process ends; each `crash`
-/// notification closes the listening socket for [`CRASH_DOWNTIME`].
+/// notification closes all connections, and the listening socket for
+/// [`CRASH_DOWNTIME`].
 fn serve<F, R>(crash: Arc<Notify>, handle: F) -> SocketAddr
 where
     F: Fn(Request<Incoming>) -> R + Clone + Send + 'static,
@@ -89,10 +90,12 @@
 {
     start_server(move |mut listener| async move {
         let address = listener.local_addr().expect("socket has an address");
+        let mut connections = JoinSet::new();
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
                 () = crash.notified() => {
+                    connections.abort_all();
                     drop(listener);
                     sleep(CRASH_DOWNTIME).await;
                     listener = TcpListener::bind(address).await.expect("port is free");
@@ -102,7 +105,8 @@
             let Ok((stream, _)) = accepted else {
                 return;
             };
-            spawn_local(serve_connection(stream, handle.clone()));
+            while connections.try_join_next().is_some() {}
+            connections.spawn_local(serve_connection(stream, handle.clone()));
         }
     })
 }
--- a/crates/standin/src/fleet/target.rs
+++ b/crates/standin/src/fleet/target.rs
@@ -42,6 +42,15 @@
     WrongRequestId,
 }
 
+/// How a target crashes under a request that crashes it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Crash {
+    /// Its connections and its listening socket close; it is soon back.
+    Closed,
+    /// It responds to this request no more, and its connections stay open.
+    Silent,
+}
+
 /// How far the response to an executed request has been sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ExecutionState {
@@ -69,6 +78,8 @@
 #[derive(Default)]
 struct State {
     fault: TargetFault,
+    /// Path of the requests that crash the target, and how.
+    crash_path: Option<(String, Crash)>,
     executions: Vec<Execution>,
     event_count: u64,
     event_interval: Duration,
@@ -128,6 +139,11 @@
         lock(&self.state).fault = fault;
     }
 
+    /// Makes each request with this path crash the target when it starts to run.
+    pub fn crash_on_path(&self, path: &str, crash: Crash) {
+        lock(&self.state).crash_path = Some((path.to_owned(), crash));
+    }
+
     /// Requests whose execution has started, in order.
     pub fn executions(&self) -> Vec<Execution> {
         lock(&self.state).executions.clone()
@@ -194,9 +210,20 @@
             state: Arc::clone(&state),
         }
     };
-    if fault == TargetFault::CrashOnRequest {
-        crash.notify_one();
-        return Err(ConnectionAborted);
+    let crash_path = lock(&state).crash_path.clone();
+    let crashes_by_path = crash_path.filter(|(crash_path, _)| *crash_path == path);
+    let crashes_by_fault = fault == TargetFault::CrashOnRequest;
+    match crashes_by_path.map(|(_, how)| how) {
+        Some(Crash::Silent) => return std::future::pending().await,
+        Some(Crash::Closed) => {
+            crash.notify_one();
+            return Err(ConnectionAborted);
+        }
+        None if crashes_by_fault => {
+            crash.notify_one();
+            return Err(ConnectionAborted);
+        }
+        None => {}
     }
     let request_id = match fault {
         TargetFault::WrongRequestId => "another".into(),
