Share each crash of a target with all VMs, with or without the store

Callers saw: a request that had crashed three targets was run again through other VMs, and crashed more.

Cause: the count of crashes lived in one row of the store, written once. A VM that the store turned away, or all of them in an outage, counted for itself only, never wrote later, and heard nothing of the others; a row read later replaced a higher count of its own. So each such VM let the request crash three targets.

Fix: a crash is a record that never changes, and what a VM knows is a set of them. Sets merge in any order, so records go by datagrams to all VMs at once, each VM repeats what it knows to three random ones a second, and the VM that saw the crash writes it until it is stored, through another VM if need be. One crash that broke two attempts at one target counted twice; now once. The table is new (crashes), so VMs of both builds leave each other's rows alone; older builds ignore the part that follows a gossip message.

Ruled out: relaying counts only (lost in a full outage); a counter for each VM (late writes overwrite newer counts); TCP to every VM (330 connections a crash).

The restart test now waits for the rows in the store, as gossip may be faster than they are.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -18,7 +18,8 @@
 use lagoon_adapter::{budget_exhausted_status, decode_request_headers};
 use lagoon_gateway::{
     decide_retry, fingerprint, place, AttemptFailure, Attempts, ChargeDecision, Placement,
-    PlacementRequest, ProgramKey, RequestMetadata, RetryDecision, Route, TargetEntry, TargetKey,
+    PlacementRequest, ProgramKey, RequestMetadata, RetryDecision, Route, TargetEntry, TargetHash,
+    TargetKey,
 };
 use lagoon_ids::hash64;
 use rand::RngExt;
@@ -360,6 +361,12 @@
         targets.get(key).map(|target| target.entry.clone())
     }
 
+    fn target_identity(&self, key: TargetKey) -> Option<(TargetEntry, TargetHash)> {
+        let targets = self.state.targets.borrow();
+        let target = targets.get(key)?;
+        Some((target.entry.clone(), target.id_hash()))
+    }
+
     fn no_target(&self) -> Box<Response<ResponseBody>> {
         if self.attempts.may_have_run() {
             return self.unknown_outcome("no target left");
@@ -396,11 +403,12 @@
         }
         if failed.failure.is_not_executed() {
             self.excluded_targets.push(key);
-        } else if let Some(entry) = self.target_entry(key) {
+        } else if let Some((entry, target)) = self.target_identity(key) {
             let crash_tracker = Rc::clone(&self.state.crash_tracker);
             spawn_local(crash_tracker.record_if_crashed(InterruptedAttempt {
                 request_id: self.metadata.request_id.clone(),
                 fingerprint: self.fingerprint(),
+                target,
                 target_id: entry.id,
                 address: entry.address,
             }));
--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -476,7 +476,7 @@
     async fn write_with_retries(&self, call: StoreCall) -> Result<StoreReply, StoreError> {
         let mut no_reply = None;
         for _ in 0..WRITE_ATTEMPTS {
-            let reply = self.write_once(&call).await;
+            let reply = self.execute_or_relay(&call).await;
             match reply {
                 Err(error @ StoreError::NoReply(_)) => {
                     no_reply = Some(error);
@@ -496,7 +496,12 @@
         Err(no_reply.unwrap_or(StoreError::NoReply("no attempt was made".into())))
     }
 
-    async fn write_once(&self, call: &StoreCall) -> Result<StoreReply, StoreError> {
+    /// Executes a store call, through another VM if the store refuses this one
+    /// or can't be reached.
+    pub(crate) async fn execute_or_relay(
+        &self,
+        call: &StoreCall,
+    ) -> Result<StoreReply, StoreError> {
         let direct = self.execute_store_call(call).await;
         match direct {
             Err(StoreError::NotSent(_) | StoreError::Refused(_)) => {
--- a/crates/entry/src/news.rs
+++ b/crates/entry/src/news.rs
@@ -1,10 +1,12 @@
-//! Gossip between VMs by UDP: loads of targets and session affinities.
+//! Gossip between VMs by UDP: loads of targets, session affinities and crashes
+//! of targets.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use lagoon_gateway::GossipMessage;
+use lagoon_gateway::{CrashUpdate, GossipMessage};
+use rand::RngExt;
 use tokio::net::UdpSocket;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -26,6 +28,18 @@
 /// stay well within `MAX_MESSAGE_BYTES`.
 const AFFINITIES_PER_MESSAGE: usize = 100;
 
+/// Maximum number of crashes in one message. At up to 20 bytes each, they stay
+/// well within `MAX_MESSAGE_BYTES`.
+const CRASHES_PER_MESSAGE: usize = 100;
+
+/// Interval at which a VM repeats the crashes it knows, as datagrams may get
+/// lost and VMs may be cut off for a time.
+const CRASH_REPEAT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Number of other VMs, chosen at random, that get a repetition. Each VM that
+/// knows a crash repeats it, so all know it after a few rounds.
+const CRASH_REPEAT_PEERS: usize = 3;
+
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Starts to send updates to other VMs and to receive theirs.
@@ -38,6 +52,7 @@
     socket.set_nonblocking(true)?;
     let socket = Rc::new(UdpSocket::from_std(socket)?);
     spawn_local(send_updates(Rc::clone(state), Rc::clone(&socket)));
+    spawn_local(repeat_crashes(Rc::clone(state), Rc::clone(&socket)));
     spawn_local(receive_updates(Rc::clone(state), socket));
     Ok(())
 }
@@ -46,6 +61,7 @@
     let mut has_no_targets = true;
     loop {
         sleep(GOSSIP_INTERVAL).await;
+        send_new_crashes(&state, &socket);
         let targets = state.targets.borrow_mut().take_updates(state.now_ms());
         let updates = state.affinity.borrow_mut().take_updates();
         // The first message without targets reports that this VM has no
@@ -78,6 +94,35 @@
     }
 }
 
+/// Sends the crashes that this VM saw to all other VMs.
+fn send_new_crashes(state: &DaemonState, socket: &UdpSocket) {
+    let crashes = state.crash_tracker.take_new();
+    if crashes.is_empty() {
+        return;
+    }
+    let receivers = state.peer_client.peers.borrow().sample(usize::MAX, 0);
+    for crashes in crashes.chunks(CRASHES_PER_MESSAGE) {
+        send_crashes(state, socket, crashes, &receivers);
+    }
+}
+
+async fn repeat_crashes(state: Rc<DaemonState>, socket: Rc<UdpSocket>) {
+    loop {
+        sleep(CRASH_REPEAT_INTERVAL).await;
+        let crashes = state.crash_tracker.latest(CRASHES_PER_MESSAGE);
+        if crashes.is_empty() {
+            continue;
+        }
+        let random = rand::rng().random();
+        let receivers = state
+            .peer_client
+            .peers
+            .borrow()
+            .sample(CRASH_REPEAT_PEERS, random);
+        send_crashes(&state, &socket, &crashes, &receivers);
+    }
+}
+
 /// Sends one message to several VMs. A lost load update is replaced by the next
 /// one; a lost affinity update costs one more prefill of the session's prompt.
 fn send(
@@ -86,7 +131,29 @@
     message: &GossipMessage,
     receivers: &[SocketAddr],
 ) {
-    let message = match postcard::to_allocvec(message) {
+    send_encoded(state, socket, postcard::to_allocvec(message), receivers);
+}
+
+/// Sends crashes to several VMs, after an empty message: VMs of earlier versions
+/// ignore what follows a message.
+fn send_crashes(
+    state: &DaemonState,
+    socket: &UdpSocket,
+    crashes: &[CrashUpdate],
+    receivers: &[SocketAddr],
+) {
+    let message = postcard::to_allocvec(&GossipMessage::default());
+    let message = message.and_then(|message| postcard::to_extend(crashes, message));
+    send_encoded(state, socket, message, receivers);
+}
+
+fn send_encoded(
+    state: &DaemonState,
+    socket: &UdpSocket,
+    message: Result<Vec<u8>, postcard::Error>,
+    receivers: &[SocketAddr],
+) {
+    let message = match message {
         Ok(message) if message.len() <= MAX_MESSAGE_BYTES => message,
         Ok(message) => {
             log::warn!(bytes = message.len(); "gossip message is too long; not sent");
@@ -123,8 +190,8 @@
             state.metrics.record_gossip("from a stranger", bytes);
             continue;
         }
-        match postcard::from_bytes::<GossipMessage>(&buffer[..bytes]) {
-            Ok(message) => {
+        match decode(&buffer[..bytes]) {
+            Ok((message, crashes)) => {
                 state.metrics.record_gossip("heard", bytes);
                 let now_ms = state.now_ms();
                 if let Some(targets) = &message.targets {
@@ -135,6 +202,7 @@
                     .affinity
                     .borrow_mut()
                     .apply_updates(from, &message.affinities, now_ms);
+                state.crash_tracker.apply_updates(&crashes);
             }
             Err(error) => {
                 state.metrics.record_gossip("unreadable", bytes);
@@ -143,3 +211,13 @@
         }
     }
 }
+
+/// Decodes a message and the crashes that follow it, if any.
+fn decode(bytes: &[u8]) -> Result<(GossipMessage, Vec<CrashUpdate>), postcard::Error> {
+    let (message, remaining) = postcard::take_from_bytes(bytes)?;
+    let crashes = match remaining {
+        [] => Vec::new(),
+        remaining => postcard::from_bytes(remaining)?,
+    };
+    Ok((message, crashes))
+}
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -29,7 +29,8 @@
 
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Housekeeping rounds between two probes of other VMs.
+/// Housekeeping rounds between two probes of other VMs, and between two writes
+/// of crashes that could not be stored.
 const PROBE_ROUNDS: u32 = 10;
 
 /// Housekeeping rounds between two removals of expired state.
@@ -93,7 +94,7 @@
     let peer_client = Rc::new(PeerClient::new(clock, peers));
     let budget_client =
         BudgetClient::new(clock, Rc::clone(&store), Rc::clone(&peer_client), budgets);
-    let crash_tracker = CrashTracker::new(clock, Rc::clone(&store), metrics.clone());
+    let crash_tracker = CrashTracker::new(clock, Rc::clone(&budget_client), metrics.clone());
     let domain = settings.vm.domain.clone();
     let limits = &settings.limits;
     let state = DaemonState::new(
@@ -113,7 +114,7 @@
         FollowedTable::Targets,
         FollowedTable::Peers,
         FollowedTable::Overdrawn,
-        FollowedTable::CrashCounts,
+        FollowedTable::Crashes,
     ] {
         spawn_local(follow_table(Rc::clone(&state), Rc::clone(&store), table));
     }
@@ -194,6 +195,7 @@
         if round % PROBE_ROUNDS == 0 {
             let peer_client = Rc::clone(&state.peer_client);
             spawn_local(async move { peer_client.probe_next_peer().await });
+            spawn_local(Rc::clone(&state.crash_tracker).store_pending());
         }
         state.budget_client.flush_due_writes();
         state.targets.borrow_mut().remove_expired(state.now_ms());
--- a/crates/entry/src/suspects.rs
+++ b/crates/entry/src/suspects.rs
@@ -1,37 +1,42 @@
-//! Detects crashes of targets after interrupted responses, and counts them in
-//! the store by request fingerprint.
+//! Detects crashes of targets after interrupted responses, and shares them with
+//! other VMs: by gossip, and in the store for VMs that start later.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use compact_str::CompactString;
-use lagoon_gateway::{CrashCounts, Row, RowKey, RowWrite, StoreCall, StoreReply};
+use lagoon_gateway::{
+    CrashLog, CrashRecord, CrashUpdate, Row, RowKey, RowWrite, StoreCall, StoreReply, TargetHash,
+};
+use rand::RngExt;
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use crate::clock::Clock;
 use crate::connection::Connection;
+use crate::ledger::BudgetClient;
 use crate::metrics::Metrics;
-use crate::store::StoreClient;
 
-/// Store table of crash counts, with one row for each request fingerprint.
-pub(crate) const CRASH_COUNT_TABLE: &str = "suspects";
+/// Store table of crashes, with one row for each.
+pub(crate) const CRASH_TABLE: &str = "crashes";
 
 /// Delay between an interrupted response and the connection attempt that
 /// detects a crash; by then, a crashed target accepts no connections.
 const CRASH_PROBE_DELAY: Duration = Duration::from_millis(30);
 
-/// Attempts of a write, which may conflict with VMs that count crashes of the
-/// same request.
-const WRITE_ATTEMPTS: u32 = 4;
+/// Maximum number of rows that the store writes in one transaction.
+const MAX_ROWS_PER_WRITE: usize = 100;
 
-/// Crash counts of this VM and, through the store, of all VMs.
+/// Crashes known to this VM.
 pub(crate) struct CrashTracker {
     clock: Clock,
-    store: Rc<StoreClient>,
+    budget_client: Rc<BudgetClient>,
     metrics: Metrics,
-    crash_counts: RefCell<CrashCounts>,
+    crash_log: RefCell<CrashLog>,
+    /// Whether a write of crash rows has no reply yet.
+    is_storing: Cell<bool>,
 }
 
 /// Attempt whose response was interrupted.
@@ -39,134 +44,170 @@
     pub(crate) request_id: CompactString,
     pub(crate) fingerprint: u64,
     pub(crate) target_id: CompactString,
+    pub(crate) target: TargetHash,
     pub(crate) address: SocketAddr,
 }
 
-/// Write of a request's crash count; `None` deletes the row.
-fn count_write(fingerprint: u64, expected_version: u64, crashes: Option<u32>) -> RowWrite {
-    RowWrite {
-        key: RowKey {
-            table: CompactString::const_new(CRASH_COUNT_TABLE),
-            partition: CompactString::default(),
-            key: compact_str::format_compact!("{fingerprint:016x}"),
-        },
-        expected_version,
-        value: crashes.map(|crashes| crashes.to_string().into_bytes()),
+fn row_key(record: CrashRecord) -> RowKey {
+    RowKey {
+        table: CompactString::const_new(CRASH_TABLE),
+        partition: CompactString::default(),
+        key: record.row_key(),
     }
 }
 
 impl CrashTracker {
-    pub(crate) fn new(clock: Clock, store: Rc<StoreClient>, metrics: Metrics) -> Rc<CrashTracker> {
+    pub(crate) fn new(
+        clock: Clock,
+        budget_client: Rc<BudgetClient>,
+        metrics: Metrics,
+    ) -> Rc<CrashTracker> {
         Rc::new(CrashTracker {
             clock,
-            store,
+            budget_client,
             metrics,
-            crash_counts: RefCell::default(),
+            crash_log: RefCell::default(),
+            is_storing: Cell::new(false),
         })
     }
 
     pub(crate) fn is_quarantined(&self, fingerprint: u64) -> bool {
         let now_ms = self.clock.now_ms();
-        self.crash_counts
-            .borrow()
-            .is_quarantined(fingerprint, now_ms)
+        self.crash_log.borrow().is_quarantined(fingerprint, now_ms)
     }
 
     pub(crate) fn quarantined_count(&self) -> usize {
         let now_ms = self.clock.now_ms();
-        self.crash_counts.borrow().quarantined_count(now_ms)
+        self.crash_log.borrow().quarantined_count(now_ms)
     }
 
-    /// Counts a crash if the target whose response was interrupted accepts no
+    /// Records a crash if the target whose response was interrupted accepts no
     /// connections.
     pub(crate) async fn record_if_crashed(self: Rc<Self>, attempt: InterruptedAttempt) {
-        let InterruptedAttempt {
-            request_id,
-            fingerprint,
-            target_id,
-            address,
-        } = attempt;
         sleep(CRASH_PROBE_DELAY).await;
-        let Err(error) = Connection::open(address).await else {
+        let Err(error) = Connection::open(attempt.address).await else {
             self.metrics.record_target_crash("target is up");
-            log::info!(request = request_id.as_str(), target_id = target_id.as_str(); "target accepts connections after an interrupted response");
+            log::info!(request = attempt.request_id.as_str(), target_id = attempt.target_id.as_str(); "target accepts connections after an interrupted response");
             return;
         };
+        let record = CrashRecord {
+            fingerprint: attempt.fingerprint,
+            number: rand::rng().random(),
+        };
+        let now_ms = self.clock.now_ms();
+        let crashes = {
+            let mut crash_log = self.crash_log.borrow_mut();
+            if !crash_log.record(record, attempt.target, now_ms) {
+                return;
+            }
+            crash_log.crash_count(attempt.fingerprint, now_ms)
+        };
         self.metrics.record_target_crash("crashed");
-        let (mut crashes, mut expected_version) =
-            self.crash_counts.borrow().next_count(fingerprint);
         log::warn!(
-            request = request_id.as_str(),
-            fingerprint = format!("{fingerprint:016x}"),
-            target_id = target_id.as_str(),
-            address = address.to_string(),
+            request = attempt.request_id.as_str(),
+            crash = record.row_key().as_str(),
+            target_id = attempt.target_id.as_str(),
+            address = attempt.address.to_string(),
             error = error.to_string(),
-            crashes,
-            row_version = expected_version;
+            crashes;
             "target crashed while it ran a request"
         );
-        for _ in 0..WRITE_ATTEMPTS {
-            self.set_count(fingerprint, crashes, expected_version);
-            let call = StoreCall::Transact(vec![count_write(
-                fingerprint,
-                expected_version,
-                Some(crashes),
-            )]);
-            match self.store.call(&call).await {
-                Ok(StoreReply::Applied { version }) => {
-                    self.set_count(fingerprint, crashes, version);
-                    self.metrics.record_target_crash("stored");
-                    return;
-                }
-                Ok(StoreReply::Conflict(rows)) => {
-                    let row = rows.first();
-                    crashes = row.and_then(parse_count).unwrap_or(0) + 1;
-                    expected_version = row.map_or(0, |row| row.version);
-                }
-                Ok(_) => return,
-                Err(error) => {
-                    self.metrics.record_target_crash("not stored");
-                    log::warn!(request = request_id.as_str(), fingerprint = format!("{fingerprint:016x}"), crashes, error = error.to_string(); "cannot store a crash count; it applies to this VM only");
-                    return;
-                }
+        spawn_local(self.store_pending());
+    }
+
+    /// Writes the crashes that this VM has yet to store. Those that can't be
+    /// written stay pending.
+    pub(crate) async fn store_pending(self: Rc<Self>) {
+        let pending = self.crash_log.borrow().pending(MAX_ROWS_PER_WRITE);
+        if pending.is_empty() || self.is_storing.replace(true) {
+            return;
+        }
+        let writes = pending.iter().map(|record| RowWrite {
+            key: row_key(*record),
+            expected_version: 0,
+            value: Some(Vec::new()),
+        });
+        let call = StoreCall::Transact(writes.collect());
+        let reply = self.budget_client.execute_or_relay(&call).await;
+        self.is_storing.set(false);
+        match reply {
+            Ok(StoreReply::Applied { version }) => {
+                self.metrics.record_target_crash("stored");
+                self.set_stored(pending.into_iter().map(|record| (record, version)));
+            }
+            Ok(StoreReply::Conflict(rows)) => {
+                // An earlier write was applied although its reply was lost.
+                let stored = rows.iter().filter_map(|row| {
+                    let record = CrashRecord::from_row_key(&row.key.key)?;
+                    Some((record, row.version))
+                });
+                self.set_stored(stored);
+            }
+            Ok(reply) => {
+                log::error!(reply = format!("{reply:?}"); "unexpected reply to a write of crashes");
+            }
+            Err(error) => {
+                self.metrics.record_target_crash("not stored");
+                log::warn!(crashes = pending.len(), error = error.to_string(); "cannot store crashes yet");
             }
         }
     }
 
-    fn set_count(&self, fingerprint: u64, crashes: u32, version: u64) {
+    fn set_stored<I>(&self, stored: I)
+    where
+        I: Iterator<Item = (CrashRecord, u64)>,
+    {
         let now_ms = self.clock.now_ms();
-        let mut crash_counts = self.crash_counts.borrow_mut();
-        crash_counts.set_count(fingerprint, crashes, version, now_ms);
+        let mut crash_log = self.crash_log.borrow_mut();
+        for (record, version) in stored {
+            crash_log.set_stored(record, version, now_ms);
+        }
     }
 
-    /// Applies a row of the crash count table; a deleted or invalid one removes
-    /// the count.
+    /// Applies a row of the crash table; a deleted one removes its crash.
     pub(crate) fn apply_row(&self, row: &Row) {
-        let Ok(fingerprint) = u64::from_str_radix(&row.key.key, 16) else {
-            log::warn!(key = row.key.key.as_str(); "row key is not a request fingerprint");
+        let Some(record) = CrashRecord::from_row_key(&row.key.key) else {
+            log::warn!(key = row.key.key.as_str(); "row key does not name a crash");
             return;
         };
-        match parse_count(row) {
-            Some(crashes) => self.set_count(fingerprint, crashes, row.version),
-            None => self.crash_counts.borrow_mut().remove(fingerprint),
+        match row.value {
+            Some(_) => self.set_stored([(record, row.version)].into_iter()),
+            None => self.crash_log.borrow_mut().remove(record),
         }
     }
 
-    /// Removes expired counts from this VM and the store.
+    /// Crashes that this VM saw since the last call, for all other VMs.
+    pub(crate) fn take_new(&self) -> Vec<CrashUpdate> {
+        self.crash_log.borrow_mut().take_new(self.clock.now_ms())
+    }
+
+    /// Latest known crashes, at most `max`.
+    pub(crate) fn latest(&self, max: usize) -> Vec<CrashUpdate> {
+        self.crash_log.borrow().latest(max, self.clock.now_ms())
+    }
+
+    pub(crate) fn apply_updates(&self, updates: &[CrashUpdate]) {
+        let now_ms = self.clock.now_ms();
+        self.crash_log.borrow_mut().apply_updates(updates, now_ms);
+    }
+
+    /// Removes expired crashes from this VM and the store.
     pub(crate) async fn remove_expired(&self) {
-        let expired = self.crash_counts.borrow().expired(self.clock.now_ms());
-        for (fingerprint, version) in expired {
-            self.crash_counts.borrow_mut().remove(fingerprint);
-            let call = StoreCall::Transact(vec![count_write(fingerprint, version, None)]);
+        let expired = self
+            .crash_log
+            .borrow_mut()
+            .remove_expired(self.clock.now_ms());
+        for (record, version) in expired {
+            let write = RowWrite {
+                key: row_key(record),
+                expected_version: version,
+                value: None,
+            };
+            let call = StoreCall::Transact(vec![write]);
             // All VMs attempt this; the first one removes the row.
-            if let Err(error) = self.store.call(&call).await {
-                log::debug!(error = error.to_string(); "cannot remove an expired crash count");
+            if let Err(error) = self.budget_client.execute_store_call(&call).await {
+                log::debug!(error = error.to_string(); "cannot remove an expired crash");
             }
         }
     }
 }
-
-fn parse_count(row: &Row) -> Option<u32> {
-    let value = row.value.as_deref()?;
-    std::str::from_utf8(value).ok()?.parse().ok()
-}
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -1,5 +1,5 @@
 //! Follows the store's tables: configuration, targets, VMs, overdrawn programs
-//! and crash counts.
+//! and crashes of targets.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,7 +13,7 @@
 use crate::registration::PEER_TABLE;
 use crate::state::DaemonState;
 use crate::store::StoreClient;
-use crate::suspects::CRASH_COUNT_TABLE;
+use crate::suspects::CRASH_TABLE;
 
 /// Maximum time that one watch waits for a change. An unresponsive connection
 /// is noticed one reply timeout later.
@@ -56,7 +56,7 @@
     Targets,
     Peers,
     Overdrawn,
-    CrashCounts,
+    Crashes,
 }
 
 impl FollowedTable {
@@ -66,7 +66,7 @@
             FollowedTable::Targets => TARGET_TABLE,
             FollowedTable::Peers => PEER_TABLE,
             FollowedTable::Overdrawn => OVERDRAWN_TABLE,
-            FollowedTable::CrashCounts => CRASH_COUNT_TABLE,
+            FollowedTable::Crashes => CRASH_TABLE,
         })
     }
 
@@ -74,7 +74,7 @@
     fn max_wait_ms(self) -> u64 {
         match self {
             FollowedTable::Config | FollowedTable::Targets => MAX_WAIT_MS,
-            FollowedTable::Peers | FollowedTable::Overdrawn | FollowedTable::CrashCounts => {
+            FollowedTable::Peers | FollowedTable::Overdrawn | FollowedTable::Crashes => {
                 SLOW_MAX_WAIT_MS
             }
         }
@@ -187,7 +187,7 @@
 
     fn apply_all(&mut self, rows: Vec<Row>) {
         match self.table {
-            FollowedTable::Config | FollowedTable::Overdrawn | FollowedTable::CrashCounts => {
+            FollowedTable::Config | FollowedTable::Overdrawn | FollowedTable::Crashes => {
                 rows.into_iter().for_each(|row| self.apply(row));
             }
             FollowedTable::Peers => {
@@ -219,7 +219,7 @@
                 let budget_client = &self.state.budget_client;
                 budget_client.set_overdrawn(program, row.value.is_some());
             }
-            FollowedTable::CrashCounts => self.state.crash_tracker.apply_row(&row),
+            FollowedTable::Crashes => self.state.crash_tracker.apply_row(&row),
         }
     }
 
--- a/crates/entry/tests/crashes.rs
+++ b/crates/entry/tests/crashes.rs
@@ -129,8 +129,9 @@
     fleet.store.set_fault(StoreFault::Unavailable);
     crash_three_targets(&fleet, &[0, 1]);
     fleet.store.set_fault(StoreFault::None);
-    fleet.start_vm();
-    wait_for_quarantine(&fleet);
+    wait_until("rows of the crashes", || {
+        fleet.store.values("crashes").len() >= QUARANTINE_CRASHES
+    });
     fleet.vms.clear();
     fleet.start_vm();
     wait_for_quarantine(&fleet);
--- /dev/null
+++ b/crates/gateway/src/crash_log.rs
@@ -0,0 +1,267 @@
+//! Crashes of targets, by the request that was running at them.
+//!
+//! A request that crashes its target is sent again, through any VM, so all VMs
+//! need to know what one of them saw, whether or not the store is available.
+//! Each crash is a record that never changes, and the log is a set of records:
+//! they may arrive late, repeatedly and in any order, from the store and from
+//! other VMs, and all VMs come to the same result. A request with three crashes
+//! is quarantined for a while. Other requests that were running at the same
+//! target are recorded too, but rarely reach three.
+
+use compact_str::{format_compact, CompactString};
+use lagoon_ids::{hash64, FastMap};
+use serde::{Deserialize, Serialize};
+
+use crate::gossip::TargetHash;
+use crate::request_metadata::RequestMetadata;
+
+/// Crashes after which a request is quarantined.
+const QUARANTINE_CRASHES: usize = 3;
+
+/// Time after which a crash is forgotten.
+const CRASH_TTL_MS: u64 = 60_000;
+
+/// A target doesn't restart in less time than this, so two interrupted attempts
+/// of a request at one target within it saw the same crash.
+const MIN_RESTART_MS: u64 = 200;
+
+/// Body length in bytes from which the body alone distinguishes requests; a
+/// shorter one is combined with the program and the affinity key.
+const MIN_DISTINCT_BYTES: usize = 64;
+
+/// Hexadecimal digits of the fingerprint in a row key.
+const FINGERPRINT_DIGITS: usize = 16;
+
+/// Fingerprint of a request's content; short bodies are distinguished by the
+/// program and the affinity key.
+pub fn fingerprint(path: &str, body: &[u8], metadata: &RequestMetadata) -> u64 {
+    let mut content = Vec::with_capacity(path.len() + body.len() + 64);
+    content.extend_from_slice(path.as_bytes());
+    content.push(0);
+    content.extend_from_slice(body);
+    if body.len() < MIN_DISTINCT_BYTES {
+        let names = [&metadata.program, &metadata.affinity];
+        for name in names.into_iter().flatten() {
+            content.push(0);
+            content.extend_from_slice(name.as_bytes());
+        }
+    }
+    hash64(&content)
+}
+
+/// One crash of a target while it ran a request.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct CrashRecord {
+    /// Fingerprint of the request's content.
+    pub fingerprint: u64,
+    /// Random number that distinguishes the crashes of one fingerprint.
+    pub number: u32,
+}
+
+impl CrashRecord {
+    /// Key of the record's row in the store.
+    pub fn row_key(self) -> CompactString {
+        format_compact!("{:016x}{:08x}", self.fingerprint, self.number)
+    }
+
+    /// Record with this row key; `None` if the key is invalid.
+    pub fn from_row_key(key: &str) -> Option<CrashRecord> {
+        let (fingerprint, number) = key.split_at_checked(FINGERPRINT_DIGITS)?;
+        Some(CrashRecord {
+            fingerprint: u64::from_str_radix(fingerprint, 16).ok()?,
+            number: u32::from_str_radix(number, 16).ok()?,
+        })
+    }
+}
+
+/// Crash record in a message to another VM.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CrashUpdate {
+    /// The record.
+    pub record: CrashRecord,
+    /// Time from the crash to the message.
+    pub age_ms: u64,
+}
+
+/// Whether a record is in the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Storage {
+    /// The VM that saw the crash stores the record.
+    ByOtherVm,
+    /// This VM saw the crash and has yet to store the record.
+    Pending,
+    /// The record has a row of this version.
+    Row(u64),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Crash {
+    /// Target that crashed; `None` if another VM saw it.
+    target: Option<TargetHash>,
+    /// Time of the crash; of the read, if it is known from the store only.
+    crashed_ms: u64,
+    storage: Storage,
+}
+
+impl Crash {
+    fn is_expired(&self, now_ms: u64) -> bool {
+        now_ms >= self.crashed_ms + CRASH_TTL_MS
+    }
+}
+
+/// Crashes that this VM saw, or learned of from the store or another VM.
+#[derive(Debug, Default)]
+pub struct CrashLog {
+    crashes: FastMap<u64, FastMap<u32, Crash>>,
+    /// Records of this VM since the last [`CrashLog::take_new`].
+    new: Vec<CrashRecord>,
+}
+
+impl CrashLog {
+    /// Whether requests with this fingerprint are refused.
+    pub fn is_quarantined(&self, fingerprint: u64, now_ms: u64) -> bool {
+        self.crash_count(fingerprint, now_ms) >= QUARANTINE_CRASHES
+    }
+
+    /// Number of quarantined fingerprints.
+    pub fn quarantined_count(&self, now_ms: u64) -> usize {
+        let fingerprints = self.crashes.keys();
+        fingerprints
+            .filter(|fingerprint| self.is_quarantined(**fingerprint, now_ms))
+            .count()
+    }
+
+    /// Known crashes of targets that were running a request with this
+    /// fingerprint.
+    pub fn crash_count(&self, fingerprint: u64, now_ms: u64) -> usize {
+        let Some(crashes) = self.crashes.get(&fingerprint) else {
+            return 0;
+        };
+        let valid = crashes.values().filter(|crash| !crash.is_expired(now_ms));
+        valid.count()
+    }
+
+    /// Records a crash that this VM saw, to be stored and sent to other VMs;
+    /// `false` if it is recorded already.
+    pub fn record(&mut self, record: CrashRecord, target: TargetHash, now_ms: u64) -> bool {
+        let crashes = self.crashes.entry(record.fingerprint).or_default();
+        let is_same = |crash: &Crash| {
+            crash.target == Some(target) && now_ms < crash.crashed_ms + MIN_RESTART_MS
+        };
+        if crashes.values().any(is_same) {
+            return false;
+        }
+        let crash = Crash {
+            target: Some(target),
+            crashed_ms: now_ms,
+            storage: Storage::Pending,
+        };
+        crashes.insert(record.number, crash);
+        self.new.push(record);
+        true
+    }
+
+    /// Adds the records that another VM sent.
+    pub fn apply_updates(&mut self, updates: &[CrashUpdate], now_ms: u64) {
+        for update in updates {
+            if update.age_ms < CRASH_TTL_MS {
+                let crashed_ms = now_ms.saturating_sub(update.age_ms);
+                self.insert(update.record, crashed_ms, Storage::ByOtherVm);
+            }
+        }
+    }
+
+    /// Adds a record that has a row of this version in the store.
+    pub fn set_stored(&mut self, record: CrashRecord, version: u64, now_ms: u64) {
+        self.insert(record, now_ms, Storage::Row(version));
+    }
+
+    /// Adds a record. Of a known one, the earliest time and the row are kept.
+    fn insert(&mut self, record: CrashRecord, crashed_ms: u64, storage: Storage) {
+        let crashes = self.crashes.entry(record.fingerprint).or_default();
+        let crash = crashes.entry(record.number).or_insert(Crash {
+            target: None,
+            crashed_ms,
+            storage,
+        });
+        crash.crashed_ms = crash.crashed_ms.min(crashed_ms);
+        if matches!(storage, Storage::Row(_)) {
+            crash.storage = storage;
+        }
+    }
+
+    /// Removes a record whose row was deleted.
+    pub fn remove(&mut self, record: CrashRecord) {
+        if let Some(crashes) = self.crashes.get_mut(&record.fingerprint) {
+            crashes.remove(&record.number);
+            if crashes.is_empty() {
+                self.crashes.remove(&record.fingerprint);
+            }
+        }
+    }
+
+    /// Records that this VM has yet to store, at most `max`.
+    pub fn pending(&self, max: usize) -> Vec<CrashRecord> {
+        let pending = self
+            .records()
+            .filter(|(_, crash)| crash.storage == Storage::Pending);
+        pending.map(|(record, _)| record).take(max).collect()
+    }
+
+    /// Updates on the crashes that this VM saw since the last call.
+    pub fn take_new(&mut self, now_ms: u64) -> Vec<CrashUpdate> {
+        let new = std::mem::take(&mut self.new);
+        new.into_iter()
+            .filter_map(|record| self.update(record, now_ms))
+            .collect()
+    }
+
+    /// Updates on all known crashes, at most `max`, the latest first.
+    pub fn latest(&self, max: usize, now_ms: u64) -> Vec<CrashUpdate> {
+        let valid = self
+            .records()
+            .filter(|(_, crash)| !crash.is_expired(now_ms));
+        let mut updates: Vec<CrashUpdate> = valid
+            .filter_map(|(record, _)| self.update(record, now_ms))
+            .collect();
+        updates.sort_unstable_by_key(|update| (update.age_ms, update.record));
+        updates.truncate(max);
+        updates
+    }
+
+    /// Removes expired records; returns those with a row, and its version.
+    pub fn remove_expired(&mut self, now_ms: u64) -> Vec<(CrashRecord, u64)> {
+        let expired = self.records().filter(|(_, crash)| crash.is_expired(now_ms));
+        let expired: Vec<(CrashRecord, Storage)> = expired
+            .map(|(record, crash)| (record, crash.storage))
+            .collect();
+        let mut rows = Vec::new();
+        for (record, storage) in expired {
+            self.remove(record);
+            if let Storage::Row(version) = storage {
+                rows.push((record, version));
+            }
+        }
+        rows
+    }
+
+    fn records(&self) -> impl Iterator<Item = (CrashRecord, &Crash)> {
+        self.crashes.iter().flat_map(|(&fingerprint, crashes)| {
+            crashes.iter().map(move |(&number, crash)| {
+                let record = CrashRecord {
+                    fingerprint,
+                    number,
+                };
+                (record, crash)
+            })
+        })
+    }
+
+    fn update(&self, record: CrashRecord, now_ms: u64) -> Option<CrashUpdate> {
+        let crash = self.crashes.get(&record.fingerprint)?.get(&record.number)?;
+        Some(CrashUpdate {
+            record,
+            age_ms: now_ms.saturating_sub(crash.crashed_ms),
+        })
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,7 +10,7 @@
 mod budget;
 mod config;
 mod connectivity;
-mod crash_counts;
+mod crash_log;
 mod events;
 mod gossip;
 mod peers;
@@ -30,7 +30,7 @@
 };
 pub use config::{Config, Engine, Limits, Route, RouteKind, Service, TrafficSplit};
 pub use connectivity::{classify_connectivity, Connectivity, PeerProbe};
-pub use crash_counts::{fingerprint, CrashCounts};
+pub use crash_log::{fingerprint, CrashLog, CrashRecord, CrashUpdate};
 pub use events::{CompleteEvents, EventReader};
 pub use gossip::{
     AffinityUpdate, GossipMessage, LoadReport, SessionHash, TargetHash, TargetUpdate,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -184,6 +184,14 @@
         (gossip_peers, addresses.collect())
     }
 
+    /// Addresses of other VMs, at most `count`, chosen by `random`.
+    pub fn sample(&self, count: usize, random: u64) -> Vec<SocketAddr> {
+        let mut names: Vec<&CompactString> = self.peers.keys().collect();
+        names.sort_by_key(|name| hash64(&(hash64(name.as_bytes()) ^ random).to_le_bytes()));
+        let addresses = names.iter().map(|name| self.peers[*name].entry.address);
+        addresses.take(count).collect()
+    }
+
     /// Whether another VM is registered with this address.
     pub fn is_known(&self, address: SocketAddr) -> bool {
         let mut peers = self.peers.values();
