Stop retrying a request once it has crashed three targets

Callers saw: one request crashed a fourth target although three crashes were known, as the check was made once, before admission. A retry or a resumed stream didn't look again, and went out before it was known whether the last target had crashed.

Requests without a crash retry as before.

The fingerprint is computed once a request.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -74,6 +74,8 @@
     service: CompactString,
     parts: Parts,
     body: Bytes,
+    /// Identifies the content among requests that crash targets.
+    fingerprint: u64,
     _body_memory: BodyMemory,
     excluded_targets: Vec<TargetKey>,
     /// Whether an attempt is in flight, or has failed without proof that the
@@ -151,6 +153,7 @@
         config_version: config.version,
         service,
         route,
+        fingerprint: fingerprint(parts.uri.path(), &body, &metadata),
         metadata,
         parts,
         body,
@@ -169,13 +172,8 @@
     }
 
     async fn run(mut self) -> Response<ResponseBody> {
-        if self.state.crash_tracker.is_quarantined(self.fingerprint()) {
-            log::info!(
-                request = self.metadata.request_id.as_str(),
-                fingerprint = format!("{:016x}", self.fingerprint());
-                "request is quarantined"
-            );
-            return *self.refuse("crashed several targets", QUARANTINE_RETRY_AFTER_MS);
+        if self.is_quarantined() {
+            return *self.quarantined();
         }
         if let Err(response) = self.wait_for_admission().await {
             return *response;
@@ -333,6 +331,9 @@
     async fn send_with_retries(&mut self) -> Result<TargetResponse, Box<Response<ResponseBody>>> {
         let mut same_target: Option<TargetKey> = None;
         loop {
+            if self.is_quarantined() {
+                return Err(self.quarantined());
+            }
             let chosen = match same_target.take() {
                 Some(key) => self.target_entry(key).map(|entry| (key, entry)),
                 None => self.choose_target(),
@@ -345,7 +346,7 @@
                 Ok(response) => return Ok(response),
                 Err(failed) => failed,
             };
-            match self.record_failure(key, &failed) {
+            match self.record_failure(key, &failed).await {
                 RetryDecision::AnotherTarget => {}
                 RetryDecision::SameTarget => same_target = Some(key),
                 RetryDecision::Refuse => {
@@ -367,6 +368,26 @@
         Some((target.entry.clone(), target.id_hash()))
     }
 
+    /// Whether targets crashed so often while they ran this request that it must
+    /// not be sent again.
+    pub(crate) fn is_quarantined(&self) -> bool {
+        let crash_tracker = &self.state.crash_tracker;
+        crash_tracker.is_quarantined(self.fingerprint)
+    }
+
+    fn quarantined(&self) -> Box<Response<ResponseBody>> {
+        const WHY: &str = "crashed several targets";
+        log::info!(
+            request = self.metadata.request_id.as_str(),
+            fingerprint = format!("{:016x}", self.fingerprint);
+            "request is quarantined"
+        );
+        if self.attempts.may_have_run() {
+            return self.unknown_outcome(WHY);
+        }
+        self.refuse(WHY, QUARANTINE_RETRY_AFTER_MS)
+    }
+
     fn no_target(&self) -> Box<Response<ResponseBody>> {
         if self.attempts.may_have_run() {
             return self.unknown_outcome("no target left");
@@ -382,8 +403,9 @@
         ))
     }
 
-    /// Records a failed attempt and decides what follows.
-    pub(crate) fn record_failure(
+    /// Records a failed attempt and decides what follows. Waits until it is known
+    /// whether the target crashed if others did so while they ran this request.
+    pub(crate) async fn record_failure(
         &mut self,
         key: TargetKey,
         failed: &FailedAttempt,
@@ -405,13 +427,19 @@
             self.excluded_targets.push(key);
         } else if let Some((entry, target)) = self.target_identity(key) {
             let crash_tracker = Rc::clone(&self.state.crash_tracker);
-            spawn_local(crash_tracker.record_if_crashed(InterruptedAttempt {
+            let is_suspect = crash_tracker.has_crashes(self.fingerprint);
+            let probe = spawn_local(crash_tracker.record_if_crashed(InterruptedAttempt {
                 request_id: self.metadata.request_id.clone(),
-                fingerprint: self.fingerprint(),
+                fingerprint: self.fingerprint,
                 target,
                 target_id: entry.id,
                 address: entry.address,
             }));
+            if is_suspect {
+                if let Err(error) = probe.await {
+                    log::error!(error = error.to_string(); "crash probe failed");
+                }
+            }
         }
         let is_listed = self.state.targets.borrow().get(key).is_some();
         let is_target_gone = failed.is_unreachable || !is_listed;
@@ -429,10 +457,6 @@
         );
         next
     }
-
-    fn fingerprint(&self) -> u64 {
-        fingerprint(self.parts.uri.path(), &self.body, &self.metadata)
-    }
 }
 
 /// Delay before an interrupted stream is requested again from the same target.
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -146,7 +146,10 @@
         let mut key = target;
         let mut failed = FailedAttempt::interrupted(detail);
         loop {
-            let next = self.request.record_failure(key, &failed);
+            let next = self.request.record_failure(key, &failed).await;
+            if self.request.is_quarantined() {
+                return false;
+            }
             let chosen = match next {
                 RetryDecision::SameTarget => {
                     sleep(RESUME_DELAY).await;
--- a/crates/entry/src/suspects.rs
+++ b/crates/entry/src/suspects.rs
@@ -76,6 +76,12 @@
         self.crash_log.borrow().is_quarantined(fingerprint, now_ms)
     }
 
+    /// Whether a target crashed while it ran a request with this fingerprint.
+    pub(crate) fn has_crashes(&self, fingerprint: u64) -> bool {
+        let now_ms = self.clock.now_ms();
+        self.crash_log.borrow().crash_count(fingerprint, now_ms) > 0
+    }
+
     pub(crate) fn quarantined_count(&self) -> usize {
         let now_ms = self.clock.now_ms();
         self.crash_log.borrow().quarantined_count(now_ms)
