Count a crash that interrupts nothing when the target's entry expires

Callers saw: a request that lets targets fall silent was sent to one after the other, without end.

Cause: a crash was looked for only after a response had broken off. A target that crashes without closing its connections breaks off nothing: the caller leaves or the time is over, the attempt is dropped, and no line says so.

Fix: an attempt that ended without a complete response, after its request was sent, stays with its target until the target gives a sign of life. If the target's entry expires first, though it announced no stop and has been silent for 2 s, or if it starts again under its id, that is a crash. All VMs see an entry expire, so a record is now named by the request and the run of the target's process (id and start time, decoded from the entry): VMs that saw the same crash write the same row.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -75,7 +75,7 @@
     parts: Parts,
     body: Bytes,
     /// Identifies the content among requests that crash targets.
-    fingerprint: u64,
+    pub(crate) fingerprint: u64,
     _body_memory: BodyMemory,
     excluded_targets: Vec<TargetKey>,
     /// Whether an attempt is in flight, or has failed without proof that the
@@ -362,10 +362,11 @@
         targets.get(key).map(|target| target.entry.clone())
     }
 
+    /// Entry of a target, and the hash of its run.
     fn target_identity(&self, key: TargetKey) -> Option<(TargetEntry, TargetHash)> {
         let targets = self.state.targets.borrow();
         let target = targets.get(key)?;
-        Some((target.entry.clone(), target.id_hash()))
+        Some((target.entry.clone(), target.run_hash()))
     }
 
     /// Whether targets crashed so often while they ran this request that it must
@@ -427,13 +428,14 @@
             self.excluded_targets.push(key);
         } else if let Some((entry, target)) = self.target_identity(key) {
             let crash_tracker = Rc::clone(&self.state.crash_tracker);
-            let is_suspect = crash_tracker.has_crashes(self.fingerprint);
+            let is_suspect = crash_tracker.crash_count(self.fingerprint) > 0;
             let probe = spawn_local(crash_tracker.record_if_crashed(InterruptedAttempt {
                 request_id: self.metadata.request_id.clone(),
                 fingerprint: self.fingerprint,
                 target,
                 target_id: entry.id,
                 address: entry.address,
+                ended_ms: now_ms,
             }));
             if is_suspect {
                 if let Err(error) = probe.await {
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use compact_str::CompactString;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
@@ -10,7 +11,7 @@
     decode_response_headers, is_end_to_end, target_request_headers, AttemptHeaders,
     ResponseMetadata,
 };
-use lagoon_gateway::{AttemptFailure, RouteKind, TargetEntry, TargetKey};
+use lagoon_gateway::{AttemptFailure, RouteKind, TargetEntry, TargetKey, UnfinishedAttempt};
 
 use crate::connection::ExchangeError;
 use crate::forward::ForwardedRequest;
@@ -38,13 +39,21 @@
     last_event_ms: Option<u64>,
     /// Whether the response was received completely.
     is_complete: bool,
+    /// Whether the target may be executing the request.
+    may_run: bool,
+    request_id: CompactString,
+    fingerprint: u64,
 }
 
 impl InFlightGuard {
-    fn new(state: &Rc<DaemonState>, key: TargetKey) -> InFlightGuard {
+    fn new(request: &ForwardedRequest, key: TargetKey) -> InFlightGuard {
+        let state = &request.state;
         let started_ms = state.now_ms();
         state.targets.borrow_mut().request_started(key, started_ms);
         InFlightGuard {
+            may_run: false,
+            request_id: request.metadata.request_id.clone(),
+            fingerprint: request.fingerprint,
             state: Rc::clone(state),
             key,
             started_ms,
@@ -91,6 +100,14 @@
         let now_ms = self.state.now_ms();
         let mut targets = self.state.targets.borrow_mut();
         targets.request_ended(self.key);
+        if self.may_run && !self.is_complete {
+            let attempt = UnfinishedAttempt {
+                request_id: self.request_id.clone(),
+                fingerprint: self.fingerprint,
+                ended_ms: now_ms,
+            };
+            targets.record_unfinished(self.key, attempt);
+        }
         if !self.is_complete && now_ms >= self.started_ms + ABANDONED_MIN_MS {
             targets.record_abandoned(self.key);
         }
@@ -148,7 +165,7 @@
         entry: &TargetEntry,
         last_event_id: Option<u64>,
     ) -> Result<TargetResponse, FailedAttempt> {
-        let mut in_flight = InFlightGuard::new(&self.state, key);
+        let mut in_flight = InFlightGuard::new(self, key);
         let mut stale_connections = 0;
         let (pooled, response) = loop {
             let pool = &self.state.pool;
@@ -162,14 +179,17 @@
                     })?;
             let request = self.build_request(entry, last_event_id);
             self.may_have_run = true;
+            in_flight.may_run = true;
             match pooled.connection.send(request).await {
                 Ok(response) => break (pooled, response),
                 Err(ExchangeError::NotSent(_))
                     if pooled.is_reused && stale_connections < MAX_STALE_CONNECTIONS =>
                 {
+                    in_flight.may_run = false;
                     stale_connections += 1;
                 }
                 Err(ExchangeError::NotSent(detail)) => {
+                    in_flight.may_run = false;
                     return Err(FailedAttempt {
                         failure: AttemptFailure::NotSent,
                         detail,
@@ -183,7 +203,10 @@
         };
         let (head, body) = response.into_parts();
         let metadata = decode_response_headers(&head.headers);
-        self.check_head(key, head.status, &metadata)?;
+        if let Err(failed) = self.check_head(key, head.status, &metadata) {
+            in_flight.may_run = !failed.failure.is_not_executed();
+            return Err(failed);
+        }
         let head = Response::from_parts(head, ());
         let is_stream = self.route.kind == RouteKind::Streaming && head.status().is_success();
         if is_stream {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -199,6 +199,10 @@
         }
         state.budget_client.flush_due_writes();
         state.targets.borrow_mut().remove_expired(state.now_ms());
+        let lost_attempts = state.targets.borrow_mut().take_lost(state.now_ms());
+        for lost in &lost_attempts {
+            state.crash_tracker.record_lost(lost);
+        }
         round += 1;
         if round % EXPIRY_ROUNDS == 0 {
             state.pool.remove_expired();
--- a/crates/entry/src/suspects.rs
+++ b/crates/entry/src/suspects.rs
@@ -8,9 +8,9 @@
 
 use compact_str::CompactString;
 use lagoon_gateway::{
-    CrashLog, CrashRecord, CrashUpdate, Row, RowKey, RowWrite, StoreCall, StoreReply, TargetHash,
+    CrashLog, CrashRecord, CrashUpdate, LostAttempt, Row, RowKey, RowWrite, StoreCall, StoreReply,
+    TargetHash,
 };
-use rand::RngExt;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -46,6 +46,7 @@
     pub(crate) target_id: CompactString,
     pub(crate) target: TargetHash,
     pub(crate) address: SocketAddr,
+    pub(crate) ended_ms: u64,
 }
 
 fn row_key(record: CrashRecord) -> RowKey {
@@ -76,10 +77,11 @@
         self.crash_log.borrow().is_quarantined(fingerprint, now_ms)
     }
 
-    /// Whether a target crashed while it ran a request with this fingerprint.
-    pub(crate) fn has_crashes(&self, fingerprint: u64) -> bool {
+    /// Known crashes of targets that were running a request with this
+    /// fingerprint.
+    pub(crate) fn crash_count(&self, fingerprint: u64) -> usize {
         let now_ms = self.clock.now_ms();
-        self.crash_log.borrow().crash_count(fingerprint, now_ms) > 0
+        self.crash_log.borrow().crash_count(fingerprint, now_ms)
     }
 
     pub(crate) fn quarantined_count(&self) -> usize {
@@ -96,17 +98,15 @@
             log::info!(request = attempt.request_id.as_str(), target_id = attempt.target_id.as_str(); "target accepts connections after an interrupted response");
             return;
         };
-        let record = CrashRecord {
-            fingerprint: attempt.fingerprint,
-            number: rand::rng().random(),
-        };
         let now_ms = self.clock.now_ms();
-        let crashes = {
-            let mut crash_log = self.crash_log.borrow_mut();
-            if !crash_log.record(record, attempt.target, now_ms) {
-                return;
-            }
-            crash_log.crash_count(attempt.fingerprint, now_ms)
+        let record = self.crash_log.borrow_mut().record_interrupted(
+            attempt.fingerprint,
+            attempt.target,
+            attempt.ended_ms,
+            now_ms,
+        );
+        let Some(record) = record else {
+            return;
         };
         self.metrics.record_target_crash("crashed");
         log::warn!(
@@ -115,12 +115,35 @@
             target_id = attempt.target_id.as_str(),
             address = attempt.address.to_string(),
             error = error.to_string(),
-            crashes;
+            crashes = self.crash_count(attempt.fingerprint);
             "target crashed while it ran a request"
         );
         spawn_local(self.store_pending());
     }
 
+    /// Records a crash of a target whose entry expired after an attempt without
+    /// a response.
+    pub(crate) fn record_lost(self: &Rc<Self>, lost: &LostAttempt) {
+        let attempt = &lost.attempt;
+        let now_ms = self.clock.now_ms();
+        let mut crash_log = self.crash_log.borrow_mut();
+        let record = crash_log.record_gone(attempt.fingerprint, lost.target, now_ms);
+        drop(crash_log);
+        let Some(record) = record else {
+            return;
+        };
+        self.metrics.record_target_crash("lost");
+        log::warn!(
+            request = attempt.request_id.as_str(),
+            crash = record.row_key().as_str(),
+            target_id = lost.target_id.as_str(),
+            ended_before_ms = now_ms - attempt.ended_ms,
+            crashes = self.crash_count(attempt.fingerprint);
+            "target is gone after an attempt without a response"
+        );
+        spawn_local(Rc::clone(self).store_pending());
+    }
+
     /// Writes the crashes that this VM has yet to store. Those that can't be
     /// written stay pending.
     pub(crate) async fn store_pending(self: Rc<Self>) {
--- a/crates/entry/tests/crashes.rs
+++ b/crates/entry/tests/crashes.rs
@@ -188,7 +188,7 @@
 }
 
 /// Removes the entries of all engines, as those of crashed engines are, and lists
-/// the engines again.
+/// the engines as started again.
 fn replace_engines(fleet: &Fleet) {
     let wait_for_targets = |count: usize| {
         for vm in &fleet.vms {
@@ -200,6 +200,7 @@
     };
     for engine in &fleet.engines {
         fleet.store.remove_target(&engine.id);
+        engine.restart();
     }
     wait_for_targets(fleet.desks.len());
     for index in 0..fleet.engines.len() {
--- a/crates/gateway/examples/decisions.rs
+++ b/crates/gateway/examples/decisions.rs
@@ -30,6 +30,7 @@
             domain: format!("d{}", number % 5).into(),
             slots: 12,
             status: TargetStatus::Ready,
+            started_unix_ms: None,
         });
     }
     let keys: Vec<_> = targets.of_service("s").map(|(key, _)| key).collect();
--- a/crates/gateway/src/crash_log.rs
+++ b/crates/gateway/src/crash_log.rs
@@ -21,16 +21,17 @@
 /// Time after which a crash is forgotten.
 const CRASH_TTL_MS: u64 = 60_000;
 
-/// A target doesn't restart in less time than this, so two interrupted attempts
-/// of a request at one target within it saw the same crash.
+/// A target doesn't restart in less time than this, so an attempt that ended
+/// earlier after a crash of its target saw the same crash.
 const MIN_RESTART_MS: u64 = 200;
 
 /// Body length in bytes from which the body alone distinguishes requests; a
 /// shorter one is combined with the program and the affinity key.
 const MIN_DISTINCT_BYTES: usize = 64;
 
-/// Hexadecimal digits of the fingerprint in a row key.
+/// Hexadecimal digits of the parts of a row key.
 const FINGERPRINT_DIGITS: usize = 16;
+const TARGET_DIGITS: usize = 8;
 
 /// Fingerprint of a request's content; short bodies are distinguished by the
 /// program and the affinity key.
@@ -49,27 +50,39 @@
     hash64(&content)
 }
 
-/// One crash of a target while it ran a request.
+/// One crash of a target while it ran a request. VMs that saw the same crash have
+/// the same record.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct CrashRecord {
     /// Fingerprint of the request's content.
     pub fingerprint: u64,
-    /// Random number that distinguishes the crashes of one fingerprint.
-    pub number: u32,
+    /// Run of the target's process that crashed.
+    pub target: TargetHash,
+    /// Earlier crashes that the target itself doesn't distinguish from this one,
+    /// as it restarted without another id or start time.
+    pub earlier: u8,
 }
 
 impl CrashRecord {
     /// Key of the record's row in the store.
     pub fn row_key(self) -> CompactString {
-        format_compact!("{:016x}{:08x}", self.fingerprint, self.number)
+        let TargetHash(target) = self.target;
+        format_compact!("{:016x}{target:08x}{:02x}", self.fingerprint, self.earlier)
+    }
+
+    /// Key among the crashes of the same fingerprint.
+    fn crash_key(self) -> (TargetHash, u8) {
+        (self.target, self.earlier)
     }
 
     /// Record with this row key; `None` if the key is invalid.
     pub fn from_row_key(key: &str) -> Option<CrashRecord> {
-        let (fingerprint, number) = key.split_at_checked(FINGERPRINT_DIGITS)?;
+        let (fingerprint, remaining) = key.split_at_checked(FINGERPRINT_DIGITS)?;
+        let (target, earlier) = remaining.split_at_checked(TARGET_DIGITS)?;
         Some(CrashRecord {
             fingerprint: u64::from_str_radix(fingerprint, 16).ok()?,
-            number: u32::from_str_radix(number, 16).ok()?,
+            target: TargetHash(u32::from_str_radix(target, 16).ok()?),
+            earlier: u8::from_str_radix(earlier, 16).ok()?,
         })
     }
 }
@@ -96,8 +109,6 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Crash {
-    /// Target that crashed; `None` if another VM saw it.
-    target: Option<TargetHash>,
     /// Time of the crash; of the read, if it is known from the store only.
     crashed_ms: u64,
     storage: Storage,
@@ -112,7 +123,7 @@
 /// Crashes that this VM saw, or learned of from the store or another VM.
 #[derive(Debug, Default)]
 pub struct CrashLog {
-    crashes: FastMap<u64, FastMap<u32, Crash>>,
+    crashes: FastMap<u64, FastMap<(TargetHash, u8), Crash>>,
     /// Records of this VM since the last [`CrashLog::take_new`].
     new: Vec<CrashRecord>,
 }
@@ -141,24 +152,60 @@
         valid.count()
     }
 
-    /// Records a crash that this VM saw, to be stored and sent to other VMs;
-    /// `false` if it is recorded already.
-    pub fn record(&mut self, record: CrashRecord, target: TargetHash, now_ms: u64) -> bool {
-        let crashes = self.crashes.entry(record.fingerprint).or_default();
-        let is_same = |crash: &Crash| {
-            crash.target == Some(target) && now_ms < crash.crashed_ms + MIN_RESTART_MS
+    /// Records a crash that interrupted an attempt at `ended_ms`, to be stored and
+    /// sent to other VMs; `None` if the crash is known.
+    pub fn record_interrupted(
+        &mut self,
+        fingerprint: u64,
+        target: TargetHash,
+        ended_ms: u64,
+        now_ms: u64,
+    ) -> Option<CrashRecord> {
+        let known = self.crashes_of(fingerprint, target);
+        let is_same = |crash: &Crash| ended_ms < crash.crashed_ms + MIN_RESTART_MS;
+        if known.iter().any(is_same) {
+            return None;
+        }
+        let record = CrashRecord {
+            fingerprint,
+            target,
+            earlier: u8::try_from(known.len()).ok()?,
         };
-        if crashes.values().any(is_same) {
-            return false;
+        Some(self.insert_own(record, now_ms))
+    }
+
+    /// Records the crash of a target that is gone, to be stored and sent to other
+    /// VMs; `None` if a crash of the target is known.
+    pub fn record_gone(
+        &mut self,
+        fingerprint: u64,
+        target: TargetHash,
+        now_ms: u64,
+    ) -> Option<CrashRecord> {
+        if !self.crashes_of(fingerprint, target).is_empty() {
+            return None;
         }
-        let crash = Crash {
-            target: Some(target),
-            crashed_ms: now_ms,
-            storage: Storage::Pending,
+        let record = CrashRecord {
+            fingerprint,
+            target,
+            earlier: 0,
         };
-        crashes.insert(record.number, crash);
+        Some(self.insert_own(record, now_ms))
+    }
+
+    /// Known crashes of one target while it ran a request.
+    fn crashes_of(&self, fingerprint: u64, target: TargetHash) -> Vec<Crash> {
+        let Some(crashes) = self.crashes.get(&fingerprint) else {
+            return Vec::new();
+        };
+        let of_target = crashes.iter().filter(|((other, _), _)| *other == target);
+        of_target.map(|(_, crash)| *crash).collect()
+    }
+
+    fn insert_own(&mut self, record: CrashRecord, now_ms: u64) -> CrashRecord {
+        self.insert(record, now_ms, Storage::Pending);
         self.new.push(record);
-        true
+        record
     }
 
     /// Adds the records that another VM sent.
@@ -179,8 +226,7 @@
     /// Adds a record. Of a known one, the earliest time and the row are kept.
     fn insert(&mut self, record: CrashRecord, crashed_ms: u64, storage: Storage) {
         let crashes = self.crashes.entry(record.fingerprint).or_default();
-        let crash = crashes.entry(record.number).or_insert(Crash {
-            target: None,
+        let crash = crashes.entry(record.crash_key()).or_insert(Crash {
             crashed_ms,
             storage,
         });
@@ -193,7 +239,7 @@
     /// Removes a record whose row was deleted.
     pub fn remove(&mut self, record: CrashRecord) {
         if let Some(crashes) = self.crashes.get_mut(&record.fingerprint) {
-            crashes.remove(&record.number);
+            crashes.remove(&record.crash_key());
             if crashes.is_empty() {
                 self.crashes.remove(&record.fingerprint);
             }
@@ -247,10 +293,11 @@
 
     fn records(&self) -> impl Iterator<Item = (CrashRecord, &Crash)> {
         self.crashes.iter().flat_map(|(&fingerprint, crashes)| {
-            crashes.iter().map(move |(&number, crash)| {
+            crashes.iter().map(move |(&(target, earlier), crash)| {
                 let record = CrashRecord {
                     fingerprint,
-                    number,
+                    target,
+                    earlier,
                 };
                 (record, crash)
             })
@@ -258,7 +305,8 @@
     }
 
     fn update(&self, record: CrashRecord, now_ms: u64) -> Option<CrashUpdate> {
-        let crash = self.crashes.get(&record.fingerprint)?.get(&record.number)?;
+        let crashes = self.crashes.get(&record.fingerprint)?;
+        let crash = crashes.get(&record.crash_key())?;
         Some(CrashUpdate {
             record,
             age_ms: now_ms.saturating_sub(crash.crashed_ms),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Hash of a target's id that identifies it in gossip.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct TargetHash(pub u32);
 
 /// Hash of an affinity key. Sessions with equal hashes disturb each other's
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,5 +42,6 @@
 pub use retry::{decide_retry, AttemptFailure, Attempts, RetryDecision};
 pub use store::{Row, RowKey, RowWrite, StoreCall, StoreError, StoreReply};
 pub use targets::{
-    Target, TargetEntry, TargetKey, TargetLoad, TargetSettings, TargetStatus, Targets,
+    LostAttempt, Target, TargetEntry, TargetKey, TargetLoad, TargetSettings, TargetStatus, Targets,
+    UnfinishedAttempt,
 };
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -1,5 +1,6 @@
 //! Known targets and the estimates of their load and speed.
 
+mod lost;
 mod target;
 
 use std::net::SocketAddr;
@@ -7,9 +8,11 @@
 use compact_str::CompactString;
 use derive_more::Display;
 use lagoon_ids::FastMap;
+use lost::LostAttempts;
 use slotmap::{new_key_type, SlotMap};
 
 use crate::gossip::{TargetHash, TargetUpdate};
+pub use lost::{LostAttempt, UnfinishedAttempt};
 pub use target::Target;
 
 /// Weight of the newest event interval in the mean of its service.
@@ -37,7 +40,7 @@
 /// Entry of a target in the platform's store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct TargetEntry {
-    /// Unique id of this run of the target's process.
+    /// Id of the target, which a later run of its process may have too.
     pub id: CompactString,
     /// Name of the service that it serves.
     pub service: CompactString,
@@ -49,6 +52,9 @@
     pub slots: u32,
     /// Status as the target published it.
     pub status: TargetStatus,
+    /// Unix time of its start; a target that starts again may keep its id. `None`
+    /// if it publishes none.
+    pub started_unix_ms: Option<u64>,
 }
 
 /// Load that a target reports in a response.
@@ -127,21 +133,26 @@
     /// End of the grace period after a store outage, in which a missing entry may
     /// only have expired.
     missing_grace_until_ms: u64,
+    lost: LostAttempts,
 }
 
 impl Targets {
-    /// Adds or updates an entry. Another address or service under a known id
-    /// makes it a new target.
+    /// Adds or updates an entry. Another address, service or start time under a
+    /// known id makes it a new target.
     pub fn upsert(&mut self, entry: TargetEntry) {
         if let Some(&key) = self.by_id.get(&entry.id) {
             let current = &self.arena[key].entry;
-            if current.address == entry.address && current.service == entry.service {
+            let is_same = current.address == entry.address
+                && current.service == entry.service
+                && current.started_unix_ms == entry.started_unix_ms;
+            if is_same {
                 let target = &mut self.arena[key];
                 target.entry = entry;
                 target.is_missing = false;
                 return;
             }
-            self.remove_key(key);
+            let has_restarted = current.started_unix_ms != entry.started_unix_ms;
+            self.remove_key(key, has_restarted);
         }
         let id = entry.id.clone();
         let service = entry.service.clone();
@@ -160,7 +171,7 @@
         if now_ms < self.missing_grace_until_ms {
             self.arena[key].is_missing = true;
         } else {
-            self.remove_key(key);
+            self.remove_expired_key(key, now_ms);
         }
     }
 
@@ -198,11 +209,17 @@
             .map(|(key, _)| key)
             .collect();
         for key in removed {
-            self.remove_key(key);
+            self.remove_expired_key(key, now_ms);
         }
     }
 
-    fn remove_key(&mut self, key: TargetKey) {
+    fn remove_expired_key(&mut self, key: TargetKey, now_ms: u64) {
+        let target = self.arena.get(key);
+        let has_crashed = target.is_some_and(|target| target.has_crashed_if_expired(now_ms));
+        self.remove_key(key, has_crashed);
+    }
+
+    fn remove_key(&mut self, key: TargetKey, has_crashed: bool) {
         let Some(target) = self.arena.remove(key) else {
             return;
         };
@@ -211,6 +228,26 @@
         if let Some(keys) = self.by_service.get_mut(&target.entry.service) {
             keys.retain(|other| *other != key);
         }
+        if has_crashed {
+            let run = target.run_hash();
+            self.lost
+                .target_removed(key, run, target.entry.id, target.unfinished);
+        }
+    }
+
+    /// Records an attempt that ended without a complete response.
+    pub fn record_unfinished(&mut self, key: TargetKey, attempt: UnfinishedAttempt) {
+        match self.arena.get_mut(key) {
+            Some(target) => target.unfinished.push(attempt),
+            None => self.lost.ended_after_removal(key, attempt),
+        }
+    }
+
+    /// Unfinished attempts whose target has probably crashed, since the last
+    /// call: it gave no sign of life after the attempt, and then it started again,
+    /// or its entry expired although it had not announced that it would stop.
+    pub fn take_lost(&mut self, now_ms: u64) -> Vec<LostAttempt> {
+        self.lost.take(now_ms)
     }
 
     /// Target of a key, unless it was removed.
@@ -329,7 +366,7 @@
     /// Records that bytes of a response arrived.
     pub fn record_progress(&mut self, key: TargetKey, now_ms: u64) {
         if let Some(target) = self.arena.get_mut(key) {
-            target.last_progress_ms = now_ms;
+            target.record_progress(now_ms);
         }
     }
 
@@ -340,7 +377,7 @@
             return;
         };
         target.consecutive_failures = 0;
-        target.last_progress_ms = now_ms;
+        target.record_progress(now_ms);
         target.record_result(is_good);
         // At a load above the target's slots, `elapsed_ms` may include time in
         // its queue.
--- a/crates/gateway/src/targets/target.rs
+++ b/crates/gateway/src/targets/target.rs
@@ -4,7 +4,8 @@
 
 use lagoon_ids::hash64;
 
-use super::{TargetEntry, TargetSettings};
+use super::lost::{UnfinishedAttempts, MIN_SILENCE_MS};
+use super::{TargetEntry, TargetSettings, TargetStatus};
 use crate::gossip::{LoadReport, TargetHash, TargetUpdate};
 
 /// Weight of the newest request in the failure rate.
@@ -90,6 +91,10 @@
     /// Whether the store has no entry of the target, perhaps only because it
     /// expired in an outage.
     pub(super) is_missing: bool,
+    /// Time of the last sign of life that this VM or a gossip peer got; `None`
+    /// before the first.
+    alive_ms: Option<u64>,
+    pub(super) unfinished: UnfinishedAttempts,
 }
 
 impl Target {
@@ -108,9 +113,24 @@
             last_progress_ms: 0,
             ejected_until_ms: 0,
             is_missing: false,
+            alive_ms: None,
+            unfinished: UnfinishedAttempts::default(),
         }
     }
 
+    pub(super) fn record_progress(&mut self, now_ms: u64) {
+        self.last_progress_ms = self.last_progress_ms.max(now_ms);
+        self.alive_ms = self.alive_ms.max(Some(now_ms));
+        self.unfinished.record_alive(now_ms);
+    }
+
+    /// Whether a ready target has been silent for so long that it has crashed if
+    /// its entry expires now.
+    pub(super) fn has_crashed_if_expired(&self, now_ms: u64) -> bool {
+        let is_silent = |alive_ms| now_ms >= alive_ms + MIN_SILENCE_MS;
+        self.entry.status == TargetStatus::Ready && self.alive_ms.is_none_or(is_silent)
+    }
+
     pub(super) fn record_result(&mut self, is_good: bool) {
         let failed = f64::from(u8::from(!is_good));
         self.failure_rate += (failed - self.failure_rate) * FAILURE_WEIGHT;
@@ -132,6 +152,14 @@
         TargetHash(self.hash as u32)
     }
 
+    /// Hash that identifies this run of the target's process: as
+    /// [`Target::id_hash`], but with the time of its start.
+    pub fn run_hash(&self) -> TargetHash {
+        let started_unix_ms = self.entry.started_unix_ms.unwrap_or_default();
+        let run = hash64(&(self.hash ^ started_unix_ms).to_le_bytes());
+        TargetHash(run as u32)
+    }
+
     /// Estimated requests at a target of another failure domain, whose VMs don't
     /// gossip with this one. It is a weighted mean of the load report and
     /// `mean_load`, the mean load of the targets in this VM's domain; the older
@@ -167,7 +195,7 @@
         self.unattributed_requests = (f64::from(requests) - self.known_requests(now_ms)).max(0.0);
         self.load_report = Some((requests, reported_ms));
         // The target works, though perhaps not on this VM's requests.
-        self.last_progress_ms = self.last_progress_ms.max(reported_ms);
+        self.record_progress(reported_ms);
     }
 
     /// Applies a gossip peer's update; `None` if the peer sent none for this
--- a/crates/gateway/tests/crash_log.rs
+++ b/crates/gateway/tests/crash_log.rs
@@ -1,5 +1,7 @@
 //! Crashes of targets, and the quarantine of requests that cause them.
 
+use std::collections::BTreeSet;
+
 use lagoon_gateway::{
     fingerprint, CrashLog, CrashRecord, CrashUpdate, RequestMetadata, TargetHash,
 };
@@ -19,26 +21,33 @@
     }
 }
 
-fn crash(number: u32) -> CrashRecord {
+/// First crash of a target.
+fn crash(target: u32) -> CrashRecord {
     CrashRecord {
         fingerprint: FINGERPRINT,
-        number,
+        target: TargetHash(target),
+        earlier: 0,
     }
 }
 
-fn update(number: u32, age_ms: u64) -> CrashUpdate {
+fn update(target: u32, age_ms: u64) -> CrashUpdate {
     CrashUpdate {
-        record: crash(number),
+        record: crash(target),
         age_ms,
     }
 }
 
+/// Records a crash that interrupted an attempt at `ended_ms`.
+fn record(log: &mut CrashLog, target: u32, ended_ms: u64) -> Option<CrashRecord> {
+    log.record_interrupted(FINGERPRINT, TargetHash(target), ended_ms, ended_ms)
+}
+
 #[test]
 fn is_quarantined_after_the_third_crash_until_it_expires() {
     let mut log = CrashLog::default();
-    for number in 1..=3 {
+    for target in 1..=3 {
         assert!(!log.is_quarantined(FINGERPRINT, 0));
-        assert!(log.record(crash(number), TargetHash(number), 0));
+        assert_eq!(record(&mut log, target, 0), Some(crash(target)));
     }
     assert!(log.is_quarantined(FINGERPRINT, TTL_MS - 1));
     assert!(!log.is_quarantined(FINGERPRINT, TTL_MS));
@@ -48,7 +57,7 @@
 #[test]
 fn remove_expired_returns_rows_with_their_version() {
     let mut log = CrashLog::default();
-    log.record(crash(1), TargetHash(1), 0);
+    record(&mut log, 1, 0);
     log.set_stored(crash(2), 9, 0);
     log.set_stored(crash(3), 10, 1);
     assert_eq!(log.remove_expired(TTL_MS), [(crash(2), 9)]);
@@ -56,20 +65,41 @@
 }
 
 #[test]
-fn record_counts_one_crash_of_a_target_once() {
+fn record_interrupted_counts_each_crash_of_a_target_once() {
+    let mut log = CrashLog::default();
+    record(&mut log, 1, 0);
+    assert_eq!(record(&mut log, 1, 199), None);
+    let second = record(&mut log, 1, 200);
+    assert_eq!(second.map(|record| record.earlier), Some(1));
+    assert_eq!(log.crash_count(FINGERPRINT, 200), 2);
+}
+
+// Guards against one crash that counts twice, as two VMs saw it.
+#[test]
+fn record_interrupted_ignores_a_crash_that_another_vm_recorded() {
+    let mut log = CrashLog::default();
+    log.apply_updates(&[update(1, 10)], 30);
+    assert_eq!(record(&mut log, 1, 30), None);
+    assert_eq!(log.crash_count(FINGERPRINT, 30), 1);
+}
+
+// Guards against a crash that counts twice, once by its interrupted response and
+// once, seconds later, by the entry that expired.
+#[test]
+fn record_gone_ignores_a_target_with_a_known_crash() {
     let mut log = CrashLog::default();
-    assert!(log.record(crash(1), TargetHash(1), 0));
-    assert!(!log.record(crash(2), TargetHash(1), 199));
-    assert!(log.record(crash(3), TargetHash(2), 199));
-    assert!(log.record(crash(4), TargetHash(1), 200));
-    assert_eq!(log.crash_count(FINGERPRINT, 200), 3);
+    record(&mut log, 1, 0);
+    let mut gone = |target| log.record_gone(FINGERPRINT, TargetHash(target), 5_000);
+    assert_eq!(gone(1), None);
+    assert_eq!(gone(2), Some(crash(2)));
+    assert_eq!(gone(2), None);
 }
 
 #[test]
 fn pending_are_own_records_without_a_row() {
     let mut log = CrashLog::default();
-    log.record(crash(1), TargetHash(1), 0);
-    log.record(crash(2), TargetHash(2), 0);
+    record(&mut log, 1, 0);
+    record(&mut log, 2, 0);
     log.apply_updates(&[update(3, 0)], 0);
     log.set_stored(crash(1), 5, 0);
     assert_eq!(log.pending(9), [crash(2)]);
@@ -80,7 +110,7 @@
 #[test]
 fn take_new_gives_own_records_once() {
     let mut log = CrashLog::default();
-    log.record(crash(1), TargetHash(1), 0);
+    record(&mut log, 1, 0);
     log.apply_updates(&[update(2, 0)], 0);
     assert_eq!(log.take_new(40), [update(1, 40)]);
     assert_eq!(log.take_new(40), []);
@@ -89,7 +119,7 @@
 #[test]
 fn latest_gives_the_latest_of_all_records() {
     let mut log = CrashLog::default();
-    log.record(crash(1), TargetHash(1), 0);
+    record(&mut log, 1, 0);
     log.apply_updates(&[update(2, 10)], 30);
     assert_eq!(log.latest(9, 50), [update(2, 30), update(1, 50)]);
     assert_eq!(log.latest(1, 50), [update(2, 30)]);
@@ -113,17 +143,18 @@
 fn row_key_is_parsed_again() {
     let record = CrashRecord {
         fingerprint: 0xab,
-        number: 7,
+        target: TargetHash(0x70),
+        earlier: 1,
     };
-    assert_eq!(record.row_key(), "00000000000000ab00000007");
+    assert_eq!(record.row_key(), "00000000000000ab0000007001");
     assert_eq!(CrashRecord::from_row_key(&record.row_key()), Some(record));
 }
 
 #[parameterized(
     empty = { "" },
-    count_of_an_earlier_version = { "00000000000000ab" },
-    not_a_number = { "00000000000000ab0000000x" },
-    not_ascii = { "00000000000000é00000007" },
+    too_short = { "00000000000000ab00000070" },
+    not_a_number = { "00000000000000ab000000x001" },
+    not_ascii = { "00000000000000é00000007001" },
 )]
 fn from_row_key_rejects(key: &str) {
     assert_eq!(CrashRecord::from_row_key(key), None);
@@ -132,42 +163,49 @@
 /// How a VM learns of a crash.
 #[derive(Clone, Copy, Debug)]
 enum News {
-    Seen,
+    Interrupted,
+    Gone,
     Heard,
     Read,
 }
 
-fn learn(log: &mut CrashLog, number: u32, news: News) {
+fn learn(log: &mut CrashLog, target: u32, news: News) {
     match news {
-        News::Seen => {
-            log.record(crash(number), TargetHash(number), 0);
+        News::Interrupted => {
+            record(log, target, 0);
+        }
+        News::Gone => {
+            log.record_gone(FINGERPRINT, TargetHash(target), 0);
         }
-        News::Heard => log.apply_updates(&[update(number, 0)], 0),
-        News::Read => log.set_stored(crash(number), u64::from(number), 0),
+        News::Heard => log.apply_updates(&[update(target, 0)], 0),
+        News::Read => log.set_stored(crash(target), u64::from(target), 0),
     }
 }
 
 proptest! {
     #![proptest_config(ProptestConfig {
-        rng_seed: proptest::test_runner::RngSeed::Fixed(19),
+        rng_seed: prop::test_runner::RngSeed::Fixed(19),
         ..ProptestConfig::default()
     })]
 
-    // Guards against counts that depend on what a VM hears of first, or hears twice.
+    // Guards against counts that depend on what a VM learns first, or learns twice.
     #[test]
     fn crash_count_is_the_same_for_any_order_of_news(
         news in prop::collection::vec(
-            (0..4_u32, prop::sample::select(vec![News::Seen, News::Heard, News::Read])),
+            (
+                0..4_u32,
+                prop::sample::select(vec![News::Interrupted, News::Gone, News::Heard, News::Read]),
+            ),
             0..20,
         ),
     ) {
         let mut log = CrashLog::default();
-        let mut known = std::collections::BTreeSet::new();
-        for (number, news) in news {
-            learn(&mut log, number, news);
-            known.insert(number);
+        let mut crashed = BTreeSet::new();
+        for (target, news) in news {
+            learn(&mut log, target, news);
+            crashed.insert(target);
         }
-        prop_assert_eq!(log.crash_count(FINGERPRINT, 0), known.len());
+        prop_assert_eq!(log.crash_count(FINGERPRINT, 0), crashed.len());
     }
 }
 
--- a/crates/gateway/tests/gossip.rs
+++ b/crates/gateway/tests/gossip.rs
@@ -17,6 +17,7 @@
         domain: "d1".into(),
         slots: 4,
         status: TargetStatus::Ready,
+        started_unix_ms: None,
     });
     let key = targets.of_service("s").next().expect("is listed").0;
     (targets, key)
--- a/crates/gateway/tests/overload.rs
+++ b/crates/gateway/tests/overload.rs
@@ -78,6 +78,7 @@
         domain: "d".into(),
         slots: SLOTS,
         status: TargetStatus::Ready,
+        started_unix_ms: None,
     }
 }
 
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -15,6 +15,7 @@
         domain: domain.into(),
         slots: 4,
         status: TargetStatus::Ready,
+        started_unix_ms: None,
     }
 }
 
--- a/crates/standin/src/fleet/target.rs
+++ b/crates/standin/src/fleet/target.rs
@@ -83,6 +83,7 @@
     executions: Vec<Execution>,
     event_count: u64,
     event_interval: Duration,
+    restarts: u64,
 }
 
 /// Handle of a simulated target on loopback.
@@ -131,6 +132,7 @@
             domain: "d1".into(),
             slots: 12,
             status,
+            started_unix_ms: Some(lock(&self.state).restarts),
         }
     }
 
@@ -139,6 +141,11 @@
         lock(&self.state).fault = fault;
     }
 
+    /// Makes later entries those of a new run under the same id.
+    pub fn restart(&self) {
+        lock(&self.state).restarts += 1;
+    }
+
     /// Makes each request with this path crash the target when it starts to run.
     pub fn crash_on_path(&self, path: &str, crash: Crash) {
         lock(&self.state).crash_path = Some((path.to_owned(), crash));
