Recognize a request that crashes targets in other programs

Callers saw: a lookup without a body crashed targets anew in each program that sent it, as each program's lookup had a fingerprint of its own.

Fix: the fingerprint is path with query, body and, for short bodies, the affinity key; the program is no part of the content. Lookups that many programs send alike would now be quarantined for what runs beside them, so the crashes of a request are forgotten as soon as one with its content completes: a request that crashes targets never does.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use http::request::Parts;
+use http::uri::PathAndQuery;
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{Request, Response, StatusCode};
@@ -136,6 +137,8 @@
             "no route",
         )));
     };
+    let path_and_query = parts.uri.path_and_query();
+    let path_and_query = path_and_query.map_or(parts.uri.path(), PathAndQuery::as_str);
     let affinity_hash = hash64(metadata.affinity_key().as_bytes());
     let service = route.service(affinity_hash).cloned().unwrap_or_default();
     let engine = config.service(&service).and_then(|s| s.engine.clone());
@@ -153,7 +156,7 @@
         config_version: config.version,
         service,
         route,
-        fingerprint: fingerprint(parts.uri.path(), &body, &metadata),
+        fingerprint: fingerprint(path_and_query, &body, &metadata),
         metadata,
         parts,
         body,
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -92,6 +92,7 @@
         let took_ms = now_ms - self.started_ms;
         targets.record_response(self.key, is_success, took_ms, now_ms);
         self.is_complete = true;
+        self.state.crash_tracker.record_completed(self.fingerprint);
     }
 }
 
--- a/crates/entry/src/suspects.rs
+++ b/crates/entry/src/suspects.rs
@@ -220,22 +220,33 @@
         self.crash_log.borrow_mut().apply_updates(updates, now_ms);
     }
 
+    /// Removes the crashes of a request that completed at a target.
+    pub(crate) fn record_completed(self: &Rc<Self>, fingerprint: u64) {
+        let rows = self.crash_log.borrow_mut().remove_completed(fingerprint);
+        if !rows.is_empty() {
+            let tracker = Rc::clone(self);
+            spawn_local(async move { tracker.remove_rows(rows).await });
+        }
+    }
+
     /// Removes expired crashes from this VM and the store.
     pub(crate) async fn remove_expired(&self) {
-        let expired = self
-            .crash_log
-            .borrow_mut()
-            .remove_expired(self.clock.now_ms());
-        for (record, version) in expired {
+        let now_ms = self.clock.now_ms();
+        let expired = self.crash_log.borrow_mut().remove_expired(now_ms);
+        self.remove_rows(expired).await;
+    }
+
+    async fn remove_rows(&self, rows: Vec<(CrashRecord, u64)>) {
+        for (record, version) in rows {
             let write = RowWrite {
                 key: row_key(record),
                 expected_version: version,
                 value: None,
             };
             let call = StoreCall::Transact(vec![write]);
-            // All VMs attempt this; the first one removes the row.
+            // Other VMs may attempt this too; the first one removes the row.
             if let Err(error) = self.budget_client.execute_store_call(&call).await {
-                log::debug!(error = error.to_string(); "cannot remove an expired crash");
+                log::debug!(error = error.to_string(); "cannot remove the row of a crash");
             }
         }
     }
--- a/crates/entry/tests/crashes.rs
+++ b/crates/entry/tests/crashes.rs
@@ -9,7 +9,9 @@
 use fleet::{call, get, send_request, wait_until, Fleet, Vm};
 use lagoon_adapter::standin::{model_call_headers, program_headers, service_call_headers};
 use lagoon_gateway::TargetStatus;
-use lagoon_standin::fleet::{Crash, ExecutionState, FaultProxy, ProxyFault, StoreFault};
+use lagoon_standin::fleet::{
+    Crash, ExecutionState, FaultProxy, ProxyFault, StoreFault, TargetFault,
+};
 
 const CRASHER: &str = "/stream/crasher";
 
@@ -233,3 +235,24 @@
     }
     assert_eq!(crash_count(&fleet), crashes);
 }
+
+// Guards against a refusal of lookups that ran beside a crash and complete
+// otherwise, as all programs send them.
+#[test]
+fn lookup_that_completes_is_not_refused_after_crashes() {
+    let fleet = Fleet::start(1);
+    let look_up = |id: &str| {
+        let headers = service_call_headers(id);
+        call(fleet.callers(), "GET /look/popular", &headers, "").status
+    };
+    for round in 0..QUARANTINE_CRASHES {
+        for desk in &fleet.desks {
+            desk.set_fault(TargetFault::CrashOnRequest);
+        }
+        assert_eq!(look_up(&format!("crash{round}")), 502);
+        for desk in &fleet.desks {
+            desk.set_fault(TargetFault::None);
+        }
+        wait_until("the lookup to complete", || look_up("after") == 200);
+    }
+}
--- a/crates/gateway/src/crash_log.rs
+++ b/crates/gateway/src/crash_log.rs
@@ -6,7 +6,7 @@
 //! they may arrive late, repeatedly and in any order, from the store and from
 //! other VMs, and all VMs come to the same result. A request with three crashes
 //! is quarantined for a while. Other requests that were running at the same
-//! target are recorded too, but rarely reach three.
+//! target are recorded too, until one with their content completes.
 
 use compact_str::{format_compact, CompactString};
 use lagoon_ids::{hash64, FastMap};
@@ -26,25 +26,25 @@
 const MIN_RESTART_MS: u64 = 200;
 
 /// Body length in bytes from which the body alone distinguishes requests; a
-/// shorter one is combined with the program and the affinity key.
+/// shorter one is combined with the affinity key.
 const MIN_DISTINCT_BYTES: usize = 64;
 
 /// Hexadecimal digits of the parts of a row key.
 const FINGERPRINT_DIGITS: usize = 16;
 const TARGET_DIGITS: usize = 8;
 
-/// Fingerprint of a request's content; short bodies are distinguished by the
-/// program and the affinity key.
-pub fn fingerprint(path: &str, body: &[u8], metadata: &RequestMetadata) -> u64 {
-    let mut content = Vec::with_capacity(path.len() + body.len() + 64);
-    content.extend_from_slice(path.as_bytes());
+/// Fingerprint of a request's content: path with query, body and, for short
+/// bodies, the affinity key. The program is no part of it, as a request that
+/// crashes targets may come again in another program.
+pub fn fingerprint(path_and_query: &str, body: &[u8], metadata: &RequestMetadata) -> u64 {
+    let mut content = Vec::with_capacity(path_and_query.len() + body.len() + 64);
+    content.extend_from_slice(path_and_query.as_bytes());
     content.push(0);
     content.extend_from_slice(body);
-    if body.len() < MIN_DISTINCT_BYTES {
-        let names = [&metadata.program, &metadata.affinity];
-        for name in names.into_iter().flatten() {
+    if let Some(affinity) = &metadata.affinity {
+        if body.len() < MIN_DISTINCT_BYTES {
             content.push(0);
-            content.extend_from_slice(name.as_bytes());
+            content.extend_from_slice(affinity.as_bytes());
         }
     }
     hash64(&content)
@@ -246,6 +246,20 @@
         }
     }
 
+    /// Removes all crashes of a request, as it completed at a target. Returns the
+    /// records that have a row, and its version.
+    pub fn remove_completed(&mut self, fingerprint: u64) -> Vec<(CrashRecord, u64)> {
+        if !self.crashes.contains_key(&fingerprint) {
+            return Vec::new();
+        }
+        let of_request = self.records();
+        let completed = of_request
+            .filter(|(record, _)| record.fingerprint == fingerprint)
+            .map(|(record, crash)| (record, crash.storage));
+        let completed = completed.collect();
+        self.remove_all(completed)
+    }
+
     /// Records that this VM has yet to store, at most `max`.
     pub fn pending(&self, max: usize) -> Vec<CrashRecord> {
         let pending = self
@@ -278,11 +292,16 @@
     /// Removes expired records; returns those with a row, and its version.
     pub fn remove_expired(&mut self, now_ms: u64) -> Vec<(CrashRecord, u64)> {
         let expired = self.records().filter(|(_, crash)| crash.is_expired(now_ms));
-        let expired: Vec<(CrashRecord, Storage)> = expired
+        let expired = expired
             .map(|(record, crash)| (record, crash.storage))
             .collect();
+        self.remove_all(expired)
+    }
+
+    /// Removes records; returns those with a row, and its version.
+    fn remove_all(&mut self, records: Vec<(CrashRecord, Storage)>) -> Vec<(CrashRecord, u64)> {
         let mut rows = Vec::new();
-        for (record, storage) in expired {
+        for (record, storage) in records {
             self.remove(record);
             if let Storage::Row(version) = storage {
                 rows.push((record, version));
