Tell a crash of a target from an unreachable failure domain

Cause: a target that accepts no connection after a broken response was taken for crashed. To a VM that is cut off from a domain all its targets look like that, and one stream tries three of them.

Fix: a target counts as crashed only if another target of its domain, of those with the latest signs of life, accepts a connection. If none does, the attempt stays with the target, and the expiry of its entry decides. Without another target in the domain the probe alone decides, as before.

request_is_not_refused_after_its_vm_was_cut_off failed before (503 for 200) and passes, three runs.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -55,6 +55,10 @@
 /// gives no estimate.
 const EXPECTED_TOKENS_DIVISOR: u64 = 4;
 
+/// Maximum number of targets that are probed to tell a crash of their neighbor
+/// from an unreachable failure domain.
+const MAX_DOMAIN_NEIGHBORS: usize = 2;
+
 /// `Retry-After` of a request that crashed several targets.
 const QUARANTINE_RETRY_AFTER_MS: u64 = 30_000;
 
@@ -431,6 +435,10 @@
             self.excluded_targets.push(key);
         } else if let Some((entry, target)) = self.target_identity(key) {
             let crash_tracker = Rc::clone(&self.state.crash_tracker);
+            let domain_neighbors = {
+                let targets = self.state.targets.borrow();
+                targets.domain_neighbors(key, MAX_DOMAIN_NEIGHBORS)
+            };
             let is_suspect = crash_tracker.crash_count(self.fingerprint) > 0;
             let probe = spawn_local(crash_tracker.record_if_crashed(InterruptedAttempt {
                 request_id: self.metadata.request_id.clone(),
@@ -438,6 +446,7 @@
                 target,
                 target_id: entry.id,
                 address: entry.address,
+                domain_neighbors,
                 ended_ms: now_ms,
             }));
             if is_suspect {
--- a/crates/entry/src/suspects.rs
+++ b/crates/entry/src/suspects.rs
@@ -1,5 +1,9 @@
 //! Detects crashes of targets after interrupted responses, and shares them with
 //! other VMs: by gossip, and in the store for VMs that start later.
+//!
+//! A target that accepts no connections has crashed if another one in its failure
+//! domain accepts some. If none does, this VM may be cut off from the domain, and
+//! only the expiry of the target's entry shows that it crashed.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -7,6 +11,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use futures::future::join_all;
 use lagoon_gateway::{
     CrashLog, CrashRecord, CrashUpdate, LostAttempt, Row, RowKey, RowWrite, StoreCall, StoreReply,
     TargetHash,
@@ -46,6 +51,8 @@
     pub(crate) target_id: CompactString,
     pub(crate) target: TargetHash,
     pub(crate) address: SocketAddr,
+    /// Addresses of other targets in the target's failure domain.
+    pub(crate) domain_neighbors: Vec<SocketAddr>,
     pub(crate) ended_ms: u64,
 }
 
@@ -57,6 +64,12 @@
     }
 }
 
+/// Whether any of these addresses accepts a connection.
+async fn accepts_any(addresses: &[SocketAddr]) -> bool {
+    let connections = join_all(addresses.iter().copied().map(Connection::open)).await;
+    connections.iter().any(Result::is_ok)
+}
+
 impl CrashTracker {
     pub(crate) fn new(
         clock: Clock,
@@ -90,7 +103,7 @@
     }
 
     /// Records a crash if the target whose response was interrupted accepts no
-    /// connections.
+    /// connections, and another one in its failure domain does.
     pub(crate) async fn record_if_crashed(self: Rc<Self>, attempt: InterruptedAttempt) {
         sleep(CRASH_PROBE_DELAY).await;
         let Err(error) = Connection::open(attempt.address).await else {
@@ -98,6 +111,11 @@
             log::info!(request = attempt.request_id.as_str(), target_id = attempt.target_id.as_str(); "target accepts connections after an interrupted response");
             return;
         };
+        if !attempt.domain_neighbors.is_empty() && !accepts_any(&attempt.domain_neighbors).await {
+            self.metrics.record_target_crash("domain unreachable");
+            log::info!(request = attempt.request_id.as_str(), target_id = attempt.target_id.as_str(), error = error.to_string(); "failure domain of the target can't be reached; it may not have crashed");
+            return;
+        }
         let now_ms = self.clock.now_ms();
         let record = self.crash_log.borrow_mut().record_interrupted(
             attempt.fingerprint,
--- a/crates/entry/tests/crashes.rs
+++ b/crates/entry/tests/crashes.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::Duration;
 
-use fleet::{call, get, send_request, wait_until, Fleet, Vm};
+use fleet::{call, get, read_response, send_request, wait_until, Fleet, Vm};
 use lagoon_adapter::standin::{model_call_headers, program_headers, service_call_headers};
 use lagoon_gateway::TargetStatus;
 use lagoon_standin::fleet::{
@@ -256,3 +256,35 @@
         wait_until("the lookup to complete", || look_up("after") == 200);
     }
 }
+
+// Guards against a quarantine of requests that were running when their VM lost
+// its connections to a whole failure domain.
+#[test]
+fn request_is_not_refused_after_its_vm_was_cut_off() {
+    let fleet = Fleet::start_proxied(1);
+    let targets = &fleet.proxies[1..];
+    let running = |engine: &lagoon_standin::fleet::Target| {
+        let executions = engine.executions();
+        executions
+            .iter()
+            .any(|execution| execution.state == ExecutionState::Running)
+    };
+    for round in 0..QUARANTINE_CRASHES {
+        let line = "POST /stream/x";
+        let headers = crasher_headers(&format!("cut{round}"));
+        let caller = send_request(fleet.callers(), line, "a.example", &headers, "prompt");
+        wait_until("the execution", || fleet.engines.iter().any(running));
+        for proxy in targets {
+            proxy.set_fault(ProxyFault::Refused);
+        }
+        assert!(!read_response(caller).is_complete);
+        thread::sleep(RESTART_TIME);
+        for proxy in targets {
+            proxy.set_fault(ProxyFault::None);
+        }
+        thread::sleep(RESTART_TIME);
+    }
+    let headers = crasher_headers("after");
+    let response = call(fleet.callers(), "POST /stream/x", &headers, "prompt");
+    assert_eq!((response.status, response.is_complete), (200, true));
+}
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -255,6 +255,24 @@
         self.arena.get(key)
     }
 
+    /// Addresses of other targets in the failure domain of a target, at most
+    /// `count`: those that gave the latest signs of life come first.
+    pub fn domain_neighbors(&self, key: TargetKey, count: usize) -> Vec<SocketAddr> {
+        let Some(target) = self.arena.get(key) else {
+            return Vec::new();
+        };
+        let domain = &target.entry.domain;
+        let mut neighbors: Vec<&Target> = self
+            .arena
+            .iter()
+            .filter(|(other, target)| *other != key && target.entry.domain == *domain)
+            .map(|(_, target)| target)
+            .collect();
+        neighbors.sort_by_key(|target| std::cmp::Reverse(target.alive_ms));
+        let addresses = neighbors.iter().map(|target| target.entry.address);
+        addresses.take(count).collect()
+    }
+
     /// Key of the target with this hash, unless it was removed.
     pub fn key_by_hash(&self, hash: TargetHash) -> Option<TargetKey> {
         self.by_hash.get(&hash).copied()
--- a/crates/gateway/src/targets/target.rs
+++ b/crates/gateway/src/targets/target.rs
@@ -93,7 +93,7 @@
     pub(super) is_missing: bool,
     /// Time of the last sign of life that this VM or a gossip peer got; `None`
     /// before the first.
-    alive_ms: Option<u64>,
+    pub(super) alive_ms: Option<u64>,
     pub(super) unfinished: UnfinishedAttempts,
 }
 
--- a/crates/gateway/tests/lost_attempts.rs
+++ b/crates/gateway/tests/lost_attempts.rs
@@ -79,3 +79,29 @@
     targets.remove("a", removed_ms);
     assert!(lost(&mut targets, removed_ms).is_empty());
 }
+
+#[test]
+fn domain_neighbors_with_the_latest_sign_of_life_come_first() {
+    let (mut targets, key) = targets();
+    for (id, domain) in [("b", "d1"), ("c", "d1"), ("d", "d1"), ("e", "d2")] {
+        let port = 9_000 + u16::from(id.as_bytes()[0]);
+        targets.upsert(TargetEntry {
+            id: id.into(),
+            address: ([127, 0, 0, 1], port).into(),
+            domain: domain.into(),
+            ..entry(TargetStatus::Ready, 1)
+        });
+    }
+    let key_of = |targets: &Targets, id: &str| {
+        let mut all = targets.of_service("s");
+        all.find(|(_, target)| target.entry.id == id)
+            .expect("is listed")
+            .0
+    };
+    let (c, d) = (key_of(&targets, "c"), key_of(&targets, "d"));
+    targets.record_progress(c, 1_000);
+    targets.record_progress(d, 2_000);
+    let address = |key| targets.get(key).expect("is listed").entry.address;
+    assert_eq!(targets.domain_neighbors(key, 2), [address(d), address(c)]);
+    assert_eq!(targets.domain_neighbors(key, 9).len(), 3);
+}
--- a/crates/standin/src/fleet/proxy.rs
+++ b/crates/standin/src/fleet/proxy.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -26,6 +26,8 @@
     Delayed(Duration),
     /// Open and new connections are reset.
     Reset,
+    /// Open connections are reset, and no new ones are accepted.
+    Refused,
     /// Bytes from the server are not forwarded. Connections open during the fault
     /// stay silent after it.
     BlackholeResponses,
@@ -53,11 +55,7 @@
     /// Starts a proxy to a server on a free loopback port.
     pub fn start(server: SocketAddr) -> FaultProxy {
         let (fault, faults) = watch::channel(ProxyFault::None);
-        let address = start_server(move |listener| async move {
-            while let Ok((client, _)) = listener.accept().await {
-                spawn_local(proxy_connection(client, server, faults.clone()));
-            }
-        });
+        let address = start_server(move |listener| accept(listener, server, faults));
         FaultProxy {
             address,
             fault: Arc::new(fault),
@@ -70,6 +68,35 @@
     }
 }
 
+async fn accept(
+    mut listener: TcpListener,
+    server: SocketAddr,
+    mut faults: watch::Receiver<ProxyFault>,
+) {
+    let address = listener.local_addr().expect("socket has an address");
+    let is_refused = |fault: &ProxyFault| *fault == ProxyFault::Refused;
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => Some(accepted),
+            _ = faults.wait_for(is_refused) => None,
+        };
+        match accepted {
+            Some(Ok((client, _))) => {
+                spawn_local(proxy_connection(client, server, faults.clone()));
+            }
+            Some(Err(_)) => return,
+            None => {
+                drop(listener);
+                // Fails if the proxy's handle is gone.
+                if faults.wait_for(|fault| !is_refused(fault)).await.is_err() {
+                    return;
+                }
+                listener = TcpListener::bind(address).await.expect("port is free");
+            }
+        }
+    }
+}
+
 async fn proxy_connection(
     client: TcpStream,
     server: SocketAddr,
@@ -92,7 +119,7 @@
     let to_client_task = forward_bytes(Direction::ToClient, from_server, to_client, faults.clone());
     tokio::select! {
         _ = async { tokio::join!(to_server_task, to_client_task) } => {}
-        _ = faults.wait_for(|fault| *fault == ProxyFault::Reset) => {}
+        _ = faults.wait_for(|fault| matches!(fault, ProxyFault::Reset | ProxyFault::Refused)) => {}
     }
 }
 
@@ -132,7 +159,9 @@
     let blackholes_direction = |fault: &ProxyFault| match fault {
         ProxyFault::Blackhole => true,
         ProxyFault::BlackholeResponses => direction == Direction::ToClient,
-        ProxyFault::None | ProxyFault::Delayed(_) | ProxyFault::Reset => false,
+        ProxyFault::None | ProxyFault::Delayed(_) | ProxyFault::Reset | ProxyFault::Refused => {
+            false
+        }
     };
     if faults.wait_for(blackholes_direction).await.is_err() {
         // The proxy's handle is gone, so no fault can be injected.
