Keep a request that crashes targets quarantined for ten minutes

Callers saw: a request that keeps coming crashed three more targets each minute, as all its crashes were forgotten after one.

Fix: a crash is forgotten after ten minutes, or once a request with its content completes; VMs repeat it to each other for the first minute only, as later all have it from the store. Ruled out: renewing a quarantine with each refusal (it would never be tried again after the targets were mended).

--- a/crates/gateway/src/crash_log.rs
+++ b/crates/gateway/src/crash_log.rs
@@ -18,8 +18,12 @@
 /// Crashes after which a request is quarantined.
 const QUARANTINE_CRASHES: usize = 3;
 
-/// Time after which a crash is forgotten.
-const CRASH_TTL_MS: u64 = 60_000;
+/// Time after which a crash is forgotten. The software of a target that crashes
+/// under a request is rarely replaced sooner.
+const CRASH_TTL_MS: u64 = 600_000;
+
+/// Time for which VMs repeat a crash to each other.
+const REPEAT_MS: u64 = 60_000;
 
 /// A target doesn't restart in less time than this, so an attempt that ended
 /// earlier after a crash of its target saw the same crash.
@@ -276,14 +280,13 @@
             .collect()
     }
 
-    /// Updates on all known crashes, at most `max`, the latest first.
+    /// Updates on the crashes of the last minute, whichever VM saw them, at most
+    /// `max`, the latest first.
     pub fn latest(&self, max: usize, now_ms: u64) -> Vec<CrashUpdate> {
-        let valid = self
-            .records()
-            .filter(|(_, crash)| !crash.is_expired(now_ms));
-        let mut updates: Vec<CrashUpdate> = valid
-            .filter_map(|(record, _)| self.update(record, now_ms))
-            .collect();
+        let updates = self.records();
+        let updates = updates.filter_map(|(record, _)| self.update(record, now_ms));
+        let mut updates: Vec<CrashUpdate> =
+            updates.filter(|update| update.age_ms < REPEAT_MS).collect();
         updates.sort_unstable_by_key(|update| (update.age_ms, update.record));
         updates.truncate(max);
         updates
