Soak: a request that crashes targets comes again beside all other faults

Each run now has a caller whose request crashes every engine that runs it, through random VMs, while VMs are killed, frozen and stopped, and the store and the links fail. Engines are listed as restarted after a crash, as the platform's are. Checked: at most three crashes later than 3 s after the third.

The simulated proxy also looped once its handle was gone; it waits now.

--- a/crates/entry/tests/fleet/mod.rs
+++ b/crates/entry/tests/fleet/mod.rs
@@ -13,7 +13,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use lagoon_gateway::TargetStatus;
+use lagoon_gateway::{TargetEntry, TargetStatus};
 use lagoon_standin::fleet::{FaultProxy, Store, Target};
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
@@ -132,6 +132,11 @@
 
     /// Writes the store entry of a target; the index counts engines first.
     pub(crate) fn list(&self, index: usize, status: TargetStatus) {
+        self.store.add_target(&self.entry(index, status));
+    }
+
+    /// Store entry of a target; the index counts engines first.
+    pub(crate) fn entry(&self, index: usize, status: TargetStatus) -> TargetEntry {
         let engines = self.engines.len();
         let mut entry = match index.checked_sub(engines) {
             None => self.engines[index].entry("engines", status),
@@ -140,7 +145,7 @@
         if let Some(proxy) = self.proxies.get(1 + index) {
             entry.address = proxy.address;
         }
-        self.store.add_target(&entry);
+        entry
     }
 
     /// Waits until each VM knows all others.
--- a/crates/entry/tests/soak.rs
+++ b/crates/entry/tests/soak.rs
@@ -11,12 +11,14 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use fleet::{call, complete_stream, try_call, wait_until, Fleet, Response, CONFIG, EVENT_COUNT};
 use lagoon_adapter::standin::{model_call_headers, service_call_headers};
-use lagoon_gateway::TargetStatus;
-use lagoon_standin::fleet::{FaultProxy, ProxyFault, StoreFault, TargetFault};
+use lagoon_gateway::{TargetEntry, TargetStatus};
+use lagoon_standin::fleet::{
+    Crash, FaultProxy, ProxyFault, Store, StoreFault, Target, TargetFault,
+};
 use nix::sys::signal::Signal;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
@@ -34,6 +36,24 @@
 /// Longest `timeout_ms` of the routes in [`fleet::CONFIG`].
 const MAX_ROUTE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Path of a request that crashes each target that runs it.
+const CRASHER: &str = "/stream/crasher";
+
+/// Time between two requests that crash targets; longer than a target's restart.
+const CRASHER_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Time in which a restarted target is listed.
+const RESTART_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Crashes after which the request is refused, once all VMs know of them.
+const QUARANTINE_CRASHES: usize = 3;
+
+/// Time in which all VMs know of a crash, faults between them included.
+const CRASH_SPREAD_TIME: Duration = Duration::from_secs(3);
+
+/// Maximum number of crashes after that time.
+const MAX_LATER_CRASHES: usize = 3;
+
 /// Defaults for `SOAK_SEED`, `SOAKS` and `SOAK_FAULTS`.
 const DEFAULT_SEED: u64 = 1;
 const DEFAULT_RUNS: u64 = 2;
@@ -95,6 +115,65 @@
     outcomes
 }
 
+/// Sends the request that crashes targets through random VMs.
+fn run_crasher(seed: u64, vms: &Addresses, stop: &AtomicBool) {
+    let mut random = Pcg64::seed_from_u64(seed * 1_000 + CALLERS);
+    let body = "crasher".repeat(20);
+    while !stop.load(Ordering::SeqCst) {
+        let address = {
+            let vms = vms.lock().expect("no caller panics");
+            vms[random.random_range(0..vms.len())]
+        };
+        let headers = model_call_headers("crasher", "crasher", 1_000_000, MAX_CALL_TOKENS);
+        try_call(address, &format!("POST {CRASHER}"), &headers, &body);
+        thread::sleep(CRASHER_INTERVAL);
+    }
+}
+
+/// Times at which a target started to run the request that crashes it.
+fn crash_times(target: &Target) -> Vec<Instant> {
+    let executions = target.executions().into_iter();
+    executions
+        .filter(|execution| execution.path == CRASHER)
+        .map(|execution| execution.started)
+        .collect()
+}
+
+/// Lists engines with a later start time after each crash, as they do when they
+/// start again.
+fn list_restarts(store: &Store, engines: &[(Target, TargetEntry)], stop: &AtomicBool) {
+    let mut listed = vec![0; engines.len()];
+    while !stop.load(Ordering::SeqCst) {
+        for ((engine, entry), listed) in engines.iter().zip(&mut listed) {
+            let crashes = crash_times(engine).len();
+            if crashes > *listed {
+                *listed = crashes;
+                store.add_target(&TargetEntry {
+                    started_unix_ms: Some(crashes as u64),
+                    ..entry.clone()
+                });
+            }
+        }
+        thread::sleep(RESTART_CHECK_INTERVAL);
+    }
+}
+
+/// Checks that the request that crashes targets was stopped; returns how many it
+/// crashed.
+fn check_crasher(seed: u64, fleet: &Fleet) -> usize {
+    let mut crashes: Vec<_> = fleet.engines.iter().flat_map(crash_times).collect();
+    crashes.sort();
+    if let Some(third) = crashes.get(QUARANTINE_CRASHES - 1) {
+        let known_at = *third + CRASH_SPREAD_TIME;
+        let later = crashes.iter().filter(|crash| **crash > known_at).count();
+        assert!(
+            later <= MAX_LATER_CRASHES,
+            "seed {seed}: {later} crashes after the quarantine"
+        );
+    }
+    crashes.len()
+}
+
 /// Injects one random fault, and removes it unless it ends by itself.
 fn inject_fault(fleet: &mut Fleet, random: &mut Pcg64, version: &mut u64) {
     let index = random.random_range(0..fleet.vms.len());
@@ -234,6 +313,21 @@
         *vms.lock().expect("no caller panics") = callers.collect();
     };
     update_addresses(&fleet);
+    for engine in &fleet.engines {
+        engine.crash_on_path(CRASHER, Crash::Closed);
+    }
+    let crasher = {
+        let (vms, stop) = (Arc::clone(&vms), Arc::clone(&stop));
+        thread::spawn(move || run_crasher(seed, &vms, &stop))
+    };
+    let restarts = {
+        let (store, stop) = (fleet.store.clone(), Arc::clone(&stop));
+        let engines = fleet.engines.iter().enumerate();
+        let engines: Vec<_> = engines
+            .map(|(index, engine)| (engine.clone(), fleet.entry(index, TargetStatus::Ready)))
+            .collect();
+        thread::spawn(move || list_restarts(&store, &engines, &stop))
+    };
     let callers: Vec<_> = (0..CALLERS)
         .map(|caller| {
             let (vms, stop) = (Arc::clone(&vms), Arc::clone(&stop));
@@ -254,12 +348,16 @@
         thread::sleep(MAX_ROUTE_TIMEOUT);
     }
     stop.store(true, Ordering::SeqCst);
+    crasher.join().expect("caller");
+    restarts.join().expect("list of restarts");
     let outcomes = callers
         .into_iter()
         .flat_map(|caller| caller.join().expect("caller"));
     let outcomes: Vec<Outcome> = outcomes.collect();
     assert!(outcomes.len() > 20, "seed {seed}: too few calls");
     check_guarantees(seed, &fleet, &outcomes);
+    let crashes = check_crasher(seed, &fleet);
+    println!("seed {seed}: one request crashed targets {crashes} times");
     for line in ["POST /book/x", "GET /look/x"] {
         wait_until("service after the faults", || {
             call(fleet.callers(), line, &service_call_headers("after"), "").status == 200
--- a/crates/standin/src/fleet/proxy.rs
+++ b/crates/standin/src/fleet/proxy.rs
@@ -78,7 +78,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => Some(accepted),
-            _ = faults.wait_for(is_refused) => None,
+            () = wait_for_fault(&mut faults, is_refused) => None,
         };
         match accepted {
             Some(Ok((client, _))) => {
@@ -115,11 +115,13 @@
     }
     let (from_client, to_client) = client.into_split();
     let (from_server, to_server) = server.into_split();
+    let resets_connections =
+        |fault: &ProxyFault| matches!(fault, ProxyFault::Reset | ProxyFault::Refused);
     let to_server_task = forward_bytes(Direction::ToServer, from_client, to_server, faults.clone());
     let to_client_task = forward_bytes(Direction::ToClient, from_server, to_client, faults.clone());
     tokio::select! {
         _ = async { tokio::join!(to_server_task, to_client_task) } => {}
-        _ = faults.wait_for(|fault| matches!(fault, ProxyFault::Reset | ProxyFault::Refused)) => {}
+        () = wait_for_fault(&mut faults, resets_connections) => {}
     }
 }
 
@@ -154,7 +156,7 @@
     }
 }
 
-/// Waits for a fault that blackholes this direction; forever if the proxy's handle is gone.
+/// Waits for a fault that blackholes this direction.
 async fn wait_until_blackholed(direction: Direction, faults: &mut watch::Receiver<ProxyFault>) {
     let blackholes_direction = |fault: &ProxyFault| match fault {
         ProxyFault::Blackhole => true,
@@ -163,8 +165,15 @@
             false
         }
     };
-    if faults.wait_for(blackholes_direction).await.is_err() {
-        // The proxy's handle is gone, so no fault can be injected.
+    wait_for_fault(faults, blackholes_direction).await;
+}
+
+/// Waits for a fault; forever if the proxy's handle is gone and none can be injected.
+async fn wait_for_fault<F>(faults: &mut watch::Receiver<ProxyFault>, is_awaited: F)
+where
+    F: FnMut(&ProxyFault) -> bool,
+{
+    if faults.wait_for(is_awaited).await.is_err() {
         std::future::pending::<()>().await;
     }
 }
--- a/crates/standin/src/fleet/target.rs
+++ b/crates/standin/src/fleet/target.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -73,6 +73,8 @@
     pub body: Vec<u8>,
     /// Whether it is in progress, complete or disconnected.
     pub state: ExecutionState,
+    /// Time of its start.
+    pub started: Instant,
 }
 
 #[derive(Default)]
@@ -211,6 +213,7 @@
             path: path.clone(),
             body: body.to_bytes().to_vec(),
             state: ExecutionState::Running,
+            started: Instant::now(),
         });
         ExecutionGuard {
             index: locked.executions.len() - 1,
