Renew watches when the store answers again after an outage

Cause: the store fell silent, the VM's watch was sent into the silence, and the store never answered it after its return. Only the watch's own timeout, up to 11.5 s, ended it, although other calls had replies all the while: "store answers again" at 27.2 s, "feed is back" at 36.1 s.

Fix: the first reply after an outage of a second or more ends the watches in flight, and they are sent again at once. Targets keep the grace period for entries that expired in the outage. Short failures (429 under load) leave watches alone.

Ruled out: shorter watches for all (more reads at all times, and still blind for their length); closing on keepalive (the store's host answers it).

--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -11,6 +11,7 @@
 use hyper::Request;
 use lagoon_adapter::{decode_store_reply, encode_store_call, Method};
 use lagoon_gateway::{ReplyTimeout, StoreCall, StoreError, StoreReply};
+use tokio::sync::Notify;
 use tokio::time::timeout;
 
 use crate::clock::Clock;
@@ -28,6 +29,10 @@
 /// Sorts after the keys of all VMs, so that a probe reads no row.
 const AFTER_ALL_KEYS: &str = "~";
 
+/// Outage of the store after which the watches in flight are taken for lost: it
+/// may have dropped them without closing their connections.
+const WATCH_LOSS_MS: u64 = 1_000;
+
 /// Maximum size of a reply; the store sends one megabyte at most.
 const MAX_REPLY_BYTES: usize = 4_000_000;
 
@@ -52,6 +57,10 @@
     /// Failures since the last reply, as weighted by [`failure_weight`].
     failures: Cell<u32>,
     reply_timeout: Cell<ReplyTimeout>,
+    /// Notified at the end of an outage of at least [`WATCH_LOSS_MS`].
+    recovered: Notify,
+    /// Number of such outages that have ended.
+    recoveries: Cell<u32>,
 }
 
 impl StoreClient {
@@ -64,9 +73,16 @@
             failing_since_ms: Cell::new(None),
             failures: Cell::new(0),
             reply_timeout: Cell::default(),
+            recovered: Notify::new(),
+            recoveries: Cell::new(0),
         }
     }
 
+    /// Number of outages that have ended and in which watches may have got lost.
+    pub(crate) fn recoveries(&self) -> u32 {
+        self.recoveries.get()
+    }
+
     /// Whether the store counts as unavailable after consecutive failures.
     pub(crate) fn is_unavailable(&self) -> bool {
         self.failures.get() >= UNAVAILABLE_FAILURES
@@ -83,7 +99,7 @@
         !matches!(read, Ok(Ok(_)))
     }
 
-    /// Executes a call, without retries.
+    /// Executes a call, without retries. A watch fails at the end of an outage.
     pub(crate) async fn call(&self, call: &StoreCall) -> Result<StoreReply, StoreError> {
         let max_wait = match call {
             StoreCall::Watch { wait_ms, .. } => REPLY_TIMEOUT + Duration::from_millis(*wait_ms),
@@ -91,9 +107,15 @@
             StoreCall::Read { .. } => REPLY_TIMEOUT,
         };
         let started_ms = self.clock.now_ms();
-        let reply = match timeout(max_wait, self.exchange(call)).await {
-            Ok(reply) => reply,
-            Err(_) => Err(StoreError::NoReply("no reply in time".into())),
+        let is_watch = matches!(call, StoreCall::Watch { .. });
+        let reply = tokio::select! {
+            reply = timeout(max_wait, self.exchange(call)) => match reply {
+                Ok(reply) => reply,
+                Err(_) => Err(StoreError::NoReply("no reply in time".into())),
+            },
+            () = self.recovered.notified(), if is_watch => {
+                return Err(StoreError::NoReply("store was unavailable meanwhile".into()));
+            }
         };
         if matches!(call, StoreCall::Transact(_)) {
             self.adapt_timeout(&reply, self.clock.now_ms() - started_ms);
@@ -127,6 +149,10 @@
                 if let Some(since_ms) = self.failing_since_ms.take() {
                     let away_ms = self.clock.now_ms() - since_ms;
                     log::info!(away_ms; "store answers again");
+                    if away_ms >= WATCH_LOSS_MS {
+                        self.recoveries.set(self.recoveries.get() + 1);
+                        self.recovered.notify_waiters();
+                    }
                 }
             }
             Err(error) => {
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -164,6 +164,7 @@
                 after_version: self.version,
                 wait_ms: self.table.max_wait_ms(),
             };
+            let recoveries = self.store.recoveries();
             match self.store.call(&call).await {
                 Ok(StoreReply::Rows { rows, version, .. }) => {
                     self.record_success();
@@ -179,6 +180,11 @@
                 Ok(_) => return,
                 Err(error) => {
                     self.record_failure(&error);
+                    if self.store.recoveries() != recoveries {
+                        let now_ms = self.state.now_ms();
+                        self.state.targets.borrow_mut().on_store_recovered(now_ms);
+                        continue;
+                    }
                     sleep(RETRY_DELAY).await;
                 }
             }
--- a/crates/entry/tests/processes.rs
+++ b/crates/entry/tests/processes.rs
@@ -7,7 +7,7 @@
 use fleet::{call, complete_stream, get, read_response, send_request, wait_until, Fleet, CONFIG};
 use lagoon_adapter::standin::{model_call_headers, service_call_headers};
 use lagoon_gateway::TargetStatus;
-use lagoon_standin::fleet::{ExecutionState, StoreFault, TargetFault};
+use lagoon_standin::fleet::{ExecutionState, ProxyFault, StoreFault, TargetFault};
 use nix::sys::signal::Signal;
 
 const BUDGET_TOKENS: u64 = 2_000;
@@ -262,6 +262,38 @@
     assert_eq!(call(fleet.callers(), "GET /look/x", &[], "").status, 404);
 }
 
+// Guards against an old configuration in force long after the store is back, as
+// the VM waits for the reply to a watch that the outage swallowed.
+#[test]
+fn configuration_applies_soon_after_the_store_was_silent() {
+    const CALLS: usize = 20;
+    let fleet = Fleet::start_proxied(1);
+    fleet.proxies[0].set_fault(ProxyFault::Blackhole);
+    let charge = |id: &str, program: &str| {
+        let headers = model_call_headers(id, program, BUDGET_TOKENS, MAX_CALL_TOKENS);
+        call(fleet.callers(), "POST /stream/x", &headers, "prompt")
+    };
+    charge("silent", "p0");
+    fleet.proxies[0].set_fault(ProxyFault::None);
+    let transactions = fleet.store.transaction_count();
+    let mut program = 0;
+    wait_until("a charge in the store", || {
+        program += 1;
+        charge("back", &format!("q{program}"));
+        fleet.store.transaction_count() > transactions
+    });
+    let newer = CONFIG.replace("\"version\": 3", "\"version\": 4");
+    fleet.store.configure(&newer.replace("/look/", "/seek/"));
+    for id in 0..CALLS {
+        charge("later", &format!("r{id}"));
+    }
+    let headers = service_call_headers("seek");
+    assert_eq!(
+        call(fleet.callers(), "GET /seek/x", &headers, "").status,
+        200
+    );
+}
+
 #[test]
 fn budget_is_shared_by_vms_and_survives_restarts() {
     let mut fleet = Fleet::start(2);
