--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -450,7 +450,7 @@
                 ended_ms: now_ms,
             }));
             if is_suspect {
-                if let Err(error) = probe.await {
+                if let Ok(Err(error)) = timeout_at(self.deadline(), probe).await {
                     log::error!(error = error.to_string(); "crash probe failed");
                 }
             }
