List an overdrawn program until the store has accepted it

Callers could see: a program that spent its allowance in an outage, and has no budget left, gets another allowance from another VM in the next outage.

Cause: the listing was tried four times within 0.1 s, at this VM only, and then given up.

--- a/crates/entry/src/ledger/overdrawn.rs
+++ b/crates/entry/src/ledger/overdrawn.rs
@@ -2,12 +2,13 @@
 //! little left for their largest call. They get no further allowance.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use compact_str::CompactString;
 use lagoon_gateway::{ProgramKey, RowKey, RowWrite, StoreCall, StoreReply};
 use tokio::time::sleep;
 
-use crate::ledger::{BudgetClient, RETRY_DELAY, WRITE_ATTEMPTS};
+use crate::ledger::{BudgetClient, RETRY_DELAY};
 
 /// Store table of overdrawn programs.
 pub(crate) const OVERDRAWN_TABLE: &str = "overdrawn";
@@ -16,6 +17,9 @@
 /// calls.
 const LISTING_MS: u64 = 600_000;
 
+/// Delay before a program that could not be listed is listed again.
+const LISTING_RETRY_DELAY: Duration = Duration::from_millis(500);
+
 fn overdrawn_write(program: &ProgramKey, expected_version: u64, is_listed: bool) -> RowWrite {
     RowWrite {
         key: RowKey {
@@ -39,9 +43,9 @@
             return;
         }
         self.set_overdrawn(program.clone(), true);
-        for _ in 0..WRITE_ATTEMPTS {
-            let call = StoreCall::Transact(vec![overdrawn_write(&program, 0, true)]);
-            match self.store.call(&call).await {
+        let call = StoreCall::Transact(vec![overdrawn_write(&program, 0, true)]);
+        loop {
+            match self.execute_or_relay(&call).await {
                 Ok(StoreReply::Applied { version }) => {
                     self.overdrawn_rows
                         .borrow_mut()
@@ -51,8 +55,8 @@
                 // Another VM or an earlier attempt has listed the program.
                 Ok(_) => return,
                 Err(error) => {
-                    log::warn!(program = program.0.as_str(), error = error.to_string(); "cannot list an overdrawn program");
-                    sleep(RETRY_DELAY).await;
+                    log::warn!(program = program.0.as_str(), error = error.to_string(); "cannot list an overdrawn program yet");
+                    sleep(LISTING_RETRY_DELAY).await;
                 }
             }
         }
--- a/crates/entry/tests/processes.rs
+++ b/crates/entry/tests/processes.rs
@@ -2,6 +2,7 @@
 
 mod fleet;
 
+use std::thread;
 use std::time::Duration;
 
 use fleet::{call, complete_stream, get, read_response, send_request, wait_until, Fleet, CONFIG};
@@ -374,6 +375,28 @@
     });
 }
 
+// Guards against another allowance for a program that has spent its budget, as the
+// store was too busy to list it.
+#[test]
+fn overdrawn_program_is_listed_once_the_store_accepts_it() {
+    let fleet = Fleet::start(2);
+    let budget_tokens = MAX_CALL_TOKENS + 10;
+    let headers = model_call_headers("r", "new", budget_tokens, MAX_CALL_TOKENS);
+    fleet.store.set_fault(StoreFault::Unavailable);
+    wait_until("a call without the store", || {
+        call(fleet.callers(), "POST /stream/x", &headers, "p").status == 200
+    });
+    fleet
+        .store
+        .set_fault(StoreFault::TableOverloaded("overdrawn"));
+    wait_until("the charge", || !fleet.store.values("budgets").is_empty());
+    thread::sleep(Duration::from_secs(1));
+    fleet.store.set_fault(StoreFault::None);
+    wait_until("the listing", || {
+        !fleet.store.values("overdrawn").is_empty()
+    });
+}
+
 #[test]
 fn shutdown_completes_requests_in_flight() {
     let mut fleet = Fleet::start(1);
--- a/crates/standin/src/fleet/store.rs
+++ b/crates/standin/src/fleet/store.rs
@@ -25,6 +25,8 @@
     None,
     /// Every call is rejected with 503.
     Unavailable,
+    /// Transactions that write this table are rejected with 429.
+    TableOverloaded(&'static str),
     /// The next transaction is applied and its reply is dropped; the fault then ends.
     DropReply,
 }
@@ -183,6 +185,10 @@
     let reply = match call {
         StoreCall::Transact(writes) => {
             let mut state = lock(&state);
+            let is_overloaded = |write: &RowWrite| matches!(state.fault, StoreFault::TableOverloaded(table) if table == write.key.table);
+            if writes.iter().any(is_overloaded) {
+                return Ok(full_response(StatusCode::TOO_MANY_REQUESTS, Vec::new()));
+            }
             let reply = state.apply(&writes);
             state.transaction_count += 1;
             if state.fault == StoreFault::DropReply {
