Repeat crashes of the requests with most of them first

A crash of an engine is recorded for each of its up to 48 requests. A message has room for 100 records, so those of the request that caused several crashes could be crowded out by the latest ones. Read in the code, not seen.

--- a/crates/entry/src/news.rs
+++ b/crates/entry/src/news.rs
@@ -109,7 +109,7 @@
 async fn repeat_crashes(state: Rc<DaemonState>, socket: Rc<UdpSocket>) {
     loop {
         sleep(CRASH_REPEAT_INTERVAL).await;
-        let crashes = state.crash_tracker.latest(CRASHES_PER_MESSAGE);
+        let crashes = state.crash_tracker.to_repeat(CRASHES_PER_MESSAGE);
         if crashes.is_empty() {
             continue;
         }
--- a/crates/entry/src/suspects.rs
+++ b/crates/entry/src/suspects.rs
@@ -228,9 +228,9 @@
         self.crash_log.borrow_mut().take_new(self.clock.now_ms())
     }
 
-    /// Latest known crashes, at most `max`.
-    pub(crate) fn latest(&self, max: usize) -> Vec<CrashUpdate> {
-        self.crash_log.borrow().latest(max, self.clock.now_ms())
+    /// Recent crashes to repeat to other VMs, at most `max`.
+    pub(crate) fn to_repeat(&self, max: usize) -> Vec<CrashUpdate> {
+        self.crash_log.borrow().to_repeat(max, self.clock.now_ms())
     }
 
     pub(crate) fn apply_updates(&self, updates: &[CrashUpdate]) {
--- a/crates/gateway/src/crash_log.rs
+++ b/crates/gateway/src/crash_log.rs
@@ -8,6 +8,8 @@
 //! is quarantined for a while. Other requests that were running at the same
 //! target are recorded too, until one with their content completes.
 
+use std::cmp::Reverse;
+
 use compact_str::{format_compact, CompactString};
 use lagoon_ids::{hash64, FastMap};
 use serde::{Deserialize, Serialize};
@@ -281,13 +283,16 @@
     }
 
     /// Updates on the crashes of the last minute, whichever VM saw them, at most
-    /// `max`, the latest first.
-    pub fn latest(&self, max: usize, now_ms: u64) -> Vec<CrashUpdate> {
+    /// `max`: those of requests with the most crashes first, then the latest.
+    pub fn to_repeat(&self, max: usize, now_ms: u64) -> Vec<CrashUpdate> {
         let updates = self.records();
         let updates = updates.filter_map(|(record, _)| self.update(record, now_ms));
         let mut updates: Vec<CrashUpdate> =
             updates.filter(|update| update.age_ms < REPEAT_MS).collect();
-        updates.sort_unstable_by_key(|update| (update.age_ms, update.record));
+        updates.sort_unstable_by_key(|update| {
+            let crashes = self.crash_count(update.record.fingerprint, now_ms);
+            (Reverse(crashes), update.age_ms, update.record)
+        });
         updates.truncate(max);
         updates
     }
--- a/crates/gateway/tests/crash_log.rs
+++ b/crates/gateway/tests/crash_log.rs
@@ -119,13 +119,24 @@
 }
 
 #[test]
-fn latest_gives_the_latest_of_all_records() {
+fn to_repeat_gives_the_latest_of_all_records() {
     let mut log = CrashLog::default();
     record(&mut log, 1, 0);
     log.apply_updates(&[update(2, 10)], 30);
-    assert_eq!(log.latest(9, 50), [update(2, 30), update(1, 50)]);
-    assert_eq!(log.latest(1, 50), [update(2, 30)]);
-    assert_eq!(log.latest(9, REPEAT_MS), [update(2, REPEAT_MS - 20)]);
+    assert_eq!(log.to_repeat(9, 50), [update(2, 30), update(1, 50)]);
+    assert_eq!(log.to_repeat(1, 50), [update(2, 30)]);
+    assert_eq!(log.to_repeat(9, REPEAT_MS), [update(2, REPEAT_MS - 20)]);
+}
+
+// Guards against a request that crashes targets being crowded out by those that
+// ran beside it.
+#[test]
+fn to_repeat_gives_requests_with_the_most_crashes_first() {
+    let mut log = CrashLog::default();
+    record(&mut log, 1, 0);
+    record(&mut log, 2, 0);
+    log.record_interrupted(2, TargetHash(2), 10, 10);
+    assert_eq!(log.to_repeat(2, 10), [update(1, 10), update(2, 10)]);
 }
 
 // Guards against crashes that are never forgotten, as VMs send them to each other
