--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -19,8 +19,7 @@
 use lagoon_adapter::{budget_exhausted_status, decode_request_headers};
 use lagoon_gateway::{
     decide_retry, fingerprint, place, AttemptFailure, Attempts, ChargeDecision, Placement,
-    PlacementRequest, ProgramKey, RequestMetadata, RetryDecision, Route, TargetEntry, TargetHash,
-    TargetKey,
+    PlacementRequest, ProgramKey, RequestMetadata, RetryDecision, Route, TargetEntry, TargetKey,
 };
 use lagoon_ids::hash64;
 use rand::RngExt;
@@ -369,13 +368,6 @@
         targets.get(key).map(|target| target.entry.clone())
     }
 
-    /// Entry of a target, and the hash of its run.
-    fn target_identity(&self, key: TargetKey) -> Option<(TargetEntry, TargetHash)> {
-        let targets = self.state.targets.borrow();
-        let target = targets.get(key)?;
-        Some((target.entry.clone(), target.run_hash()))
-    }
-
     /// Whether targets crashed so often while they ran this request that it must
     /// not be sent again.
     pub(crate) fn is_quarantined(&self) -> bool {
@@ -411,6 +403,35 @@
         ))
     }
 
+    /// Starts to find out whether a target crashed after an interrupted attempt.
+    /// Waits for the result if targets crashed before while they ran this request.
+    async fn probe_for_crash(&self, key: TargetKey) {
+        let attempt = {
+            let targets = self.state.targets.borrow();
+            let Some(target) = targets.get(key) else {
+                return;
+            };
+            InterruptedAttempt {
+                request_id: self.metadata.request_id.clone(),
+                fingerprint: self.fingerprint,
+                target: target.run_hash(),
+                target_id: target.entry.id.clone(),
+                address: target.entry.address,
+                domain_neighbors: targets.domain_neighbors(key, MAX_DOMAIN_NEIGHBORS),
+                ended_ms: self.state.now_ms(),
+            }
+        };
+        let crash_tracker = Rc::clone(&self.state.crash_tracker);
+        let is_suspect = crash_tracker.crash_count(self.fingerprint) > 0;
+        let probe = spawn_local(crash_tracker.record_if_crashed(attempt));
+        if !is_suspect {
+            return;
+        }
+        if let Ok(Err(error)) = timeout_at(self.deadline(), probe).await {
+            log::error!(error = error.to_string(); "crash probe failed");
+        }
+    }
+
     /// Records a failed attempt and decides what follows. Waits until it is known
     /// whether the target crashed if others did so while they ran this request.
     pub(crate) async fn record_failure(
@@ -433,27 +454,8 @@
         }
         if failed.failure.is_not_executed() {
             self.excluded_targets.push(key);
-        } else if let Some((entry, target)) = self.target_identity(key) {
-            let crash_tracker = Rc::clone(&self.state.crash_tracker);
-            let domain_neighbors = {
-                let targets = self.state.targets.borrow();
-                targets.domain_neighbors(key, MAX_DOMAIN_NEIGHBORS)
-            };
-            let is_suspect = crash_tracker.crash_count(self.fingerprint) > 0;
-            let probe = spawn_local(crash_tracker.record_if_crashed(InterruptedAttempt {
-                request_id: self.metadata.request_id.clone(),
-                fingerprint: self.fingerprint,
-                target,
-                target_id: entry.id,
-                address: entry.address,
-                domain_neighbors,
-                ended_ms: now_ms,
-            }));
-            if is_suspect {
-                if let Ok(Err(error)) = timeout_at(self.deadline(), probe).await {
-                    log::error!(error = error.to_string(); "crash probe failed");
-                }
-            }
+        } else {
+            self.probe_for_crash(key).await;
         }
         let is_listed = self.state.targets.borrow().get(key).is_some();
         let is_target_gone = failed.is_unreachable || !is_listed;
