--- a/crates/standin/src/fleet/proxy.rs
+++ b/crates/standin/src/fleet/proxy.rs
@@ -16,6 +16,9 @@
 /// Read buffer size of one direction of a connection.
 const BUFFER_BYTES: usize = 16_384;
 
+/// Interval of connection attempts to a server that is down.
+const SERVER_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Fault injected into a proxy.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum ProxyFault {
@@ -68,6 +71,8 @@
     }
 }
 
+/// Forwards connections. While the server or a fault refuses them, the proxy's
+/// listening socket is closed.
 async fn accept(
     mut listener: TcpListener,
     server: SocketAddr,
@@ -82,34 +87,35 @@
         };
         match accepted {
             Some(Ok((client, _))) => {
-                spawn_local(proxy_connection(client, server, faults.clone()));
-            }
-            Some(Err(_)) => return,
-            None => {
-                drop(listener);
-                // Fails if the proxy's handle is gone.
-                if faults.wait_for(|fault| !is_refused(fault)).await.is_err() {
-                    return;
+                if let Ok(server) = TcpStream::connect(server).await {
+                    spawn_local(proxy_connection(client, server, faults.clone()));
+                    continue;
                 }
-                listener = TcpListener::bind(address).await.expect("port is free");
+                // If the option can't be set, the socket is closed instead of reset.
+                let _ = client.set_zero_linger();
             }
+            Some(Err(_)) => return,
+            None => {}
+        }
+        drop(listener);
+        // Fails if the proxy's handle is gone.
+        if faults.wait_for(|fault| !is_refused(fault)).await.is_err() {
+            return;
+        }
+        while TcpStream::connect(server).await.is_err() {
+            sleep(SERVER_CHECK_INTERVAL).await;
         }
+        listener = TcpListener::bind(address).await.expect("port is free");
     }
 }
 
 async fn proxy_connection(
     client: TcpStream,
-    server: SocketAddr,
+    server: TcpStream,
     mut faults: watch::Receiver<ProxyFault>,
 ) {
-    let connected = TcpStream::connect(server).await;
     // With a linger time of zero, dropping the socket resets the connection.
     let set_reset_on_drop = |stream: &TcpStream| stream.set_zero_linger();
-    let Ok(server) = connected else {
-        // If the option can't be set, the socket is closed instead of reset.
-        let _ = set_reset_on_drop(&client);
-        return;
-    };
     if set_reset_on_drop(&client).is_err() || set_reset_on_drop(&server).is_err() {
         return;
     }
