--- a/crates/gateway/src/crash_log.rs
+++ b/crates/gateway/src/crash_log.rs
@@ -76,6 +76,14 @@
         format_compact!("{:016x}{target:08x}{:02x}", self.fingerprint, self.earlier)
     }
 
+    fn new(fingerprint: u64, (target, earlier): (TargetHash, u8)) -> CrashRecord {
+        CrashRecord {
+            fingerprint,
+            target,
+            earlier,
+        }
+    }
+
     /// Key among the crashes of the same fingerprint.
     fn crash_key(self) -> (TargetHash, u8) {
         (self.target, self.earlier)
@@ -124,6 +132,21 @@
     fn is_expired(&self, now_ms: u64) -> bool {
         now_ms >= self.crashed_ms + CRASH_TTL_MS
     }
+
+    /// Version of the record's row, if it has one.
+    fn row_version(&self) -> Option<u64> {
+        match self.storage {
+            Storage::Row(version) => Some(version),
+            Storage::ByOtherVm | Storage::Pending => None,
+        }
+    }
+
+    fn update(&self, record: CrashRecord, now_ms: u64) -> CrashUpdate {
+        CrashUpdate {
+            record,
+            age_ms: now_ms.saturating_sub(self.crashed_ms),
+        }
+    }
 }
 
 /// Crashes that this VM saw, or learned of from the store or another VM.
@@ -255,15 +278,12 @@
     /// Removes all crashes of a request, as it completed at a target. Returns the
     /// records that have a row, and its version.
     pub fn remove_completed(&mut self, fingerprint: u64) -> Vec<(CrashRecord, u64)> {
-        if !self.crashes.contains_key(&fingerprint) {
-            return Vec::new();
-        }
-        let of_request = self.records();
-        let completed = of_request
-            .filter(|(record, _)| record.fingerprint == fingerprint)
-            .map(|(record, crash)| (record, crash.storage));
-        let completed = completed.collect();
-        self.remove_all(completed)
+        let crashes = self.crashes.remove(&fingerprint).unwrap_or_default();
+        let rows = crashes.into_iter().filter_map(|(crash_key, crash)| {
+            let record = CrashRecord::new(fingerprint, crash_key);
+            Some((record, crash.row_version()?))
+        });
+        rows.collect()
     }
 
     /// Records that this VM has yet to store, at most `max`.
@@ -277,16 +297,19 @@
     /// Updates on the crashes that this VM saw since the last call.
     pub fn take_new(&mut self, now_ms: u64) -> Vec<CrashUpdate> {
         let new = std::mem::take(&mut self.new);
-        new.into_iter()
-            .filter_map(|record| self.update(record, now_ms))
-            .collect()
+        let updates = new.into_iter().filter_map(|record| {
+            let crashes = self.crashes.get(&record.fingerprint)?;
+            let crash = crashes.get(&record.crash_key())?;
+            Some(crash.update(record, now_ms))
+        });
+        updates.collect()
     }
 
     /// Updates on the crashes of the last minute, whichever VM saw them, at most
     /// `max`: those of requests with the most crashes first, then the latest.
     pub fn to_repeat(&self, max: usize, now_ms: u64) -> Vec<CrashUpdate> {
         let updates = self.records();
-        let updates = updates.filter_map(|(record, _)| self.update(record, now_ms));
+        let updates = updates.map(|(record, crash)| crash.update(record, now_ms));
         let mut updates: Vec<CrashUpdate> =
             updates.filter(|update| update.age_ms < REPEAT_MS).collect();
         updates.sort_unstable_by_key(|update| {
@@ -300,43 +323,20 @@
     /// Removes expired records; returns those with a row, and its version.
     pub fn remove_expired(&mut self, now_ms: u64) -> Vec<(CrashRecord, u64)> {
         let expired = self.records().filter(|(_, crash)| crash.is_expired(now_ms));
-        let expired = expired
-            .map(|(record, crash)| (record, crash.storage))
-            .collect();
-        self.remove_all(expired)
-    }
-
-    /// Removes records; returns those with a row, and its version.
-    fn remove_all(&mut self, records: Vec<(CrashRecord, Storage)>) -> Vec<(CrashRecord, u64)> {
-        let mut rows = Vec::new();
-        for (record, storage) in records {
-            self.remove(record);
-            if let Storage::Row(version) = storage {
-                rows.push((record, version));
-            }
+        let expired: Vec<(CrashRecord, Crash)> =
+            expired.map(|(record, crash)| (record, *crash)).collect();
+        for (record, _) in &expired {
+            self.remove(*record);
         }
-        rows
+        let rows = expired.into_iter();
+        rows.filter_map(|(record, crash)| Some((record, crash.row_version()?)))
+            .collect()
     }
 
     fn records(&self) -> impl Iterator<Item = (CrashRecord, &Crash)> {
         self.crashes.iter().flat_map(|(&fingerprint, crashes)| {
-            crashes.iter().map(move |(&(target, earlier), crash)| {
-                let record = CrashRecord {
-                    fingerprint,
-                    target,
-                    earlier,
-                };
-                (record, crash)
-            })
-        })
-    }
-
-    fn update(&self, record: CrashRecord, now_ms: u64) -> Option<CrashUpdate> {
-        let crashes = self.crashes.get(&record.fingerprint)?;
-        let crash = crashes.get(&record.crash_key())?;
-        Some(CrashUpdate {
-            record,
-            age_ms: now_ms.saturating_sub(crash.crashed_ms),
+            let crashes = crashes.iter();
+            crashes.map(move |(&key, crash)| (CrashRecord::new(fingerprint, key), crash))
         })
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -67,6 +67,11 @@
     peers: FastMap<CompactString, Peer>,
 }
 
+/// Rank of a VM in the order that `random` gives.
+fn random_rank(name: &str, random: u64) -> u64 {
+    hash64(&(hash64(name.as_bytes()) ^ random).to_le_bytes())
+}
+
 impl Peers {
     /// Starts without a known VM; entries with the name `own` are ignored.
     pub fn new(own: CompactString, domain: CompactString) -> Peers {
@@ -137,10 +142,7 @@
         let mut names: Vec<&CompactString> = self.peers.keys().filter(usable).collect();
         names.sort_by_key(|name| {
             let is_local = self.peers[*name].entry.domain == self.own_domain;
-            (
-                is_local,
-                hash64(&(hash64(name.as_bytes()) ^ random).to_le_bytes()),
-            )
+            (is_local, random_rank(name, random))
         });
         self.addresses(names.into_iter().take(count))
     }
@@ -187,7 +189,7 @@
     /// Addresses of other VMs, at most `count`, chosen by `random`.
     pub fn sample(&self, count: usize, random: u64) -> Vec<SocketAddr> {
         let mut names: Vec<&CompactString> = self.peers.keys().collect();
-        names.sort_by_key(|name| hash64(&(hash64(name.as_bytes()) ^ random).to_le_bytes()));
+        names.sort_by_key(|name| random_rank(name, random));
         let addresses = names.iter().map(|name| self.peers[*name].entry.address);
         addresses.take(count).collect()
     }
--- a/crates/standin/src/fleet/target.rs
+++ b/crates/standin/src/fleet/target.rs
@@ -223,16 +223,13 @@
     let crash_path = lock(&state).crash_path.clone();
     let crashes_by_path = crash_path.filter(|(crash_path, _)| *crash_path == path);
     let crashes_by_fault = fault == TargetFault::CrashOnRequest;
-    match crashes_by_path.map(|(_, how)| how) {
+    let how = crashes_by_path.map(|(_, how)| how);
+    match how.or(crashes_by_fault.then_some(Crash::Closed)) {
         Some(Crash::Silent) => return std::future::pending().await,
         Some(Crash::Closed) => {
             crash.notify_one();
             return Err(ConnectionAborted);
         }
-        None if crashes_by_fault => {
-            crash.notify_one();
-            return Err(ConnectionAborted);
-        }
         None => {}
     }
     let request_id = match fault {
