Cover the new settings keys; a test without the store's section

The sample's section has a second key since turns are kept, so the test that removes its first line left the other one in the section before, and the error named that. The test now removes the whole section, as its name says; the two new keys have cases of their own.

--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -17,7 +17,9 @@
 }
 
 #[parameterized(
-    no_store = { "[store]\naddress = \"127.0.0.1:7310\"", "", "store" },
+    no_store = { "[store]\naddress = \"127.0.0.1:7310\"\n# Maximum size of a row's value, as base64.\nrow_bytes = 65536", "", "store" },
+    row_too_small = { "row_bytes = 65536", "row_bytes = 4095", "store.row_bytes" },
+    first_start_no_flag = { "first_start = false", "first_start = 0", "vm.first_start" },
     unknown_key = { "[limits]", "[limits]\ncolour = 1", "limits.colour" },
     host_name = { "127.0.0.1:7310", "localhost:7310", "store.address" },
     too_small = { "settle_ms = 1000", "settle_ms = 1", "limits.settle_ms" },
