--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -306,9 +306,11 @@
                 log::info!(request = self.metadata.request_id.as_str(), held_tokens; "budget is held by other VMs");
                 Err(self.refuse("budget held elsewhere", HELD_RETRY_AFTER_MS))
             }
-            Err(ChargeDecision::Granted(_) | ChargeDecision::Unavailable) => {
-                Err(self.refuse("budget not known", UNAVAILABLE_RETRY_AFTER_MS))
-            }
+            Err(
+                ChargeDecision::Granted(_)
+                | ChargeDecision::ReserveNeeded
+                | ChargeDecision::Unavailable,
+            ) => Err(self.refuse("budget not known", UNAVAILABLE_RETRY_AFTER_MS)),
         }
     }
 
--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -5,6 +5,7 @@
 
 mod overdrawn;
 mod reservation;
+mod reserve;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -14,8 +15,8 @@
 use compact_str::CompactString;
 use lagoon_gateway::{
     allowance_coordinator, AllowanceRequest, AllowanceSettlement, Allowances, BudgetWrite,
-    ChargeDecision, ChargeRequest, Connectivity, ProgramBudgets, ProgramKey, StoreCall, StoreError,
-    StoreReply, WaiterId,
+    ChargeDecision, ChargeRequest, Connectivity, ProgramBudgets, ProgramKey, Reserves, StoreCall,
+    StoreError, StoreReply, WaiterId,
 };
 use lagoon_ids::FastMap;
 use tokio::sync::{oneshot, Mutex};
@@ -48,6 +49,10 @@
     peer_client: Rc<PeerClient>,
     budgets: RefCell<ProgramBudgets>,
     allowances: RefCell<Allowances>,
+    /// Reserves of the programs whose home this VM is.
+    reserves: RefCell<Reserves>,
+    /// Whether nothing existed before this VM started.
+    is_first_start: bool,
     /// Result of the last connectivity check; `Store` before the first.
     connectivity: Cell<Connectivity>,
     /// Time of the last connectivity check; `None` before the first. Locked
@@ -98,6 +103,7 @@
         store: Rc<StoreClient>,
         peer_client: Rc<PeerClient>,
         budgets: ProgramBudgets,
+        is_first_start: bool,
     ) -> Rc<BudgetClient> {
         Rc::new(BudgetClient {
             clock,
@@ -105,6 +111,8 @@
             peer_client,
             budgets: RefCell::new(budgets),
             allowances: RefCell::default(),
+            reserves: RefCell::default(),
+            is_first_start,
             connectivity: Cell::new(Connectivity::Store),
             checked_ms: Mutex::default(),
             overdrawn_rows: RefCell::default(),
@@ -126,7 +134,7 @@
         if let Some(reservation) = self.take_from_origin_vm(&request).await {
             return Ok(reservation);
         }
-        match self.charge_in_store(&request, deadline).await {
+        match self.charge_or_take_reserve(&request, deadline).await {
             Err(ChargeDecision::Unavailable) => {
                 self.refresh_connectivity().await;
                 self.reserve_without_store(&request).await
@@ -255,14 +263,18 @@
         // `budgets`, so the transfer of 0 tokens creates the program's entry.
         let now_ms = self.clock.now_ms();
         self.budgets.borrow_mut().transfer_in(program, 0, now_ms);
-        if self.give_held_tokens(program, tokens) || self.request_held_tokens(program, tokens).await
-        {
-            return Ok(TokenReservation::new(
-                self,
-                program,
-                TokenSource::Row,
-                tokens,
-            ));
+        let from_row = || TokenReservation::new(self, program, TokenSource::Row, tokens);
+        if self.give_held_tokens(program, tokens) {
+            return Ok(from_row());
+        }
+        if let Some(reservation) = self.take_from_origin_vm(request).await {
+            return Ok(reservation);
+        }
+        if let Some(reservation) = self.take_reserve(request).await {
+            return Ok(reservation);
+        }
+        if self.request_held_tokens(program, tokens).await {
+            return Ok(from_row());
         }
         let connectivity = self.connectivity.get();
         let coordinator = {
@@ -544,6 +556,7 @@
     pub(crate) async fn remove_expired(&self) {
         let now_ms = self.clock.now_ms();
         self.allowances.borrow_mut().remove_expired(now_ms);
+        self.reserves.borrow_mut().remove_expired(now_ms);
         self.remove_expired_overdrawn().await;
         let writes = self
             .budgets
--- a/crates/entry/src/ledger/reservation.rs
+++ b/crates/entry/src/ledger/reservation.rs
@@ -16,6 +16,9 @@
     Row,
     /// Held by the VM at this address, which gets the unused ones back.
     Peer { address: SocketAddr },
+    /// Granted from the program's reserve by the VM of this name, its home, which
+    /// gets the unused ones back.
+    Reserve { home: CompactString },
     /// Granted from an allowance by the VM of this name, which gets a report of
     /// the used ones.
     Allowance { coordinator: CompactString },
@@ -77,6 +80,10 @@
                 let unused_tokens = self.granted_tokens - self.used_tokens;
                 budget_client.return_tokens(*address, &self.program, unused_tokens);
             }
+            TokenSource::Reserve { home } => {
+                let unused_tokens = self.granted_tokens - self.used_tokens;
+                budget_client.return_reserve(home.clone(), &self.program, unused_tokens);
+            }
             TokenSource::Allowance { coordinator } => {
                 let settlement = AllowanceSettlement {
                     program: self.program.0.clone(),
--- /dev/null
+++ b/crates/entry/src/ledger/reserve.rs
@@ -0,0 +1,170 @@
+//! Reserves of budgets, which the programs' homes grant without the store.
+
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use futures::FutureExt;
+use lagoon_gateway::{ChargeDecision, HomeState, ProgramKey, ReserveRequest};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, Instant};
+
+use crate::ledger::reservation::{TokenReservation, TokenSource};
+use crate::ledger::{BudgetClient, TokenRequest};
+
+/// Time without a reply of the store after which tokens of the reserve are
+/// requested: several times that of a charge.
+const RESERVE_DELAY: Duration = Duration::from_millis(60);
+
+impl BudgetClient {
+    /// Charges a call in the store, or takes tokens of the program's reserve if
+    /// the store doesn't reply soon.
+    pub(super) async fn charge_or_take_reserve(
+        self: &Rc<Self>,
+        request: &TokenRequest,
+        deadline: Instant,
+    ) -> Result<TokenReservation, ChargeDecision> {
+        let mut charge = pin!(self.charge_with_release(request, deadline));
+        let delay = if self.store.is_failing() {
+            Duration::ZERO
+        } else {
+            RESERVE_DELAY
+        };
+        tokio::select! {
+            biased;
+            result = &mut charge => return result,
+            () = sleep(delay) => {}
+        }
+        let Some(from_reserve) = self.take_reserve(request).await else {
+            return charge.await;
+        };
+        match charge.as_mut().now_or_never() {
+            Some(Ok(charged)) => Ok(charged),
+            _ => Ok(from_reserve),
+        }
+    }
+
+    /// Charges a call in the store; if it fits only with the reserve, has the
+    /// program's home release that first.
+    async fn charge_with_release(
+        self: &Rc<Self>,
+        request: &TokenRequest,
+        deadline: Instant,
+    ) -> Result<TokenReservation, ChargeDecision> {
+        match self.charge_in_store(request, deadline).await {
+            Err(ChargeDecision::ReserveNeeded) => {}
+            result => return result,
+        }
+        let (program, held_tokens) = (&request.program, request.max_tokens);
+        let Some(home) = self.home_of(program) else {
+            return Err(ChargeDecision::HeldElsewhere { held_tokens });
+        };
+        let reserve_request = request.reserve_request();
+        let granted_tokens = if self.is_own_name(&home) {
+            self.release_reserve(&reserve_request)
+        } else {
+            let released = self.peer_client.release_reserve(&home, &reserve_request);
+            released.await
+        };
+        log::debug!(program = program.0.as_str(), home = home.as_str(), granted_tokens; "reserve released");
+        let Some(granted_tokens) = granted_tokens else {
+            return Err(ChargeDecision::HeldElsewhere { held_tokens });
+        };
+        self.budgets
+            .borrow_mut()
+            .record_release(program, granted_tokens);
+        self.charge_in_store(request, deadline).await
+    }
+
+    /// Takes tokens of the program's reserve; `None` if its home grants none or
+    /// can't be reached.
+    pub(super) async fn take_reserve(
+        self: &Rc<Self>,
+        request: &TokenRequest,
+    ) -> Option<TokenReservation> {
+        let program = &request.program;
+        let home = self.home_of(program)?;
+        let reserve_request = request.reserve_request();
+        let granted_tokens = if self.is_own_name(&home) {
+            self.grant_reserve(&reserve_request)
+        } else {
+            let granted = self.peer_client.take_reserve(&home, &reserve_request);
+            granted.await
+        };
+        log::info!(program = program.0.as_str(), home = home.as_str(), granted_tokens; "requested tokens of the reserve");
+        let source = TokenSource::Reserve { home };
+        (granted_tokens > 0).then(|| TokenReservation::new(self, program, source, granted_tokens))
+    }
+
+    /// Grants a call tokens of a reserve, and returns their number; 0 if this VM
+    /// isn't the program's home, or too few are left.
+    pub(crate) fn grant_reserve(&self, request: &ReserveRequest) -> u64 {
+        if !self.is_home(request) {
+            return 0;
+        }
+        let now_ms = self.clock.now_ms();
+        self.reserves.borrow_mut().grant(request, now_ms)
+    }
+
+    /// Releases a reserve for the program's row, and returns the tokens granted
+    /// of it; `None` if this VM isn't the program's home.
+    pub(crate) fn release_reserve(&self, request: &ReserveRequest) -> Option<u64> {
+        if !self.is_home(request) {
+            return None;
+        }
+        let now_ms = self.clock.now_ms();
+        self.reserves.borrow_mut().release(request, now_ms)
+    }
+
+    /// Takes back tokens of a reserve that a call did not use.
+    pub(crate) fn accept_returned_reserve(&self, program: &ProgramKey, tokens: u64) {
+        self.reserves.borrow_mut().return_unused(program, tokens);
+    }
+
+    /// Returns unused tokens of a reserve to the program's home.
+    pub(super) fn return_reserve(&self, home: CompactString, program: &ProgramKey, tokens: u64) {
+        if tokens == 0 {
+            return;
+        }
+        if self.is_own_name(&home) {
+            self.accept_returned_reserve(program, tokens);
+            return;
+        }
+        let (peer_client, program) = (Rc::clone(&self.peer_client), program.clone());
+        spawn_local(async move { peer_client.return_reserve(&home, &program, tokens).await });
+    }
+
+    fn is_home(&self, request: &ReserveRequest) -> bool {
+        let state = HomeState {
+            uptime_ms: self.clock.now_ms(),
+            is_first_start: self.is_first_start,
+            list_age_ms: self.peer_client.listing_age_ms(),
+        };
+        let program = ProgramKey(request.program.clone());
+        let home = self.home_of(&program);
+        state.is_home(request.retention_ms) && home.is_some_and(|home| self.is_own_name(&home))
+    }
+
+    fn home_of(&self, program: &ProgramKey) -> Option<CompactString> {
+        let now_ms = self.clock.now_ms();
+        let mut peers = self.peer_client.peers.borrow_mut();
+        peers.home_of(program, now_ms)
+    }
+
+    fn is_own_name(&self, name: &str) -> bool {
+        *self.peer_client.peers.borrow().own_name() == name
+    }
+}
+
+impl TokenRequest {
+    fn reserve_request(&self) -> ReserveRequest {
+        ReserveRequest {
+            program: self.program.0.clone(),
+            budget_tokens: self.budget_tokens,
+            max_tokens: self.max_tokens,
+            expected_tokens: self.expected_tokens,
+            retention_ms: self.retention_ms,
+        }
+    }
+}
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -1,7 +1,9 @@
 //! Messages between entry VMs, as postcard over HTTP.
 
 use compact_str::CompactString;
-use lagoon_gateway::{AllowanceRequest, AllowanceSettlement, StoreCall, StoreError, StoreReply};
+use lagoon_gateway::{
+    AllowanceRequest, AllowanceSettlement, ReserveRequest, StoreCall, StoreError, StoreReply,
+};
 use serde::{Deserialize, Serialize};
 
 /// Path of the HTTP requests that carry messages.
@@ -46,6 +48,13 @@
     CopyTurn(Vec<u8>),
     /// The store has these turns, or they need not be kept. Response: `true`.
     ReleaseCopies(Vec<CompactString>),
+    /// Grant tokens of a program's reserve. Response: their number; 0 if refused.
+    TakeReserve(ReserveRequest),
+    /// Take back tokens of a reserve that were not used. Response: `true`.
+    ReturnReserve { program: CompactString, tokens: u64 },
+    /// Release a program's reserve for its row. Response: the tokens granted of
+    /// it, or `None` if the receiver isn't the program's home.
+    ReleaseReserve(ReserveRequest),
     /// Send a turn and those before it. Response: [`TurnReply`].
     FetchTurns {
         /// Id of the turn.
--- a/crates/entry/src/message_handler.rs
+++ b/crates/entry/src/message_handler.rs
@@ -56,6 +56,16 @@
             postcard::to_allocvec(&true)
         }
         PeerMessage::FetchTurns { last } => postcard::to_allocvec(&turn_keeper.turns_from(&last)),
+        PeerMessage::TakeReserve(request) => {
+            postcard::to_allocvec(&budget_client.grant_reserve(&request))
+        }
+        PeerMessage::ReturnReserve { program, tokens } => {
+            budget_client.accept_returned_reserve(&ProgramKey(program), tokens);
+            postcard::to_allocvec(&true)
+        }
+        PeerMessage::ReleaseReserve(request) => {
+            postcard::to_allocvec(&budget_client.release_reserve(&request))
+        }
         PeerMessage::Probe => postcard::to_allocvec(&budget_client.is_store_unavailable()),
     };
     match response {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -17,7 +17,7 @@
 use hyper::{Method, Request, StatusCode};
 use lagoon_gateway::{
     allowance_coordinator, classify_connectivity, AllowanceRequest, AllowanceSettlement,
-    Connectivity, PeerOutcome, PeerProbe, Peers, ProgramKey, StoreCall, StoreError,
+    Connectivity, PeerOutcome, PeerProbe, Peers, ProgramKey, ReserveRequest, StoreCall, StoreError,
 };
 use lagoon_ids::FastMap;
 use lagoon_turns::TurnId;
@@ -61,7 +61,9 @@
     idle: RefCell<FastMap<SocketAddr, Vec<Connection>>>,
     /// Number of periodic probes so far; selects the VM that is probed next.
     next_probe: Cell<usize>,
-    is_listing_read: Cell<bool>,
+    /// Time at which the list of VMs was last known to be current; `None` before
+    /// it was read.
+    listing_read_ms: Cell<Option<u64>>,
 }
 
 impl PeerClient {
@@ -71,7 +73,7 @@
             peers: RefCell::new(peers),
             idle: RefCell::default(),
             next_probe: Cell::new(0),
-            is_listing_read: Cell::new(false),
+            listing_read_ms: Cell::new(None),
         }
     }
 
@@ -293,6 +295,39 @@
         }
     }
 
+    /// Requests tokens of a program's reserve from its home; returns the number
+    /// granted, 0 without a response.
+    pub(crate) async fn take_reserve(&self, home: &str, request: &ReserveRequest) -> u64 {
+        let message = PeerMessage::TakeReserve(request.clone());
+        let granted = self.request_by_name(home, &message, LOCAL_TIMEOUT).await;
+        granted.unwrap_or_default()
+    }
+
+    /// Returns unused tokens of a reserve; if the home can't be reached, they stay
+    /// spent.
+    pub(crate) async fn return_reserve(&self, home: &str, program: &ProgramKey, tokens: u64) {
+        let message = PeerMessage::ReturnReserve {
+            program: program.0.clone(),
+            tokens,
+        };
+        let returned = self.request_by_name::<bool>(home, &message, LOCAL_TIMEOUT);
+        if returned.await.is_none() {
+            log::info!(peer = home, tokens; "cannot return unused tokens of a reserve; they stay spent");
+        }
+    }
+
+    /// Has a program's home release its reserve; returns the tokens granted of it.
+    pub(crate) async fn release_reserve(
+        &self,
+        home: &str,
+        request: &ReserveRequest,
+    ) -> Option<u64> {
+        let message = PeerMessage::ReleaseReserve(request.clone());
+        let released: Option<Option<u64>> =
+            self.request_by_name(home, &message, LOCAL_TIMEOUT).await;
+        released.flatten()
+    }
+
     /// Has another VM hold a copy of a turn; returns whether it does.
     pub(crate) async fn copy_turn(&self, name: &str, address: SocketAddr, turn: Vec<u8>) -> bool {
         let message = PeerMessage::CopyTurn(turn);
@@ -325,15 +360,22 @@
         reply.ok()
     }
 
-    /// Records that the list of VMs was read from the store.
+    /// Records that the list of VMs is current.
     pub(crate) fn set_listing_read(&self) {
-        self.is_listing_read.set(true);
+        self.listing_read_ms.set(Some(self.clock.now_ms()));
+    }
+
+    /// Time since the list of VMs was known to be current; `None` before it was
+    /// read.
+    pub(crate) fn listing_age_ms(&self) -> Option<u64> {
+        let read_ms = self.listing_read_ms.get()?;
+        Some(self.clock.now_ms().saturating_sub(read_ms))
     }
 
     /// Whether all VMs that were listed in the store at some time since the start
     /// are known.
     pub(crate) fn is_listing_read(&self) -> bool {
-        self.is_listing_read.get()
+        self.listing_read_ms.get().is_some()
     }
 
     async fn request_by_name<A>(
--- a/crates/entry/src/registration.rs
+++ b/crates/entry/src/registration.rs
@@ -107,7 +107,8 @@
         };
         let removed = self.store.call(&StoreCall::Transact(vec![write])).await;
         if removed.is_ok() {
-            state.peer_client.peers.borrow_mut().remove(&name);
+            let now_ms = state.now_ms();
+            state.peer_client.peers.borrow_mut().remove(&name, now_ms);
         }
     }
 }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -89,12 +89,18 @@
     let writer = compact_str::format_compact!("{incarnation:08x}");
     let budgets = ProgramBudgets::new(BudgetSettings {
         idle_return_ms: settings.limits.settle_ms / 4,
+        keeps_reserve: true,
         ..BudgetSettings::new(writer.clone())
     });
     let peers = Peers::new(settings.vm.name.clone(), settings.vm.domain.clone());
     let peer_client = Rc::new(PeerClient::new(clock, peers));
-    let budget_client =
-        BudgetClient::new(clock, Rc::clone(&store), Rc::clone(&peer_client), budgets);
+    let budget_client = BudgetClient::new(
+        clock,
+        Rc::clone(&store),
+        Rc::clone(&peer_client),
+        budgets,
+        settings.vm.first_start,
+    );
     let crash_tracker = CrashTracker::new(clock, Rc::clone(&budget_client), metrics.clone());
     let turn_keeper = TurnKeeper::new(
         &settings,
@@ -132,7 +138,8 @@
     log::info!(
         domain = settings.vm.domain.as_str(),
         writer = writer.as_str(),
-        callers = settings.listen.callers.to_string();
+        callers = settings.listen.callers.to_string(),
+        first_start = settings.vm.first_start;
         "started"
     );
 
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -89,6 +89,11 @@
         self.failures.get() >= UNAVAILABLE_FAILURES
     }
 
+    /// Whether a call has failed since the last reply.
+    pub(crate) fn is_failing(&self) -> bool {
+        self.failing_since_ms.get().is_some()
+    }
+
     /// Probes the store with a read that returns no row; `true` if it fails.
     pub(crate) async fn read_fails(&self) -> bool {
         let call = StoreCall::Read {
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -196,12 +196,13 @@
             }
             FollowedTable::Peers => {
                 let is_listed = |name: &str| rows.iter().any(|row| row.key.key == name);
-                self.state.peer_client.peers.borrow_mut().retain(is_listed);
+                let now_ms = self.state.now_ms();
+                let peer_client = &self.state.peer_client;
+                peer_client.peers.borrow_mut().retain(is_listed, now_ms);
                 if !is_listed(self.state.peer_client.peers.borrow().own_name()) {
                     self.state.registered.set(false);
                 }
                 rows.into_iter().for_each(|row| self.apply(row));
-                self.state.peer_client.set_listing_read();
             }
             FollowedTable::Targets => {
                 let entries = rows.iter().filter_map(decode_entry).collect();
@@ -229,20 +230,21 @@
     }
 
     fn apply_peer(&mut self, row: Row) {
+        let now_ms = self.state.now_ms();
         let mut peers = self.state.peer_client.peers.borrow_mut();
         let name = row.key.key;
         let Some(value) = row.value else {
             if name == peers.own_name() {
                 self.state.registered.set(false);
             }
-            peers.remove(&name);
+            peers.remove(&name, now_ms);
             return;
         };
         match serde_json::from_slice(&value) {
             Ok(entry) => peers.upsert(name, entry, row.version),
             Err(error) => {
                 log::warn!(peer = name.as_str(), error = error.to_string(); "invalid entry of a VM");
-                peers.remove(&name);
+                peers.remove(&name, now_ms);
             }
         }
     }
@@ -287,6 +289,9 @@
 
     fn update_gauges(&self) {
         let state = &self.state;
+        if self.table == FollowedTable::Peers {
+            state.peer_client.set_listing_read();
+        }
         state.metrics.set_targets(state.targets.borrow().len());
         state
             .metrics
--- a/crates/entry/tests/fleet/mod.rs
+++ b/crates/entry/tests/fleet/mod.rs
@@ -98,22 +98,27 @@
 impl Fleet {
     /// Starts the servers and the VMs, and waits until the VMs are ready.
     pub(crate) fn start(vms: usize) -> Fleet {
-        Fleet::start_with(vms, false)
+        Fleet::start_with(vms, false, true)
+    }
+
+    /// Like [`Fleet::start`], for VMs of which each may have run before.
+    pub(crate) fn start_again(vms: usize) -> Fleet {
+        Fleet::start_with(vms, false, false)
     }
 
     /// Like [`Fleet::start`], with a proxy in front of the store and each target.
     pub(crate) fn start_proxied(vms: usize) -> Fleet {
-        Fleet::start_with(vms, true)
+        Fleet::start_with(vms, true, true)
     }
 
-    fn start_with(vms: usize, has_proxies: bool) -> Fleet {
+    fn start_with(vms: usize, has_proxies: bool, is_first_start: bool) -> Fleet {
         let mut fleet = Fleet {
             store: Store::start(),
             engines: ["e1", "e2"].map(|id| Target::start(id, EVENT_COUNT, EVENT_INTERVAL)),
             desks: ["d1", "d2"].map(|id| Target::start(id, 0, EVENT_INTERVAL)),
             vms: Vec::new(),
             proxies: Vec::new(),
-            is_first_start: true,
+            is_first_start,
             files: TempDir::new().expect("folder"),
         };
         fleet.store.configure(CONFIG);
--- a/crates/entry/tests/processes.rs
+++ b/crates/entry/tests/processes.rs
@@ -14,6 +14,9 @@
 const BUDGET_TOKENS: u64 = 2_000;
 const MAX_CALL_TOKENS: u64 = 288;
 
+/// Longer than an outage of the store after which watches are renewed.
+const WATCH_LOSS_TIME: Duration = Duration::from_millis(1_500);
+
 fn model_call(id: &str) -> Vec<String> {
     model_call_headers(id, "program", BUDGET_TOKENS, MAX_CALL_TOKENS)
 }
@@ -275,6 +278,7 @@
         call(fleet.callers(), "POST /stream/x", &headers, "prompt")
     };
     charge("silent", "p0");
+    thread::sleep(WATCH_LOSS_TIME);
     fleet.proxies[0].set_fault(ProxyFault::None);
     let transactions = fleet.store.transaction_count();
     let mut program = 0;
@@ -344,9 +348,11 @@
     assert_eq!(response.body, complete_stream());
 }
 
+// Guards against a budget that is spent twice by VMs that can't know what an
+// earlier run of a home has granted.
 #[test]
-fn new_program_without_the_store_gets_the_tokens_of_one_call() {
-    let fleet = Fleet::start(2);
+fn new_program_without_store_and_home_gets_the_tokens_of_one_call() {
+    let fleet = Fleet::start_again(2);
     fleet.store.set_fault(StoreFault::Unavailable);
     let headers = model_call_headers("r", "new", BUDGET_TOKENS, MAX_CALL_TOKENS);
     let mut attempt = 0;
@@ -375,6 +381,35 @@
     });
 }
 
+// Guards against programs that can't go on for as long as the store is away, and
+// against tokens of the reserve that the row doesn't count afterwards.
+#[test]
+fn new_program_without_the_store_gets_its_reserve_within_its_budget() {
+    let fleet = Fleet::start(2);
+    fleet.store.set_fault(StoreFault::Unavailable);
+    let headers = model_call_headers("r", "new", BUDGET_TOKENS, MAX_CALL_TOKENS);
+    let mut attempt = 0;
+    let mut next_call = || {
+        attempt += 1;
+        let vm = &fleet.vms[attempt % 2];
+        let response = call(vm.callers, "POST /stream/x", &headers, "p");
+        let tokens = 12 * response.body.matches("id: ").count() as u64;
+        (response.status, tokens)
+    };
+    let mut spent: u64 = (0..30).map(|_| next_call().1).sum();
+    let most = BUDGET_TOKENS / 4 + MAX_CALL_TOKENS;
+    assert!(spent > MAX_CALL_TOKENS, "{spent}");
+    assert!(spent <= most, "{spent}");
+    fleet.store.set_fault(StoreFault::None);
+    wait_until("the end of the budget", || {
+        let (status, tokens) = next_call();
+        spent += tokens;
+        status == 402
+    });
+    assert!(spent <= BUDGET_TOKENS + MAX_CALL_TOKENS, "{spent}");
+    assert!(spent > BUDGET_TOKENS - 2 * MAX_CALL_TOKENS, "{spent}");
+}
+
 // Guards against another allowance for a program that has spent its budget, as the
 // store was too busy to list it.
 #[test]
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -15,6 +15,7 @@
 use derive_more::Display;
 use lagoon_ids::FastMap;
 
+use crate::reserve::reserve_tokens;
 use crate::store::{RowWrite, StoreError, StoreReply};
 
 use program_budget::{PendingWrite, ProgramBudget};
@@ -31,6 +32,8 @@
     /// Maximum number of tokens that a write charges ahead for further calls of a
     /// program, as a multiple of the tokens of its largest call.
     pub max_held_calls: u64,
+    /// Whether a part of each budget is the reserve of the program's home.
+    pub keeps_reserve: bool,
 }
 
 impl BudgetSettings {
@@ -40,6 +43,14 @@
             writer,
             idle_return_ms: 250,
             max_held_calls: 5,
+            keeps_reserve: false,
+        }
+    }
+
+    fn reserve_tokens(&self, budget_tokens: u64) -> u64 {
+        match self.keeps_reserve {
+            true => reserve_tokens(budget_tokens),
+            false => 0,
         }
     }
 }
@@ -70,6 +81,9 @@
         /// Tokens that other VMs hold.
         held_tokens: u64,
     },
+    /// The call fits only with the reserve, which the program's home must release
+    /// first.
+    ReserveNeeded,
     /// The store is unavailable, so the budget isn't known.
     Unavailable,
 }
@@ -151,6 +165,7 @@
         budget.last_used_ms = now_ms;
         budget.retention_ms = budget.retention_ms.max(request.retention_ms);
         budget.budget_tokens = request.budget_tokens;
+        budget.reserve_tokens = self.settings.reserve_tokens(request.budget_tokens);
         budget.max_call_tokens = budget.max_call_tokens.max(request.tokens);
         if budget.is_fresh(now_ms)
             && budget.held_tokens >= request.tokens
@@ -169,6 +184,9 @@
                 charged_tokens: refusal.charged_tokens,
             });
         }
+        if budget.needs_reserve(request.tokens) {
+            return Some(ChargeDecision::ReserveNeeded);
+        }
         budget.waiting.push(request);
         None
     }
@@ -269,6 +287,10 @@
         let added_tokens = pending.owned_tokens() + pending.deferred_tokens;
         let charged_tokens = budget.row.charged_tokens + added_tokens;
         pending.row.charged_tokens = charged_tokens.saturating_sub(held_before_tokens);
+        if let (false, Some(granted_tokens)) = (pending.row.is_whole, budget.released_tokens) {
+            pending.row.charged_tokens += granted_tokens;
+            pending.row.is_whole = true;
+        }
         pending.row.set_mark(WriterMark {
             writer: self.settings.writer.clone(),
             sequence,
@@ -288,6 +310,16 @@
         })
     }
 
+    /// Records that the home has released the reserve, of which it granted
+    /// `granted_tokens`. The next write adds it to the row.
+    pub fn record_release(&mut self, program: &ProgramKey, granted_tokens: u64) {
+        if let Some(budget) = self.programs.get_mut(program) {
+            if !budget.row.is_whole {
+                budget.released_tokens = Some(granted_tokens);
+            }
+        }
+    }
+
     /// Handles the reply to the write in flight. Returns the calls that are granted
     /// or refused, or fail because the store is unavailable; waiting calls that
     /// aren't returned wait for the next write.
@@ -348,6 +380,7 @@
         let budget = self.programs.entry(charge.program.clone()).or_default();
         budget.deferred_tokens += charge.tokens;
         budget.budget_tokens = charge.budget_tokens;
+        budget.reserve_tokens = self.settings.reserve_tokens(charge.budget_tokens);
         budget.max_call_tokens = budget.max_call_tokens.max(charge.max_call_tokens);
         budget.last_used_ms = now_ms;
     }
--- a/crates/gateway/src/budget/program_budget.rs
+++ b/crates/gateway/src/budget/program_budget.rs
@@ -77,6 +77,12 @@
     pub(super) version: u64,
     pub(super) row: BudgetRow,
     pub(super) budget_tokens: u64,
+    /// Part of the budget that the row doesn't charge unless the reserve is
+    /// released.
+    pub(super) reserve_tokens: u64,
+    /// Tokens granted of a reserve that its home has released, until the row has
+    /// them.
+    pub(super) released_tokens: Option<u64>,
     pub(super) max_call_tokens: u64,
     pub(super) waiting: Vec<ChargeRequest>,
     /// Write of the row in flight, if any; there is at most one.
@@ -100,7 +106,38 @@
 
 impl ProgramBudget {
     pub(super) fn remaining_tokens(&self) -> u64 {
-        self.budget_tokens.saturating_sub(self.row.charged_tokens)
+        let unavailable_tokens = match (self.row.is_whole, self.released_tokens) {
+            (true, _) => 0,
+            (false, Some(granted_tokens)) => granted_tokens,
+            (false, None) => self.reserve_tokens,
+        };
+        let charged_tokens = self.row.charged_tokens + unavailable_tokens;
+        self.budget_tokens.saturating_sub(charged_tokens)
+    }
+
+    /// Tokens that the home may still hold in reserve.
+    fn unreleased_tokens(&self) -> u64 {
+        let is_released = self.row.is_whole || self.released_tokens.is_some();
+        if is_released {
+            0
+        } else {
+            self.reserve_tokens
+        }
+    }
+
+    /// Whether a call fits only with the reserve, by the row as last seen.
+    pub(super) fn needs_reserve(&self, tokens: u64) -> bool {
+        let available_tokens = self.remaining_tokens() + self.held_tokens;
+        tokens > available_tokens && tokens <= available_tokens + self.unreleased_tokens()
+    }
+
+    /// Sets the row as read or written, which may show that the reserve is
+    /// released.
+    fn set_row(&mut self, row: BudgetRow) {
+        if row.is_whole {
+            self.released_tokens = None;
+        }
+        self.row = row;
     }
 
     /// Whether the row was written recently enough that no other VM has deleted it.
@@ -160,7 +197,9 @@
     /// writes take up to a quarter of the remaining tokens.
     pub(super) fn prefetch_tokens(&self, settings: &BudgetSettings, remaining_tokens: u64) -> u64 {
         let share = if self.version == 0 {
-            remaining_tokens.saturating_sub(self.budget_tokens / 2)
+            let available_tokens = self.budget_tokens - self.unreleased_tokens();
+            let kept_tokens = available_tokens.saturating_sub(self.budget_tokens / 2);
+            remaining_tokens.saturating_sub(kept_tokens)
         } else {
             remaining_tokens / 4
         };
@@ -174,7 +213,7 @@
         writer: &str,
     ) -> Vec<(WaiterId, ChargeDecision)> {
         self.version = version;
-        self.row = pending.row;
+        self.set_row(pending.row);
         self.held_tokens += pending.held_after_tokens + pending.cancelled_tokens;
         // Writes without a reply expect the version that this write replaced, so
         // they were never applied.
@@ -200,10 +239,13 @@
         let remaining_tokens = self.remaining_tokens() + self.held_tokens;
         let charged_tokens = self.row.charged_tokens;
         let held_tokens = self.row.held_by_others(writer);
+        let reserve_tokens = self.unreleased_tokens();
         self.waiting.retain(|request| {
             let decision = if request.tokens <= remaining_tokens {
                 return true;
-            } else if request.tokens <= remaining_tokens + held_tokens {
+            } else if request.tokens <= remaining_tokens + reserve_tokens {
+                ChargeDecision::ReserveNeeded
+            } else if request.tokens <= remaining_tokens + reserve_tokens + held_tokens {
                 ChargeDecision::HeldElsewhere { held_tokens }
             } else {
                 ChargeDecision::Exhausted { charged_tokens }
@@ -238,7 +280,7 @@
             Some(_) => found.map_or(0, |row| row.version),
             None => 0,
         };
-        self.row = row;
+        self.set_row(row);
         for unresolved in std::mem::take(&mut self.unresolved) {
             let certain_tokens = unresolved.certain_tokens();
             if last_sequence == unresolved.sequence {
--- a/crates/gateway/src/budget/row.rs
+++ b/crates/gateway/src/budget/row.rs
@@ -59,6 +59,9 @@
 pub struct BudgetRow {
     /// Tokens that are spent, held, or charged for calls in flight.
     pub charged_tokens: u64,
+    /// Whether the reserve was released, so that the whole budget may be charged.
+    #[serde(default)]
+    pub is_whole: bool,
     /// Last write of each writer, newest last.
     #[serde(rename = "marks")]
     pub writers: Vec<WriterMark>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod placement;
 mod reply_timeout;
 mod request_metadata;
+mod reserve;
 mod retry;
 mod store;
 mod targets;
@@ -39,6 +40,7 @@
 pub use placement::{place, Placement, PlacementRequest, PlacementSettings};
 pub use reply_timeout::ReplyTimeout;
 pub use request_metadata::{ModelCall, RequestMetadata};
+pub use reserve::{reserve_tokens, HomeState, ReserveRequest, Reserves};
 pub use retry::{decide_retry, AttemptFailure, Attempts, RetryDecision};
 pub use store::{Row, RowKey, RowWrite, StoreCall, StoreError, StoreReply};
 pub use targets::{
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -4,10 +4,12 @@
 use std::net::SocketAddr;
 
 use compact_str::CompactString;
-use lagoon_ids::{hash64, FastMap};
+use lagoon_ids::{hash64, rendezvous_hash, FastMap};
 use serde::{Deserialize, Serialize};
 
+use crate::budget::ProgramKey;
 use crate::connectivity::Connectivity;
+use crate::reserve::UNLISTED_HOME_MS;
 
 /// Entry that a VM registers in the store, as JSON.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -65,6 +67,8 @@
     own_name: CompactString,
     own_domain: CompactString,
     peers: FastMap<CompactString, Peer>,
+    /// VMs that are no longer listed, with the time of their removal.
+    unlisted: FastMap<CompactString, u64>,
 }
 
 /// Rank of a VM in the order that `random` gives.
@@ -79,6 +83,7 @@
             own_name: own,
             own_domain: domain,
             peers: FastMap::default(),
+            unlisted: FastMap::default(),
         }
     }
 
@@ -103,6 +108,7 @@
         if name == self.own_name {
             return;
         }
+        self.unlisted.remove(&name);
         let known = self.peers.get(&name).filter(|peer| peer.entry == entry);
         if known.is_none() {
             let peer = Peer {
@@ -117,16 +123,31 @@
     }
 
     /// Removes a VM whose entry was deleted from the store or is invalid.
-    pub fn remove(&mut self, name: &str) {
-        self.peers.remove(name);
+    pub fn remove(&mut self, name: &str, now_ms: u64) {
+        if let Some((name, _)) = self.peers.remove_entry(name) {
+            self.unlisted.insert(name, now_ms);
+        }
     }
 
     /// Removes the VMs for whose name `is_kept` returns `false`.
-    pub fn retain<F>(&mut self, is_kept: F)
+    pub fn retain<F>(&mut self, is_kept: F, now_ms: u64)
     where
         F: Fn(&str) -> bool,
     {
-        self.peers.retain(|name, _| is_kept(name));
+        let removed = self.peers.keys().filter(|name| !is_kept(name));
+        for name in removed.cloned().collect::<Vec<_>>() {
+            self.remove(&name, now_ms);
+        }
+    }
+
+    /// Home of a program, which grants its reserve: this VM or another one;
+    /// `None` if it was unlisted lately, so that no VM grants it.
+    pub fn home_of(&mut self, program: &ProgramKey, now_ms: u64) -> Option<CompactString> {
+        self.unlisted
+            .retain(|_, removed_ms| now_ms < *removed_ms + UNLISTED_HOME_MS);
+        let names = self.peers.keys().chain(self.unlisted.keys());
+        let home = rendezvous_hash(&program.0, names.chain([&self.own_name]))?;
+        (!self.unlisted.contains_key(home)).then(|| home.clone())
     }
 
     /// VMs to ask for the execution of a store call, at most `count`. Those of
--- /dev/null
+++ b/crates/gateway/src/reserve.rs
@@ -0,0 +1,180 @@
+//! Reserve of a program's budget that its home VM grants without the store.
+//!
+//! A quarter of each budget is not charged in the program's row: it belongs to
+//! one VM, the program's home, from the start. So the home may grant it at any
+//! time, whatever it or other VMs reach, and no record of it is needed as long
+//! as the home lives. If the row runs out of tokens, a VM asks the home to
+//! release the reserve, and adds to the row what was granted of it.
+//!
+//! The home is chosen by rendezvous hashing over the VMs that are listed or were
+//! listed lately. What it has granted is lost when it ends, so a VM is a home
+//! only once no program can remember an earlier run of it, or an earlier home
+//! instead of it.
+
+use compact_str::CompactString;
+use lagoon_ids::FastMap;
+use serde::{Deserialize, Serialize};
+
+use crate::budget::ProgramKey;
+
+/// Part of a budget that is its reserve, as a divisor.
+const RESERVE_DIVISOR: u64 = 4;
+
+/// Maximum grant as a multiple of the call's expected tokens.
+const MAX_GRANT_FACTOR: u64 = 3;
+
+/// Minimum grant as a multiple of the call's expected tokens. With less, the
+/// stream would likely be cut, so the call gets no grant.
+const MIN_GRANT_NUMERATOR: u64 = 3;
+const MIN_GRANT_DENOMINATOR: u64 = 2;
+
+/// Time without a call after which a reserve is forgotten, as a multiple of the
+/// retention; that of the program's row.
+const EXPIRY_RETENTIONS: u64 = 4;
+
+/// Uptime from which a VM is a home: programs that an earlier run of it, or
+/// another home before it, granted tokens have ended by then.
+const MIN_HOME_UPTIME_MS: u64 = 1_800_000;
+
+/// Maximum age of a home's list of VMs, and maximum retention of the programs
+/// that it grants tokens. Twice this is the minimum uptime, so that a home whose
+/// list lacks a newer VM stops a retention before that one starts.
+const MAX_LIST_AGE_MS: u64 = 900_000;
+
+/// Time for which a VM that is no longer listed stays the home of its programs,
+/// so that no other VM grants them tokens again.
+pub(crate) const UNLISTED_HOME_MS: u64 = MIN_HOME_UPTIME_MS;
+
+/// Maximum number of reserves that a VM remembers; beyond that it grants no
+/// program its first tokens.
+const MAX_RESERVES: usize = 50_000;
+
+/// Tokens of a budget that its row doesn't charge unless they are released.
+pub fn reserve_tokens(budget_tokens: u64) -> u64 {
+    budget_tokens / RESERVE_DIVISOR
+}
+
+/// State of a VM that decides whether it is a home.
+#[derive(Clone, Copy, Debug)]
+pub struct HomeState {
+    /// Time since the start.
+    pub uptime_ms: u64,
+    /// Whether nothing existed before this VM started.
+    pub is_first_start: bool,
+    /// Time since the list of VMs was known to be current; `None` before it was
+    /// read.
+    pub list_age_ms: Option<u64>,
+}
+
+impl HomeState {
+    /// Whether this VM may grant reserves of programs that return within
+    /// `retention_ms`, as far as other homes and earlier runs are concerned.
+    pub fn is_home(&self, retention_ms: u64) -> bool {
+        let is_settled = self.is_first_start || self.uptime_ms >= MIN_HOME_UPTIME_MS;
+        let knows_others = self.list_age_ms.is_some_and(|age| age <= MAX_LIST_AGE_MS);
+        is_settled && knows_others && retention_ms <= MAX_LIST_AGE_MS
+    }
+}
+
+/// Request of a VM to a program's home.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ReserveRequest {
+    /// Program, by the name that its caller gives.
+    pub program: CompactString,
+    /// Tokens that all calls of the program may generate together.
+    pub budget_tokens: u64,
+    /// Output tokens that the call may use at most.
+    pub max_tokens: u64,
+    /// Output tokens that the caller expects, or an estimate if it states none.
+    pub expected_tokens: u64,
+    /// Time within which the program may return.
+    pub retention_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Reserve {
+    /// Tokens granted to calls, less those they did not use.
+    granted_tokens: u64,
+    /// Whether the row has the rest.
+    is_released: bool,
+    last_used_ms: u64,
+    retention_ms: u64,
+}
+
+/// Reserves of the programs whose home this VM is.
+#[derive(Debug, Default)]
+pub struct Reserves {
+    programs: FastMap<ProgramKey, Reserve>,
+}
+
+impl Reserves {
+    /// Tokens granted to a call; 0 if too few are left.
+    pub fn grant(&mut self, request: &ReserveRequest, now_ms: u64) -> u64 {
+        let Some(reserve) = self.reserve(request, now_ms) else {
+            return 0;
+        };
+        if reserve.is_released {
+            return 0;
+        }
+        let total_tokens = reserve_tokens(request.budget_tokens);
+        let left_tokens = total_tokens.saturating_sub(reserve.granted_tokens);
+        let expected_tokens = request.expected_tokens.max(1);
+        let min_tokens =
+            (expected_tokens * MIN_GRANT_NUMERATOR / MIN_GRANT_DENOMINATOR).min(request.max_tokens);
+        if left_tokens < min_tokens {
+            return 0;
+        }
+        let wanted_tokens = request.max_tokens.min(expected_tokens * MAX_GRANT_FACTOR);
+        let granted_tokens = left_tokens.min(wanted_tokens);
+        reserve.granted_tokens += granted_tokens;
+        granted_tokens
+    }
+
+    /// Takes back tokens that a call did not use. They stay spent if the reserve
+    /// was released in the meantime, as the row counts them.
+    pub fn return_unused(&mut self, program: &ProgramKey, tokens: u64) {
+        if let Some(reserve) = self.programs.get_mut(program) {
+            if !reserve.is_released {
+                reserve.granted_tokens = reserve.granted_tokens.saturating_sub(tokens);
+            }
+        }
+    }
+
+    /// Releases the reserve for the program's row, for good; returns the tokens
+    /// granted of it, which the row must count. `None` if this VM remembers too
+    /// many reserves.
+    pub fn release(&mut self, request: &ReserveRequest, now_ms: u64) -> Option<u64> {
+        let reserve = self.reserve(request, now_ms)?;
+        reserve.is_released = true;
+        Some(reserve.granted_tokens)
+    }
+
+    fn reserve(&mut self, request: &ReserveRequest, now_ms: u64) -> Option<&mut Reserve> {
+        let program = ProgramKey(request.program.clone());
+        let is_full = self.programs.len() >= MAX_RESERVES;
+        if is_full && !self.programs.contains_key(&program) {
+            return None;
+        }
+        let reserve = self.programs.entry(program).or_default();
+        reserve.last_used_ms = now_ms;
+        reserve.retention_ms = reserve.retention_ms.max(request.retention_ms);
+        Some(reserve)
+    }
+
+    /// Forgets the reserves of programs that have been idle for long.
+    pub fn remove_expired(&mut self, now_ms: u64) {
+        self.programs.retain(|_, reserve| {
+            now_ms <= reserve.last_used_ms + EXPIRY_RETENTIONS * reserve.retention_ms
+        });
+    }
+
+    /// Number of programs.
+    pub fn len(&self) -> usize {
+        self.programs.len()
+    }
+
+    /// Whether no reserve was granted or released.
+    pub fn is_empty(&self) -> bool {
+        self.programs.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/cluster/mod.rs
@@ -0,0 +1,429 @@
+//! VMs that charge one program's budget, and a store that delays writes and
+//! loses replies. With a reserve, a home grants and releases it, and may end.
+
+// Each test binary uses a part of this module.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+
+use lagoon_gateway::{
+    BudgetSettings, BudgetWrite, ChargeDecision, ChargeRequest, DeferredCharge, Grant,
+    ProgramBudgets, ProgramKey, ReserveRequest, Reserves, Row, RowKey, RowWrite, StoreError,
+    StoreReply, WaiterId,
+};
+use proptest::prelude::*;
+
+pub(crate) const BUDGET: u64 = 1_800;
+pub(crate) const MAX_CALL_TOKENS: u64 = 288;
+pub(crate) const RETENTION_MS: u64 = 60_000;
+
+pub(crate) fn program() -> ProgramKey {
+    ProgramKey("program".into())
+}
+
+pub(crate) fn request(waiter: u64) -> ChargeRequest {
+    ChargeRequest {
+        waiter: WaiterId(waiter),
+        budget_tokens: BUDGET,
+        tokens: MAX_CALL_TOKENS,
+        retention_ms: RETENTION_MS,
+    }
+}
+
+pub(crate) fn deferred_charge(tokens: u64) -> DeferredCharge {
+    DeferredCharge {
+        program: program(),
+        tokens,
+        budget_tokens: BUDGET,
+        max_call_tokens: MAX_CALL_TOKENS,
+    }
+}
+
+pub(crate) fn budgets(writer: &str) -> ProgramBudgets {
+    ProgramBudgets::new(BudgetSettings::new(writer.into()))
+}
+
+pub(crate) fn budgets_with_reserve(writer: &str) -> ProgramBudgets {
+    ProgramBudgets::new(BudgetSettings {
+        keeps_reserve: true,
+        ..BudgetSettings::new(writer.into())
+    })
+}
+
+pub(crate) fn reserve_request() -> ReserveRequest {
+    ReserveRequest {
+        program: program().0,
+        budget_tokens: BUDGET,
+        max_tokens: MAX_CALL_TOKENS,
+        expected_tokens: MAX_CALL_TOKENS / 4,
+        retention_ms: RETENTION_MS,
+    }
+}
+
+/// Simulated store that applies one transaction at a time.
+#[derive(Default)]
+pub(crate) struct Store {
+    pub(crate) version: u64,
+    rows: BTreeMap<RowKey, (u64, Vec<u8>)>,
+}
+
+impl Store {
+    pub(crate) fn apply(&mut self, write: &RowWrite) -> StoreReply {
+        let current = self.rows.get(&write.key);
+        if current.map_or(0, |(version, _)| *version) != write.expected_version {
+            let rows = current.map(|(version, value)| Row {
+                key: write.key.clone(),
+                value: Some(value.clone()),
+                version: *version,
+            });
+            return StoreReply::Conflict(rows.into_iter().collect());
+        }
+        self.version += 1;
+        match &write.value {
+            Some(value) => {
+                let row = (self.version, value.clone());
+                self.rows.insert(write.key.clone(), row);
+            }
+            None => {
+                self.rows.remove(&write.key);
+            }
+        }
+        StoreReply::Applied {
+            version: self.version,
+        }
+    }
+
+    pub(crate) fn charged(&self) -> u64 {
+        let row = self.rows.values().next();
+        row.map_or(0, |(_, value)| {
+            let row: lagoon_gateway::BudgetRow =
+                serde_json::from_slice(value).expect("row is readable");
+            row.charged_tokens
+        })
+    }
+}
+
+#[derive(Clone, Debug)]
+pub(crate) enum Step {
+    RequestCharge(usize),
+    Settle(usize, u64),
+    Release(usize),
+    /// The oldest write of a VM is applied and its reply delivered.
+    Reply(usize),
+    /// The oldest write of a VM is applied and its reply is lost.
+    LoseReply(usize),
+    /// The oldest write of a VM gets no reply and may be applied later.
+    Delay(usize),
+    Refuse(usize),
+    /// Delayed writes reach the store.
+    ApplyDelayed,
+    Cancel(usize),
+    Restart(usize),
+    /// A VM transfers held tokens to another, or they are lost on the way.
+    Transfer(usize, usize, bool),
+    /// Tokens were spent without the store.
+    DeferredCharge(usize, u64),
+    /// A call takes tokens of the reserve.
+    TakeReserve,
+    /// A call that took tokens of the reserve has used so many.
+    SettleReserve(u64),
+    /// The home releases the reserve, and the response is lost.
+    LoseRelease,
+    /// The home ends; no other VM becomes the home while the program lasts.
+    EndHome,
+}
+
+pub(crate) fn step() -> impl Strategy<Value = Step> {
+    let vm = 0..3_usize;
+    prop_oneof![
+        6 => vm.clone().prop_map(Step::RequestCharge),
+        4 => (vm.clone(), 0..=MAX_CALL_TOKENS).prop_map(|(vm, used)| Step::Settle(vm, used)),
+        1 => vm.clone().prop_map(Step::Release),
+        6 => vm.clone().prop_map(Step::Reply),
+        2 => vm.clone().prop_map(Step::LoseReply),
+        2 => vm.clone().prop_map(Step::Delay),
+        1 => vm.clone().prop_map(Step::Refuse),
+        1 => Just(Step::ApplyDelayed),
+        1 => vm.clone().prop_map(Step::Cancel),
+        1 => vm.clone().prop_map(Step::Restart),
+        1 => (vm.clone(), 0..3_usize, any::<bool>())
+            .prop_map(|(from, to, arrives)| Step::Transfer(from, to, arrives)),
+        1 => (vm, 1..100_u64).prop_map(|(vm, tokens)| Step::DeferredCharge(vm, tokens)),
+    ]
+}
+
+/// Steps with those of the reserve.
+pub(crate) fn step_with_reserve() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        20 => step(),
+        10 => (0..3_usize).prop_map(Step::RequestCharge),
+        10 => (0..3_usize).prop_map(Step::Reply),
+        3 => Just(Step::TakeReserve),
+        2 => (0..=MAX_CALL_TOKENS).prop_map(Step::SettleReserve),
+        1 => Just(Step::LoseRelease),
+        1 => Just(Step::EndHome),
+        5 => (0..3_usize).prop_map(|vm| Step::Settle(vm, MAX_CALL_TOKENS)),
+    ]
+}
+
+pub(crate) struct Vm {
+    budgets: ProgramBudgets,
+    write: Option<BudgetWrite>,
+    waiting: Vec<u64>,
+    grants: Vec<Grant>,
+}
+
+fn new_budgets(name: &str, keeps_reserve: bool) -> ProgramBudgets {
+    match keeps_reserve {
+        true => budgets_with_reserve(name),
+        false => budgets(name),
+    }
+}
+
+pub(crate) struct Cluster {
+    pub(crate) store: Store,
+    vms: Vec<Vm>,
+    delayed: Vec<RowWrite>,
+    pub(crate) used: u64,
+    pub(crate) deferred: u64,
+    /// Whether tokens may stay charged that no VM holds any more, as after a
+    /// restart or a lost transfer.
+    pub(crate) is_lossy: bool,
+    next_id: u64,
+    keeps_reserve: bool,
+    /// Reserve at the home; `None` once the home has ended.
+    reserves: Option<Reserves>,
+    reserve_grants: Vec<u64>,
+    /// Tokens used of the reserve.
+    reserve_used: u64,
+    /// How often a call got tokens that only a released reserve allows.
+    pub(crate) releases: u64,
+    /// How often a call got tokens of the reserve.
+    pub(crate) reserve_calls: u64,
+}
+
+impl Cluster {
+    pub(crate) fn new(keeps_reserve: bool) -> Cluster {
+        let vms = ["a", "b", "c"].map(|name| Vm {
+            budgets: new_budgets(name, keeps_reserve),
+            write: None,
+            waiting: Vec::new(),
+            grants: Vec::new(),
+        });
+        Cluster {
+            store: Store::default(),
+            vms: vms.into(),
+            delayed: Vec::new(),
+            used: 0,
+            deferred: 0,
+            is_lossy: false,
+            next_id: 1,
+            keeps_reserve,
+            reserves: keeps_reserve.then(Reserves::default),
+            reserve_grants: Vec::new(),
+            reserve_used: 0,
+            releases: 0,
+            reserve_calls: 0,
+        }
+    }
+
+    /// Has the home release the reserve for a VM that needs it; `false` if the
+    /// home has ended.
+    fn release_for(&mut self, index: usize) -> bool {
+        let Some(reserves) = &mut self.reserves else {
+            return false;
+        };
+        let granted_tokens = reserves.release(&reserve_request(), 0);
+        if let Some(granted_tokens) = granted_tokens {
+            self.releases += 1;
+            let vm = &mut self.vms[index];
+            vm.budgets.record_release(&program(), granted_tokens);
+        }
+        granted_tokens.is_some()
+    }
+
+    pub(crate) fn start_write(&mut self, index: usize) {
+        let vm = &mut self.vms[index];
+        if vm.write.is_none() {
+            vm.write = vm.budgets.charge_write(&program());
+        }
+    }
+
+    pub(crate) fn reply(&mut self, index: usize, reply: Result<StoreReply, StoreError>) {
+        let vm = &mut self.vms[index];
+        vm.write = None;
+        let mut needs_reserve = false;
+        for (waiter, decision) in vm.budgets.on_write_reply(&program(), &reply, 0) {
+            vm.waiting.retain(|other| *other != waiter.0);
+            match decision {
+                ChargeDecision::Granted(grant) => vm.grants.push(grant),
+                ChargeDecision::ReserveNeeded => needs_reserve = true,
+                _ => {}
+            }
+        }
+        if needs_reserve && self.release_for(index) {
+            self.request_charge(index);
+        }
+        self.start_write(index);
+    }
+
+    fn request_charge(&mut self, index: usize) {
+        let waiter = self.next_id;
+        self.next_id += 1;
+        let budgets = &mut self.vms[index].budgets;
+        let mut decision = budgets.request_charge(&program(), request(waiter), 0);
+        if decision == Some(ChargeDecision::ReserveNeeded) && self.release_for(index) {
+            let budgets = &mut self.vms[index].budgets;
+            decision = budgets.request_charge(&program(), request(waiter), 0);
+        }
+        let vm = &mut self.vms[index];
+        match decision {
+            Some(ChargeDecision::Granted(grant)) => vm.grants.push(grant),
+            Some(_) => {}
+            None => vm.waiting.push(waiter),
+        }
+        self.start_write(index);
+    }
+
+    pub(crate) fn run(&mut self, step: &Step) {
+        match *step {
+            Step::RequestCharge(index) => self.request_charge(index),
+            Step::Settle(index, used) => {
+                let vm = &mut self.vms[index];
+                if let Some(grant) = vm.grants.pop() {
+                    vm.budgets.settle(&program(), grant, used, 0);
+                    self.used += used;
+                }
+            }
+            Step::Release(index) => {
+                let vm = &mut self.vms[index];
+                if vm.write.is_none() {
+                    vm.write = vm.budgets.release_write(&program());
+                }
+            }
+            Step::Reply(index) => {
+                if let Some(write) = self.vms[index].write.clone() {
+                    let reply = self.store.apply(&write.write);
+                    self.reply(index, Ok(reply));
+                }
+            }
+            Step::LoseReply(index) => {
+                if let Some(write) = self.vms[index].write.clone() {
+                    self.store.apply(&write.write);
+                    self.reply(index, Err(StoreError::NoReply("lost".into())));
+                }
+            }
+            Step::Delay(index) => {
+                if let Some(write) = self.vms[index].write.clone() {
+                    self.delayed.push(write.write);
+                    self.reply(index, Err(StoreError::NoReply("late".into())));
+                }
+            }
+            Step::Refuse(index) => {
+                if self.vms[index].write.is_some() {
+                    self.reply(index, Err(StoreError::Refused(503)));
+                }
+            }
+            Step::ApplyDelayed => {
+                for write in std::mem::take(&mut self.delayed) {
+                    self.store.apply(&write);
+                }
+            }
+            Step::Cancel(index) => {
+                let vm = &mut self.vms[index];
+                if let Some(waiter) = vm.waiting.pop() {
+                    vm.budgets.cancel_charge(&program(), WaiterId(waiter));
+                }
+            }
+            Step::Restart(index) => {
+                let name = format!("r{}", self.next_id);
+                self.next_id += 1;
+                let vm = &mut self.vms[index];
+                // What was granted to calls before the restart counts as used.
+                self.used += vm.grants.drain(..).map(|grant| grant.tokens).sum::<u64>();
+                vm.budgets = new_budgets(&name, self.keeps_reserve);
+                vm.waiting.clear();
+                if let Some(write) = vm.write.take() {
+                    self.delayed.push(write.write);
+                }
+                self.is_lossy = true;
+            }
+            Step::Transfer(from, to, arrives) => self.transfer(from, to, arrives),
+            Step::DeferredCharge(index, tokens) => {
+                // The tokens are spent, even if their deferred charge gets lost.
+                let vm = &mut self.vms[index];
+                vm.budgets.add_deferred_charge(&deferred_charge(tokens), 0);
+                self.deferred += tokens;
+            }
+            Step::TakeReserve => {
+                let Some(reserves) = &mut self.reserves else {
+                    return;
+                };
+                let granted = reserves.grant(&reserve_request(), 0);
+                if granted > 0 {
+                    self.reserve_calls += 1;
+                    self.reserve_grants.push(granted);
+                }
+            }
+            Step::SettleReserve(used) => {
+                let Some(granted) = self.reserve_grants.pop() else {
+                    return;
+                };
+                let used = used.min(granted);
+                self.reserve_used += used;
+                if let Some(reserves) = &mut self.reserves {
+                    reserves.return_unused(&program(), granted - used);
+                }
+            }
+            Step::LoseRelease => {
+                if let Some(reserves) = &mut self.reserves {
+                    reserves.release(&reserve_request(), 0);
+                }
+            }
+            Step::EndHome => self.reserves = None,
+        }
+    }
+
+    pub(crate) fn transfer(&mut self, from: usize, to: usize, arrives: bool) {
+        if from == to
+            || !self.vms[from]
+                .budgets
+                .transfer_out(&program(), MAX_CALL_TOKENS, 0)
+        {
+            return;
+        }
+        if arrives {
+            self.vms[to]
+                .budgets
+                .transfer_in(&program(), MAX_CALL_TOKENS, 0);
+        } else {
+            self.is_lossy = true;
+        }
+    }
+
+    pub(crate) fn committed(&self) -> u64 {
+        let grants = self.vms.iter().flat_map(|vm| &vm.grants);
+        let granted: u64 = grants.map(|grant| grant.tokens).sum();
+        let reserve: u64 = self.reserve_grants.iter().sum();
+        self.used + granted + self.reserve_used + reserve
+    }
+
+    /// Ends all calls and releases all held tokens.
+    pub(crate) fn settle(&mut self) {
+        self.run(&Step::ApplyDelayed);
+        for _ in 0..4 {
+            for index in 0..self.vms.len() {
+                while self.vms[index].write.is_some() {
+                    self.run(&Step::Reply(index));
+                }
+                while !self.vms[index].grants.is_empty() {
+                    self.run(&Step::Settle(index, 10));
+                }
+                self.run(&Step::Release(index));
+                while self.vms[index].write.is_some() {
+                    self.run(&Step::Reply(index));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/reserve.rs
@@ -0,0 +1,197 @@
+//! Reserves of budgets: who grants them, and that a budget is kept whatever
+//! becomes of the home, the store and the VMs.
+
+mod cluster;
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use cluster::{
+    budgets_with_reserve, program, request, reserve_request, step_with_reserve, Cluster, Store,
+    BUDGET, MAX_CALL_TOKENS,
+};
+use lagoon_gateway::{
+    reserve_tokens, ChargeDecision, HomeState, PeerEntry, Peers, ProgramBudgets, ProgramKey,
+    Reserves,
+};
+use proptest::prelude::*;
+use yare::parameterized;
+
+const MINUTE_MS: u64 = 60_000;
+
+fn peers(own: &str, others: &[&str]) -> Peers {
+    let mut peers = Peers::new(own.into(), "d1".into());
+    for other in others {
+        let entry = PeerEntry {
+            address: "127.0.0.1:1".parse().expect("address"),
+            domain: "d1".into(),
+            writer: (*other).into(),
+        };
+        peers.upsert((*other).into(), entry, 1);
+    }
+    peers
+}
+
+// Guards against two homes that each grant the reserve: a VM that started after
+// programs began, or one whose list may lack a newer VM.
+#[parameterized(
+    first_start = { 0, true, Some(0), MINUTE_MS, true },
+    just_started = { 0, false, Some(0), MINUTE_MS, false },
+    nearly_old_enough = { 30 * MINUTE_MS - 1, false, Some(0), MINUTE_MS, false },
+    old_enough = { 30 * MINUTE_MS, false, Some(0), MINUTE_MS, true },
+    list_not_read = { 40 * MINUTE_MS, true, None, MINUTE_MS, false },
+    list_recent = { 40 * MINUTE_MS, true, Some(15 * MINUTE_MS), MINUTE_MS, true },
+    list_old = { 40 * MINUTE_MS, true, Some(15 * MINUTE_MS + 1), MINUTE_MS, false },
+    long_retention = { 40 * MINUTE_MS, true, Some(0), 16 * MINUTE_MS, false },
+)]
+fn is_home(
+    uptime_ms: u64,
+    is_first_start: bool,
+    list_age_ms: Option<u64>,
+    retention_ms: u64,
+    expected: bool,
+) {
+    let state = HomeState {
+        uptime_ms,
+        is_first_start,
+        list_age_ms,
+    };
+    assert_eq!(state.is_home(retention_ms), expected);
+}
+
+// Guards against a new home that grants again what a VM granted that is gone.
+#[test]
+fn home_of_unlisted_vm_is_none_for_half_an_hour() {
+    let names = ["a", "b", "c"];
+    for number in 0..50 {
+        let program = ProgramKey(format!("p{number}").into());
+        let mut vm = peers("own", &names);
+        let home = vm.home_of(&program, 0).expect("a home");
+        if home == "own" {
+            continue;
+        }
+        vm.remove(&home, 1_000);
+        assert_eq!(vm.home_of(&program, 1_000), None);
+        assert_eq!(vm.home_of(&program, 30 * MINUTE_MS), None);
+        let next = vm.home_of(&program, 31 * MINUTE_MS).expect("another home");
+        assert_ne!(next, home);
+    }
+}
+
+#[test]
+fn home_of_program_is_the_same_at_all_vms() {
+    let names = ["a", "b", "c", "d"];
+    for number in 0..50 {
+        let program = ProgramKey(format!("p{number}").into());
+        let homes = names.map(|own| {
+            let others: Vec<&str> = names.into_iter().filter(|name| *name != own).collect();
+            peers(own, &others).home_of(&program, 0)
+        });
+        assert!(homes.iter().all(|home| *home == homes[0]), "{homes:?}");
+    }
+}
+
+#[test]
+fn grant_stays_within_the_reserve() {
+    let mut reserves = Reserves::default();
+    let mut granted = Vec::new();
+    loop {
+        match reserves.grant(&reserve_request(), 0) {
+            0 => break,
+            tokens => granted.push(tokens),
+        }
+    }
+    let total: u64 = granted.iter().sum();
+    assert!(total <= reserve_tokens(BUDGET), "{total}");
+    assert!(granted.len() > 1, "{granted:?}");
+    reserves.return_unused(&program(), granted[0]);
+    assert_eq!(reserves.grant(&reserve_request(), 0), granted[0]);
+}
+
+// Guards against tokens that are granted both by the home and by the row.
+#[test]
+fn release_ends_all_grants() {
+    let mut reserves = Reserves::default();
+    let granted = reserves.grant(&reserve_request(), 0);
+    assert_eq!(reserves.release(&reserve_request(), 0), Some(granted));
+    assert_eq!(reserves.grant(&reserve_request(), 0), 0);
+    reserves.return_unused(&program(), granted);
+    assert_eq!(reserves.release(&reserve_request(), 0), Some(granted));
+    assert_eq!(reserves.grant(&reserve_request(), 0), 0);
+}
+
+fn charge(vm: &mut ProgramBudgets, store: &mut Store, waiter: u64) -> ChargeDecision {
+    if let Some(decision) = vm.request_charge(&program(), request(waiter), 0) {
+        return decision;
+    }
+    loop {
+        let write = vm.charge_write(&program()).expect("a call waits");
+        let reply = Ok(store.apply(&write.write));
+        if let Some((_, decision)) = vm.on_write_reply(&program(), &reply, 0).first() {
+            return *decision;
+        }
+    }
+}
+
+#[test]
+fn charge_beyond_the_row_needs_the_reserve_and_then_takes_it() {
+    let mut store = Store::default();
+    let mut vm = budgets_with_reserve("a");
+    let mut granted = 0;
+    while let ChargeDecision::Granted(grant) = charge(&mut vm, &mut store, granted) {
+        granted += grant.tokens;
+    }
+    assert!(granted <= BUDGET - reserve_tokens(BUDGET), "{granted}");
+    assert_eq!(
+        charge(&mut vm, &mut store, 1),
+        ChargeDecision::ReserveNeeded
+    );
+    vm.record_release(&program(), 50);
+    while let ChargeDecision::Granted(grant) = charge(&mut vm, &mut store, granted) {
+        granted += grant.tokens;
+    }
+    assert!(granted + 50 <= BUDGET, "{granted}");
+    assert!(granted + 50 + MAX_CALL_TOKENS > BUDGET, "{granted}");
+    let last = charge(&mut vm, &mut store, 2);
+    assert!(matches!(last, ChargeDecision::Exhausted { .. }), "{last:?}");
+    // Another VM sees in the row that the whole budget was charged.
+    let other = charge(&mut budgets_with_reserve("b"), &mut store, 3);
+    assert!(
+        matches!(other, ChargeDecision::Exhausted { .. }),
+        "{other:?}"
+    );
+}
+
+static RELEASES: AtomicU64 = AtomicU64::new(0);
+static RESERVE_CALLS: AtomicU64 = AtomicU64::new(0);
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        rng_seed: prop::test_runner::RngSeed::Fixed(23),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    // Guards against a budget that is spent twice as the store vanishes at some
+    // step of a charge, or a VM or the home ends there.
+    fn run_reserve_schedules(steps in prop::collection::vec(step_with_reserve(), 1..120)) {
+        let mut cluster = Cluster::new(true);
+        for step in &steps {
+            cluster.run(step);
+            let committed = cluster.committed();
+            prop_assert!(committed <= BUDGET, "{committed} after {step:?}");
+        }
+        cluster.settle();
+        prop_assert!(cluster.store.charged() >= cluster.used);
+        RELEASES.fetch_add(cluster.releases, Ordering::SeqCst);
+        RESERVE_CALLS.fetch_add(cluster.reserve_calls, Ordering::SeqCst);
+    }
+}
+
+#[test]
+fn budget_with_reserve_is_kept_whatever_ends() {
+    run_reserve_schedules();
+    let counts = [&RELEASES, &RESERVE_CALLS].map(|count| count.load(Ordering::SeqCst));
+    println!("releases and calls from the reserve: {counts:?}");
+    assert!(counts.iter().all(|count| *count > 1_000), "{counts:?}");
+}
