Hand unsaved turns over at a planned stop, and store copies sooner

Cause: the turn ended at 31.9 s while the store was away, on its VM and two copies. Between 28 and 41 s VMs were stopped in turn; a VM that stops took the turns that the store did not have with it. The copy left was in a failure domain cut off until 39 s, and a VM writes the copies it holds 2 s after the store is back: 41.2 s, when the power went. Ruled out: the write itself (the VMs with the store had it from 34.1 s on) and 404 (none was answered).

A VM that stops now sends such turns to three other VMs, when the stop begins and again before it ends, and takes no new copies.

Test: turns_outlive_planned_stops_without_the_store stops three of four VMs and continues at the last; it fails without the handover.

--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -11,7 +11,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::{spawn_local, LocalSet};
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, timeout, Instant};
 
 use crate::clock::Clock;
 use crate::forward;
@@ -45,6 +45,9 @@
 /// killed.
 const EXIT_MARGIN_S: f64 = 0.4;
 
+/// Time for the last turns to be handed over before the process exits.
+const HANDOVER_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Error with which the daemon exits.
 #[derive(Debug, Error)]
 pub enum RunError {
@@ -151,6 +154,9 @@
     }
     state.stopping.set(true);
     spawn_local(async move { registration.unregister().await });
+    state.turn_keeper.stop();
+    let turn_keeper = Rc::clone(&state.turn_keeper);
+    spawn_local(async move { turn_keeper.hand_over().await });
     shut_down(&settings, &state, &stop).await;
     Ok(())
 }
@@ -258,5 +264,12 @@
     while state.connections.get() > 0 && Instant::now() < deadline {
         sleep(HOUSEKEEPING_INTERVAL).await;
     }
+    // Turns that ended since the stop began.
+    if timeout(HANDOVER_TIMEOUT, state.turn_keeper.hand_over())
+        .await
+        .is_err()
+    {
+        log::warn!("not all turns were handed over");
+    }
     log::info!(unclosed = state.connections.get(); "stopped");
 }
--- a/crates/entry/src/turns.rs
+++ b/crates/entry/src/turns.rs
@@ -38,7 +38,10 @@
 /// Time without an outage of the store after which a VM writes the copies that
 /// it holds for others, and age of a copy from which it does so. By then, the
 /// VMs that served the turns have usually written them.
-const HELD_DELAY_MS: u64 = 2_000;
+const HELD_DELAY_MS: u64 = 800;
+
+/// Maximum number of turns that a VM hands over at the same time.
+const MAX_CONCURRENT_COPIES: usize = 32;
 
 /// Part of the process memory for cached turns, and for turns that the store
 /// may not have, as a divisor each.
@@ -66,6 +69,7 @@
     searches: Cell<u32>,
     /// Longest retention of the turns seen so far.
     retention_ms: Cell<u64>,
+    stopping: Cell<bool>,
     /// Whether nothing existed before this VM started.
     is_first_start: bool,
     /// Maximum size of a row's value before its encoding as base64.
@@ -119,6 +123,7 @@
             available_since_ms: Cell::new(Some(0)),
             searches: Cell::new(0),
             retention_ms: Cell::new(0),
+            stopping: Cell::new(false),
             is_first_start: settings.vm.first_start,
             max_row_bytes: settings.store.row_bytes / 4 * 3,
         })
@@ -176,7 +181,7 @@
         }
         tokio::select! {
             outcome = &mut written => place(outcome),
-            is_copied = self.copy_to_peers(turn) => {
+            is_copied = self.copy_to_peers(turn, CopyPlan::new) => {
                 if is_copied {
                     return "vms";
                 }
@@ -186,7 +191,10 @@
     }
 
     /// Sends copies of a turn to other VMs until enough have accepted it.
-    async fn copy_to_peers(&self, turn: &Rc<Turn>) -> bool {
+    async fn copy_to_peers<P>(&self, turn: &Rc<Turn>, make_plan: P) -> bool
+    where
+        P: FnOnce(Vec<bool>) -> CopyPlan,
+    {
         let now_ms = self.clock.now_ms();
         let (candidates, own_domain) = {
             let peers = self.peer_client.peers.borrow();
@@ -194,7 +202,7 @@
             (candidates, peers.own_domain().clone())
         };
         let is_remote = candidates.iter().map(|(_, peer)| peer.domain != own_domain);
-        let mut plan = CopyPlan::new(is_remote.collect());
+        let mut plan = make_plan(is_remote.collect());
         let encoded = turn.encode();
         let mut in_flight = FuturesUnordered::new();
         loop {
@@ -223,9 +231,30 @@
         }
     }
 
+    /// Before this VM stops: sends the turns that the store may not have to other
+    /// VMs, as those that held copies may stop too.
+    pub(crate) async fn hand_over(&self) {
+        let turns = self.unsaved.borrow().answered();
+        if turns.is_empty() {
+            return;
+        }
+        let copies = turns.iter().map(|turn| async move {
+            if !self.copy_to_peers(turn, CopyPlan::for_handover).await {
+                log::warn!(turn = turn.id.as_str(); "too few VMs take over a turn that the store may not have");
+            }
+        });
+        let copies = futures::stream::iter(copies).buffer_unordered(MAX_CONCURRENT_COPIES);
+        copies.collect::<Vec<()>>().await;
+        log::info!(turns = turns.len(); "turns handed over");
+    }
+
     /// Takes a copy of a turn that another VM served; `false` if it can't be
-    /// decoded, there is no room, or another version of it is known here.
+    /// decoded, there is no room, this VM stops, or another version of it is known
+    /// here.
     pub(crate) fn hold_copy(&self, encoded: &[u8]) -> bool {
+        if self.stopping.get() {
+            return false;
+        }
         let Some(turn) = Turn::decode(encoded) else {
             log::warn!(bytes = encoded.len(); "invalid copy of a turn");
             return false;
@@ -239,6 +268,11 @@
         self.unsaved.borrow_mut().hold(Rc::new(turn), now_ms)
     }
 
+    /// Accepts no more copies, as this VM is about to end.
+    pub(crate) fn stop(&self) {
+        self.stopping.set(true);
+    }
+
     /// Drops copies that are in the store, or whose response was not completed.
     pub(crate) fn drop_copies(&self, ids: &[CompactString]) {
         for id in ids.iter().filter_map(|id| TurnId::parse(id).ok()) {
--- a/crates/entry/tests/turns.rs
+++ b/crates/entry/tests/turns.rs
@@ -117,6 +117,28 @@
     assert_eq!(bodies(&fleet, "t3"), [chain_body(&["t1", "t2"], "t3")]);
 }
 
+// Guards against turns that are lost when the VMs that hold them are stopped as
+// planned, one after the other, before the store is back.
+#[test]
+fn turns_outlive_planned_stops_without_the_store() {
+    const TURNS: usize = 6;
+    let mut fleet = Fleet::start(4);
+    fleet.store.set_fault(StoreFault::Unavailable);
+    for number in 0..TURNS {
+        assert_whole(&turn(&fleet, 0, &format!("t{number}"), None));
+    }
+    for _ in 0..3 {
+        let mut stopping = fleet.vms.remove(0);
+        stopping.signal(Signal::SIGTERM);
+        assert!(stopping.wait(), "graceful shutdown");
+    }
+    for number in 0..TURNS {
+        let (id, previous) = (format!("u{number}"), format!("t{number}"));
+        turn(&fleet, 0, &id, Some(&previous));
+        assert_eq!(bodies(&fleet, &id), [chain_body(&[&previous], &id)]);
+    }
+}
+
 // Guards against a response that looks complete although its turn can get lost.
 #[test]
 fn turn_that_nobody_else_holds_is_cut_off() {
--- a/crates/turns/src/copies.rs
+++ b/crates/turns/src/copies.rs
@@ -28,6 +28,7 @@
     /// Whether each candidate is in another failure domain, in the order in
     /// which they are asked.
     is_remote: Vec<bool>,
+    required: usize,
     /// Number of candidates that were asked.
     asked: usize,
     in_flight: usize,
@@ -38,11 +39,22 @@
 }
 
 impl CopyPlan {
-    /// Starts with candidates in the order of preference.
+    /// Copies of a turn that this VM goes on holding; the candidates are in the
+    /// order of preference.
     pub fn new(is_remote: Vec<bool>) -> CopyPlan {
+        CopyPlan::with_copies(is_remote, REQUIRED_COPIES)
+    }
+
+    /// Copies of a turn that this VM is about to lose, as it stops.
+    pub fn for_handover(is_remote: Vec<bool>) -> CopyPlan {
+        CopyPlan::with_copies(is_remote, REQUIRED_COPIES + 1)
+    }
+
+    fn with_copies(is_remote: Vec<bool>, required: usize) -> CopyPlan {
         let asked = is_remote.iter().take(MAX_ASKED);
         let open_remotes = asked.filter(|is_remote| **is_remote).count();
         CopyPlan {
+            required: required.min(is_remote.len()),
             is_remote,
             asked: 0,
             in_flight: 0,
@@ -55,7 +67,7 @@
     /// Next step; after [`CopyStep::Send`], the caller asks again.
     pub fn next_step(&mut self) -> CopyStep {
         let candidates = self.is_remote.len().min(MAX_ASKED);
-        let required = REQUIRED_COPIES.min(candidates);
+        let required = self.required;
         let needs_remote = !self.has_remote && self.open_remotes > 0;
         if required > 0 && self.accepted >= required && !needs_remote {
             return CopyStep::Safe;
--- a/crates/turns/src/unsaved.rs
+++ b/crates/turns/src/unsaved.rs
@@ -86,6 +86,13 @@
         (unsaved.phase != Phase::Pending).then(|| Rc::clone(&unsaved.turn))
     }
 
+    /// All turns that were answered.
+    pub fn answered(&self) -> Vec<Rc<Turn>> {
+        let turns = self.turns.values();
+        let answered = turns.filter(|unsaved| unsaved.phase != Phase::Pending);
+        answered.map(|unsaved| Rc::clone(&unsaved.turn)).collect()
+    }
+
     /// Whether the turn is here, in whatever phase.
     pub fn contains(&self, id: &TurnId) -> bool {
         self.turns.contains_key(id)
