Bound what is read of an event, a head and a body that never end

What callers would see: a target that sends bytes without end and never an end of an event made the VM read them until the deadline, 5 s at the speed of the link, all of them in memory; a few such streams end a VM of 88 MB.

Cause: the reader of events keeps an incomplete event, whatever its size. A response that isn't a stream was bounded by 8 MB each, but not by what all of them hold together.

An event of over 256 kB, or a head of over 128 kB, now counts as an interrupted attempt, by which the target is judged as by any other. Bodies that are buffered count towards the memory for bodies.

Ruled out: bytes before a head and endless heads, which hyper already refuses.

--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -23,6 +23,9 @@
 /// (`TCP_USER_TIMEOUT`).
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Maximum size of a response's head.
+const MAX_HEAD_BYTES: usize = 131_072;
+
 /// Idle time before the first keepalive probe, and interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -60,7 +63,9 @@
         if let Err(error) = set_socket_options(&stream) {
             log::warn!(address = address.to_string(), error = error.to_string(); "cannot set TCP options");
         }
-        let (sender, driver) = handshake(TokioIo::new(stream))
+        let (sender, driver) = Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| not_sent(&error))?;
         let task = tokio::task::spawn_local(async move {
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -2,9 +2,9 @@
 
 use std::rc::Rc;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use lagoon_adapter::{
@@ -222,11 +222,7 @@
                 target: key,
             })));
         }
-        let body = Limited::new(body, MAX_BUFFERED_BYTES)
-            .collect()
-            .await
-            .map_err(FailedAttempt::interrupted)?
-            .to_bytes();
+        let body = self.read_response_body(body).await?;
         in_flight.record_response(head.status());
         if !metadata.closes_connection {
             pooled.release(metadata.keep_alive_s);
@@ -234,6 +230,27 @@
         Ok(TargetResponse::Full(forwarded_head(head).map(|()| body)))
     }
 
+    /// Reads the body of a response that isn't a stream, within the memory for
+    /// bodies.
+    async fn read_response_body(&self, mut body: Incoming) -> Result<Bytes, FailedAttempt> {
+        let no_memory = || FailedAttempt::interrupted("no memory for the response");
+        let mut memory = self.state.reserve_body_memory(0).ok_or_else(no_memory)?;
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.map_err(FailedAttempt::interrupted)?.into_data() else {
+                continue;
+            };
+            if bytes.len() + data.len() > MAX_BUFFERED_BYTES {
+                return Err(FailedAttempt::interrupted("response too long"));
+            }
+            if !memory.grow(data.len() as u64) {
+                return Err(no_memory());
+            }
+            bytes.extend_from_slice(&data);
+        }
+        Ok(bytes.freeze())
+    }
+
     /// Rejects a response that belongs to another request, comes from another
     /// instance, lacks the target's stamp, or says that the request was not
     /// executed. Records the load that the response reports, even if it is
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -69,6 +69,9 @@
 
     async fn next_chunk(&mut self) -> Result<Option<Bytes>, TruncatedBody> {
         loop {
+            if self.reader.is_oversized() {
+                self.resume_or_fail("event without end").await?;
+            }
             let deadline = self.request.deadline();
             let Some(stream) = self.stream.as_mut() else {
                 return Ok(None);
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -31,6 +31,19 @@
     bytes: u64,
 }
 
+impl BodyMemory {
+    /// Reserves more memory; `false`, without effect, if too little is left.
+    pub(crate) fn grow(&mut self, bytes: u64) -> bool {
+        let body_memory_bytes = self.state.body_memory_bytes.get() + bytes;
+        let fits = body_memory_bytes <= self.state.max_body_memory_bytes;
+        if fits {
+            self.state.body_memory_bytes.set(body_memory_bytes);
+            self.bytes += bytes;
+        }
+        fits
+    }
+}
+
 impl Drop for BodyMemory {
     fn drop(&mut self) {
         let body_memory_bytes = self.state.body_memory_bytes.get();
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -3,6 +3,9 @@
 //! Bytes are forwarded up to the end of the last complete event, so that a
 //! stream that breaks can be resumed at another target with the event after it.
 
+/// Maximum size of an event; a stream with a larger one is not read further.
+const MAX_EVENT_BYTES: usize = 262_144;
+
 /// Complete events of a stream that a chunk of bytes made available.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct CompleteEvents {
@@ -69,6 +72,12 @@
         self.partial.clear();
     }
 
+    /// Whether the incomplete event is larger than any event may be, so that the
+    /// bytes are probably no event stream.
+    pub fn is_oversized(&self) -> bool {
+        self.partial.len() > MAX_EVENT_BYTES
+    }
+
     /// Whether no event is incomplete.
     pub fn is_at_event_boundary(&self) -> bool {
         self.partial.is_empty()
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -31,6 +31,21 @@
     assert_eq!(reader.push(STREAM).count, 1);
 }
 
+// Guards against memory that grows with the bytes of a target which never ends
+// an event.
+#[test]
+fn is_oversized_after_many_bytes_without_an_end() {
+    let mut reader = EventReader::default();
+    for _ in 0..256 {
+        reader.push(&[b'x'; 1_024]);
+        assert!(!reader.is_oversized());
+    }
+    reader.push(b"x");
+    assert!(reader.is_oversized());
+    reader.discard_partial();
+    assert!(!reader.is_oversized());
+}
+
 #[test]
 fn push_passes_events_without_id() {
     let mut reader = EventReader::default();
