Read changes that come together in one watch

Cause: each VM that registers, and each target, changes a row that every VM watches, and a VM watched again at once: 295 VMs read each of 432 changes. It grows with the square of the fleet. Ruled out: charges and probes, which begin with the traffic, and the watches that time out (5 a VM in 10 to 30 s).

After a reply with changes a VM waits before it watches that table again: 1 s for VMs, 0.5 s for crashes (which gossip brings sooner), 0.25 s for targets, 0.2 s for overdrawn programs; not at all for the configuration. A change after a calm time is read as soon as before.

--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -68,6 +68,18 @@
         })
     }
 
+    /// Minimum time between a change and the next watch. Changes that come
+    /// together, as those of many VMs that start, are then read in one call.
+    fn min_interval(self) -> Duration {
+        Duration::from_millis(match self {
+            FollowedTable::Config => 0,
+            FollowedTable::Targets => 250,
+            FollowedTable::Overdrawn => 200,
+            FollowedTable::Crashes => 500,
+            FollowedTable::Peers => 1_000,
+        })
+    }
+
     /// Maximum duration of one watch.
     fn max_wait_ms(self) -> u64 {
         match self {
@@ -166,10 +178,14 @@
             match self.store.call(&call).await {
                 Ok(StoreReply::Rows { rows, version, .. }) => {
                     self.record_success();
+                    let is_changed = !rows.is_empty();
                     let newest = rows.iter().map(|row| row.version).max();
                     self.version = self.version.max(version).max(newest.unwrap_or_default());
                     rows.into_iter().for_each(|row| self.apply(row));
                     self.update_gauges();
+                    if is_changed {
+                        sleep(self.table.min_interval()).await;
+                    }
                 }
                 Ok(StoreReply::Compacted) => {
                     log::info!(table = self.table.name().as_str(), version = self.version; "change history is lost; reading the whole table");
--- a/crates/entry/tests/processes.rs
+++ b/crates/entry/tests/processes.rs
@@ -7,6 +7,7 @@
 
 use fleet::{call, complete_stream, get, read_response, send_request, wait_until, Fleet, CONFIG};
 use lagoon_adapter::standin::{model_call_headers, service_call_headers};
+use lagoon_adapter::TARGET_TABLE;
 use lagoon_gateway::TargetStatus;
 use lagoon_standin::fleet::{ExecutionState, ProxyFault, StoreFault, TargetFault};
 use nix::sys::signal::Signal;
@@ -299,6 +300,32 @@
     );
 }
 
+// Guards against a read of the store for each VM or target that starts, by each
+// VM: many that start together are read in few calls.
+#[test]
+fn watch_reads_changes_that_come_together_in_few_calls() {
+    const STARTS: u64 = 60;
+    let fleet = Fleet::start(1);
+    let tables = ["vms", TARGET_TABLE];
+    let before = tables.map(|table| fleet.store.watch_count(table));
+    for number in 0..STARTS {
+        let row = Some(b"{}".to_vec());
+        fleet.store.put("vms", &format!("other-{number}"), row);
+        let mut entry = fleet.entry(0, TargetStatus::Ready);
+        entry.id = format!("target-{number}").into();
+        fleet.store.add_target(&entry);
+        thread::sleep(Duration::from_millis(10));
+    }
+    let known = format!("\nlagoon_targets {}\n", STARTS + 4);
+    wait_until("all targets", || {
+        get(fleet.vms[0].peers, "/metrics").body.contains(&known)
+    });
+    for (table, before) in tables.into_iter().zip(before) {
+        let watches = fleet.store.watch_count(table) - before;
+        assert!(watches <= STARTS / 6, "{table}: {watches} watches");
+    }
+}
+
 #[test]
 fn budget_is_shared_by_vms_and_survives_restarts() {
     let mut fleet = Fleet::start(2);
--- a/crates/standin/src/fleet/store.rs
+++ b/crates/standin/src/fleet/store.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use compact_str::CompactString;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
@@ -37,6 +38,8 @@
     rows: BTreeMap<RowKey, Row>,
     fault: StoreFault,
     transaction_count: u64,
+    /// Watches by table.
+    watch_counts: BTreeMap<CompactString, u64>,
 }
 
 /// Handle of a simulated store.
@@ -107,6 +110,12 @@
         rows.filter_map(|row| row.value.clone()).collect()
     }
 
+    /// Watches of a table that began.
+    pub fn watch_count(&self, table: &str) -> u64 {
+        let state = lock(&self.state);
+        state.watch_counts.get(table).copied().unwrap_or_default()
+    }
+
     /// Transactions received over HTTP, including those that ended in a conflict.
     pub fn transaction_count(&self) -> u64 {
         lock(&self.state).transaction_count
@@ -221,6 +230,7 @@
 }
 
 async fn watch(state: &Mutex<State>, table: &str, after: u64, wait_ms: u64) -> StoreReply {
+    *lock(state).watch_counts.entry(table.into()).or_default() += 1;
     let mut waited_ms = 0;
     loop {
         let (rows, version) = {
