lagoond: 431 for large headers, 400 for a length that is no number

What callers saw: headers of 100 KB were read and the call went on to its authorization (401); a negative Content-Length counted as no body.

Cause: tiny_http bounds neither, and reads a length that it can't parse as none. lagoon-entry answers both as it should.

--- a/crates/daemon/src/constants.rs
+++ b/crates/daemon/src/constants.rs
@@ -8,6 +8,8 @@
 /// Maximum number of concurrent requests of an HTTP listener; further ones are
 /// rejected as overload.
 pub(crate) const MAX_CONCURRENT_REQUESTS: usize = 4_096;
+/// Maximum size of a request's headers, names and values.
+pub(crate) const MAX_HEADER_BYTES: usize = 16_384;
 /// `max_tokens` that is added to a chat request without an output limit.
 pub(crate) const DEFAULT_OUTPUT_TOKENS: u64 = 4_096;
 /// Tick interval while calls are in flight, journal records are not durable yet or
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -9,7 +9,7 @@
 use lagoon_errors::{CallError, ErrorKind};
 use tiny_http::{Request, Server};
 
-use crate::constants::{MAX_CONCURRENT_REQUESTS, WORKER_STACK_BYTES};
+use crate::constants::{MAX_CONCURRENT_REQUESTS, MAX_HEADER_BYTES, WORKER_STACK_BYTES};
 use crate::http::response::respond_error;
 
 /// Number of requests that are being served.
@@ -73,6 +73,10 @@
         );
         return;
     }
+    if let Err(error) = check_headers(&request) {
+        respond_error(request, None, &error);
+        return;
+    }
     let guard = active.track();
     let handle = Arc::clone(handle);
     let spawned = thread::Builder::new()
@@ -87,6 +91,26 @@
     }
 }
 
+/// Rejects headers that are too large, and a length of the body that is not a
+/// number.
+fn check_headers(request: &Request) -> Result<(), CallError> {
+    let sizes = request
+        .headers()
+        .iter()
+        .map(|header| header.field.as_str().as_str().len() + header.value.as_str().len());
+    if sizes.sum::<usize>() > MAX_HEADER_BYTES {
+        let detail = format!("headers have more than {MAX_HEADER_BYTES} bytes");
+        return Err(CallError::new(ErrorKind::HeadersTooLarge, detail));
+    }
+    match header(request, "Content-Length").map(str::parse::<u64>) {
+        Some(Err(error)) => {
+            let detail = format!("Content-Length: {error}");
+            Err(CallError::new(ErrorKind::BadRequest, detail))
+        }
+        _ => Ok(()),
+    }
+}
+
 /// Reads the body of a request, which may have up to `limit_bytes`.
 pub(super) fn read_body(request: &mut Request, limit_bytes: u64) -> Result<Vec<u8>, CallError> {
     let too_large = || {
--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -3,6 +3,8 @@
 
 mod site;
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::sync::mpsc::channel;
 use std::thread;
 
@@ -104,6 +106,32 @@
     assert_eq!(value["usage"]["completion_tokens"], 4_096);
 }
 
+/// Status of a request that is sent as these bytes.
+fn raw_status(site: &Site, request: &str) -> String {
+    let mut stream = TcpStream::connect(site.vms[0].callers).expect("connection");
+    stream
+        .write_all(request.as_bytes())
+        .expect("request is sent");
+    let mut head = [0; 12];
+    stream.read_exact(&mut head).expect("response");
+    String::from_utf8_lossy(&head[9..]).into_owned()
+}
+
+// Guards against headers of any size that are read whole, and a negative length
+// that counts as no body.
+#[test]
+fn request_with_large_headers_or_negative_length_is_rejected() {
+    let site = Site::start(1);
+    let large = "x".repeat(100_000);
+    let line = "GET /healthz HTTP/1.1\r\nHost: a\r\n";
+    let with_header = format!("{line}Large: {large}\r\nContent-Length: 0\r\n\r\n");
+    assert_eq!(raw_status(&site, &with_header), "431");
+    let negative = format!("{line}Content-Length: -1\r\n\r\n");
+    assert_eq!(raw_status(&site, &negative), "400");
+    let sound = format!("{line}Content-Length: 0\r\n\r\n");
+    assert_eq!(raw_status(&site, &sound), "200");
+}
+
 #[test]
 fn chat_unknown_key_and_model_are_rejected() {
     let site = Site::start(1);
--- a/crates/errors/src/kind.rs
+++ b/crates/errors/src/kind.rs
@@ -76,6 +76,9 @@
     /// Internal error of the scheduler.
     #[display("internal")]
     Internal,
+    /// Headers exceed the size limit.
+    #[display("headers_too_large")]
+    HeadersTooLarge,
 }
 
 /// Whether the target executed the call.
--- a/crates/errors/src/table.rs
+++ b/crates/errors/src/table.rs
@@ -72,6 +72,7 @@
     retry_after(ErrorKind::Stopping, 503, ExecutionStatus::NotRun, 1),
     retry_after(ErrorKind::NotReady, 503, ExecutionStatus::NotRun, 2),
     no_retry(ErrorKind::Internal, 500, ExecutionStatus::Unknown),
+    no_retry(ErrorKind::HeadersTooLarge, 431, ExecutionStatus::NotRun),
 ];
 
 /// Entry of [`ERROR_SPECS`] for an error kind.
