--- a/crates/entry/tests/processes.rs
+++ b/crates/entry/tests/processes.rs
@@ -300,6 +300,20 @@
     );
 }
 
+// Guards against a VM that ends, or a budget that wraps around, by numbers that no
+// caller has.
+#[test]
+fn model_call_with_huge_numbers_is_answered_and_harms_no_other() {
+    let fleet = Fleet::start(1);
+    for (budget, tokens) in [(u64::MAX, u64::MAX), (u64::MAX, 288), (288, u64::MAX)] {
+        let headers = model_call_headers("r1", "huge", budget, tokens);
+        let response = call(fleet.callers(), "POST /stream/x", &headers, "p");
+        assert!(matches!(response.status, 200 | 402 | 503), "{response:?}");
+    }
+    let response = call(fleet.callers(), "POST /stream/x", &model_call("r2"), "p");
+    assert_eq!(response.body, complete_stream());
+}
+
 // Guards against a read of the store for each VM or target that starts, by each
 // VM: many that start together are read in few calls.
 #[test]
