Accept what callers have opened before a planned stop closes the listener

What callers saw: connections that were open at the kernel and not yet accepted when the listener closed were reset, with their requests, and got no answer (0 of 30 in the test).

Cause: the loop that accepts ended at the stop, and the process may end at once if no connection is open. With accepting first it is not enough: the runtime fires timers before it has seen that the listener is ready. Ruled out: the first request of a connection that is accepted during the stop, which hyper answers.

The listener now accepts for 50 ms more, and the process looks for open connections after that. Test: stop_answers_connections_that_wait_to_be_accepted.

--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -261,6 +261,8 @@
     log::info!(wait_s; "stopping");
     sleep(BALANCER_DRAIN_TIME).await;
     stop.send_replace(true);
+    // The listeners first accept what callers have opened already.
+    sleep(HOUSEKEEPING_INTERVAL).await;
     while state.connections.get() > 0 && Instant::now() < deadline {
         sleep(HOUSEKEEPING_INTERVAL).await;
     }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -15,7 +15,7 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{sleep, sleep_until, Instant};
 
 use crate::body::ResponseBody;
 use crate::connection::set_socket_options;
@@ -35,6 +35,9 @@
 
 const METRICS_PATH: &str = "/metrics";
 
+/// Time from the stop until a listener closes.
+const ACCEPT_LINGER: Duration = Duration::from_millis(50);
+
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 pub(crate) fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
@@ -50,8 +53,8 @@
     TcpListener::from_std(socket.into())
 }
 
-/// Accepts connections until `stop` becomes true; open ones are then closed
-/// between two requests.
+/// Accepts connections until shortly after `stop` becomes true; open ones are
+/// then closed between two requests.
 pub(crate) async fn serve<F, R>(
     state: Rc<DaemonState>,
     listener: TcpListener,
@@ -62,10 +65,17 @@
     R: Future<Output = Response<ResponseBody>> + 'static,
 {
     let stopped = stop.clone();
+    // Set by the stop: time at which the listener closes. Closing it resets the
+    // connections that callers have opened, so these are accepted first.
+    let mut closes_at = None;
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|stop| *stop) => return,
+            _ = stop.wait_for(|stop| *stop), if closes_at.is_none() => {
+                closes_at = Some(Instant::now() + ACCEPT_LINGER);
+                continue;
+            }
+            () = sleep_until(closes_at.unwrap_or_else(Instant::now)), if closes_at.is_some() => return,
         };
         match accepted {
             Ok(_) if state.connections.get() >= state.max_connections => {
--- a/crates/entry/tests/processes.rs
+++ b/crates/entry/tests/processes.rs
@@ -300,6 +300,30 @@
     );
 }
 
+// Guards against connections that are reset at a planned stop, although callers
+// opened them and sent requests before the listener closed.
+#[test]
+fn stop_answers_connections_that_wait_to_be_accepted() {
+    const CALLERS: usize = 30;
+    let fleet = Fleet::start(1);
+    let vm = &fleet.vms[0];
+    vm.signal(Signal::SIGTERM);
+    // Shortly before the listener closes, 2.2 s after the signal.
+    thread::sleep(Duration::from_millis(2_000));
+    vm.signal(Signal::SIGSTOP);
+    let headers = service_call_headers("r1");
+    let waiting: Vec<_> = (0..CALLERS)
+        .map(|_| send_request(vm.callers, "GET /look/x", "a.example", &headers, ""))
+        .collect();
+    thread::sleep(Duration::from_millis(500));
+    vm.signal(Signal::SIGCONT);
+    let statuses = waiting
+        .into_iter()
+        .map(|caller| read_response(caller).status);
+    let answered = statuses.filter(|status| *status == 200).count();
+    assert_eq!(answered, CALLERS);
+}
+
 // Guards against a VM that ends, or a budget that wraps around, by numbers that no
 // caller has.
 #[test]
