Read the first request of connections accepted during a planned stop

Cause: a graceful shutdown closes a connection at once if it is asked for before the connection's first request was read; whether it was is a matter of which future is polled first.

A connection without a request now has 200 ms for it before the shutdown.

--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -1,5 +1,6 @@
 //! HTTP servers for callers, the load balancer, other VMs and metrics scrapers.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -15,7 +16,7 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::{sleep, sleep_until, Instant};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 use crate::body::ResponseBody;
 use crate::connection::set_socket_options;
@@ -38,6 +39,9 @@
 /// Time from the stop until a listener closes.
 const ACCEPT_LINGER: Duration = Duration::from_millis(50);
 
+/// Time that a new connection has for its first request when the daemon stops.
+const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(200);
+
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 pub(crate) fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
@@ -127,7 +131,9 @@
     if let Err(error) = set_socket_options(&stream) {
         log::debug!(error = error.to_string(); "cannot set TCP options");
     }
+    let has_request = Cell::new(false);
     let service = service_fn(|request| {
+        has_request.set(true);
         let response = handle(request);
         async move { Ok::<_, Infallible>(response.await) }
     });
@@ -145,8 +151,16 @@
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
         _ = stop.wait_for(|stop| *stop) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            // The first request of a new connection may be on its way; a graceful
+            // shutdown closes the connection before it is read.
+            let wait = if has_request.get() { Duration::ZERO } else { FIRST_REQUEST_WAIT };
+            match timeout(wait, connection.as_mut()).await {
+                Ok(ended) => ended,
+                Err(_) => {
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+            }
         }
     };
     if let Err(error) = ended {
