Grant a call its maximum from the reserve, or nothing, while the store is there

Cause: a charge that took over 60 ms under a burst, so the home was asked, and granted three times the expected tokens, as an allowance does; the response was longer. Ruled out: the change of the configuration beside it.

Where the call can wait for the store, the home now grants the call's maximum or nothing. Where the store fails it grants less only once fewer than two calls' worth is left.

Test: grant_of_a_first_call.

--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -270,7 +270,7 @@
         if let Some(reservation) = self.take_from_origin_vm(request).await {
             return Ok(reservation);
         }
-        if let Some(reservation) = self.take_reserve(request).await {
+        if let Some(reservation) = self.take_reserve(request, true).await {
             return Ok(reservation);
         }
         if self.request_held_tokens(program, tokens).await {
--- a/crates/entry/src/ledger/reserve.rs
+++ b/crates/entry/src/ledger/reserve.rs
@@ -36,7 +36,8 @@
             result = &mut charge => return result,
             () = sleep(delay) => {}
         }
-        let Some(from_reserve) = self.take_reserve(request).await else {
+        let accepts_fewer = self.store.is_failing();
+        let Some(from_reserve) = self.take_reserve(request, accepts_fewer).await else {
             return charge.await;
         };
         match charge.as_mut().now_or_never() {
@@ -60,7 +61,7 @@
         let Some(home) = self.home_of(program) else {
             return Err(ChargeDecision::HeldElsewhere { held_tokens });
         };
-        let reserve_request = request.reserve_request();
+        let reserve_request = request.reserve_request(false);
         let granted_tokens = if self.is_own_name(&home) {
             self.release_reserve(&reserve_request)
         } else {
@@ -77,15 +78,16 @@
         self.charge_in_store(request, deadline).await
     }
 
-    /// Takes tokens of the program's reserve; `None` if its home grants none or
-    /// can't be reached.
+    /// Takes tokens of the program's reserve, perhaps fewer than the call's maximum
+    /// if it `accepts_fewer`; `None` if its home grants none or can't be reached.
     pub(super) async fn take_reserve(
         self: &Rc<Self>,
         request: &TokenRequest,
+        accepts_fewer: bool,
     ) -> Option<TokenReservation> {
         let program = &request.program;
         let home = self.home_of(program)?;
-        let reserve_request = request.reserve_request();
+        let reserve_request = request.reserve_request(accepts_fewer);
         let granted_tokens = if self.is_own_name(&home) {
             self.grant_reserve(&reserve_request)
         } else {
@@ -158,12 +160,13 @@
 }
 
 impl TokenRequest {
-    fn reserve_request(&self) -> ReserveRequest {
+    fn reserve_request(&self, accepts_fewer: bool) -> ReserveRequest {
         ReserveRequest {
             program: self.program.0.clone(),
             budget_tokens: self.budget_tokens,
             max_tokens: self.max_tokens,
             expected_tokens: self.expected_tokens,
+            accepts_fewer,
             retention_ms: self.retention_ms,
         }
     }
--- a/crates/gateway/src/reserve.rs
+++ b/crates/gateway/src/reserve.rs
@@ -87,10 +87,36 @@
     pub max_tokens: u64,
     /// Output tokens that the caller expects, or an estimate if it states none.
     pub expected_tokens: u64,
+    /// Whether fewer than the maximum may be granted, so that the response may be
+    /// cut off. Only where the call would be refused otherwise.
+    pub accepts_fewer: bool,
     /// Time within which the program may return.
     pub retention_ms: u64,
 }
 
+impl ReserveRequest {
+    /// Tokens to grant of those that are left. While they last for another call of
+    /// the maximum size, the whole maximum.
+    fn share_of(&self, left_tokens: u64) -> u64 {
+        let is_ample = left_tokens >= 2 * self.max_tokens;
+        let is_all_or_nothing = is_ample || !self.accepts_fewer;
+        if is_all_or_nothing {
+            return if left_tokens >= self.max_tokens {
+                self.max_tokens
+            } else {
+                0
+            };
+        }
+        let expected_tokens = self.expected_tokens.max(1);
+        let min_tokens = expected_tokens * MIN_GRANT_NUMERATOR / MIN_GRANT_DENOMINATOR;
+        if left_tokens < min_tokens.min(self.max_tokens) {
+            return 0;
+        }
+        let wanted_tokens = self.max_tokens.min(expected_tokens * MAX_GRANT_FACTOR);
+        left_tokens.min(wanted_tokens)
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Reserve {
     /// Tokens granted to calls, less those they did not use.
@@ -118,14 +144,7 @@
         }
         let total_tokens = reserve_tokens(request.budget_tokens);
         let left_tokens = total_tokens.saturating_sub(reserve.granted_tokens);
-        let expected_tokens = request.expected_tokens.max(1);
-        let min_tokens =
-            (expected_tokens * MIN_GRANT_NUMERATOR / MIN_GRANT_DENOMINATOR).min(request.max_tokens);
-        if left_tokens < min_tokens {
-            return 0;
-        }
-        let wanted_tokens = request.max_tokens.min(expected_tokens * MAX_GRANT_FACTOR);
-        let granted_tokens = left_tokens.min(wanted_tokens);
+        let granted_tokens = request.share_of(left_tokens);
         reserve.granted_tokens += granted_tokens;
         granted_tokens
     }
--- a/crates/gateway/tests/cluster/mod.rs
+++ b/crates/gateway/tests/cluster/mod.rs
@@ -56,6 +56,7 @@
         budget_tokens: BUDGET,
         max_tokens: MAX_CALL_TOKENS,
         expected_tokens: MAX_CALL_TOKENS / 4,
+        accepts_fewer: true,
         retention_ms: RETENTION_MS,
     }
 }
--- a/crates/gateway/tests/reserve.rs
+++ b/crates/gateway/tests/reserve.rs
@@ -11,7 +11,7 @@
 };
 use lagoon_gateway::{
     reserve_tokens, ChargeDecision, HomeState, PeerEntry, Peers, ProgramBudgets, ProgramKey,
-    Reserves,
+    ReserveRequest, Reserves,
 };
 use proptest::prelude::*;
 use yare::parameterized;
@@ -107,6 +107,26 @@
     assert_eq!(reserves.grant(&reserve_request(), 0), granted[0]);
 }
 
+// Guards against responses that are cut off although the store is there, only
+// slow: where the call can wait for it, the home grants the whole call or nothing.
+#[parameterized(
+    ample = { 2_400, false, 288 },
+    one_call = { 1_152, false, 288 },
+    less_than_a_call = { 1_148, false, 0 },
+    ample_or_refused = { 2_400, true, 288 },
+    scarce_or_refused = { 1_152, true, 216 },
+    less_than_a_call_or_refused = { 600, true, 150 },
+    less_than_expected = { 200, true, 0 },
+)]
+fn grant_of_a_first_call(budget_tokens: u64, accepts_fewer: bool, expected: u64) {
+    let request = ReserveRequest {
+        budget_tokens,
+        accepts_fewer,
+        ..reserve_request()
+    };
+    assert_eq!(Reserves::default().grant(&request, 0), expected);
+}
+
 // Guards against tokens that are granted both by the home and by the row.
 #[test]
 fn release_ends_all_grants() {
