--- a/crates/turns/src/lookup.rs
+++ b/crates/turns/src/lookup.rs
@@ -84,11 +84,6 @@
         self.store = Some(answer);
     }
 
-    /// Whether a VM could not rule out that the turn exists.
-    pub fn is_doubtful(&self) -> bool {
-        self.is_doubtful
-    }
-
     /// Verdict on the evidence so far.
     pub fn verdict(&self) -> Verdict {
         match (self.is_found, self.store) {
