Start the grace period of missing targets at the store's first reply

Cause: an entry that vanishes within 1.9 s of an outage is kept, as it may only have expired. The end of the outage was taken from the first reply to a watch, and a watch replies when something changes: that VM had the store back at 13.2 s, its watch of the targets at 15.8, that of the crashes at 17.7, and each began the period anew. The target left at 16.8. Ruled out: the interval between two watches, which is new (the VM read the removal 45 ms after it), and the target's address.

The period now begins with the store's first reply to any call.

--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -62,6 +62,8 @@
     recovered: Notify,
     /// Number of such outages that have ended.
     recoveries: Cell<u32>,
+    /// End of the last one; `None` before the first.
+    recovered_ms: Cell<Option<u64>>,
 }
 
 impl StoreClient {
@@ -76,6 +78,7 @@
             reply_timeout: Cell::default(),
             recovered: Notify::new(),
             recoveries: Cell::new(0),
+            recovered_ms: Cell::new(None),
         }
     }
 
@@ -84,6 +87,11 @@
         self.recoveries.get()
     }
 
+    /// End of the last outage of at least [`WATCH_LOSS_MS`]; `None` before the first.
+    pub(crate) fn recovered_ms(&self) -> Option<u64> {
+        self.recovered_ms.get()
+    }
+
     /// Whether the store counts as unavailable after consecutive failures.
     pub(crate) fn is_unavailable(&self) -> bool {
         self.failures.get() >= UNAVAILABLE_FAILURES
@@ -157,6 +165,7 @@
                     log::info!(away_ms; "store answers again");
                     if away_ms >= WATCH_LOSS_MS {
                         self.recoveries.set(self.recoveries.get() + 1);
+                        self.recovered_ms.set(Some(self.clock.now_ms()));
                         self.recovered.notify_waiters();
                     }
                 }
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -22,10 +22,6 @@
 
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
-/// Target entries may have expired in the store after an outage of at least
-/// this duration, so missing ones are then kept for a grace period.
-const OUTAGE_MS: u64 = 1_000;
-
 pub(crate) async fn follow_table(
     state: Rc<DaemonState>,
     store: Rc<StoreClient>,
@@ -116,9 +112,12 @@
         if let Some(since_ms) = self.failing_since_ms.take() {
             let away_ms = now_ms - since_ms;
             log::info!(table = self.table.name().as_str(), away_ms, version = self.version; "feed is back");
-            if away_ms >= OUTAGE_MS {
-                self.state.targets.borrow_mut().on_store_recovered(now_ms);
-            }
+        }
+        // A watch may be silent for long after the store is back, so the grace
+        // period of missing entries starts with the store's first reply instead.
+        if let Some(recovered_ms) = self.store.recovered_ms() {
+            let mut targets = self.state.targets.borrow_mut();
+            targets.on_store_recovered(recovered_ms);
         }
     }
 
@@ -195,8 +194,6 @@
                 Err(error) => {
                     self.record_failure(&error);
                     if self.store.recoveries() != recoveries {
-                        let now_ms = self.state.now_ms();
-                        self.state.targets.borrow_mut().on_store_recovered(now_ms);
                         continue;
                     }
                     sleep(RETRY_DELAY).await;
--- a/crates/entry/tests/processes.rs
+++ b/crates/entry/tests/processes.rs
@@ -15,6 +15,13 @@
 const BUDGET_TOKENS: u64 = 2_000;
 const MAX_CALL_TOKENS: u64 = 288;
 
+/// Longer than the time for which missing targets are kept after an outage.
+const MISSING_GRACE_TIME: Duration = Duration::from_millis(2_500);
+
+/// Time in which a VM learns of a change in the store; shorter than the grace
+/// time.
+const FEED_TIME: Duration = Duration::from_millis(500);
+
 /// Longer than an outage of the store after which watches are renewed.
 const WATCH_LOSS_TIME: Duration = Duration::from_millis(1_500);
 
@@ -267,6 +274,38 @@
     assert_eq!(call(fleet.callers(), "GET /look/x", &[], "").status, 404);
 }
 
+// Guards against requests to a target that is gone, as the VM takes the first
+// reply to a watch for the end of an outage that ended long before.
+#[test]
+fn target_removed_long_after_an_outage_gets_no_new_requests() {
+    let fleet = Fleet::start_proxied(1);
+    let charge = |id: &str| {
+        let headers = model_call_headers(id, id, BUDGET_TOKENS, MAX_CALL_TOKENS);
+        call(fleet.callers(), "POST /stream/x", &headers, "prompt")
+    };
+    fleet.proxies[0].set_fault(ProxyFault::Blackhole);
+    charge("silent");
+    thread::sleep(WATCH_LOSS_TIME);
+    fleet.proxies[0].set_fault(ProxyFault::None);
+    let transactions = fleet.store.transaction_count();
+    let mut number = 0;
+    wait_until("a charge in the store", || {
+        number += 1;
+        charge(&format!("back{number}"));
+        fleet.store.transaction_count() > transactions
+    });
+    thread::sleep(MISSING_GRACE_TIME);
+    let removed = &fleet.desks[0];
+    fleet.store.remove_target(&removed.id);
+    thread::sleep(FEED_TIME);
+    let before = removed.executions().len();
+    for number in 0..20 {
+        let headers = service_call_headers(&format!("l{number}"));
+        call(fleet.callers(), "GET /look/x", &headers, "");
+    }
+    assert_eq!(removed.executions().len(), before);
+}
+
 // Guards against an old configuration in force long after the store is back, as
 // the VM waits for the reply to a watch that the outage swallowed.
 #[test]
