Doubt a turn's absence for the longest retention of the configuration

What callers would see: 404 for a turn that exists, from a VM that started longer ago than the retention of the turns it has served, but not than that of other routes, whose turns an earlier run of it may have held.

Cause: a VM learned retentions from turns alone.

It now takes the longest of all configurations that it has seen. Test: max_turn_retention_is_that_of_routes_that_keep_turns.

--- a/crates/entry/src/turns.rs
+++ b/crates/entry/src/turns.rs
@@ -67,7 +67,7 @@
     available_since_ms: Cell<Option<u64>>,
     /// Searches for a turn at all VMs that are in progress.
     searches: Cell<u32>,
-    /// Longest retention of the turns seen so far.
+    /// Longest retention of all configurations and turns seen so far.
     retention_ms: Cell<u64>,
     stopping: Cell<bool>,
     /// Whether nothing existed before this VM started.
@@ -293,7 +293,8 @@
         }
     }
 
-    fn record_retention(&self, retention_ms: u64) {
+    /// Records for how long turns are kept; the longest time counts.
+    pub(crate) fn record_retention(&self, retention_ms: u64) {
         self.retention_ms
             .set(self.retention_ms.get().max(retention_ms));
     }
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -280,6 +280,8 @@
             return;
         }
         log::info!(version = config.version, before = known_version; "configuration in force");
+        let retention_ms = config.max_turn_retention_ms();
+        self.state.turn_keeper.record_retention(retention_ms);
         *known = Some(Rc::new(config));
     }
 
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -193,6 +193,14 @@
             .find(|route| path.starts_with(route.prefix.as_str()))
     }
 
+    /// Longest retention of the routes that keep turns; 0 if there is none.
+    pub fn max_turn_retention_ms(&self) -> u64 {
+        let routes = self.hosts.values().flatten();
+        let keeping = routes.filter(|route| route.keeps_turns);
+        let retentions = keeping.map(|route| route.retention_ms);
+        retentions.max().unwrap_or_default()
+    }
+
     /// Service of this name; `None` if the configuration has none.
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
         self.services.get(name)
--- a/crates/gateway/tests/config.rs
+++ b/crates/gateway/tests/config.rs
@@ -52,6 +52,25 @@
     assert_eq!(route.map(|route| route.name.as_str()), expected);
 }
 
+// Guards against a VM that is sure of a turn's absence, as the routes that it has
+// served keep turns for a shorter time than others.
+#[test]
+fn max_turn_retention_is_that_of_routes_that_keep_turns() {
+    let retained = |name: &str, retention_ms: u64, keeps_turns: bool| Route {
+        retention_ms,
+        keeps_turns,
+        ..route(name, "a.example", &format!("/{name}/"), &[])
+    };
+    let routes = vec![
+        retained("short", 60_000, true),
+        retained("long", 600_000, true),
+        retained("other", 900_000, false),
+    ];
+    let config = Config::new(1, Limits::default(), routes, Vec::new());
+    assert_eq!(config.max_turn_retention_ms(), 600_000);
+    assert_eq!(self::config().max_turn_retention_ms(), 0);
+}
+
 #[test]
 fn service_gets_share_of_its_weight() {
     let route = route("r", "h", "/", &[("x", 90), ("y", 10)]);
