--- a/crates/standin/src/fleet/target.rs
+++ b/crates/standin/src/fleet/target.rs
@@ -12,7 +12,8 @@
 use hyper::header::{HeaderValue, CONTENT_TYPE};
 use hyper::{Request, Response, StatusCode};
 use lagoon_adapter::standin::{
-    decode_received_request, not_executed_headers, response_headers, ReceivedRequest,
+    decode_received_request, leaving_header, not_executed_headers, response_headers,
+    ReceivedRequest,
 };
 use lagoon_gateway::{TargetEntry, TargetStatus};
 use tokio::sync::Notify;
@@ -89,6 +90,8 @@
     event_count: u64,
     event_interval: Duration,
     restarts: u64,
+    /// Whether this run has announced in its responses that it will stop.
+    is_leaving: bool,
 }
 
 /// Handle of a simulated target on loopback.
@@ -146,9 +149,16 @@
         lock(&self.state).fault = fault;
     }
 
-    /// Makes later entries those of a new run under the same id.
+    /// Makes later entries those of a new run under the same id, which isn't leaving.
     pub fn restart(&self) {
-        lock(&self.state).restarts += 1;
+        let mut state = lock(&self.state);
+        state.restarts += 1;
+        state.is_leaving = false;
+    }
+
+    /// Announces in each response from now on that this run will stop.
+    pub fn leave(&self) {
+        lock(&self.state).is_leaving = true;
     }
 
     /// Makes each request with this path crash the target when it starts to run.
@@ -189,6 +199,19 @@
     state: Arc<Mutex<State>>,
     crash: Arc<Notify>,
     request: Request<Incoming>,
+) -> Result<HttpResponse, ConnectionAborted> {
+    let mut response = respond(id, Arc::clone(&state), crash, request).await?;
+    if lock(&state).is_leaving {
+        response.headers_mut().extend([leaving_header()]);
+    }
+    Ok(response)
+}
+
+async fn respond(
+    id: CompactString,
+    state: Arc<Mutex<State>>,
+    crash: Arc<Notify>,
+    request: Request<Incoming>,
 ) -> Result<HttpResponse, ConnectionAborted> {
     let received = decode_received_request(request.headers());
     let path = request.uri().to_string();
