Send nothing new to a target that says in its responses that it leaves

What callers saw: calls went to targets that were about to stop, and broke off with them (DRAIN), when the store was away and the entry still said ready.

Cause: a target's stop was believed from its entry alone. A target that can't reach the store, or whose entry a VM reads late, says so in each response; no code read that.

A response that is the target's own, also a rejection and the head of a resumed stream, now records the run: id, address and start time. Such a run gets nothing new, whatever its entry says later, until it starts again; its idle connections are closed, and it hasn't crashed if its entry then expires. A 421, a response to another request and an unstamped success say nothing of it.

With the crash verdict by the entry alone, leaving_target_whose_entry_expires_has_not_crashed fails.

--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -11,7 +11,9 @@
     decode_response_headers, is_end_to_end, target_request_headers, AttemptHeaders,
     ResponseMetadata,
 };
-use lagoon_gateway::{AttemptFailure, RouteKind, TargetEntry, TargetKey, UnfinishedAttempt};
+use lagoon_gateway::{
+    AttemptFailure, RouteKind, TargetEntry, TargetKey, Targets, UnfinishedAttempt,
+};
 
 use crate::body::RequestBody;
 use crate::connection::ExchangeError;
@@ -205,7 +207,7 @@
         };
         let (head, body) = response.into_parts();
         let metadata = decode_response_headers(&head.headers);
-        if let Err(failed) = self.check_head(key, head.status, &metadata) {
+        if let Err(failed) = self.check_head(key, entry, head.status, &metadata) {
             in_flight.may_run = !failed.failure.is_not_executed();
             return Err(failed);
         }
@@ -218,13 +220,13 @@
                 pooled,
                 in_flight,
                 keep_alive_s: metadata.keep_alive_s,
-                closes_connection: metadata.closes_connection,
+                closes_connection: metadata.closes_connection || metadata.is_leaving,
                 target: key,
             })));
         }
         let body = self.read_response_body(body).await?;
         in_flight.record_response(head.status());
-        if !metadata.closes_connection {
+        if !metadata.closes_connection && !metadata.is_leaving {
             pooled.release(metadata.keep_alive_s);
         }
         Ok(TargetResponse::Full(forwarded_head(head).map(|()| body)))
@@ -254,10 +256,12 @@
     /// Rejects a response that belongs to another request, comes from another
     /// instance, lacks the target's stamp, or says that the request was not
     /// executed. Records the load that the response reports, even if it is
-    /// rejected.
+    /// rejected, and whether the target is about to stop, unless the response may
+    /// be another's.
     fn check_head(
         &self,
         key: TargetKey,
+        entry: &TargetEntry,
         status: StatusCode,
         metadata: &ResponseMetadata,
     ) -> Result<(), FailedAttempt> {
@@ -277,6 +281,9 @@
         if status == StatusCode::MISDIRECTED_REQUEST {
             return Err(not_executed(AttemptFailure::OtherInstance));
         }
+        if metadata.is_leaving && (metadata.has_target_stamp || !status.is_success()) {
+            self.record_leaving(&mut targets, key, entry);
+        }
         if metadata.is_not_executed && status != StatusCode::BAD_REQUEST {
             return Err(not_executed(AttemptFailure::NotExecuted));
         }
@@ -291,6 +298,23 @@
         Ok(())
     }
 
+    /// Records that the target is about to stop, and closes its idle connections.
+    fn record_leaving(&self, targets: &mut Targets, key: TargetKey, entry: &TargetEntry) {
+        if !targets.record_leaving(entry) {
+            return;
+        }
+        self.state.pool.close_idle(key);
+        self.state
+            .metrics
+            .set_leaving_targets(targets.leaving_count());
+        log::info!(
+            request = self.metadata.request_id.as_str(),
+            target_id = entry.id.as_str(),
+            sent_while = entry.status.to_string();
+            "target is leaving"
+        );
+    }
+
     fn build_request(
         &self,
         entry: &TargetEntry,
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -26,6 +26,7 @@
     chain_s: HistogramVec,
     config_version: IntGauge,
     targets: IntGauge,
+    leaving_targets: IntGauge,
     other_vms: IntGauge,
     sessions: IntGauge,
     quarantined: IntGauge,
@@ -87,6 +88,10 @@
             )?,
             config_version: gauge("lagoon_config_version", "Configuration in force")?,
             targets: gauge("lagoon_targets", "Targets known")?,
+            leaving_targets: gauge(
+                "lagoon_leaving_targets",
+                "Known targets that have stated in a response that they are about to stop",
+            )?,
             other_vms: gauge("lagoon_other_vms", "Other entry VMs known")?,
             sessions: gauge("lagoon_lines", "Lines of calls whose target is known")?,
             quarantined: gauge(
@@ -150,6 +155,10 @@
         self.0.targets.set(count as i64);
     }
 
+    pub(crate) fn set_leaving_targets(&self, count: usize) {
+        self.0.leaving_targets.set(count as i64);
+    }
+
     pub(crate) fn set_other_vms(&self, count: usize) {
         self.0.other_vms.set(count as i64);
     }
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -80,6 +80,11 @@
         None
     }
 
+    /// Closes the idle connections to a target.
+    pub(crate) fn close_idle(&self, target: TargetKey) {
+        self.idle.borrow_mut().remove(&target);
+    }
+
     /// Closes connections that have expired or that the target has closed.
     pub(crate) fn remove_expired(&self) {
         let now_ms = self.clock.now_ms();
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -307,7 +307,9 @@
         if self.table == FollowedTable::Peers {
             state.peer_client.set_listing_read();
         }
-        state.metrics.set_targets(state.targets.borrow().len());
+        let targets = state.targets.borrow();
+        state.metrics.set_targets(targets.len());
+        state.metrics.set_leaving_targets(targets.leaving_count());
         state
             .metrics
             .set_other_vms(state.peer_client.peers.borrow().len());
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -3,7 +3,7 @@
 use lagoon_ids::hash64;
 
 use crate::request_metadata::RequestMetadata;
-use crate::targets::{Target, TargetKey, TargetStatus, Targets};
+use crate::targets::{Target, TargetKey, Targets};
 
 /// Parameters of a target's cost, which is an expected delay in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -77,8 +77,8 @@
     pub cost_ms: f64,
 }
 
-/// Target with the smallest expected delay; `None` if no target of the service is
-/// both ready and not excluded.
+/// Target with the smallest expected delay; `None` if no target of the service
+/// both accepts requests and is not excluded.
 ///
 /// Ejected targets are used only if there is no other.
 pub fn place(
@@ -88,7 +88,7 @@
     now_ms: u64,
 ) -> Option<Placement> {
     let usable = |(key, target): &(TargetKey, &Target)| {
-        target.entry.status == TargetStatus::Ready && !request.excluded_targets.contains(key)
+        target.accepts_requests() && !request.excluded_targets.contains(key)
     };
     let healthy = targets
         .of_service(request.service)
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -1,5 +1,6 @@
 //! Known targets and the estimates of their load and speed.
 
+mod leaving;
 mod lost;
 mod target;
 
@@ -8,6 +9,7 @@
 use compact_str::CompactString;
 use derive_more::Display;
 use lagoon_ids::FastMap;
+use leaving::LeavingRuns;
 use lost::LostAttempts;
 use slotmap::{new_key_type, SlotMap};
 
@@ -134,6 +136,7 @@
     /// only have expired.
     missing_grace_until_ms: u64,
     lost: LostAttempts,
+    leaving: LeavingRuns,
 }
 
 impl Targets {
@@ -156,7 +159,8 @@
         }
         let id = entry.id.clone();
         let service = entry.service.clone();
-        let key = self.arena.insert(Target::new(entry));
+        let is_leaving = self.leaving.contains(&entry);
+        let key = self.arena.insert(Target::new(entry, is_leaving));
         self.by_id.insert(id, key);
         self.by_hash.insert(self.arena[key].id_hash(), key);
         self.by_service.entry(service).or_default().push(key);
@@ -381,6 +385,28 @@
         (intervals.mean_ms / mean_ms.max(1.0) - 1.0).max(0.0) * weight
     }
 
+    /// Records that a target stated in a response that it is about to stop. It gets
+    /// no new requests until it starts again, whatever its entry says. Returns
+    /// whether that is news.
+    pub fn record_leaving(&mut self, entry: &TargetEntry) -> bool {
+        if !self.leaving.insert(entry) {
+            return false;
+        }
+        // The entry may have been removed, or written again, since the request was
+        // sent.
+        let key = self.by_id.get(&entry.id);
+        if let Some(target) = key.and_then(|key| self.arena.get_mut(*key)) {
+            target.is_leaving = self.leaving.contains(&target.entry);
+        }
+        true
+    }
+
+    /// Number of known targets that have stated that they are about to stop.
+    pub fn leaving_count(&self) -> usize {
+        let targets = self.arena.values();
+        targets.filter(|target| target.is_leaving).count()
+    }
+
     /// Records that bytes of a response arrived.
     pub fn record_progress(&mut self, key: TargetKey, now_ms: u64) {
         if let Some(target) = self.arena.get_mut(key) {
--- a/crates/gateway/src/targets/target.rs
+++ b/crates/gateway/src/targets/target.rs
@@ -91,6 +91,8 @@
     /// Whether the store has no entry of the target, perhaps only because it
     /// expired in an outage.
     pub(super) is_missing: bool,
+    /// Whether the target has stated in a response that it is about to stop.
+    pub(super) is_leaving: bool,
     /// Time of the last sign of life that this VM or a gossip peer got; `None`
     /// before the first.
     pub(super) alive_ms: Option<u64>,
@@ -98,7 +100,7 @@
 }
 
 impl Target {
-    pub(super) fn new(entry: TargetEntry) -> Target {
+    pub(super) fn new(entry: TargetEntry, is_leaving: bool) -> Target {
         Target {
             hash: hash64(entry.id.as_bytes()),
             entry,
@@ -113,6 +115,7 @@
             last_progress_ms: 0,
             ejected_until_ms: 0,
             is_missing: false,
+            is_leaving,
             alive_ms: None,
             unfinished: UnfinishedAttempts::default(),
         }
@@ -124,11 +127,17 @@
         self.unfinished.record_alive(now_ms);
     }
 
-    /// Whether a ready target has been silent for so long that it has crashed if
-    /// its entry expires now.
+    /// Whether the target takes new requests: it has announced neither in its entry
+    /// nor in a response that it is about to stop.
+    pub fn accepts_requests(&self) -> bool {
+        self.entry.status == TargetStatus::Ready && !self.is_leaving
+    }
+
+    /// Whether a target that has not announced its stop has been silent for so long
+    /// that it has crashed if its entry expires now.
     pub(super) fn has_crashed_if_expired(&self, now_ms: u64) -> bool {
         let is_silent = |alive_ms| now_ms >= alive_ms + MIN_SILENCE_MS;
-        self.entry.status == TargetStatus::Ready && self.alive_ms.is_none_or(is_silent)
+        self.accepts_requests() && self.alive_ms.is_none_or(is_silent)
     }
 
     pub(super) fn record_result(&mut self, is_good: bool) {
