--- /dev/null
+++ b/crates/entry/tests/lost_watches.rs
@@ -0,0 +1,111 @@
+//! Watches of the store's tables that get no reply, while the VM's other calls
+//! show no fault.
+
+mod fleet;
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+
+use fleet::{call, wait_until, Fleet, CONFIG};
+use lagoon_adapter::standin::service_call_headers;
+use lagoon_adapter::{OPERATOR_TABLE, TARGET_TABLE};
+use lagoon_gateway::TargetStatus;
+use lagoon_standin::fleet::{ProxyFault, StoreFault};
+
+/// Duration of a fault in which no call fails before its timeout.
+const OUTAGE_TIME: Duration = Duration::from_millis(1_200);
+
+/// Time after a fault by which changes must be in force, on the platform's
+/// smallest deployments.
+const RECOVERY_TIME: Duration = Duration::from_millis(3_000);
+
+/// Time by which an acknowledged change must be in force while there is no fault.
+const APPLY_TIME: Duration = Duration::from_millis(2_000);
+
+const CALLS: usize = 20;
+
+/// Replaces the route of lookups by another one.
+fn change_route(fleet: &Fleet) {
+    let newer = CONFIG.replace("\"version\": 3", "\"version\": 4");
+    fleet.store.configure(&newer.replace("/look/", "/seek/"));
+}
+
+fn status(vm: SocketAddr, line: &str) -> u16 {
+    call(vm, line, &service_call_headers("r"), "").status
+}
+
+// Guards against an old configuration in force long after the store was silent, at
+// a VM that called it for nothing else meanwhile.
+#[test]
+fn configuration_applies_soon_after_an_outage_that_no_call_noticed() {
+    let fleet = Fleet::start_proxied(1);
+    fleet.proxies[0].set_fault(ProxyFault::Blackhole);
+    thread::sleep(OUTAGE_TIME);
+    fleet.proxies[0].set_fault(ProxyFault::None);
+    change_route(&fleet);
+    thread::sleep(RECOVERY_TIME);
+    assert_eq!(status(fleet.callers(), "GET /seek/x"), 200);
+}
+
+// Guards against an old configuration in force long after a part of the store was
+// silent, as replies of the other parts were taken for a sign that it is sound.
+#[test]
+fn configuration_applies_soon_after_its_table_was_silent() {
+    let fleet = Fleet::start(2);
+    fleet
+        .store
+        .set_fault(StoreFault::TableSilent(OPERATOR_TABLE));
+    thread::sleep(OUTAGE_TIME);
+    fleet.store.set_fault(StoreFault::None);
+    change_route(&fleet);
+    thread::sleep(RECOVERY_TIME);
+    for vm in &fleet.vms {
+        assert_eq!(status(vm.callers, "GET /seek/x"), 200);
+    }
+}
+
+// Guards against requests to a target that announced its stop after a part of the
+// store was silent.
+#[test]
+fn target_status_is_read_soon_after_its_table_was_silent() {
+    let fleet = Fleet::start(1);
+    fleet.store.set_fault(StoreFault::TableSilent(TARGET_TABLE));
+    thread::sleep(OUTAGE_TIME);
+    fleet.store.set_fault(StoreFault::None);
+    let draining = &fleet.desks[0];
+    let entry = draining.entry("desks", TargetStatus::Draining);
+    fleet.store.add_target(&entry);
+    thread::sleep(RECOVERY_TIME);
+    let before = draining.executions().len();
+    for _ in 0..CALLS {
+        assert_eq!(status(fleet.callers(), "GET /look/x"), 200);
+    }
+    assert_eq!(draining.executions().len(), before);
+}
+
+// Guards against an old configuration in force at the one VM whose watch got lost,
+// although the VMs beside it have read the new one.
+#[test]
+fn configuration_applies_at_a_vm_whose_watch_got_lost() {
+    let mut fleet = Fleet::start_proxied(0);
+    let direct = fleet.store.address;
+    let proxied = fleet.proxies[0].address;
+    for store in [direct, direct, proxied] {
+        fleet.start_vm_at_store(store);
+    }
+    fleet.wait_for_peers();
+    // Watches of VMs that rely on others are long by then.
+    thread::sleep(RECOVERY_TIME);
+    fleet.proxies[0].set_fault(ProxyFault::Blackhole);
+    thread::sleep(Duration::from_millis(50));
+    fleet.proxies[0].set_fault(ProxyFault::None);
+    change_route(&fleet);
+    thread::sleep(APPLY_TIME);
+    for vm in &fleet.vms {
+        assert_eq!(status(vm.callers, "GET /seek/x"), 200);
+    }
+    wait_until("the old route's end", || {
+        status(fleet.callers(), "GET /look/x") == 404
+    });
+}
--- a/crates/standin/src/fleet/store.rs
+++ b/crates/standin/src/fleet/store.rs
@@ -30,6 +30,9 @@
     TableOverloaded(&'static str),
     /// The next transaction is applied and its reply is dropped; the fault then ends.
     DropReply,
+    /// Calls of this table get no reply, also after the fault, and neither do watches
+    /// that began before it.
+    TableSilent(&'static str),
 }
 
 #[derive(Default)]
@@ -192,6 +195,13 @@
     if lock(&state).fault == StoreFault::Unavailable {
         return Ok(full_response(StatusCode::SERVICE_UNAVAILABLE, Vec::new()));
     }
+    let silent_table = match lock(&state).fault {
+        StoreFault::TableSilent(table) => Some(table),
+        _ => None,
+    };
+    if silent_table.is_some_and(|table| is_call_of(&call, table)) {
+        return std::future::pending().await;
+    }
     let reply = match call {
         StoreCall::Transact(writes) => {
             let mut state = lock(&state);
@@ -229,14 +239,26 @@
     Ok(full_response(status, body))
 }
 
+fn is_call_of(call: &StoreCall, name: &str) -> bool {
+    match call {
+        StoreCall::Transact(writes) => writes.iter().any(|write| write.key.table == name),
+        StoreCall::Read { table, .. }
+        | StoreCall::ReadRange { table, .. }
+        | StoreCall::Watch { table, .. } => table == name,
+    }
+}
+
 async fn watch(state: &Mutex<State>, table: &str, after: u64, wait_ms: u64) -> StoreReply {
     *lock(state).watch_counts.entry(table.into()).or_default() += 1;
     let mut waited_ms = 0;
     loop {
-        let (rows, version) = {
+        let (rows, version, fault) = {
             let state = lock(state);
-            (state.changes(table, after), state.version)
+            (state.changes(table, after), state.version, state.fault)
         };
+        if matches!(fault, StoreFault::TableSilent(silent) if silent == table) {
+            return std::future::pending().await;
+        }
         if !rows.is_empty() || waited_ms >= wait_ms {
             return StoreReply::Rows {
                 rows,
