Log how long a lost watch had waited, and the row that brought a configuration

On the incident's record the hypotheses differ in two times that no log line had: when the lost watch began, and whether the first reply after an outage renewed the watches. feed lost has waited_ms, store answers again has renews_watches, configuration in force has row_version.

--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -162,7 +162,7 @@
                 self.failures.set(0);
                 if let Some(since_ms) = self.failing_since_ms.take() {
                     let away_ms = self.clock.now_ms() - since_ms;
-                    log::info!(away_ms; "store answers again");
+                    log::info!(away_ms, renews_watches = away_ms >= WATCH_LOSS_MS; "store answers again");
                     if away_ms >= WATCH_LOSS_MS {
                         self.recoveries.set(self.recoveries.get() + 1);
                         self.recovered_ms.set(Some(self.clock.now_ms()));
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -35,8 +35,9 @@
         failing_since_ms: None,
     };
     loop {
+        let started_ms = follower.state.now_ms();
         if let Err(error) = follower.read_all().await {
-            follower.record_failure(&error);
+            follower.record_failure(&error, started_ms);
             sleep(RETRY_DELAY).await;
             continue;
         }
@@ -99,11 +100,13 @@
 }
 
 impl TableFollower {
-    fn record_failure(&mut self, error: &StoreError) {
+    /// Records the failure of a call that began at `started_ms`.
+    fn record_failure(&mut self, error: &StoreError, started_ms: u64) {
         let now_ms = self.state.now_ms();
+        let waited_ms = now_ms - started_ms;
         if self.failing_since_ms.is_none() {
             self.failing_since_ms = Some(now_ms);
-            log::warn!(table = self.table.name().as_str(), version = self.version, error = error.to_string(); "feed lost");
+            log::warn!(table = self.table.name().as_str(), version = self.version, waited_ms, error = error.to_string(); "feed lost");
         }
     }
 
@@ -174,6 +177,7 @@
                 wait_ms: self.table.max_wait_ms(),
             };
             let recoveries = self.store.recoveries();
+            let started_ms = self.state.now_ms();
             match self.store.call(&call).await {
                 Ok(StoreReply::Rows { rows, version, .. }) => {
                     self.record_success();
@@ -192,7 +196,7 @@
                 }
                 Ok(_) => return,
                 Err(error) => {
-                    self.record_failure(&error);
+                    self.record_failure(&error, started_ms);
                     if self.store.recoveries() != recoveries {
                         continue;
                     }
@@ -279,7 +283,7 @@
         if config.version <= known_version && known.is_some() {
             return;
         }
-        log::info!(version = config.version, before = known_version; "configuration in force");
+        log::info!(version = config.version, before = known_version, row_version = row.version; "configuration in force");
         let retention_ms = config.max_turn_retention_ms();
         self.state.turn_keeper.record_retention(retention_ms);
         *known = Some(Rc::new(config));
