Vouch for watches: sentinels notice lost ones, other VMs rely on them

Cause: a watch that got lost shows by its own timeout alone. Renewing it at the end of an outage needs other calls that see the outage: none on a VM that calls the store for nothing else, and none where one table is silent beside others.

One VM of each failure domain makes short watches (0.8 s) of configuration and targets, and tells the VMs beside it each second, and at each change, the newest version that it has read. They make long watches as before, renew one that has missed a version, and make short ones when no VM vouches. Weighed: short watches for all (a call more each second for each VM and table); versions on each gossip message (silent where there is no traffic, and no help where all watches are lost); renewing at each failed call (lossy stores lose several a second).

--- a/crates/entry/src/news.rs
+++ b/crates/entry/src/news.rs
@@ -1,11 +1,11 @@
-//! Gossip between VMs by UDP: loads of targets, session affinities and crashes
-//! of targets.
+//! Gossip between VMs by UDP: loads of targets, session affinities, crashes of
+//! targets, and the versions that sentinels have read.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use lagoon_gateway::{CrashUpdate, GossipMessage};
+use lagoon_gateway::{CrashUpdate, GossipMessage, TableVersions};
 use rand::RngExt;
 use tokio::net::UdpSocket;
 use tokio::task::spawn_local;
@@ -62,6 +62,7 @@
     loop {
         sleep(GOSSIP_INTERVAL).await;
         send_new_crashes(&state, &socket);
+        send_versions(&state, &socket);
         let targets = state.targets.borrow_mut().take_updates(state.now_ms());
         let updates = state.affinity.borrow_mut().take_updates();
         // The first message without targets reports that this VM has no
@@ -94,6 +95,20 @@
     }
 }
 
+/// Sends the versions that this VM has read to its failure domain, if it is a
+/// sentinel. They follow an empty message and an empty list of crashes, so that
+/// VMs of earlier versions ignore them.
+fn send_versions(state: &DaemonState, socket: &UdpSocket) {
+    let versions = state.sentinel.borrow_mut().take_message(state.now_ms());
+    let Some(versions) = versions else {
+        return;
+    };
+    let no_crashes: &[CrashUpdate] = &[];
+    let message = (GossipMessage::default(), no_crashes, versions);
+    let receivers = state.peer_client.peers.borrow().local_addresses();
+    send_encoded(state, socket, postcard::to_allocvec(&message), &receivers);
+}
+
 /// Sends the crashes that this VM saw to all other VMs.
 fn send_new_crashes(state: &DaemonState, socket: &UdpSocket) {
     let crashes = state.crash_tracker.take_new();
@@ -191,7 +206,7 @@
             continue;
         }
         match decode(&buffer[..bytes]) {
-            Ok((message, crashes)) => {
+            Ok((message, crashes, versions)) => {
                 state.metrics.record_gossip("heard", bytes);
                 let now_ms = state.now_ms();
                 if let Some(targets) = &message.targets {
@@ -203,6 +218,10 @@
                     .borrow_mut()
                     .apply_updates(from, &message.affinities, now_ms);
                 state.crash_tracker.apply_updates(&crashes);
+                if let Some(versions) = versions {
+                    let mut sentinel = state.sentinel.borrow_mut();
+                    sentinel.on_message(from, versions, now_ms);
+                }
             }
             Err(error) => {
                 state.metrics.record_gossip("unreadable", bytes);
@@ -212,12 +231,18 @@
     }
 }
 
-/// Decodes a message and the crashes that follow it, if any.
-fn decode(bytes: &[u8]) -> Result<(GossipMessage, Vec<CrashUpdate>), postcard::Error> {
+type Decoded = (GossipMessage, Vec<CrashUpdate>, Option<TableVersions>);
+
+/// Decodes a message, and the crashes and the versions that follow it, if any.
+fn decode(bytes: &[u8]) -> Result<Decoded, postcard::Error> {
     let (message, remaining) = postcard::take_from_bytes(bytes)?;
-    let crashes = match remaining {
-        [] => Vec::new(),
-        remaining => postcard::from_bytes(remaining)?,
+    if remaining.is_empty() {
+        return Ok((message, Vec::new(), None));
+    }
+    let (crashes, remaining) = postcard::take_from_bytes(remaining)?;
+    let versions = match remaining {
+        [] => None,
+        remaining => Some(postcard::from_bytes(remaining)?),
     };
-    Ok((message, crashes))
+    Ok((message, crashes, versions))
 }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -217,6 +217,7 @@
         }
         state.budget_client.flush_due_writes();
         state.turn_keeper.maintain();
+        state.renew_watches();
         state.targets.borrow_mut().remove_expired(state.now_ms());
         let lost_attempts = state.targets.borrow_mut().take_lost(state.now_ms());
         for lost in &lost_attempts {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -5,8 +5,10 @@
 
 use compact_str::CompactString;
 use lagoon_gateway::{
-    AdmissionSettings, AffinityTable, Config, Limits, PlacementSettings, Targets,
+    AdmissionSettings, AffinityTable, Config, Limits, PlacementSettings, Sentinel,
+    SentinelSettings, SentinelTable, Targets,
 };
+use tokio::sync::Notify;
 
 use crate::clock::Clock;
 use crate::ledger::BudgetClient;
@@ -89,6 +91,9 @@
     /// Memory for request bodies beyond which requests are refused.
     max_body_memory_bytes: u64,
     pub(crate) affinity: RefCell<AffinityTable>,
+    pub(crate) sentinel: RefCell<Sentinel>,
+    /// Notified to renew the watch in flight, by table.
+    renewals: [Notify; SentinelTable::ALL.len()],
 }
 
 impl DaemonState {
@@ -120,6 +125,11 @@
             body_memory_bytes: Cell::new(0),
             max_body_memory_bytes: limits.memory_mb * 1_000_000 / BODY_MEMORY_DIVISOR,
             affinity: RefCell::default(),
+            sentinel: RefCell::new(Sentinel::new(
+                SentinelSettings::default(),
+                settings.listen.peers,
+            )),
+            renewals: Default::default(),
         })
     }
 
@@ -141,6 +151,19 @@
         !self.stopping.get() && self.targets_loaded.get() && self.config.borrow().is_some()
     }
 
+    /// Waits until the watch in flight of this table must be renewed.
+    pub(crate) async fn renewal_due(&self, table: SentinelTable) {
+        self.renewals[table as usize].notified().await;
+    }
+
+    /// Renews watches that have missed changes or for which no VM vouches.
+    pub(crate) fn renew_watches(&self) {
+        let due = self.sentinel.borrow_mut().take_renewals(self.now_ms());
+        for table in due {
+            self.renewals[table as usize].notify_waiters();
+        }
+    }
+
     /// Reserves memory for a request body until the result is dropped; `None`
     /// if too little is left.
     pub(crate) fn reserve_body_memory(self: &Rc<Self>, bytes: u64) -> Option<BodyMemory> {
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -6,7 +6,9 @@
 
 use compact_str::CompactString;
 use lagoon_adapter::{decode_config, decode_target, CONFIG_KEY, OPERATOR_TABLE, TARGET_TABLE};
-use lagoon_gateway::{ProgramKey, Row, StoreCall, StoreError, StoreReply, TargetEntry};
+use lagoon_gateway::{
+    ProgramKey, Row, SentinelTable, StoreCall, StoreError, StoreReply, TargetEntry,
+};
 use tokio::time::sleep;
 
 use crate::state::DaemonState;
@@ -17,6 +19,10 @@
 /// is noticed one reply timeout later.
 const MAX_WAIT_MS: u64 = 10_000;
 
+/// Like `MAX_WAIT_MS`, while no other VM vouches for long watches. A watch that got
+/// lost is renewed within this and its reply timeout.
+const SHORT_MAX_WAIT_MS: u64 = 800;
+
 /// Like `MAX_WAIT_MS`, for tables whose changes may be noticed late.
 const SLOW_MAX_WAIT_MS: u64 = 30_000;
 
@@ -77,7 +83,16 @@
         })
     }
 
-    /// Maximum duration of one watch.
+    /// The table in the terms of sentinels; `None` if its changes may be noticed late.
+    fn sentinel_table(self) -> Option<SentinelTable> {
+        match self {
+            FollowedTable::Config => Some(SentinelTable::Config),
+            FollowedTable::Targets => Some(SentinelTable::Targets),
+            FollowedTable::Peers | FollowedTable::Overdrawn | FollowedTable::Crashes => None,
+        }
+    }
+
+    /// Maximum duration of a long watch.
     fn max_wait_ms(self) -> u64 {
         match self {
             FollowedTable::Config | FollowedTable::Targets => MAX_WAIT_MS,
@@ -110,8 +125,14 @@
         }
     }
 
-    fn record_success(&mut self) {
+    /// Records a reply with the store's `version` and these changes.
+    fn record_success(&mut self, version: u64, rows: &[Row]) {
         let now_ms = self.state.now_ms();
+        if let Some(table) = self.table.sentinel_table() {
+            let newest_change = rows.iter().map(|row| row.version).max();
+            let mut sentinel = self.state.sentinel.borrow_mut();
+            sentinel.on_reply(table, version, newest_change, now_ms);
+        }
         if let Some(since_ms) = self.failing_since_ms.take() {
             let away_ms = now_ms - since_ms;
             log::info!(table = self.table.name().as_str(), away_ms, version = self.version; "feed is back");
@@ -161,7 +182,7 @@
                 "read is older than the known version".into(),
             ));
         }
-        self.record_success();
+        self.record_success(version, &rows);
         self.version = version;
         self.apply_all(rows);
         Ok(())
@@ -174,16 +195,24 @@
             let call = StoreCall::Watch {
                 table: self.table.name(),
                 after_version: self.version,
-                wait_ms: self.table.max_wait_ms(),
+                wait_ms: self.start_watch(),
             };
             let recoveries = self.store.recoveries();
             let started_ms = self.state.now_ms();
-            match self.store.call(&call).await {
+            let reply = tokio::select! {
+                reply = self.store.call(&call) => reply,
+                () = self.renewal_due() => {
+                    let waited_ms = self.state.now_ms() - started_ms;
+                    log::info!(table = self.table.name().as_str(), version = self.version, waited_ms; "watch renewed");
+                    continue;
+                }
+            };
+            match reply {
                 Ok(StoreReply::Rows { rows, version, .. }) => {
-                    self.record_success();
                     let is_changed = !rows.is_empty();
                     let newest = rows.iter().map(|row| row.version).max();
                     self.version = self.version.max(version).max(newest.unwrap_or_default());
+                    self.record_success(self.version, &rows);
                     rows.into_iter().for_each(|row| self.apply(row));
                     self.update_gauges();
                     if is_changed {
@@ -206,6 +235,27 @@
         }
     }
 
+    /// Records that a watch begins; returns its maximum duration.
+    fn start_watch(&self) -> u64 {
+        let Some(table) = self.table.sentinel_table() else {
+            return self.table.max_wait_ms();
+        };
+        let now_ms = self.state.now_ms();
+        let mut sentinel = self.state.sentinel.borrow_mut();
+        if sentinel.watch_started(table, now_ms) {
+            self.table.max_wait_ms()
+        } else {
+            SHORT_MAX_WAIT_MS
+        }
+    }
+
+    async fn renewal_due(&self) {
+        match self.table.sentinel_table() {
+            Some(table) => self.state.renewal_due(table).await,
+            None => std::future::pending().await,
+        }
+    }
+
     fn apply_all(&mut self, rows: Vec<Row>) {
         match self.table {
             FollowedTable::Config | FollowedTable::Overdrawn | FollowedTable::Crashes => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod request_metadata;
 mod reserve;
 mod retry;
+mod sentinel;
 mod store;
 mod targets;
 
@@ -42,6 +43,7 @@
 pub use request_metadata::{ModelCall, RequestMetadata};
 pub use reserve::{reserve_tokens, HomeState, ReserveRequest, Reserves};
 pub use retry::{decide_retry, AttemptFailure, Attempts, RetryDecision};
+pub use sentinel::{Sentinel, SentinelSettings, SentinelTable, TableVersions};
 pub use store::{Row, RowKey, RowWrite, StoreCall, StoreError, StoreReply};
 pub use targets::{
     LostAttempt, Target, TargetEntry, TargetKey, TargetLoad, TargetSettings, TargetStatus, Targets,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -235,6 +235,13 @@
         (gossip_peers, addresses.collect())
     }
 
+    /// Addresses of the other VMs of the own failure domain.
+    pub fn local_addresses(&self) -> Vec<SocketAddr> {
+        let peers = self.peers.values();
+        let local = peers.filter(|peer| peer.entry.domain == self.own_domain);
+        local.map(|peer| peer.entry.address).collect()
+    }
+
     /// Addresses of other VMs, at most `count`, chosen by `random`.
     pub fn sample(&self, count: usize, random: u64) -> Vec<SocketAddr> {
         let mut names: Vec<&CompactString> = self.peers.keys().collect();
