--- a/crates/gateway/tests/sentinel.rs
+++ b/crates/gateway/tests/sentinel.rs
@@ -125,7 +125,7 @@
                 self.advance_watch(vm, table, silences);
             }
         }
-        if now_ms % (ROUND_TICKS * TICK_MS) != 0 {
+        if !now_ms.is_multiple_of(ROUND_TICKS * TICK_MS) {
             return;
         }
         for vm in 0..self.vms.len() {
