Renew watches on new connections to the store

What callers saw: as before, an old configuration in force at one VM, although its watch had been renewed.

Cause: the renewed watch went out on a kept connection, and the fault that had made the first watch silent had cut that connection off too, without a sign. A connection stays in the pool until a call on it has no reply.

Kept connections to the store are closed when a watch is renewed, and at the first reply after an outage of a second or more. A sentinel's own watch that times out doesn't close them: a test of it didn't fail, as the failed watches make the VM probe the store.

--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -102,6 +102,12 @@
         self.failing_since_ms.get().is_some()
     }
 
+    /// Closes idle connections. A fault that made one call silent may have cut them
+    /// off too, without a sign.
+    pub(crate) fn close_idle(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     /// Probes the store with a read that returns no row; `true` if it fails.
     pub(crate) async fn read_fails(&self) -> bool {
         let call = StoreCall::Read {
@@ -164,6 +170,7 @@
                     let away_ms = self.clock.now_ms() - since_ms;
                     log::info!(away_ms, renews_watches = away_ms >= WATCH_LOSS_MS; "store answers again");
                     if away_ms >= WATCH_LOSS_MS {
+                        self.close_idle();
                         self.recoveries.set(self.recoveries.get() + 1);
                         self.recovered_ms.set(Some(self.clock.now_ms()));
                         self.recovered.notify_waiters();
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -204,6 +204,7 @@
                 () = self.renewal_due() => {
                     let waited_ms = self.state.now_ms() - started_ms;
                     log::info!(table = self.table.name().as_str(), version = self.version, waited_ms; "watch renewed");
+                    self.store.close_idle();
                     continue;
                 }
             };
