--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -131,7 +131,7 @@
     ] {
         spawn_local(follow_table(Rc::clone(&state), Rc::clone(&store), table));
     }
-    spawn_local(housekeeping(Rc::clone(&state)));
+    spawn_local(housekeeping(Rc::clone(&state), Rc::clone(&store)));
     spawn_local(Rc::clone(&state.turn_keeper).sweep_periodically());
     spawn_local(Rc::clone(&state.budget_client).monitor_connectivity());
     spawn_local(report_settings_changes(settings.clone(), file));
@@ -206,7 +206,7 @@
     Ok(())
 }
 
-async fn housekeeping(state: Rc<DaemonState>) {
+async fn housekeeping(state: Rc<DaemonState>, store: Rc<StoreClient>) {
     let mut round = 0;
     loop {
         sleep(HOUSEKEEPING_INTERVAL).await;
@@ -217,7 +217,10 @@
         }
         state.budget_client.flush_due_writes();
         state.turn_keeper.maintain();
-        state.renew_watches();
+        // Watches are renewed at the end of an outage; until then, new ones fail too.
+        if !store.is_failing() {
+            state.renew_watches();
+        }
         state.targets.borrow_mut().remove_expired(state.now_ms());
         let lost_attempts = state.targets.borrow_mut().take_lost(state.now_ms());
         for lost in &lost_attempts {
