Sentinels: also for the list of programs that have overspent

A program that had overspent its budget was granted another call's tokens (BUDGET) by VMs whose watch of the list had got lost up to 31.5 s before, unnoticed, when the store went away a second time.

--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -88,7 +88,8 @@
         match self {
             FollowedTable::Config => Some(SentinelTable::Config),
             FollowedTable::Targets => Some(SentinelTable::Targets),
-            FollowedTable::Peers | FollowedTable::Overdrawn | FollowedTable::Crashes => None,
+            FollowedTable::Overdrawn => Some(SentinelTable::Overdrawn),
+            FollowedTable::Peers | FollowedTable::Crashes => None,
         }
     }
 
--- a/crates/entry/tests/lost_watches.rs
+++ b/crates/entry/tests/lost_watches.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use fleet::{call, wait_until, Fleet, CONFIG};
-use lagoon_adapter::standin::service_call_headers;
+use lagoon_adapter::standin::{model_call_headers, service_call_headers};
 use lagoon_adapter::{OPERATOR_TABLE, TARGET_TABLE};
 use lagoon_gateway::TargetStatus;
 use lagoon_standin::fleet::{ProxyFault, StoreFault};
@@ -84,6 +84,26 @@
     assert_eq!(draining.executions().len(), before);
 }
 
+// Guards against an allowance for a program that has overspent its budget, by VMs
+// whose watch of such programs got lost unnoticed.
+#[test]
+fn overdrawn_program_gets_no_allowance_after_its_table_was_silent() {
+    let fleet = Fleet::start_again(2);
+    fleet.store.set_fault(StoreFault::TableSilent("overdrawn"));
+    thread::sleep(OUTAGE_TIME);
+    fleet.store.set_fault(StoreFault::None);
+    fleet.store.put("overdrawn", "p", Some(b"1".to_vec()));
+    thread::sleep(RECOVERY_TIME);
+    fleet.store.set_fault(StoreFault::Unavailable);
+    let headers = model_call_headers("r", "p", 2_000, 288);
+    let events = |attempt: usize| {
+        let vm = &fleet.vms[attempt % fleet.vms.len()];
+        let response = call(vm.callers, "POST /stream/x", &headers, "p");
+        response.body.matches("id: ").count()
+    };
+    assert_eq!((0..CALLS).map(events).sum::<usize>(), 0);
+}
+
 // Guards against an old configuration in force at the one VM whose watch got lost,
 // although the VMs beside it have read the new one.
 #[test]
--- a/crates/gateway/src/sentinel.rs
+++ b/crates/gateway/src/sentinel.rs
@@ -14,6 +14,8 @@
 
 use serde::{Deserialize, Serialize};
 
+const TABLE_COUNT: usize = 3;
+
 /// Table whose changes must be in force soon.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SentinelTable {
@@ -21,18 +23,24 @@
     Config,
     /// The entries of targets.
     Targets,
+    /// The programs that have overspent their budgets.
+    Overdrawn,
 }
 
 impl SentinelTable {
     /// All tables.
-    pub const ALL: [SentinelTable; 2] = [SentinelTable::Config, SentinelTable::Targets];
+    pub const ALL: [SentinelTable; TABLE_COUNT] = [
+        SentinelTable::Config,
+        SentinelTable::Targets,
+        SentinelTable::Overdrawn,
+    ];
 }
 
 /// Message of a sentinel: the version of the newest change that it has read, by
 /// table in the order of [`SentinelTable::ALL`]; `None` for a table for which it is
 /// no sentinel.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct TableVersions(pub [Option<u64>; 2]);
+pub struct TableVersions(pub [Option<u64>; TABLE_COUNT]);
 
 /// Intervals and timeouts of [`Sentinel`].
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -97,7 +105,7 @@
 pub struct Sentinel {
     settings: SentinelSettings,
     own_address: SocketAddr,
-    tables: [TableState; 2],
+    tables: [TableState; TABLE_COUNT],
     /// Last own message and its time; `None` before the first.
     sent: Option<(TableVersions, u64)>,
 }
--- a/crates/gateway/tests/sentinel.rs
+++ b/crates/gateway/tests/sentinel.rs
@@ -5,6 +5,8 @@
 use lagoon_gateway::{Sentinel, SentinelSettings, SentinelTable, TableVersions};
 use proptest::prelude::*;
 
+const TABLES: usize = SentinelTable::ALL.len();
+
 const TICK_MS: u64 = 50;
 
 /// Ticks between two rounds of renewals and messages.
@@ -29,8 +31,8 @@
 struct Vm {
     address: SocketAddr,
     sentinel: Sentinel,
-    watches: [Watch; 2],
-    read: [u64; 2],
+    watches: [Watch; TABLES],
+    read: [u64; TABLES],
     /// Whether the VM's process runs.
     is_up: bool,
 }
@@ -42,7 +44,7 @@
     vms: Vec<Vm>,
     store_version: u64,
     /// Version of the newest change by table.
-    changed: [u64; 2],
+    changed: [u64; TABLES],
     watch_count: usize,
     message_count: usize,
     renewal_count: usize,
@@ -77,8 +79,8 @@
                     started_ms: 0,
                     wait_ms: SHORT_WAIT_MS,
                     is_lost: false,
-                }; 2],
-                read: [0; 2],
+                }; TABLES],
+                read: [0; TABLES],
                 is_up: true,
             }
         };
@@ -86,7 +88,7 @@
             now_ms: 0,
             vms: (0..vms).map(vm).collect(),
             store_version: 1,
-            changed: [1; 2],
+            changed: [1; TABLES],
             watch_count: 0,
             message_count: 0,
             renewal_count: 0,
@@ -194,7 +196,7 @@
 
     fn is_current(&self, vm: usize) -> bool {
         let vm = &self.vms[vm];
-        !vm.is_up || (0..2).all(|table| vm.read[table] >= self.changed[table])
+        !vm.is_up || (0..TABLES).all(|table| vm.read[table] >= self.changed[table])
     }
 }
 
@@ -203,7 +205,7 @@
 }
 
 fn silence() -> impl Strategy<Value = Silence> {
-    (8_000..14_000_u64, 50..8_000_u64, 1..=255_u8, 1..4_u8).prop_map(
+    (8_000..14_000_u64, 50..8_000_u64, 1..=255_u8, 1..8_u8).prop_map(
         |(from_ms, lasts_ms, vms, tables)| Silence {
             from_ms,
             until_ms: from_ms + lasts_ms,
@@ -227,7 +229,7 @@
     fn change_is_known_soon_after_any_silence(
         vms in 1..9_usize,
         silence in silence(),
-        changes in prop::collection::vec((0..4_000_u64, 0..2_usize), 1..4),
+        changes in prop::collection::vec((0..4_000_u64, 0..TABLES), 1..4),
         down in prop::option::of(0..8_usize),
     ) {
         let mut domain = Domain::new(vms);
@@ -271,7 +273,7 @@
             from_ms: 12_000,
             until_ms: 12_050,
             vms: 1 << (lost_vm % vms),
-            tables: 3,
+            tables: 7,
         }];
         domain.run_until(12_100, &silences, &mut half_lost);
         domain.change(0);
@@ -304,8 +306,11 @@
     };
     let (alone, _) = calls_in_a_minute(1);
     let (watches, messages) = calls_in_a_minute(60);
-    // Each other VM makes long watches of both tables, with one message a second.
-    assert!(watches <= alone + 59 * 2 * 7, "{watches} after {alone}");
+    // Each other VM makes long watches of all tables, with one message a second.
+    assert!(
+        watches <= alone + 59 * TABLES * 7,
+        "{watches} after {alone}"
+    );
     assert!(messages <= 59 * 61, "{messages}");
 }
 
@@ -319,7 +324,7 @@
     for _ in 0..20 {
         let now_ms = domain.now_ms;
         let sentinel = &mut domain.vms[0].sentinel;
-        sentinel.on_message(other, TableVersions([Some(1_000_000), None]), now_ms);
+        sentinel.on_message(other, TableVersions([Some(1_000_000), None, None]), now_ms);
         domain.run_until(now_ms + 1_000, &[], no_loss);
     }
     assert_eq!(domain.renewal_count, 1);
@@ -333,7 +338,7 @@
         from_ms: 10_000,
         until_ms: 40_000,
         vms: 1,
-        tables: 3,
+        tables: 7,
     }];
     domain.run_until(20_000, &silences, no_loss);
     for table in SentinelTable::ALL {
@@ -344,3 +349,20 @@
     domain.run_until(20_000 + APPLY_MS, &silences, no_loss);
     assert!(domain.is_current(1) && domain.is_current(2));
 }
+
+// Guards against sentinels that all step down as their messages cross.
+#[test]
+fn one_of_two_sentinels_whose_messages_cross_steps_down() {
+    let addresses = [7_000, 7_001].map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+    let mut vms = addresses.map(|own| Sentinel::new(SentinelSettings::default(), own));
+    let messages = vms.each_mut().map(|vm| {
+        for table in SentinelTable::ALL {
+            vm.on_reply(table, 5, Some(5), 100);
+        }
+        vm.take_message(100).expect("is a sentinel")
+    });
+    vms[0].on_message(addresses[1], messages[1], 110);
+    vms[1].on_message(addresses[0], messages[0], 110);
+    let is_vouched = |vm: &Sentinel| vm.is_vouched(SentinelTable::Config, 120);
+    assert_eq!(vms.each_ref().map(is_vouched), [false, true]);
+}
