Attribute a statement of leaving by time, not by the entry that was used

Cause: the desk had started again and was leaving again, while the VM still had the entry of its earlier run. The statement was recorded for that run, and the entry of the run that had made it, read later, counted as a successor.

A statement now covers all runs under the id and address that started before the request was sent whose response had it. Ruled out: a time for which new entries stay excluded (a successor may start within it). A VM whose clock is ahead leaves out a successor that starts within the difference.

place_skips_leaving_target_whose_start_is_read_late: a run of its own before, covered now. Simulated targets list their start as a Unix time, as real ones do.

--- a/crates/entry/src/clock.rs
+++ b/crates/entry/src/clock.rs
@@ -1,6 +1,6 @@
 //! Monotonic clock that starts with the daemon.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use tokio::time::Instant;
 
@@ -26,3 +26,9 @@
         self.start + Duration::from_millis(at_ms)
     }
 }
+
+/// Milliseconds since the Unix epoch by the system's clock, which may jump.
+pub(crate) fn unix_now_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -11,11 +11,10 @@
     decode_response_headers, is_end_to_end, target_request_headers, AttemptHeaders,
     ResponseMetadata,
 };
-use lagoon_gateway::{
-    AttemptFailure, RouteKind, TargetEntry, TargetKey, Targets, UnfinishedAttempt,
-};
+use lagoon_gateway::{AttemptFailure, RouteKind, TargetEntry, TargetKey, UnfinishedAttempt};
 
 use crate::body::RequestBody;
+use crate::clock::unix_now_ms;
 use crate::connection::ExchangeError;
 use crate::forward::ForwardedRequest;
 use crate::pool::PooledConnection;
@@ -169,6 +168,7 @@
         entry: &TargetEntry,
         last_event_id: Option<u64>,
     ) -> Result<TargetResponse, FailedAttempt> {
+        let sent_unix_ms = unix_now_ms();
         let mut in_flight = InFlightGuard::new(self, key);
         let mut stale_connections = 0;
         let (pooled, response) = loop {
@@ -207,7 +207,11 @@
         };
         let (head, body) = response.into_parts();
         let metadata = decode_response_headers(&head.headers);
-        if let Err(failed) = self.check_head(key, entry, head.status, &metadata) {
+        let checked = self.check_head(key, head.status, &metadata);
+        if metadata.is_leaving && is_own_response(&checked) {
+            self.record_leaving(key, entry, sent_unix_ms);
+        }
+        if let Err(failed) = checked {
             in_flight.may_run = !failed.failure.is_not_executed();
             return Err(failed);
         }
@@ -256,12 +260,10 @@
     /// Rejects a response that belongs to another request, comes from another
     /// instance, lacks the target's stamp, or says that the request was not
     /// executed. Records the load that the response reports, even if it is
-    /// rejected, and whether the target is about to stop, unless the response may
-    /// be another's.
+    /// rejected.
     fn check_head(
         &self,
         key: TargetKey,
-        entry: &TargetEntry,
         status: StatusCode,
         metadata: &ResponseMetadata,
     ) -> Result<(), FailedAttempt> {
@@ -281,9 +283,6 @@
         if status == StatusCode::MISDIRECTED_REQUEST {
             return Err(not_executed(AttemptFailure::OtherInstance));
         }
-        if metadata.is_leaving && (metadata.has_target_stamp || !status.is_success()) {
-            self.record_leaving(&mut targets, key, entry);
-        }
         if metadata.is_not_executed && status != StatusCode::BAD_REQUEST {
             return Err(not_executed(AttemptFailure::NotExecuted));
         }
@@ -299,8 +298,9 @@
     }
 
     /// Records that the target is about to stop, and closes its idle connections.
-    fn record_leaving(&self, targets: &mut Targets, key: TargetKey, entry: &TargetEntry) {
-        if !targets.record_leaving(entry) {
+    fn record_leaving(&self, key: TargetKey, entry: &TargetEntry, sent_unix_ms: u64) {
+        let mut targets = self.state.targets.borrow_mut();
+        if !targets.record_leaving(entry, sent_unix_ms) {
             return;
         }
         self.state.pool.close_idle(key);
@@ -340,6 +340,14 @@
     }
 }
 
+/// Whether a checked response is that of the target to this request.
+fn is_own_response(checked: &Result<(), FailedAttempt>) -> bool {
+    match checked {
+        Ok(()) => true,
+        Err(failed) => failed.failure == AttemptFailure::NotExecuted,
+    }
+}
+
 /// Head of a target's response as it is forwarded to the caller: without
 /// hop-by-hop headers and `Content-Length`.
 pub(crate) fn forwarded_head(mut head: Response<()>) -> Response<()> {
--- a/crates/entry/src/forward/turns.rs
+++ b/crates/entry/src/forward/turns.rs
@@ -5,9 +5,10 @@
 use tokio::time::timeout_at;
 
 use crate::body::ResponseBody;
+use crate::clock::unix_now_ms;
 use crate::forward::{ForwardedRequest, OVERLOADED_RETRY_AFTER_MS};
 use crate::response;
-use crate::turns::{unix_now_ms, LookupFailure};
+use crate::turns::LookupFailure;
 
 /// Maximum time to find a chain.
 const LOOKUP_TIMEOUT_MS: u64 = 1_000;
--- a/crates/entry/src/turns.rs
+++ b/crates/entry/src/turns.rs
@@ -10,7 +10,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use compact_str::CompactString;
 use futures::stream::{FuturesUnordered, StreamExt};
@@ -76,12 +76,6 @@
     max_row_bytes: usize,
 }
 
-/// Milliseconds since the Unix epoch by the system's clock, which may jump.
-pub(crate) fn unix_now_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |since| since.as_millis() as u64)
-}
-
 /// Forgets a turn on drop, unless it is known to be safe.
 struct PendingGuard<'a> {
     keeper: &'a TurnKeeper,
--- a/crates/entry/src/turns/deletion.rs
+++ b/crates/entry/src/turns/deletion.rs
@@ -9,7 +9,8 @@
 use rand::RngExt;
 use tokio::task::spawn_local;
 
-use super::{sleep_about, unix_now_ms, TurnKeeper};
+use super::{sleep_about, TurnKeeper};
+use crate::clock::unix_now_ms;
 
 /// Mean interval at which a VM looks for expired turns of VMs that have ended,
 /// in one partition each time.
--- a/crates/entry/tests/soak.rs
+++ b/crates/entry/tests/soak.rs
@@ -73,9 +73,17 @@
     Lookup,
 }
 
+/// Time in which a desk says that it leaves, before it starts again.
+const LEAVING_TIME: Duration = Duration::from_millis(700);
+
+/// Time between a desk's start and the next time that it leaves.
+const STAY_TIME: Duration = Duration::from_millis(300);
+
 #[derive(Debug)]
 struct Outcome {
     id: String,
+    sent: Instant,
+    answered: Instant,
     /// VM that got the call.
     vm: SocketAddr,
     kind: CallKind,
@@ -107,6 +115,7 @@
                 program: random.random_range(0..PROGRAMS),
             },
         };
+        let sent = Instant::now();
         let response = match &kind {
             CallKind::Turn { previous } => {
                 let program = format!("c{caller}");
@@ -128,6 +137,8 @@
         };
         outcomes.push(Outcome {
             id,
+            sent,
+            answered: Instant::now(),
             vm: address,
             kind,
             response,
@@ -245,6 +256,81 @@
     crashes.len()
 }
 
+/// Run of a desk that said from `since` to `until` that it leaves.
+struct Departure {
+    desk: usize,
+    since: Instant,
+    until: Instant,
+}
+
+/// Makes the desks leave in turn, and start again.
+fn run_departures(
+    store: &Store,
+    desks: &[(Target, TargetEntry)],
+    stop: &AtomicBool,
+) -> Vec<Departure> {
+    let mut departures = Vec::new();
+    for number in 0.. {
+        thread::sleep(STAY_TIME);
+        if stop.load(Ordering::SeqCst) {
+            break;
+        }
+        let index = number % desks.len();
+        let (desk, entry) = &desks[index];
+        let since = Instant::now();
+        desk.leave();
+        thread::sleep(LEAVING_TIME);
+        departures.push(Departure {
+            desk: index,
+            since,
+            until: Instant::now(),
+        });
+        desk.restart();
+        let started_unix_ms = desk.entry("desks", TargetStatus::Ready).started_unix_ms;
+        store.add_target(&TargetEntry {
+            started_unix_ms,
+            ..entry.clone()
+        });
+    }
+    departures
+}
+
+/// Checks that no VM sent a desk a call that came after the VM had passed on a
+/// response in which the desk said that it leaves. Returns how many such responses
+/// there were, and how many calls came after one at the same VM.
+fn check_departures(
+    seed: u64,
+    fleet: &Fleet,
+    departures: &[Departure],
+    outcomes: &[Outcome],
+) -> (usize, usize) {
+    let (mut statements, mut later_calls) = (0, 0);
+    for departure in departures {
+        let executions = fleet.desks[departure.desk].executions();
+        let of_run: HashMap<_, _> = executions
+            .iter()
+            .filter(|execution| (departure.since..departure.until).contains(&execution.started))
+            .map(|execution| (execution.received.request_id.as_str(), execution))
+            .collect();
+        let ran = |outcome: &&Outcome| of_run.contains_key(outcome.id.as_str());
+        let says_leaving = |outcome: &&Outcome| outcome.response.head.contains("server-leaving: 1");
+        let statement_outcomes = outcomes.iter().filter(ran).filter(says_leaving);
+        for statement in statement_outcomes {
+            statements += 1;
+            let is_later = |outcome: &&Outcome| {
+                outcome.vm == statement.vm
+                    && outcome.sent >= statement.answered
+                    && outcome.sent < departure.until
+            };
+            for later in outcomes.iter().filter(is_later) {
+                later_calls += 1;
+                assert!(!ran(&later), "seed {seed}: after {statement:?}: {later:?}");
+            }
+        }
+    }
+    (statements, later_calls)
+}
+
 /// Injects one random fault, and removes it unless it ends by itself.
 fn inject_fault(fleet: &mut Fleet, random: &mut Pcg64, version: &mut u64) {
     let index = random.random_range(0..fleet.vms.len());
@@ -401,6 +487,15 @@
             .collect();
         thread::spawn(move || list_restarts(&store, &engines, &stop))
     };
+    let departures = {
+        let (store, stop) = (fleet.store.clone(), Arc::clone(&stop));
+        let desks = fleet.desks.iter().enumerate();
+        let entry = |index| fleet.entry(fleet.engines.len() + index, TargetStatus::Ready);
+        let desks: Vec<_> = desks
+            .map(|(index, desk)| (desk.clone(), entry(index)))
+            .collect();
+        thread::spawn(move || run_departures(&store, &desks, &stop))
+    };
     let callers: Vec<_> = (0..CALLERS)
         .map(|caller| {
             let (vms, stop) = (Arc::clone(&vms), Arc::clone(&stop));
@@ -423,6 +518,7 @@
     stop.store(true, Ordering::SeqCst);
     crasher.join().expect("caller");
     restarts.join().expect("list of restarts");
+    let departures = departures.join().expect("departures");
     let outcomes = callers
         .into_iter()
         .flat_map(|caller| caller.join().expect("caller"));
@@ -433,6 +529,8 @@
     let (moved, uncertain) = check_turns(seed, &fleet, &outcomes);
     println!("seed {seed}: {moved} turns continued at another VM, {uncertain} uncertain");
     println!("seed {seed}: one request crashed targets {crashes} times");
+    let (statements, later) = check_departures(seed, &fleet, &departures, &outcomes);
+    println!("seed {seed}: {statements} responses of leaving desks, {later} calls after them");
     for line in ["POST /book/x", "GET /look/x"] {
         wait_until("service after the faults", || {
             call(fleet.callers(), line, &service_call_headers("after"), "").status == 200
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -385,20 +385,20 @@
         (intervals.mean_ms / mean_ms.max(1.0) - 1.0).max(0.0) * weight
     }
 
-    /// Records that a target stated in a response that it is about to stop. It gets
-    /// no new requests until it starts again, whatever its entry says. Returns
-    /// whether that is news.
-    pub fn record_leaving(&mut self, entry: &TargetEntry) -> bool {
-        if !self.leaving.insert(entry) {
-            return false;
-        }
+    /// Records that a target stated that it is about to stop, in the response to a
+    /// request that was sent by `entry` at the Unix time `sent_unix_ms`. It gets no
+    /// new requests until it starts again, whatever its entry says. Returns whether
+    /// that is news.
+    pub fn record_leaving(&mut self, entry: &TargetEntry, sent_unix_ms: u64) -> bool {
+        let is_news = !self.leaving.contains(entry);
+        self.leaving.insert(entry, sent_unix_ms);
         // The entry may have been removed, or written again, since the request was
         // sent.
         let key = self.by_id.get(&entry.id);
         if let Some(target) = key.and_then(|key| self.arena.get_mut(*key)) {
             target.is_leaving = self.leaving.contains(&target.entry);
         }
-        true
+        is_news
     }
 
     /// Number of known targets that have stated that they are about to stop.
--- a/crates/gateway/src/targets/leaving.rs
+++ b/crates/gateway/src/targets/leaving.rs
@@ -13,42 +13,48 @@
 /// Maximum number of runs that are remembered; the oldest are dropped.
 const MAX_LEAVING: usize = 1_024;
 
-/// Run of a target's process. The start time tells runs with the same id and
-/// address apart.
-#[derive(Clone, Debug, Eq, PartialEq)]
-struct Run {
+/// Statement of the target that had this id and address at the time. The entry that
+/// the request was sent by may be that of an earlier run, so only the time tells
+/// whose statement it was.
+#[derive(Clone, Debug)]
+struct Statement {
     id: CompactString,
     address: SocketAddr,
-    started_unix_ms: Option<u64>,
+    /// Unix time at which the request was sent whose response had the statement.
+    sent_unix_ms: u64,
 }
 
-impl From<&TargetEntry> for Run {
-    fn from(entry: &TargetEntry) -> Run {
-        Run {
-            id: entry.id.clone(),
-            address: entry.address,
-            started_unix_ms: entry.started_unix_ms,
-        }
+impl Statement {
+    /// Whether the entry is that of the run that made the statement, or of an
+    /// earlier one. An entry without a start time is.
+    fn covers(&self, entry: &TargetEntry) -> bool {
+        let is_later = |started_unix_ms| started_unix_ms > self.sent_unix_ms;
+        self.id == entry.id
+            && self.address == entry.address
+            && !entry.started_unix_ms.is_some_and(is_later)
     }
 }
 
 #[derive(Clone, Debug, Default)]
-pub(super) struct LeavingRuns(VecDeque<Run>);
+pub(super) struct LeavingRuns(VecDeque<Statement>);
 
 impl LeavingRuns {
-    /// Adds the run of an entry; `false` if it is known already.
-    pub(super) fn insert(&mut self, entry: &TargetEntry) -> bool {
-        if self.contains(entry) {
-            return false;
-        }
+    /// Adds the statement of a target in the response to a request that was sent by
+    /// this entry.
+    pub(super) fn insert(&mut self, entry: &TargetEntry, sent_unix_ms: u64) {
+        let is_other = |known: &Statement| known.id != entry.id || known.address != entry.address;
+        self.0.retain(is_other);
         if self.0.len() == MAX_LEAVING {
             self.0.pop_front();
         }
-        self.0.push_back(entry.into());
-        true
+        self.0.push_back(Statement {
+            id: entry.id.clone(),
+            address: entry.address,
+            sent_unix_ms,
+        });
     }
 
     pub(super) fn contains(&self, entry: &TargetEntry) -> bool {
-        self.0.contains(&entry.into())
+        self.0.iter().any(|statement| statement.covers(entry))
     }
 }
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -160,8 +160,8 @@
         })
     };
     assert!(is_used(&targets));
-    assert!(targets.record_leaving(&restarted("t1", 7)));
-    assert!(!targets.record_leaving(&restarted("t1", 7)));
+    assert!(targets.record_leaving(&restarted("t1", 7), 20));
+    assert!(!targets.record_leaving(&restarted("t1", 7), 30));
     assert!(!is_used(&targets));
     targets.upsert(restarted("t1", 7));
     assert!(!is_used(&targets));
@@ -169,25 +169,39 @@
     targets.upsert(restarted("t1", 7));
     assert!(!is_used(&targets));
     assert_eq!(targets.leaving_count(), 1);
-    targets.upsert(restarted("t1", 8));
+    targets.upsert(restarted("t1", 31));
     assert!(is_used(&targets));
     assert_eq!(targets.leaving_count(), 0);
 }
 
+// Guards against requests to a run that has stated that it is about to stop before
+// this VM reads that it has started.
+#[test]
+fn place_skips_leaving_target_whose_start_is_read_late() {
+    let mut targets = targets(&[]);
+    targets.upsert(restarted("t1", 7));
+    assert!(targets.record_leaving(&restarted("t1", 7), 20));
+    targets.upsert(restarted("t1", 15));
+    assert_eq!(targets.leaving_count(), 1);
+}
+
 // Guards against a successor that is left out as its address, or its id, is that of
 // a target that has left, and against a statement that comes after the entry is gone.
 #[test]
-fn record_leaving_of_another_run_leaves_the_listed_one_in_use() {
+fn record_leaving_of_another_target_leaves_the_listed_one_in_use() {
     let mut targets = targets(&[]);
     targets.upsert(restarted("t1", 8));
-    assert!(targets.record_leaving(&restarted("t1", 7)));
-    assert!(targets.record_leaving(&TargetEntry {
-        id: "t0".into(),
-        ..restarted("t1", 8)
-    }));
+    assert!(targets.record_leaving(&restarted("t1", 7), 7));
+    assert!(targets.record_leaving(
+        &TargetEntry {
+            id: "t0".into(),
+            ..restarted("t1", 8)
+        },
+        20
+    ));
     assert_eq!(targets.leaving_count(), 0);
     targets.remove("t1", 0);
-    assert!(targets.record_leaving(&restarted("t1", 8)));
+    assert!(targets.record_leaving(&restarted("t1", 8), 20));
     targets.upsert(restarted("t1", 8));
     assert_eq!(targets.leaving_count(), 1);
 }
@@ -206,7 +220,7 @@
             ended_ms: 10,
         },
     );
-    targets.record_leaving(&entry("t1", "d1"));
+    targets.record_leaving(&entry("t1", "d1"), 20);
     targets.remove("t1", 5_000);
     assert!(targets.take_lost(5_000).is_empty());
 }
--- a/crates/standin/src/fleet/target.rs
+++ b/crates/standin/src/fleet/target.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -89,7 +89,8 @@
     executions: Vec<Execution>,
     event_count: u64,
     event_interval: Duration,
-    restarts: u64,
+    /// Start of this run, as a Unix time.
+    started_unix_ms: u64,
     /// Whether this run has announced in its responses that it will stop.
     is_leaving: bool,
 }
@@ -108,6 +109,11 @@
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+fn unix_now_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
 impl Target {
     /// Starts a target whose streams have `event_count` events, one per `event_interval`;
     /// a plain response takes one interval.
@@ -115,6 +121,7 @@
         let state = Arc::new(Mutex::new(State {
             event_count,
             event_interval,
+            started_unix_ms: unix_now_ms(),
             ..State::default()
         }));
         let id = CompactString::new(id);
@@ -140,7 +147,7 @@
             domain: "d1".into(),
             slots: 12,
             status,
-            started_unix_ms: Some(lock(&self.state).restarts),
+            started_unix_ms: Some(lock(&self.state).started_unix_ms),
         }
     }
 
@@ -152,7 +159,7 @@
     /// Makes later entries those of a new run under the same id, which isn't leaving.
     pub fn restart(&self) {
         let mut state = lock(&self.state);
-        state.restarts += 1;
+        state.started_unix_ms = unix_now_ms().max(state.started_unix_ms + 1);
         state.is_leaving = false;
     }
 
