lagoond's process tests: print the last replies and logs of a failed test

killed_owner_successor_has_its_programs (KNOWN-RED) failed twice so far with "booking never came" and left nothing to trace it by: neither which of its two bookings it was, nor what the VMs answered.

--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -36,8 +36,20 @@
 fn book_until_ok(site: &Site, vm: usize, program: &str, number: &str) -> Reply {
     let client = site.client(vm);
     let body = json!({"slot": number});
+    let mut last = String::new();
     wait_for("booking", || {
         let reply = client.call_service("booking", &headers(program, number), &body);
+        let seen = match &reply {
+            Ok(reply) => format!("{} {} {}", reply.status, reply.text, reply.summary),
+            Err(error) => error.to_string(),
+        };
+        if seen != last {
+            println!(
+                "booking {program}#{number} through {}: {seen}",
+                site.vms[vm].name
+            );
+            last = seen;
+        }
         reply.ok().filter(|reply| reply.status == 200)
     })
 }
--- a/crates/daemon/tests/site/mod.rs
+++ b/crates/daemon/tests/site/mod.rs
@@ -20,6 +20,9 @@
 
 /// Timeout of every wait; it expires only if the awaited state never occurs.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
+/// Lines of each daemon's log that are printed when a test fails.
+const LOG_TAIL_LINES: usize = 60;
+
 const FIRST_PORT: u16 = 20_000;
 const LAST_PORT: u16 = 30_000;
 const SHEET_HEADER: &str =
@@ -168,7 +171,24 @@
     }
 }
 
+impl Drop for Site {
+    fn drop(&mut self) {
+        if thread::panicking() {
+            self.vms.iter().for_each(Vm::print_log_tail);
+        }
+    }
+}
+
 impl Vm {
+    fn print_log_tail(&self) {
+        let log = fs::read_to_string(self.settings.with_extension("log"));
+        let lines: Vec<&str> = log.as_ref().map_or(Vec::new(), |log| log.lines().collect());
+        println!("last lines of {}'s log:", self.name);
+        for line in &lines[lines.len().saturating_sub(LOG_TAIL_LINES)..] {
+            println!("{line}");
+        }
+    }
+
     fn new(n: usize, platform: SocketAddr, files: &TempDir) -> Vm {
         let (callers, operators, peers) = (free_address(), free_address(), free_address());
         let settings = files.path().join(format!("vm{n}.toml"));
