--- a/crates/entry/src/turns/writer.rs
+++ b/crates/entry/src/turns/writer.rs
@@ -5,7 +5,9 @@
 
 use compact_str::CompactString;
 use lagoon_gateway::{Row, RowKey, RowWrite, StoreCall, StoreError, StoreReply};
-use lagoon_turns::{merge_rows, row_writes, RowExpiry, StoredRow, Turn, WriteOutcome};
+use lagoon_turns::{
+    merge_rows, partition_of, row_writes, RowExpiry, StoredRow, Turn, WriteOutcome,
+};
 use tokio::task::spawn_local;
 
 use super::{applied_version, sleep_about, value_bytes, TurnKeeper};
@@ -33,9 +35,7 @@
 impl TurnKeeper {
     /// Queues a turn for the next write of its partition.
     pub(super) fn queue_write(self: &Rc<Self>, turn: Rc<Turn>) {
-        let partition = row_writes(&turn, 0, self.max_row_bytes)
-            .pop()
-            .map_or_else(CompactString::default, |head| head.key.partition);
+        let partition = partition_of(&turn.id);
         let mut queues = self.queues.borrow_mut();
         let is_idle = !queues.contains_key(&partition);
         queues.entry(partition.clone()).or_default().push_back(turn);
--- a/crates/turns/src/lib.rs
+++ b/crates/turns/src/lib.rs
@@ -23,8 +23,8 @@
 pub use lookup::{Lookup, PeerAnswer, StoreAnswer, Verdict};
 pub use output::TurnOutput;
 pub use row::{
-    decode_rows, expired_rows, merge_rows, partition_name, read_range, row_writes, KeptRow,
-    WriteOutcome, PARTITIONS, TURN_TABLE,
+    decode_rows, expired_rows, merge_rows, partition_name, partition_of, read_range, row_writes,
+    KeptRow, WriteOutcome, PARTITIONS, TURN_TABLE,
 };
 pub use turn::{Turn, TurnId, TurnIdError};
 pub use unsaved::UnsavedTurns;
--- a/crates/turns/src/row.rs
+++ b/crates/turns/src/row.rs
@@ -69,7 +69,8 @@
     compact_str::format_compact!("t{number}")
 }
 
-fn partition_of(id: &TurnId) -> CompactString {
+/// Name of the partition that holds the rows of a turn.
+pub fn partition_of(id: &TurnId) -> CompactString {
     partition_name(hash64(id.as_str().as_bytes()) % PARTITIONS)
 }
 
--- a/crates/turns/tests/records.rs
+++ b/crates/turns/tests/records.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use lagoon_gateway::{Row, RowWrite};
 use lagoon_turns::{
-    collect_chain, decode_rows, expired_rows, merge_rows, row_writes, ChainError, RowExpiry,
-    StoredRow, Turn, TurnCache, TurnId, TurnOutput, WriteOutcome,
+    collect_chain, decode_rows, expired_rows, merge_rows, partition_of, row_writes, ChainError,
+    RowExpiry, StoredRow, Turn, TurnCache, TurnId, TurnOutput, WriteOutcome,
 };
 use proptest::prelude::*;
 use yare::parameterized;
@@ -252,3 +252,12 @@
         prop_assert!(!cache.is_empty());
     }
 }
+
+#[test]
+fn partition_of_a_turn_is_that_of_its_rows() {
+    let turn = turn("t1", &[], b"in", &[b'x'; 20_000]);
+    let writes = row_writes(&turn, 0, 4_096);
+    assert!(writes.len() > 1);
+    let partition = partition_of(&turn.id);
+    assert!(writes.iter().all(|write| write.key.partition == partition));
+}
