Continue a turn of two versions from the one that the store has taken

Two requests with one id at two VMs, one without replies of the store: each VM, and those that held its copies, went on continuing its own version (UNASKED for one of the callers).

Cause: the write that finds another version in the store told nobody. The VM that had served the superseded turn kept it in its cache, and the VMs that were told to drop their copies took them into theirs, also copies of responses that were cut off. A VM that was asked for a copy and knew another version said no, as one without room does, and the next VM was asked.

A VM now says that it knows another version, and the plan of copies ends; the store decides. A superseded or cut-off version is withdrawn from the cache and from VMs that may hold it, by the hash of the version: a VM's own version stays.

--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -43,10 +43,10 @@
         /// Name of the VM that is about to grant them.
         coordinator: CompactString,
     },
-    /// Hold an encoded turn until the store has it. Response: whether the
-    /// receiver does.
+    /// Hold an encoded turn until the store has it. Response:
+    /// [`CopyReply`](lagoon_turns::CopyReply).
     CopyTurn(Vec<u8>),
-    /// The store has these turns, or they need not be kept. Response: `true`.
+    /// The store has these turns. Response: `true`.
     ReleaseCopies(Vec<CompactString>),
     /// Grant tokens of a program's reserve. Response: their number; 0 if refused.
     TakeReserve(ReserveRequest),
@@ -60,6 +60,10 @@
         /// Id of the turn.
         last: CompactString,
     },
+    /// The copies of these turns must not be used: the responses were cut off, or
+    /// the store has other versions. Each has the hash of its version, as in
+    /// `turns::version_hash`. Response: `true`.
+    ForgetCopies(Vec<(CompactString, u64)>),
 }
 
 /// Response to [`PeerMessage::FetchTurns`].
--- a/crates/entry/src/message_handler.rs
+++ b/crates/entry/src/message_handler.rs
@@ -55,6 +55,10 @@
             turn_keeper.drop_copies(&ids);
             postcard::to_allocvec(&true)
         }
+        PeerMessage::ForgetCopies(copies) => {
+            turn_keeper.forget_copies(&copies);
+            postcard::to_allocvec(&true)
+        }
         PeerMessage::FetchTurns { last } => postcard::to_allocvec(&turn_keeper.turns_from(&last)),
         PeerMessage::TakeReserve(request) => {
             postcard::to_allocvec(&budget_client.grant_reserve(&request))
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -20,7 +20,7 @@
     Connectivity, PeerOutcome, PeerProbe, Peers, ProgramKey, ReserveRequest, StoreCall, StoreError,
 };
 use lagoon_ids::FastMap;
-use lagoon_turns::TurnId;
+use lagoon_turns::{CopyReply, TurnId};
 use rand::RngExt;
 use serde::de::DeserializeOwned;
 use tokio::time::{sleep, timeout};
@@ -328,11 +328,16 @@
         released.flatten()
     }
 
-    /// Has another VM hold a copy of a turn; returns whether it does.
-    pub(crate) async fn copy_turn(&self, name: &str, address: SocketAddr, turn: Vec<u8>) -> bool {
+    /// Has another VM hold a copy of a turn; `None` without a reply.
+    pub(crate) async fn copy_turn(
+        &self,
+        name: &str,
+        address: SocketAddr,
+        turn: Vec<u8>,
+    ) -> Option<CopyReply> {
         let message = PeerMessage::CopyTurn(turn);
-        let is_held = self.request(name, address, &message, LOCAL_TIMEOUT).await;
-        is_held.unwrap_or(false)
+        let reply = self.request(name, address, &message, LOCAL_TIMEOUT).await;
+        reply.ok()
     }
 
     /// Tells a VM that it may drop its copy of a turn. If the message is lost, the
@@ -345,6 +350,17 @@
         }
     }
 
+    /// Tells a VM that its copy of a turn must not be used. If the message is lost,
+    /// the VM learns by its own write that the store has another version, if it has.
+    pub(crate) async fn forget_copy(&self, name: &str, id: &TurnId, version_hash: u64) {
+        let copies = vec![(id.as_str().into(), version_hash)];
+        let message = PeerMessage::ForgetCopies(copies);
+        let forgotten = self.request_by_name::<bool>(name, &message, LOCAL_TIMEOUT);
+        if forgotten.await.is_none() {
+            log::debug!(peer = name, turn = id.as_str(); "cannot withdraw the copy of a turn");
+        }
+    }
+
     /// Asks another VM for a turn and those before it; `None` without a response.
     pub(crate) async fn fetch_turns(
         &self,
--- a/crates/entry/src/turns.rs
+++ b/crates/entry/src/turns.rs
@@ -15,9 +15,9 @@
 use compact_str::CompactString;
 use futures::stream::{FuturesUnordered, StreamExt};
 use lagoon_gateway::{RowWrite, StoreReply};
-use lagoon_ids::FastMap;
+use lagoon_ids::{hash64, FastMap};
 use lagoon_turns::{
-    CopyPlan, CopyStep, RowExpiry, Turn, TurnCache, TurnId, UnsavedTurns, WriteOutcome,
+    CopyPlan, CopyReply, CopyStep, RowExpiry, Turn, TurnCache, TurnId, UnsavedTurns, WriteOutcome,
 };
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
@@ -76,19 +76,24 @@
     max_row_bytes: usize,
 }
 
+/// Tells versions of a turn apart.
+fn version_hash(turn: &Turn) -> u64 {
+    hash64(&turn.encode())
+}
+
 /// Forgets a turn on drop, unless it is known to be safe.
 struct PendingGuard<'a> {
     keeper: &'a TurnKeeper,
-    id: TurnId,
+    turn: Rc<Turn>,
     is_safe: bool,
 }
 
 impl Drop for PendingGuard<'_> {
     fn drop(&mut self) {
-        self.keeper.waiters.borrow_mut().remove(&self.id);
+        self.keeper.waiters.borrow_mut().remove(&self.turn.id);
         if !self.is_safe {
-            self.keeper.unsaved.borrow_mut().remove(&self.id);
-            self.keeper.release_copies(&self.id);
+            self.keeper.unsaved.borrow_mut().remove(&self.turn.id);
+            self.keeper.withdraw_copies(&self.turn);
         }
     }
 }
@@ -135,7 +140,7 @@
         }
         let mut guard = PendingGuard {
             keeper: self,
-            id: turn.id.clone(),
+            turn: Rc::clone(&turn),
             is_safe: false,
         };
         let (sender, written) = oneshot::channel();
@@ -217,8 +222,11 @@
                     });
                 }
                 CopyStep::Wait => {
-                    if let Some((index, is_accepted)) = in_flight.next().await {
-                        plan.record_response(index, is_accepted);
+                    if let Some((index, reply)) = in_flight.next().await {
+                        if reply.is_some_and(|reply| reply != CopyReply::Held) {
+                            self.remove_holder(&turn.id, &candidates[index].0);
+                        }
+                        plan.record_response(index, reply.unwrap_or(CopyReply::Refused));
                     }
                 }
             }
@@ -242,21 +250,21 @@
         log::info!(turns = turns.len(); "turns handed over");
     }
 
-    /// Takes a copy of a turn that another VM served; `false` if it can't be
-    /// decoded, there is no room, this VM stops, or another version of it is known
-    /// here.
-    pub(crate) fn hold_copy(&self, encoded: &[u8]) -> bool {
+    /// Takes a copy of a turn that another VM served, unless it can't be decoded,
+    /// there is no room, this VM stops, or another version of it is known here.
+    pub(crate) fn hold_copy(&self, encoded: &[u8]) -> CopyReply {
         if self.stopping.get() {
-            return false;
+            return CopyReply::Refused;
         }
         let Some(turn) = Turn::decode(encoded) else {
             log::warn!(bytes = encoded.len(); "invalid copy of a turn");
-            return false;
+            return CopyReply::Refused;
         };
         self.record_retention(turn.retention_ms);
         let known = self.cache.borrow_mut().get(&turn.id);
         if known.is_some_and(|known| *known != turn) {
-            return false;
+            log::warn!(turn = turn.id.as_str(); "another version of the turn is here; copy refused");
+            return CopyReply::OtherVersion;
         }
         let now_ms = self.clock.now_ms();
         self.unsaved.borrow_mut().hold(Rc::new(turn), now_ms)
@@ -267,7 +275,7 @@
         self.stopping.set(true);
     }
 
-    /// Drops copies that are in the store, or whose response was not completed.
+    /// Drops copies of turns that are in the store.
     pub(crate) fn drop_copies(&self, ids: &[CompactString]) {
         for id in ids.iter().filter_map(|id| TurnId::parse(id).ok()) {
             let mut unsaved = self.unsaved.borrow_mut();
@@ -278,6 +286,38 @@
         }
     }
 
+    /// Drops copies that must not be used.
+    pub(crate) fn forget_copies(&self, copies: &[(CompactString, u64)]) {
+        for (id, hash) in copies {
+            let Ok(id) = TurnId::parse(id) else {
+                continue;
+            };
+            let is_version = |turn: &Turn| version_hash(turn) == *hash;
+            self.unsaved.borrow_mut().forget(&id, is_version);
+            let mut cache = self.cache.borrow_mut();
+            if cache.get(&id).is_some_and(|turn| is_version(&turn)) {
+                cache.remove(&id);
+            }
+        }
+    }
+
+    /// Tells the VMs that hold copies of a turn that these must not be used.
+    fn withdraw_copies(&self, turn: &Turn) {
+        let holders = self.holders.borrow_mut().remove(&turn.id);
+        let hash = version_hash(turn);
+        for name in holders.unwrap_or_default() {
+            let (peer_client, id) = (Rc::clone(&self.peer_client), turn.id.clone());
+            spawn_local(async move { peer_client.forget_copy(&name, &id, hash).await });
+        }
+    }
+
+    /// Records that a VM, which was asked for it, holds no copy of a turn.
+    fn remove_holder(&self, id: &TurnId, name: &CompactString) {
+        if let Some(holders) = self.holders.borrow_mut().get_mut(id) {
+            holders.retain(|holder| holder != name);
+        }
+    }
+
     /// Tells the VMs that hold copies of a turn that they may drop them.
     fn release_copies(&self, id: &TurnId) {
         let holders = self.holders.borrow_mut().remove(id).unwrap_or_default();
--- a/crates/entry/src/turns/writer.rs
+++ b/crates/entry/src/turns/writer.rs
@@ -200,7 +200,12 @@
     /// Reports the outcome of a write to the call that waits for it.
     fn finish(&self, turn: &Rc<Turn>, outcome: WriteOutcome) {
         self.unsaved.borrow_mut().remove(&turn.id);
-        self.release_copies(&turn.id);
+        if outcome == WriteOutcome::Superseded {
+            self.cache.borrow_mut().remove(&turn.id);
+            self.withdraw_copies(turn);
+        } else {
+            self.release_copies(&turn.id);
+        }
         let waiter = self.waiters.borrow_mut().remove(&turn.id);
         if let Some(waiter) = waiter {
             // The call may have ended meanwhile.
--- a/crates/entry/tests/turns.rs
+++ b/crates/entry/tests/turns.rs
@@ -8,7 +8,7 @@
 
 use fleet::{call, complete_stream, wait_until, Fleet, Response, EVENT_COUNT};
 use lagoon_adapter::standin::kept_turn_headers;
-use lagoon_standin::fleet::{StoreFault, TargetFault};
+use lagoon_standin::fleet::{ProxyFault, StoreFault, TargetFault};
 use nix::sys::signal::Signal;
 use yare::parameterized;
 
@@ -247,3 +247,38 @@
     let response = call(fleet.callers(), "POST /chat/x", &headers, "input");
     assert_not_run(&fleet, &response, "t2", 400);
 }
+
+// Guards against two versions of one turn that are both continued, each from the
+// VMs that hold it, after the store has taken one of them.
+#[test]
+fn turn_with_two_versions_is_continued_from_one() {
+    let mut fleet = Fleet::start_proxied(0);
+    let direct = fleet.store.address;
+    let proxied = fleet.proxies[0].address;
+    for store in [direct, proxied, direct, direct] {
+        fleet.start_vm_at_store(store);
+    }
+    fleet.wait_for_peers();
+    let serve = |vm: usize, id: &str, input: &str| {
+        let headers = kept_turn_headers(id, "program", None);
+        call(fleet.vms[vm].callers, "POST /chat/x", &headers, input)
+    };
+    // VMs that are asked for copies first differ from id to id.
+    let ids = ["t1", "t2", "t3", "t4", "t5", "t6"];
+    for id in ids {
+        assert_whole(&serve(0, id, "first;"));
+    }
+    fleet.proxies[0].set_fault(ProxyFault::Blackhole);
+    let answered = ids.map(|id| serve(1, id, "second;").is_complete);
+    println!("second versions answered: {answered:?}");
+    fleet.proxies[0].set_fault(ProxyFault::None);
+    thread::sleep(2 * SETTLE_TIME);
+    for vm in 0..fleet.vms.len() {
+        for id in ids {
+            let next = format!("{id}-{vm}");
+            assert_whole(&turn(&fleet, vm, &next, Some(id)));
+            let expected = format!("first;{}input of {next};", output());
+            assert_eq!(bodies(&fleet, &next), [expected], "VM {vm}");
+        }
+    }
+}
--- a/crates/turns/src/cache.rs
+++ b/crates/turns/src/cache.rs
@@ -77,6 +77,14 @@
         }
     }
 
+    /// Removes a turn of which another version prevails.
+    pub fn remove(&mut self, id: &TurnId) {
+        if let Some(removed) = self.entries.remove(id) {
+            self.by_use.remove(&removed.used_at);
+            self.used_bytes -= cost_bytes(&removed.turn);
+        }
+    }
+
     /// Number of cached turns.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/crates/turns/src/copies.rs
+++ b/crates/turns/src/copies.rs
@@ -3,12 +3,25 @@
 //! A turn counts as safe on this VM and two more, one of them in another
 //! failure domain if any VM there accepts it.
 
+use serde::{Deserialize, Serialize};
+
 /// Number of other VMs that must accept a turn, if there are as many.
 const REQUIRED_COPIES: usize = 2;
 
 /// Maximum number of VMs that are asked in all.
 const MAX_ASKED: usize = 8;
 
+/// Response of a VM that is asked to hold a copy of a turn.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum CopyReply {
+    /// It doesn't hold the copy.
+    Refused,
+    /// It holds the copy.
+    Held,
+    /// It knows another version of the turn.
+    OtherVersion,
+}
+
 /// What to do next for the copies of a turn.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CopyStep {
@@ -18,7 +31,7 @@
     Wait,
     /// Enough VMs have accepted the turn.
     Safe,
-    /// Too few VMs can be reached.
+    /// Too few VMs can be reached, or one knows another version of the turn.
     Failed,
 }
 
@@ -36,21 +49,24 @@
     has_remote: bool,
     /// Candidates in other domains that have neither accepted nor failed.
     open_remotes: usize,
+    /// Whether another version fails the plan; not for a turn that was answered.
+    needs_one_version: bool,
+    has_other_version: bool,
 }
 
 impl CopyPlan {
     /// Copies of a turn that this VM goes on holding; the candidates are in the
     /// order of preference.
     pub fn new(is_remote: Vec<bool>) -> CopyPlan {
-        CopyPlan::with_copies(is_remote, REQUIRED_COPIES)
+        CopyPlan::with_copies(is_remote, REQUIRED_COPIES, true)
     }
 
     /// Copies of a turn that this VM is about to lose, as it stops.
     pub fn for_handover(is_remote: Vec<bool>) -> CopyPlan {
-        CopyPlan::with_copies(is_remote, REQUIRED_COPIES + 1)
+        CopyPlan::with_copies(is_remote, REQUIRED_COPIES + 1, false)
     }
 
-    fn with_copies(is_remote: Vec<bool>, required: usize) -> CopyPlan {
+    fn with_copies(is_remote: Vec<bool>, required: usize, needs_one_version: bool) -> CopyPlan {
         let asked = is_remote.iter().take(MAX_ASKED);
         let open_remotes = asked.filter(|is_remote| **is_remote).count();
         CopyPlan {
@@ -61,11 +77,16 @@
             accepted: 0,
             has_remote: false,
             open_remotes,
+            needs_one_version,
+            has_other_version: false,
         }
     }
 
     /// Next step; after [`CopyStep::Send`], the caller asks again.
     pub fn next_step(&mut self) -> CopyStep {
+        if self.needs_one_version && self.has_other_version {
+            return CopyStep::Failed;
+        }
         let candidates = self.is_remote.len().min(MAX_ASKED);
         let required = self.required;
         let needs_remote = !self.has_remote && self.open_remotes > 0;
@@ -87,14 +108,15 @@
         }
     }
 
-    /// Records whether the candidate with this index accepted the turn.
-    pub fn record_response(&mut self, candidate: usize, is_accepted: bool) {
+    /// Records the response of the candidate with this index.
+    pub fn record_response(&mut self, candidate: usize, reply: CopyReply) {
         let is_remote = self.is_remote.get(candidate).copied().unwrap_or_default();
         self.in_flight = self.in_flight.saturating_sub(1);
         if is_remote {
             self.open_remotes = self.open_remotes.saturating_sub(1);
         }
-        if is_accepted {
+        self.has_other_version |= reply == CopyReply::OtherVersion;
+        if reply == CopyReply::Held {
             self.accepted += 1;
             self.has_remote |= is_remote;
         }
--- a/crates/turns/src/lib.rs
+++ b/crates/turns/src/lib.rs
@@ -18,7 +18,7 @@
 
 pub use cache::TurnCache;
 pub use chain::{collect_chain, Chain, ChainError};
-pub use copies::{CopyPlan, CopyStep};
+pub use copies::{CopyPlan, CopyReply, CopyStep};
 pub use expiry::{RowExpiry, StoredRow};
 pub use lookup::{Lookup, PeerAnswer, StoreAnswer, Verdict};
 pub use output::TurnOutput;
--- a/crates/turns/src/unsaved.rs
+++ b/crates/turns/src/unsaved.rs
@@ -4,6 +4,7 @@
 
 use lagoon_ids::FastMap;
 
+use crate::copies::CopyReply;
 use crate::turn::{Turn, TurnId};
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -46,12 +47,16 @@
         !self.turns.contains_key(&turn.id) && self.add(turn, Phase::Pending)
     }
 
-    /// Adds a copy of a turn that another VM served; `false` if there is no room,
-    /// or another version of it is here.
-    pub fn hold(&mut self, turn: Rc<Turn>, now_ms: u64) -> bool {
+    /// Adds a copy of a turn that another VM served, if there is room and no other
+    /// version of it is here.
+    pub fn hold(&mut self, turn: Rc<Turn>, now_ms: u64) -> CopyReply {
         match self.turns.get(&turn.id) {
-            Some(known) => known.turn == turn,
-            None => self.add(turn, Phase::Held { since_ms: now_ms }),
+            Some(known) if known.turn == turn => CopyReply::Held,
+            Some(_) => CopyReply::OtherVersion,
+            None => match self.add(turn, Phase::Held { since_ms: now_ms }) {
+                true => CopyReply::Held,
+                false => CopyReply::Refused,
+            },
         }
     }
 
@@ -80,6 +85,18 @@
         }
     }
 
+    /// Removes a copy for which `is_version` holds; what this VM served stays.
+    pub fn forget<F>(&mut self, id: &TurnId, is_version: F)
+    where
+        F: FnOnce(&Turn) -> bool,
+    {
+        let known = self.turns.get(id);
+        let is_copy = |unsaved: &Unsaved| matches!(unsaved.phase, Phase::Held { .. });
+        if known.is_some_and(|unsaved| is_copy(unsaved) && is_version(&unsaved.turn)) {
+            self.remove(id);
+        }
+    }
+
     /// A turn that was answered; `None` for one that is pending.
     pub fn get(&self, id: &TurnId) -> Option<Rc<Turn>> {
         let unsaved = self.turns.get(id)?;
--- a/crates/turns/tests/safety.rs
+++ b/crates/turns/tests/safety.rs
@@ -4,7 +4,8 @@
 
 use bytes::Bytes;
 use lagoon_turns::{
-    CopyPlan, CopyStep, Lookup, PeerAnswer, StoreAnswer, Turn, TurnId, UnsavedTurns, Verdict,
+    CopyPlan, CopyReply, CopyStep, Lookup, PeerAnswer, StoreAnswer, Turn, TurnId, UnsavedTurns,
+    Verdict,
 };
 use yare::parameterized;
 
@@ -36,12 +37,12 @@
 fn copy_plan_needs_another_domain_if_it_accepts() {
     let mut plan = CopyPlan::new(vec![false, false, true, true]);
     assert_eq!(send_all(&mut plan), (vec![0, 1], CopyStep::Wait));
-    plan.record_response(0, true);
-    plan.record_response(1, true);
+    plan.record_response(0, CopyReply::Held);
+    plan.record_response(1, CopyReply::Held);
     assert_eq!(send_all(&mut plan), (vec![2], CopyStep::Wait));
-    plan.record_response(2, false);
+    plan.record_response(2, CopyReply::Refused);
     assert_eq!(send_all(&mut plan), (vec![3], CopyStep::Wait));
-    plan.record_response(3, true);
+    plan.record_response(3, CopyReply::Held);
     assert_eq!(send_all(&mut plan), (vec![], CopyStep::Safe));
 }
 
@@ -53,7 +54,13 @@
         let (sent, step) = send_all(&mut plan);
         asked.extend(sent.clone());
         for candidate in sent {
-            plan.record_response(candidate, candidate % 2 == 1);
+            plan.record_response(
+                candidate,
+                match candidate % 2 {
+                    1 => CopyReply::Held,
+                    _ => CopyReply::Refused,
+                },
+            );
         }
         if step == CopyStep::Safe {
             break;
@@ -77,7 +84,7 @@
         match plan.next_step() {
             CopyStep::Send(candidate) => {
                 asked += 1;
-                plan.record_response(candidate, false);
+                plan.record_response(candidate, CopyReply::Refused);
             }
             step => {
                 assert_eq!(step, CopyStep::Failed);
@@ -92,7 +99,7 @@
 fn copy_plan_of_two_vms_is_safe_with_one_copy() {
     let mut plan = CopyPlan::new(vec![true]);
     assert_eq!(send_all(&mut plan), (vec![0], CopyStep::Wait));
-    plan.record_response(0, true);
+    plan.record_response(0, CopyReply::Held);
     assert_eq!(plan.next_step(), CopyStep::Safe);
 }
 
@@ -137,20 +144,54 @@
     assert_eq!(unsaved.get(&turn.id), Some(turn));
 }
 
+// Guards against an answer whose turn has another version on a VM that is asked for
+// a copy; a turn that was answered is handed over all the same.
+#[test]
+fn copy_plan_ends_at_another_version_unless_the_turn_was_answered() {
+    let mut plan = CopyPlan::new(vec![false, true, true, true]);
+    assert_eq!(send_all(&mut plan), (vec![0, 1], CopyStep::Wait));
+    plan.record_response(0, CopyReply::OtherVersion);
+    assert_eq!(send_all(&mut plan), (vec![], CopyStep::Failed));
+    let mut handover = CopyPlan::for_handover(vec![false, true, true, true]);
+    assert_eq!(send_all(&mut handover), (vec![0, 1, 2], CopyStep::Wait));
+    handover.record_response(0, CopyReply::OtherVersion);
+    assert_eq!(send_all(&mut handover), (vec![3], CopyStep::Wait));
+}
+
+// Guards against a VM that drops its own version of a turn as another one is
+// withdrawn.
+#[test]
+fn unsaved_forget_removes_only_copies_of_that_version() {
+    let mut unsaved = UnsavedTurns::new(1_000);
+    let (own, copy) = (turn("t1", "own"), turn("t2", "copy"));
+    assert!(unsaved.begin(Rc::clone(&own)));
+    unsaved.mark_safe(&own.id);
+    assert_eq!(unsaved.hold(Rc::clone(&copy), 0), CopyReply::Held);
+    unsaved.forget(&own.id, |_| true);
+    unsaved.forget(&copy.id, |turn| turn.output == b"other"[..]);
+    assert_eq!(unsaved.len(), 2);
+    unsaved.forget(&copy.id, |turn| *turn == *copy);
+    assert_eq!(unsaved.get(&copy.id), None);
+    assert_eq!(unsaved.get(&own.id), Some(own));
+}
+
 // Guards against two versions of one turn on two callers' sides.
 #[test]
 fn unsaved_hold_of_another_version_is_rejected() {
     let mut unsaved = UnsavedTurns::new(1_000);
-    assert!(unsaved.hold(turn("t1", "one"), 0));
-    assert!(unsaved.hold(turn("t1", "one"), 0));
-    assert!(!unsaved.hold(turn("t1", "other"), 0));
+    assert_eq!(unsaved.hold(turn("t1", "one"), 0), CopyReply::Held);
+    assert_eq!(unsaved.hold(turn("t1", "one"), 0), CopyReply::Held);
+    assert_eq!(
+        unsaved.hold(turn("t1", "other"), 0),
+        CopyReply::OtherVersion
+    );
     assert!(!unsaved.begin(turn("t1", "other")));
 }
 
 #[test]
 fn unsaved_take_due_repeats_after_the_delay() {
     let mut unsaved = UnsavedTurns::new(1_000);
-    assert!(unsaved.hold(turn("t1", "out"), 10));
+    assert_eq!(unsaved.hold(turn("t1", "out"), 10), CopyReply::Held);
     assert!(unsaved.take_due(9, 100).is_empty());
     assert_eq!(unsaved.take_due(10, 100).len(), 1);
     assert!(unsaved.take_due(99, 200).is_empty());
@@ -162,8 +203,14 @@
 fn unsaved_beyond_its_size_is_rejected() {
     let mut unsaved = UnsavedTurns::new(100);
     assert!(unsaved.begin(turn("t1", &"x".repeat(60))));
-    assert!(!unsaved.hold(turn("t2", &"x".repeat(60)), 0));
+    assert_eq!(
+        unsaved.hold(turn("t2", &"x".repeat(60)), 0),
+        CopyReply::Refused
+    );
     unsaved.remove(&TurnId::parse("t1").expect("valid id"));
-    assert!(unsaved.hold(turn("t2", &"x".repeat(60)), 0));
+    assert_eq!(
+        unsaved.hold(turn("t2", &"x".repeat(60)), 0),
+        CopyReply::Held
+    );
     assert_eq!(unsaved.len(), 1);
 }
--- a/crates/turns/tests/schedules.rs
+++ b/crates/turns/tests/schedules.rs
@@ -11,8 +11,8 @@
 use bytes::Bytes;
 use lagoon_gateway::{Row, RowKey, RowWrite};
 use lagoon_turns::{
-    collect_chain, decode_rows, merge_rows, row_writes, ChainError, CopyPlan, CopyStep, Lookup,
-    PeerAnswer, StoreAnswer, Turn, TurnCache, TurnId, UnsavedTurns, Verdict, WriteOutcome,
+    collect_chain, decode_rows, merge_rows, row_writes, ChainError, CopyPlan, CopyReply, CopyStep,
+    Lookup, PeerAnswer, StoreAnswer, Turn, TurnCache, TurnId, UnsavedTurns, Verdict, WriteOutcome,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
@@ -293,10 +293,12 @@
                 CopyStep::Send(index) => {
                     let other = &mut self.vms[others[index]];
                     let known = other.cache.get(&turn.id);
-                    let is_same = known.is_none_or(|known| known == *turn);
-                    let is_held =
-                        !other.is_frozen && is_same && other.unsaved.hold(Rc::clone(turn), 0);
-                    plan.record_response(index, is_held);
+                    let reply = match known {
+                        _ if other.is_frozen => CopyReply::Refused,
+                        Some(known) if known != *turn => CopyReply::OtherVersion,
+                        _ => other.unsaved.hold(Rc::clone(turn), 0),
+                    };
+                    plan.record_response(index, reply);
                 }
                 step => return step == CopyStep::Safe,
             }
