Keep the latest of a target's statements that it leaves

What callers would see: a request to a run that has said that it leaves, after a response that took longer than others (read, not seen).

Cause: the statement of the response that came last replaced the others, though its request may have been sent before the run started whose statement is known.

place_skips_leaving_target_whose_start_is_read_late, with a late response, failed before.

--- a/crates/gateway/src/targets/leaving.rs
+++ b/crates/gateway/src/targets/leaving.rs
@@ -40,10 +40,14 @@
 
 impl LeavingRuns {
     /// Adds the statement of a target in the response to a request that was sent by
-    /// this entry.
+    /// this entry. Of several statements the latest request counts.
     pub(super) fn insert(&mut self, entry: &TargetEntry, sent_unix_ms: u64) {
-        let is_other = |known: &Statement| known.id != entry.id || known.address != entry.address;
-        self.0.retain(is_other);
+        let is_same =
+            |known: &&mut Statement| known.id == entry.id && known.address == entry.address;
+        if let Some(known) = self.0.iter_mut().find(is_same) {
+            known.sent_unix_ms = known.sent_unix_ms.max(sent_unix_ms);
+            return;
+        }
         if self.0.len() == MAX_LEAVING {
             self.0.pop_front();
         }
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -181,6 +181,8 @@
     let mut targets = targets(&[]);
     targets.upsert(restarted("t1", 7));
     assert!(targets.record_leaving(&restarted("t1", 7), 20));
+    // A response that took longer than others.
+    assert!(!targets.record_leaving(&restarted("t1", 7), 10));
     targets.upsert(restarted("t1", 15));
     assert_eq!(targets.leaving_count(), 1);
 }
