--- a/crates/entry/tests/soak.rs
+++ b/crates/entry/tests/soak.rs
@@ -554,7 +554,8 @@
 
 /// Seeds with network faults that failed once. 601: all callers waited for their
 /// routes' timeouts on blackholed connections, and the run ended before they had
-/// made 20 calls.
+/// made 20 calls; later, a VM that had read the start of a desk late took the run
+/// that had said that it leaves for its successor.
 const LINK_REGRESSION_SEEDS: [u64; 1] = [601];
 
 #[test]
