Count a statement of leaving also where the target's clock is ahead

Cause: a statement covers the runs that started before the request was sent, by this VM's clock. A run that starts in this VM's future was taken for its own successor.

A statement now covers at least the run by whose entry the request was sent. place_skips_leaving_target_whose_clock_is_ahead failed before.

--- a/crates/gateway/src/targets/leaving.rs
+++ b/crates/gateway/src/targets/leaving.rs
@@ -20,7 +20,8 @@
 struct Statement {
     id: CompactString,
     address: SocketAddr,
-    /// Unix time at which the request was sent whose response had the statement.
+    /// Unix time at which the request was sent whose response had the statement, or
+    /// the start of the run that it was sent to, if that is later by its clock.
     sent_unix_ms: u64,
 }
 
@@ -42,6 +43,7 @@
     /// Adds the statement of a target in the response to a request that was sent by
     /// this entry. Of several statements the latest request counts.
     pub(super) fn insert(&mut self, entry: &TargetEntry, sent_unix_ms: u64) {
+        let sent_unix_ms = sent_unix_ms.max(entry.started_unix_ms.unwrap_or_default());
         let is_same =
             |known: &&mut Statement| known.id == entry.id && known.address == entry.address;
         if let Some(known) = self.0.iter_mut().find(is_same) {
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -187,6 +187,16 @@
     assert_eq!(targets.leaving_count(), 1);
 }
 
+// Guards against a statement that counts for nothing as this VM's clock is behind
+// that of the target.
+#[test]
+fn place_skips_leaving_target_whose_clock_is_ahead() {
+    let mut targets = targets(&[]);
+    targets.upsert(restarted("t1", 50));
+    assert!(targets.record_leaving(&restarted("t1", 50), 20));
+    assert_eq!(targets.leaving_count(), 1);
+}
+
 // Guards against a successor that is left out as its address, or its id, is that of
 // a target that has left, and against a statement that comes after the entry is gone.
 #[test]
