Read and log the limits that targets state

What callers saw: nothing; what was missing is what on-call sees. No line or metric told whether a VM knew of a target's limit, when, how old its knowledge was and when the limit ended, so the hypotheses of the incident could not be told apart.

The header is read in the response's head, of every response that is the target's own: also a rejection, and one whose body breaks off. A log line at each change, the limit and its age in the line of each response, a gauge of limited targets. What counts as older or newer, with responses that overtake each other, is a crate of its own without I/O (lagoon-limits). Nothing is decided by it yet.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -242,6 +242,10 @@
         let waited_ms = now_ms - self.arrived_ms;
         state.metrics.record_response(status.as_u16(), waited_ms);
         let placement = self.placement;
+        let limit = placement.and_then(|placement| {
+            let targets = state.targets.borrow();
+            targets.limit(placement.key, now_ms)
+        });
         log::info!(
             request = self.metadata.request_id.as_str(),
             program = self.metadata.program.as_deref().unwrap_or("-"),
@@ -257,6 +261,8 @@
             used_tokens = self.reservation.as_ref().map_or(0, TokenReservation::used_tokens),
             load = placement.map_or(0.0, |placement| placement.load),
             load_age_ms = placement.and_then(|placement| placement.load_age_ms).map_or(-1, |age| age as i64),
+            limit_per_s = limit.map_or(-1.0, |(per_s, _)| per_s),
+            limit_age_ms = limit.map_or(-1, |(_, age_ms)| age_ms as i64),
             left_ms = self.deadline_ms as i64 - now_ms as i64,
             waited_ms;
             "{why}"
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -211,6 +211,9 @@
         if metadata.is_leaving && is_own_response(&checked) {
             self.record_leaving(key, entry, sent_unix_ms);
         }
+        if is_own_response(&checked) {
+            self.record_limit(key, metadata.limit_per_s, in_flight.started_ms);
+        }
         if let Err(failed) = checked {
             in_flight.may_run = !failed.failure.is_not_executed();
             return Err(failed);
@@ -315,6 +318,26 @@
         );
     }
 
+    /// Records the limit that the target states, or that it states none.
+    fn record_limit(&self, key: TargetKey, per_s: Option<f64>, sent_ms: u64) {
+        let now_ms = self.state.now_ms();
+        let mut targets = self.state.targets.borrow_mut();
+        let Some(change) = targets.record_limit(key, per_s, sent_ms, now_ms) else {
+            return;
+        };
+        self.state
+            .metrics
+            .set_limited_targets(targets.limited_count());
+        log::info!(
+            request = self.metadata.request_id.as_str(),
+            target_id = self.target_id.as_str(),
+            change = change.to_string(),
+            limit_per_s = per_s.unwrap_or(-1.0),
+            sent_before_ms = now_ms - sent_ms;
+            "limit of a target"
+        );
+    }
+
     fn build_request(
         &self,
         entry: &TargetEntry,
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -27,6 +27,7 @@
     config_version: IntGauge,
     targets: IntGauge,
     leaving_targets: IntGauge,
+    limited_targets: IntGauge,
     other_vms: IntGauge,
     sessions: IntGauge,
     quarantined: IntGauge,
@@ -92,6 +93,10 @@
                 "lagoon_leaving_targets",
                 "Known targets that have stated in a response that they are about to stop",
             )?,
+            limited_targets: gauge(
+                "lagoon_limited_targets",
+                "Known targets that state how many requests per second they take",
+            )?,
             other_vms: gauge("lagoon_other_vms", "Other entry VMs known")?,
             sessions: gauge("lagoon_lines", "Lines of calls whose target is known")?,
             quarantined: gauge(
@@ -159,6 +164,10 @@
         self.0.leaving_targets.set(count as i64);
     }
 
+    pub(crate) fn set_limited_targets(&self, count: usize) {
+        self.0.limited_targets.set(count as i64);
+    }
+
     pub(crate) fn set_other_vms(&self, count: usize) {
         self.0.other_vms.set(count as i64);
     }
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -366,6 +366,7 @@
         let targets = state.targets.borrow();
         state.metrics.set_targets(targets.len());
         state.metrics.set_leaving_targets(targets.leaving_count());
+        state.metrics.set_limited_targets(targets.limited_count());
         state
             .metrics
             .set_other_vms(state.peer_client.peers.borrow().len());
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -9,6 +9,7 @@
 use compact_str::CompactString;
 use derive_more::Display;
 use lagoon_ids::FastMap;
+use lagoon_limits::{LimitChange, LimitTable};
 use leaving::LeavingRuns;
 use lost::LostAttempts;
 use slotmap::{new_key_type, SlotMap};
@@ -137,6 +138,8 @@
     missing_grace_until_ms: u64,
     lost: LostAttempts,
     leaving: LeavingRuns,
+    /// Limits that targets have stated in responses.
+    pub limits: LimitTable,
 }
 
 impl Targets {
@@ -401,6 +404,35 @@
         is_news
     }
 
+    /// Records the limit that a target states in the response to a request that was
+    /// sent at `sent_ms`, or that it states none. Returns what that changes.
+    pub fn record_limit(
+        &mut self,
+        key: TargetKey,
+        per_s: Option<f64>,
+        sent_ms: u64,
+        now_ms: u64,
+    ) -> Option<LimitChange> {
+        let run = self.arena.get(key)?.run;
+        self.limits.record_response(run, per_s, sent_ms, now_ms)
+    }
+
+    /// Limit of a target in requests per second, with the time since it was last
+    /// stated; `None` without a limit.
+    pub fn limit(&self, key: TargetKey, now_ms: u64) -> Option<(f64, u64)> {
+        let run = self.arena.get(key)?.run;
+        let per_s = self.limits.limit(run)?;
+        Some((per_s, self.limits.statement_age_ms(run, now_ms)?))
+    }
+
+    /// Number of known targets that have a limit.
+    pub fn limited_count(&self) -> usize {
+        let targets = self.arena.values();
+        targets
+            .filter(|target| self.limits.limit(target.run).is_some())
+            .count()
+    }
+
     /// Number of known targets that have stated that they are about to stop.
     pub fn leaving_count(&self) -> usize {
         let targets = self.arena.values();
--- a/crates/gateway/src/targets/target.rs
+++ b/crates/gateway/src/targets/target.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use lagoon_ids::hash64;
+use lagoon_limits::RunId;
 
 use super::lost::{UnfinishedAttempts, MIN_SILENCE_MS};
 use super::{TargetEntry, TargetSettings, TargetStatus};
@@ -69,6 +70,8 @@
     pub entry: TargetEntry,
     /// Hash of the target's id, by which targets are ranked for a program.
     pub hash: u64,
+    /// Run of the target's process.
+    pub run: RunId,
     /// Requests that this VM has in flight at the target.
     pub in_flight: u32,
     /// Requests of the load report that neither this VM nor its gossip peers
@@ -101,8 +104,11 @@
 
 impl Target {
     pub(super) fn new(entry: TargetEntry, is_leaving: bool) -> Target {
+        let hash = hash64(entry.id.as_bytes());
+        let started_unix_ms = entry.started_unix_ms.unwrap_or_default();
         Target {
-            hash: hash64(entry.id.as_bytes()),
+            hash,
+            run: RunId(hash64(&(hash ^ started_unix_ms).to_le_bytes())),
             entry,
             in_flight: 0,
             unattributed_requests: 0.0,
@@ -164,9 +170,7 @@
     /// Hash that identifies this run of the target's process: as
     /// [`Target::id_hash`], but with the time of its start.
     pub fn run_hash(&self) -> TargetHash {
-        let started_unix_ms = self.entry.started_unix_ms.unwrap_or_default();
-        let run = hash64(&(self.hash ^ started_unix_ms).to_le_bytes());
-        TargetHash(run as u32)
+        TargetHash(self.run.0 as u32)
     }
 
     /// Estimated requests at a target of another failure domain, whose VMs don't
