--- a/crates/standin/src/fleet/target.rs
+++ b/crates/standin/src/fleet/target.rs
@@ -12,7 +12,7 @@
 use hyper::header::{HeaderValue, CONTENT_TYPE};
 use hyper::{Request, Response, StatusCode};
 use lagoon_adapter::standin::{
-    decode_received_request, leaving_header, not_executed_headers, response_headers,
+    decode_received_request, leaving_header, limit_header, not_executed_headers, response_headers,
     ReceivedRequest,
 };
 use lagoon_gateway::{TargetEntry, TargetStatus};
@@ -93,6 +93,10 @@
     started_unix_ms: u64,
     /// Whether this run has announced in its responses that it will stop.
     is_leaving: bool,
+    /// Requests per second that this run states in its responses to take.
+    limit_per_s: Option<f64>,
+    /// Times of all requests that were addressed to this target, executed or not.
+    arrivals: Vec<Instant>,
 }
 
 /// Handle of a simulated target on loopback.
@@ -161,6 +165,7 @@
         let mut state = lock(&self.state);
         state.started_unix_ms = unix_now_ms().max(state.started_unix_ms + 1);
         state.is_leaving = false;
+        state.limit_per_s = None;
     }
 
     /// Announces in each response from now on that this run will stop.
@@ -168,6 +173,16 @@
         lock(&self.state).is_leaving = true;
     }
 
+    /// States this limit in each response from now on; `None` states none.
+    pub fn limit(&self, per_s: Option<f64>) {
+        lock(&self.state).limit_per_s = per_s;
+    }
+
+    /// Times of the requests that were addressed to this target, executed or not.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        lock(&self.state).arrivals.clone()
+    }
+
     /// Makes each request with this path crash the target when it starts to run.
     pub fn crash_on_path(&self, path: &str, crash: Crash) {
         lock(&self.state).crash_path = Some((path.to_owned(), crash));
@@ -208,9 +223,12 @@
     request: Request<Incoming>,
 ) -> Result<HttpResponse, ConnectionAborted> {
     let mut response = respond(id, Arc::clone(&state), crash, request).await?;
-    if lock(&state).is_leaving {
+    let state = lock(&state);
+    if state.is_leaving {
         response.headers_mut().extend([leaving_header()]);
     }
+    let limit = state.limit_per_s.and_then(limit_header);
+    response.headers_mut().extend(limit);
     Ok(response)
 }
 
@@ -230,7 +248,11 @@
     if received.target_id != id {
         return Ok(full_response(StatusCode::MISDIRECTED_REQUEST, Vec::new()));
     }
-    let fault = lock(&state).fault;
+    let fault = {
+        let mut state = lock(&state);
+        state.arrivals.push(Instant::now());
+        state.fault
+    };
     if fault == TargetFault::AtCapacity {
         let mut response = full_response(StatusCode::SERVICE_UNAVAILABLE, Vec::new());
         *response.headers_mut() = not_executed_headers();
