Send a limited target only what its domain's grantor permits

Cause: each VM bounds what it sends by what it sees itself, and no VM sees the others' sends. No code read the limit; and a limit kept by each VM alone would be a bound on a sum that nobody counts.

One VM of the target's failure domain counts for all: a request to a target with a limit needs a permit from its token bucket, at the stated rate. A standby of another domain grants 0.4 of the rate while the primary doesn't reply, so that both together stay within the bound. Buckets begin empty, so that a successor adds nothing. The limit is read from each response, told to all VMs, and carried by requests for permits and their replies. Running programs go before new ones, urgent new ones before others; what finds no room is refused as not run, with a time to come back.

The class: a bound on a sum over VMs, kept by each VM alone.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod attempt;
+mod permit;
 mod reading;
 mod turns;
 
@@ -23,6 +24,7 @@
     PlacementRequest, ProgramKey, RequestMetadata, RetryDecision, Route, TargetEntry, TargetKey,
 };
 use lagoon_ids::hash64;
+use lagoon_limits::Demand;
 use lagoon_turns::TurnId;
 use rand::RngExt;
 use tokio::task::spawn_local;
@@ -36,6 +38,7 @@
 use crate::suspects::InterruptedAttempt;
 
 pub(crate) use attempt::{forwarded_head, FailedAttempt, ResponseStream, TargetResponse};
+use permit::Permit;
 use reading::read_body;
 
 const RESERVATION_TIMEOUT_MS: u64 = 1_500;
@@ -92,6 +95,12 @@
     _body_memory: BodyMemory,
     _chain_memory: Option<BodyMemory>,
     excluded_targets: Vec<TargetKey>,
+    demand: Demand,
+    /// Permit for the next attempt; `None` if there is none, or the target has no
+    /// limit.
+    permit: Option<Permit>,
+    /// Whether placement leaves targets with limits out.
+    skips_limited: bool,
     /// Whether an attempt is in flight, or has failed without proof that the
     /// target did not execute the request.
     may_have_run: bool,
@@ -180,6 +189,9 @@
         _body_memory: body_memory,
         _chain_memory: None,
         excluded_targets: Vec::new(),
+        demand: Demand::Running,
+        permit: None,
+        skips_limited: false,
         may_have_run: false,
         placement: None,
         target_id: CompactString::default(),
@@ -331,6 +343,8 @@
             domain: &self.state.domain,
             last_target: last_target.and_then(|hash| targets.key_by_hash(hash)),
             excluded_targets: &self.excluded_targets,
+            demand: self.demand,
+            skips_limited: self.skips_limited,
             random: rand::rng().random(),
         };
         place(
@@ -343,7 +357,7 @@
 
     /// Chooses and records the target of the next attempt; `None` if no target
     /// is usable.
-    pub(crate) fn choose_target(&mut self) -> Option<(TargetKey, TargetEntry)> {
+    fn choose_target(&mut self) -> Option<(TargetKey, TargetEntry)> {
         let placement = self.evaluate_placement()?;
         let entry = self.target_entry(placement.key)?;
         self.placement = Some(placement);
@@ -366,11 +380,7 @@
             if self.is_quarantined() {
                 return Err(self.quarantined());
             }
-            let chosen = match same_target.take() {
-                Some(key) => self.target_entry(key).map(|entry| (key, entry)),
-                None => self.choose_target(),
-            };
-            let Some((key, entry)) = chosen else {
+            let Some((key, entry)) = self.claim_target(same_target.take()).await else {
                 return Err(self.no_target());
             };
             let last_event_id = self.metadata.last_event_id;
@@ -418,7 +428,8 @@
         if self.attempts.may_have_run() {
             return self.unknown_outcome("no target left");
         }
-        self.refuse("no target", OVERLOADED_RETRY_AFTER_MS)
+        self.refuse_at_limits()
+            .unwrap_or_else(|| self.refuse("no target", OVERLOADED_RETRY_AFTER_MS))
     }
 
     fn unknown_outcome(&self, detail: &str) -> Box<Response<ResponseBody>> {
--- a/crates/entry/src/forward/admission.rs
+++ b/crates/entry/src/forward/admission.rs
@@ -4,6 +4,7 @@
 
 use hyper::Response;
 use lagoon_gateway::{admit, Admission};
+use lagoon_limits::Demand;
 use rand::RngExt;
 use tokio::time::sleep;
 
@@ -26,13 +27,22 @@
             return Ok(());
         }
         let settings = self.state.admission_settings;
+        self.demand = Demand::NewProgram {
+            priority: self.route.priority,
+        };
         loop {
             let Some(placement) = self.evaluate_placement() else {
-                return Ok(());
+                return self.refuse_at_limits().map_or(Ok(()), Err);
             };
             let waited_ms = self.state.now_ms() - self.arrived_ms;
             match admit(&settings, &placement, waited_ms) {
-                Admission::Admit => return Ok(()),
+                Admission::Admit => {
+                    self.placement = Some(placement);
+                    if self.obtain_permit(placement.key).await {
+                        return Ok(());
+                    }
+                    continue;
+                }
                 Admission::Refuse => {
                     self.placement = Some(placement);
                     return Err(self.refuse("no place for a new program", FULL_RETRY_AFTER_MS));
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -12,6 +12,7 @@
     ResponseMetadata,
 };
 use lagoon_gateway::{AttemptFailure, RouteKind, TargetEntry, TargetKey, UnfinishedAttempt};
+use lagoon_limits::Demand;
 
 use crate::body::RequestBody;
 use crate::clock::unix_now_ms;
@@ -169,6 +170,7 @@
         last_event_id: Option<u64>,
     ) -> Result<TargetResponse, FailedAttempt> {
         let sent_unix_ms = unix_now_ms();
+        let permit = self.permit.take();
         let mut in_flight = InFlightGuard::new(self, key);
         let mut stale_connections = 0;
         let (pooled, response) = loop {
@@ -181,6 +183,16 @@
                         detail: error.to_string(),
                         is_unreachable: true,
                     })?;
+            let now_ms = self.state.now_ms();
+            if permit.is_some_and(|permit| permit.is_expired(now_ms)) {
+                return Err(FailedAttempt {
+                    failure: AttemptFailure::NotSent,
+                    detail: "no connection before the permit expired".to_owned(),
+                    is_unreachable: false,
+                });
+            }
+            // Whatever follows, the program has begun.
+            self.demand = Demand::Running;
             let request = self.build_request(entry, last_event_id);
             self.may_have_run = true;
             in_flight.may_run = true;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 mod news;
 mod options;
 mod peers;
+mod permits;
 mod pool;
 mod registration;
 mod relay;
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -6,6 +6,8 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::permits::PermitRequest;
+
 /// Path of the HTTP requests that carry messages.
 pub(crate) const MESSAGE_PATH: &str = "/v1/message";
 
@@ -64,6 +66,9 @@
     /// the store has other versions. Each has the hash of its version, as in
     /// `turns::version_hash`. Response: `true`.
     ForgetCopies(Vec<(CompactString, u64)>),
+    /// Grant a permit for a request to a target with a limit. Response:
+    /// [`PermitReply`](crate::permits::PermitReply).
+    RequestPermit(PermitRequest),
 }
 
 /// Response to [`PeerMessage::FetchTurns`].
--- a/crates/entry/src/message_handler.rs
+++ b/crates/entry/src/message_handler.rs
@@ -70,6 +70,9 @@
         PeerMessage::ReleaseReserve(request) => {
             postcard::to_allocvec(&budget_client.release_reserve(&request))
         }
+        PeerMessage::RequestPermit(request) => {
+            postcard::to_allocvec(&state.handle_permit_request(&request))
+        }
         PeerMessage::Probe => postcard::to_allocvec(&budget_client.is_store_unavailable()),
     };
     match response {
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -18,10 +18,12 @@
     failed_attempts: IntCounterVec,
     target_crashes: IntCounterVec,
     store_calls: IntCounterVec,
+    permits: IntCounterVec,
     gossip_messages: IntCounterVec,
     gossip_bytes: IntCounterVec,
     first_byte_s: Histogram,
     charge_s: Histogram,
+    permit_s: Histogram,
     kept_turn_s: HistogramVec,
     chain_s: HistogramVec,
     config_version: IntGauge,
@@ -73,6 +75,12 @@
                 &["event"],
             )?,
             store_calls: counters("lagoon_store_calls_total", "Store calls", &["call", "end"])?,
+            permits: counters(
+                "lagoon_permits_total",
+                "Requests for permits to targets with limits",
+                &["decision"],
+            )?,
+            permit_s: histogram("lagoon_permit_seconds", "Wait for a permit or its refusal")?,
             gossip_messages: counters("lagoon_news_total", "News of other VMs", &["end"])?,
             gossip_bytes: counters("lagoon_news_bytes_total", "Their bytes", &["end"])?,
             first_byte_s: histogram("lagoon_first_byte_seconds", "Arrival to answer's head")?,
@@ -142,6 +150,14 @@
         self.0.charge_s.observe(wait_ms as f64 / 1e3);
     }
 
+    pub(crate) fn record_permit(&self, decision: &str) {
+        self.0.permits.with_label_values(&[decision]).inc();
+    }
+
+    pub(crate) fn record_permit_wait(&self, wait_ms: u64) {
+        self.0.permit_s.observe(wait_ms as f64 / 1e3);
+    }
+
     pub(crate) fn record_kept_turn(&self, place: &str, took_ms: u64) {
         let histogram = self.0.kept_turn_s.with_label_values(&[place]);
         histogram.observe(took_ms as f64 / 1e3);
--- a/crates/entry/src/news.rs
+++ b/crates/entry/src/news.rs
@@ -1,11 +1,12 @@
 //! Gossip between VMs by UDP: loads of targets, session affinities, crashes of
-//! targets, and the versions that sentinels have read.
+//! targets, the versions that sentinels have read, and limits of targets.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use lagoon_gateway::{CrashUpdate, GossipMessage, TableVersions};
+use lagoon_limits::LimitUpdate;
 use rand::RngExt;
 use tokio::net::UdpSocket;
 use tokio::task::spawn_local;
@@ -32,13 +33,17 @@
 /// well within `MAX_MESSAGE_BYTES`.
 const CRASHES_PER_MESSAGE: usize = 100;
 
-/// Interval at which a VM repeats the crashes it knows, as datagrams may get
-/// lost and VMs may be cut off for a time.
-const CRASH_REPEAT_INTERVAL: Duration = Duration::from_secs(1);
+/// Maximum number of limits in one message. At up to 36 bytes each, they stay within
+/// `MAX_MESSAGE_BYTES`.
+const LIMITS_PER_MESSAGE: usize = 100;
 
-/// Number of other VMs, chosen at random, that get a repetition. Each VM that
-/// knows a crash repeats it, so all know it after a few rounds.
-const CRASH_REPEAT_PEERS: usize = 3;
+/// Interval at which a VM repeats the crashes and limits that it knows, as datagrams
+/// may get lost and VMs may be cut off for a time.
+const REPEAT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Number of other VMs, chosen at random, that get a repetition. Each VM that knows
+/// of it repeats it, so all know after a few rounds.
+const REPEAT_PEERS: usize = 3;
 
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -52,7 +57,7 @@
     socket.set_nonblocking(true)?;
     let socket = Rc::new(UdpSocket::from_std(socket)?);
     spawn_local(send_updates(Rc::clone(state), Rc::clone(&socket)));
-    spawn_local(repeat_crashes(Rc::clone(state), Rc::clone(&socket)));
+    spawn_local(repeat_news(Rc::clone(state), Rc::clone(&socket)));
     spawn_local(receive_updates(Rc::clone(state), socket));
     Ok(())
 }
@@ -62,6 +67,7 @@
     loop {
         sleep(GOSSIP_INTERVAL).await;
         send_new_crashes(&state, &socket);
+        send_new_limits(&state, &socket);
         send_versions(&state, &socket);
         let targets = state.targets.borrow_mut().take_updates(state.now_ms());
         let updates = state.affinity.borrow_mut().take_updates();
@@ -121,20 +127,37 @@
     }
 }
 
-async fn repeat_crashes(state: Rc<DaemonState>, socket: Rc<UdpSocket>) {
+/// Sends the limits that this VM's responses brought to all other VMs.
+fn send_new_limits(state: &DaemonState, socket: &UdpSocket) {
+    let limits = state.targets.borrow_mut().limits.take_news(state.now_ms());
+    if limits.is_empty() {
+        return;
+    }
+    let receivers = state.peer_client.peers.borrow().sample(usize::MAX, 0);
+    for limits in limits.chunks(LIMITS_PER_MESSAGE) {
+        send_limits(state, socket, limits, &receivers);
+    }
+}
+
+async fn repeat_news(state: Rc<DaemonState>, socket: Rc<UdpSocket>) {
     loop {
-        sleep(CRASH_REPEAT_INTERVAL).await;
+        sleep(REPEAT_INTERVAL).await;
+        let now_ms = state.now_ms();
         let crashes = state.crash_tracker.to_repeat(CRASHES_PER_MESSAGE);
-        if crashes.is_empty() {
-            continue;
-        }
-        let random = rand::rng().random();
-        let receivers = state
-            .peer_client
-            .peers
+        let limits = state
+            .targets
             .borrow()
-            .sample(CRASH_REPEAT_PEERS, random);
-        send_crashes(&state, &socket, &crashes, &receivers);
+            .limits
+            .to_repeat(LIMITS_PER_MESSAGE, now_ms);
+        let random = rand::rng().random();
+        let peers = &state.peer_client.peers;
+        let receivers = peers.borrow().sample(REPEAT_PEERS, random);
+        if !crashes.is_empty() {
+            send_crashes(&state, &socket, &crashes, &receivers);
+        }
+        if !limits.is_empty() {
+            send_limits(&state, &socket, &limits, &receivers);
+        }
     }
 }
 
@@ -162,6 +185,24 @@
     send_encoded(state, socket, message, receivers);
 }
 
+/// Sends limits to several VMs, after an empty message, an empty list of crashes and
+/// no versions: VMs of earlier versions ignore what follows these.
+fn send_limits(
+    state: &DaemonState,
+    socket: &UdpSocket,
+    limits: &[LimitUpdate],
+    receivers: &[SocketAddr],
+) {
+    let no_crashes: &[CrashUpdate] = &[];
+    let message = (
+        GossipMessage::default(),
+        no_crashes,
+        TableVersions::default(),
+        limits,
+    );
+    send_encoded(state, socket, postcard::to_allocvec(&message), receivers);
+}
+
 fn send_encoded(
     state: &DaemonState,
     socket: &UdpSocket,
@@ -206,22 +247,9 @@
             continue;
         }
         match decode(&buffer[..bytes]) {
-            Ok((message, crashes, versions)) => {
+            Ok(news) => {
                 state.metrics.record_gossip("heard", bytes);
-                let now_ms = state.now_ms();
-                if let Some(targets) = &message.targets {
-                    let mut known = state.targets.borrow_mut();
-                    known.apply_updates(from, targets, now_ms);
-                }
-                state
-                    .affinity
-                    .borrow_mut()
-                    .apply_updates(from, &message.affinities, now_ms);
-                state.crash_tracker.apply_updates(&crashes);
-                if let Some(versions) = versions {
-                    let mut sentinel = state.sentinel.borrow_mut();
-                    sentinel.on_message(from, versions, now_ms);
-                }
+                apply(&state, from, news);
             }
             Err(error) => {
                 state.metrics.record_gossip("unreadable", bytes);
@@ -231,18 +259,55 @@
     }
 }
 
-type Decoded = (GossipMessage, Vec<CrashUpdate>, Option<TableVersions>);
+/// Decoded message: what an older VM doesn't send is empty.
+#[derive(Debug, Default)]
+struct News {
+    message: GossipMessage,
+    crashes: Vec<CrashUpdate>,
+    versions: TableVersions,
+    limits: Vec<LimitUpdate>,
+}
+
+fn apply(state: &DaemonState, from: SocketAddr, news: News) {
+    let now_ms = state.now_ms();
+    if let Some(targets) = &news.message.targets {
+        let mut known = state.targets.borrow_mut();
+        known.apply_updates(from, targets, now_ms);
+    }
+    state
+        .affinity
+        .borrow_mut()
+        .apply_updates(from, &news.message.affinities, now_ms);
+    state.crash_tracker.apply_updates(&news.crashes);
+    state
+        .sentinel
+        .borrow_mut()
+        .on_message(from, news.versions, now_ms);
+    if !news.limits.is_empty() {
+        state.apply_limits(&news.limits, &from.to_string());
+    }
+}
 
-/// Decodes a message, and the crashes and the versions that follow it, if any.
-fn decode(bytes: &[u8]) -> Result<Decoded, postcard::Error> {
+/// Decodes a message, and the crashes, the versions and the limits that follow it, if
+/// any.
+fn decode(bytes: &[u8]) -> Result<News, postcard::Error> {
     let (message, remaining) = postcard::take_from_bytes(bytes)?;
+    let mut news = News {
+        message,
+        ..News::default()
+    };
     if remaining.is_empty() {
-        return Ok((message, Vec::new(), None));
+        return Ok(news);
     }
     let (crashes, remaining) = postcard::take_from_bytes(remaining)?;
-    let versions = match remaining {
-        [] => None,
-        remaining => Some(postcard::from_bytes(remaining)?),
-    };
-    Ok((message, crashes, versions))
+    news.crashes = crashes;
+    if remaining.is_empty() {
+        return Ok(news);
+    }
+    let (versions, remaining) = postcard::take_from_bytes(remaining)?;
+    news.versions = versions;
+    if !remaining.is_empty() {
+        news.limits = postcard::from_bytes(remaining)?;
+    }
+    Ok(news)
 }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -29,6 +29,7 @@
 use crate::clock::Clock;
 use crate::connection::{Connection, ExchangeError};
 use crate::message::{PeerMessage, StoreResult, TurnReply, MAX_MESSAGE_BYTES, MESSAGE_PATH};
+use crate::permits::{PermitReply, PermitRequest};
 
 /// Maximum number of VMs that one store call is relayed to.
 const MAX_RELAYS: usize = 4;
@@ -376,6 +377,29 @@
         reply.ok()
     }
 
+    /// Requests a permit from the VM with this name; `None` without a reply in time.
+    /// Being late here says nothing of whether the VM is up.
+    pub(crate) async fn request_permit(
+        &self,
+        name: &str,
+        request: PermitRequest,
+        max_wait: Duration,
+    ) -> Option<PermitReply> {
+        let address = self.peers.borrow().address(name)?;
+        let message = PeerMessage::RequestPermit(request);
+        let reply = timeout(max_wait, self.exchange(address, &message)).await;
+        let error = match reply {
+            Ok(Ok(reply)) => match postcard::from_bytes(&reply) {
+                Ok(reply) => return Some(reply),
+                Err(error) => error.to_string(),
+            },
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => "no reply in time".to_owned(),
+        };
+        log::debug!(peer = name, error = error.as_str(); "cannot request a permit");
+        None
+    }
+
     /// Records that the list of VMs is current.
     pub(crate) fn set_listing_read(&self) {
         self.listing_read_ms.set(Some(self.clock.now_ms()));
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -175,9 +175,9 @@
             let chosen = match next {
                 RetryDecision::SameTarget => {
                     sleep(RESUME_DELAY).await;
-                    self.request.target_entry(key).map(|entry| (key, entry))
+                    self.request.claim_target(Some(key)).await
                 }
-                RetryDecision::AnotherTarget => self.request.choose_target(),
+                RetryDecision::AnotherTarget => self.request.claim_target(None).await,
                 RetryDecision::Refuse | RetryDecision::UnknownOutcome => None,
             };
             let Some((chosen, entry)) = chosen else {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -230,6 +230,9 @@
         if round % EXPIRY_ROUNDS == 0 {
             state.pool.remove_expired();
             state.affinity.borrow_mut().remove_expired(state.now_ms());
+            state.permits.remove_expired(state.now_ms());
+            let now_ms = state.now_ms();
+            state.targets.borrow_mut().remove_expired_limits(now_ms);
             state.budget_client.remove_expired().await;
             state.crash_tracker.remove_expired().await;
             state.turn_keeper.delete_expired().await;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -14,6 +14,7 @@
 use crate::ledger::BudgetClient;
 use crate::metrics::Metrics;
 use crate::peers::PeerClient;
+use crate::permits::Permits;
 use crate::pool::Pool;
 use crate::settings::EntrySettings;
 use crate::suspects::CrashTracker;
@@ -72,6 +73,7 @@
     pub(crate) peer_client: Rc<PeerClient>,
     pub(crate) crash_tracker: Rc<CrashTracker>,
     pub(crate) turn_keeper: Rc<TurnKeeper>,
+    pub(crate) permits: Permits,
     pub(crate) placement_settings: PlacementSettings,
     pub(crate) admission_settings: AdmissionSettings,
     /// `None` until a valid configuration was read.
@@ -113,6 +115,7 @@
             peer_client: services.peer_client,
             crash_tracker: services.crash_tracker,
             turn_keeper: services.turn_keeper,
+            permits: Permits::default(),
             placement_settings: PlacementSettings::default(),
             admission_settings: AdmissionSettings::default(),
             config: RefCell::new(None),
--- a/crates/gateway/examples/decisions.rs
+++ b/crates/gateway/examples/decisions.rs
@@ -63,6 +63,8 @@
                 domain: "d1",
                 last_target: None,
                 excluded_targets: &[],
+                demand: lagoon_limits::Demand::Running,
+                skips_limited: false,
                 random: round,
             };
             black_box(place(&targets, &settings, &request, round % 300));
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -45,7 +45,7 @@
     pub timeout_ms: u64,
     /// Time within which callers expect the response to begin.
     pub target_latency_ms: u64,
-    /// Priority, 0 the highest; parsed only, the gateway doesn't use it.
+    /// Priority, 0 the highest: the order of new programs before targets with limits.
     pub priority: u32,
     /// Services with their shares of the route's requests.
     pub traffic_split: Vec<TrafficSplit>,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -213,6 +213,12 @@
             .collect()
     }
 
+    /// Names and failure domains of all other VMs.
+    pub fn entries(&self) -> impl Iterator<Item = (&str, &str)> {
+        let peers = self.peers.iter();
+        peers.map(|(name, peer)| (name.as_str(), peer.entry.domain.as_str()))
+    }
+
     /// Names and addresses of all other VMs.
     pub fn all(&self) -> Vec<(CompactString, SocketAddr)> {
         self.addresses(self.peers.keys())
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -1,6 +1,7 @@
 //! Placement: the choice of a target for one request.
 
 use lagoon_ids::hash64;
+use lagoon_limits::Demand;
 
 use crate::request_metadata::RequestMetadata;
 use crate::targets::{Target, TargetKey, Targets};
@@ -19,6 +20,8 @@
     pub prefill_weight: f64,
     /// Delay added by each concurrent request at the target.
     pub contention_ms: f64,
+    /// Cost of a target with a limit: the request for a permit.
+    pub permit_ms: f64,
     /// Cost of a target with a failure rate of 1.
     pub failure_ms: f64,
     /// Time without progress on requests after which a target counts as stalled;
@@ -35,6 +38,8 @@
             // many callers.
             prefill_weight: 3.0,
             contention_ms: 1.0,
+            // A round trip within a failure domain.
+            permit_ms: 3.0,
             failure_ms: 2_000.0,
             stall_ms: 250,
         }
@@ -55,6 +60,11 @@
     pub last_target: Option<TargetKey>,
     /// Targets that are not to be chosen, as earlier attempts at them failed.
     pub excluded_targets: &'a [TargetKey],
+    /// Whether the request begins a program. A target at its limit may have room for
+    /// one that doesn't.
+    pub demand: Demand,
+    /// Whether targets with limits are left out.
+    pub skips_limited: bool,
     /// Random number that breaks ties, so that VMs don't all choose the same.
     pub random: u64,
 }
@@ -78,7 +88,7 @@
 }
 
 /// Target with the smallest expected delay; `None` if no target of the service
-/// both accepts requests and is not excluded.
+/// accepts requests, is not excluded and may have room within its limit.
 ///
 /// Ejected targets are used only if there is no other.
 pub fn place(
@@ -88,7 +98,10 @@
     now_ms: u64,
 ) -> Option<Placement> {
     let usable = |(key, target): &(TargetKey, &Target)| {
-        target.accepts_requests() && !request.excluded_targets.contains(key)
+        target.accepts_requests()
+            && !request.excluded_targets.contains(key)
+            && !(request.skips_limited && targets.is_limited(target))
+            && targets.has_room(target, request.demand, now_ms)
     };
     let healthy = targets
         .of_service(request.service)
@@ -112,7 +125,7 @@
     I: Iterator<Item = (TargetKey, &'a Target)>,
 {
     let candidates: Vec<_> = candidates.collect();
-    let preferred = preferred_targets(&candidates, request);
+    let preferred = preferred_targets(targets, &candidates, request);
     let service_ms = targets.service_ms(request.service);
     let mean_load = mean_local_load(targets, &candidates, request, now_ms);
     candidates
@@ -132,6 +145,9 @@
                 cost_ms += settings.contention_ms;
             }
             cost_ms += (load + 1.0 - slots).max(0.0) * service_ms / slots;
+            if targets.is_limited(target) {
+                cost_ms += settings.permit_ms;
+            }
             cost_ms += target.failure_rate() * settings.failure_ms;
             cost_ms += targets.slowdown(target, now_ms) * service_ms;
             let stalled_ms = target.stalled_ms(now_ms);
@@ -177,9 +193,11 @@
 
 /// Targets without a prefill cost: the session's last target, which has the
 /// prompt cached. Without one, the two that rank first by rendezvous hashing of
-/// the program, local ones before others, so that all VMs of a failure domain
-/// choose between the same two.
+/// the program, so that all VMs of a failure domain choose between the same two:
+/// those without a limit, whose next calls need no permits, before others, and then
+/// local ones.
 fn preferred_targets(
+    targets: &Targets,
     candidates: &[(TargetKey, &Target)],
     request: &PlacementRequest<'_>,
 ) -> [Option<TargetKey>; 2] {
@@ -201,7 +219,12 @@
     );
     let rank = |target: &Target| {
         let is_local = target.entry.domain == request.domain;
-        (is_local, hash64(&(target.hash ^ seed).to_le_bytes()))
+        let is_unlimited = !targets.is_limited(target);
+        (
+            is_unlimited,
+            is_local,
+            hash64(&(target.hash ^ seed).to_le_bytes()),
+        )
     };
     let mut preferred = [None; 2];
     for (key, target) in candidates {
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -9,7 +9,7 @@
 use compact_str::CompactString;
 use derive_more::Display;
 use lagoon_ids::FastMap;
-use lagoon_limits::{LimitChange, LimitTable};
+use lagoon_limits::{Demand, LimitChange, LimitTable, RunId};
 use leaving::LeavingRuns;
 use lost::LostAttempts;
 use slotmap::{new_key_type, SlotMap};
@@ -425,12 +425,56 @@
         Some((per_s, self.limits.statement_age_ms(run, now_ms)?))
     }
 
+    /// Whether a target has stated a limit.
+    pub fn is_limited(&self, target: &Target) -> bool {
+        self.limits.limit(target.run).is_some()
+    }
+
+    /// Records that no permit was granted for a target: it has no room for such
+    /// requests until then.
+    pub fn record_no_room(&mut self, key: TargetKey, demand: Demand, until_ms: u64) {
+        if let Some(target) = self.arena.get_mut(key) {
+            target.room.record_refused(demand, until_ms);
+        }
+    }
+
+    /// Whether a target may have room for a request as far as its limit goes.
+    pub fn has_room(&self, target: &Target, demand: Demand, now_ms: u64) -> bool {
+        now_ms >= target.room.at_ms(demand) || !self.is_limited(target)
+    }
+
+    /// Earliest time at which one of the candidates with a limit may have room for a
+    /// request; `None` if none has a limit and accepts requests.
+    pub fn next_room_ms<F>(&self, service: &str, is_candidate: F, demand: Demand) -> Option<u64>
+    where
+        F: Fn(TargetKey) -> bool,
+    {
+        self.of_service(service)
+            .filter(|(key, _)| is_candidate(*key))
+            .filter(|(_, target)| target.accepts_requests() && self.is_limited(target))
+            .map(|(_, target)| target.room.at_ms(demand))
+            .min()
+    }
+
+    /// Id of the known target with this run; `None` if there is none.
+    pub fn id_of_run(&self, run: RunId) -> Option<&CompactString> {
+        let mut targets = self.arena.values();
+        let found = targets.find(|target| target.run == run);
+        found.map(|target| &target.entry.id)
+    }
+
+    /// Forgets the limits that were last spoken of long ago and whose targets are no
+    /// longer known.
+    pub fn remove_expired_limits(&mut self, now_ms: u64) {
+        let arena = &self.arena;
+        let is_known = |run| arena.values().any(|target| target.run == run);
+        self.limits.remove_expired(is_known, now_ms);
+    }
+
     /// Number of known targets that have a limit.
     pub fn limited_count(&self) -> usize {
         let targets = self.arena.values();
-        targets
-            .filter(|target| self.limits.limit(target.run).is_some())
-            .count()
+        targets.filter(|target| self.is_limited(target)).count()
     }
 
     /// Number of known targets that have stated that they are about to stop.
--- a/crates/gateway/src/targets/target.rs
+++ b/crates/gateway/src/targets/target.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use lagoon_ids::hash64;
-use lagoon_limits::RunId;
+use lagoon_limits::{Demand, RunId};
 
 use super::lost::{UnfinishedAttempts, MIN_SILENCE_MS};
 use super::{TargetEntry, TargetSettings, TargetStatus};
@@ -63,6 +63,32 @@
     }
 }
 
+/// Times from which a target at its limit may have room again, as far as this VM was
+/// refused permits.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Room {
+    running_ms: u64,
+    new_program_ms: u64,
+}
+
+impl Room {
+    pub(super) fn at_ms(&self, demand: Demand) -> u64 {
+        match demand {
+            Demand::Running => self.running_ms,
+            Demand::NewProgram { .. } => self.new_program_ms,
+        }
+    }
+
+    /// Records a refused permit. What has no room for a running program has none for
+    /// a new one.
+    pub(super) fn record_refused(&mut self, demand: Demand, until_ms: u64) {
+        if demand == Demand::Running {
+            self.running_ms = self.running_ms.max(until_ms);
+        }
+        self.new_program_ms = self.new_program_ms.max(until_ms);
+    }
+}
+
 /// Target with the estimates of its load, speed and failures.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -100,6 +126,7 @@
     /// before the first.
     pub(super) alive_ms: Option<u64>,
     pub(super) unfinished: UnfinishedAttempts,
+    pub(super) room: Room,
 }
 
 impl Target {
@@ -124,6 +151,7 @@
             is_leaving,
             alive_ms: None,
             unfinished: UnfinishedAttempts::default(),
+            room: Room::default(),
         }
     }
 
--- a/crates/gateway/tests/overload.rs
+++ b/crates/gateway/tests/overload.rs
@@ -187,6 +187,8 @@
                 .target_of(&metadata)
                 .and_then(|tag| targets.key_by_hash(tag)),
             excluded_targets: &[],
+            demand: lagoon_limits::Demand::Running,
+            skips_limited: false,
             random: self.random.random(),
         };
         let placement = place(&*targets, &self.settings, &request, self.now_ms);
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -68,6 +68,8 @@
         domain: "d1",
         last_target: last,
         excluded_targets: excluded,
+        demand: lagoon_limits::Demand::Running,
+        skips_limited: false,
         random,
     };
     place(targets, &PlacementSettings::default(), &request, now_ms)
