Sentinels: also for the list of VMs

Two VMs could both be the first to grant a target's permits, so that it gets up to twice its limit.

Cause: which VM grants follows from the list of VMs, and a lost watch of that list was noticed only by its own timeout, 31.5 s at most. A VM that joins meanwhile grants to those that know it, the one before to those that don't.

Evidence: vm_that_joins_is_known_soon_after_the_table_of_vms_was_silent failed (not known 3 s after the joining), passes.

The list is now among the tables that sentinels watch, so a change is known within 3 s of a silence, as the configuration is.

--- a/crates/entry/src/permits.rs
+++ b/crates/entry/src/permits.rs
@@ -202,10 +202,12 @@
     pub(crate) fn apply_limits(&self, updates: &[LimitUpdate], source: &str) {
         let now_ms = self.now_ms();
         let mut targets = self.targets.borrow_mut();
+        let mut has_changed = false;
         for update in updates {
             let Some(change) = targets.limits.apply_update(update, now_ms) else {
                 continue;
             };
+            has_changed = true;
             log::info!(
                 run = format!("{:016x}", update.run.0),
                 target_id = targets.id_of_run(update.run).map_or("-", |id| id.as_str()),
@@ -216,6 +218,8 @@
                 "limit of a target, from another VM"
             );
         }
-        self.metrics.set_limited_targets(targets.limited_count());
+        if has_changed {
+            self.metrics.set_limited_targets(targets.limited_count());
+        }
     }
 }
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -89,7 +89,8 @@
             FollowedTable::Config => Some(SentinelTable::Config),
             FollowedTable::Targets => Some(SentinelTable::Targets),
             FollowedTable::Overdrawn => Some(SentinelTable::Overdrawn),
-            FollowedTable::Peers | FollowedTable::Crashes => None,
+            FollowedTable::Peers => Some(SentinelTable::Peers),
+            FollowedTable::Crashes => None,
         }
     }
 
--- a/crates/entry/tests/lost_watches.rs
+++ b/crates/entry/tests/lost_watches.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::Duration;
 
-use fleet::{call, wait_until, Fleet, CONFIG};
+use fleet::{call, get, wait_until, Fleet, CONFIG};
 use lagoon_adapter::standin::{model_call_headers, service_call_headers};
 use lagoon_adapter::{OPERATOR_TABLE, TARGET_TABLE};
 use lagoon_gateway::TargetStatus;
@@ -104,6 +104,22 @@
     assert_eq!((0..CALLS).map(events).sum::<usize>(), 0);
 }
 
+// Guards against two VMs that both grant the permits of a target, as the older ones
+// haven't read for long that another one has joined.
+#[test]
+fn vm_that_joins_is_known_soon_after_the_table_of_vms_was_silent() {
+    let mut fleet = Fleet::start(2);
+    fleet.store.set_fault(StoreFault::TableSilent("vms"));
+    thread::sleep(OUTAGE_TIME);
+    fleet.store.set_fault(StoreFault::None);
+    fleet.start_vm();
+    thread::sleep(RECOVERY_TIME);
+    for vm in &fleet.vms {
+        let metrics = get(vm.peers, "/metrics").body;
+        assert!(metrics.contains("\nlagoon_other_vms 2\n"));
+    }
+}
+
 // Guards against an old configuration in force at the one VM whose watch got lost,
 // although the VMs beside it have read the new one.
 #[test]
--- a/crates/gateway/src/sentinel.rs
+++ b/crates/gateway/src/sentinel.rs
@@ -14,7 +14,7 @@
 
 use serde::{Deserialize, Serialize};
 
-const TABLE_COUNT: usize = 3;
+const TABLE_COUNT: usize = 4;
 
 /// Table whose changes must be in force soon.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -25,6 +25,8 @@
     Targets,
     /// The programs that have overspent their budgets.
     Overdrawn,
+    /// The VMs, of which one grants the permits of a target.
+    Peers,
 }
 
 impl SentinelTable {
@@ -33,6 +35,7 @@
         SentinelTable::Config,
         SentinelTable::Targets,
         SentinelTable::Overdrawn,
+        SentinelTable::Peers,
     ];
 }
 
--- a/crates/gateway/tests/sentinel.rs
+++ b/crates/gateway/tests/sentinel.rs
@@ -205,7 +205,7 @@
 }
 
 fn silence() -> impl Strategy<Value = Silence> {
-    (8_000..14_000_u64, 50..8_000_u64, 1..=255_u8, 1..8_u8).prop_map(
+    (8_000..14_000_u64, 50..8_000_u64, 1..=255_u8, 1..16_u8).prop_map(
         |(from_ms, lasts_ms, vms, tables)| Silence {
             from_ms,
             until_ms: from_ms + lasts_ms,
@@ -273,7 +273,7 @@
             from_ms: 12_000,
             until_ms: 12_050,
             vms: 1 << (lost_vm % vms),
-            tables: 7,
+            tables: 15,
         }];
         domain.run_until(12_100, &silences, &mut half_lost);
         domain.change(0);
@@ -324,7 +324,11 @@
     for _ in 0..20 {
         let now_ms = domain.now_ms;
         let sentinel = &mut domain.vms[0].sentinel;
-        sentinel.on_message(other, TableVersions([Some(1_000_000), None, None]), now_ms);
+        sentinel.on_message(
+            other,
+            TableVersions([Some(1_000_000), None, None, None]),
+            now_ms,
+        );
         domain.run_until(now_ms + 1_000, &[], no_loss);
     }
     assert_eq!(domain.renewal_count, 1);
@@ -338,7 +342,7 @@
         from_ms: 10_000,
         until_ms: 40_000,
         vms: 1,
-        tables: 7,
+        tables: 15,
     }];
     domain.run_until(20_000, &silences, no_loss);
     for table in SentinelTable::ALL {
