lagoond: send a limited target only what its domain's grantor permits

A target that states a limit (Lagoon-Limit) got what each VM of its failure domain sent it.

The decisions are those of lagoon-limits: statements, ranking, buckets. Targets with limits aren't polled for their load. An at-most-once call whose intent outlasts its permit is queued again. A cancelled stream is still cancelled without a permit.

--- a/crates/daemon/src/actors/targets/attempt.rs
+++ b/crates/daemon/src/actors/targets/attempt.rs
@@ -18,6 +18,8 @@
 const EVENT_STREAM: &str = "text/event-stream";
 const END_OF_STREAM: &str = "[DONE]";
 const NOT_RUN: &str = "not_run";
+/// Requests per second that the target takes from all VMs together.
+const LIMIT_HEADER: &str = "Lagoon-Limit";
 
 /// Reports the events of an attempt to the node.
 struct AttemptReporter<'a> {
@@ -57,7 +59,10 @@
         .send(&dispatch.body[..]);
     let is_chat = dispatch.path.ends_with("/chat/completions");
     match result {
-        Ok(response) => read_response(response, &reporter, is_chat, dispatch.stream),
+        Ok(response) => {
+            reporter.report(limit(&response));
+            read_response(response, &reporter, is_chat, dispatch.stream);
+        }
         Err(error) => reporter.fail(classify_error(&error), error.to_string()),
     }
 }
@@ -75,11 +80,13 @@
         .header("Last-Event-ID", resume.last_event_id.to_string())
         .call();
     match result {
-        Ok(response) if response.status() == 200 => read_events(response, &reporter),
-        Ok(response) => reporter.fail(
-            AttemptFailure::Interrupted,
-            format!("status {}", response.status()),
-        ),
+        Ok(response) => {
+            reporter.report(limit(&response));
+            match response.status().as_u16() {
+                200 => read_events(response, &reporter),
+                status => reporter.fail(AttemptFailure::Interrupted, format!("status {status}")),
+            }
+        }
         Err(error) => reporter.fail(AttemptFailure::Interrupted, error.to_string()),
     }
 }
@@ -135,6 +142,14 @@
     value.to_str().ok().map(CompactString::new)
 }
 
+/// What a response states of the target's limit; an invalid value counts as none.
+fn limit(response: &Response<Body>) -> TargetEvent {
+    let per_s = header(response, LIMIT_HEADER).and_then(|text| text.trim().parse().ok());
+    TargetEvent::Limit {
+        per_s: per_s.filter(|per_s: &f64| per_s.is_finite() && *per_s >= 0.0),
+    }
+}
+
 fn is_event_stream(response: &Response<Body>) -> bool {
     header(response, "Content-Type").is_some_and(|value| value.starts_with(EVENT_STREAM))
 }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -79,6 +79,13 @@
 /// Part of a target's response to an attempt, or the failure of the attempt.
 #[derive(Clone, Debug)]
 pub enum TargetEvent {
+    /// What a response states of the target's limit. Comes before the other events of
+    /// the response.
+    Limit {
+        /// Requests per second that the target takes from all VMs together; `None` if it
+        /// states no limit.
+        per_s: Option<f64>,
+    },
     /// Start of the response.
     Head {
         /// HTTP status; a status that counts as a failed attempt arrives as `Failed` instead.
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -6,6 +6,7 @@
 use compact_str::CompactString;
 use lagoon_errors::CallError;
 use lagoon_ids::{AccountName, CallKey, Incarnation, ProgramId, TargetName, VmName};
+use lagoon_limits::{Demand, LimitUpdate, PermitDecision};
 use lagoon_membership::Heartbeat;
 use serde::{Deserialize, Serialize};
 
@@ -96,7 +97,7 @@
 /// Message between VMs.
 ///
 /// Encoded with postcard: the order of variants and fields is part of the format.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
     /// Periodic heartbeat with the state of the sender.
     Heartbeat(Heartbeat),
@@ -156,4 +157,28 @@
         /// Program to end.
         program: ProgramId,
     },
+    /// Limits of targets as the sender knows them.
+    Limits(Vec<LimitUpdate>),
+    /// Request for a permit to send one call to a target with a limit.
+    RequestPermit {
+        /// Number that the reply repeats.
+        id: u64,
+        /// Address at which the sender receives messages.
+        sender_address: SocketAddr,
+        /// Target of the call.
+        target: TargetName,
+        /// Whether the call begins a program.
+        demand: Demand,
+        /// What the sender knows of the limit.
+        known: Option<LimitUpdate>,
+    },
+    /// Reply to a request for a permit.
+    PermitReply {
+        /// Number of the request.
+        id: u64,
+        /// Whether the call may be sent.
+        decision: PermitDecision,
+        /// What the sender knows of the limit.
+        known: Option<LimitUpdate>,
+    },
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -11,6 +11,7 @@
 mod dispatch;
 mod expiry;
 mod forward;
+mod limits;
 mod operators;
 mod ownership;
 mod replay;
@@ -42,6 +43,7 @@
 use config::Config;
 use confirm::SealCheck;
 use forward::ForwardState;
+use limits::Limits;
 use ownership::Ownership;
 use stop::PlannedStop;
 use store::StorePurpose;
@@ -119,6 +121,7 @@
     members: Membership,
     balancer: Balancer,
     loads: FastMap<TargetName, LoadReport>,
+    limits: Limits,
     journal: Journal,
     commit_actions: FastMap<WaiterId, CommitAction>,
     config: Config,
@@ -178,6 +181,7 @@
             last_id: 0,
             members,
             loads: FastMap::default(),
+            limits: Limits::default(),
             journal: Journal::new(row),
             commit_actions: FastMap::default(),
             config: Config::default(),
@@ -314,6 +318,19 @@
                 };
                 self.end_program(&subscriber, &account, &program);
             }
+            PeerMessage::Limits(updates) => self.on_limits(&updates),
+            PeerMessage::RequestPermit {
+                id,
+                sender_address,
+                target,
+                demand,
+                known,
+            } => self.on_permit_request(id, sender_address, &target, demand, known),
+            PeerMessage::PermitReply {
+                id,
+                decision,
+                known,
+            } => self.on_permit_reply(id, decision, known),
         }
     }
 
@@ -332,6 +349,7 @@
         self.poll_sheet();
         self.check_call_timeouts();
         self.check_forwards();
+        self.check_permits();
         self.drain_queue();
         if now_ms >= self.expiry_due_ms {
             self.expire_programs();
@@ -356,6 +374,7 @@
         for address in self.heartbeat_addresses() {
             self.send(address, PeerMessage::Heartbeat(heartbeat.clone()));
         }
+        self.repeat_limits();
     }
 
     fn heartbeat_addresses(&self) -> Vec<SocketAddr> {
--- a/crates/node/src/node/answer.rs
+++ b/crates/node/src/node/answer.rs
@@ -12,6 +12,7 @@
 use crate::message::ResponseFrame;
 use crate::node::call::{CallSlot, Phase};
 use crate::node::commit::CommitAction;
+use crate::node::limits::Clearance;
 use crate::node::Node;
 use crate::request::CallKind;
 
@@ -35,6 +36,7 @@
             return;
         };
         match event {
+            TargetEvent::Limit { per_s } => self.on_target_limit(slot, per_s),
             TargetEvent::Head {
                 status,
                 content_type,
@@ -259,7 +261,15 @@
     }
 
     fn on_interrupted(&mut self, slot: CallSlot, detail: &str) {
-        if self.resume_stream(slot) {
+        if self.resume_stream(slot, detail) {
+            return;
+        }
+        self.end_interrupted(slot, detail);
+    }
+
+    /// Ends an interrupted attempt that is not resumed.
+    pub(super) fn end_interrupted(&mut self, slot: CallSlot, detail: &str) {
+        if !self.calls.contains_key(slot) {
             return;
         }
         self.emit_span(slot, "target");
@@ -272,29 +282,47 @@
         }
     }
 
-    /// Requests to resume an interrupted stream; returns `false` if the call is no
-    /// stream, the target gave no resume ID or the limit of resumes is reached.
-    fn resume_stream(&mut self, slot: CallSlot) -> bool {
+    /// Resumes an interrupted stream, once it has a permit if its target has a limit;
+    /// returns `false` if the call is no stream, the target gave no resume ID or the
+    /// maximum number of resumes is reached.
+    fn resume_stream(&mut self, slot: CallSlot, detail: &str) -> bool {
         let call = &mut self.calls[slot];
-        let (Some(attempt), Some(resume_id)) = (call.attempt, call.response.resume_id.clone())
-        else {
+        if call.attempt.is_none() || call.response.resume_id.is_none() {
             return false;
-        };
+        }
         if !call.request.kind.is_stream() || call.stream_resumes >= MAX_STREAM_RESUMES {
             return false;
         }
-        let Some((_, address)) = call.target else {
+        let Some((target, _)) = call.target.clone() else {
             return false;
         };
         call.stream_resumes += 1;
+        if self.clear_for(slot, &target) == Clearance::Cleared {
+            self.request_resume(slot);
+        } else {
+            self.await_resume(slot, detail);
+        }
+        true
+    }
+
+    /// Requests the rest of an interrupted stream.
+    pub(super) fn request_resume(&mut self, slot: CallSlot) {
+        self.use_permit(slot);
+        let call = &self.calls[slot];
+        let (Some(attempt), Some(resume_id), Some((_, address))) = (
+            call.attempt,
+            call.response.resume_id.clone(),
+            call.target.as_ref(),
+        ) else {
+            return;
+        };
         let resume = StreamResume {
             attempt,
-            address,
+            address: *address,
             resume_id,
             last_event_id: call.response.last_sequence,
         };
         self.emit(Effect::Resume(Box::new(resume)));
-        true
     }
 
     /// Retries an interrupted call and charges the failed attempt, which may have run.
--- a/crates/node/src/node/dispatch.rs
+++ b/crates/node/src/node/dispatch.rs
@@ -12,6 +12,7 @@
 use crate::event::{AttemptFailure, AttemptId};
 use crate::node::call::{Call, CallSlot, Phase};
 use crate::node::commit::CommitAction;
+use crate::node::limits::Clearance;
 use crate::node::Node;
 use crate::request::CallKind;
 
@@ -47,12 +48,19 @@
             return;
         }
         for slot in self.queue.in_order(self.now_ms()) {
-            let Some(target) = self.choose_target(slot) else {
-                continue;
-            };
-            self.queue.remove(slot);
-            self.emit_span(slot, "queue");
-            self.assign_target(slot, target);
+            while let Some(target) = self.choose_target(slot) {
+                match self.clear_for(slot, &target.0) {
+                    Clearance::Cleared => {
+                        self.queue.remove(slot);
+                        self.emit_span(slot, "queue");
+                        self.assign_target(slot, target);
+                        break;
+                    }
+                    Clearance::Waiting => break,
+                    // The balancer leaves it out from now on.
+                    Clearance::NoRoom => {}
+                }
+            }
         }
     }
 
@@ -62,6 +70,12 @@
             return None;
         }
         let sheet = self.config.sheet.as_ref()?;
+        let permitted = self.permitted_target(slot);
+        let permitted =
+            permitted.and_then(|name| sheet.targets.iter().find(|target| target.name == *name));
+        if let Some(target) = permitted {
+            return Some((target.name.clone(), target.address));
+        }
         let program = self.programs.find(&call.request.key.program);
         let last = program
             .and_then(|key| self.programs.get(key))
@@ -118,6 +132,12 @@
             return;
         }
         self.emit_span(slot, "store");
+        if self.is_permit_expired(slot) {
+            self.cancel_intent(slot);
+            self.release_target(slot);
+            self.enqueue(slot);
+            return;
+        }
         self.dispatch(slot);
     }
 
@@ -131,6 +151,7 @@
     }
 
     fn dispatch(&mut self, slot: CallSlot) {
+        self.use_permit(slot);
         let attempt = AttemptId(self.next_id());
         let call = &mut self.calls[slot];
         call.attempt = Some(attempt);
@@ -264,6 +285,7 @@
             .targets
             .iter()
             .filter(|target| target.domain == self.settings.domain)
+            .filter(|target| !self.is_limited(&target.name))
             .filter(|target| self.members.assigned_vm(target.name.as_str()) == own_vm)
             .map(|target| LoadPoll {
                 target: target.name.clone(),
--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -41,6 +41,8 @@
     pub ejected_until_ms: u64,
     /// Whether any source reported that the target is about to stop.
     pub draining: bool,
+    /// Time until which the target is at its limit; 0 if it never was.
+    pub no_room_until_ms: u64,
 }
 
 impl TargetState {
@@ -110,6 +112,17 @@
         self.entry(target).draining = true;
     }
 
+    /// Records that a target is at its limit until this time.
+    pub fn on_no_room(&mut self, target: &TargetName, until_ms: u64) {
+        let state = self.entry(target);
+        state.no_room_until_ms = state.no_room_until_ms.max(until_ms);
+    }
+
+    /// Whether a target may have room within its limit.
+    pub fn has_room(&self, target: &TargetName, now_ms: u64) -> bool {
+        now_ms >= self.state(target).no_room_until_ms
+    }
+
     /// Counts a call that is sent.
     pub fn on_sent(&mut self, target: &TargetName) {
         self.entry(target).in_flight += 1;
@@ -175,7 +188,9 @@
         let ignore_ejections = ejected_count > max_ejected;
         let available = candidates.into_iter().filter(|target| {
             let state = self.state(&target.name);
-            state.load() < target.slots && (ignore_ejections || !ejected(&target.name))
+            state.load() < target.slots
+                && now_ms >= state.no_room_until_ms
+                && (ignore_ejections || !ejected(&target.name))
         });
         available
             .min_by_key(|target| {
--- a/crates/testkit/src/simulation.rs
+++ b/crates/testkit/src/simulation.rs
@@ -248,6 +248,20 @@
         self.targets.set_mode(&name, mode);
     }
 
+    /// Sets the limit that a target states in its responses; `None` for none.
+    pub fn set_target_limit(&mut self, target: &str, per_s: Option<f64>) {
+        let name: TargetName = target.parse().unwrap_or_else(|error| panic!("{error}"));
+        self.targets.set_limit(&name, per_s);
+    }
+
+    /// Virtual times of the requests that reached a target, executed or not, in
+    /// microseconds.
+    pub fn arrivals_us(&self, target: &str) -> Vec<u64> {
+        let arrivals = self.targets.arrivals.iter();
+        let at_target = arrivals.filter(|(name, _)| name.as_str() == target);
+        at_target.map(|(_, at_us)| *at_us).collect()
+    }
+
     /// VMs whose daemon runs, by name.
     pub fn vms(&self) -> impl Iterator<Item = (&VmName, &SimulatedVm)> {
         self.vms.iter()
@@ -436,7 +450,7 @@
                 self.schedule_target_events(vm, dispatch.attempt, events);
             }
             Effect::Resume(resume) => {
-                let events = self.targets.resume(&resume.resume_id);
+                let events = self.targets.resume(&resume.resume_id, self.now_us);
                 self.schedule_target_events(vm, resume.attempt, events);
             }
             Effect::Store {
--- a/crates/testkit/src/targets.rs
+++ b/crates/testkit/src/targets.rs
@@ -57,6 +57,12 @@
     pub(crate) executions: Vec<Execution>,
     /// Interrupted streams by resume id, with the events not sent yet.
     streams: BTreeMap<String, Vec<TimedEvent>>,
+    /// Requests per second that targets state to take.
+    limits: BTreeMap<TargetName, f64>,
+    /// Targets of resumable streams by resume id.
+    stream_targets: BTreeMap<String, TargetName>,
+    /// Virtual times of all requests that reached a target, executed or not.
+    pub(crate) arrivals: Vec<(TargetName, u64)>,
     /// Number of streams started; a stream's number is its resume id.
     started_streams: u64,
 }
@@ -92,6 +98,38 @@
         self.modes.insert(name.clone(), mode);
     }
 
+    pub(crate) fn set_limit(&mut self, name: &TargetName, per_s: Option<f64>) {
+        match per_s {
+            Some(per_s) => self.limits.insert(name.clone(), per_s),
+            None => self.limits.remove(name),
+        };
+    }
+
+    /// Counts a request, and puts what its response states of the limit before the
+    /// first event.
+    fn answer(
+        &mut self,
+        target: &TargetName,
+        mut events: Vec<TimedEvent>,
+        now_us: u64,
+    ) -> Vec<TimedEvent> {
+        self.arrivals.push((target.clone(), now_us));
+        let per_s = self.limits.get(target).copied();
+        let has_response = |event: &TargetEvent| {
+            let failure = match event {
+                TargetEvent::Failed { failure, .. } => failure,
+                _ => return true,
+            };
+            *failure == AttemptFailure::NotRun
+        };
+        if let Some((at_us, event)) = events.first() {
+            if has_response(event) {
+                events.insert(0, (*at_us, TargetEvent::Limit { per_s }));
+            }
+        }
+        events
+    }
+
     fn mode(&self, name: &TargetName) -> TargetMode {
         self.modes.get(name).copied().unwrap_or_default()
     }
@@ -106,7 +144,10 @@
             TargetMode::RefuseConnection => {
                 return vec![(1_000, failed(AttemptFailure::NotConnected))]
             }
-            TargetMode::NotRun => return vec![(1_000, failed(AttemptFailure::NotRun))],
+            TargetMode::NotRun => {
+                let events = vec![(1_000, failed(AttemptFailure::NotRun))];
+                return self.answer(&target, events, now_us);
+            }
             _ => {}
         }
         let body = String::from_utf8_lossy(&dispatch.body).into_owned();
@@ -119,7 +160,7 @@
         let prompt_tokens = dispatch.body.len() as u64 / 4;
         self.executions.push(Execution {
             call: dispatch.call.clone(),
-            target,
+            target: target.clone(),
             started_us: now_us,
             tokens: if is_service {
                 0
@@ -134,7 +175,10 @@
             self.started_streams += 1;
             stream_events(&body, tokens, prompt_tokens, self.started_streams)
         };
-        self.apply_mode(mode, events, dispatch)
+        let resume_id = self.started_streams.to_string();
+        self.stream_targets.insert(resume_id, target.clone());
+        let events = self.apply_mode(mode, events, dispatch);
+        self.answer(&target, events, now_us)
     }
 
     fn apply_mode(
@@ -165,7 +209,15 @@
     }
 
     /// Remaining events of a resumed stream.
-    pub(crate) fn resume(&mut self, resume_id: &str) -> Vec<TimedEvent> {
+    pub(crate) fn resume(&mut self, resume_id: &str, now_us: u64) -> Vec<TimedEvent> {
+        let events = self.remaining_events(resume_id);
+        match self.stream_targets.get(resume_id).cloned() {
+            Some(target) => self.answer(&target, events, now_us),
+            None => events,
+        }
+    }
+
+    fn remaining_events(&mut self, resume_id: &str) -> Vec<TimedEvent> {
         match self.streams.remove(resume_id) {
             Some(remaining) => {
                 let start_us = remaining.first().map_or(0, |(at_us, _)| *at_us);
