lagoond: process test of a service that states a limit

Two daemons, 24 bookings at once at a service with 1 a second: within the bound, and all executed once the limit ends. The simulated service can state a limit.

--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -7,6 +7,7 @@
 use std::net::TcpStream;
 use std::sync::mpsc::channel;
 use std::thread;
+use std::time::{Duration, Instant};
 
 use lagoon_standin::caller::Reply;
 use nix::sys::signal::Signal;
@@ -249,3 +250,34 @@
     book_until_ok(&site, 1, &program, "3");
     assert_eq!(site.executed_bookings().len(), 1);
 }
+
+// Guards against daemons that don't read the limit that a service states, and against
+// ones that each use the whole of it.
+#[test]
+fn limit_of_a_service_holds_for_all_daemons_together() {
+    let site = Site::start(2);
+    let limited = json!({"fail": "none", "limit_per_s": 1.0});
+    post_json(site.booking_service, "/control", &limited);
+    book_until_ok(&site, 0, "first", "1");
+    let before = site.executed_bookings().len();
+    let started = Instant::now();
+    thread::scope(|scope| {
+        for index in 0..24 {
+            let client = site.client(index % 2);
+            scope.spawn(move || {
+                let program = format!("p{index}");
+                let body = json!({"slot": index});
+                // Those that wait for a permit end when the limit does.
+                let _ = client.call_service("booking", &headers(&program, "1"), &body);
+            });
+        }
+        thread::sleep(Duration::from_secs(3));
+        let executed = site.executed_bookings().len() - before;
+        let took_s = started.elapsed().as_secs_f64();
+        assert!(executed as f64 <= 1.5 * took_s.max(4.0) + 5.0, "{executed}");
+        post_json(site.booking_service, "/control", &json!({"fail": "none"}));
+    });
+    wait_for("all bookings", || {
+        (site.executed_bookings().len() >= before + 24).then_some(())
+    });
+}
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -1,7 +1,8 @@
 //! Simulated plain service that records each execution of a call.
 //!
 //! `GET /runs` lists the executions with their idempotency keys. Control: `POST
-//! /control` with `{"fail": "not_run" | "lose_reply" | "none", "delay_ms": n}`.
+//! /control` with `{"fail": "not_run" | "lose_reply" | "none", "delay_ms": n,
+//! "limit_per_s": n}`; a limit is only stated in responses, not enforced.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -31,6 +32,9 @@
     fail: FailureMode,
     #[serde(default)]
     delay_ms: u64,
+    /// Requests per second that responses state to take; `None` states none.
+    #[serde(default)]
+    limit_per_s: Option<f64>,
 }
 
 /// Address and behaviour of a simulated service.
@@ -118,7 +122,18 @@
             write_invalid_framing(&mut request.into_writer());
             return;
         }
-        respond_json(request, 200, &reply);
+        let mut response = Response::from_data(reply.to_string().into_bytes());
+        let stated = control
+            .limit_per_s
+            .map(|per_s| ("Lagoon-Limit", per_s.to_string()));
+        let content_type = ("Content-Type", "application/json".to_owned());
+        for (name, value) in [content_type].into_iter().chain(stated) {
+            if let Ok(header) = Header::from_bytes(name, value) {
+                response.add_header(header);
+            }
+        }
+        // Fails only if the caller has left.
+        let _ = request.respond(response);
     }
 
     fn execute(&self, key: String, bytes: &[u8]) -> serde_json::Value {
