--- a/crates/entry/src/permits.rs
+++ b/crates/entry/src/permits.rs
@@ -96,11 +96,14 @@
         key: TargetKey,
         demand: Demand,
     ) -> Result<(), NoPermit> {
-        let target = self.targets.borrow().get(key).cloned();
-        let Some(target) = target else {
+        let target = self.targets.borrow().get(key).map(|target| {
+            let entry = &target.entry;
+            (target.run, entry.domain.clone(), entry.id.clone())
+        });
+        // A target that was removed meanwhile gets no request.
+        let Some((run, domain, target_id)) = target else {
             return Ok(());
         };
-        let (run, domain) = (target.run, target.entry.domain);
         let started_ms = self.now_ms();
         for vm in self.grantors(run, &domain) {
             let is_own = vm == *self.peer_client.peers.borrow().own_name();
@@ -124,7 +127,7 @@
                     });
                 }
                 None | Some(PermitDecision::NotGrantor) => {
-                    log::info!(target_id = target.entry.id.as_str(), grantor = vm.as_str(), waited_ms; "no permit: {outcome}");
+                    log::info!(target_id = target_id.as_str(), grantor = vm.as_str(), waited_ms; "no permit: {outcome}");
                 }
             }
         }
