Permits: times in one place, beside the bound that rests on them

The life of a permit, the timeout of a request for one and the time after no grantor was reached stood in lagoon-entry and in the node with the same values. They are constants of lagoon-limits now, whose bound counts on the first.

--- a/crates/entry/src/forward/permit.rs
+++ b/crates/entry/src/forward/permit.rs
@@ -5,17 +5,13 @@
 
 use hyper::Response;
 use lagoon_gateway::{TargetEntry, TargetKey};
-use lagoon_limits::Demand;
+use lagoon_limits::{Demand, PERMIT_TTL_MS};
 use rand::RngExt;
 use tokio::time::sleep;
 
 use crate::body::ResponseBody;
 use crate::forward::ForwardedRequest;
 
-/// Time within which a permit is used. A request that is sent later could fall into
-/// a window of time with more permits than the limit allows.
-const PERMIT_TTL_MS: u64 = 250;
-
 /// Maximum time that a request of a running program waits for room at a target.
 const MAX_ROOM_WAIT_MS: u64 = 150;
 
--- a/crates/entry/src/permits.rs
+++ b/crates/entry/src/permits.rs
@@ -7,22 +7,17 @@
 use compact_str::CompactString;
 use lagoon_gateway::TargetKey;
 use lagoon_ids::FastMap;
-use lagoon_limits::{Demand, Grantor, GrantorRank, LimitUpdate, PermitDecision, RunId};
+use lagoon_limits::{
+    Demand, Grantor, GrantorRank, LimitUpdate, PermitDecision, RunId, NO_GRANTOR_RETRY_MS,
+    PERMIT_TIMEOUT_MS,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::state::DaemonState;
 
-/// Timeout of a request for a permit: some round trips between failure domains. After
-/// that, the standby is asked.
-const PERMIT_TIMEOUT: Duration = Duration::from_millis(40);
-
 /// Time for which a VM that gave no reply isn't asked.
 const NO_REPLY_BACKOFF_MS: u64 = 500;
 
-/// Time after which a target is tried again for which no VM that grants permits could
-/// be reached.
-const NO_GRANTOR_RETRY_MS: u64 = 100;
-
 /// Request for a permit to send one request to a target.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) struct PermitRequest {
@@ -155,7 +150,8 @@
             demand,
             known,
         };
-        let reply = self.peer_client.request_permit(vm, request, PERMIT_TIMEOUT);
+        let timeout = Duration::from_millis(PERMIT_TIMEOUT_MS);
+        let reply = self.peer_client.request_permit(vm, request, timeout);
         let Some(reply) = reply.await else {
             let until_ms = self.now_ms() + NO_REPLY_BACKOFF_MS;
             let mut backoff_until_ms = self.permits.backoff_until_ms.borrow_mut();
--- a/crates/limits/src/grantor.rs
+++ b/crates/limits/src/grantor.rs
@@ -7,6 +7,18 @@
 use crate::bucket::TokenBucket;
 use crate::statement::RunId;
 
+/// Time within which a permit is used. A request that is sent later could fall into a
+/// window of time with more permits than the limit allows.
+pub const PERMIT_TTL_MS: u64 = 250;
+
+/// Time without a reply after which the next VM is asked for a permit: some round trips
+/// between failure domains.
+pub const PERMIT_TIMEOUT_MS: u64 = 40;
+
+/// Time after which a target is tried again for which no VM granted or refused a
+/// permit.
+pub const NO_GRANTOR_RETRY_MS: u64 = 100;
+
 /// Rate of a standby's bucket as a share of the limit. Primary and standby together
 /// stay below 1.5 times the limit.
 const STANDBY_SHARE: f64 = 0.4;
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -9,6 +9,9 @@
 mod ranking;
 mod statement;
 
-pub use grantor::{Demand, Grantor, GrantorRank, PermitDecision};
+pub use grantor::{
+    Demand, Grantor, GrantorRank, PermitDecision, NO_GRANTOR_RETRY_MS, PERMIT_TIMEOUT_MS,
+    PERMIT_TTL_MS,
+};
 pub use ranking::grantors;
 pub use statement::{LimitChange, LimitTable, LimitUpdate, RunId};
--- a/crates/node/src/node/limits.rs
+++ b/crates/node/src/node/limits.rs
@@ -6,24 +6,13 @@
 use lagoon_ids::{hash64, FastMap, TargetName, VmName};
 use lagoon_limits::{
     grantors, Demand, Grantor, GrantorRank, LimitChange, LimitTable, LimitUpdate, PermitDecision,
-    RunId,
+    RunId, NO_GRANTOR_RETRY_MS, PERMIT_TIMEOUT_MS, PERMIT_TTL_MS,
 };
 
 use crate::message::PeerMessage;
 use crate::node::call::{CallSlot, Phase};
 use crate::node::Node;
 
-/// Time within which a permit is used. A call that is sent later could fall into a
-/// window of time with more permits than the limit allows.
-const PERMIT_TTL_MS: u64 = 250;
-
-/// Time without a reply after which the next VM is asked for a permit.
-const PERMIT_TIMEOUT_MS: u64 = 40;
-
-/// Time after which a target is tried again for which no VM granted or refused a
-/// permit.
-const NO_GRANTOR_RETRY_MS: u64 = 100;
-
 /// Maximum time that an interrupted stream waits for a permit to be resumed.
 const MAX_RESUME_WAIT_MS: u64 = 1_000;
 
