Streams: log and count the software version that begins, resumes and takes up each

Neither the version of a target nor the stream that a caller takes up was read, so logs could not tell a VM's own resumption from a caller's. Lines and the counter lagoon_streams_total now say which version began a stream, at which it was resumed, whose stream a request takes up and at which version; lagoon explain shows a stream over its requests. No logic is changed, but for entries without a version, which now name no target.

Stand-in targets have a version, which each event names; test fleets may have several failure domains.

--- a/crates/cli/src/canvas/timeline.rs
+++ b/crates/cli/src/canvas/timeline.rs
@@ -4,21 +4,28 @@
 
 use crate::collection::LogLine;
 
-/// Log keys whose values identify a request, program or session.
-const ID_FIELDS: [&str; 3] = ["request", "program", "session"];
+/// Log keys whose values identify a request, program or session, or the request that
+/// began a stream.
+const ID_FIELDS: [&str; 4] = ["request", "program", "session", "stream"];
 
 /// Log keys that a timeline omits: level and module don't describe the request, and
 /// the heading names the program, or the first one of a session with several.
 const OMITTED_FIELDS: [&str; 3] = ["level", "module", "program"];
 
 /// Formats the log lines of a request, program or session in order of time;
-/// `None` if no line names its identifier.
+/// `None` if no line names its identifier. Of a stream that was taken up, the requests
+/// that did so are included, whichever of them is named.
 ///
 /// Log lines that name the same program but no request are included if they were
 /// written between the first and the last line with the identifier, as they concern
 /// the program's budget.
 pub fn timeline(id: &str, lines: &[LogLine]) -> Option<String> {
-    let names = |line: &LogLine| ID_FIELDS.iter().any(|name| line.field(name) == Some(id));
+    let requests = stream_requests(id, lines);
+    let names = |line: &LogLine| {
+        let is_id = |name: &&str| line.field(name) == Some(id);
+        let request = line.field("request");
+        ID_FIELDS.iter().any(|name| is_id(&name)) || request.is_some_and(|r| requests.contains(&r))
+    };
     let named: Vec<&LogLine> = lines.iter().filter(|line| names(line)).collect();
     let first_ms = named.iter().map(|line| line.time_ms).min()?;
     let last_ms = named.iter().map(|line| line.time_ms).max()?;
@@ -43,6 +50,20 @@
     Some(text)
 }
 
+/// Requests that began or took up the same stream as this request.
+fn stream_requests<'a>(id: &'a str, lines: &'a [LogLine]) -> Vec<&'a str> {
+    let taken_up = lines.iter().filter_map(|line| {
+        let stream = line.field("stream").filter(|stream| *stream != "-")?;
+        Some((line.field("request")?, stream))
+    });
+    let taken_up: Vec<(&str, &str)> = taken_up.collect();
+    let stream = taken_up.iter().find(|(request, _)| *request == id);
+    let stream = stream.map_or(id, |(_, stream)| stream);
+    let requests = taken_up.iter().filter(|(_, begun_as)| *begun_as == stream);
+    let requests = requests.map(|(request, _)| *request);
+    requests.chain([stream]).collect()
+}
+
 fn write_line(text: &mut String, line: &LogLine, first_ms: u64) {
     let after_ms = line.time_ms.saturating_sub(first_ms);
     // Writing into a string does not fail.
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -136,6 +136,9 @@
     pub(crate) keep_alive_s: Option<u64>,
     pub(crate) closes_connection: bool,
     pub(crate) target: TargetKey,
+    pub(crate) target_id: CompactString,
+    /// Version of the target's software by its entry, as read before the attempt.
+    pub(crate) software_version: CompactString,
 }
 
 /// Attempt without a usable response.
@@ -241,6 +244,8 @@
                 keep_alive_s: metadata.keep_alive_s,
                 closes_connection: metadata.closes_connection || metadata.is_leaving,
                 target: key,
+                target_id: entry.id.clone(),
+                software_version: entry.software_version.clone(),
             })));
         }
         let body = self.read_response_body(body).await?;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -19,6 +19,7 @@
     target_crashes: IntCounterVec,
     store_calls: IntCounterVec,
     permits: IntCounterVec,
+    streams: IntCounterVec,
     gossip_messages: IntCounterVec,
     gossip_bytes: IntCounterVec,
     first_byte_s: Histogram,
@@ -80,6 +81,11 @@
                 "Requests for permits to targets with limits",
                 &["decision"],
             )?,
+            streams: counters(
+                "lagoon_streams_total",
+                "Event streams by what became of them",
+                &["event"],
+            )?,
             permit_s: histogram("lagoon_permit_seconds", "Wait for a permit or its refusal")?,
             gossip_messages: counters("lagoon_news_total", "News of other VMs", &["end"])?,
             gossip_bytes: counters("lagoon_news_bytes_total", "Their bytes", &["end"])?,
@@ -154,6 +160,10 @@
         self.0.permits.with_label_values(&[decision]).inc();
     }
 
+    pub(crate) fn record_stream(&self, event: &str) {
+        self.0.streams.with_label_values(&[event]).inc();
+    }
+
     pub(crate) fn record_permit_wait(&self, wait_ms: u64) {
         self.0.permit_s.observe(wait_ms as f64 / 1e3);
     }
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -95,6 +95,9 @@
                         self.outcome = "charge used up in the stream";
                         return Err(TruncatedBody);
                     }
+                    if events.count > 0 && self.reader.event_count() == events.count {
+                        self.record_begin();
+                    }
                     if let Some(output) = &mut self.output {
                         output.push_events(&events.bytes);
                     }
@@ -112,16 +115,49 @@
         }
     }
 
+    /// Logs and counts that the first event is about to be relayed.
+    fn record_begin(&self) {
+        let Some(stream) = &self.stream else {
+            return;
+        };
+        let metadata = &self.request.metadata;
+        let event = match metadata.last_event_id {
+            Some(_) => "taken up",
+            None => "begun",
+        };
+        self.request.state.metrics.record_stream(event);
+        log::info!(
+            request = metadata.request_id.as_str(),
+            target_id = stream.target_id.as_str(),
+            software_version = stream.software_version.as_str(),
+            stream = metadata.resumed_stream.as_deref().unwrap_or("-"),
+            last_event_id = metadata.last_event_id.map_or(-1, |id| id as i64);
+            "stream {event}"
+        );
+    }
+
     /// Resumes the stream after an interruption; fails if that is impossible.
     async fn resume_or_fail(&mut self, detail: &str) -> Result<(), TruncatedBody> {
         let Some(stream) = self.stream.take() else {
             return Err(TruncatedBody);
         };
         let target = stream.target;
+        let software_version = stream.software_version.clone();
         // The target must see the connection closed before it gets the next
         // attempt.
         drop(stream);
-        if self.resume(target, detail.to_owned()).await {
+        let is_resumed = self.resume(target, detail.to_owned()).await;
+        let event = if is_resumed { "resumed" } else { "not resumed" };
+        self.request.state.metrics.record_stream(event);
+        log::info!(
+            request = self.request.metadata.request_id.as_str(),
+            software_version = software_version.as_str(),
+            events = self.reader.event_count(),
+            next_target_id = self.stream.as_ref().map_or("-", |stream| stream.target_id.as_str()),
+            next_software_version = self.stream.as_ref().map_or("-", |stream| stream.software_version.as_str());
+            "interrupted stream {event}"
+        );
+        if is_resumed {
             return Ok(());
         }
         self.outcome = "stream broke off";
--- a/crates/entry/tests/fleet/mod.rs
+++ b/crates/entry/tests/fleet/mod.rs
@@ -4,6 +4,7 @@
 // Each test binary uses a part of this module.
 #![allow(dead_code)]
 
+use std::cell::RefCell;
 use std::fs;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
@@ -36,6 +37,7 @@
 
 /// Process of an entry daemon, with its listening addresses; killed on drop.
 pub(crate) struct Vm {
+    name: String,
     pub(crate) callers: SocketAddr,
     pub(crate) ready: SocketAddr,
     pub(crate) peers: SocketAddr,
@@ -51,6 +53,10 @@
     /// Fault-injecting proxies of the store, the engines and the desks, in this
     /// order; empty if the fleet runs without proxies.
     pub(crate) proxies: Vec<FaultProxy>,
+    /// Number of failure domains, to which VMs belong in turn as they start.
+    domains: usize,
+    /// Names of all VMs that were started.
+    started: RefCell<Vec<String>>,
     /// Whether VMs that start now are the fleet's first ones.
     is_first_start: bool,
     files: TempDir,
@@ -98,26 +104,33 @@
 impl Fleet {
     /// Starts the servers and the VMs, and waits until the VMs are ready.
     pub(crate) fn start(vms: usize) -> Fleet {
-        Fleet::start_with(vms, false, true)
+        Fleet::start_with(vms, 1, false, true)
     }
 
     /// Like [`Fleet::start`], for VMs of which each may have run before.
     pub(crate) fn start_again(vms: usize) -> Fleet {
-        Fleet::start_with(vms, false, false)
+        Fleet::start_with(vms, 1, false, false)
+    }
+
+    /// Like [`Fleet::start`], with VMs of several failure domains in turn.
+    pub(crate) fn start_in_domains(vms: usize, domains: usize) -> Fleet {
+        Fleet::start_with(vms, domains, false, true)
     }
 
     /// Like [`Fleet::start`], with a proxy in front of the store and each target.
     pub(crate) fn start_proxied(vms: usize) -> Fleet {
-        Fleet::start_with(vms, true, true)
+        Fleet::start_with(vms, 1, true, true)
     }
 
-    fn start_with(vms: usize, has_proxies: bool, is_first_start: bool) -> Fleet {
+    fn start_with(vms: usize, domains: usize, has_proxies: bool, is_first_start: bool) -> Fleet {
         let mut fleet = Fleet {
             store: Store::start(),
             engines: ["e1", "e2"].map(|id| Target::start(id, EVENT_COUNT, EVENT_INTERVAL)),
             desks: ["d1", "d2"].map(|id| Target::start(id, 0, EVENT_INTERVAL)),
             vms: Vec::new(),
             proxies: Vec::new(),
+            domains,
+            started: RefCell::default(),
             is_first_start,
             files: TempDir::new().expect("folder"),
         };
@@ -178,6 +191,15 @@
         });
     }
 
+    /// Removes the rows of VMs that were killed.
+    pub(crate) fn remove_dead_rows(&self) {
+        for name in self.started.borrow().iter() {
+            if !self.vms.iter().any(|vm| vm.name == *name) {
+                self.store.put("vms", name, None);
+            }
+        }
+    }
+
     /// Starts one more VM and waits until it is ready.
     pub(crate) fn start_vm(&mut self) {
         self.start_vm_at_store(self.store_address());
@@ -209,8 +231,10 @@
         let (callers, ready, peers) = (free_address(), free_address(), free_address());
         let name = format!("vm-{}", callers.port());
         let first_start = self.is_first_start;
+        let domain = 1 + self.started.borrow().len() % self.domains;
+        self.started.borrow_mut().push(name.clone());
         let text = format!(
-            "[vm]\nname = \"{name}\"\ndomain = \"d1\"\nfirst_start = {first_start}\n\
+            "[vm]\nname = \"{name}\"\ndomain = \"d{domain}\"\nfirst_start = {first_start}\n\
              [listen]\ncallers = \"{callers}\"\nready = \"{ready}\"\npeers = \"{peers}\"\n\
              [store]\naddress = \"{store}\"\n[limits]\nstop_wait_s = 8\n"
         );
@@ -225,6 +249,7 @@
             .spawn()
             .expect("daemon starts");
         Vm {
+            name,
             callers,
             ready,
             peers,
@@ -383,6 +408,6 @@
 /// Expected body of a complete stream.
 pub(crate) fn complete_stream() -> String {
     (1..=EVENT_COUNT)
-        .map(|number| format!("id: {number}\ndata: piece {number}\n\n"))
+        .map(|number| format!("id: {number}\ndata: v1 piece {number}\n\n"))
         .collect()
 }
--- a/crates/entry/tests/soak.rs
+++ b/crates/entry/tests/soak.rs
@@ -173,7 +173,7 @@
     let mut chains: HashMap<&str, (String, SocketAddr)> = HashMap::new();
     let (mut moved, mut uncertain) = (0, 0);
     let output: String = (1..=EVENT_COUNT)
-        .map(|number| format!("piece {number}\n"))
+        .map(|number| format!("v1 piece {number}\n"))
         .collect();
     // A caller's outcomes are in order, so a turn comes after its previous one.
     for outcome in outcomes {
--- a/crates/entry/tests/turns.rs
+++ b/crates/entry/tests/turns.rs
@@ -18,7 +18,7 @@
 /// Data of the events of a complete stream, as a chain contains it.
 fn output() -> String {
     (1..=EVENT_COUNT)
-        .map(|number| format!("piece {number}\n"))
+        .map(|number| format!("v1 piece {number}\n"))
         .collect()
 }
 
--- a/crates/gateway/examples/decisions.rs
+++ b/crates/gateway/examples/decisions.rs
@@ -28,6 +28,7 @@
             service: "s".into(),
             address: ([10, 0, 0, 1], 1_000 + number).into(),
             domain: format!("d{}", number % 5).into(),
+            software_version: "v1".into(),
             slots: 12,
             status: TargetStatus::Ready,
             started_unix_ms: None,
--- a/crates/gateway/src/request_metadata.rs
+++ b/crates/gateway/src/request_metadata.rs
@@ -45,6 +45,9 @@
     /// Id of the last event that the caller has of an interrupted stream; `None`
     /// for a stream from its start.
     pub last_event_id: Option<u64>,
+    /// Id of the request that brought the first event of the interrupted stream, as
+    /// the caller states it. Not validated.
+    pub resumed_stream: Option<CompactString>,
 }
 
 impl RequestMetadata {
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -51,6 +51,9 @@
     pub address: SocketAddr,
     /// Failure domain that it runs in.
     pub domain: CompactString,
+    /// Version of its software, without an order. Streams of two versions don't fit
+    /// together.
+    pub software_version: CompactString,
     /// Requests that it runs concurrently at most.
     pub slots: u32,
     /// Status as the target published it.
--- a/crates/gateway/tests/gossip.rs
+++ b/crates/gateway/tests/gossip.rs
@@ -15,6 +15,7 @@
         service: "s".into(),
         address: ([127, 0, 0, 1], 9_000).into(),
         domain: "d1".into(),
+        software_version: "v1".into(),
         slots: 4,
         status: TargetStatus::Ready,
         started_unix_ms: None,
--- a/crates/gateway/tests/lost_attempts.rs
+++ b/crates/gateway/tests/lost_attempts.rs
@@ -9,6 +9,7 @@
         service: "s".into(),
         address: ([127, 0, 0, 1], 9_000).into(),
         domain: "d1".into(),
+        software_version: "v1".into(),
         slots: 4,
         status,
         started_unix_ms: Some(started_unix_ms),
--- a/crates/gateway/tests/overload.rs
+++ b/crates/gateway/tests/overload.rs
@@ -76,6 +76,7 @@
         service: "s".into(),
         address: ([127, 0, 0, 1], 9_000 + number as u16).into(),
         domain: "d".into(),
+        software_version: "v1".into(),
         slots: SLOTS,
         status: TargetStatus::Ready,
         started_unix_ms: None,
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -13,6 +13,7 @@
         service: "s".into(),
         address: ([127, 0, 0, 1], 9_000 + number).into(),
         domain: domain.into(),
+        software_version: "v1".into(),
         slots: 4,
         status: TargetStatus::Ready,
         started_unix_ms: None,
--- a/crates/standin/src/fleet/target.rs
+++ b/crates/standin/src/fleet/target.rs
@@ -89,6 +89,8 @@
     executions: Vec<Execution>,
     event_count: u64,
     event_interval: Duration,
+    /// Version of the software, which each event of a stream names.
+    software_version: CompactString,
     /// Start of this run, as a Unix time.
     started_unix_ms: u64,
     /// Whether this run has announced in its responses that it will stop.
@@ -125,6 +127,7 @@
         let state = Arc::new(Mutex::new(State {
             event_count,
             event_interval,
+            software_version: "v1".into(),
             started_unix_ms: unix_now_ms(),
             ..State::default()
         }));
@@ -144,14 +147,16 @@
 
     /// Row of this target for the target table.
     pub fn entry(&self, service: &str, status: TargetStatus) -> TargetEntry {
+        let state = lock(&self.state);
         TargetEntry {
             id: self.id.clone(),
             service: service.into(),
             address: self.address,
             domain: "d1".into(),
+            software_version: state.software_version.clone(),
             slots: 12,
             status,
-            started_unix_ms: Some(lock(&self.state).started_unix_ms),
+            started_unix_ms: Some(state.started_unix_ms),
         }
     }
 
@@ -168,6 +173,12 @@
         state.limit_per_s = None;
     }
 
+    /// Runs another version of the software from now on; its entry must be written
+    /// again.
+    pub fn set_software_version(&self, version: &str) {
+        lock(&self.state).software_version = version.into();
+    }
+
     /// Announces in each response from now on that this run will stop.
     pub fn leave(&self) {
         lock(&self.state).is_leaving = true;
@@ -317,9 +328,10 @@
     fault: TargetFault,
 ) -> HttpResponse {
     let first_event_id = received.last_event_id.unwrap_or(0) + 1;
+    let software_version = lock(&guard.state).software_version.clone();
     let frames = stream::unfold(
-        (guard, first_event_id),
-        move |(guard, event_id)| async move {
+        (guard, first_event_id, software_version),
+        move |(guard, event_id, software_version)| async move {
             let (event_count, interval) = {
                 let state = lock(&guard.state);
                 (state.event_count, state.event_interval)
@@ -329,7 +341,7 @@
                 return None;
             }
             sleep(interval).await;
-            let event = format!("id: {event_id}\ndata: piece {event_id}\n\n");
+            let event = format!("id: {event_id}\ndata: {software_version} piece {event_id}\n\n");
             let frame = match fault {
                 TargetFault::TruncateAfter(last) if event_id == last + 1 => {
                     let half = event.as_bytes()[..event.len() / 2].to_vec();
@@ -338,7 +350,7 @@
                 TargetFault::TruncateAfter(last) if event_id > last => Err(ConnectionAborted),
                 _ => Ok(Frame::data(Bytes::from(event))),
             };
-            Some((frame, (guard, event_id + 1)))
+            Some((frame, (guard, event_id + 1, software_version)))
         },
     );
     let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
