Resume an interrupted stream only at the software version that began it

Callers saw one response with events of two versions. The version was no part of what placement is given.

The relay now binds a request to the version of the target whose first event is passed on, and placement, the choice after a refused permit and the retry at the same target take only targets of that version; another version under a known id is a new target. Attempts before the first event stay free. If a target's version changed under its id, its stream isn't resumed.

Test: interrupted_stream_is_resumed_only_at_its_version failed before (events 1 and 2 of v1, the rest of v2) and passes. It now faults all targets at once, so each of its 12 streams is interrupted.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -6,6 +6,7 @@
 mod permit;
 mod reading;
 mod turns;
+mod version;
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -25,6 +26,7 @@
 };
 use lagoon_ids::hash64;
 use lagoon_limits::Demand;
+use lagoon_streams::SoftwareId;
 use lagoon_turns::TurnId;
 use rand::RngExt;
 use tokio::task::spawn_local;
@@ -101,6 +103,8 @@
     permit: Option<Permit>,
     /// Whether placement leaves targets with limits out.
     skips_limited: bool,
+    /// Software version of the events that the caller has; `None` before the first.
+    software: Option<SoftwareId>,
     /// Whether an attempt is in flight, or has failed without proof that the
     /// target did not execute the request.
     may_have_run: bool,
@@ -192,6 +196,7 @@
         demand: Demand::Running,
         permit: None,
         skips_limited: false,
+        software: None,
         may_have_run: false,
         placement: None,
         target_id: CompactString::default(),
@@ -345,6 +350,7 @@
             excluded_targets: &self.excluded_targets,
             demand: self.demand,
             skips_limited: self.skips_limited,
+            software: self.software,
             random: rand::rng().random(),
         };
         place(
@@ -428,8 +434,12 @@
         if self.attempts.may_have_run() {
             return self.unknown_outcome("no target left");
         }
+        let why = match self.software {
+            Some(_) => "no target of the stream's version",
+            None => "no target",
+        };
         self.refuse_at_limits()
-            .unwrap_or_else(|| self.refuse("no target", OVERLOADED_RETRY_AFTER_MS))
+            .unwrap_or_else(|| self.refuse(why, OVERLOADED_RETRY_AFTER_MS))
     }
 
     fn unknown_outcome(&self, detail: &str) -> Box<Response<ResponseBody>> {
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -13,6 +13,7 @@
 };
 use lagoon_gateway::{AttemptFailure, RouteKind, TargetEntry, TargetKey, UnfinishedAttempt};
 use lagoon_limits::Demand;
+use lagoon_streams::SoftwareId;
 
 use crate::body::RequestBody;
 use crate::clock::unix_now_ms;
@@ -139,6 +140,7 @@
     pub(crate) target_id: CompactString,
     /// Version of the target's software by its entry, as read before the attempt.
     pub(crate) software_version: CompactString,
+    pub(crate) software: SoftwareId,
 }
 
 /// Attempt without a usable response.
@@ -246,6 +248,7 @@
                 target: key,
                 target_id: entry.id.clone(),
                 software_version: entry.software_version.clone(),
+                software: SoftwareId::new(&entry.service, &entry.software_version),
             })));
         }
         let body = self.read_response_body(body).await?;
--- a/crates/entry/src/forward/permit.rs
+++ b/crates/entry/src/forward/permit.rs
@@ -130,7 +130,13 @@
         let targets = self.state.targets.borrow();
         let is_candidate = |key: TargetKey| match same_target {
             Some(same) => key == same,
-            None => !self.excluded_targets.contains(&key),
+            None => {
+                let target = targets.get(key);
+                let is_version = self
+                    .software
+                    .is_none_or(|software| target.is_some_and(|t| t.software == software));
+                is_version && !self.excluded_targets.contains(&key)
+            }
         };
         targets.next_room_ms(&self.service, is_candidate, self.demand)
     }
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -5,7 +5,7 @@
 use futures::StreamExt;
 use http_body_util::BodyExt;
 use hyper::{Response, StatusCode};
-use lagoon_gateway::{EventReader, RetryDecision, TargetKey};
+use lagoon_gateway::{EventReader, RetryDecision, TargetHash, TargetKey};
 use lagoon_turns::TurnOutput;
 use tokio::time::{sleep, timeout_at};
 
@@ -21,6 +21,8 @@
     /// `None` after the end of the stream, and while it is being resumed.
     stream: Option<ResponseStream>,
     reader: EventReader,
+    /// Target that made the first event; `None` before it.
+    begun_at: Option<TargetHash>,
     /// Data of the relayed events, if the route keeps turns.
     output: Option<TurnOutput>,
     status: StatusCode,
@@ -45,6 +47,7 @@
         let head = forwarded_head(std::mem::take(&mut stream.head));
         let relay = Relay {
             reader: EventReader::resume_after(request.metadata.last_event_id),
+            begun_at: None,
             output: request.route.keeps_turns.then(TurnOutput::default),
             request,
             stream: Some(stream),
@@ -115,11 +118,13 @@
         }
     }
 
-    /// Logs and counts that the first event is about to be relayed.
-    fn record_begin(&self) {
+    /// Records that the first event is about to be relayed, and the version it has.
+    fn record_begin(&mut self) {
         let Some(stream) = &self.stream else {
             return;
         };
+        self.begun_at = Some(TargetHash::of_id(&stream.target_id));
+        self.request.bind_version(stream);
         let metadata = &self.request.metadata;
         let event = match metadata.last_event_id {
             Some(_) => "taken up",
@@ -197,10 +202,21 @@
         Err(TruncatedBody)
     }
 
+    /// Whether the target that made the first event may have run another version than
+    /// was recorded.
+    fn is_version_doubtful(&self) -> bool {
+        let targets = self.request.state.targets.borrow();
+        self.begun_at
+            .is_some_and(|target| targets.is_version_doubtful(target))
+    }
+
     /// Requests the stream again, from the event after the last relayed one;
     /// `false` if no target resumes it.
     async fn resume(&mut self, target: TargetKey, detail: String) -> bool {
         self.reader.discard_partial();
+        if self.is_version_doubtful() {
+            return false;
+        }
         let mut key = target;
         let mut failed = FailedAttempt::interrupted(detail);
         loop {
--- a/crates/entry/tests/versions.rs
+++ b/crates/entry/tests/versions.rs
@@ -248,11 +248,8 @@
 #[test]
 fn interrupted_stream_is_resumed_only_at_its_version() {
     let versions = VersionFleet::start(1, 1, &["v1", "v2"]);
-    let mut number = 0;
-    while versions.resumptions() < 12 {
-        number += 1;
-        assert!(number <= 60, "a stream in five is interrupted");
-        for engine in versions.engines.iter().step_by(2) {
+    for number in 0..12 {
+        for engine in &versions.engines {
             engine.set_fault(TargetFault::TruncateAfter(2));
         }
         let stream = format!("r{number}");
@@ -267,6 +264,7 @@
         held.check();
         assert!(held.is_complete, "a target of the version is free");
     }
+    assert!(versions.resumptions() >= 12);
 }
 
 // Guards against a VM that takes up a dead VM's stream at a target of another version,
--- a/crates/gateway/examples/decisions.rs
+++ b/crates/gateway/examples/decisions.rs
@@ -66,6 +66,7 @@
                 excluded_targets: &[],
                 demand: lagoon_limits::Demand::Running,
                 skips_limited: false,
+                software: None,
                 random: round,
             };
             black_box(place(&targets, &settings, &request, round % 300));
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -6,12 +6,20 @@
 //! sends the target of a session to all VMs, as the session's next request may
 //! come through any of them.
 
+use lagoon_ids::hash64;
 use serde::{Deserialize, Serialize};
 
 /// Hash of a target's id that identifies it in gossip.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct TargetHash(pub u32);
 
+impl TargetHash {
+    /// Hash of a target's id.
+    pub fn of_id(id: &str) -> TargetHash {
+        TargetHash(hash64(id.as_bytes()) as u32)
+    }
+}
+
 /// Hash of an affinity key. Sessions with equal hashes disturb each other's
 /// placement and nothing else.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -2,6 +2,7 @@
 
 use lagoon_ids::hash64;
 use lagoon_limits::Demand;
+use lagoon_streams::SoftwareId;
 
 use crate::request_metadata::RequestMetadata;
 use crate::targets::{Target, TargetKey, Targets};
@@ -65,6 +66,9 @@
     pub demand: Demand,
     /// Whether targets with limits are left out.
     pub skips_limited: bool,
+    /// Software version at which the request's stream began; `None` if it may run at
+    /// any.
+    pub software: Option<SoftwareId>,
     /// Random number that breaks ties, so that VMs don't all choose the same.
     pub random: u64,
 }
@@ -100,6 +104,9 @@
     let usable = |(key, target): &(TargetKey, &Target)| {
         target.accepts_requests()
             && !request.excluded_targets.contains(key)
+            && request
+                .software
+                .is_none_or(|software| target.software == software)
             && !(request.skips_limited && targets.is_limited(target))
             && targets.has_room(target, request.demand, now_ms)
     };
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -8,8 +8,9 @@
 
 use compact_str::CompactString;
 use derive_more::Display;
-use lagoon_ids::FastMap;
+use lagoon_ids::{hash64, FastMap};
 use lagoon_limits::{Demand, LimitChange, LimitTable, RunId};
+use lagoon_streams::{SoftwareId, VersionHistory};
 use leaving::LeavingRuns;
 use lost::LostAttempts;
 use slotmap::{new_key_type, SlotMap};
@@ -143,16 +144,18 @@
     leaving: LeavingRuns,
     /// Limits that targets have stated in responses.
     pub limits: LimitTable,
+    versions: VersionHistory,
 }
 
 impl Targets {
-    /// Adds or updates an entry. Another address, service or start time under a
-    /// known id makes it a new target.
+    /// Adds or updates an entry. Another address, service, software version or start
+    /// time under a known id makes it a new target.
     pub fn upsert(&mut self, entry: TargetEntry) {
         if let Some(&key) = self.by_id.get(&entry.id) {
             let current = &self.arena[key].entry;
             let is_same = current.address == entry.address
                 && current.service == entry.service
+                && current.software_version == entry.software_version
                 && current.started_unix_ms == entry.started_unix_ms;
             if is_same {
                 let target = &mut self.arena[key];
@@ -160,6 +163,10 @@
                 target.is_missing = false;
                 return;
             }
+            if current.software_version != entry.software_version {
+                let id_hash = self.arena[key].id_hash();
+                self.versions.version_changed(u64::from(id_hash.0));
+            }
             let has_restarted = current.started_unix_ms != entry.started_unix_ms;
             self.remove_key(key, has_restarted);
         }
@@ -167,6 +174,9 @@
         let service = entry.service.clone();
         let is_leaving = self.leaving.contains(&entry);
         let key = self.arena.insert(Target::new(entry, is_leaving));
+        let software = self.arena[key].software;
+        self.versions
+            .target_added(hash64(service.as_bytes()), software);
         self.by_id.insert(id, key);
         self.by_hash.insert(self.arena[key].id_hash(), key);
         self.by_service.entry(service).or_default().push(key);
@@ -235,6 +245,8 @@
         };
         self.by_id.remove(&target.entry.id);
         self.by_hash.remove(&target.id_hash());
+        let service = hash64(target.entry.service.as_bytes());
+        self.versions.target_removed(service, target.software);
         if let Some(keys) = self.by_service.get_mut(&target.entry.service) {
             keys.retain(|other| *other != key);
         }
@@ -260,6 +272,25 @@
         self.lost.take(now_ms)
     }
 
+    /// The only software version that a service has had for as long as a stream lasts;
+    /// `None` if there were several, or that isn't known.
+    pub fn sole_version(&mut self, service: &str, now_ms: u64) -> Option<SoftwareId> {
+        self.versions.observe(now_ms);
+        self.versions.sole_version(hash64(service.as_bytes()))
+    }
+
+    /// Dates the changes of software versions since the last call. To be called at
+    /// least each second.
+    pub fn observe_versions(&mut self, now_ms: u64) {
+        self.versions.observe(now_ms);
+    }
+
+    /// Whether the target with this hash may have had another software version than
+    /// its entry said when it was read.
+    pub fn is_version_doubtful(&self, target: TargetHash) -> bool {
+        self.versions.is_doubtful(u64::from(target.0))
+    }
+
     /// Target of a key, unless it was removed.
     pub fn get(&self, key: TargetKey) -> Option<&Target> {
         self.arena.get(key)
--- a/crates/gateway/src/targets/target.rs
+++ b/crates/gateway/src/targets/target.rs
@@ -4,6 +4,7 @@
 
 use lagoon_ids::hash64;
 use lagoon_limits::{Demand, RunId};
+use lagoon_streams::SoftwareId;
 
 use super::lost::{UnfinishedAttempts, MIN_SILENCE_MS};
 use super::{TargetEntry, TargetSettings, TargetStatus};
@@ -98,6 +99,8 @@
     pub hash: u64,
     /// Run of the target's process.
     pub run: RunId,
+    /// Version of its software.
+    pub software: SoftwareId,
     /// Requests that this VM has in flight at the target.
     pub in_flight: u32,
     /// Requests of the load report that neither this VM nor its gossip peers
@@ -135,6 +138,7 @@
         let started_unix_ms = entry.started_unix_ms.unwrap_or_default();
         Target {
             hash,
+            software: SoftwareId::new(&entry.service, &entry.software_version),
             run: RunId(hash64(&(hash ^ started_unix_ms).to_le_bytes())),
             entry,
             in_flight: 0,
--- a/crates/gateway/tests/overload.rs
+++ b/crates/gateway/tests/overload.rs
@@ -190,6 +190,7 @@
             excluded_targets: &[],
             demand: lagoon_limits::Demand::Running,
             skips_limited: false,
+            software: None,
             random: self.random.random(),
         };
         let placement = place(&*targets, &self.settings, &request, self.now_ms);
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -71,6 +71,7 @@
         excluded_targets: excluded,
         demand: lagoon_limits::Demand::Running,
         skips_limited: false,
+        software: None,
         random,
     };
     place(targets, &PlacementSettings::default(), &request, now_ms)
