Take a dead VM's stream up only at the software version that began it

Only the VM that relayed the first event knew its version, and a VM that takes a stream up read neither whose stream it is nor asked anybody.

Before the first event is passed on, the VM now sends a record of 24 bytes to two VMs, one of its own domain and one of another, found by a hash of the request id and content. A VM that takes a stream up asks the first two of each domain, waits 100 ms at most, and refuses at once, as not executed, where nobody knows, where records differ, and where no target of the version is left. Without a record a stream goes on if the service had one version for 15 s, by a list of targets that is current. A VM that stops hands its records over. Streams that are taken up pass admission like calls of a running program.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -216,6 +216,9 @@
         if let Err(response) = self.load_chain().await {
             return *response;
         }
+        if let Err(response) = self.find_version().await {
+            return *response;
+        }
         if let Err(response) = self.wait_for_admission().await {
             return *response;
         }
--- a/crates/entry/src/forward/admission.rs
+++ b/crates/entry/src/forward/admission.rs
@@ -21,7 +21,8 @@
 
 impl ForwardedRequest {
     /// Waits until a target has a free slot for a new program; refuses the
-    /// request after the maximum wait. All other requests pass at once.
+    /// request after the maximum wait. All other requests pass at once, streams that
+    /// are taken up among them.
     pub(super) async fn wait_for_admission(&mut self) -> Result<(), Box<Response<ResponseBody>>> {
         if !self.starts_program() {
             return Ok(());
@@ -65,6 +66,7 @@
                 .is_some()
         };
         let continues = self.metadata.previous_turn.is_some();
-        self.metadata.model_call.is_some() && !continues && !is_known()
+        let is_begun = self.software.is_some();
+        self.metadata.model_call.is_some() && !continues && !is_begun && !is_known()
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -25,6 +25,7 @@
 mod settings;
 mod state;
 mod store;
+mod streams;
 mod suspects;
 mod tables;
 mod turns;
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -4,6 +4,7 @@
 use lagoon_gateway::{
     AllowanceRequest, AllowanceSettlement, ReserveRequest, StoreCall, StoreError, StoreReply,
 };
+use lagoon_streams::StreamId;
 use serde::{Deserialize, Serialize};
 
 use crate::permits::PermitRequest;
@@ -69,6 +70,9 @@
     /// Grant a permit for a request to a target with a limit. Response:
     /// [`PermitReply`](crate::permits::PermitReply).
     RequestPermit(PermitRequest),
+    /// Send what is known of the origin of a stream. Response:
+    /// [`OriginReply`](lagoon_streams::OriginReply).
+    FindOrigin(StreamId),
 }
 
 /// Response to [`PeerMessage::FetchTurns`].
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -20,6 +20,7 @@
     store_calls: IntCounterVec,
     permits: IntCounterVec,
     streams: IntCounterVec,
+    stream_lookups: IntCounterVec,
     gossip_messages: IntCounterVec,
     gossip_bytes: IntCounterVec,
     first_byte_s: Histogram,
@@ -86,6 +87,11 @@
                 "Event streams by what became of them",
                 &["event"],
             )?,
+            stream_lookups: counters(
+                "lagoon_stream_lookups_total",
+                "Lookups of the version of a stream that is taken up",
+                &["outcome"],
+            )?,
             permit_s: histogram("lagoon_permit_seconds", "Wait for a permit or its refusal")?,
             gossip_messages: counters("lagoon_news_total", "News of other VMs", &["end"])?,
             gossip_bytes: counters("lagoon_news_bytes_total", "Their bytes", &["end"])?,
@@ -164,6 +170,10 @@
         self.0.streams.with_label_values(&[event]).inc();
     }
 
+    pub(crate) fn record_stream_lookup(&self, outcome: &str) {
+        self.0.stream_lookups.with_label_values(&[outcome]).inc();
+    }
+
     pub(crate) fn record_permit_wait(&self, wait_ms: u64) {
         self.0.permit_s.observe(wait_ms as f64 / 1e3);
     }
--- a/crates/entry/src/news.rs
+++ b/crates/entry/src/news.rs
@@ -1,5 +1,6 @@
 //! Gossip between VMs by UDP: loads of targets, session affinities, crashes of
-//! targets, the versions that sentinels have read, and limits of targets.
+//! targets, the versions that sentinels have read, limits of targets, and the versions
+//! of streams.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -7,6 +8,7 @@
 
 use lagoon_gateway::{CrashUpdate, GossipMessage, TableVersions};
 use lagoon_limits::LimitUpdate;
+use lagoon_streams::OriginRecord;
 use rand::RngExt;
 use tokio::net::UdpSocket;
 use tokio::task::spawn_local;
@@ -37,6 +39,10 @@
 /// `MAX_MESSAGE_BYTES`.
 const LIMITS_PER_MESSAGE: usize = 100;
 
+/// Maximum number of stream versions in one message. At up to 25 bytes each, they stay
+/// within `MAX_MESSAGE_BYTES`.
+const ORIGINS_PER_MESSAGE: usize = 100;
+
 /// Interval at which a VM repeats the crashes and limits that it knows, as datagrams
 /// may get lost and VMs may be cut off for a time.
 const REPEAT_INTERVAL: Duration = Duration::from_secs(1);
@@ -56,6 +62,7 @@
     let socket = std::net::UdpSocket::bind(address)?;
     socket.set_nonblocking(true)?;
     let socket = Rc::new(UdpSocket::from_std(socket)?);
+    state.origins.set_socket(&socket);
     spawn_local(send_updates(Rc::clone(state), Rc::clone(&socket)));
     spawn_local(repeat_news(Rc::clone(state), Rc::clone(&socket)));
     spawn_local(receive_updates(Rc::clone(state), socket));
@@ -203,6 +210,28 @@
     send_encoded(state, socket, postcard::to_allocvec(&message), receivers);
 }
 
+/// Sends versions of streams to several VMs, after an empty message that VMs of earlier
+/// versions ignore the rest of.
+pub(crate) fn send_origins(
+    state: &DaemonState,
+    socket: &UdpSocket,
+    origins: &[OriginRecord],
+    receivers: &[SocketAddr],
+) {
+    let no_crashes: &[CrashUpdate] = &[];
+    let no_limits: &[LimitUpdate] = &[];
+    for origins in origins.chunks(ORIGINS_PER_MESSAGE) {
+        let message = (
+            GossipMessage::default(),
+            no_crashes,
+            TableVersions::default(),
+            no_limits,
+            origins,
+        );
+        send_encoded(state, socket, postcard::to_allocvec(&message), receivers);
+    }
+}
+
 fn send_encoded(
     state: &DaemonState,
     socket: &UdpSocket,
@@ -266,6 +295,7 @@
     crashes: Vec<CrashUpdate>,
     versions: TableVersions,
     limits: Vec<LimitUpdate>,
+    origins: Vec<OriginRecord>,
 }
 
 fn apply(state: &DaemonState, from: SocketAddr, news: News) {
@@ -286,10 +316,11 @@
     if !news.limits.is_empty() {
         state.apply_limits(&news.limits, &from.to_string());
     }
+    state.accept_origins(&news.origins);
 }
 
-/// Decodes a message, and the crashes, the versions and the limits that follow it, if
-/// any.
+/// Decodes a message, and the crashes, the versions, the limits and the origins of
+/// streams that follow it, if any.
 fn decode(bytes: &[u8]) -> Result<News, postcard::Error> {
     let (message, remaining) = postcard::take_from_bytes(bytes)?;
     let mut news = News {
@@ -306,8 +337,13 @@
     }
     let (versions, remaining) = postcard::take_from_bytes(remaining)?;
     news.versions = versions;
+    if remaining.is_empty() {
+        return Ok(news);
+    }
+    let (limits, remaining) = postcard::take_from_bytes(remaining)?;
+    news.limits = limits;
     if !remaining.is_empty() {
-        news.limits = postcard::from_bytes(remaining)?;
+        news.origins = postcard::from_bytes(remaining)?;
     }
     Ok(news)
 }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -20,6 +20,7 @@
     Connectivity, PeerOutcome, PeerProbe, Peers, ProgramKey, ReserveRequest, StoreCall, StoreError,
 };
 use lagoon_ids::FastMap;
+use lagoon_streams::{OriginReply, StreamId};
 use lagoon_turns::{CopyReply, TurnId};
 use rand::RngExt;
 use serde::de::DeserializeOwned;
@@ -378,16 +379,41 @@
     }
 
     /// Requests a permit from the VM with this name; `None` without a reply in time.
-    /// Being late here says nothing of whether the VM is up.
     pub(crate) async fn request_permit(
         &self,
         name: &str,
         request: PermitRequest,
         max_wait: Duration,
     ) -> Option<PermitReply> {
+        self.request_soon(name, &PeerMessage::RequestPermit(request), max_wait)
+            .await
+    }
+
+    /// Asks the VM with this name for the origin of a stream; `None` without a reply
+    /// in time.
+    pub(crate) async fn find_origin(
+        &self,
+        name: &str,
+        stream: StreamId,
+        max_wait: Duration,
+    ) -> Option<OriginReply> {
+        self.request_soon(name, &PeerMessage::FindOrigin(stream), max_wait)
+            .await
+    }
+
+    /// Sends a message whose response is of use only for a short time. Being late here
+    /// says nothing of whether the VM is up.
+    async fn request_soon<A>(
+        &self,
+        name: &str,
+        message: &PeerMessage,
+        max_wait: Duration,
+    ) -> Option<A>
+    where
+        A: DeserializeOwned,
+    {
         let address = self.peers.borrow().address(name)?;
-        let message = PeerMessage::RequestPermit(request);
-        let reply = timeout(max_wait, self.exchange(address, &message)).await;
+        let reply = timeout(max_wait, self.exchange(address, message)).await;
         let error = match reply {
             Ok(Ok(reply)) => match postcard::from_bytes(&reply) {
                 Ok(reply) => return Some(reply),
@@ -396,7 +422,7 @@
             Ok(Err(error)) => error.to_string(),
             Err(_) => "no reply in time".to_owned(),
         };
-        log::debug!(peer = name, error = error.as_str(); "cannot request a permit");
+        log::debug!(peer = name, error = error.as_str(); "no reply in time to be of use");
         None
     }
 
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -154,6 +154,7 @@
     }
     state.stopping.set(true);
     spawn_local(async move { registration.unregister().await });
+    state.hand_over_origins();
     state.turn_keeper.stop();
     let turn_keeper = Rc::clone(&state.turn_keeper);
     spawn_local(async move { turn_keeper.hand_over().await });
@@ -222,6 +223,9 @@
             state.renew_watches();
         }
         state.targets.borrow_mut().remove_expired(state.now_ms());
+        if state.targets_loaded.get() {
+            state.targets.borrow_mut().observe_versions(state.now_ms());
+        }
         let lost_attempts = state.targets.borrow_mut().take_lost(state.now_ms());
         for lost in &lost_attempts {
             state.crash_tracker.record_lost(lost);
@@ -232,6 +236,7 @@
             state.affinity.borrow_mut().remove_expired(state.now_ms());
             state.permits.remove_expired(state.now_ms());
             let now_ms = state.now_ms();
+            state.origins.remove_expired(now_ms);
             state.targets.borrow_mut().remove_expired_limits(now_ms);
             state.budget_client.remove_expired().await;
             state.crash_tracker.remove_expired().await;
@@ -273,7 +278,8 @@
     while state.connections.get() > 0 && Instant::now() < deadline {
         sleep(HOUSEKEEPING_INTERVAL).await;
     }
-    // Turns that ended since the stop began.
+    // Streams that began and turns that ended since the stop began.
+    state.hand_over_origins();
     if timeout(HANDOVER_TIMEOUT, state.turn_keeper.hand_over())
         .await
         .is_err()
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -17,6 +17,7 @@
 use crate::permits::Permits;
 use crate::pool::Pool;
 use crate::settings::EntrySettings;
+use crate::streams::StreamOrigins;
 use crate::suspects::CrashTracker;
 use crate::turns::TurnKeeper;
 
@@ -74,6 +75,7 @@
     pub(crate) crash_tracker: Rc<CrashTracker>,
     pub(crate) turn_keeper: Rc<TurnKeeper>,
     pub(crate) permits: Permits,
+    pub(crate) origins: StreamOrigins,
     pub(crate) placement_settings: PlacementSettings,
     pub(crate) admission_settings: AdmissionSettings,
     /// `None` until a valid configuration was read.
@@ -116,6 +118,7 @@
             crash_tracker: services.crash_tracker,
             turn_keeper: services.turn_keeper,
             permits: Permits::default(),
+            origins: StreamOrigins::default(),
             placement_settings: PlacementSettings::default(),
             admission_settings: AdmissionSettings::default(),
             config: RefCell::new(None),
--- /dev/null
+++ b/crates/entry/src/streams.rs
@@ -0,0 +1,171 @@
+//! Software versions of streams: records at other VMs, and their lookup when a caller
+//! takes a stream up.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use futures::stream::FuturesUnordered;
+use futures::StreamExt;
+use lagoon_gateway::{SentinelTable, TargetHash};
+use lagoon_ids::FastMap;
+use lagoon_streams::{
+    decide_origin, heir, holder_candidates, holders, OriginRecord, OriginReply, Origins,
+    SoftwareId, StreamId, UnknownOrigin,
+};
+use tokio::net::UdpSocket;
+use tokio::time::{timeout_at, Instant};
+
+use crate::news;
+use crate::state::DaemonState;
+
+/// Maximum time to find the version of a stream.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// This VM's part in keeping the versions of streams.
+#[derive(Default)]
+pub(crate) struct StreamOrigins {
+    held: RefCell<Origins>,
+    /// Socket from which records are sent; `None` until gossip starts.
+    socket: RefCell<Option<Rc<UdpSocket>>>,
+}
+
+impl StreamOrigins {
+    pub(crate) fn set_socket(&self, socket: &Rc<UdpSocket>) {
+        *self.socket.borrow_mut() = Some(Rc::clone(socket));
+    }
+
+    /// Drops records that have expired.
+    pub(crate) fn remove_expired(&self, now_ms: u64) {
+        self.held.borrow_mut().remove_expired(now_ms);
+    }
+}
+
+impl DaemonState {
+    /// Keeps a record of a stream here and at its holders. To be called before the
+    /// first event is passed on.
+    pub(crate) fn record_origin(&self, record: OriginRecord) {
+        self.accept_origins(&[record]);
+        let receivers: Vec<SocketAddr> = {
+            let peers = self.peer_client.peers.borrow();
+            let names = holders(record.stream, peers.own_domain(), peers.entries());
+            let addresses = names.into_iter().filter_map(|name| peers.address(name));
+            addresses.collect()
+        };
+        self.send_origins(&[record], &receivers);
+    }
+
+    fn send_origins(&self, records: &[OriginRecord], receivers: &[SocketAddr]) {
+        if let Some(socket) = &*self.origins.socket.borrow() {
+            news::send_origins(self, socket, records, receivers);
+        }
+    }
+
+    /// Adds records that another VM has sent, or that are this VM's own.
+    pub(crate) fn accept_origins(&self, records: &[OriginRecord]) {
+        let now_ms = self.now_ms();
+        let mut held = self.origins.held.borrow_mut();
+        for record in records {
+            held.insert(*record, now_ms);
+        }
+    }
+
+    /// What this VM knows of the origin of a stream.
+    pub(crate) fn origin(&self, stream: StreamId) -> OriginReply {
+        self.origins.held.borrow().get(stream)
+    }
+
+    /// Sends the records that this VM holds to those that hold them once it has
+    /// stopped.
+    pub(crate) fn hand_over_origins(&self) {
+        let mut by_heir: FastMap<SocketAddr, Vec<OriginRecord>> = FastMap::default();
+        {
+            let peers = self.peer_client.peers.borrow();
+            for record in self.origins.held.borrow().records() {
+                let heir = heir(record.stream, peers.own_domain(), peers.entries());
+                if let Some(address) = heir.and_then(|name| peers.address(name)) {
+                    by_heir.entry(address).or_default().push(record);
+                }
+            }
+        }
+        let heirs = by_heir.len();
+        let mut records = 0;
+        for (address, held) in by_heir {
+            records += held.len();
+            self.send_origins(&held, &[address]);
+        }
+        log::info!(records, heirs; "handed over the versions of streams");
+    }
+
+    /// Finds the software version at which a stream may go on.
+    pub(crate) async fn find_origin(
+        &self,
+        request_id: &str,
+        stream: StreamId,
+        service: &str,
+    ) -> Result<SoftwareId, UnknownOrigin> {
+        let started_ms = self.now_ms();
+        let own = self.origin(stream);
+        let (reply, source) = match own {
+            OriginReply::Unknown => self.ask_holders(stream).await,
+            OriginReply::Known(_) | OriginReply::Ambiguous => (own, "this VM".into()),
+        };
+        let now_ms = self.now_ms();
+        let is_current = self.are_targets_current(now_ms);
+        let mut targets = self.targets.borrow_mut();
+        let sole = targets.sole_version(service, now_ms).filter(|_| is_current);
+        let decision = decide_origin(&[reply], sole, |target| {
+            targets.is_version_doubtful(TargetHash(target as u32))
+        });
+        let outcome = match (&decision, reply) {
+            (Ok(_), OriginReply::Unknown) => "the only version".to_owned(),
+            (Ok(_), _) => "a record".to_owned(),
+            (Err(reason), _) => reason.to_string(),
+        };
+        self.metrics.record_stream_lookup(&outcome);
+        log::info!(
+            request = request_id,
+            stream_id = stream.to_string(),
+            software = decision.map_or_else(|_| "-".to_owned(), |software| software.to_string()),
+            source = source.as_str(),
+            is_sole = sole.is_some(),
+            is_current,
+            waited_ms = now_ms - started_ms;
+            "version of an interrupted stream: {outcome}"
+        );
+        decision
+    }
+
+    /// Whether this VM's list of targets is current, but for the last second.
+    fn are_targets_current(&self, now_ms: u64) -> bool {
+        let sentinel = self.sentinel.borrow();
+        sentinel.is_current(SentinelTable::Targets, now_ms)
+    }
+
+    /// Asks the VMs that may hold the record of a stream; returns the first reply that
+    /// knows more than nothing, and the VM that gave it.
+    async fn ask_holders(&self, stream: StreamId) -> (OriginReply, CompactString) {
+        let names: Vec<CompactString> = {
+            let peers = self.peer_client.peers.borrow();
+            let names = holder_candidates(stream, peers.entries());
+            names.into_iter().map(CompactString::from).collect()
+        };
+        let deadline = Instant::now() + LOOKUP_TIMEOUT;
+        let mut replies: FuturesUnordered<_> = names
+            .into_iter()
+            .map(|name| async {
+                let reply = self.peer_client.find_origin(&name, stream, LOOKUP_TIMEOUT);
+                (reply.await, name)
+            })
+            .collect();
+        while let Ok(Some((reply, name))) = timeout_at(deadline, replies.next()).await {
+            match reply {
+                Some(OriginReply::Unknown) | None => {}
+                Some(reply) => return (reply, name),
+            }
+        }
+        (OriginReply::Unknown, "nobody".into())
+    }
+}
--- a/crates/gateway/src/sentinel.rs
+++ b/crates/gateway/src/sentinel.rs
@@ -129,6 +129,17 @@
         self.tables[table as usize].is_vouched(now_ms)
     }
 
+    /// Whether a table was read not long ago, or another VM vouches for the watch in
+    /// flight.
+    pub fn is_current(&self, table: SentinelTable, now_ms: u64) -> bool {
+        let state = &self.tables[table as usize];
+        let oldest_ms = now_ms.saturating_sub(self.settings.max_reply_age_ms);
+        let is_young = state.replied_ms.is_some_and(|replied| replied >= oldest_ms);
+        state.missed.is_none()
+            && state.replied_ms.is_some()
+            && (is_young || state.is_vouched(now_ms))
+    }
+
     /// Records that a watch begins; returns whether it may be a long one.
     pub fn watch_started(&mut self, table: SentinelTable, now_ms: u64) -> bool {
         let state = &mut self.tables[table as usize];
