Streams whose caller doesn't name them go on where there was one version

A VM now answers a lookup also with the only version that the service has had, so that one which has just started, or whose caller names nothing, knows it too. A stream lasts 10 s at most, not 15, with the requests that take it up.

--- a/crates/entry/src/forward/version.rs
+++ b/crates/entry/src/forward/version.rs
@@ -15,10 +15,7 @@
             return Ok(());
         }
         let named = self.metadata.resumed_stream.as_deref();
-        let Some(named) = named.filter(|named| !named.is_empty()) else {
-            return Err(self.refuse_unknown_version(UnknownOrigin::Unnamed));
-        };
-        let stream = StreamId::new(named, self.fingerprint);
+        let stream = StreamId::new(named.unwrap_or_default(), self.fingerprint);
         let request_id = self.metadata.request_id.as_str();
         let found = self.state.find_origin(request_id, stream, &self.service);
         match found.await {
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -71,8 +71,11 @@
     /// [`PermitReply`](crate::permits::PermitReply).
     RequestPermit(PermitRequest),
     /// Send what is known of the origin of a stream. Response:
-    /// [`OriginReply`](lagoon_streams::OriginReply).
-    FindOrigin(StreamId),
+    /// [`OriginAnswer`](lagoon_streams::OriginAnswer).
+    FindOrigin {
+        stream: StreamId,
+        service: CompactString,
+    },
 }
 
 /// Response to [`PeerMessage::FetchTurns`].
--- a/crates/entry/src/message_handler.rs
+++ b/crates/entry/src/message_handler.rs
@@ -73,7 +73,9 @@
         PeerMessage::RequestPermit(request) => {
             postcard::to_allocvec(&state.handle_permit_request(&request))
         }
-        PeerMessage::FindOrigin(stream) => postcard::to_allocvec(&state.origin(stream)),
+        PeerMessage::FindOrigin { stream, service } => {
+            postcard::to_allocvec(&state.origin(stream, &service))
+        }
         PeerMessage::Probe => postcard::to_allocvec(&budget_client.is_store_unavailable()),
     };
     match response {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -20,7 +20,7 @@
     Connectivity, PeerOutcome, PeerProbe, Peers, ProgramKey, ReserveRequest, StoreCall, StoreError,
 };
 use lagoon_ids::FastMap;
-use lagoon_streams::{OriginReply, StreamId};
+use lagoon_streams::{OriginAnswer, StreamId};
 use lagoon_turns::{CopyReply, TurnId};
 use rand::RngExt;
 use serde::de::DeserializeOwned;
@@ -395,10 +395,14 @@
         &self,
         name: &str,
         stream: StreamId,
+        service: &str,
         max_wait: Duration,
-    ) -> Option<OriginReply> {
-        self.request_soon(name, &PeerMessage::FindOrigin(stream), max_wait)
-            .await
+    ) -> Option<OriginAnswer> {
+        let message = PeerMessage::FindOrigin {
+            stream,
+            service: service.into(),
+        };
+        self.request_soon(name, &message, max_wait).await
     }
 
     /// Sends a message whose response is of use only for a short time. Being late here
--- a/crates/entry/src/streams.rs
+++ b/crates/entry/src/streams.rs
@@ -12,8 +12,8 @@
 use lagoon_gateway::{SentinelTable, TargetHash};
 use lagoon_ids::FastMap;
 use lagoon_streams::{
-    decide_origin, heir, holder_candidates, holders, OriginRecord, OriginReply, Origins,
-    SoftwareId, StreamId, UnknownOrigin,
+    decide_origin, heir, holder_candidates, holders, OriginAnswer, OriginRecord, OriginReply,
+    Origins, SoftwareId, StreamId, UnknownOrigin,
 };
 use tokio::net::UdpSocket;
 use tokio::time::{timeout_at, Instant};
@@ -72,9 +72,16 @@
         }
     }
 
-    /// What this VM knows of the origin of a stream.
-    pub(crate) fn origin(&self, stream: StreamId) -> OriginReply {
-        self.origins.held.borrow().get(stream)
+    /// What this VM knows of the origin of a stream of a service.
+    pub(crate) fn origin(&self, stream: StreamId, service: &str) -> OriginAnswer {
+        let now_ms = self.now_ms();
+        let sole = self.targets.borrow_mut().sole_version(service, now_ms);
+        let sentinel = self.sentinel.borrow();
+        let is_current = sentinel.is_current(SentinelTable::Targets, now_ms);
+        OriginAnswer {
+            reply: self.origins.held.borrow().get(stream),
+            sole: sole.filter(|_| is_current),
+        }
     }
 
     /// Sends the records that this VM holds to those that hold them once it has
@@ -99,7 +106,8 @@
         log::info!(records, heirs; "handed over the versions of streams");
     }
 
-    /// Finds the software version at which a stream may go on.
+    /// Finds the software version at which a stream may go on. A stream whose caller
+    /// doesn't name it has no record.
     pub(crate) async fn find_origin(
         &self,
         request_id: &str,
@@ -107,22 +115,24 @@
         service: &str,
     ) -> Result<SoftwareId, UnknownOrigin> {
         let started_ms = self.now_ms();
-        let own = self.origin(stream);
-        let (reply, source) = match own {
-            OriginReply::Unknown => self.ask_holders(stream).await,
-            OriginReply::Known(_) | OriginReply::Ambiguous => (own, "this VM".into()),
-        };
+        let mut answers = vec![self.origin(stream, service)];
+        let mut source = self.peer_client.peers.borrow().own_name().clone();
+        if answers[0].reply == OriginReply::Unknown {
+            source = self.ask_holders(stream, service, &mut answers).await;
+        }
         let now_ms = self.now_ms();
-        let is_current = self.are_targets_current(now_ms);
         let mut targets = self.targets.borrow_mut();
-        let sole = targets.sole_version(service, now_ms).filter(|_| is_current);
-        let decision = decide_origin(&[reply], sole, |target| {
+        let versions = targets.versions(service, now_ms);
+        let decision = decide_origin(&answers, &versions, |target| {
             targets.is_version_doubtful(TargetHash(target as u32))
         });
-        let outcome = match (&decision, reply) {
-            (Ok(_), OriginReply::Unknown) => "the only version".to_owned(),
-            (Ok(_), _) => "a record".to_owned(),
-            (Err(reason), _) => reason.to_string(),
+        let has_record = answers
+            .iter()
+            .any(|answer| answer.reply != OriginReply::Unknown);
+        let outcome = match &decision {
+            Ok(_) if has_record => "a record".to_owned(),
+            Ok(_) => "the only version".to_owned(),
+            Err(reason) => reason.to_string(),
         };
         self.metrics.record_stream_lookup(&outcome);
         log::info!(
@@ -130,23 +140,22 @@
             stream_id = stream.to_string(),
             software = decision.map_or_else(|_| "-".to_owned(), |software| software.to_string()),
             source = source.as_str(),
-            is_sole = sole.is_some(),
-            is_current,
+            answers = answers.len(),
+            versions = versions.len(),
             waited_ms = now_ms - started_ms;
             "version of an interrupted stream: {outcome}"
         );
         decision
     }
 
-    /// Whether this VM's list of targets is current, but for the last second.
-    fn are_targets_current(&self, now_ms: u64) -> bool {
-        let sentinel = self.sentinel.borrow();
-        sentinel.is_current(SentinelTable::Targets, now_ms)
-    }
-
-    /// Asks the VMs that may hold the record of a stream; returns the first reply that
-    /// knows more than nothing, and the VM that gave it.
-    async fn ask_holders(&self, stream: StreamId) -> (OriginReply, CompactString) {
+    /// Asks the VMs that may hold the record of a stream until one has it. Adds their
+    /// answers, and returns the VM that had the record.
+    async fn ask_holders(
+        &self,
+        stream: StreamId,
+        service: &str,
+        answers: &mut Vec<OriginAnswer>,
+    ) -> CompactString {
         let names: Vec<CompactString> = {
             let peers = self.peer_client.peers.borrow();
             let names = holder_candidates(stream, peers.entries());
@@ -156,16 +165,20 @@
         let mut replies: FuturesUnordered<_> = names
             .into_iter()
             .map(|name| async {
-                let reply = self.peer_client.find_origin(&name, stream, LOOKUP_TIMEOUT);
-                (reply.await, name)
+                let peer_client = &self.peer_client;
+                let answer = peer_client.find_origin(&name, stream, service, LOOKUP_TIMEOUT);
+                (answer.await, name)
             })
             .collect();
-        while let Ok(Some((reply, name))) = timeout_at(deadline, replies.next()).await {
-            match reply {
-                Some(OriginReply::Unknown) | None => {}
-                Some(reply) => return (reply, name),
+        while let Ok(Some((answer, name))) = timeout_at(deadline, replies.next()).await {
+            let Some(answer) = answer else {
+                continue;
+            };
+            answers.push(answer);
+            if answer.reply != OriginReply::Unknown {
+                return name;
             }
         }
-        (OriginReply::Unknown, "nobody".into())
+        "-".into()
     }
 }
--- a/crates/entry/tests/versions.rs
+++ b/crates/entry/tests/versions.rs
@@ -402,14 +402,24 @@
 }
 
 // Guards against refusals where the service has had one version for longer than a
-// stream lasts, and needs no record.
+// stream lasts, and needs no record: also of callers that name no stream, and by a VM
+// that has just started.
 #[test]
 fn stream_of_the_only_version_goes_on_without_a_record() {
-    let versions = VersionFleet::start(1, 1, &["v1"]);
-    (0..2).for_each(|index| versions.fleet.list(index, TargetStatus::Draining));
+    let mut versions = VersionFleet::start(2, 1, &["v1"]);
     let vm = versions.fleet.callers();
+    let take_up_unnamed = |vm: SocketAddr| {
+        let mut headers = headers("r1");
+        headers.push("Last-Event-Id: 3".to_owned());
+        call(vm, "POST /stream/x", &headers, &body_of("r1")).status
+    };
     wait_until("a resumed stream", || {
-        let response = take_up(vm, "r1", "nobody", 3);
-        response.status == 200
+        take_up(vm, "r1", "nobody", 3).status == 200
     });
+    assert_eq!(take_up_unnamed(vm), 200);
+    versions.fleet.start_vm();
+    versions.fleet.wait_for_peers();
+    let started = versions.callers()[2];
+    assert_eq!(take_up(started, "r1", "nobody", 3).status, 200);
+    assert_eq!(take_up_unnamed(started), 200);
 }
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -279,6 +279,12 @@
         self.versions.sole_version(hash64(service.as_bytes()))
     }
 
+    /// Software versions that a service has had for as long as a stream lasts.
+    pub fn versions(&mut self, service: &str, now_ms: u64) -> Vec<SoftwareId> {
+        self.versions.observe(now_ms);
+        self.versions.versions(hash64(service.as_bytes()))
+    }
+
     /// Dates the changes of software versions since the last call. To be called at
     /// least each second.
     pub fn observe_versions(&mut self, now_ms: u64) {
--- a/crates/streams/src/lib.rs
+++ b/crates/streams/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub use holders::{heir, holder_candidates, holders};
 pub use origin::{
-    decide_origin, OriginRecord, OriginReply, Origins, SoftwareId, StreamId, UnknownOrigin,
+    decide_origin, OriginAnswer, OriginRecord, OriginReply, Origins, SoftwareId, StreamId,
+    UnknownOrigin,
 };
 pub use versions::VersionHistory;
--- a/crates/streams/src/origin.rs
+++ b/crates/streams/src/origin.rs
@@ -70,13 +70,21 @@
     Ambiguous,
 }
 
+/// Reply of a VM that is asked for the origin of a stream.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OriginAnswer {
+    /// What it knows of the stream.
+    pub reply: OriginReply,
+    /// The only version that the service has had for as long as a stream lasts, if the
+    /// VM knows that.
+    pub sole: Option<SoftwareId>,
+}
+
 /// Reason for which the software version of a stream isn't known.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub enum UnknownOrigin {
-    /// The caller names no request.
-    #[display("no stream is named")]
-    Unnamed,
-    /// No VM that was asked has a record.
+    /// No VM that was asked has a record, and the service has had several versions, or
+    /// none knows.
     #[display("no record of the stream")]
     NoRecord,
     /// Two streams of different versions have this id.
@@ -87,38 +95,45 @@
     ChangedTarget,
 }
 
-/// Version at which a stream may go on, by the replies of the VMs that were asked and
-/// this VM's own knowledge. `sole` is the only version that the service has had for as
-/// long as a stream lasts; `is_doubtful` tells whether the version of a target isn't
-/// certain.
+/// Version at which a stream may go on, by the answers of VMs, among them this one.
+/// `versions` are those that this VM has seen of the service lately; `is_doubtful`
+/// tells whether the version of a target isn't certain.
 ///
 /// # Errors
 ///
 /// Fails if the version isn't certain; then the stream must not go on.
 pub fn decide_origin<F>(
-    replies: &[OriginReply],
-    sole: Option<SoftwareId>,
+    answers: &[OriginAnswer],
+    versions: &[SoftwareId],
     is_doubtful: F,
 ) -> Result<SoftwareId, UnknownOrigin>
 where
     F: Fn(u64) -> bool,
 {
     let mut known: Option<OriginRecord> = None;
-    for reply in replies {
-        match (reply, known) {
+    for answer in answers {
+        match (answer.reply, known) {
             (OriginReply::Unknown, _) => {}
             (OriginReply::Ambiguous, _) => return Err(UnknownOrigin::Ambiguous),
             (OriginReply::Known(record), Some(other)) if record.software != other.software => {
                 return Err(UnknownOrigin::Ambiguous);
             }
-            (OriginReply::Known(record), _) => known = Some(*record),
+            (OriginReply::Known(record), _) => known = Some(record),
         }
     }
-    match known {
-        Some(record) if is_doubtful(record.target) => Err(UnknownOrigin::ChangedTarget),
-        Some(record) => Ok(record.software),
-        None => sole.ok_or(UnknownOrigin::NoRecord),
+    if let Some(record) = known {
+        return if is_doubtful(record.target) {
+            Err(UnknownOrigin::ChangedTarget)
+        } else {
+            Ok(record.software)
+        };
     }
+    let soles = answers.iter().filter_map(|answer| answer.sole);
+    let mut possible = soles.clone().chain(versions.iter().copied());
+    let sole = soles
+        .last()
+        .filter(|sole| possible.all(|other| other == *sole));
+    sole.ok_or(UnknownOrigin::NoRecord)
 }
 
 /// Records that a VM holds: of its own streams, and of those of other VMs.
--- a/crates/streams/src/versions.rs
+++ b/crates/streams/src/versions.rs
@@ -6,7 +6,7 @@
 
 /// Time for which a service must have had one version for streams without a record;
 /// longer than a stream lasts, with the requests that take it up.
-const SOLE_VERSION_MS: u64 = 15_000;
+const SOLE_VERSION_MS: u64 = 10_000;
 
 /// Time for which a target whose version changed under its id is in doubt: as long as
 /// records that may name it are kept.
@@ -70,6 +70,13 @@
         }
     }
 
+    /// Versions of the service for as long as a stream lasts, as of the last
+    /// observation.
+    pub fn versions(&self, service: u64) -> Vec<SoftwareId> {
+        let versions = self.versions.get(&service);
+        versions.map_or_else(Vec::new, |versions| versions.keys().copied().collect())
+    }
+
     /// The only version that the service has had for as long as a stream lasts, as of
     /// the last observation; `None` if there were several or that isn't known.
     pub fn sole_version(&self, service: u64) -> Option<SoftwareId> {
