Streams without a record: the store confirms the only version

A VM's list of targets counts as current if it is two seconds old or a sentinel vouches for it. A stream that its caller names, and that has no record, now goes on at the only version only if a read of the store's list finds no other one; else it is refused as not executed. Callers that don't name the stream are served by the lists as before.

All requests for one stream now have the same affinity key also if they name no session, so that a split route sends them to the same service.

--- a/crates/entry/src/forward/version.rs
+++ b/crates/entry/src/forward/version.rs
@@ -17,7 +17,8 @@
         let named = self.metadata.resumed_stream.as_deref();
         let stream = StreamId::new(named.unwrap_or_default(), self.fingerprint);
         let request_id = self.metadata.request_id.as_str();
-        let found = self.state.find_origin(request_id, stream, &self.service);
+        let state = &self.state;
+        let found = state.find_origin(request_id, stream, named.is_some(), &self.service);
         match found.await {
             Ok(software) => {
                 self.software = Some(software);
--- a/crates/entry/src/streams.rs
+++ b/crates/entry/src/streams.rs
@@ -6,10 +6,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use compact_str::CompactString;
+use compact_str::{format_compact, CompactString};
 use futures::stream::FuturesUnordered;
 use futures::StreamExt;
-use lagoon_gateway::{SentinelTable, TargetHash};
+use lagoon_adapter::TARGET_TABLE;
+use lagoon_gateway::{SentinelTable, StoreCall, StoreReply, TargetHash};
 use lagoon_ids::FastMap;
 use lagoon_streams::{
     decide_origin, heir, holder_candidates, holders, OriginAnswer, OriginRecord, OriginReply,
@@ -20,10 +21,14 @@
 
 use crate::news;
 use crate::state::DaemonState;
+use crate::watch::decode_entry;
 
 /// Maximum time to find the version of a stream.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Maximum time to read the versions of a service from the store.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// This VM's part in keeping the versions of streams.
 #[derive(Default)]
 pub(crate) struct StreamOrigins {
@@ -106,12 +111,14 @@
         log::info!(records, heirs; "handed over the versions of streams");
     }
 
-    /// Finds the software version at which a stream may go on. A stream whose caller
-    /// doesn't name it has no record.
+    /// Finds the software version at which a stream may go on. A stream without a
+    /// record goes on at the only version of the service; if the caller names it, so
+    /// that there should be a record, only if the store confirms this version.
     pub(crate) async fn find_origin(
         &self,
         request_id: &str,
         stream: StreamId,
+        is_named: bool,
         service: &str,
     ) -> Result<SoftwareId, UnknownOrigin> {
         let started_ms = self.now_ms();
@@ -120,15 +127,19 @@
         if answers[0].reply == OriginReply::Unknown {
             source = self.ask_holders(stream, service, &mut answers).await;
         }
-        let now_ms = self.now_ms();
-        let mut targets = self.targets.borrow_mut();
-        let versions = targets.versions(service, now_ms);
-        let decision = decide_origin(&answers, &versions, |target| {
-            targets.is_version_doubtful(TargetHash(target as u32))
-        });
         let has_record = answers
             .iter()
             .any(|answer| answer.reply != OriginReply::Unknown);
+        let mut decision = self.decide_origin(&answers, &[], service);
+        if !has_record && is_named && decision.is_ok() {
+            // A version that came in the last seconds may be unread here and at the
+            // VMs that were asked.
+            decision = match self.read_versions(service).await {
+                Some(versions) => self.decide_origin(&answers, &versions, service),
+                None => Err(UnknownOrigin::NoRecord),
+            };
+        }
+        let now_ms = self.now_ms();
         let outcome = match &decision {
             Ok(_) if has_record => "a record".to_owned(),
             Ok(_) => "the only version".to_owned(),
@@ -141,13 +152,58 @@
             software = decision.map_or_else(|_| "-".to_owned(), |software| software.to_string()),
             source = source.as_str(),
             answers = answers.len(),
-            versions = versions.len(),
             waited_ms = now_ms - started_ms;
             "version of an interrupted stream: {outcome}"
         );
         decision
     }
 
+    /// Decides by the answers of VMs, the versions that this VM has read, and
+    /// `read_now`, those in the store.
+    fn decide_origin(
+        &self,
+        answers: &[OriginAnswer],
+        read_now: &[SoftwareId],
+        service: &str,
+    ) -> Result<SoftwareId, UnknownOrigin> {
+        let mut targets = self.targets.borrow_mut();
+        let mut versions = targets.versions(service, self.now_ms());
+        versions.extend_from_slice(read_now);
+        decide_origin(answers, &versions, |target| {
+            targets.is_version_doubtful(TargetHash(target as u32))
+        })
+    }
+
+    /// Versions of a service in the store's list of targets; `None` if it can't be
+    /// read in time.
+    async fn read_versions(&self, service: &str) -> Option<Vec<SoftwareId>> {
+        let deadline = Instant::now() + CONFIRMATION_TIMEOUT;
+        let mut versions = Vec::new();
+        let mut from_key = CompactString::default();
+        loop {
+            let call = StoreCall::Read {
+                table: TARGET_TABLE.into(),
+                partition: CompactString::default(),
+                from_key,
+            };
+            let reply = timeout_at(deadline, self.budget_client.execute_or_relay(&call)).await;
+            let Ok(Ok(StoreReply::Rows { rows, has_more, .. })) = reply else {
+                log::info!(service; "cannot read the versions of a service now");
+                return None;
+            };
+            let entries = rows.iter().filter_map(decode_entry);
+            let entries = entries.filter(|entry| entry.service == service);
+            versions.extend(
+                entries.map(|entry| SoftwareId::new(&entry.service, &entry.software_version)),
+            );
+            let last = rows.last().filter(|_| has_more);
+            let Some(last) = last else {
+                return Some(versions);
+            };
+            from_key = format_compact!("{}\0", last.key.key);
+        }
+    }
+
     /// Asks the VMs that may hold the record of a stream until one has it. Adds their
     /// answers, and returns the VM that had the record.
     async fn ask_holders(
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -378,7 +378,7 @@
 }
 
 /// Decodes the row of a target; `None` for a removed or invalid one.
-fn decode_entry(row: &Row) -> Option<TargetEntry> {
+pub(crate) fn decode_entry(row: &Row) -> Option<TargetEntry> {
     let value = row.value.as_deref()?;
     match decode_target(&row.key.key, value) {
         Ok(entry) => Some(entry),
--- a/crates/gateway/src/request_metadata.rs
+++ b/crates/gateway/src/request_metadata.rs
@@ -51,10 +51,11 @@
 }
 
 impl RequestMetadata {
-    /// Key of session affinity: session, program, affinity or request id, the
-    /// first that is given.
+    /// Key of session affinity: session, program, affinity, interrupted stream or
+    /// request id, the first that is given. All requests for one stream have the same.
     pub fn affinity_key(&self) -> &str {
-        [&self.session, &self.program, &self.affinity]
+        let stream = &self.resumed_stream;
+        [&self.session, &self.program, &self.affinity, stream]
             .into_iter()
             .flatten()
             .next()
--- a/crates/streams/src/origin.rs
+++ b/crates/streams/src/origin.rs
@@ -129,10 +129,9 @@
         };
     }
     let soles = answers.iter().filter_map(|answer| answer.sole);
-    let mut possible = soles.clone().chain(versions.iter().copied());
-    let sole = soles
-        .last()
-        .filter(|sole| possible.all(|other| other == *sole));
+    let mut possible = soles.chain(versions.iter().copied());
+    let sole = answers.iter().find_map(|answer| answer.sole);
+    let sole = sole.filter(|sole| possible.all(|other| other == *sole));
     sole.ok_or(UnknownOrigin::NoRecord)
 }
 
