--- a/crates/cli/src/canvas/timeline.rs
+++ b/crates/cli/src/canvas/timeline.rs
@@ -24,7 +24,7 @@
     let names = |line: &LogLine| {
         let is_id = |name: &&str| line.field(name) == Some(id);
         let request = line.field("request");
-        ID_FIELDS.iter().any(|name| is_id(&name)) || request.is_some_and(|r| requests.contains(&r))
+        ID_FIELDS.iter().any(is_id) || request.is_some_and(|r| requests.contains(&r))
     };
     let named: Vec<&LogLine> = lines.iter().filter(|line| names(line)).collect();
     let first_ms = named.iter().map(|line| line.time_ms).min()?;
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -40,3 +40,24 @@
 fn timeline_of_unknown_id_is_none() {
     assert_eq!(timeline("r9", &parse_log(LOG)), None);
 }
+
+const STREAM_LOG: &str = r#"
+time_ms=10 vm=a-1 message="stream begun" request=r1 target_id=i-1 software_version=v1 stream=-
+time_ms=30 vm=b-1 message="version of an interrupted stream: a record" request=r2 source=a-2
+time_ms=40 vm=b-1 message="stream taken up" request=r2 target_id=i-2 software_version=v1 stream=r1
+time_ms=70 vm=c-1 message="stream is not taken up: no record of the stream" request=r3 stream=r1
+time_ms=80 vm=c-1 message="stream begun" request=r4 target_id=i-1 software_version=v1 stream=-
+"#;
+
+// Guards against a timeline that ends where the first VM died.
+#[test]
+fn timeline_of_stream_has_all_requests_for_it() {
+    for id in ["r1", "r2", "r3"] {
+        let timeline = timeline(id, &parse_log(STREAM_LOG)).expect("is named");
+        for request in ["r1", "r2", "r3"] {
+            let field = format!("request={request}");
+            assert!(timeline.contains(&field), "{id}: {timeline}");
+        }
+        assert!(!timeline.contains("request=r4"), "{timeline}");
+    }
+}
--- a/crates/entry/tests/versions.rs
+++ b/crates/entry/tests/versions.rs
@@ -377,7 +377,7 @@
     assert_eq!(begun.status, 200);
     let newer = Target::start("v2a", EVENT_COUNT, EVENT_INTERVAL);
     newer.set_software_version("v2");
-    versions.list(&[newer.clone()], TargetStatus::Ready);
+    versions.list(std::slice::from_ref(&newer), TargetStatus::Ready);
     versions.list(&versions.engines, TargetStatus::Draining);
     let callers = versions.callers();
     wait_until("the release at all VMs", || {
