--- a/crates/entry/src/streams.rs
+++ b/crates/entry/src/streams.rs
@@ -55,7 +55,8 @@
         self.accept_origins(&[record]);
         let receivers: Vec<SocketAddr> = {
             let peers = self.peer_client.peers.borrow();
-            let names = holders(record.stream, peers.own_domain(), peers.entries());
+            let vms = peers.responsive_entries();
+            let names = holders(record.stream, peers.own_domain(), vms);
             let addresses = names.into_iter().filter_map(|name| peers.address(name));
             addresses.collect()
         };
@@ -96,7 +97,8 @@
         {
             let peers = self.peer_client.peers.borrow();
             for record in self.origins.held.borrow().records() {
-                let heir = heir(record.stream, peers.own_domain(), peers.entries());
+                let vms = peers.responsive_entries();
+                let heir = heir(record.stream, peers.own_domain(), vms);
                 if let Some(address) = heir.and_then(|name| peers.address(name)) {
                     by_heir.entry(address).or_default().push(record);
                 }
@@ -214,7 +216,13 @@
     ) -> CompactString {
         let names: Vec<CompactString> = {
             let peers = self.peer_client.peers.borrow();
-            let names = holder_candidates(stream, peers.entries());
+            let mut names = holder_candidates(stream, peers.responsive_entries());
+            // What failed here may have worked for the VM that sent the record.
+            for name in holder_candidates(stream, peers.entries()) {
+                if !names.contains(&name) {
+                    names.push(name);
+                }
+            }
             names.into_iter().map(CompactString::from).collect()
         };
         let deadline = Instant::now() + LOOKUP_TIMEOUT;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -219,6 +219,16 @@
         peers.map(|(name, peer)| (name.as_str(), peer.entry.domain.as_str()))
     }
 
+    /// Names and failure domains of the VMs to which the last request didn't fail; of
+    /// all if there is none.
+    pub fn responsive_entries(&self) -> impl Iterator<Item = (&str, &str)> {
+        let is_responsive = |peer: &Peer| peer.consecutive_failures == 0;
+        let is_any = self.peers.values().any(is_responsive);
+        let peers = self.peers.iter();
+        let listed = peers.filter(move |(_, peer)| !is_any || is_responsive(peer));
+        listed.map(|(name, peer)| (name.as_str(), peer.entry.domain.as_str()))
+    }
+
     /// Names and addresses of all other VMs.
     pub fn all(&self) -> Vec<(CompactString, SocketAddr)> {
         self.addresses(self.peers.keys())
