--- a/crates/entry/src/streams.rs
+++ b/crates/entry/src/streams.rs
@@ -96,7 +96,7 @@
         let mut by_heir: FastMap<SocketAddr, Vec<OriginRecord>> = FastMap::default();
         {
             let peers = self.peer_client.peers.borrow();
-            for record in self.origins.held.borrow().records() {
+            for record in self.origins.held.borrow().open_records(self.now_ms()) {
                 let vms = peers.responsive_entries();
                 let heir = heir(record.stream, peers.own_domain(), vms);
                 if let Some(address) = heir.and_then(|name| peers.address(name)) {
--- a/crates/streams/src/holders.rs
+++ b/crates/streams/src/holders.rs
@@ -29,7 +29,7 @@
 {
     let (mut own, mut others): (Vec<_>, Vec<_>) = vms.partition(|vm| vm.1 == domain);
     for vms in [&mut own, &mut others] {
-        vms.sort_by_key(|(vm, _)| (rank(stream, vm), *vm));
+        vms.sort_by_cached_key(|(vm, _)| (rank(stream, vm), *vm));
     }
     let (first, second) = match (own.is_empty(), others.is_empty()) {
         (false, false) => (&own[..1], &others[..1]),
@@ -46,7 +46,7 @@
     I: Iterator<Item = (&'a str, &'a str)>,
 {
     let mut ranked: Vec<(&str, &str)> = vms.collect();
-    ranked.sort_by_key(|(vm, _)| (rank(stream, vm), *vm));
+    ranked.sort_by_cached_key(|(vm, _)| (rank(stream, vm), *vm));
     let has_one_domain = ranked.windows(2).all(|pair| pair[0].1 == pair[1].1);
     let max_asked = if has_one_domain {
         ASKED_IN_ONE_DOMAIN
--- a/crates/streams/src/origin.rs
+++ b/crates/streams/src/origin.rs
@@ -6,6 +6,9 @@
 use lagoon_ids::{hash64, FastMap};
 use serde::{Deserialize, Serialize};
 
+/// Time for which a stream lasts at most, with the requests that take it up.
+pub(crate) const STREAM_LIFE_MS: u64 = 10_000;
+
 /// Time for which a record is kept; longer than the deadline of any call with its
 /// retries.
 const RECORD_TTL_MS: u64 = 60_000;
@@ -164,9 +167,11 @@
         reply.copied().unwrap_or(OriginReply::Unknown)
     }
 
-    /// All records of streams that aren't ambiguous, the newest first.
-    pub fn records(&self) -> impl Iterator<Item = OriginRecord> + '_ {
-        let streams = self.by_age.iter().rev();
+    /// Records of streams that may still be taken up and aren't ambiguous, the newest
+    /// first.
+    pub fn open_records(&self, now_ms: u64) -> impl Iterator<Item = OriginRecord> + '_ {
+        let newest = self.by_age.iter().rev();
+        let streams = newest.take_while(move |(added_ms, _)| now_ms < added_ms + STREAM_LIFE_MS);
         streams.filter_map(|(_, stream)| match self.get(*stream) {
             OriginReply::Known(record) => Some(record),
             OriginReply::Unknown | OriginReply::Ambiguous => None,
--- a/crates/streams/src/versions.rs
+++ b/crates/streams/src/versions.rs
@@ -2,11 +2,7 @@
 
 use lagoon_ids::{FastMap, FastSet};
 
-use crate::origin::SoftwareId;
-
-/// Time for which a service must have had one version for streams without a record;
-/// longer than a stream lasts, with the requests that take it up.
-const SOLE_VERSION_MS: u64 = 10_000;
+use crate::origin::{SoftwareId, STREAM_LIFE_MS};
 
 /// Time for which a target whose version changed under its id is in doubt: as long as
 /// records that may name it are kept.
@@ -61,7 +57,7 @@
             versions.insert(software, now_ms);
         }
         for versions in self.versions.values_mut() {
-            versions.retain(|_, seen_ms| now_ms < *seen_ms + SOLE_VERSION_MS);
+            versions.retain(|_, seen_ms| now_ms < *seen_ms + STREAM_LIFE_MS);
         }
         self.doubtful_until_ms
             .retain(|_, until_ms| now_ms < *until_ms);
@@ -83,7 +79,7 @@
         let versions = self.versions.get(&service)?;
         let observed_ms = versions.values().max()?;
         let since_ms = self.first_observed_ms?;
-        let is_long = *observed_ms >= since_ms + SOLE_VERSION_MS;
+        let is_long = *observed_ms >= since_ms + STREAM_LIFE_MS;
         let mut versions = versions.keys();
         let sole = versions.next().filter(|_| versions.next().is_none());
         sole.copied().filter(|_| is_long)
--- a/crates/streams/tests/origins.rs
+++ b/crates/streams/tests/origins.rs
@@ -74,7 +74,9 @@
     origins.insert(record(1, V1), 1_000);
     origins.insert(record(1, V1), 2_000);
     assert_eq!(origins.get(StreamId(1)), known(V1));
-    assert_eq!(origins.records().collect::<Vec<_>>(), [record(1, V1)]);
+    let open: Vec<_> = origins.open_records(10_999).collect();
+    assert_eq!(open, [record(1, V1)]);
+    assert_eq!(origins.open_records(11_000).count(), 0, "too old to go on");
     origins.remove_expired(60_999);
     assert_eq!(origins.len(), 1);
     origins.remove_expired(61_000);
@@ -89,7 +91,7 @@
     origins.insert(record(1, V2), 0);
     origins.insert(record(1, V1), 0);
     assert_eq!(origins.get(StreamId(1)), OriginReply::Ambiguous);
-    assert_eq!(origins.records().count(), 0, "nothing to hand over");
+    assert_eq!(origins.open_records(0).count(), 0, "nothing to hand over");
 }
 
 #[test]
--- a/crates/streams/tests/schedules.rs
+++ b/crates/streams/tests/schedules.rs
@@ -278,7 +278,7 @@
 
     /// Stops a VM, which hands its records over, and starts it again.
     fn restart(&mut self, vm: usize) {
-        let records: Vec<OriginRecord> = self.vms[vm].origins.records().collect();
+        let records: Vec<OriginRecord> = self.vms[vm].origins.open_records(self.now_ms).collect();
         let listed = self.listed(vm);
         for record in records {
             let listed = listed.iter().map(|(n, d)| (n.as_str(), d.as_str()));
