--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -1,5 +1,6 @@
 //! Outgoing HTTP/1.1 connections.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -7,6 +8,7 @@
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use lagoon_paths::Loss;
 use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
 use tokio::net::TcpStream;
@@ -29,6 +31,41 @@
 /// Idle time before the first keepalive probe, and interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Reason why a connection could not be opened.
+#[derive(Clone, Debug, Error)]
+#[error("{detail}")]
+pub(crate) struct OpenError {
+    detail: String,
+    /// What that says of the path; `None` if the cause is this process.
+    pub(crate) loss: Option<Loss>,
+}
+
+impl OpenError {
+    pub(crate) fn timed_out() -> OpenError {
+        OpenError {
+            detail: "no connection in time".to_owned(),
+            loss: Some(Loss::TimedOut),
+        }
+    }
+}
+
+impl From<std::io::Error> for OpenError {
+    fn from(error: std::io::Error) -> OpenError {
+        let loss = match error.kind() {
+            ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => Some(Loss::Refused),
+            ErrorKind::TimedOut
+            | ErrorKind::HostUnreachable
+            | ErrorKind::NetworkUnreachable
+            | ErrorKind::ConnectionAborted => Some(Loss::TimedOut),
+            _ => None,
+        };
+        OpenError {
+            detail: error.to_string(),
+            loss,
+        }
+    }
+}
+
 /// Reason why a request has no response.
 #[derive(Clone, Debug, Error)]
 pub(crate) enum ExchangeError {
@@ -40,6 +77,12 @@
     Interrupted(String),
 }
 
+impl From<OpenError> for ExchangeError {
+    fn from(error: OpenError) -> ExchangeError {
+        ExchangeError::NotSent(error.to_string())
+    }
+}
+
 /// Connection to a target, the store or another VM; closed on drop.
 #[derive(Debug)]
 pub(crate) struct Connection {
@@ -54,12 +97,10 @@
 }
 
 impl Connection {
-    pub(crate) async fn open(address: SocketAddr) -> Result<Connection, ExchangeError> {
-        let not_sent = |error: &dyn std::error::Error| ExchangeError::NotSent(error.to_string());
+    pub(crate) async fn open(address: SocketAddr) -> Result<Connection, OpenError> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
             .await
-            .map_err(|_| ExchangeError::NotSent("no connection in time".to_owned()))?
-            .map_err(|error| not_sent(&error))?;
+            .map_err(|_| OpenError::timed_out())??;
         if let Err(error) = set_socket_options(&stream) {
             log::warn!(address = address.to_string(), error = error.to_string(); "cannot set TCP options");
         }
@@ -67,7 +108,10 @@
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
             .await
-            .map_err(|error| not_sent(&error))?;
+            .map_err(|error| OpenError {
+                detail: error.to_string(),
+                loss: None,
+            })?;
         let task = tokio::task::spawn_local(async move {
             // The pending request receives the same error.
             let _ = driver.await;
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -54,6 +54,7 @@
         let state = &request.state;
         let started_ms = state.now_ms();
         state.targets.borrow_mut().request_started(key, started_ms);
+        state.paths.borrow_mut().attempt_started(key, started_ms);
         InFlightGuard {
             may_run: false,
             request_id: request.metadata.request_id.clone(),
@@ -68,6 +69,7 @@
 
     pub(crate) fn record_progress(&self) {
         let now_ms = self.state.now_ms();
+        self.state.record_path_bytes(self.key);
         self.state
             .targets
             .borrow_mut()
@@ -103,6 +105,7 @@
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
         let now_ms = self.state.now_ms();
+        self.state.paths.borrow_mut().attempt_ended(self.key);
         let mut targets = self.state.targets.borrow_mut();
         targets.request_ended(self.key);
         if self.may_run && !self.is_complete {
@@ -130,7 +133,7 @@
 pub(crate) struct ResponseStream {
     pub(crate) head: Response<()>,
     pub(crate) body: Incoming,
-    pub(crate) pooled: PooledConnection,
+    pub(crate) pooled: PooledConnection<TargetKey>,
     pub(crate) in_flight: InFlightGuard,
     /// Seconds after which the target closes the connection if it is idle;
     /// `None` if the target announces no time.
@@ -179,15 +182,18 @@
         let mut in_flight = InFlightGuard::new(self, key);
         let mut stale_connections = 0;
         let (pooled, response) = loop {
-            let pool = &self.state.pool;
-            let mut pooled =
-                pool.acquire(key, entry.address)
+            let mut pooled = match self.state.pool.take(key) {
+                Some(pooled) => pooled,
+                None => self
+                    .state
+                    .open_path(key, entry.address)
                     .await
                     .map_err(|error| FailedAttempt {
                         failure: AttemptFailure::NotSent,
                         detail: error.to_string(),
                         is_unreachable: true,
-                    })?;
+                    })?,
+            };
             let now_ms = self.state.now_ms();
             if permit.is_some_and(|permit| permit.is_expired(now_ms)) {
                 return Err(FailedAttempt {
@@ -222,6 +228,7 @@
                 }
             }
         };
+        self.state.record_path_bytes(key);
         let (head, body) = response.into_parts();
         let metadata = decode_response_headers(&head.headers);
         let checked = self.check_head(key, head.status, &metadata);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,6 +14,7 @@
 mod metrics;
 mod news;
 mod options;
+mod paths;
 mod peers;
 mod permits;
 mod pool;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -19,6 +19,7 @@
     target_crashes: IntCounterVec,
     store_calls: IntCounterVec,
     permits: IntCounterVec,
+    paths: IntCounterVec,
     streams: IntCounterVec,
     stream_lookups: IntCounterVec,
     gossip_messages: IntCounterVec,
@@ -82,6 +83,11 @@
                 "Requests for permits to targets with limits",
                 &["decision"],
             )?,
+            paths: counters(
+                "lagoon_paths_total",
+                "Changes of what is believed of the paths to targets",
+                &["event"],
+            )?,
             streams: counters(
                 "lagoon_streams_total",
                 "Event streams by what became of them",
@@ -166,6 +172,10 @@
         self.0.permits.with_label_values(&[decision]).inc();
     }
 
+    pub(crate) fn record_path(&self, event: &str) {
+        self.0.paths.with_label_values(&[event]).inc();
+    }
+
     pub(crate) fn record_stream(&self, event: &str) {
         self.0.streams.with_label_values(&[event]).inc();
     }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -238,6 +238,7 @@
             let now_ms = state.now_ms();
             state.origins.remove_expired(now_ms);
             state.targets.borrow_mut().remove_expired_limits(now_ms);
+            state.remove_expired_paths();
             state.budget_client.remove_expired().await;
             state.crash_tracker.remove_expired().await;
             state.turn_keeper.delete_expired().await;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -6,8 +6,9 @@
 use compact_str::CompactString;
 use lagoon_gateway::{
     AdmissionSettings, AffinityTable, Config, Limits, PlacementSettings, Sentinel,
-    SentinelSettings, SentinelTable, Targets,
+    SentinelSettings, SentinelTable, TargetKey, Targets,
 };
+use lagoon_paths::{PathSettings, Paths};
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
@@ -69,7 +70,8 @@
     pub(crate) clock: Clock,
     pub(crate) domain: CompactString,
     pub(crate) metrics: Metrics,
-    pub(crate) pool: Rc<Pool>,
+    pub(crate) pool: Rc<Pool<TargetKey>>,
+    pub(crate) paths: RefCell<Paths<TargetKey>>,
     pub(crate) budget_client: Rc<BudgetClient>,
     pub(crate) peer_client: Rc<PeerClient>,
     pub(crate) crash_tracker: Rc<CrashTracker>,
@@ -113,6 +115,7 @@
             domain: settings.vm.domain.clone(),
             metrics,
             pool: Pool::new(clock),
+            paths: RefCell::new(Paths::new(PathSettings::default())),
             budget_client: services.budget_client,
             peer_client: services.peer_client,
             crash_tracker: services.crash_tracker,
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -205,7 +205,9 @@
         let idle_connection = self.take_idle();
         let mut connection = match idle_connection {
             Some(connection) => connection,
-            None => Connection::open(self.address).await.map_err(store_error)?,
+            None => Connection::open(self.address)
+                .await
+                .map_err(|error| store_error(error.into()))?,
         };
         let response = connection.send(request).await.map_err(store_error)?;
         let status = response.status().as_u16();
--- /dev/null
+++ b/crates/paths/src/paths.rs
@@ -0,0 +1,433 @@
+//! What a VM believes of its paths to targets, by its own connections and by what
+//! other VMs reach.
+
+use std::hash::Hash;
+
+use derive_more::Display;
+use lagoon_ids::FastMap;
+
+/// Times by which [`Paths`] judges, in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PathSettings {
+    /// Silence of all targets, while one of them has an attempt of this VM, after
+    /// which that path is checked. An attempt that has been silent for as long is
+    /// ended when the loss of its path is confirmed.
+    pub vm_silence_ms: u64,
+    /// The same for one target while others respond.
+    pub target_silence_ms: u64,
+    /// Minimum time between two checks of one path.
+    pub check_interval_ms: u64,
+    /// Time after which a lost path is tried again; doubles with each failure.
+    pub probe_ms: u64,
+    /// Maximum of that time.
+    pub max_probe_ms: u64,
+    /// A path that is lost again within this time goes on with the longer time
+    /// between two tries.
+    pub relapse_ms: u64,
+    /// Lost paths since the last sign of any target by which a VM is isolated, if one
+    /// loss is confirmed.
+    pub isolation_paths: usize,
+}
+
+impl Default for PathSettings {
+    fn default() -> Self {
+        PathSettings {
+            vm_silence_ms: 200,
+            target_silence_ms: 600,
+            check_interval_ms: 1_000,
+            probe_ms: 500,
+            max_probe_ms: 4_000,
+            relapse_ms: 10_000,
+            isolation_paths: 2,
+        }
+    }
+}
+
+/// How a connection to a target failed.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum Loss {
+    /// Refused or reset: packets arrive, so that kept connections may work.
+    #[display("refused")]
+    Refused,
+    /// Not established in time.
+    #[display("timed out")]
+    TimedOut,
+}
+
+/// How an attempt gets to a target.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum Way {
+    /// From this VM.
+    #[display("direct")]
+    Direct,
+    /// From this VM if a connection is kept, otherwise through another VM.
+    #[display("kept connection")]
+    Kept,
+    /// Through another VM.
+    #[display("carried")]
+    Carried,
+}
+
+/// Change of what is believed, for logs and metrics.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PathChange<K> {
+    /// No connection to the target can be opened.
+    Lost {
+        /// The target.
+        target: K,
+        /// How the last connection failed.
+        loss: Loss,
+        /// Time since the target's last sign of life on this path; `None` if there
+        /// was none.
+        silent_ms: Option<u64>,
+    },
+    /// Another VM reaches the target, so the path is lost and not the target.
+    Confirmed {
+        /// The target.
+        target: K,
+        /// Time since the loss.
+        lost_ms: u64,
+    },
+    /// A VM that reaches other targets doesn't reach this one either.
+    TargetDown {
+        /// The target.
+        target: K,
+    },
+    /// The path works again.
+    Found {
+        /// The target.
+        target: K,
+        /// Time since the loss.
+        lost_ms: u64,
+    },
+    /// All paths count as lost.
+    Isolated {
+        /// Paths that were lost since the last sign of any target.
+        paths: usize,
+    },
+    /// A target gave a sign of life to this VM.
+    Rejoined {
+        /// Time for which the VM was isolated.
+        isolated_ms: u64,
+    },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Lost {
+    since_ms: u64,
+    loss: Loss,
+    is_confirmed: bool,
+    probe_at_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Path {
+    /// Last sign of life that arrived on this path.
+    heard_ms: Option<u64>,
+    /// Attempts in flight on this path.
+    in_flight: u32,
+    /// Start of the oldest attempt in flight that began when there was no other.
+    busy_since_ms: u64,
+    checked_ms: Option<u64>,
+    lost: Option<Lost>,
+    /// Time between two tries of the path while it is lost; 0 before the first loss.
+    probe_ms: u64,
+    found_ms: u64,
+}
+
+impl Path {
+    /// Time since the last sign of life, at most since an attempt is in flight; 0
+    /// without one.
+    fn silent_ms(&self, now_ms: u64) -> u64 {
+        if self.in_flight == 0 {
+            return 0;
+        }
+        let since_ms = self.heard_ms.unwrap_or(0).max(self.busy_since_ms);
+        now_ms.saturating_sub(since_ms)
+    }
+}
+
+/// Paths of a VM by target.
+#[derive(Clone, Debug)]
+pub struct Paths<K> {
+    settings: PathSettings,
+    paths: FastMap<K, Path>,
+    /// Last sign of life of any target.
+    heard_ms: u64,
+    /// Paths lost since then.
+    lost_since_heard: Vec<K>,
+    isolated_since_ms: Option<u64>,
+}
+
+impl<K> Paths<K>
+where
+    K: Copy + Eq + Hash,
+{
+    /// Starts with all paths open.
+    pub fn new(settings: PathSettings) -> Paths<K> {
+        Paths {
+            settings,
+            paths: FastMap::default(),
+            heard_ms: 0,
+            lost_since_heard: Vec::new(),
+            isolated_since_ms: None,
+        }
+    }
+
+    fn path(&mut self, target: K) -> &mut Path {
+        self.paths.entry(target).or_default()
+    }
+
+    /// How an attempt gets to this target.
+    pub fn way(&self, target: K) -> Way {
+        let lost = self.paths.get(&target).and_then(|path| path.lost);
+        let loss = match lost {
+            Some(lost) => Some(lost.loss),
+            None if self.is_isolated() => Some(self.isolating_loss()),
+            None => None,
+        };
+        match loss {
+            None => Way::Direct,
+            Some(Loss::Refused) => Way::Kept,
+            Some(Loss::TimedOut) => Way::Carried,
+        }
+    }
+
+    /// Whether all paths count as lost.
+    pub fn is_isolated(&self) -> bool {
+        self.isolated_since_ms.is_some()
+    }
+
+    /// Whether the path to this target is lost, or all are.
+    pub fn is_lost(&self, target: K) -> bool {
+        self.way(target) != Way::Direct
+    }
+
+    /// Targets whose path is lost.
+    pub fn lost_targets(&self) -> impl Iterator<Item = K> + '_ {
+        let lost = self.paths.iter().filter(|(_, path)| path.lost.is_some());
+        lost.map(|(target, _)| *target)
+    }
+
+    /// Worst kind of loss since the last sign of any target.
+    fn isolating_loss(&self) -> Loss {
+        let mut losses = self
+            .lost_since_heard
+            .iter()
+            .filter_map(|target| self.paths.get(target)?.lost)
+            .map(|lost| lost.loss);
+        match losses.any(|loss| loss == Loss::TimedOut) {
+            true => Loss::TimedOut,
+            false => Loss::Refused,
+        }
+    }
+
+    /// Counts an attempt that is sent on the path.
+    pub fn attempt_started(&mut self, target: K, now_ms: u64) {
+        let path = self.path(target);
+        if path.in_flight == 0 {
+            path.busy_since_ms = now_ms;
+        }
+        path.in_flight += 1;
+    }
+
+    /// Counts the end of an attempt that was sent on the path.
+    pub fn attempt_ended(&mut self, target: K) {
+        let path = self.path(target);
+        path.in_flight = path.in_flight.saturating_sub(1);
+    }
+
+    /// Records that bytes of the target arrived on the path.
+    pub fn record_bytes(&mut self, target: K, now_ms: u64) -> Vec<PathChange<K>> {
+        let path = self.path(target);
+        path.heard_ms = Some(now_ms);
+        // Kept connections say nothing of a target that refuses new ones.
+        let timed_out = path.lost.is_some_and(|lost| lost.loss == Loss::TimedOut);
+        let mut changes = Vec::new();
+        if timed_out {
+            changes.extend(self.find(target, now_ms));
+        }
+        changes.extend(self.rejoin(now_ms));
+        changes
+    }
+
+    /// Records that a connection to the target was established.
+    pub fn record_connected(&mut self, target: K, now_ms: u64) -> Vec<PathChange<K>> {
+        self.path(target).heard_ms = Some(now_ms);
+        let mut changes: Vec<_> = self.find(target, now_ms).into_iter().collect();
+        let rejoined = self.rejoin(now_ms);
+        if rejoined.is_some() {
+            let lost = self
+                .paths
+                .values_mut()
+                .filter_map(|path| path.lost.as_mut());
+            lost.for_each(|lost| lost.probe_at_ms = now_ms);
+        }
+        changes.extend(rejoined);
+        changes
+    }
+
+    fn find(&mut self, target: K, now_ms: u64) -> Option<PathChange<K>> {
+        let path = self.path(target);
+        let lost = path.lost.take()?;
+        path.found_ms = now_ms;
+        Some(PathChange::Found {
+            target,
+            lost_ms: now_ms - lost.since_ms,
+        })
+    }
+
+    fn rejoin(&mut self, now_ms: u64) -> Option<PathChange<K>> {
+        self.heard_ms = now_ms;
+        self.lost_since_heard.clear();
+        let since_ms = self.isolated_since_ms.take()?;
+        Some(PathChange::Rejoined {
+            isolated_ms: now_ms - since_ms,
+        })
+    }
+
+    /// Records that no connection to the target could be opened.
+    pub fn record_failed(&mut self, target: K, loss: Loss, now_ms: u64) -> Vec<PathChange<K>> {
+        let settings = self.settings;
+        if !self.lost_since_heard.contains(&target) {
+            self.lost_since_heard.push(target);
+        }
+        let path = self.path(target);
+        let silent_ms = path.heard_ms.map(|heard_ms| now_ms - heard_ms);
+        if let Some(lost) = &mut path.lost {
+            path.probe_ms = (path.probe_ms * 2).min(settings.max_probe_ms);
+            lost.loss = loss;
+            lost.probe_at_ms = now_ms + path.probe_ms;
+            return self.isolate(now_ms).into_iter().collect();
+        }
+        let is_relapse = path.probe_ms > 0 && now_ms < path.found_ms + settings.relapse_ms;
+        path.probe_ms = match is_relapse {
+            true => (path.probe_ms * 2).min(settings.max_probe_ms),
+            false => settings.probe_ms,
+        };
+        path.lost = Some(Lost {
+            since_ms: now_ms,
+            loss,
+            is_confirmed: false,
+            probe_at_ms: now_ms + path.probe_ms,
+        });
+        let lost = PathChange::Lost {
+            target,
+            loss,
+            silent_ms,
+        };
+        [lost].into_iter().chain(self.isolate(now_ms)).collect()
+    }
+
+    /// Records that another VM reaches the target while this one doesn't.
+    pub fn record_reached_elsewhere(&mut self, target: K, now_ms: u64) -> Vec<PathChange<K>> {
+        let lost = self.path(target).lost.as_mut();
+        let Some(lost) = lost.filter(|lost| !lost.is_confirmed) else {
+            return Vec::new();
+        };
+        lost.is_confirmed = true;
+        let confirmed = PathChange::Confirmed {
+            target,
+            lost_ms: now_ms - lost.since_ms,
+        };
+        [confirmed]
+            .into_iter()
+            .chain(self.isolate(now_ms))
+            .collect()
+    }
+
+    /// Records that a VM which reaches other targets doesn't reach this one either:
+    /// the target is down, whatever its path.
+    pub fn record_target_down(&mut self, target: K) -> Option<PathChange<K>> {
+        self.lost_since_heard.retain(|lost| *lost != target);
+        let path = self.path(target);
+        path.lost.take()?;
+        path.probe_ms = 0;
+        Some(PathChange::TargetDown { target })
+    }
+
+    fn isolate(&mut self, now_ms: u64) -> Option<PathChange<K>> {
+        let paths = self.lost_since_heard.len();
+        let is_confirmed = |target: &K| {
+            let lost = self.paths.get(target).and_then(|path| path.lost);
+            lost.is_some_and(|lost| lost.is_confirmed)
+        };
+        let is_isolated = paths >= self.settings.isolation_paths
+            && self.lost_since_heard.iter().any(is_confirmed);
+        if !is_isolated || self.is_isolated() {
+            return None;
+        }
+        self.isolated_since_ms = Some(now_ms);
+        Some(PathChange::Isolated { paths })
+    }
+
+    /// Whether an attempt on this path that has heard nothing since `silent_since_ms`
+    /// gets no response any more.
+    pub fn is_hopeless(&self, target: K, silent_since_ms: u64, now_ms: u64) -> bool {
+        if now_ms < silent_since_ms + self.settings.vm_silence_ms {
+            return false;
+        }
+        let lost = self.paths.get(&target).and_then(|path| path.lost);
+        match lost {
+            Some(lost) => lost.loss == Loss::TimedOut && (lost.is_confirmed || self.is_isolated()),
+            None => self.is_isolated() && self.isolating_loss() == Loss::TimedOut,
+        }
+    }
+
+    /// Targets that have been silent for so long that their paths are to be checked
+    /// now.
+    pub fn take_due_checks(&mut self, now_ms: u64) -> Vec<K> {
+        let settings = self.settings;
+        let is_vm_silent = now_ms >= self.heard_ms + settings.vm_silence_ms;
+        let silence_ms = match is_vm_silent {
+            true => settings.vm_silence_ms,
+            false => settings.target_silence_ms,
+        };
+        let is_due = |path: &Path| {
+            let checked_ms = path.checked_ms;
+            path.lost.is_none()
+                && path.silent_ms(now_ms) >= silence_ms
+                && checked_ms.is_none_or(|ms| now_ms >= ms + settings.check_interval_ms)
+        };
+        let due = self.paths.iter_mut().filter(|(_, path)| is_due(path));
+        due.map(|(target, path)| {
+            path.checked_ms = Some(now_ms);
+            *target
+        })
+        .collect()
+    }
+
+    /// Whether the lost path to this target is to be tried now. The next try is due
+    /// only later, whatever comes of this one.
+    pub fn take_probe(&mut self, target: K, now_ms: u64) -> bool {
+        let path = self.path(target);
+        let probe_ms = path.probe_ms;
+        let due = path.lost.as_mut().filter(|lost| now_ms >= lost.probe_at_ms);
+        let is_due = due.is_some();
+        if let Some(lost) = due {
+            lost.probe_at_ms = now_ms + probe_ms;
+        }
+        is_due
+    }
+
+    /// Target to which an isolated VM opens a connection now, to find out whether it
+    /// still is; `random` chooses among those that are due.
+    pub fn take_isolated_probe(&mut self, random: u64, now_ms: u64) -> Option<K> {
+        self.isolated_since_ms?;
+        let is_due = |path: &Path| path.lost.is_some_and(|lost| now_ms >= lost.probe_at_ms);
+        let due = self.paths.iter().filter(|(_, path)| is_due(path));
+        let due: Vec<K> = due.map(|(target, _)| *target).collect();
+        let index = random.checked_rem(due.len() as u64)?;
+        let target = due[index as usize];
+        self.take_probe(target, now_ms).then_some(target)
+    }
+
+    /// Forgets the targets for which `is_known` returns `false`.
+    pub fn retain<F>(&mut self, is_known: F)
+    where
+        F: Fn(K) -> bool,
+    {
+        self.paths.retain(|target, _| is_known(*target));
+        self.lost_since_heard.retain(|target| is_known(*target));
+    }
+}
