--- a/crates/entry/tests/fleet/mod.rs
+++ b/crates/entry/tests/fleet/mod.rs
@@ -15,7 +15,7 @@
 use std::time::{Duration, Instant};
 
 use lagoon_gateway::{TargetEntry, TargetStatus};
-use lagoon_standin::fleet::{FaultProxy, Store, Target};
+use lagoon_standin::fleet::{FaultProxy, ProxyFault, Store, StoreView, Target};
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
 use tempfile::TempDir;
@@ -53,6 +53,12 @@
     /// Fault-injecting proxies of the store, the engines and the desks, in this
     /// order; empty if the fleet runs without proxies.
     pub(crate) proxies: Vec<FaultProxy>,
+    /// By VM, proxies through which it alone reaches the engines and the desks, in
+    /// this order; empty if VMs have no proxies of their own.
+    pub(crate) paths: Vec<Vec<FaultProxy>>,
+    /// By VM, the store that lists these proxies.
+    views: Vec<StoreView>,
+    has_paths: bool,
     /// Number of failure domains, to which VMs belong in turn as they start.
     domains: usize,
     /// Names of all VMs that were started.
@@ -69,6 +75,8 @@
     pub(crate) domains: usize,
     /// Whether proxies stand in front of the store and each target.
     pub(crate) has_proxies: bool,
+    /// Whether each VM reaches the targets through proxies of its own.
+    pub(crate) has_paths: bool,
     /// Whether the VMs are the first ones.
     pub(crate) is_first_start: bool,
     /// Software versions of the engines.
@@ -80,6 +88,7 @@
         FleetOptions {
             domains: 1,
             has_proxies: false,
+            has_paths: false,
             is_first_start: true,
             engine_versions: ["v1", "v1"],
         }
@@ -171,6 +180,9 @@
             desks: ["d1", "d2"].map(|id| Target::start(id, 0, EVENT_INTERVAL)),
             vms: Vec::new(),
             proxies: Vec::new(),
+            paths: Vec::new(),
+            views: Vec::new(),
+            has_paths: options.has_paths,
             domains: options.domains,
             started: RefCell::default(),
             is_first_start: options.is_first_start,
@@ -244,7 +256,38 @@
 
     /// Starts one more VM and waits until it is ready.
     pub(crate) fn start_vm(&mut self) {
-        self.start_vm_at_store(self.store_address());
+        let store = match self.has_paths {
+            true => self.start_paths(),
+            false => self.store_address(),
+        };
+        self.start_vm_at_store(store);
+    }
+
+    /// Starts the proxies of a VM; returns the address of a store that lists them.
+    fn start_paths(&mut self) -> SocketAddr {
+        let view = self.store.start_view();
+        let address = view.address;
+        self.paths.push(Vec::new());
+        self.views.push(view);
+        let targets = self.engines.iter().chain(&self.desks);
+        let targets: Vec<SocketAddr> = targets.map(|target| target.address).collect();
+        for target in targets {
+            self.add_path(self.paths.len() - 1, target);
+        }
+        address
+    }
+
+    /// Starts a proxy through which alone a VM reaches the target that will be listed
+    /// at this address.
+    pub(crate) fn add_path(&mut self, vm: usize, target: SocketAddr) {
+        let path = FaultProxy::start(target);
+        self.views[vm].show(target, path.address);
+        self.paths[vm].push(path);
+    }
+
+    /// Injects a fault into all paths of a VM to targets.
+    pub(crate) fn set_path_fault(&self, vm: usize, fault: ProxyFault) {
+        self.paths[vm].iter().for_each(|path| path.set_fault(fault));
     }
 
     /// Like [`Fleet::start_vm`], for a VM that reaches the store at `store`.
--- /dev/null
+++ b/crates/entry/tests/stranded.rs
@@ -0,0 +1,398 @@
+//! VMs that reach callers, the store and the other VMs, but no target, or only some:
+//! their callers are served through other VMs.
+
+mod fleet;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use fleet::{
+    call, complete_stream, get, read_response, send_request, try_call, wait_until, Fleet,
+    FleetOptions, Response,
+};
+use lagoon_adapter::standin::{model_call_headers, response_headers, service_call_headers};
+use lagoon_gateway::TargetStatus;
+use lagoon_standin::fleet::{ExecutionState, ProxyFault};
+use nix::sys::signal::Signal;
+use yare::parameterized;
+
+/// Time from a cut until the first tries of callers are counted.
+const DETECTION_TIME: Duration = Duration::from_secs(1);
+
+/// Time for which they are counted.
+const LOAD_TIME: Duration = Duration::from_secs(2);
+
+const CALL_PAUSE: Duration = Duration::from_millis(10);
+
+/// Callers of one VM at a time.
+const CALLERS_PER_VM: usize = 3;
+
+/// Share of the first tries at other VMs that is also served at VMs without paths.
+const SERVED_SHARE: f64 = 0.95;
+
+/// Time in which the work for a caller who has left ends.
+const LEAVE_TIME: Duration = Duration::from_millis(500);
+
+const BUDGET_TOKENS: u64 = 10_000;
+const MAX_OUTPUT_TOKENS: u64 = 200;
+
+fn start(vms: usize, domains: usize) -> Fleet {
+    let options = FleetOptions {
+        domains,
+        has_paths: true,
+        ..FleetOptions::default()
+    };
+    Fleet::start_with(vms, options)
+}
+
+fn unique_id() -> String {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    format!("r{}", NEXT.fetch_add(1, Ordering::Relaxed))
+}
+
+/// Sends a lookup, a booking or a stream in turn, as a first try; returns whether it
+/// was served whole.
+fn is_served(vm: SocketAddr, turn: usize) -> bool {
+    let id = unique_id();
+    let headers = service_call_headers(&id);
+    let response = match turn % 3 {
+        0 => try_call(vm, "GET /look/x", &headers, ""),
+        1 => try_call(vm, &format!("POST /book/{id}"), &headers, "once"),
+        _ => {
+            let headers = model_call_headers(&id, &id, BUDGET_TOKENS, MAX_OUTPUT_TOKENS);
+            let response = try_call(vm, "POST /stream/x", &headers, "p");
+            return is_whole_stream(&response);
+        }
+    };
+    response.status == 200 && response.body == "done"
+}
+
+fn is_whole_stream(response: &Response) -> bool {
+    response.status == 200 && response.is_complete && response.body == complete_stream()
+}
+
+/// Calls each VM from several callers at once; returns the first tries and those that
+/// were served, by VM.
+fn call_all(fleet: &Fleet, time: Duration) -> Vec<(usize, usize)> {
+    let end = Instant::now() + time;
+    let vms: Vec<SocketAddr> = fleet.vms.iter().map(|vm| vm.callers).collect();
+    let call_one = |vm: SocketAddr, first: usize| {
+        let (mut tries, mut served) = (0, 0);
+        while Instant::now() < end {
+            served += usize::from(is_served(vm, first + tries));
+            tries += 1;
+            thread::sleep(CALL_PAUSE);
+        }
+        (tries, served)
+    };
+    thread::scope(|scope| {
+        let callers: Vec<Vec<_>> = vms
+            .iter()
+            .map(|vm| {
+                let start = |first| scope.spawn(move || call_one(*vm, first));
+                (0..CALLERS_PER_VM).map(start).collect()
+            })
+            .collect();
+        let sums = callers.into_iter().map(|callers| {
+            callers.into_iter().fold((0, 0), |sum, caller| {
+                let (tries, served) = caller.join().expect("caller");
+                (sum.0 + tries, sum.1 + served)
+            })
+        });
+        sums.collect()
+    })
+}
+
+fn share(counts: &[(usize, usize)], is_counted: impl Fn(usize) -> bool) -> f64 {
+    let counted = counts.iter().enumerate().filter(|(vm, _)| is_counted(*vm));
+    let (tries, served) =
+        counted.fold((0, 0), |sum, (_, count)| (sum.0 + count.0, sum.1 + count.1));
+    served as f64 / f64::max(tries as f64, 1.0)
+}
+
+/// Value of a metric of a VM; 0 if it has none.
+fn metric(fleet: &Fleet, vm: usize, name: &str) -> usize {
+    let text = get(fleet.vms[vm].peers, "/metrics").body;
+    let lines = text.lines().filter_map(|line| line.split_once(' '));
+    let mut values = lines.filter(|(metric, _)| *metric == name);
+    values
+        .next()
+        .map_or(0, |(_, value)| value.parse().expect("number"))
+}
+
+/// Attempts of a VM that another one carried, with a response of the target.
+fn carried(fleet: &Fleet, vm: usize) -> usize {
+    metric(fleet, vm, "lagoon_carried_total{end=\"answered\"}")
+}
+
+/// Fails if a booking ran twice.
+fn check_bookings(fleet: &Fleet) {
+    let executions = fleet.desks.iter().flat_map(|desk| desk.executions());
+    let mut paths: Vec<String> = executions
+        .map(|execution| execution.path)
+        .filter(|path| path.starts_with("/book/"))
+        .collect();
+    let count = paths.len();
+    paths.sort();
+    paths.dedup();
+    assert_eq!(paths.len(), count, "a booking ran twice");
+}
+
+fn cut(fleet: &Fleet, vms: &[usize], fault: ProxyFault) {
+    vms.iter().for_each(|vm| fleet.set_path_fault(*vm, fault));
+}
+
+// Guards against callers of a VM without a path to targets that are refused, or wait
+// until their deadline, while the callers of other VMs are served.
+#[parameterized(
+    half_hang = { 4, 2, &[0, 1], ProxyFault::Unreachable },
+    half_are_reset = { 4, 2, &[0, 1], ProxyFault::Refused },
+    half_refuse_new_connections = { 4, 2, &[0, 1], ProxyFault::NewRefused },
+    domain_hangs = { 4, 2, &[0, 2], ProxyFault::Unreachable },
+    domain_is_reset = { 4, 2, &[0, 2], ProxyFault::Refused },
+    domain_refuses_new_connections = { 4, 2, &[0, 2], ProxyFault::NewRefused },
+    four_of_five_hang = { 5, 2, &[0, 1, 2, 3], ProxyFault::Unreachable },
+)]
+fn callers_of_vms_without_paths_are_served(
+    vms: usize,
+    domains: usize,
+    without_paths: &[usize],
+    fault: ProxyFault,
+) {
+    let fleet = start(vms, domains);
+    let before = call_all(&fleet, DETECTION_TIME);
+    assert!(share(&before, |_| true) > SERVED_SHARE, "{before:?}");
+    cut(&fleet, without_paths, fault);
+    call_all(&fleet, DETECTION_TIME);
+    let counts = call_all(&fleet, LOAD_TIME);
+    let is_cut = |vm: usize| without_paths.contains(&vm);
+    let (cut_share, other_share) = (share(&counts, is_cut), share(&counts, |vm| !is_cut(vm)));
+    assert!(cut_share >= SERVED_SHARE * other_share, "{counts:?}");
+    assert!(other_share >= SERVED_SHARE, "{counts:?}");
+    for vm in without_paths {
+        assert!(carried(&fleet, *vm) > 0, "VM {vm}: {counts:?}");
+    }
+    cut(&fleet, without_paths, ProxyFault::None);
+    for vm in without_paths {
+        wait_until("the paths", || {
+            is_served(fleet.vms[*vm].callers, 0);
+            metric(&fleet, *vm, "lagoon_paths_total{event=\"found\"}") > 0
+        });
+    }
+    check_bookings(&fleet);
+}
+
+// Guards against the same where a VM loses the paths to some targets only.
+#[test]
+fn callers_of_a_vm_without_some_paths_are_served() {
+    let fleet = start(3, 1);
+    call_all(&fleet, DETECTION_TIME);
+    for target in [0, 2] {
+        fleet.paths[0][target].set_fault(ProxyFault::Unreachable);
+    }
+    call_all(&fleet, DETECTION_TIME);
+    let counts = call_all(&fleet, LOAD_TIME);
+    assert!(share(&counts, |_| true) >= SERVED_SHARE, "{counts:?}");
+    check_bookings(&fleet);
+}
+
+// Guards against streams that end with the path on which they began, though another
+// VM reaches the target.
+#[test]
+fn streams_that_are_open_when_the_cut_begins_end_whole() {
+    let fleet = start(3, 1);
+    call_all(&fleet, DETECTION_TIME);
+    let streams: Vec<_> = (0..8).map(|_| open_stream(&fleet, 0)).collect();
+    thread::sleep(2 * fleet::EVENT_INTERVAL);
+    fleet.set_path_fault(0, ProxyFault::Unreachable);
+    for stream in streams {
+        let response = read_response(stream);
+        assert!(is_whole_stream(&response), "{response:?}");
+    }
+    assert!(carried(&fleet, 0) > 0);
+}
+
+fn open_stream(fleet: &Fleet, vm: usize) -> TcpStream {
+    let id = unique_id();
+    let headers = model_call_headers(&id, &id, BUDGET_TOKENS, MAX_OUTPUT_TOKENS);
+    let callers = fleet.vms[vm].callers;
+    send_request(callers, "POST /stream/x", "a.example", &headers, "p")
+}
+
+/// Cuts a VM off and waits until another one carries its attempts.
+fn isolate(fleet: &Fleet, vm: usize) {
+    fleet.set_path_fault(vm, ProxyFault::Refused);
+    wait_until("a carried attempt", || {
+        (0..3).for_each(|turn| {
+            is_served(fleet.vms[vm].callers, turn);
+        });
+        carried(fleet, vm) > 3
+    });
+}
+
+// Guards against targets that work on for a caller who has left, behind two VMs.
+#[test]
+fn work_ends_when_the_caller_leaves_a_vm_without_paths() {
+    let fleet = start(2, 1);
+    isolate(&fleet, 0);
+    let mut stream = open_stream(&fleet, 0);
+    let mut bytes = [0; 512];
+    assert!(stream.read(&mut bytes).expect("first event") > 0);
+    drop(stream);
+    let left = Instant::now();
+    wait_until("the end of the work", || {
+        let executions = fleet.engines.iter().flat_map(|engine| engine.executions());
+        let mut states = executions.map(|execution| execution.state);
+        states.all(|state| state != ExecutionState::Running)
+    });
+    assert!(left.elapsed() < LEAVE_TIME);
+}
+
+// Guards against once-only requests that run twice, and streams that look complete
+// though they aren't, when the VM that carries them is killed.
+#[test]
+fn killed_carrier_loses_no_truth() {
+    let fleet = start(3, 1);
+    isolate(&fleet, 0);
+    thread::scope(|scope| {
+        let callers = fleet.vms[0].callers;
+        let calls: Vec<_> = (0..12)
+            .map(|caller| {
+                scope.spawn(move || {
+                    let end = Instant::now() + LOAD_TIME;
+                    let mut served = 0;
+                    while Instant::now() < end {
+                        served += usize::from(is_served(callers, caller));
+                    }
+                    served
+                })
+            })
+            .collect();
+        thread::sleep(DETECTION_TIME / 2);
+        fleet.vms[1].signal(Signal::SIGKILL);
+        let served: usize = calls
+            .into_iter()
+            .map(|call| call.join().expect("caller"))
+            .sum();
+        assert!(served > 100, "{served}");
+    });
+    check_bookings(&fleet);
+    let counts = (0..30)
+        .filter(|turn| is_served(fleet.vms[0].callers, *turn))
+        .count();
+    assert!(counts >= 29, "{counts}");
+}
+
+/// Events of a stream of the servers without length.
+const EVENTS: [&str; 2] = ["id: 1\ndata: v1 piece 1\n\n", "id: 2\ndata: v1 piece 2\n\n"];
+
+/// End of a response without length.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum End {
+    /// The connection closes in order.
+    Closed,
+    /// The connection is reset.
+    Reset,
+    /// The connection closes in order, within an event.
+    WithinEvent,
+}
+
+/// Server whose responses have neither a length nor chunks and end with the
+/// connection.
+fn start_lengthless_server(id: &'static str, end: End) -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("listener");
+    let address = listener.local_addr().expect("address");
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || respond_without_length(stream, id, end));
+        }
+    });
+    address
+}
+
+fn respond_without_length(mut stream: TcpStream, id: &str, end: End) {
+    let mut request = Vec::new();
+    let mut bytes = [0; 4_096];
+    while !request.ends_with(b"\r\n\r\np") {
+        match stream.read(&mut bytes) {
+            Ok(read @ 1..) => request.extend_from_slice(&bytes[..read]),
+            _ => return,
+        }
+    }
+    let text = String::from_utf8_lossy(&request).to_lowercase();
+    let request_id = text
+        .lines()
+        .find_map(|line| line.strip_prefix("lagoonscale-request-id: "));
+    let headers = response_headers(request_id.unwrap_or_default(), id);
+    let mut response = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n".to_owned();
+    for (name, value) in &headers {
+        let value = value.to_str().expect("text");
+        response.push_str(&format!("{name}: {value}\r\n"));
+    }
+    response.push_str("\r\n");
+    response.push_str(EVENTS[0]);
+    match end {
+        End::WithinEvent => response.push_str(&EVENTS[1][..8]),
+        End::Closed | End::Reset => response.push_str(EVENTS[1]),
+    }
+    // Fails if the VM has closed the connection.
+    let _ = stream.write_all(response.as_bytes());
+    thread::sleep(fleet::EVENT_INTERVAL);
+    if end == End::Reset {
+        let socket = socket2::SockRef::from(&stream);
+        socket.set_linger(Some(Duration::ZERO)).expect("linger");
+    }
+}
+
+// Guards against a response without length that looks complete though it broke off,
+// or broken off though it ended, by way of one VM and of two.
+#[parameterized(
+    direct_stream = { "/chat/x", false, End::Closed, true },
+    direct_reset_stream = { "/chat/x", false, End::Reset, false },
+    direct_stream_within_an_event = { "/chat/x", false, End::WithinEvent, false },
+    direct_booking = { "/book/x", false, End::Closed, true },
+    direct_reset_booking = { "/book/x", false, End::Reset, false },
+    carried_stream = { "/chat/x", true, End::Closed, true },
+    carried_reset_stream = { "/chat/x", true, End::Reset, false },
+    carried_stream_within_an_event = { "/chat/x", true, End::WithinEvent, false },
+    carried_booking = { "/book/x", true, End::Closed, true },
+    carried_reset_booking = { "/book/x", true, End::Reset, false },
+)]
+fn response_without_length_ends_as_the_target_ended_it(
+    path: &str,
+    is_carried: bool,
+    end: End,
+    is_whole: bool,
+) {
+    let mut fleet = start(2, 1);
+    let (service, id, listed) = match path {
+        "/book/x" => ("desks", "lengthless-desk", 2..4),
+        _ => ("engines", "lengthless-engine", 0..2),
+    };
+    let address = start_lengthless_server(id, end);
+    for index in listed {
+        fleet.list(index, TargetStatus::Draining);
+    }
+    (0..2).for_each(|vm| fleet.add_path(vm, address));
+    let mut entry = fleet.engines[0].entry(service, TargetStatus::Ready);
+    entry.id = id.into();
+    entry.address = address;
+    fleet.store.add_target(&entry);
+    for vm in 0..2 {
+        wait_until("the target", || metric(&fleet, vm, "lagoon_targets") == 5);
+    }
+    if is_carried {
+        fleet.set_path_fault(0, ProxyFault::Refused);
+    }
+    let headers = service_call_headers(&unique_id());
+    let response = call(fleet.vms[0].callers, &format!("POST {path}"), &headers, "p");
+    let is_answered = response.status == 200 && response.is_complete;
+    assert_eq!(is_answered, is_whole, "{response:?}");
+    if is_whole {
+        assert_eq!(response.body, EVENTS.concat());
+    }
+    assert_eq!(carried(&fleet, 0) > 0, is_carried, "{response:?}");
+}
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -30,7 +30,7 @@
 use tokio::time::sleep;
 
 pub use proxy::{FaultProxy, ProxyFault};
-pub use store::{Store, StoreFault};
+pub use store::{Store, StoreFault, StoreView};
 pub use target::{Crash, Execution, ExecutionState, Target, TargetFault};
 
 /// Error of a handler or a response body that makes the server close the
--- a/crates/standin/src/fleet/proxy.rs
+++ b/crates/standin/src/fleet/proxy.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::start_server;
 
@@ -31,6 +31,11 @@
     Reset,
     /// Open connections are reset, and no new ones are accepted.
     Refused,
+    /// Open connections live on, and no new ones are accepted.
+    NewRefused,
+    /// Open connections stay silent, also after the fault, and new ones are neither
+    /// established nor refused.
+    Unreachable,
     /// Bytes from the server are not forwarded. Connections open during the fault
     /// stay silent after it.
     BlackholeResponses,
@@ -71,6 +76,48 @@
     }
 }
 
+/// Connections that fill the queue of a socket that accepts none, so that the system
+/// answers no further ones.
+struct FullQueue {
+    _listener: TcpListener,
+    _queued: Vec<TcpStream>,
+}
+
+/// Time after which a connection on loopback is not established any more.
+const QUEUE_FULL_AFTER: Duration = Duration::from_millis(50);
+
+impl FullQueue {
+    async fn open(address: SocketAddr) -> std::io::Result<FullQueue> {
+        let listener = bind(address, 0)?;
+        let mut queued = Vec::new();
+        while let Ok(stream) = timeout(QUEUE_FULL_AFTER, TcpStream::connect(address)).await {
+            queued.push(stream?);
+        }
+        Ok(FullQueue {
+            _listener: listener,
+            _queued: queued,
+        })
+    }
+}
+
+/// Maximum number of connections that wait to be accepted.
+const ACCEPT_BACKLOG: u32 = 1_024;
+
+fn bind(address: SocketAddr, backlog: u32) -> std::io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(backlog)
+}
+
+/// Whether new connections are not accepted.
+fn is_closed(fault: &ProxyFault) -> bool {
+    matches!(
+        fault,
+        ProxyFault::Refused | ProxyFault::NewRefused | ProxyFault::Unreachable
+    )
+}
+
 /// Forwards connections. While the server or a fault refuses them, the proxy's
 /// listening socket is closed.
 async fn accept(
@@ -79,11 +126,10 @@
     mut faults: watch::Receiver<ProxyFault>,
 ) {
     let address = listener.local_addr().expect("socket has an address");
-    let is_refused = |fault: &ProxyFault| *fault == ProxyFault::Refused;
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => Some(accepted),
-            () = wait_for_fault(&mut faults, is_refused) => None,
+            () = wait_for_fault(&mut faults, is_closed) => None,
         };
         match accepted {
             Some(Ok((client, _))) => {
@@ -98,20 +144,26 @@
             None => {}
         }
         drop(listener);
+        let is_unreachable = *faults.borrow() == ProxyFault::Unreachable;
+        let full_queue = match is_unreachable {
+            true => Some(FullQueue::open(address).await.expect("port is free")),
+            false => None,
+        };
         // Fails if the proxy's handle is gone.
-        if faults.wait_for(|fault| !is_refused(fault)).await.is_err() {
+        if faults.wait_for(|fault| !is_closed(fault)).await.is_err() {
             return;
         }
+        drop(full_queue);
         while TcpStream::connect(server).await.is_err() {
             sleep(SERVER_CHECK_INTERVAL).await;
         }
-        listener = TcpListener::bind(address).await.expect("port is free");
+        listener = bind(address, ACCEPT_BACKLOG).expect("port is free");
     }
 }
 
 async fn proxy_connection(
-    client: TcpStream,
-    server: TcpStream,
+    mut client: TcpStream,
+    mut server: TcpStream,
     mut faults: watch::Receiver<ProxyFault>,
 ) {
     // With a linger time of zero, dropping the socket resets the connection.
@@ -119,25 +171,29 @@
     if set_reset_on_drop(&client).is_err() || set_reset_on_drop(&server).is_err() {
         return;
     }
-    let (from_client, to_client) = client.into_split();
-    let (from_server, to_server) = server.into_split();
+    // Owned halves would close in order when they are dropped.
+    let (from_client, to_client) = client.split();
+    let (from_server, to_server) = server.split();
     let resets_connections =
         |fault: &ProxyFault| matches!(fault, ProxyFault::Reset | ProxyFault::Refused);
     let to_server_task = forward_bytes(Direction::ToServer, from_client, to_server, faults.clone());
     let to_client_task = forward_bytes(Direction::ToClient, from_server, to_client, faults.clone());
     tokio::select! {
-        _ = async { tokio::join!(to_server_task, to_client_task) } => {}
+        // A reset on one side resets the other.
+        _ = async { tokio::try_join!(to_server_task, to_client_task) } => {}
         () = wait_for_fault(&mut faults, resets_connections) => {}
     }
 }
 
 /// Forwards bytes until one end closes; never returns once its direction is blackholed.
+/// Fails if one end is reset.
 async fn forward_bytes<R, W>(
     direction: Direction,
     mut from: R,
     mut to: W,
     mut faults: watch::Receiver<ProxyFault>,
-) where
+) -> std::io::Result<()>
+where
     R: AsyncRead + Unpin,
     W: AsyncWrite + Unpin,
 {
@@ -147,29 +203,29 @@
             read = from.read(&mut chunk) => read,
             () = wait_until_blackholed(direction, &mut faults) => return std::future::pending().await,
         };
-        let Ok(length @ 1..) = read else {
+        let length = read?;
+        if length == 0 {
             // The peer sees the close only after all forwarded bytes.
-            let _ = to.shutdown().await;
-            return;
-        };
+            return to.shutdown().await;
+        }
         let fault = *faults.borrow();
         if let ProxyFault::Delayed(time) = fault {
             sleep(time).await;
         }
-        if to.write_all(&chunk[..length]).await.is_err() {
-            return;
-        }
+        to.write_all(&chunk[..length]).await?;
     }
 }
 
 /// Waits for a fault that blackholes this direction.
 async fn wait_until_blackholed(direction: Direction, faults: &mut watch::Receiver<ProxyFault>) {
     let blackholes_direction = |fault: &ProxyFault| match fault {
-        ProxyFault::Blackhole => true,
+        ProxyFault::Blackhole | ProxyFault::Unreachable => true,
         ProxyFault::BlackholeResponses => direction == Direction::ToClient,
-        ProxyFault::None | ProxyFault::Delayed(_) | ProxyFault::Reset | ProxyFault::Refused => {
-            false
-        }
+        ProxyFault::None
+        | ProxyFault::Delayed(_)
+        | ProxyFault::Reset
+        | ProxyFault::Refused
+        | ProxyFault::NewRefused => false,
     };
     wait_for_fault(faults, blackholes_direction).await;
 }
--- a/crates/standin/src/fleet/store.rs
+++ b/crates/standin/src/fleet/store.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use lagoon_adapter::standin::{decode_store_call, encode_store_reply, encode_target};
-use lagoon_adapter::{CONFIG_KEY, OPERATOR_TABLE, TARGET_TABLE};
+use lagoon_adapter::{decode_target, CONFIG_KEY, OPERATOR_TABLE, TARGET_TABLE};
 use lagoon_gateway::{Row, RowKey, RowWrite, StoreCall, StoreReply, TargetEntry};
 use tokio::time::sleep;
 
@@ -57,17 +57,51 @@
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Addresses of targets by those in their rows.
+type ShownAddresses = Arc<Mutex<BTreeMap<SocketAddr, SocketAddr>>>;
+
+/// Server of a store that lists targets at other addresses.
+#[derive(Clone, Debug)]
+pub struct StoreView {
+    /// Address of its HTTP server, on loopback.
+    pub address: SocketAddr,
+    addresses: ShownAddresses,
+}
+
+impl StoreView {
+    /// Shows the target that is listed at one address at another one, in all rows
+    /// that are read from now on.
+    pub fn show(&self, listed: SocketAddr, shown: SocketAddr) {
+        let mut addresses = self
+            .addresses
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        addresses.insert(listed, shown);
+    }
+}
+
 impl Store {
     /// Starts an empty store on a free loopback port.
     pub fn start() -> Store {
         let state = Arc::new(Mutex::new(State::default()));
         let shared = Arc::clone(&state);
         let address = serve(Arc::default(), move |request| {
-            handle(Arc::clone(&shared), request)
+            handle(Arc::clone(&shared), Arc::default(), request)
         });
         Store { address, state }
     }
 
+    /// Starts a second server of the same store, whose rows of targets can have other
+    /// addresses.
+    pub fn start_view(&self) -> StoreView {
+        let addresses = ShownAddresses::default();
+        let (state, shared) = (Arc::clone(&self.state), Arc::clone(&addresses));
+        let address = serve(Arc::default(), move |request| {
+            handle(Arc::clone(&state), Arc::clone(&shared), request)
+        });
+        StoreView { address, addresses }
+    }
+
     /// Injects a fault; [`StoreFault::None`] ends it.
     pub fn set_fault(&self, fault: StoreFault) {
         lock(&self.state).fault = fault;
@@ -178,8 +212,26 @@
     }
 }
 
+/// Replaces addresses in the rows of targets.
+fn show_addresses(rows: &mut [Row], addresses: &ShownAddresses) {
+    let addresses = addresses.lock().unwrap_or_else(PoisonError::into_inner);
+    for row in rows.iter_mut().filter(|row| row.key.table == TARGET_TABLE) {
+        let Some(value) = &row.value else {
+            continue;
+        };
+        let Ok(mut entry) = decode_target(&row.key.key, value) else {
+            continue;
+        };
+        if let Some(shown) = addresses.get(&entry.address) {
+            entry.address = *shown;
+            row.value = Some(encode_target(&entry));
+        }
+    }
+}
+
 async fn handle(
     state: Arc<Mutex<State>>,
+    addresses: ShownAddresses,
     request: Request<Incoming>,
 ) -> Result<HttpResponse, ConnectionAborted> {
     let path = request.uri().path().to_owned();
@@ -202,7 +254,7 @@
     if silent_table.is_some_and(|table| is_call_of(&call, table)) {
         return std::future::pending().await;
     }
-    let reply = match call {
+    let mut reply = match call {
         StoreCall::Transact(writes) => {
             let mut state = lock(&state);
             let is_overloaded = |write: &RowWrite| matches!(state.fault, StoreFault::TableOverloaded(table) if table == write.key.table);
@@ -234,6 +286,9 @@
             wait_ms,
         } => watch(&state, &table, after, wait_ms).await,
     };
+    if let StoreReply::Rows { rows, .. } = &mut reply {
+        show_addresses(rows, &addresses);
+    }
     let (status, body) = encode_store_reply(&reply);
     let status = StatusCode::from_u16(status).map_err(|_| ConnectionAborted)?;
     Ok(full_response(status, body))
