Carry attempts at targets that a VM can't reach through another VM

Callers of a VM that had lost its links to targets were served 4 to 17 times in 100 first tries, those of other VMs 99 in 100 in the same seconds: a target got a request only from the VM that holds the caller's connection. In the logs of two such VMs 349 of 390 failed tries are connections that were not established, while other VMs used the same targets.

Sending to a target is one function for requests of callers and of VMs (exchange.rs).

The load before a cut has one caller and after it four, as kept connections alone carried all where new ones are refused; that brings the case, no bound is changed. A fleet of one VM tries a path that refuses connections with each request.

--- /dev/null
+++ b/crates/entry/src/exchange.rs
@@ -0,0 +1,176 @@
+//! Sends one request to one target from this VM: for callers, and for other VMs that
+//! have no path to the target.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use lagoon_gateway::TargetKey;
+use tokio::time::sleep;
+
+use crate::body::RequestBody;
+use crate::connection::{ExchangeError, OpenError};
+use crate::paths::Opening;
+use crate::pool::PooledConnection;
+use crate::state::DaemonState;
+
+/// Maximum number of pooled connections that one attempt may find closed and
+/// replace; one more fails the attempt.
+const MAX_STALE_CONNECTIONS: u32 = 2;
+
+/// Interval at which an attempt on a lost path is looked at, until it has been silent
+/// for long enough to be given up.
+const HOPELESS_RECHECK: Duration = Duration::from_millis(50);
+
+/// Counts an attempt as in flight on the path to its target until it is dropped.
+pub(crate) struct PathGuard {
+    state: Rc<DaemonState>,
+    key: TargetKey,
+    /// Time of the start, or of the last bytes.
+    heard_ms: Cell<u64>,
+}
+
+impl PathGuard {
+    fn new(state: &Rc<DaemonState>, key: TargetKey) -> PathGuard {
+        let now_ms = state.now_ms();
+        state.paths.borrow_mut().attempt_started(key, now_ms);
+        PathGuard {
+            state: Rc::clone(state),
+            key,
+            heard_ms: Cell::new(now_ms),
+        }
+    }
+
+    /// Records that bytes of the response arrived.
+    pub(crate) fn record_bytes(&self) {
+        self.heard_ms.set(self.state.now_ms());
+        self.state.record_path_bytes(self.key);
+    }
+
+    /// Waits until the path is known to be lost, so that no response comes any more.
+    pub(crate) async fn until_hopeless(&self) {
+        let state = &self.state;
+        loop {
+            let change = state.path_losses.notified();
+            let is_lost = {
+                let paths = state.paths.borrow();
+                if paths.is_hopeless(self.key, self.heard_ms.get(), state.now_ms()) {
+                    return;
+                }
+                paths.is_lost(self.key)
+            };
+            match is_lost {
+                true => sleep(HOPELESS_RECHECK).await,
+                false => change.await,
+            }
+        }
+    }
+}
+
+impl Drop for PathGuard {
+    fn drop(&mut self) {
+        self.state.paths.borrow_mut().attempt_ended(self.key);
+    }
+}
+
+/// Response of a target, with the connection on which its body arrives.
+pub(crate) struct DirectExchange {
+    pub(crate) response: Response<Incoming>,
+    pub(crate) pooled: PooledConnection<TargetKey>,
+    pub(crate) guard: PathGuard,
+}
+
+/// Why a target gave no response.
+pub(crate) enum NoExchange {
+    /// There is no kept connection, and none is to be opened.
+    NoKeptConnection,
+    /// No connection could be opened, or none in time.
+    NoPath {
+        error: OpenError,
+        /// The connection that may still be established.
+        opening: Option<Opening>,
+    },
+    /// The request was withdrawn before it was sent.
+    Withdrawn,
+    /// No byte of the request was sent.
+    NotSent(String),
+    /// The request may have been executed.
+    Interrupted(String),
+    /// As `Interrupted`, because the path was lost meanwhile.
+    PathLost,
+}
+
+/// How one request is sent to a target.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SendOptions {
+    pub(crate) key: TargetKey,
+    pub(crate) address: SocketAddr,
+    /// Whether a connection may be opened if none is kept.
+    pub(crate) may_open: bool,
+    /// Whether the request may be executed again, so that it is given up when its path
+    /// is lost.
+    pub(crate) is_repeatable: bool,
+}
+
+/// Sends one request on a kept connection, or on a new one. `build` makes the request
+/// when the connection is there; `None` withdraws it.
+pub(crate) async fn send_direct<F>(
+    state: &Rc<DaemonState>,
+    options: SendOptions,
+    mut build: F,
+) -> Result<DirectExchange, NoExchange>
+where
+    F: FnMut() -> Option<Request<RequestBody>>,
+{
+    let mut stale_connections = 0;
+    loop {
+        let pooled = match state.pool.take(options.key) {
+            Some(pooled) => pooled,
+            None if options.may_open => state.open_path(options.key, options.address).await?,
+            None => return Err(NoExchange::NoKeptConnection),
+        };
+        let is_reused = pooled.is_reused;
+        match send_on(state, options, pooled, &mut build).await {
+            Err(NoExchange::NotSent(_))
+                if is_reused && stale_connections < MAX_STALE_CONNECTIONS =>
+            {
+                stale_connections += 1;
+            }
+            sent => return sent,
+        }
+    }
+}
+
+/// Sends one request on this connection.
+pub(crate) async fn send_on<F>(
+    state: &Rc<DaemonState>,
+    options: SendOptions,
+    mut pooled: PooledConnection<TargetKey>,
+    mut build: F,
+) -> Result<DirectExchange, NoExchange>
+where
+    F: FnMut() -> Option<Request<RequestBody>>,
+{
+    let request = build().ok_or(NoExchange::Withdrawn)?;
+    let guard = PathGuard::new(state, options.key);
+    let sent = tokio::select! {
+        biased;
+        sent = pooled.connection.send(request) => sent,
+        () = guard.until_hopeless(), if options.is_repeatable => return Err(NoExchange::PathLost),
+    };
+    match sent {
+        Ok(response) => {
+            guard.record_bytes();
+            Ok(DirectExchange {
+                response,
+                pooled,
+                guard,
+            })
+        }
+        Err(ExchangeError::NotSent(detail)) => Err(NoExchange::NotSent(detail)),
+        Err(ExchangeError::Interrupted(detail)) => Err(NoExchange::Interrupted(detail)),
+    }
+}
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -42,6 +42,7 @@
 pub(crate) use attempt::{forwarded_head, FailedAttempt, ResponseStream, TargetResponse};
 use permit::Permit;
 use reading::read_body;
+pub(crate) use reading::{read_buffered, ReadError};
 
 const RESERVATION_TIMEOUT_MS: u64 = 1_500;
 
@@ -345,6 +346,10 @@
     fn evaluate_placement(&self) -> Option<Placement> {
         let targets = self.state.targets.borrow();
         let last_target = self.state.affinity.borrow().target_of(&self.metadata);
+        let distant_targets: Vec<TargetKey> = {
+            let paths = self.state.paths.borrow();
+            paths.lost_targets().collect()
+        };
         let request = PlacementRequest {
             service: &self.service,
             metadata: &self.metadata,
@@ -354,6 +359,7 @@
             demand: self.demand,
             skips_limited: self.skips_limited,
             software: self.software,
+            distant_targets: &distant_targets,
             random: rand::rng().random(),
         };
         place(
@@ -397,7 +403,11 @@
                 Ok(response) => return Ok(response),
                 Err(failed) => failed,
             };
-            match self.record_failure(key, &failed).await {
+            let next = self.record_failure(key, &failed).await;
+            if self.has_no_way(&failed) {
+                return Err(self.refuse("no path to any target", OVERLOADED_RETRY_AFTER_MS));
+            }
+            match next {
                 RetryDecision::AnotherTarget => {}
                 RetryDecision::SameTarget => same_target = Some(key),
                 RetryDecision::Refuse => {
@@ -408,6 +418,14 @@
         }
     }
 
+    /// Whether no VM carries the request from here, so that other targets can't be
+    /// reached either.
+    fn has_no_way(&self, failed: &FailedAttempt) -> bool {
+        failed.has_no_carrier
+            && !self.attempts.may_have_run()
+            && self.state.paths.borrow().is_isolated()
+    }
+
     pub(crate) fn target_entry(&self, key: TargetKey) -> Option<TargetEntry> {
         let targets = self.state.targets.borrow();
         targets.get(key).map(|target| target.entry.clone())
@@ -498,13 +516,14 @@
                 AttemptFailure::NotSent | AttemptFailure::OtherInstance => {
                     targets.record_unreachable(key, now_ms)
                 }
+                AttemptFailure::Interrupted if failed.is_path_lost => {}
                 AttemptFailure::Interrupted => targets.record_failure(key, now_ms),
                 AttemptFailure::NotExecuted => {}
             }
         }
         if failed.failure.is_not_executed() {
             self.excluded_targets.push(key);
-        } else {
+        } else if !failed.is_path_lost {
             self.probe_for_crash(key).await;
         }
         let is_listed = self.state.targets.borrow().get(key).is_some();
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -2,9 +2,9 @@
 
 use std::rc::Rc;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use compact_str::CompactString;
-use http_body_util::BodyExt;
+use futures::future::OptionFuture;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use lagoon_adapter::{
@@ -13,12 +13,16 @@
 };
 use lagoon_gateway::{AttemptFailure, RouteKind, TargetEntry, TargetKey, UnfinishedAttempt};
 use lagoon_limits::Demand;
+use lagoon_paths::Way;
 use lagoon_streams::SoftwareId;
 
 use crate::body::RequestBody;
+use crate::carry::origin::{CarriedExchange, CarrierConnection, NotCarried};
+use crate::carry::CarriedAttempt;
 use crate::clock::unix_now_ms;
-use crate::connection::ExchangeError;
-use crate::forward::ForwardedRequest;
+use crate::exchange::{send_direct, send_on, DirectExchange, NoExchange, PathGuard, SendOptions};
+use crate::forward::permit::Permit;
+use crate::forward::{read_buffered, ForwardedRequest, ReadError};
 use crate::pool::PooledConnection;
 use crate::state::DaemonState;
 
@@ -30,10 +34,6 @@
 /// against its target if it has lasted this long.
 const ABANDONED_MIN_MS: u64 = 800;
 
-/// Maximum number of pooled connections that one attempt may find closed and
-/// replace; one more fails the attempt.
-const MAX_STALE_CONNECTIONS: u32 = 2;
-
 /// Counts a request as in flight at its target until it is dropped.
 pub(crate) struct InFlightGuard {
     state: Rc<DaemonState>,
@@ -49,12 +49,52 @@
     fingerprint: u64,
 }
 
+/// Connection on which a response arrives.
+pub(crate) enum ResponseConnection {
+    /// To the target.
+    Direct {
+        pooled: PooledConnection<TargetKey>,
+        guard: PathGuard,
+    },
+    /// To a VM that carries the attempt.
+    Carried(CarrierConnection),
+}
+
+impl ResponseConnection {
+    /// Records that bytes of the response arrived.
+    pub(crate) fn record_bytes(&self) {
+        if let ResponseConnection::Direct { guard, .. } = self {
+            guard.record_bytes();
+        }
+    }
+
+    /// Waits until the path to the target is known to be lost; forever if there is none.
+    pub(crate) async fn until_hopeless(&self) {
+        match self {
+            ResponseConnection::Direct { guard, .. } => guard.until_hopeless().await,
+            ResponseConnection::Carried(_) => std::future::pending().await,
+        }
+    }
+
+    /// Keeps the connection, after the response has been read completely. The target
+    /// closes an idle one after `keep_alive_s`, and this one at once if
+    /// `closes_connection`.
+    pub(crate) fn release(self, keep_alive_s: Option<u64>, closes_connection: bool) {
+        match self {
+            ResponseConnection::Direct { pooled, .. } if !closes_connection => {
+                pooled.release(keep_alive_s);
+            }
+            ResponseConnection::Direct { .. } => {}
+            ResponseConnection::Carried(connection) => connection.release(),
+        }
+    }
+}
+
 impl InFlightGuard {
     fn new(request: &ForwardedRequest, key: TargetKey) -> InFlightGuard {
         let state = &request.state;
         let started_ms = state.now_ms();
         state.targets.borrow_mut().request_started(key, started_ms);
-        state.paths.borrow_mut().attempt_started(key, started_ms);
         InFlightGuard {
             may_run: false,
             request_id: request.metadata.request_id.clone(),
@@ -69,7 +109,6 @@
 
     pub(crate) fn record_progress(&self) {
         let now_ms = self.state.now_ms();
-        self.state.record_path_bytes(self.key);
         self.state
             .targets
             .borrow_mut()
@@ -105,10 +144,11 @@
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
         let now_ms = self.state.now_ms();
-        self.state.paths.borrow_mut().attempt_ended(self.key);
+        // A path that is lost from here says nothing of the target.
+        let is_path_lost = self.state.paths.borrow().is_lost(self.key);
         let mut targets = self.state.targets.borrow_mut();
         targets.request_ended(self.key);
-        if self.may_run && !self.is_complete {
+        if self.may_run && !self.is_complete && !is_path_lost {
             let attempt = UnfinishedAttempt {
                 request_id: self.request_id.clone(),
                 fingerprint: self.fingerprint,
@@ -116,7 +156,8 @@
             };
             targets.record_unfinished(self.key, attempt);
         }
-        if !self.is_complete && now_ms >= self.started_ms + ABANDONED_MIN_MS {
+        let is_late = now_ms >= self.started_ms + ABANDONED_MIN_MS;
+        if !self.is_complete && is_late && !is_path_lost {
             targets.record_abandoned(self.key);
         }
     }
@@ -133,7 +174,7 @@
 pub(crate) struct ResponseStream {
     pub(crate) head: Response<()>,
     pub(crate) body: Incoming,
-    pub(crate) pooled: PooledConnection<TargetKey>,
+    pub(crate) connection: ResponseConnection,
     pub(crate) in_flight: InFlightGuard,
     /// Seconds after which the target closes the connection if it is idle;
     /// `None` if the target announces no time.
@@ -152,6 +193,10 @@
     pub(crate) detail: String,
     /// Whether no connection to the target could be opened.
     pub(crate) is_unreachable: bool,
+    /// Whether the path was lost, which says nothing of the target.
+    pub(crate) is_path_lost: bool,
+    /// Whether there is no path, and no VM that carries the attempt.
+    pub(crate) has_no_carrier: bool,
 }
 
 impl FailedAttempt {
@@ -161,8 +206,48 @@
     {
         FailedAttempt {
             failure: AttemptFailure::Interrupted,
+            ..FailedAttempt::not_sent(detail)
+        }
+    }
+
+    pub(crate) fn not_sent<D>(detail: D) -> FailedAttempt
+    where
+        D: ToString,
+    {
+        FailedAttempt {
+            failure: AttemptFailure::NotSent,
             detail: detail.to_string(),
             is_unreachable: false,
+            is_path_lost: false,
+            has_no_carrier: false,
+        }
+    }
+
+    fn unreachable<D>(detail: D) -> FailedAttempt
+    where
+        D: ToString,
+    {
+        FailedAttempt {
+            is_unreachable: true,
+            ..FailedAttempt::not_sent(detail)
+        }
+    }
+}
+
+impl From<NoExchange> for FailedAttempt {
+    fn from(no_exchange: NoExchange) -> FailedAttempt {
+        match no_exchange {
+            NoExchange::NoPath { error, .. } => FailedAttempt::unreachable(error),
+            NoExchange::NoKeptConnection => FailedAttempt::unreachable("no kept connection"),
+            NoExchange::Withdrawn => {
+                FailedAttempt::not_sent("no connection before the permit expired")
+            }
+            NoExchange::NotSent(detail) => FailedAttempt::not_sent(detail),
+            NoExchange::Interrupted(detail) => FailedAttempt::interrupted(detail),
+            NoExchange::PathLost => FailedAttempt {
+                is_path_lost: true,
+                ..FailedAttempt::interrupted("path to the target is lost")
+            },
         }
     }
 }
@@ -180,55 +265,8 @@
         let sent_unix_ms = unix_now_ms();
         let permit = self.permit.take();
         let mut in_flight = InFlightGuard::new(self, key);
-        let mut stale_connections = 0;
-        let (pooled, response) = loop {
-            let mut pooled = match self.state.pool.take(key) {
-                Some(pooled) => pooled,
-                None => self
-                    .state
-                    .open_path(key, entry.address)
-                    .await
-                    .map_err(|error| FailedAttempt {
-                        failure: AttemptFailure::NotSent,
-                        detail: error.to_string(),
-                        is_unreachable: true,
-                    })?,
-            };
-            let now_ms = self.state.now_ms();
-            if permit.is_some_and(|permit| permit.is_expired(now_ms)) {
-                return Err(FailedAttempt {
-                    failure: AttemptFailure::NotSent,
-                    detail: "no connection before the permit expired".to_owned(),
-                    is_unreachable: false,
-                });
-            }
-            // Whatever follows, the program has begun.
-            self.demand = Demand::Running;
-            let request = self.build_request(entry, last_event_id);
-            self.may_have_run = true;
-            in_flight.may_run = true;
-            match pooled.connection.send(request).await {
-                Ok(response) => break (pooled, response),
-                Err(ExchangeError::NotSent(_))
-                    if pooled.is_reused && stale_connections < MAX_STALE_CONNECTIONS =>
-                {
-                    in_flight.may_run = false;
-                    stale_connections += 1;
-                }
-                Err(ExchangeError::NotSent(detail)) => {
-                    in_flight.may_run = false;
-                    return Err(FailedAttempt {
-                        failure: AttemptFailure::NotSent,
-                        detail,
-                        is_unreachable: false,
-                    });
-                }
-                Err(ExchangeError::Interrupted(detail)) => {
-                    return Err(FailedAttempt::interrupted(detail))
-                }
-            }
-        };
-        self.state.record_path_bytes(key);
+        let sending = self.send(key, entry, last_event_id, permit, &mut in_flight);
+        let (response, connection) = sending.await?;
         let (head, body) = response.into_parts();
         let metadata = decode_response_headers(&head.headers);
         let checked = self.check_head(key, head.status, &metadata);
@@ -248,7 +286,7 @@
             return Ok(TargetResponse::Stream(Box::new(ResponseStream {
                 head,
                 body,
-                pooled,
+                connection,
                 in_flight,
                 keep_alive_s: metadata.keep_alive_s,
                 closes_connection: metadata.closes_connection || metadata.is_leaving,
@@ -258,33 +296,160 @@
                 software: SoftwareId::new(&entry.service, &entry.software_version),
             })));
         }
-        let body = self.read_response_body(body).await?;
+        let body = self.read_response_body(body, &connection).await?;
         in_flight.record_response(head.status());
-        if !metadata.closes_connection && !metadata.is_leaving {
-            pooled.release(metadata.keep_alive_s);
-        }
+        connection.release(
+            metadata.keep_alive_s,
+            metadata.closes_connection || metadata.is_leaving,
+        );
         Ok(TargetResponse::Full(forwarded_head(head).map(|()| body)))
     }
 
+    /// Sends the request to the target, or through another VM if this one has no path
+    /// to it.
+    async fn send(
+        &mut self,
+        key: TargetKey,
+        entry: &TargetEntry,
+        last_event_id: Option<u64>,
+        permit: Option<Permit>,
+        in_flight: &mut InFlightGuard,
+    ) -> Result<(Response<Incoming>, ResponseConnection), FailedAttempt> {
+        let state = Rc::clone(&self.state);
+        let (way, mut opening) = state.way_to(key, entry.address);
+        let options = SendOptions {
+            key,
+            address: entry.address,
+            may_open: way == Way::Direct,
+            is_repeatable: self.route.is_repeatable(),
+        };
+        if way != Way::Carried {
+            let build = || self.begin_attempt(entry, last_event_id, permit, in_flight);
+            match send_direct(&state, options, build).await {
+                Ok(exchange) => return Ok(direct(exchange)),
+                Err(NoExchange::NoPath { opening: late, .. }) => opening = late,
+                Err(NoExchange::NoKeptConnection) => {}
+                Err(no_exchange) => return Err(self.fail(no_exchange, in_flight)),
+            }
+        }
+        match self
+            .send_carried(key, entry, last_event_id, permit, in_flight)
+            .await
+        {
+            Ok(exchange) => {
+                state.record_reach(key, true);
+                let connection = ResponseConnection::Carried(exchange.connection);
+                return Ok((exchange.response, connection));
+            }
+            Err(NotCarried::NoCarrier) => {}
+            Err(NotCarried::TargetDown) => {
+                state.record_reach(key, false);
+                return Err(FailedAttempt::unreachable("no VM reaches the target"));
+            }
+            Err(NotCarried::Withdrawn) => return Err(NoExchange::Withdrawn.into()),
+            Err(NotCarried::Interrupted(detail)) => {
+                return Err(FailedAttempt::interrupted(format!(
+                    "carried attempt: {detail}"
+                )))
+            }
+        }
+        // Without another way, the path itself is tried: a connection that is being
+        // opened may still be established, and a refusal is known at once.
+        if way == Way::Kept && opening.is_none() {
+            opening = Some(state.start_opening(key, entry.address));
+        }
+        if let Some(Ok(Ok(pooled))) = OptionFuture::from(opening).await {
+            let build = || self.begin_attempt(entry, last_event_id, permit, in_flight);
+            return match send_on(&state, options, pooled, build).await {
+                Ok(exchange) => Ok(direct(exchange)),
+                Err(no_exchange) => Err(self.fail(no_exchange, in_flight)),
+            };
+        }
+        Err(FailedAttempt {
+            has_no_carrier: true,
+            ..FailedAttempt::unreachable("no path to the target, and no VM carries the attempt")
+        })
+    }
+
+    async fn send_carried(
+        &mut self,
+        key: TargetKey,
+        entry: &TargetEntry,
+        last_event_id: Option<u64>,
+        permit: Option<Permit>,
+        in_flight: &mut InFlightGuard,
+    ) -> Result<CarriedExchange, NotCarried> {
+        let state = Rc::clone(&self.state);
+        let run = state.targets.borrow().get(key).map(|target| target.run);
+        let attempt = CarriedAttempt {
+            request_id: self.metadata.request_id.clone(),
+            target_id: entry.id.clone(),
+            run: run.ok_or(NotCarried::NoCarrier)?,
+            is_repeatable: self.route.is_repeatable(),
+            left_ms: self.deadline_ms.saturating_sub(state.now_ms()),
+        };
+        // Each carrier gets a request of its own; before the next one is asked, it is
+        // known that the last one was not sent.
+        let build = || {
+            self.may_have_run = self.attempts.may_have_run();
+            self.begin_attempt(entry, last_event_id, permit, in_flight)
+        };
+        let sent = state.send_carried(&attempt, &entry.domain, build).await;
+        if !matches!(sent, Ok(_) | Err(NotCarried::Interrupted(_))) {
+            in_flight.may_run = false;
+            self.may_have_run = self.attempts.may_have_run();
+        }
+        sent
+    }
+
+    /// Makes the request of an attempt, which may be executed from now on; `None` if
+    /// the permit has expired.
+    fn begin_attempt(
+        &mut self,
+        entry: &TargetEntry,
+        last_event_id: Option<u64>,
+        permit: Option<Permit>,
+        in_flight: &mut InFlightGuard,
+    ) -> Option<Request<RequestBody>> {
+        let now_ms = self.state.now_ms();
+        if permit.is_some_and(|permit| permit.is_expired(now_ms)) {
+            return None;
+        }
+        // Whatever follows, the program has begun.
+        self.demand = Demand::Running;
+        self.may_have_run = true;
+        in_flight.may_run = true;
+        Some(self.build_request(entry, last_event_id))
+    }
+
+    fn fail(&mut self, no_exchange: NoExchange, in_flight: &mut InFlightGuard) -> FailedAttempt {
+        let failed = FailedAttempt::from(no_exchange);
+        in_flight.may_run = !failed.failure.is_not_executed();
+        failed
+    }
+
     /// Reads the body of a response that isn't a stream, within the memory for
     /// bodies.
-    async fn read_response_body(&self, mut body: Incoming) -> Result<Bytes, FailedAttempt> {
-        let no_memory = || FailedAttempt::interrupted("no memory for the response");
-        let mut memory = self.state.reserve_body_memory(0).ok_or_else(no_memory)?;
-        let mut bytes = BytesMut::new();
-        while let Some(frame) = body.frame().await {
-            let Ok(data) = frame.map_err(FailedAttempt::interrupted)?.into_data() else {
-                continue;
-            };
-            if bytes.len() + data.len() > MAX_BUFFERED_BYTES {
-                return Err(FailedAttempt::interrupted("response too long"));
+    async fn read_response_body(
+        &self,
+        body: Incoming,
+        connection: &ResponseConnection,
+    ) -> Result<Bytes, FailedAttempt> {
+        let read = tokio::select! {
+            biased;
+            read = read_buffered(&self.state, body, MAX_BUFFERED_BYTES) => read,
+            () = connection.until_hopeless(), if self.route.is_repeatable() => {
+                return Err(NoExchange::PathLost.into());
             }
-            if !memory.grow(data.len() as u64) {
-                return Err(no_memory());
+        };
+        match read {
+            Ok((bytes, _)) => Ok(bytes),
+            Err(ReadError::Broken(detail)) => Err(FailedAttempt::interrupted(detail)),
+            Err(ReadError::TooLong) => Err(FailedAttempt::interrupted("response too long")),
+            Err(ReadError::NoMemory) => {
+                Err(FailedAttempt::interrupted("no memory for the response"))
             }
-            bytes.extend_from_slice(&data);
         }
-        Ok(bytes.freeze())
     }
 
     /// Rejects a response that belongs to another request, comes from another
@@ -307,8 +472,7 @@
         }
         let not_executed = |failure| FailedAttempt {
             failure,
-            detail: format!("status {}", status.as_u16()),
-            is_unreachable: false,
+            ..FailedAttempt::not_sent(format!("status {}", status.as_u16()))
         };
         if status == StatusCode::MISDIRECTED_REQUEST {
             return Err(not_executed(AttemptFailure::OtherInstance));
@@ -390,6 +554,14 @@
     }
 }
 
+fn direct(exchange: DirectExchange) -> (Response<Incoming>, ResponseConnection) {
+    let connection = ResponseConnection::Direct {
+        pooled: exchange.pooled,
+        guard: exchange.guard,
+    };
+    (exchange.response, connection)
+}
+
 /// Whether a checked response is that of the target to this request.
 fn is_own_response(checked: &Result<(), FailedAttempt>) -> bool {
     match checked {
--- a/crates/entry/src/forward/reading.rs
+++ b/crates/entry/src/forward/reading.rs
@@ -1,8 +1,8 @@
-//! Reading of request bodies.
+//! Reading of bodies.
 
 use std::rc::Rc;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::{Response, StatusCode};
@@ -51,6 +51,42 @@
     }
 }
 
+/// Why a body could not be read whole.
+#[derive(Debug)]
+pub(crate) enum ReadError {
+    /// The connection broke off.
+    Broken(String),
+    /// It is longer than allowed.
+    TooLong,
+    /// The memory for bodies is exhausted.
+    NoMemory,
+}
+
+/// Reads a body within the memory for bodies.
+pub(crate) async fn read_buffered(
+    state: &Rc<DaemonState>,
+    mut body: Incoming,
+    max_bytes: usize,
+) -> Result<(Bytes, BodyMemory), ReadError> {
+    let memory = state.reserve_body_memory(0);
+    let mut memory = memory.ok_or(ReadError::NoMemory)?;
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| ReadError::Broken(error.to_string()))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if bytes.len() + data.len() > max_bytes {
+            return Err(ReadError::TooLong);
+        }
+        if !memory.grow(data.len() as u64) {
+            return Err(ReadError::NoMemory);
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Ok((bytes.freeze(), memory))
+}
+
 fn memory_exhausted(state: &DaemonState) -> Box<Response<ResponseBody>> {
     log::warn!("refused: the memory for request bodies is exhausted");
     state.metrics.record_response(503, 0);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,8 +5,10 @@
 //! sockets, the timers and the control flow.
 
 mod body;
+mod carry;
 mod clock;
 mod connection;
+mod exchange;
 mod forward;
 mod ledger;
 mod message;
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -4,6 +4,7 @@
 use lagoon_gateway::{
     AllowanceRequest, AllowanceSettlement, ReserveRequest, StoreCall, StoreError, StoreReply,
 };
+use lagoon_limits::RunId;
 use lagoon_streams::StreamId;
 use serde::{Deserialize, Serialize};
 
@@ -76,6 +77,9 @@
         stream: StreamId,
         service: CompactString,
     },
+    /// Find out whether the receiver reaches this run of a target. Response:
+    /// [`TargetReach`](crate::paths::TargetReach).
+    ReachTarget { id: CompactString, run: RunId },
 }
 
 /// Response to [`PeerMessage::FetchTurns`].
--- a/crates/entry/src/message_handler.rs
+++ b/crates/entry/src/message_handler.rs
@@ -1,5 +1,7 @@
 //! Handles the messages of other VMs.
 
+use std::rc::Rc;
+
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
@@ -11,7 +13,7 @@
 use crate::state::DaemonState;
 
 pub(crate) async fn handle_message(
-    state: &DaemonState,
+    state: &Rc<DaemonState>,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let (budget_client, turn_keeper) = (&state.budget_client, &state.turn_keeper);
@@ -76,6 +78,9 @@
         PeerMessage::FindOrigin { stream, service } => {
             postcard::to_allocvec(&state.origin(stream, &service))
         }
+        PeerMessage::ReachTarget { id, run } => {
+            postcard::to_allocvec(&state.reach_of(&id, run).await)
+        }
         PeerMessage::Probe => postcard::to_allocvec(&budget_client.is_store_unavailable()),
     };
     match response {
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -20,6 +20,8 @@
     store_calls: IntCounterVec,
     permits: IntCounterVec,
     paths: IntCounterVec,
+    carried: IntCounterVec,
+    carried_for_others: IntCounterVec,
     streams: IntCounterVec,
     stream_lookups: IntCounterVec,
     gossip_messages: IntCounterVec,
@@ -88,6 +90,16 @@
                 "Changes of what is believed of the paths to targets",
                 &["event"],
             )?,
+            carried: counters(
+                "lagoon_carried_total",
+                "Attempts handed to other VMs, by what became of them",
+                &["end"],
+            )?,
+            carried_for_others: counters(
+                "lagoon_carried_for_others_total",
+                "Attempts of other VMs, by what became of them",
+                &["end"],
+            )?,
             streams: counters(
                 "lagoon_streams_total",
                 "Event streams by what became of them",
@@ -176,6 +188,14 @@
         self.0.paths.with_label_values(&[event]).inc();
     }
 
+    pub(crate) fn record_carried(&self, end: &str) {
+        self.0.carried.with_label_values(&[end]).inc();
+    }
+
+    pub(crate) fn record_carried_for_others(&self, end: &str) {
+        self.0.carried_for_others.with_label_values(&[end]).inc();
+    }
+
     pub(crate) fn record_stream(&self, event: &str) {
         self.0.streams.with_label_values(&[event]).inc();
     }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -20,6 +20,7 @@
     Connectivity, PeerOutcome, PeerProbe, Peers, ProgramKey, ReserveRequest, StoreCall, StoreError,
 };
 use lagoon_ids::FastMap;
+use lagoon_limits::RunId;
 use lagoon_streams::{OriginAnswer, StreamId};
 use lagoon_turns::{CopyReply, TurnId};
 use rand::RngExt;
@@ -30,6 +31,7 @@
 use crate::clock::Clock;
 use crate::connection::{Connection, ExchangeError};
 use crate::message::{PeerMessage, StoreResult, TurnReply, MAX_MESSAGE_BYTES, MESSAGE_PATH};
+use crate::paths::TargetReach;
 use crate::permits::{PermitReply, PermitRequest};
 
 /// Maximum number of VMs that one store call is relayed to.
@@ -405,6 +407,25 @@
         self.request_soon(name, &message, max_wait).await
     }
 
+    /// Records that no connection to the VM with this name could be opened.
+    pub(crate) fn record_unreachable(&self, name: &str) {
+        let now_ms = self.clock.now_ms();
+        let mut peers = self.peers.borrow_mut();
+        peers.record_outcome(name, PeerOutcome::Unreachable, now_ms);
+    }
+
+    /// Asks the VM with this name whether it reaches this run of a target; `None`
+    /// without a reply.
+    pub(crate) async fn ask_for_reach(
+        &self,
+        name: &str,
+        id: CompactString,
+        run: RunId,
+    ) -> Option<TargetReach> {
+        let message = PeerMessage::ReachTarget { id, run };
+        self.request_by_name(name, &message, PEER_TIMEOUT).await
+    }
+
     /// Sends a message whose response is of use only for a short time. Being late here
     /// says nothing of whether the VM is up.
     async fn request_soon<A>(
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -10,6 +10,7 @@
 use tokio::time::{sleep, timeout_at};
 
 use crate::body::{ResponseBody, TruncatedBody};
+use crate::exchange::NoExchange;
 use crate::forward::{
     forwarded_head, FailedAttempt, ForwardedRequest, ResponseStream, TargetResponse, RESUME_DELAY,
 };
@@ -73,24 +74,31 @@
     async fn next_chunk(&mut self) -> Result<Option<Bytes>, TruncatedBody> {
         loop {
             if self.reader.is_oversized() {
-                self.resume_or_fail("event without end").await?;
+                self.interrupted("event without end").await?;
             }
             let deadline = self.request.deadline();
             let Some(stream) = self.stream.as_mut() else {
                 return Ok(None);
             };
-            let frame = match timeout_at(deadline, stream.body.frame()).await {
-                Ok(frame) => frame,
-                Err(_) => {
-                    self.outcome = "out of time in the stream";
-                    return Err(TruncatedBody);
+            let is_resumable = self.request.route.is_repeatable();
+            let frame = tokio::select! {
+                biased;
+                frame = timeout_at(deadline, stream.body.frame()) => frame,
+                () = stream.connection.until_hopeless(), if is_resumable => {
+                    self.resume_or_fail(NoExchange::PathLost.into()).await?;
+                    continue;
                 }
             };
+            let Ok(frame) = frame else {
+                self.outcome = "out of time in the stream";
+                return Err(TruncatedBody);
+            };
             match frame {
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
+                    stream.connection.record_bytes();
                     stream.in_flight.record_progress();
                     let events = self.reader.push(&data);
                     stream.in_flight.record_events(events.count);
@@ -112,8 +120,8 @@
                     self.complete();
                     return self.keep_turn().await.map(|()| None);
                 }
-                None => self.resume_or_fail("stream ended within an event").await?,
-                Some(Err(error)) => self.resume_or_fail(&error.to_string()).await?,
+                None => self.interrupted("stream ended within an event").await?,
+                Some(Err(error)) => self.interrupted(&error.to_string()).await?,
             }
         }
     }
@@ -141,8 +149,15 @@
         );
     }
 
+    /// Resumes the stream after an interruption by the target; fails if that is
+    /// impossible.
+    async fn interrupted(&mut self, detail: &str) -> Result<(), TruncatedBody> {
+        self.resume_or_fail(FailedAttempt::interrupted(detail))
+            .await
+    }
+
     /// Resumes the stream after an interruption; fails if that is impossible.
-    async fn resume_or_fail(&mut self, detail: &str) -> Result<(), TruncatedBody> {
+    async fn resume_or_fail(&mut self, failed: FailedAttempt) -> Result<(), TruncatedBody> {
         let Some(stream) = self.stream.take() else {
             return Err(TruncatedBody);
         };
@@ -151,7 +166,7 @@
         // The target must see the connection closed before it gets the next
         // attempt.
         drop(stream);
-        let is_resumed = self.resume(target, detail.to_owned()).await;
+        let is_resumed = self.resume(target, failed).await;
         let event = if is_resumed { "resumed" } else { "not resumed" };
         self.request.state.metrics.record_stream(event);
         log::info!(
@@ -184,9 +199,10 @@
             return;
         };
         stream.in_flight.record_response(self.status);
-        if !stream.closes_connection {
-            stream.pooled.release(stream.keep_alive_s);
-        }
+        let closes_connection = stream.closes_connection;
+        stream
+            .connection
+            .release(stream.keep_alive_s, closes_connection);
         self.outcome = "streamed";
     }
 
@@ -212,13 +228,12 @@
 
     /// Requests the stream again, from the event after the last relayed one;
     /// `false` if no target resumes it.
-    async fn resume(&mut self, target: TargetKey, detail: String) -> bool {
+    async fn resume(&mut self, target: TargetKey, mut failed: FailedAttempt) -> bool {
         self.reader.discard_partial();
         if self.is_version_doubtful() {
             return false;
         }
         let mut key = target;
-        let mut failed = FailedAttempt::interrupted(detail);
         loop {
             let next = self.request.record_failure(key, &failed).await;
             if self.request.is_quarantined() {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -178,7 +178,7 @@
     })?;
 
     let handler_state = Rc::clone(state);
-    let handle = move |request| forward::handle(Rc::clone(&handler_state), request);
+    let handle = move |_, request| forward::handle(Rc::clone(&handler_state), request);
     spawn_local(server::serve(
         Rc::clone(state),
         callers,
@@ -186,7 +186,7 @@
         handle,
     ));
     let handler_state = Rc::clone(state);
-    let handle = move |request: hyper::Request<_>| {
+    let handle = move |_, request: hyper::Request<_>| {
         let response = server::readiness(&handler_state, request.uri().path());
         async move { response }
     };
@@ -197,7 +197,8 @@
         handle,
     ));
     let handler_state = Rc::clone(state);
-    let handle = move |request| server::handle_internal(Rc::clone(&handler_state), request);
+    let handle =
+        move |from, request| server::handle_internal(Rc::clone(&handler_state), from, request);
     spawn_local(server::serve(
         Rc::clone(state),
         peers,
@@ -218,6 +219,7 @@
         }
         state.budget_client.flush_due_writes();
         state.turn_keeper.maintain();
+        state.check_paths();
         // Watches are renewed at the end of an outage; until then, new ones fail too.
         if !store.is_failing() {
             state.renew_watches();
@@ -233,6 +235,9 @@
         round += 1;
         if round % EXPIRY_ROUNDS == 0 {
             state.pool.remove_expired();
+            state.carrier_pool.remove_expired();
+            let now_ms = state.now_ms();
+            state.carriers.borrow_mut().remove_expired(now_ms);
             state.affinity.borrow_mut().remove_expired(state.now_ms());
             state.permits.remove_expired(state.now_ms());
             let now_ms = state.now_ms();
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,6 +19,7 @@
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 use crate::body::ResponseBody;
+use crate::carry::{handle_carried, CARRY_PATH};
 use crate::connection::set_socket_options;
 use crate::message::MESSAGE_PATH;
 use crate::message_handler::handle_message;
@@ -58,14 +59,15 @@
 }
 
 /// Accepts connections until shortly after `stop` becomes true; open ones are
-/// then closed between two requests.
+/// then closed between two requests. `handle` gets the address of the client and its
+/// request.
 pub(crate) async fn serve<F, R>(
     state: Rc<DaemonState>,
     listener: TcpListener,
     mut stop: watch::Receiver<bool>,
     handle: F,
 ) where
-    F: Fn(Request<Incoming>) -> R + Clone + 'static,
+    F: Fn(IpAddr, Request<Incoming>) -> R + Clone + 'static,
     R: Future<Output = Response<ResponseBody>> + 'static,
 {
     let stopped = stop.clone();
@@ -87,10 +89,11 @@
                 // another VM.
                 log::warn!(connections = state.connections.get(); "connection closed: too many are open");
             }
-            Ok((stream, _)) => {
-                let state = Rc::clone(&state);
+            Ok((stream, from)) => {
                 let guard = ConnectionGuard::new(&state);
-                let connection = serve_connection(guard, stream, stopped.clone(), handle.clone());
+                let handle = handle.clone();
+                let handle = move |request| handle(from.ip(), request);
+                let connection = serve_connection(guard, stream, stopped.clone(), handle);
                 tokio::task::spawn_local(connection);
             }
             Err(error) => {
@@ -180,14 +183,17 @@
     }
 }
 
-/// Handles messages of other VMs and scrapes of the metrics.
+/// Handles messages and attempts of other VMs, and scrapes of the metrics. `from` is
+/// the address of the sender.
 pub(crate) async fn handle_internal(
     state: Rc<DaemonState>,
+    from: IpAddr,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     match request.uri().path() {
         MESSAGE_PATH => handle_message(&state, request).await,
         METRICS_PATH => serve_metrics(&state),
+        path if path.starts_with(CARRY_PATH) => handle_carried(state, from, request).await,
         _ => response::plain_text(StatusCode::NOT_FOUND, "no such path"),
     }
 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -1,6 +1,7 @@
 //! State shared by all requests of the daemon.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use compact_str::CompactString;
@@ -8,7 +9,7 @@
     AdmissionSettings, AffinityTable, Config, Limits, PlacementSettings, Sentinel,
     SentinelSettings, SentinelTable, TargetKey, Targets,
 };
-use lagoon_paths::{PathSettings, Paths};
+use lagoon_paths::{CarrierSettings, Carriers, PathSettings, Paths};
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
@@ -72,6 +73,13 @@
     pub(crate) metrics: Metrics,
     pub(crate) pool: Rc<Pool<TargetKey>>,
     pub(crate) paths: RefCell<Paths<TargetKey>>,
+    /// Notified when the loss of a path is confirmed.
+    pub(crate) path_losses: Notify,
+    /// Other VMs as carriers of attempts to targets that this VM can't reach.
+    pub(crate) carriers: RefCell<Carriers>,
+    pub(crate) carrier_pool: Rc<Pool<SocketAddr>>,
+    /// Attempts of other VMs that this one carries.
+    pub(crate) carried: Cell<usize>,
     pub(crate) budget_client: Rc<BudgetClient>,
     pub(crate) peer_client: Rc<PeerClient>,
     pub(crate) crash_tracker: Rc<CrashTracker>,
@@ -116,6 +124,10 @@
             metrics,
             pool: Pool::new(clock),
             paths: RefCell::new(Paths::new(PathSettings::default())),
+            path_losses: Notify::new(),
+            carriers: RefCell::new(Carriers::new(CarrierSettings::default())),
+            carrier_pool: Pool::new(clock),
+            carried: Cell::new(0),
             budget_client: services.budget_client,
             peer_client: services.peer_client,
             crash_tracker: services.crash_tracker,
--- a/crates/entry/tests/stranded.rs
+++ b/crates/entry/tests/stranded.rs
@@ -13,7 +13,10 @@
     call, complete_stream, get, read_response, send_request, try_call, wait_until, Fleet,
     FleetOptions, Response,
 };
-use lagoon_adapter::standin::{model_call_headers, response_headers, service_call_headers};
+use http::header::{HeaderMap, HeaderName, HeaderValue};
+use lagoon_adapter::standin::{
+    decode_received_request, model_call_headers, response_headers, service_call_headers,
+};
 use lagoon_gateway::TargetStatus;
 use lagoon_standin::fleet::{ExecutionState, ProxyFault};
 use nix::sys::signal::Signal;
@@ -27,8 +30,10 @@
 
 const CALL_PAUSE: Duration = Duration::from_millis(10);
 
-/// Callers of one VM at a time.
-const CALLERS_PER_VM: usize = 3;
+/// Callers of one VM at a time. There are fewer of them before a cut, so that the kept
+/// connections aren't enough for all.
+const CALLERS_PER_VM: usize = 4;
+const CALLERS_BEFORE: usize = 1;
 
 /// Share of the first tries at other VMs that is also served at VMs without paths.
 const SERVED_SHARE: f64 = 0.95;
@@ -74,9 +79,9 @@
     response.status == 200 && response.is_complete && response.body == complete_stream()
 }
 
-/// Calls each VM from several callers at once; returns the first tries and those that
+/// Calls each VM from `callers` callers at once; returns the first tries and those that
 /// were served, by VM.
-fn call_all(fleet: &Fleet, time: Duration) -> Vec<(usize, usize)> {
+fn call_all(fleet: &Fleet, callers: usize, time: Duration) -> Vec<(usize, usize)> {
     let end = Instant::now() + time;
     let vms: Vec<SocketAddr> = fleet.vms.iter().map(|vm| vm.callers).collect();
     let call_one = |vm: SocketAddr, first: usize| {
@@ -93,7 +98,7 @@
             .iter()
             .map(|vm| {
                 let start = |first| scope.spawn(move || call_one(*vm, first));
-                (0..CALLERS_PER_VM).map(start).collect()
+                (0..callers).map(start).collect()
             })
             .collect();
         let sums = callers.into_iter().map(|callers| {
@@ -163,11 +168,11 @@
     fault: ProxyFault,
 ) {
     let fleet = start(vms, domains);
-    let before = call_all(&fleet, DETECTION_TIME);
+    let before = call_all(&fleet, CALLERS_BEFORE, DETECTION_TIME);
     assert!(share(&before, |_| true) > SERVED_SHARE, "{before:?}");
     cut(&fleet, without_paths, fault);
-    call_all(&fleet, DETECTION_TIME);
-    let counts = call_all(&fleet, LOAD_TIME);
+    call_all(&fleet, CALLERS_PER_VM, DETECTION_TIME);
+    let counts = call_all(&fleet, CALLERS_PER_VM, LOAD_TIME);
     let is_cut = |vm: usize| without_paths.contains(&vm);
     let (cut_share, other_share) = (share(&counts, is_cut), share(&counts, |vm| !is_cut(vm)));
     assert!(cut_share >= SERVED_SHARE * other_share, "{counts:?}");
@@ -178,7 +183,9 @@
     cut(&fleet, without_paths, ProxyFault::None);
     for vm in without_paths {
         wait_until("the paths", || {
-            is_served(fleet.vms[*vm].callers, 0);
+            (0..3).for_each(|turn| {
+                is_served(fleet.vms[*vm].callers, turn);
+            });
             metric(&fleet, *vm, "lagoon_paths_total{event=\"found\"}") > 0
         });
     }
@@ -189,12 +196,12 @@
 #[test]
 fn callers_of_a_vm_without_some_paths_are_served() {
     let fleet = start(3, 1);
-    call_all(&fleet, DETECTION_TIME);
+    call_all(&fleet, CALLERS_BEFORE, DETECTION_TIME);
     for target in [0, 2] {
         fleet.paths[0][target].set_fault(ProxyFault::Unreachable);
     }
-    call_all(&fleet, DETECTION_TIME);
-    let counts = call_all(&fleet, LOAD_TIME);
+    call_all(&fleet, CALLERS_PER_VM, DETECTION_TIME);
+    let counts = call_all(&fleet, CALLERS_PER_VM, LOAD_TIME);
     assert!(share(&counts, |_| true) >= SERVED_SHARE, "{counts:?}");
     check_bookings(&fleet);
 }
@@ -204,7 +211,7 @@
 #[test]
 fn streams_that_are_open_when_the_cut_begins_end_whole() {
     let fleet = start(3, 1);
-    call_all(&fleet, DETECTION_TIME);
+    call_all(&fleet, CALLERS_BEFORE, DETECTION_TIME);
     let streams: Vec<_> = (0..8).map(|_| open_stream(&fleet, 0)).collect();
     thread::sleep(2 * fleet::EVENT_INTERVAL);
     fleet.set_path_fault(0, ProxyFault::Unreachable);
@@ -323,10 +330,13 @@
         }
     }
     let text = String::from_utf8_lossy(&request).to_lowercase();
-    let request_id = text
-        .lines()
-        .find_map(|line| line.strip_prefix("lagoonscale-request-id: "));
-    let headers = response_headers(request_id.unwrap_or_default(), id);
+    let lines = text.lines().filter_map(|line| line.split_once(": "));
+    let received = lines.map(|(name, value)| {
+        let name: HeaderName = name.parse().expect("name");
+        (name, HeaderValue::from_str(value).expect("value"))
+    });
+    let received = decode_received_request(&HeaderMap::from_iter(received));
+    let headers = response_headers(&received.request_id, id);
     let mut response = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n".to_owned();
     for (name, value) in &headers {
         let value = value.to_str().expect("text");
--- a/crates/gateway/examples/decisions.rs
+++ b/crates/gateway/examples/decisions.rs
@@ -67,6 +67,7 @@
                 demand: lagoon_limits::Demand::Running,
                 skips_limited: false,
                 software: None,
+                distant_targets: &[],
                 random: round,
             };
             black_box(place(&targets, &settings, &request, round % 300));
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,7 +1,7 @@
 //! Other VMs of the gateway, and the choice of those that a VM asks, probes or
 //! sends gossip to.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use compact_str::CompactString;
 use lagoon_ids::{hash64, rendezvous_hash, FastMap};
@@ -272,6 +272,12 @@
         peers.any(|peer| peer.entry.address == address)
     }
 
+    /// Whether another VM is registered with this IP address.
+    pub fn is_known_ip(&self, ip: IpAddr) -> bool {
+        let mut peers = self.peers.values();
+        peers.any(|peer| peer.entry.address.ip() == ip)
+    }
+
     /// Name of the VM at this address; `None` if there is none or the last
     /// request to it failed.
     pub fn responsive_at(&self, address: SocketAddr) -> Option<&CompactString> {
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -23,6 +23,8 @@
     pub contention_ms: f64,
     /// Cost of a target with a limit: the request for a permit.
     pub permit_ms: f64,
+    /// Cost of a target that is reached through another VM: two more hops.
+    pub distant_ms: f64,
     /// Cost of a target with a failure rate of 1.
     pub failure_ms: f64,
     /// Time without progress on requests after which a target counts as stalled;
@@ -41,6 +43,7 @@
             contention_ms: 1.0,
             // A round trip within a failure domain.
             permit_ms: 3.0,
+            distant_ms: 4.0,
             failure_ms: 2_000.0,
             stall_ms: 250,
         }
@@ -69,6 +72,8 @@
     /// Software version at which the request's stream began; `None` if it may run at
     /// any.
     pub software: Option<SoftwareId>,
+    /// Targets that this VM reaches through another one only.
+    pub distant_targets: &'a [TargetKey],
     /// Random number that breaks ties, so that VMs don't all choose the same.
     pub random: u64,
 }
@@ -155,6 +160,9 @@
             if targets.is_limited(target) {
                 cost_ms += settings.permit_ms;
             }
+            if request.distant_targets.contains(&key) {
+                cost_ms += settings.distant_ms;
+            }
             cost_ms += target.failure_rate() * settings.failure_ms;
             cost_ms += targets.slowdown(target, now_ms) * service_ms;
             let stalled_ms = target.stalled_ms(now_ms);
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -325,6 +325,13 @@
         self.by_hash.get(&hash).copied()
     }
 
+    /// Key and address of the target with this id, if it is this run of it.
+    pub fn find_run(&self, id: &str, run: RunId) -> Option<(TargetKey, SocketAddr)> {
+        let key = *self.by_id.get(id)?;
+        let target = self.arena.get(key).filter(|target| target.run == run)?;
+        Some((key, target.entry.address))
+    }
+
     /// Targets of a service, whatever their status; none if the service is unknown.
     pub fn of_service(&self, service: &str) -> impl Iterator<Item = (TargetKey, &Target)> {
         let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
--- a/crates/gateway/tests/overload.rs
+++ b/crates/gateway/tests/overload.rs
@@ -191,6 +191,7 @@
             demand: lagoon_limits::Demand::Running,
             skips_limited: false,
             software: None,
+            distant_targets: &[],
             random: self.random.random(),
         };
         let placement = place(&*targets, &self.settings, &request, self.now_ms);
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -72,6 +72,7 @@
         demand: lagoon_limits::Demand::Running,
         skips_limited: false,
         software: None,
+        distant_targets: &[],
         random,
     };
     place(targets, &PlacementSettings::default(), &request, now_ms)
--- a/crates/paths/src/paths.rs
+++ b/crates/paths/src/paths.rs
@@ -24,6 +24,9 @@
     /// A path that is lost again within this time goes on with the longer time
     /// between two tries.
     pub relapse_ms: u64,
+    /// Time since the last sign of another target for which a failed connection speaks
+    /// against the target and not against this VM.
+    pub sound_ms: u64,
     /// Lost paths since the last sign of any target by which a VM is isolated, if one
     /// loss is confirmed.
     pub isolation_paths: usize,
@@ -38,6 +41,7 @@
             probe_ms: 500,
             max_probe_ms: 4_000,
             relapse_ms: 10_000,
+            sound_ms: 1_000,
             isolation_paths: 2,
         }
     }
@@ -203,6 +207,13 @@
         self.way(target) != Way::Direct
     }
 
+    /// Whether another target than this one gave a sign of life lately.
+    pub fn reaches_others(&self, target: K, now_ms: u64) -> bool {
+        let others = self.paths.iter().filter(|(other, _)| **other != target);
+        let mut heard = others.filter_map(|(_, path)| path.heard_ms);
+        heard.any(|heard_ms| now_ms < heard_ms + self.settings.sound_ms)
+    }
+
     /// Targets whose path is lost.
     pub fn lost_targets(&self) -> impl Iterator<Item = K> + '_ {
         let lost = self.paths.iter().filter(|(_, path)| path.lost.is_some());
