A lost path is no crash of its target

A VM that lost its path to one target while others of the domain answered recorded a crash of that target: the neighbor vouched for the whole domain. Requests that ran there would be refused everywhere after three. The verdict is now that of a VM that reaches other targets; only where none can tell, the neighbor's.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -491,7 +491,9 @@
         };
         let crash_tracker = Rc::clone(&self.state.crash_tracker);
         let is_suspect = crash_tracker.crash_count(self.fingerprint) > 0;
-        let probe = spawn_local(crash_tracker.record_if_crashed(attempt));
+        let state = Rc::clone(&self.state);
+        let reach_of_others = async move { state.ask_for_reach(key).await };
+        let probe = spawn_local(crash_tracker.record_if_crashed(attempt, reach_of_others));
         if !is_suspect {
             return;
         }
--- a/crates/entry/src/suspects.rs
+++ b/crates/entry/src/suspects.rs
@@ -1,11 +1,13 @@
 //! Detects crashes of targets after interrupted responses, and shares them with
 //! other VMs: by gossip, and in the store for VMs that start later.
 //!
-//! A target that accepts no connections has crashed if another one in its failure
-//! domain accepts some. If none does, this VM may be cut off from the domain, and
-//! only the expiry of the target's entry shows that it crashed.
+//! A target that accepts no connections has crashed if a VM that reaches others can't
+//! connect to it either, or, where no VM can tell, if another target in its failure
+//! domain accepts some. Otherwise this VM may be cut off, and only the expiry of the
+//! target's entry shows that it crashed.
 
 use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,6 +25,7 @@
 use crate::connection::Connection;
 use crate::ledger::BudgetClient;
 use crate::metrics::Metrics;
+use crate::paths::TargetReach;
 use crate::tables::CRASH_TABLE;
 
 /// Delay between an interrupted response and the connection attempt that
@@ -101,15 +104,31 @@
     }
 
     /// Records a crash if the target whose response was interrupted accepts no
-    /// connections, and another one in its failure domain does.
-    pub(crate) async fn record_if_crashed(self: Rc<Self>, attempt: InterruptedAttempt) {
+    /// connections of this VM, nor of another VM that reaches other targets. If no other
+    /// VM can tell, another target in its failure domain must accept some.
+    pub(crate) async fn record_if_crashed<F>(
+        self: Rc<Self>,
+        attempt: InterruptedAttempt,
+        reach_of_others: F,
+    ) where
+        F: Future<Output = TargetReach>,
+    {
         sleep(CRASH_PROBE_DELAY).await;
         let Err(error) = Connection::open(attempt.address).await else {
             self.metrics.record_target_crash("target is up");
             log::info!(request = attempt.request_id.as_str(), target_id = attempt.target_id.as_str(); "target accepts connections after an interrupted response");
             return;
         };
-        if !attempt.domain_neighbors.is_empty() && !accepts_any(&attempt.domain_neighbors).await {
+        let reach = reach_of_others.await;
+        if reach == TargetReach::Reached {
+            self.metrics.record_target_crash("path lost");
+            log::info!(request = attempt.request_id.as_str(), target_id = attempt.target_id.as_str(), error = error.to_string(); "another VM reaches the target; it has not crashed");
+            return;
+        }
+        if reach != TargetReach::NotReached
+            && !attempt.domain_neighbors.is_empty()
+            && !accepts_any(&attempt.domain_neighbors).await
+        {
             self.metrics.record_target_crash("domain unreachable");
             log::info!(request = attempt.request_id.as_str(), target_id = attempt.target_id.as_str(), error = error.to_string(); "failure domain of the target can't be reached; it may not have crashed");
             return;
--- a/crates/entry/tests/stranded.rs
+++ b/crates/entry/tests/stranded.rs
@@ -121,7 +121,7 @@
 /// Value of a metric of a VM; 0 if it has none.
 fn metric(fleet: &Fleet, vm: usize, name: &str) -> usize {
     let text = get(fleet.vms[vm].peers, "/metrics").body;
-    let lines = text.lines().filter_map(|line| line.split_once(' '));
+    let lines = text.lines().filter_map(|line| line.rsplit_once(' '));
     let mut values = lines.filter(|(metric, _)| *metric == name);
     values
         .next()
@@ -406,3 +406,29 @@
     }
     assert_eq!(carried(&fleet, 0) > 0, is_carried, "{response:?}");
 }
+
+// Guards against a target that counts as crashed because one VM lost its path to it, so
+// that requests which ran there are refused everywhere.
+#[test]
+fn target_without_a_path_has_not_crashed() {
+    let fleet = start(2, 1);
+    call_all(&fleet, CALLERS_BEFORE, DETECTION_TIME);
+    let stream = open_stream(&fleet, 0);
+    let is_running = |engine: &lagoon_standin::fleet::Target| {
+        let executions = engine.executions();
+        let mut states = executions.iter().map(|execution| execution.state);
+        states.any(|state| state == ExecutionState::Running)
+    };
+    wait_until("the execution", || fleet.engines.iter().any(is_running));
+    let index = fleet.engines.iter().position(is_running).expect("running");
+    fleet.paths[0][index].set_fault(ProxyFault::Refused);
+    read_response(stream);
+    let crashes = |event: &str| {
+        let name = format!("lagoon_target_crashes_total{{event=\"{event}\"}}");
+        metric(&fleet, 0, &name)
+    };
+    wait_until("the verdict", || {
+        crashes("path lost") + crashes("crashed") + crashes("domain unreachable") > 0
+    });
+    assert_eq!((crashes("path lost"), crashes("crashed")), (1, 0));
+}
