Isolation ends with the paths that it rests on; a VM that reaches nothing tries one target each 500 ms

The same when the lost targets leave the list. Where all VMs are cut off, none can confirm a loss, and each path was tried after up to 4 s only.

Isolation is now reconsidered whenever a lost path goes, and a VM that hears of no target tries one lost path each 500 ms, whatever their number.

--- a/crates/entry/src/paths.rs
+++ b/crates/entry/src/paths.rs
@@ -124,7 +124,7 @@
             spawn_local(async move { state.check_path(key).await });
         }
         let random = rand::rng().random();
-        let probe = self.paths.borrow_mut().take_isolated_probe(random, now_ms);
+        let probe = self.paths.borrow_mut().take_vm_probe(random, now_ms);
         if let Some((key, address)) = probe.and_then(|key| Some((key, self.address_of(key)?))) {
             // Once it is established, it goes to the pool.
             drop(self.start_opening(key, address));
@@ -186,7 +186,7 @@
         let mut paths = self.paths.borrow_mut();
         let changes = match is_reached {
             true => paths.record_reached_elsewhere(key, now_ms),
-            false => paths.record_target_down(key).into_iter().collect(),
+            false => paths.record_target_down(key, now_ms),
         };
         drop(paths);
         self.apply_path_changes(changes);
@@ -230,7 +230,9 @@
     pub(crate) fn remove_expired_paths(&self) {
         let targets = self.targets.borrow();
         let is_known = |key| targets.get(key).is_some();
-        self.paths.borrow_mut().retain(is_known);
+        let change = self.paths.borrow_mut().retain(is_known, self.now_ms());
+        drop(targets);
+        self.apply_path_changes(change);
     }
 
     /// Logs and counts what has changed.
--- a/crates/paths/src/paths.rs
+++ b/crates/paths/src/paths.rs
@@ -109,7 +109,8 @@
         /// Paths that were lost since the last sign of any target.
         paths: usize,
     },
-    /// A target gave a sign of life to this VM.
+    /// Paths no longer count as lost together: a target gave a sign of life, or those
+    /// by which the VM counted as isolated are down or gone.
     Rejoined {
         /// Time for which the VM was isolated.
         isolated_ms: u64,
@@ -161,6 +162,8 @@
     /// Paths lost since then.
     lost_since_heard: Vec<K>,
     isolated_since_ms: Option<u64>,
+    /// Next time at which a VM that hears of no target tries one.
+    vm_probe_at_ms: u64,
 }
 
 impl<K> Paths<K>
@@ -175,6 +178,7 @@
             heard_ms: 0,
             lost_since_heard: Vec::new(),
             isolated_since_ms: None,
+            vm_probe_at_ms: 0,
         }
     }
 
@@ -266,8 +270,9 @@
     pub fn record_connected(&mut self, target: K, now_ms: u64) -> Vec<PathChange<K>> {
         self.path(target).heard_ms = Some(now_ms);
         let mut changes: Vec<_> = self.find(target, now_ms).into_iter().collect();
+        let was_cut_off = self.lost_since_heard.len() >= self.settings.isolation_paths;
         let rejoined = self.rejoin(now_ms);
-        if rejoined.is_some() {
+        if was_cut_off {
             let lost = self
                 .paths
                 .values_mut()
@@ -302,6 +307,9 @@
         let settings = self.settings;
         if !self.lost_since_heard.contains(&target) {
             self.lost_since_heard.push(target);
+            if self.lost_since_heard.len() == settings.isolation_paths {
+                self.vm_probe_at_ms = now_ms + settings.probe_ms;
+            }
         }
         let path = self.path(target);
         let silent_ms = path.heard_ms.map(|heard_ms| now_ms - heard_ms);
@@ -349,27 +357,47 @@
 
     /// Records that a VM which reaches other targets doesn't reach this one either:
     /// the target is down, whatever its path.
-    pub fn record_target_down(&mut self, target: K) -> Option<PathChange<K>> {
+    pub fn record_target_down(&mut self, target: K, now_ms: u64) -> Vec<PathChange<K>> {
         self.lost_since_heard.retain(|lost| *lost != target);
         let path = self.path(target);
-        path.lost.take()?;
+        if path.lost.take().is_none() {
+            return Vec::new();
+        }
         path.probe_ms = 0;
-        Some(PathChange::TargetDown { target })
+        let down = PathChange::TargetDown { target };
+        [down].into_iter().chain(self.reconsider(now_ms)).collect()
     }
 
-    fn isolate(&mut self, now_ms: u64) -> Option<PathChange<K>> {
-        let paths = self.lost_since_heard.len();
+    /// Whether what was lost since the last sign of any target isolates the VM.
+    fn is_isolating(&self) -> bool {
         let is_confirmed = |target: &K| {
             let lost = self.paths.get(target).and_then(|path| path.lost);
             lost.is_some_and(|lost| lost.is_confirmed)
         };
-        let is_isolated = paths >= self.settings.isolation_paths
-            && self.lost_since_heard.iter().any(is_confirmed);
-        if !is_isolated || self.is_isolated() {
+        self.lost_since_heard.len() >= self.settings.isolation_paths
+            && self.lost_since_heard.iter().any(is_confirmed)
+    }
+
+    fn isolate(&mut self, now_ms: u64) -> Option<PathChange<K>> {
+        if self.is_isolated() || !self.is_isolating() {
             return None;
         }
         self.isolated_since_ms = Some(now_ms);
-        Some(PathChange::Isolated { paths })
+        Some(PathChange::Isolated {
+            paths: self.lost_since_heard.len(),
+        })
+    }
+
+    /// Ends the isolation if the paths that it rests on are lost no more: it would have
+    /// none left by which to find its end.
+    fn reconsider(&mut self, now_ms: u64) -> Option<PathChange<K>> {
+        if self.is_isolating() {
+            return None;
+        }
+        let since_ms = self.isolated_since_ms.take()?;
+        Some(PathChange::Rejoined {
+            isolated_ms: now_ms - since_ms,
+        })
     }
 
     /// Whether an attempt on this path that has heard nothing since `silent_since_ms`
@@ -421,24 +449,27 @@
         is_due
     }
 
-    /// Target to which an isolated VM opens a connection now, to find out whether it
-    /// still is; `random` chooses among those that are due.
-    pub fn take_isolated_probe(&mut self, random: u64, now_ms: u64) -> Option<K> {
-        self.isolated_since_ms?;
-        let is_due = |path: &Path| path.lost.is_some_and(|lost| now_ms >= lost.probe_at_ms);
-        let due = self.paths.iter().filter(|(_, path)| is_due(path));
-        let due: Vec<K> = due.map(|(target, _)| *target).collect();
-        let index = random.checked_rem(due.len() as u64)?;
-        let target = due[index as usize];
-        self.take_probe(target, now_ms).then_some(target)
+    /// Target to which a VM that hears of none opens a connection now, to find out
+    /// whether it still reaches none; `random` chooses among the lost paths. However
+    /// many are lost, one is tried at a time.
+    pub fn take_vm_probe(&mut self, random: u64, now_ms: u64) -> Option<K> {
+        let is_cut_off = self.lost_since_heard.len() >= self.settings.isolation_paths;
+        if !is_cut_off || now_ms < self.vm_probe_at_ms {
+            return None;
+        }
+        let lost: Vec<K> = self.lost_targets().collect();
+        let index = random.checked_rem(lost.len() as u64)?;
+        self.vm_probe_at_ms = now_ms + self.settings.probe_ms;
+        lost.get(index as usize).copied()
     }
 
     /// Forgets the targets for which `is_known` returns `false`.
-    pub fn retain<F>(&mut self, is_known: F)
+    pub fn retain<F>(&mut self, is_known: F, now_ms: u64) -> Option<PathChange<K>>
     where
         F: Fn(K) -> bool,
     {
         self.paths.retain(|target, _| is_known(*target));
         self.lost_since_heard.retain(|target| is_known(*target));
+        self.reconsider(now_ms)
     }
 }
--- a/crates/paths/tests/paths.rs
+++ b/crates/paths/tests/paths.rs
@@ -89,7 +89,7 @@
     let mut paths = paths();
     paths.record_failed(1, Loss::TimedOut, 1_000);
     let down = PathChange::TargetDown { target: 1 };
-    assert_eq!(paths.record_target_down(1), Some(down));
+    assert_eq!(paths.record_target_down(1, 1_100), [down]);
     assert_eq!(paths.way(1), Way::Direct);
     paths.record_failed(2, Loss::TimedOut, 1_000);
     paths.record_reached_elsewhere(2, 1_000);
@@ -190,17 +190,45 @@
     assert!(paths.take_probe(1, 20_500));
 }
 
+// Guards against a VM that reaches targets again and finds that out only seconds later.
 #[test]
-fn isolated_vm_tries_targets_itself_and_the_others_at_once_when_one_is_back() {
+fn vm_that_hears_of_no_target_tries_one_at_a_time_and_all_once_one_is_back() {
     let mut paths = paths();
-    for target in 1..=3 {
-        paths.record_failed(target, Loss::TimedOut, 1_000);
+    paths.record_failed(1, Loss::TimedOut, 1_000);
+    assert_eq!(paths.take_vm_probe(7, 5_000), None);
+    paths.record_failed(2, Loss::TimedOut, 5_000);
+    paths.record_failed(3, Loss::TimedOut, 5_000);
+    let mut tries = Vec::new();
+    for now_ms in 5_000..7_001 {
+        if let Some(target) = paths.take_vm_probe(now_ms, now_ms) {
+            tries.push(now_ms);
+            paths.record_failed(target, Loss::TimedOut, now_ms);
+        }
     }
-    assert_eq!(paths.take_isolated_probe(7, 1_600), None);
-    paths.record_reached_elsewhere(1, 1_100);
-    assert!(paths.take_isolated_probe(7, 1_600).is_some());
-    paths.record_failed(2, Loss::TimedOut, 1_650);
-    paths.record_connected(1, 1_700);
-    assert!(!paths.is_isolated());
-    assert!(paths.take_probe(2, 1_700));
+    assert_eq!(tries, [5_500, 6_000, 6_500, 7_000]);
+    paths.record_connected(1, 7_100);
+    assert_eq!(paths.take_vm_probe(7, 9_000), None);
+    assert!(paths.take_probe(2, 7_100) && paths.take_probe(3, 7_100));
+}
+
+// Guards against a VM that counts as isolated for good, as no lost path is left by which
+// it finds that it reaches targets again.
+#[parameterized(
+    target_is_down = { true },
+    target_is_gone = { false },
+)]
+fn isolation_ends_with_the_paths_that_it_rests_on(is_down: bool) {
+    let mut paths = paths();
+    paths.record_failed(1, Loss::TimedOut, 1_000);
+    paths.record_failed(2, Loss::TimedOut, 1_000);
+    paths.record_reached_elsewhere(1, 1_000);
+    assert!(paths.is_isolated());
+    let rejoined = PathChange::Rejoined { isolated_ms: 500 };
+    if is_down {
+        let changes = paths.record_target_down(2, 1_500);
+        assert_eq!(changes.last(), Some(&rejoined));
+    } else {
+        assert_eq!(paths.retain(|target| target == 2, 1_500), Some(rejoined));
+    }
+    assert_eq!(paths.way(3), Way::Direct);
 }
