A carrier that lacks one path isn't left alone for others

Declining now says whether the VM reaches no target (left alone for a second, and counted against its domain) or only not this one.

--- a/crates/entry/src/carry.rs
+++ b/crates/entry/src/carry.rs
@@ -100,7 +100,7 @@
     let (key, address) = found.ok_or(CarryEnd::Declined(Decline::UnknownTarget))?;
     let (way, _) = state.way_to(key, address);
     if way == Way::Carried {
-        return Err(CarryEnd::Declined(Decline::NoPath));
+        return Err(no_path(state));
     }
     let (body, body_memory) = match read_buffered(state, body, usize::MAX).await {
         Ok(read) => read,
@@ -130,7 +130,7 @@
             return Err(CarryEnd::TargetDown)
         }
         Err(NoExchange::NoPath { .. } | NoExchange::NoKeptConnection) => {
-            return Err(CarryEnd::Declined(Decline::NoPath))
+            return Err(no_path(state))
         }
         Err(NoExchange::NotSent(_) | NoExchange::Withdrawn) => return Err(CarryEnd::NotSent),
         Err(NoExchange::Interrupted(_) | NoExchange::PathLost) => return Err(CarryEnd::Broken),
@@ -138,6 +138,14 @@
     Ok(pass_on(exchange, key, guard, body_memory))
 }
 
+/// Why this VM, which has no path to the target, doesn't carry.
+fn no_path(state: &DaemonState) -> CarryEnd {
+    CarryEnd::Declined(match state.paths.borrow().is_cut_off() {
+        true => Decline::Isolated,
+        false => Decline::NoPath,
+    })
+}
+
 /// Headers of the attempt as the target gets them.
 fn target_headers(received: &HeaderMap, spent_ms: u64) -> HeaderMap {
     let mut headers = received.clone();
--- a/crates/entry/src/carry/wire.rs
+++ b/crates/entry/src/carry/wire.rs
@@ -55,8 +55,9 @@
 }
 
 impl CarryEnd {
-    const ALL: [CarryEnd; 7] = [
+    const ALL: [CarryEnd; 8] = [
         CarryEnd::Answered,
+        CarryEnd::Declined(Decline::Isolated),
         CarryEnd::Declined(Decline::NoPath),
         CarryEnd::Declined(Decline::NoRoom),
         CarryEnd::Declined(Decline::UnknownTarget),
--- a/crates/entry/src/paths.rs
+++ b/crates/entry/src/paths.rs
@@ -34,9 +34,9 @@
     Reached,
     /// It reaches others, and not this one.
     NotReached,
-    /// It reaches none, or has lost its path to this one.
-    NoPath,
-    /// It doesn't know this run of the target.
+    /// It reaches none.
+    Isolated,
+    /// It can't tell: it has lost its path to this one, or doesn't know this run of it.
     Unknown,
 }
 
@@ -172,7 +172,7 @@
                     self.record_reach(key, reach == TargetReach::Reached);
                     return reach;
                 }
-                Some(TargetReach::NoPath) => self.record_declined(&carrier, Decline::NoPath),
+                Some(TargetReach::Isolated) => self.record_declined(&carrier, Decline::Isolated),
                 Some(TargetReach::Unknown) | None => {}
             }
             asked.push(carrier.name);
@@ -198,18 +198,20 @@
         let Some((key, address)) = found else {
             return TargetReach::Unknown;
         };
-        if self.paths.borrow().is_lost(key) {
-            return TargetReach::NoPath;
-        }
-        match self.open_path(key, address).await {
-            Ok(pooled) => {
+        let is_lost = self.paths.borrow().is_lost(key);
+        if !is_lost {
+            if let Ok(pooled) = self.open_path(key, address).await {
                 pooled.release(None);
-                TargetReach::Reached
+                return TargetReach::Reached;
             }
-            Err(_) if self.paths.borrow().reaches_others(key, self.now_ms()) => {
+        }
+        let paths = self.paths.borrow();
+        match paths.is_cut_off() {
+            true => TargetReach::Isolated,
+            false if !is_lost && paths.reaches_others(key, self.now_ms()) => {
                 TargetReach::NotReached
             }
-            Err(_) => TargetReach::NoPath,
+            false => TargetReach::Unknown,
         }
     }
 
--- a/crates/paths/src/carriers.rs
+++ b/crates/paths/src/carriers.rs
@@ -26,7 +26,10 @@
 /// Why a VM doesn't carry an attempt; nothing was sent.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub enum Decline {
-    /// It reaches no target, or not this one.
+    /// It reaches no target.
+    #[display("isolated")]
+    Isolated,
+    /// It has lost its path to this target.
     #[display("no path")]
     NoPath,
     /// It carries as many as it can, or is about to stop.
@@ -132,11 +135,11 @@
     /// Records that a VM declined.
     pub fn record_declined(&mut self, vm: Vm<'_>, decline: Decline, now_ms: u64) {
         let until_ms = now_ms + self.settings.declined_ms;
-        if decline != Decline::UnknownTarget {
+        if matches!(decline, Decline::Isolated | Decline::NoRoom) {
             let carrier = self.vms.entry(vm.name.into()).or_default();
             carrier.declined_until_ms = until_ms;
         }
-        if decline == Decline::NoPath {
+        if decline == Decline::Isolated {
             let domain = self.domains.entry(vm.domain.into()).or_default();
             domain.declines += 1;
             if domain.declines >= self.settings.domain_declines {
--- a/crates/paths/src/paths.rs
+++ b/crates/paths/src/paths.rs
@@ -206,6 +206,12 @@
         self.isolated_since_ms.is_some()
     }
 
+    /// Whether several paths were lost since the last sign of any target, be it that no
+    /// other VM reaches one either.
+    pub fn is_cut_off(&self) -> bool {
+        self.lost_since_heard.len() >= self.settings.isolation_paths
+    }
+
     /// Whether the path to this target is lost, or all are.
     pub fn is_lost(&self, target: K) -> bool {
         self.way(target) != Way::Direct
@@ -270,7 +276,7 @@
     pub fn record_connected(&mut self, target: K, now_ms: u64) -> Vec<PathChange<K>> {
         self.path(target).heard_ms = Some(now_ms);
         let mut changes: Vec<_> = self.find(target, now_ms).into_iter().collect();
-        let was_cut_off = self.lost_since_heard.len() >= self.settings.isolation_paths;
+        let was_cut_off = self.is_cut_off();
         let rejoined = self.rejoin(now_ms);
         if was_cut_off {
             let lost = self
@@ -374,8 +380,7 @@
             let lost = self.paths.get(target).and_then(|path| path.lost);
             lost.is_some_and(|lost| lost.is_confirmed)
         };
-        self.lost_since_heard.len() >= self.settings.isolation_paths
-            && self.lost_since_heard.iter().any(is_confirmed)
+        self.is_cut_off() && self.lost_since_heard.iter().any(is_confirmed)
     }
 
     fn isolate(&mut self, now_ms: u64) -> Option<PathChange<K>> {
@@ -453,8 +458,7 @@
     /// whether it still reaches none; `random` chooses among the lost paths. However
     /// many are lost, one is tried at a time.
     pub fn take_vm_probe(&mut self, random: u64, now_ms: u64) -> Option<K> {
-        let is_cut_off = self.lost_since_heard.len() >= self.settings.isolation_paths;
-        if !is_cut_off || now_ms < self.vm_probe_at_ms {
+        if !self.is_cut_off() || now_ms < self.vm_probe_at_ms {
             return None;
         }
         let lost: Vec<K> = self.lost_targets().collect();
--- a/crates/paths/tests/carriers.rs
+++ b/crates/paths/tests/carriers.rs
@@ -87,15 +87,15 @@
 }
 
 #[test]
-fn domain_is_passed_over_after_two_without_a_path() {
+fn domain_is_passed_over_after_two_that_are_isolated() {
     let mut carriers = carriers();
-    carriers.record_declined(VMS[0], Decline::NoPath, 1_000);
+    carriers.record_declined(VMS[0], Decline::Isolated, 1_000);
     assert_eq!(choose(&carriers, &[], 1, 1_000), Some("a2"));
-    carriers.record_declined(VMS[1], Decline::NoPath, 1_000);
+    carriers.record_declined(VMS[1], Decline::Isolated, 1_000);
     assert!(choose(&carriers, &[], 1, 1_500).is_some_and(|name| name.starts_with('b')));
     assert!(choose(&carriers, &[], 1, 2_000).is_some_and(|name| name.starts_with('a')));
     // If no other domain is left, it isn't.
-    carriers.record_declined(VMS[0], Decline::NoPath, 3_000);
+    carriers.record_declined(VMS[0], Decline::Isolated, 3_000);
     let own = [VMS[1]];
     let chosen = carriers.choose(own, &[], "a", "b", 1, 3_000);
     assert!(chosen.is_some());
@@ -111,3 +111,14 @@
     carriers.record_declined(VMS[1], Decline::UnknownTarget, 1_000);
     assert_eq!(choose(&carriers, &[], 1, 1_100), Some("a2"));
 }
+
+// Guards against VMs that aren't asked at all because each lacks a path to one target.
+#[test]
+fn vm_without_a_path_to_one_target_is_asked_for_others() {
+    let mut carriers = carriers();
+    for vm in VMS {
+        carriers.record_declined(vm, Decline::NoPath, 1_000);
+    }
+    let chosen = choose(&carriers, &[], 1, 1_000);
+    assert!(chosen.is_some_and(|name| name.starts_with('a')));
+}
--- a/crates/paths/tests/fleet.rs
+++ b/crates/paths/tests/fleet.rs
@@ -172,6 +172,7 @@
 const TARGET_DOWN: u8 = 3;
 const NO_PATH: u8 = 0;
 const NO_ROOM: u8 = 1;
+const ISOLATED: u8 = 2;
 
 fn loss_of(code: u8) -> Loss {
     match code {
@@ -694,6 +695,14 @@
         self.at(0, Event::Next(call));
     }
 
+    /// Why a VM without a path to a target doesn't carry.
+    fn no_path(&self, vm: usize) -> u8 {
+        match self.vms[vm].paths.is_cut_off() {
+            true => ISOLATED,
+            false => NO_PATH,
+        }
+    }
+
     fn at_carrier(&mut self, call: usize) {
         let Call {
             target,
@@ -702,31 +711,20 @@
             ..
         } = self.calls[call];
         let by = carrier.expect("handed over");
-        match self.vms[by].paths.way(target) {
-            Way::Carried => self.at(
-                HOP_MS,
-                Event::Declined {
-                    call,
-                    turn,
-                    kind: NO_PATH,
-                },
-            ),
-            _ if self.vms[by].kept[target] > 0 => {
-                self.vms[by].kept[target] -= 1;
-                self.carrier_connected(call, None);
-            }
-            Way::Kept => self.at(
-                HOP_MS,
-                Event::Declined {
-                    call,
-                    turn,
-                    kind: NO_PATH,
-                },
-            ),
-            Way::Direct => {
-                let (in_ms, loss) = self.connect(by, target);
-                self.at(in_ms, Event::CarrierConnected { call, turn, loss });
-            }
+        let now_ms = self.now_ms;
+        let way = self.vms[by].paths.way(target);
+        if way != Way::Direct && self.vms[by].paths.take_probe(target, now_ms) {
+            self.probe(by, target, false);
+        }
+        if way != Way::Carried && self.vms[by].kept[target] > 0 {
+            self.vms[by].kept[target] -= 1;
+            self.carrier_connected(call, None);
+        } else if way == Way::Direct {
+            let (in_ms, loss) = self.connect(by, target);
+            self.at(in_ms, Event::CarrierConnected { call, turn, loss });
+        } else {
+            let kind = self.no_path(by);
+            self.at(HOP_MS, Event::Declined { call, turn, kind });
         }
     }
 
@@ -753,7 +751,7 @@
             .record_failed(target, loss_of(code), now_ms);
         let kind = match self.vms[by].paths.reaches_others(target, now_ms) {
             true => TARGET_DOWN,
-            false => NO_PATH,
+            false => self.no_path(by),
         };
         self.at(HOP_MS, Event::Declined { call, turn, kind });
     }
@@ -775,6 +773,7 @@
         }
         let decline = match kind {
             NO_PATH => Decline::NoPath,
+            ISOLATED => Decline::Isolated,
             _ => Decline::NoRoom,
         };
         let declined = Vm {
