A carrier keeps what a target says of its end; soak with cut paths

A VM that carried an attempt read that the target is about to stop and sent it the next attempt of another VM all the same. It records the statement as for its own requests, and says so to the origin, which tries another target.

The soak cuts one VM, a failure domain, or all VMs but one from all or half of their targets (hanging, reset, reset on use, new ones refused, silent for a while), beside kills, stops and the other faults.

--- a/crates/entry/src/carry.rs
+++ b/crates/entry/src/carry.rs
@@ -16,11 +16,12 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use lagoon_adapter::{decode_response_headers, shorten_deadline};
-use lagoon_gateway::TargetKey;
+use lagoon_adapter::{decode_response_headers, shorten_deadline, ResponseMetadata};
+use lagoon_gateway::{TargetEntry, TargetKey};
 use lagoon_paths::{Decline, Way};
 
 use crate::body::{RequestBody, ResponseBody, TruncatedBody};
+use crate::clock::unix_now_ms;
 use crate::exchange::{send_direct, DirectExchange, NoExchange, SendOptions};
 use crate::forward::{forwarded_head, read_buffered, ReadError};
 use crate::response;
@@ -93,11 +94,9 @@
 ) -> Result<Response<ResponseBody>, CarryEnd> {
     let no_room = CarryEnd::Declined(Decline::NoRoom);
     let guard = CarriedGuard::new(state).ok_or(no_room)?;
-    let found = state
-        .targets
-        .borrow()
-        .find_run(&attempt.target_id, attempt.run);
-    let (key, address) = found.ok_or(CarryEnd::Declined(Decline::UnknownTarget))?;
+    let sent_unix_ms = unix_now_ms();
+    let (key, entry) = find_target(state, attempt)?;
+    let address = entry.address;
     let (way, _) = state.way_to(key, address);
     if way == Way::Carried {
         return Err(no_path(state));
@@ -135,7 +134,25 @@
         Err(NoExchange::NotSent(_) | NoExchange::Withdrawn) => return Err(CarryEnd::NotSent),
         Err(NoExchange::Interrupted(_) | NoExchange::PathLost) => return Err(CarryEnd::Broken),
     };
-    Ok(pass_on(exchange, key, guard, body_memory))
+    let metadata = decode_response_headers(exchange.response.headers());
+    if metadata.is_leaving {
+        state.record_leaving(&attempt.request_id, key, &entry, sent_unix_ms);
+    }
+    Ok(pass_on(exchange, &metadata, guard, body_memory))
+}
+
+fn find_target(
+    state: &DaemonState,
+    attempt: &CarriedAttempt,
+) -> Result<(TargetKey, TargetEntry), CarryEnd> {
+    let targets = state.targets.borrow();
+    let found = targets.find_run(&attempt.target_id, attempt.run);
+    let target = found.and_then(|(key, _)| Some((key, targets.get(key)?)));
+    match target {
+        Some((_, target)) if target.is_leaving() => Err(CarryEnd::TargetLeaving),
+        Some((key, target)) => Ok((key, target.entry.clone())),
+        None => Err(CarryEnd::Declined(Decline::UnknownTarget)),
+    }
 }
 
 /// Why this VM, which has no path to the target, doesn't carry.
@@ -167,20 +184,16 @@
 /// target ended its response in order, also one without a length.
 fn pass_on(
     mut exchange: DirectExchange,
-    key: TargetKey,
+    metadata: &ResponseMetadata,
     guard: CarriedGuard,
     body_memory: BodyMemory,
 ) -> Response<ResponseBody> {
-    let metadata = decode_response_headers(exchange.response.headers());
     let head = std::mem::take(exchange.response.headers_mut());
     let mut response = Response::new(());
     *response.status_mut() = exchange.response.status();
     *response.headers_mut() = head;
     let mut response = forwarded_head(response);
     CarryEnd::Answered.write(response.headers_mut());
-    if metadata.is_leaving {
-        guard.0.pool.close_idle(key);
-    }
     let passage = Passage {
         exchange,
         keep_alive_s: metadata.keep_alive_s,
--- a/crates/entry/src/carry/origin.rs
+++ b/crates/entry/src/carry/origin.rs
@@ -71,6 +71,8 @@
     NoCarrier,
     /// A VM that reaches other targets doesn't reach this one. Nothing was sent.
     TargetDown,
+    /// The target is about to stop. Nothing was sent.
+    TargetLeaving,
     /// The request was withdrawn before it was sent.
     Withdrawn,
     /// The request may have been executed.
@@ -159,6 +161,7 @@
             match sent? {
                 Ok(exchange) => return Ok(exchange),
                 Err(CarryEnd::TargetDown) => return Err(NotCarried::TargetDown),
+                Err(CarryEnd::TargetLeaving) => return Err(NotCarried::TargetLeaving),
                 Err(CarryEnd::Broken | CarryEnd::Answered) => {
                     return Err(NotCarried::Interrupted(format!("at {}", carrier.name)))
                 }
--- a/crates/entry/src/carry/wire.rs
+++ b/crates/entry/src/carry/wire.rs
@@ -46,6 +46,9 @@
     /// Nothing was sent: the carrier reaches other targets, and not this one.
     #[display("target down")]
     TargetDown,
+    /// Nothing was sent: the target has told the carrier that it is about to stop.
+    #[display("target leaving")]
+    TargetLeaving,
     /// Nothing was sent, as the connection closed before.
     #[display("not sent")]
     NotSent,
@@ -55,13 +58,14 @@
 }
 
 impl CarryEnd {
-    const ALL: [CarryEnd; 8] = [
+    const ALL: [CarryEnd; 9] = [
         CarryEnd::Answered,
         CarryEnd::Declined(Decline::Isolated),
         CarryEnd::Declined(Decline::NoPath),
         CarryEnd::Declined(Decline::NoRoom),
         CarryEnd::Declined(Decline::UnknownTarget),
         CarryEnd::TargetDown,
+        CarryEnd::TargetLeaving,
         CarryEnd::NotSent,
         CarryEnd::Broken,
     ];
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -8,7 +8,7 @@
 
 use hyper::body::Incoming;
 use hyper::{Request, Response};
-use lagoon_gateway::TargetKey;
+use lagoon_gateway::{TargetEntry, TargetKey};
 use tokio::time::sleep;
 
 use crate::body::RequestBody;
@@ -188,3 +188,28 @@
         }
     }
 }
+
+impl DaemonState {
+    /// Records that a target states in the response to a request, which was sent by
+    /// `entry`, that it is about to stop, and closes its idle connections.
+    pub(crate) fn record_leaving(
+        &self,
+        request_id: &str,
+        key: TargetKey,
+        entry: &TargetEntry,
+        sent_unix_ms: u64,
+    ) {
+        let mut targets = self.targets.borrow_mut();
+        if !targets.record_leaving(entry, sent_unix_ms) {
+            return;
+        }
+        self.pool.close_idle(key);
+        self.metrics.set_leaving_targets(targets.leaving_count());
+        log::info!(
+            request = request_id,
+            target_id = entry.id.as_str(),
+            sent_while = entry.status.to_string();
+            "target is leaving"
+        );
+    }
+}
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -278,7 +278,9 @@
         let metadata = decode_response_headers(&head.headers);
         let checked = self.check_head(key, head.status, &metadata);
         if metadata.is_leaving && is_own_response(&checked) {
-            self.record_leaving(key, entry, sent_unix_ms);
+            let request_id = &self.metadata.request_id;
+            self.state
+                .record_leaving(request_id, key, entry, sent_unix_ms);
         }
         if is_own_response(&checked) {
             self.record_limit(key, metadata.limit_per_s, in_flight.started_ms);
@@ -353,6 +355,9 @@
                 state.record_reach(key, false);
                 return Err(FailedAttempt::unreachable("no VM reaches the target"));
             }
+            Err(NotCarried::TargetLeaving) => {
+                return Err(FailedAttempt::not_sent("the target is about to stop"));
+            }
             Err(NotCarried::Withdrawn) => return Err(NoExchange::Withdrawn.into()),
             Err(NotCarried::Interrupted(detail)) => {
                 return Err(FailedAttempt::interrupted(format!(
@@ -501,24 +506,6 @@
         Ok(())
     }
 
-    /// Records that the target is about to stop, and closes its idle connections.
-    fn record_leaving(&self, key: TargetKey, entry: &TargetEntry, sent_unix_ms: u64) {
-        let mut targets = self.state.targets.borrow_mut();
-        if !targets.record_leaving(entry, sent_unix_ms) {
-            return;
-        }
-        self.state.pool.close_idle(key);
-        self.state
-            .metrics
-            .set_leaving_targets(targets.leaving_count());
-        log::info!(
-            request = self.metadata.request_id.as_str(),
-            target_id = entry.id.as_str(),
-            sent_while = entry.status.to_string();
-            "target is leaving"
-        );
-    }
-
     /// Records the limit that the target states, or that it states none.
     fn record_limit(&self, key: TargetKey, per_s: Option<f64>, sent_ms: u64) {
         let now_ms = self.state.now_ms();
--- a/crates/entry/tests/fleet/mod.rs
+++ b/crates/entry/tests/fleet/mod.rs
@@ -42,6 +42,24 @@
     pub(crate) ready: SocketAddr,
     pub(crate) peers: SocketAddr,
     child: Child,
+    /// Proxies through which it alone reaches the engines and the desks, in this order,
+    /// and the store that lists them; `None` if it has no proxies of its own.
+    paths: Option<Paths>,
+}
+
+/// Proxies of one VM, and the store that lists them.
+struct Paths {
+    proxies: Vec<FaultProxy>,
+    view: StoreView,
+}
+
+impl Paths {
+    /// Starts a proxy to the target that is or will be listed at this address.
+    fn add(&mut self, target: SocketAddr) {
+        let proxy = FaultProxy::start(target);
+        self.view.show(target, proxy.address);
+        self.proxies.push(proxy);
+    }
 }
 
 /// Store, two engines, two desks (targets without streams) and the entry VMs.
@@ -53,11 +71,7 @@
     /// Fault-injecting proxies of the store, the engines and the desks, in this
     /// order; empty if the fleet runs without proxies.
     pub(crate) proxies: Vec<FaultProxy>,
-    /// By VM, proxies through which it alone reaches the engines and the desks, in
-    /// this order; empty if VMs have no proxies of their own.
-    pub(crate) paths: Vec<Vec<FaultProxy>>,
-    /// By VM, the store that lists these proxies.
-    views: Vec<StoreView>,
+    /// Whether each VM reaches the targets through proxies of its own.
     has_paths: bool,
     /// Number of failure domains, to which VMs belong in turn as they start.
     domains: usize,
@@ -180,8 +194,6 @@
             desks: ["d1", "d2"].map(|id| Target::start(id, 0, EVENT_INTERVAL)),
             vms: Vec::new(),
             proxies: Vec::new(),
-            paths: Vec::new(),
-            views: Vec::new(),
             has_paths: options.has_paths,
             domains: options.domains,
             started: RefCell::default(),
@@ -256,38 +268,28 @@
 
     /// Starts one more VM and waits until it is ready.
     pub(crate) fn start_vm(&mut self) {
-        let store = match self.has_paths {
-            true => self.start_paths(),
-            false => self.store_address(),
+        if !self.has_paths {
+            self.start_vm_at_store(self.store_address());
+            return;
+        }
+        let mut paths = Paths {
+            proxies: Vec::new(),
+            view: self.store.start_view(),
         };
-        self.start_vm_at_store(store);
-    }
-
-    /// Starts the proxies of a VM; returns the address of a store that lists them.
-    fn start_paths(&mut self) -> SocketAddr {
-        let view = self.store.start_view();
-        let address = view.address;
-        self.paths.push(Vec::new());
-        self.views.push(view);
         let targets = self.engines.iter().chain(&self.desks);
-        let targets: Vec<SocketAddr> = targets.map(|target| target.address).collect();
-        for target in targets {
-            self.add_path(self.paths.len() - 1, target);
+        targets.for_each(|target| paths.add(target.address));
+        self.start_vm_at_store(paths.view.address);
+        if let Some(vm) = self.vms.last_mut() {
+            vm.paths = Some(paths);
         }
-        address
-    }
-
-    /// Starts a proxy through which alone a VM reaches the target that will be listed
-    /// at this address.
-    pub(crate) fn add_path(&mut self, vm: usize, target: SocketAddr) {
-        let path = FaultProxy::start(target);
-        self.views[vm].show(target, path.address);
-        self.paths[vm].push(path);
     }
 
     /// Injects a fault into all paths of a VM to targets.
     pub(crate) fn set_path_fault(&self, vm: usize, fault: ProxyFault) {
-        self.paths[vm].iter().for_each(|path| path.set_fault(fault));
+        self.vms[vm]
+            .paths()
+            .iter()
+            .for_each(|path| path.set_fault(fault));
     }
 
     /// Like [`Fleet::start_vm`], for a VM that reaches the store at `store`.
@@ -339,6 +341,7 @@
             ready,
             peers,
             child,
+            paths: None,
         }
     }
 
@@ -352,6 +355,20 @@
         kill(Pid::from_raw(self.child.id() as i32), signal).expect("own child");
     }
 
+    /// Proxies through which it alone reaches the engines and the desks, in this order;
+    /// none if it has none of its own.
+    pub(crate) fn paths(&self) -> &[FaultProxy] {
+        self.paths.as_ref().map_or(&[], |paths| &paths.proxies)
+    }
+
+    /// Starts a proxy through which alone it reaches the target that will be listed at
+    /// this address.
+    pub(crate) fn add_path(&mut self, target: SocketAddr) {
+        if let Some(paths) = &mut self.paths {
+            paths.add(target);
+        }
+    }
+
     /// Waits for the process to exit; returns whether it exited successfully.
     pub(crate) fn wait(&mut self) -> bool {
         self.child.wait().expect("own child").success()
--- a/crates/entry/tests/soak.rs
+++ b/crates/entry/tests/soak.rs
@@ -15,7 +15,8 @@
 use std::time::{Duration, Instant};
 
 use fleet::{
-    call, stream_after, try_call, wait_until, Fleet, FleetOptions, Response, CONFIG, EVENT_COUNT,
+    call, get, stream_after, try_call, wait_until, Fleet, FleetOptions, Response, CONFIG,
+    EVENT_COUNT,
 };
 use lagoon_adapter::standin::{
     kept_turn_headers, model_call_headers, resumption_headers, service_call_headers,
@@ -504,6 +505,50 @@
     proxy.set_fault(ProxyFault::None);
 }
 
+/// Cuts VMs off from all targets or from some: one VM, a failure domain, or all but one.
+/// In half of the cases another fault is injected meanwhile.
+fn inject_path_fault(fleet: &mut Fleet, random: &mut Pcg64, version: &mut u64) {
+    let fault = match random.random_range(0..5) {
+        0 => ProxyFault::Unreachable,
+        1 => ProxyFault::Refused,
+        2 => ProxyFault::RefusedOnUse,
+        3 => ProxyFault::NewRefused,
+        _ => ProxyFault::Paused,
+    };
+    let one = random.random_range(0..fleet.vms.len());
+    let kind = random.random_range(0..3);
+    let is_cut = |vm: &usize| match kind {
+        0 => *vm == one,
+        1 => *vm % PATH_DOMAINS == one % PATH_DOMAINS,
+        _ => *vm != one,
+    };
+    let cut_vms = (0..fleet.vms.len()).filter(is_cut);
+    let share = if random.random_bool(0.7) { 1.0 } else { 0.5 };
+    let mut paths: Vec<FaultProxy> = cut_vms
+        .flat_map(|vm| fleet.vms[vm].paths().to_vec())
+        .collect();
+    paths.retain(|_| random.random_bool(share));
+    paths.iter().for_each(|path| path.set_fault(fault));
+    thread::sleep(Duration::from_millis(random.random_range(200..1_500)));
+    if random.random_bool(0.5) {
+        inject_fault(fleet, random, version);
+    }
+    paths
+        .iter()
+        .for_each(|path| path.set_fault(ProxyFault::None));
+}
+
+/// Attempts that living VMs carried for others, with a response of the target.
+fn carried(fleet: &Fleet) -> u64 {
+    let texts = fleet.vms.iter().map(|vm| get(vm.peers, "/metrics").body);
+    let counts = texts.filter_map(|text| {
+        let name = "lagoon_carried_for_others_total{end=\"answered\"} ";
+        let value = text.lines().find_map(|line| line.strip_prefix(name))?;
+        value.parse::<u64>().ok()
+    });
+    counts.sum()
+}
+
 /// Whether VMs can start during the proxy's fault: they need the store for that.
 fn leaves_store_reachable(proxy: &FaultProxy, fleet: &Fleet) -> bool {
     proxy.address != fleet.proxies[0].address
@@ -563,6 +608,21 @@
     )
 }
 
+/// Failure domains of a fleet whose VMs have paths of their own.
+const PATH_DOMAINS: usize = 2;
+
+fn path_fleet() -> Fleet {
+    Fleet::start_with(
+        VMS + 1,
+        FleetOptions {
+            domains: PATH_DOMAINS,
+            has_paths: true,
+            engine_versions: VERSIONS,
+            ..FleetOptions::default()
+        },
+    )
+}
+
 fn run_soak(seed: u64, faults: u64, mut fleet: Fleet) {
     let vms: Addresses = Arc::default();
     let stop = Arc::new(AtomicBool::new(false));
@@ -604,7 +664,9 @@
         })
         .collect();
     for _ in 0..faults {
-        if !fleet.proxies.is_empty() && random.random_bool(0.6) {
+        if !fleet.vms[0].paths().is_empty() && random.random_bool(0.6) {
+            inject_path_fault(&mut fleet, &mut random, &mut version);
+        } else if !fleet.proxies.is_empty() && random.random_bool(0.6) {
             inject_link_fault(&mut fleet, &mut random, &mut version);
         } else {
             inject_fault(&mut fleet, &mut random, &mut version);
@@ -631,6 +693,7 @@
     let crashes = check_crasher(seed, &fleet);
     let (moved, uncertain) = check_turns(seed, &fleet, &outcomes);
     println!("seed {seed}: {moved} turns continued at another VM, {uncertain} uncertain");
+    println!("seed {seed}: {} attempts carried", carried(&fleet));
     println!("seed {seed}: one request crashed targets {crashes} times");
     let (statements, later) = check_departures(seed, &fleet, &departures, &outcomes);
     println!("seed {seed}: {statements} responses of leaving desks, {later} calls after them");
@@ -696,3 +759,11 @@
         run_soak(seed, env_number("SOAK_FAULTS", DEFAULT_FAULTS), fleet);
     }
 }
+
+#[test]
+fn soak_cut_paths_keep_guarantees() {
+    for seed in seeds() {
+        let fleet = path_fleet();
+        run_soak(seed, env_number("SOAK_FAULTS", DEFAULT_FAULTS), fleet);
+    }
+}
--- a/crates/entry/tests/stranded.rs
+++ b/crates/entry/tests/stranded.rs
@@ -218,7 +218,7 @@
     let fleet = start(3, 1);
     call_all(&fleet, CALLERS_BEFORE, DETECTION_TIME);
     for target in [0, 2] {
-        fleet.paths[0][target].set_fault(ProxyFault::Unreachable);
+        fleet.vms[0].paths()[target].set_fault(ProxyFault::Unreachable);
     }
     call_all(&fleet, CALLERS_PER_VM, DETECTION_TIME);
     let counts = call_all(&fleet, CALLERS_PER_VM, LOAD_TIME);
@@ -249,9 +249,18 @@
     send_request(callers, "POST /stream/x", "a.example", &headers, "p")
 }
 
+/// Makes all paths of a VM refuse connections, and waits until they do.
+fn refuse_paths(fleet: &Fleet, vm: usize) {
+    fleet.set_path_fault(vm, ProxyFault::Refused);
+    wait_until("refused connections", || {
+        let mut paths = fleet.vms[vm].paths().iter();
+        paths.all(|path| TcpStream::connect(path.address).is_err())
+    });
+}
+
 /// Cuts a VM off and waits until another one carries its attempts.
 fn isolate(fleet: &Fleet, vm: usize) {
-    fleet.set_path_fault(vm, ProxyFault::Refused);
+    refuse_paths(fleet, vm);
     wait_until("a carried attempt", || {
         (0..3).for_each(|turn| {
             is_served(fleet.vms[vm].callers, turn);
@@ -406,7 +415,7 @@
     for index in listed {
         fleet.list(index, TargetStatus::Draining);
     }
-    (0..2).for_each(|vm| fleet.add_path(vm, address));
+    fleet.vms.iter_mut().for_each(|vm| vm.add_path(address));
     let mut entry = fleet.engines[0].entry(service, TargetStatus::Ready);
     entry.id = id.into();
     entry.address = address;
@@ -415,7 +424,7 @@
         wait_until("the target", || metric(&fleet, vm, "lagoon_targets") == 5);
     }
     if is_carried {
-        fleet.set_path_fault(0, ProxyFault::Refused);
+        refuse_paths(&fleet, 0);
     }
     let headers = service_call_headers(&unique_id());
     let response = call(fleet.vms[0].callers, &format!("POST {path}"), &headers, "p");
@@ -441,7 +450,7 @@
     };
     wait_until("the execution", || fleet.engines.iter().any(is_running));
     let index = fleet.engines.iter().position(is_running).expect("running");
-    fleet.paths[0][index].set_fault(ProxyFault::Refused);
+    fleet.vms[0].paths()[index].set_fault(ProxyFault::Refused);
     read_response(stream);
     let crashes = |event: &str| {
         let name = format!("lagoon_target_crashes_total{{event=\"{event}\"}}");
@@ -452,3 +461,50 @@
     });
     assert_eq!((crashes("path lost"), crashes("crashed")), (1, 0));
 }
+
+/// Time for which a sound target is silent.
+const SILENCE: Duration = Duration::from_millis(1_200);
+
+// Guards against streams that are ended, and run again, because their target was silent
+// for a second, to connections that are opened meanwhile too.
+#[test]
+fn stream_of_a_target_that_is_silent_for_a_second_ends_whole() {
+    let fleet = start(2, 1);
+    call_all(&fleet, CALLERS_BEFORE, DETECTION_TIME);
+    let streams: Vec<_> = (0..6).map(|vm| open_stream(&fleet, vm % 2)).collect();
+    thread::sleep(2 * fleet::EVENT_INTERVAL);
+    let runs = |fleet: &Fleet| {
+        let executions = fleet.engines.iter().map(|engine| engine.executions().len());
+        executions.sum::<usize>()
+    };
+    let begun = runs(&fleet);
+    (0..2).for_each(|vm| fleet.set_path_fault(vm, ProxyFault::Paused));
+    thread::sleep(SILENCE);
+    (0..2).for_each(|vm| fleet.set_path_fault(vm, ProxyFault::None));
+    for stream in streams {
+        let response = read_response(stream);
+        assert!(is_whole_stream(&response), "{response:?}");
+    }
+    assert_eq!(runs(&fleet), begun);
+    assert!((0..2).all(|vm| metric(&fleet, vm, "lagoon_paths_total{event=\"checked\"}") > 0));
+}
+
+// Guards against a VM that sends new requests, for another VM, to a target that has told
+// it that it is about to stop.
+#[test]
+fn carrier_knows_that_a_target_leaves() {
+    let fleet = start(2, 1);
+    isolate(&fleet, 0);
+    fleet.desks[0].leave();
+    let leaving = |vm: usize| metric(&fleet, vm, "lagoon_leaving_targets");
+    wait_until("the statement", || {
+        assert!(is_served(fleet.vms[0].callers, 0));
+        leaving(0) == 1
+    });
+    assert_eq!(leaving(1), 1);
+    let before = fleet.desks[0].arrivals().len();
+    for turn in 0..20 {
+        assert!(is_served(fleet.vms[turn % 2].callers, 0));
+    }
+    assert_eq!(fleet.desks[0].arrivals().len(), before);
+}
--- a/crates/gateway/src/targets/target.rs
+++ b/crates/gateway/src/targets/target.rs
@@ -171,6 +171,11 @@
         self.entry.status == TargetStatus::Ready && !self.is_leaving
     }
 
+    /// Whether the target has stated in a response that it is about to stop.
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving
+    }
+
     /// Whether a target that has not announced its stop has been silent for so long
     /// that it has crashed if its entry expires now.
     pub(super) fn has_crashed_if_expired(&self, now_ms: u64) -> bool {
--- a/crates/standin/src/fleet/proxy.rs
+++ b/crates/standin/src/fleet/proxy.rs
@@ -39,6 +39,9 @@
     /// Open connections stay silent, also after the fault, and new ones are neither
     /// established nor refused.
     Unreachable,
+    /// Open connections stay silent and go on after the fault; new ones are neither
+    /// established nor refused.
+    Paused,
     /// Bytes from the server are not forwarded. Connections open during the fault
     /// stay silent after it.
     BlackholeResponses,
@@ -121,6 +124,7 @@
             | ProxyFault::RefusedOnUse
             | ProxyFault::NewRefused
             | ProxyFault::Unreachable
+            | ProxyFault::Paused
     )
 }
 
@@ -150,7 +154,8 @@
             None => {}
         }
         drop(listener);
-        let is_unreachable = *faults.borrow() == ProxyFault::Unreachable;
+        let fault = *faults.borrow();
+        let is_unreachable = matches!(fault, ProxyFault::Unreachable | ProxyFault::Paused);
         let full_queue = match is_unreachable {
             true => Some(FullQueue::open(address).await.expect("port is free")),
             false => None,
@@ -221,6 +226,10 @@
         if let ProxyFault::Delayed(time) = fault {
             sleep(time).await;
         }
+        let is_paused = |fault: &ProxyFault| *fault == ProxyFault::Paused;
+        if faults.wait_for(|fault| !is_paused(fault)).await.is_err() {
+            return Ok(());
+        }
         to.write_all(&chunk[..length]).await?;
     }
 }
@@ -235,6 +244,7 @@
         | ProxyFault::Reset
         | ProxyFault::Refused
         | ProxyFault::RefusedOnUse
+        | ProxyFault::Paused
         | ProxyFault::NewRefused => false,
     };
     wait_for_fault(faults, blackholes_direction).await;
