Connections to targets outlast a silence of 1.6 s

A sound target may be silent for a second. Each connection closed when data, or keep-alive probes, stayed unacknowledged for 800 ms, which ended its streams and left bookings unknown.

--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -21,10 +21,13 @@
 /// at the target.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Time after which a connection is closed if sent data stays unacknowledged
-/// (`TCP_USER_TIMEOUT`).
+/// Time after which a connection to a caller, a VM or the store is closed if sent data
+/// stays unacknowledged (`TCP_USER_TIMEOUT`), or keepalive probes do.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// The same for a connection to a target, which may be silent for a second and go on.
+const TARGET_UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_600);
+
 /// Maximum size of a response's head.
 const MAX_HEAD_BYTES: usize = 131_072;
 
@@ -97,11 +100,24 @@
 }
 
 impl Connection {
+    /// Opens a connection to the store or another VM.
     pub(crate) async fn open(address: SocketAddr) -> Result<Connection, OpenError> {
+        Connection::open_with(address, UNACKNOWLEDGED_TIMEOUT).await
+    }
+
+    /// Opens a connection to a target.
+    pub(crate) async fn open_to_target(address: SocketAddr) -> Result<Connection, OpenError> {
+        Connection::open_with(address, TARGET_UNACKNOWLEDGED_TIMEOUT).await
+    }
+
+    async fn open_with(
+        address: SocketAddr,
+        unacknowledged_timeout: Duration,
+    ) -> Result<Connection, OpenError> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
             .await
             .map_err(|_| OpenError::timed_out())??;
-        if let Err(error) = set_socket_options(&stream) {
+        if let Err(error) = set_options(&stream, unacknowledged_timeout) {
             log::warn!(address = address.to_string(), error = error.to_string(); "cannot set TCP options");
         }
         let (sender, driver) = Builder::new()
@@ -146,12 +162,16 @@
     }
 }
 
-/// Sets the TCP options that detect an unresponsive peer, and disables Nagle's
+/// Sets the TCP options that detect an unresponsive caller, and disables Nagle's
 /// algorithm.
 pub(crate) fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
+    set_options(stream, UNACKNOWLEDGED_TIMEOUT)
+}
+
+fn set_options(stream: &TcpStream, unacknowledged_timeout: Duration) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+    socket.set_tcp_user_timeout(Some(unacknowledged_timeout))?;
     socket.set_tcp_keepalive(
         &TcpKeepalive::new()
             .with_time(KEEPALIVE_INTERVAL)
--- a/crates/entry/src/paths.rs
+++ b/crates/entry/src/paths.rs
@@ -81,7 +81,7 @@
         key: TargetKey,
         address: SocketAddr,
     ) -> Result<Connection, OpenError> {
-        let mut connecting = pin!(Connection::open(address));
+        let mut connecting = pin!(Connection::open_to_target(address));
         let opened = match timeout(CONNECT_PATIENCE, connecting.as_mut()).await {
             Ok(opened) => {
                 if let Some(loss) = opened.as_ref().err().and_then(|error| error.loss) {
--- a/crates/entry/src/suspects.rs
+++ b/crates/entry/src/suspects.rs
@@ -67,7 +67,7 @@
 
 /// Whether any of these addresses accepts a connection.
 async fn accepts_any(addresses: &[SocketAddr]) -> bool {
-    let connections = join_all(addresses.iter().copied().map(Connection::open)).await;
+    let connections = join_all(addresses.iter().copied().map(Connection::open_to_target)).await;
     connections.iter().any(Result::is_ok)
 }
 
@@ -114,7 +114,7 @@
         F: Future<Output = TargetReach>,
     {
         sleep(CRASH_PROBE_DELAY).await;
-        let Err(error) = Connection::open(attempt.address).await else {
+        let Err(error) = Connection::open_to_target(attempt.address).await else {
             self.metrics.record_target_crash("target is up");
             log::info!(request = attempt.request_id.as_str(), target_id = attempt.target_id.as_str(); "target accepts connections after an interrupted response");
             return;
