--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use lagoon_gateway::{TargetEntry, TargetKey};
+use lagoon_ids::hash64;
 use tokio::time::sleep;
 
 use crate::body::RequestBody;
@@ -36,7 +37,14 @@
 impl PathGuard {
     fn new(state: &Rc<DaemonState>, key: TargetKey) -> PathGuard {
         let now_ms = state.now_ms();
-        state.paths.borrow_mut().attempt_started(key, now_ms);
+        let domain = state
+            .targets
+            .borrow()
+            .get(key)
+            .map_or(0, |target| hash64(target.entry.domain.as_bytes()));
+        let mut paths = state.paths.borrow_mut();
+        paths.attempt_started(key, domain, now_ms);
+        drop(paths);
         PathGuard {
             state: Rc::clone(state),
             key,
@@ -55,19 +63,23 @@
         self.state.record_path_broken(self.key);
     }
 
-    /// Waits until the path is known to be lost, so that no response comes any more.
-    pub(crate) async fn until_hopeless(&self) {
+    /// Waits until no response can come any more, as the path is lost or the target down;
+    /// returns which.
+    pub(crate) async fn until_hopeless(&self) -> NoExchange {
         let state = &self.state;
         loop {
             let change = state.path_losses.notified();
-            let is_lost = {
+            let is_in_question = {
                 let paths = state.paths.borrow();
                 if paths.is_hopeless(self.key, self.heard_ms.get(), state.now_ms()) {
-                    return;
+                    return match paths.is_lost(self.key) {
+                        true => NoExchange::PathLost,
+                        false => NoExchange::Interrupted("target is down".to_owned()),
+                    };
                 }
-                paths.is_lost(self.key)
+                paths.is_in_question(self.key)
             };
-            match is_lost {
+            match is_in_question {
                 true => sleep(HOPELESS_RECHECK).await,
                 false => change.await,
             }
@@ -170,7 +182,7 @@
     let sent = tokio::select! {
         biased;
         sent = pooled.connection.send(request) => sent,
-        () = guard.until_hopeless(), if options.is_repeatable => return Err(NoExchange::PathLost),
+        hopeless = guard.until_hopeless(), if options.is_repeatable => return Err(hopeless),
     };
     match sent {
         Ok(response) => {
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -75,8 +75,9 @@
         }
     }
 
-    /// Waits until the path to the target is known to be lost; forever if there is none.
-    pub(crate) async fn until_hopeless(&self) {
+    /// Waits until the target can't respond any more; forever if another VM carries the
+    /// attempt.
+    pub(crate) async fn until_hopeless(&self) -> NoExchange {
         match self {
             ResponseConnection::Direct { guard, .. } => guard.until_hopeless().await,
             ResponseConnection::Carried(_) => std::future::pending().await,
@@ -450,8 +451,8 @@
         let read = tokio::select! {
             biased;
             read = read_buffered(&self.state, body, MAX_BUFFERED_BYTES) => read,
-            () = connection.until_hopeless(), if self.route.is_repeatable() => {
-                return Err(NoExchange::PathLost.into());
+            hopeless = connection.until_hopeless(), if self.route.is_repeatable() => {
+                return Err(hopeless.into());
             }
         };
         match read {
--- a/crates/entry/src/paths.rs
+++ b/crates/entry/src/paths.rs
@@ -255,7 +255,9 @@
             self.log_path_change(change);
             if matches!(
                 change,
-                PathChange::Confirmed { .. } | PathChange::Isolated { .. }
+                PathChange::Confirmed { .. }
+                    | PathChange::Isolated { .. }
+                    | PathChange::TargetDown { .. }
             ) {
                 self.path_losses.notify_waiters();
             }
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -10,7 +10,6 @@
 use tokio::time::{sleep, timeout_at};
 
 use crate::body::{ResponseBody, TruncatedBody};
-use crate::exchange::NoExchange;
 use crate::forward::{
     forwarded_head, FailedAttempt, ForwardedRequest, ResponseStream, TargetResponse, RESUME_DELAY,
 };
@@ -84,8 +83,8 @@
             let frame = tokio::select! {
                 biased;
                 frame = timeout_at(deadline, stream.body.frame()) => frame,
-                () = stream.connection.until_hopeless(), if is_resumable => {
-                    self.resume_or_fail(NoExchange::PathLost.into()).await?;
+                hopeless = stream.connection.until_hopeless(), if is_resumable => {
+                    self.resume_or_fail(hopeless.into()).await?;
                     continue;
                 }
             };
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -73,7 +73,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) pool: Rc<Pool<TargetKey>>,
     pub(crate) paths: RefCell<Paths<TargetKey>>,
-    /// Notified when the loss of a path is confirmed.
+    /// Notified when the loss of a path is confirmed, or a target found to be down.
     pub(crate) path_losses: Notify,
     /// Other VMs as carriers of attempts to targets that this VM can't reach.
     pub(crate) carriers: RefCell<Carriers>,
--- a/crates/paths/src/paths.rs
+++ b/crates/paths/src/paths.rs
@@ -133,6 +133,10 @@
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Path {
+    /// Failure domain of the target, as a hash.
+    domain: u64,
+    /// Time at which the target was found to be down; `None` after a sign of life.
+    down_ms: Option<u64>,
     /// Last sign of life that arrived on this path.
     heard_ms: Option<u64>,
     /// Attempts in flight on this path.
@@ -266,9 +270,11 @@
         lost.all(|lost| lost.keeps_open)
     }
 
-    /// Counts an attempt that is sent on the path.
-    pub fn attempt_started(&mut self, target: K, now_ms: u64) {
+    /// Counts an attempt that is sent on the path to a target, whose failure domain has
+    /// the hash `domain`.
+    pub fn attempt_started(&mut self, target: K, domain: u64, now_ms: u64) {
         let path = self.path(target);
+        path.domain = domain;
         if path.in_flight == 0 {
             path.busy_since_ms = now_ms;
         }
@@ -285,6 +291,7 @@
     pub fn record_bytes(&mut self, target: K, now_ms: u64) -> Vec<PathChange<K>> {
         let path = self.path(target);
         path.heard_ms = Some(now_ms);
+        path.down_ms = None;
         // Kept connections say nothing of a target that refuses new ones.
         let was_refused = path.lost.is_some_and(|lost| lost.loss == Loss::Refused);
         let mut changes = Vec::new();
@@ -297,7 +304,9 @@
 
     /// Records that a connection to the target was established.
     pub fn record_connected(&mut self, target: K, now_ms: u64) -> Vec<PathChange<K>> {
-        self.path(target).heard_ms = Some(now_ms);
+        let path = self.path(target);
+        path.heard_ms = Some(now_ms);
+        path.down_ms = None;
         let mut changes: Vec<_> = self.find(target, now_ms).into_iter().collect();
         let was_cut_off = self.is_cut_off();
         let rejoined = self.rejoin(now_ms);
@@ -401,6 +410,7 @@
         if path.lost.take().is_none() {
             return Vec::new();
         }
+        path.down_ms = Some(now_ms);
         path.probe_ms = 0;
         if self.lost_since_heard.is_empty() {
             self.doubted_ms = None;
@@ -449,20 +459,50 @@
         let lost = self.paths.get(&target).and_then(|path| path.lost);
         match lost {
             Some(lost) => !lost.keeps_open && (lost.is_confirmed || self.is_isolated()),
-            None => self.is_isolated() && !self.keeps_open(),
+            None if self.is_isolated() => !self.keeps_open(),
+            None => self.is_domain_down(target),
         }
     }
 
+    /// Whether the target and another one of its failure domain are down, and none there
+    /// has given a sign of life since: a domain that is cut off, rather than a target
+    /// that is silent for a while.
+    fn is_domain_down(&self, target: K) -> bool {
+        let Some(path) = self.paths.get(&target) else {
+            return false;
+        };
+        let of_domain = || self.paths.values().filter(|p| p.domain == path.domain);
+        let down = of_domain().filter_map(|path| path.down_ms);
+        let heard_ms = of_domain().filter_map(|path| path.heard_ms).max();
+        let since_ms = down.clone().min();
+        path.down_ms.is_some()
+            && down.count() >= self.settings.isolation_paths
+            && heard_ms < since_ms
+    }
+
+    /// Whether the path is lost or its target down, so that attempts on it may be
+    /// hopeless.
+    pub fn is_in_question(&self, target: K) -> bool {
+        let path = self.paths.get(&target);
+        self.is_lost(target) || path.is_some_and(|path| path.down_ms.is_some())
+    }
+
     /// Targets that have been silent for so long that their paths are to be checked
     /// now.
     pub fn take_due_checks(&mut self, now_ms: u64) -> Vec<K> {
         let settings = self.settings;
         let is_vm_silent = now_ms >= self.heard_ms + settings.vm_silence_ms;
-        let silence_ms = match is_vm_silent {
-            true => settings.vm_silence_ms,
-            false => settings.target_silence_ms,
-        };
+        let paths = self.paths.values();
+        // Others of a domain in which a target can't be reached are suspects.
+        let suspects: Vec<u64> = paths
+            .filter(|path| path.lost.is_some() || path.down_ms.is_some())
+            .map(|path| path.domain)
+            .collect();
         let is_due = |path: &Path| {
+            let silence_ms = match is_vm_silent || suspects.contains(&path.domain) {
+                true => settings.vm_silence_ms,
+                false => settings.target_silence_ms,
+            };
             let checked_ms = path.checked_ms;
             path.lost.is_none()
                 && path.silent_ms(now_ms) >= silence_ms
--- a/crates/paths/tests/fleet.rs
+++ b/crates/paths/tests/fleet.rs
@@ -561,7 +561,8 @@
         let now_ms = self.now_ms;
         self.calls[call].sent_ms = now_ms;
         self.calls[call].may_have_run = true;
-        self.vms[vm].paths.attempt_started(target, now_ms);
+        let domain = self.target_domains[target] as u64;
+        self.vms[vm].paths.attempt_started(target, domain, now_ms);
         self.at(HOP_MS, Event::Arrived { call, turn, by: vm });
         self.at(50, Event::Look { call, turn });
     }
@@ -747,7 +748,8 @@
         let now_ms = self.now_ms;
         let Some(code) = loss else {
             self.vms[by].paths.record_connected(target, now_ms);
-            self.vms[by].paths.attempt_started(target, now_ms);
+            let domain = self.target_domains[target] as u64;
+            self.vms[by].paths.attempt_started(target, domain, now_ms);
             self.calls[call].sent_ms = now_ms;
             self.calls[call].may_have_run = true;
             self.at(HOP_MS, Event::Arrived { call, turn, by });
--- a/crates/paths/tests/paths.rs
+++ b/crates/paths/tests/paths.rs
@@ -111,7 +111,7 @@
 #[test]
 fn attempt_is_hopeless_once_its_loss_is_confirmed_and_it_is_silent() {
     let mut paths = paths();
-    paths.attempt_started(1, 1_000);
+    paths.attempt_started(1, 0, 1_000);
     paths.record_failed(1, Loss::TimedOut, 1_300);
     assert!(!paths.is_hopeless(1, 1_000, 1_300));
     paths.record_reached_elsewhere(1, 1_310);
@@ -133,7 +133,7 @@
 #[test]
 fn silent_target_that_accepts_connections_loses_nothing() {
     let mut paths = paths();
-    paths.attempt_started(1, 1_000);
+    paths.attempt_started(1, 0, 1_000);
     assert_eq!(paths.take_due_checks(1_100), [] as [u32; 0]);
     assert_eq!(paths.take_due_checks(1_200), [1]);
     paths.record_connected(1, 1_202);
@@ -144,7 +144,7 @@
 #[test]
 fn target_is_checked_later_while_others_respond() {
     let mut paths = paths();
-    paths.attempt_started(1, 1_000);
+    paths.attempt_started(1, 0, 1_000);
     for now_ms in (1_000..1_600).step_by(100) {
         paths.record_bytes(2, now_ms);
         assert_eq!(paths.take_due_checks(now_ms), [] as [u32; 0]);
@@ -159,7 +159,7 @@
 #[test]
 fn idle_path_is_not_checked() {
     let mut paths = paths();
-    paths.attempt_started(1, 1_000);
+    paths.attempt_started(1, 0, 1_000);
     paths.attempt_ended(1);
     assert_eq!(paths.take_due_checks(9_000), [] as [u32; 0]);
 }
@@ -268,3 +268,30 @@
     paths.record_broken(2, 1_010);
     assert_eq!(paths.way(2), Way::Carried);
 }
+
+// Guards against streams that wait for a cut-off failure domain as long as for one target
+// that is silent for a second.
+#[test]
+fn attempts_are_hopeless_where_two_targets_of_a_domain_are_down() {
+    let mut paths = paths();
+    for (target, domain) in [(1, 7), (2, 7), (3, 8)] {
+        paths.attempt_started(target, domain, 1_000);
+    }
+    let find_down = |paths: &mut Paths<u32>, target, now_ms| {
+        paths.record_failed(target, Loss::TimedOut, now_ms);
+        paths.record_target_down(target, now_ms);
+    };
+    paths.record_bytes(3, 1_500);
+    find_down(&mut paths, 1, 1_700);
+    assert!(paths.is_in_question(1) && !paths.is_hopeless(1, 1_000, 2_500));
+    // The other one of the domain is checked sooner now.
+    paths.record_bytes(3, 1_750);
+    let mut due = paths.take_due_checks(1_800);
+    due.sort_unstable();
+    assert_eq!(due, [1, 2]);
+    find_down(&mut paths, 2, 1_900);
+    assert!(paths.is_hopeless(1, 1_000, 1_900) && paths.is_hopeless(2, 1_000, 1_900));
+    assert!(!paths.is_hopeless(3, 1_000, 1_950));
+    paths.record_bytes(2, 2_000);
+    assert!(!paths.is_hopeless(1, 1_000, 2_000));
+}
