lagoond: attempts at targets that a VM can't reach are carried by another VM

The owner now hands the attempt to another VM (lagoon-paths, as in lagoon-entry), which dispatches it and sends the target's events back; resumption of streams goes the same way. Intent, order, budget and permit stay with the owner.

Lost events are found by their numbers or by asking, and end the attempt as interrupted.

--- a/crates/daemon/src/actors/node.rs
+++ b/crates/daemon/src/actors/node.rs
@@ -168,6 +168,7 @@
                     let _ = sender.send(reply);
                 }
             }
+            Effect::ProbePath(probe) => call!([parts.targets], probe(probe)),
             Effect::PollLoads(polls) => call!([parts.targets], poll(polls)),
             Effect::Span(span) => parts.tracer.record(finished_span(span)),
             Effect::Ready(ready) => {
--- a/crates/daemon/src/actors/targets.rs
+++ b/crates/daemon/src/actors/targets.rs
@@ -3,14 +3,14 @@
 mod attempt;
 mod loads;
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::Duration;
 
 use compact_str::CompactString;
 use lagoon_node::{
-    AttemptFailure, AttemptId, Dispatch, Event, LoadPoll, StreamResume, TargetEvent,
+    AttemptFailure, AttemptId, Dispatch, Event, LoadPoll, PathProbe, StreamResume, TargetEvent,
 };
 use stakker::CX;
 use ureq::Agent;
@@ -102,6 +102,25 @@
         }
     }
 
+    /// Opens a connection to a target and closes it again.
+    pub(crate) fn probe(&mut self, _: CX![], probe: PathProbe) {
+        let input_sender = self.input_sender.clone();
+        let spawned = thread::Builder::new()
+            .stack_size(WORKER_STACK_BYTES)
+            .spawn(move || {
+                let connected = TcpStream::connect_timeout(&probe.address, CONNECT_TIMEOUT);
+                let event = Event::PathProbed {
+                    target: probe.target,
+                    is_connected: connected.is_ok(),
+                };
+                // Fails only if the process is about to exit.
+                let _ = input_sender.send(event.into());
+            });
+        if let Err(error) = spawned {
+            log::error!(error = error.to_string(); "failed to start a thread to probe a target");
+        }
+    }
+
     pub(crate) fn poll(&mut self, _: CX![], polls: Vec<LoadPoll>) {
         *self.polls.lock().unwrap_or_else(PoisonError::into_inner) = polls;
     }
--- a/crates/node/src/effect.rs
+++ b/crates/node/src/effect.rs
@@ -54,6 +54,15 @@
     pub address: SocketAddr,
 }
 
+/// Target to which a connection is to be opened and closed again.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PathProbe {
+    /// Name of the target, from the sheet.
+    pub target: TargetName,
+    /// Address of the target, from the sheet.
+    pub address: SocketAddr,
+}
+
 /// Finished trace span of one stage of a call.
 #[derive(Clone, Debug)]
 pub struct StageSpan {
@@ -116,6 +125,9 @@
         /// Reply, which becomes the JSON body of the HTTP response.
         reply: OperatorReply,
     },
+    /// Finds out whether a target can be reached; the result returns as
+    /// [`Event::PathProbed`](crate::Event::PathProbed).
+    ProbePath(PathProbe),
     /// Replaces the list of targets whose load is polled.
     PollLoads(Vec<LoadPoll>),
     /// Exports a finished trace span.
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -4,7 +4,7 @@
 
 use compact_str::CompactString;
 use derive_more::Display;
-use lagoon_ids::{CallKey, TraceContext};
+use lagoon_ids::{CallKey, TargetName, TraceContext};
 use lagoon_membership::LoadReport;
 use lagoon_platform::{PlatformError, PlatformReply};
 use serde::{Deserialize, Serialize};
@@ -21,7 +21,7 @@
 pub struct OperatorRef(pub u64);
 
 /// Identifies one attempt of a call at a target.
-#[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq, Serialize, Deserialize)]
 pub struct AttemptId(pub u64);
 
 /// Identifies a store request; its reply carries the same ID.
@@ -60,7 +60,7 @@
 }
 
 /// Reason why an attempt at a target failed.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq, Serialize, Deserialize)]
 pub enum AttemptFailure {
     /// No connection was established, so the target did not receive the request.
     #[display("no connection")]
@@ -77,7 +77,7 @@
 }
 
 /// Part of a target's response to an attempt, or the failure of the attempt.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum TargetEvent {
     /// What a response states of the target's limit. Comes before the other events of
     /// the response.
@@ -189,6 +189,13 @@
         /// Reply, or the reason why the store gave none.
         reply: Result<PlatformReply, PlatformError>,
     },
+    /// Result of an [`Effect::ProbePath`](crate::Effect::ProbePath).
+    PathProbed {
+        /// Target, as given in the effect.
+        target: TargetName,
+        /// Whether a connection was established.
+        is_connected: bool,
+    },
     /// Load report of a target that this VM polls.
     Load(LoadReport),
     /// An operator sent a request to this VM.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,12 +14,15 @@
 mod request;
 mod status;
 
-pub use effect::{Dispatch, Effect, LoadPoll, StageSpan, StreamResume};
+pub use effect::{Dispatch, Effect, LoadPoll, PathProbe, StageSpan, StreamResume};
 pub use event::{
     AttemptFailure, AttemptId, CallRef, CallerRequest, Event, OperatorRef, OperatorRequest,
     StoreRequestId, TargetEvent,
 };
-pub use message::{ForwardedCall, PeerMessage, ResponseFrame, ResponseSummary};
+pub use message::{
+    CarriedRequest, CarriedWork, CarryEvent, ForwardedCall, PeerMessage, ResponseFrame,
+    ResponseSummary,
+};
 pub use node::{Node, NodeSettings};
 pub use request::{CallKind, CallRequest};
 pub use status::{
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -5,12 +5,13 @@
 
 use compact_str::CompactString;
 use lagoon_errors::CallError;
-use lagoon_ids::{AccountName, CallKey, Incarnation, ProgramId, TargetName, VmName};
+use lagoon_ids::{AccountName, CallKey, Incarnation, ProgramId, TargetName, TraceContext, VmName};
 use lagoon_limits::{Demand, LimitUpdate, PermitDecision};
 use lagoon_membership::Heartbeat;
+use lagoon_paths::Decline;
 use serde::{Deserialize, Serialize};
 
-use crate::event::CallRef;
+use crate::event::{AttemptId, CallRef, TargetEvent};
 use crate::request::CallRequest;
 
 /// Metadata that ends a response.
@@ -181,4 +182,106 @@
         /// What the sender knows of the limit.
         known: Option<LimitUpdate>,
     },
+    /// Attempt at a target that the sender can't reach. It is sent to the target after
+    /// [`PeerMessage::StartCarry`].
+    Carry(Box<CarriedRequest>),
+    /// Send an attempt to its target now. Comes too late for one that was accepted long
+    /// ago, as its origin has given it up by then.
+    StartCarry {
+        /// Number of the request.
+        id: u64,
+        /// VM that sent the request.
+        origin: VmName,
+    },
+    /// What became of a carried attempt.
+    CarryEvent {
+        /// Number of the request.
+        id: u64,
+        /// Number of the event, from 0; the first one accepts or declines the request.
+        sequence: u64,
+        /// What became of it.
+        event: CarryEvent,
+    },
+    /// The origin of a carried attempt needs its response no more.
+    CancelCarry {
+        /// Number of the request.
+        id: u64,
+        /// VM that sent the request.
+        origin: VmName,
+    },
+}
+
+/// What is to be sent to a target.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum CarriedWork {
+    /// Request of a call; see [`Dispatch`](crate::Dispatch).
+    Dispatch {
+        /// Key of the call.
+        call: CallKey,
+        /// HTTP path at the target.
+        path: String,
+        /// Whether the response is a stream of server-sent events.
+        stream: bool,
+        /// Header `Content-Type` of the request.
+        content_type: CompactString,
+        /// Body of the request.
+        body: Arc<[u8]>,
+        /// Trace context that becomes the parent of the target's spans.
+        trace: TraceContext,
+    },
+    /// Request for the rest of a stream; see [`StreamResume`](crate::StreamResume).
+    Resume {
+        /// ID of the stream at the target.
+        resume_id: CompactString,
+        /// Sequence number of the last received event; 0 if there was none.
+        last_event_id: u64,
+    },
+}
+
+/// Attempt at a target that its sender, the origin, can't reach.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct CarriedRequest {
+    /// Number of the request at the origin.
+    pub id: u64,
+    /// Attempt of the origin.
+    pub attempt: AttemptId,
+    /// VM that owns the call.
+    pub origin: VmName,
+    /// Address at which the origin receives messages.
+    pub origin_address: SocketAddr,
+    /// Incarnation that is to carry it; a later one doesn't know whether it was carried.
+    pub carrier: Incarnation,
+    /// Target, from the sheet.
+    pub target: TargetName,
+    /// What is to be sent.
+    pub work: CarriedWork,
+}
+
+/// What became of a carried attempt.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum CarryEvent {
+    /// The carrier waits for [`PeerMessage::StartCarry`], or has had it.
+    Accepted,
+    /// Nothing was sent to the target.
+    Declined(Decline),
+    /// Nothing was sent: the carrier reaches other targets, and not this one.
+    TargetDown,
+    /// Event of the target.
+    Target(TargetEvent),
+    /// The carrier has sent the last event already, in reply to a repeated request.
+    Ended,
+}
+
+impl CarryEvent {
+    /// Whether no further event follows.
+    pub fn is_last(&self) -> bool {
+        match self {
+            CarryEvent::Accepted | CarryEvent::Ended => false,
+            CarryEvent::Declined(_) | CarryEvent::TargetDown => true,
+            CarryEvent::Target(event) => matches!(
+                event,
+                TargetEvent::Body { .. } | TargetEvent::Done | TargetEvent::Failed { .. }
+            ),
+        }
+    }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -4,6 +4,7 @@
 mod answer;
 mod arrival;
 mod call;
+mod carry;
 mod commit;
 mod config;
 mod confirm;
@@ -39,6 +40,7 @@
 use crate::message::PeerMessage;
 
 use call::{Call, CallSlot};
+use carry::Carrying;
 use commit::CommitAction;
 use config::Config;
 use confirm::SealCheck;
@@ -122,6 +124,7 @@
     balancer: Balancer,
     loads: FastMap<TargetName, LoadReport>,
     limits: Limits,
+    carrying: Carrying,
     journal: Journal,
     commit_actions: FastMap<WaiterId, CommitAction>,
     config: Config,
@@ -182,6 +185,7 @@
             members,
             loads: FastMap::default(),
             limits: Limits::default(),
+            carrying: Carrying::default(),
             journal: Journal::new(row),
             commit_actions: FastMap::default(),
             config: Config::default(),
@@ -220,7 +224,10 @@
 
     /// Whether calls, journal writes or a planned stop are in progress.
     pub fn is_busy(&self) -> bool {
-        !self.calls.is_empty() || !self.journal.is_idle() || self.stopping.is_some()
+        !self.calls.is_empty()
+            || !self.carrying.is_idle()
+            || !self.journal.is_idle()
+            || self.stopping.is_some()
     }
 
     /// Programs that this node owns.
@@ -249,6 +256,10 @@
             Event::Peer(message) => self.on_peer(message),
             Event::Target { attempt, event } => self.on_target_event(attempt, event),
             Event::Store { request_id, reply } => self.on_store(request_id, reply),
+            Event::PathProbed {
+                target,
+                is_connected,
+            } => self.on_path_probed(&target, is_connected),
             Event::Load(report) => self.on_load_report(report),
             Event::Operator {
                 operator_ref,
@@ -331,6 +342,14 @@
                 decision,
                 known,
             } => self.on_permit_reply(id, decision, known),
+            PeerMessage::Carry(request) => self.on_carry(*request),
+            PeerMessage::CarryEvent {
+                id,
+                sequence,
+                event,
+            } => self.on_carry_event(id, sequence, event),
+            PeerMessage::StartCarry { id, origin } => self.on_start_carry(origin, id),
+            PeerMessage::CancelCarry { id, origin } => self.on_cancel_carry(&origin, id),
         }
     }
 
@@ -350,6 +369,7 @@
         self.check_call_timeouts();
         self.check_forwards();
         self.check_permits();
+        self.check_carried();
         self.drain_queue();
         if now_ms >= self.expiry_due_ms {
             self.expire_programs();
--- a/crates/node/src/node/answer.rs
+++ b/crates/node/src/node/answer.rs
@@ -7,11 +7,12 @@
 use serde::Deserialize;
 
 use crate::constants::{MAX_RESPONSE_BYTES, MAX_STREAM_RESUMES, MAX_TARGET_ATTEMPTS};
-use crate::effect::{Effect, StreamResume};
+use crate::effect::Effect;
 use crate::event::{AttemptFailure, AttemptId, TargetEvent};
-use crate::message::ResponseFrame;
+use crate::message::{CarriedWork, ResponseFrame};
 use crate::node::call::{CallSlot, Phase};
 use crate::node::commit::CommitAction;
+use crate::node::dispatch::dispatch_work;
 use crate::node::limits::Clearance;
 use crate::node::Node;
 use crate::request::CallKind;
@@ -30,7 +31,48 @@
 }
 
 impl Node {
+    /// Handles an event of an attempt that this VM has sent to a target, for a call of
+    /// its own or for another VM.
     pub(super) fn on_target_event(&mut self, attempt: AttemptId, event: TargetEvent) {
+        if self.pass_on_event(attempt, &event) || self.is_handed(attempt) {
+            return;
+        }
+        let slot = self.attempts.get(&attempt).copied();
+        let target = slot.and_then(|slot| self.calls[slot].target.clone());
+        if let (Some(slot), Some((target, _))) = (slot, target) {
+            self.record_heard(&target, &event);
+            let is_unconnected = matches!(
+                event,
+                TargetEvent::Failed {
+                    failure: AttemptFailure::NotConnected,
+                    ..
+                }
+            );
+            if is_unconnected {
+                let work = self.attempt_work(slot);
+                if self.carry_instead(attempt, &target, work) {
+                    return;
+                }
+            }
+        }
+        self.on_attempt_event(attempt, event);
+    }
+
+    /// What was sent last for a call: its request, or that for the rest of its stream.
+    fn attempt_work(&self, slot: CallSlot) -> CarriedWork {
+        let call = &self.calls[slot];
+        match call.response.resume_id.clone() {
+            Some(resume_id) => CarriedWork::Resume {
+                resume_id,
+                last_event_id: call.response.last_sequence,
+            },
+            None => dispatch_work(call),
+        }
+    }
+
+    /// Handles an event of an attempt for a call of this VM, whoever sent it to the
+    /// target.
+    pub(super) fn on_attempt_event(&mut self, attempt: AttemptId, event: TargetEvent) {
         // An attempt that has ended is no longer listed; its late events are ignored.
         let Some(slot) = self.attempts.get(&attempt).copied() else {
             return;
@@ -309,20 +351,15 @@
     pub(super) fn request_resume(&mut self, slot: CallSlot) {
         self.use_permit(slot);
         let call = &self.calls[slot];
-        let (Some(attempt), Some(resume_id), Some((_, address))) = (
+        let (Some(attempt), Some((target, address)), true) = (
             call.attempt,
-            call.response.resume_id.clone(),
-            call.target.as_ref(),
+            call.target.clone(),
+            call.response.resume_id.is_some(),
         ) else {
             return;
         };
-        let resume = StreamResume {
-            attempt,
-            address: *address,
-            resume_id,
-            last_event_id: call.response.last_sequence,
-        };
-        self.emit(Effect::Resume(Box::new(resume)));
+        let work = self.attempt_work(slot);
+        self.send_attempt(attempt, &target, address, work);
     }
 
     /// Retries an interrupted call and charges the failed attempt, which may have run.
@@ -379,6 +416,10 @@
     pub(super) fn cancel_attempt(&mut self, slot: CallSlot) {
         let call = &self.calls[slot];
         if let (Some(attempt), Some((_, address))) = (call.attempt, call.target.clone()) {
+            if self.is_handed(attempt) {
+                self.cancel_handed(attempt);
+                return;
+            }
             let resume_id = call.response.resume_id.clone();
             self.emit(Effect::Cancel {
                 attempt,
--- a/crates/node/src/node/config.rs
+++ b/crates/node/src/node/config.rs
@@ -144,6 +144,7 @@
         self.config.row = Some(row);
         self.config.text = text;
         self.config.confirmed_ms = self.now_ms();
+        self.retain_paths();
         self.assign_load_polls();
         self.heartbeat_due_ms = 0;
         self.drain_queue();
--- a/crates/node/src/node/dispatch.rs
+++ b/crates/node/src/node/dispatch.rs
@@ -8,8 +8,9 @@
 use lagoon_sheet::RetrySafety;
 
 use crate::constants::{MAX_INTENT_AGE_MS, MAX_TARGET_ATTEMPTS};
-use crate::effect::{Dispatch, Effect, LoadPoll, StageSpan};
+use crate::effect::{Effect, LoadPoll, StageSpan};
 use crate::event::{AttemptFailure, AttemptId};
+use crate::message::CarriedWork;
 use crate::node::call::{Call, CallSlot, Phase};
 use crate::node::commit::CommitAction;
 use crate::node::limits::Clearance;
@@ -157,21 +158,12 @@
         call.attempt = Some(attempt);
         call.attempts += 1;
         call.response = Default::default();
-        let Some((_, address)) = call.target else {
+        let Some((target, address)) = call.target.clone() else {
             return;
         };
-        let dispatch = Dispatch {
-            attempt,
-            call: call.request.key.clone(),
-            address,
-            path: target_path(call),
-            stream: call.request.kind.is_stream(),
-            content_type: call.request.content_type.clone(),
-            body: call.request.body.clone(),
-            trace: call.request.trace.child(&span_label("target", call)),
-        };
+        let work = dispatch_work(call);
         self.attempts.insert(attempt, slot);
-        self.emit(Effect::Dispatch(Box::new(dispatch)));
+        self.send_attempt(attempt, &target, address, work);
         self.set_phase(slot, Phase::Dispatched);
     }
 
@@ -180,12 +172,14 @@
         let Some(call) = self.calls.get_mut(slot) else {
             return;
         };
-        if let Some(attempt) = call.attempt.take() {
-            self.attempts.remove(&attempt);
-        }
+        let attempt = call.attempt.take();
         if let Some((target, _)) = call.target.take() {
             self.balancer.on_done(&target);
         }
+        if let Some(attempt) = attempt {
+            self.attempts.remove(&attempt);
+            self.cancel_handed(attempt);
+        }
     }
 
     /// Handles a failed attempt that did not run: queues the call again for another
@@ -306,6 +300,18 @@
     )
 }
 
+/// What is sent to the target for a call.
+pub(super) fn dispatch_work(call: &Call) -> CarriedWork {
+    CarriedWork::Dispatch {
+        call: call.request.key.clone(),
+        path: target_path(call),
+        stream: call.request.kind.is_stream(),
+        content_type: call.request.content_type.clone(),
+        body: call.request.body.clone(),
+        trace: call.request.trace.child(&span_label("target", call)),
+    }
+}
+
 fn target_path(call: &Call) -> String {
     match &call.request.kind {
         CallKind::Chat { .. } => "/v1/chat/completions".to_owned(),
--- a/crates/node/src/node/stop.rs
+++ b/crates/node/src/node/stop.rs
@@ -83,7 +83,7 @@
             return;
         }
         let timed_out = now_ms >= stopping.started_ms + self.settings.stop_wait_ms;
-        let drained = self.calls.is_empty() && self.takeovers.is_empty();
+        let drained = self.calls.is_empty() && self.carrying.is_idle() && self.takeovers.is_empty();
         if stopping.handed_over || timed_out {
             if self.forwards.is_empty() || timed_out {
                 self.exit();
--- a/crates/node/tests/schedules/faults.rs
+++ b/crates/node/tests/schedules/faults.rs
@@ -15,6 +15,8 @@
     Target(usize, TargetMode),
     MessageLoss(u32),
     Isolate(usize),
+    /// The VM reaches no target.
+    CutPaths(usize),
 }
 
 /// Two simultaneous faults and their duration in steps of the callers.
@@ -53,6 +55,7 @@
                 sim.partition(VMS[vm], VMS[(vm + 1) % 3]);
                 sim.partition(VMS[vm], VMS[(vm + 2) % 3]);
             }
+            FaultKind::CutPaths(vm) => sim.cut_paths(VMS[vm], &TARGETS),
         }
     }
 
@@ -69,6 +72,7 @@
             FaultKind::Target(target, _) => sim.set_target_mode(TARGETS[target], TargetMode::Ok),
             FaultKind::MessageLoss(_) => sim.message_loss_percent = 0,
             FaultKind::Isolate(_) => sim.heal(),
+            FaultKind::CutPaths(_) => sim.restore_paths(),
         }
     }
 }
@@ -103,6 +107,7 @@
         (0usize..6, mode).prop_map(|(target, mode)| FaultKind::Target(target, mode)),
         (10u32..60).prop_map(FaultKind::MessageLoss),
         (0usize..3).prop_map(FaultKind::Isolate),
+        (0usize..3).prop_map(FaultKind::CutPaths),
     ]
 }
 
--- a/crates/paths/src/carriers.rs
+++ b/crates/paths/src/carriers.rs
@@ -3,6 +3,7 @@
 use compact_str::CompactString;
 use derive_more::Display;
 use lagoon_ids::{hash64, FastMap};
+use serde::{Deserialize, Serialize};
 
 /// Times by which [`Carriers`] chooses, in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -24,7 +25,7 @@
 }
 
 /// Why a VM doesn't carry an attempt; nothing was sent.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
 pub enum Decline {
     /// It reaches no target.
     #[display("isolated")]
--- a/crates/testkit/src/simulation.rs
+++ b/crates/testkit/src/simulation.rs
@@ -6,8 +6,8 @@
 
 use lagoon_ids::{DomainName, FastMap, TargetName, VmName};
 use lagoon_node::{
-    AttemptId, CallRef, Effect, Event, Node, NodeSettings, OperatorRef, OperatorReply,
-    OperatorRequest, PeerMessage, StoreRequestId,
+    AttemptFailure, AttemptId, CallRef, CarryEvent, Effect, Event, Node, NodeSettings, OperatorRef,
+    OperatorReply, OperatorRequest, PeerMessage, StoreRequestId, TargetEvent,
 };
 use lagoon_platform::{PlatformError, PlatformRequest, VmEntry, VmStatus};
 use rand::{RngExt, SeedableRng};
@@ -31,6 +31,8 @@
 /// Time added to [`PEER_LATENCY_US`] for the second copy of a duplicated message;
 /// long enough for later messages to overtake this copy.
 const DUPLICATE_DELAY_US: u64 = 30_000;
+/// Time until a connection is established, or refused.
+const CONNECT_US: u64 = 1_000;
 const BASE_PORT: u16 = 7_000;
 
 /// VM whose daemon runs.
@@ -51,6 +53,21 @@
     Tick,
     Event(Event),
     Store(StoreRequestId, PlatformRequest),
+    /// Event of a target, unless the attempt was broken since.
+    Target {
+        attempt: AttemptId,
+        event: TargetEvent,
+        epoch: u64,
+    },
+}
+
+/// Attempt that was sent to a target.
+#[derive(Debug)]
+struct OpenAttempt {
+    vm: VmName,
+    attempt: AttemptId,
+    address: SocketAddr,
+    resume_id: String,
 }
 
 #[derive(Debug)]
@@ -108,6 +125,13 @@
     requests: BTreeMap<RequestId, (Request, VmName, Outcome)>,
     operator_replies: FastMap<OperatorRef, OperatorReply>,
     partitions: Vec<(VmName, VmName)>,
+    /// Targets that VMs can't reach.
+    cut_paths: Vec<(VmName, SocketAddr)>,
+    attempts: Vec<OpenAttempt>,
+    /// Number of times that an attempt was broken by a cut.
+    epochs: FastMap<(VmName, AttemptId), u64>,
+    /// Attempts that VMs have accepted to carry for others.
+    pub carried_attempts: u64,
     queue: BinaryHeap<Reverse<ScheduledDelivery>>,
     /// Last number given to a delivery, request or operator's request.
     last_sequence: u64,
@@ -142,6 +166,10 @@
             requests: BTreeMap::new(),
             operator_replies: FastMap::default(),
             partitions: Vec::new(),
+            cut_paths: Vec::new(),
+            attempts: Vec::new(),
+            epochs: FastMap::default(),
+            carried_attempts: 0,
             queue: BinaryHeap::new(),
             last_sequence: 0,
             generation: 0,
@@ -393,7 +421,24 @@
         if sim_vm.generation != scheduled.generation {
             return;
         }
-        match scheduled.delivery {
+        let delivery = match scheduled.delivery {
+            Delivery::Target {
+                attempt,
+                event,
+                epoch,
+            } => {
+                if epoch != self.epoch(&scheduled.vm, attempt) {
+                    return;
+                }
+                Delivery::Event(Event::Target { attempt, event })
+            }
+            delivery => delivery,
+        };
+        let Some(sim_vm) = self.vms.get_mut(&scheduled.vm) else {
+            return;
+        };
+        match delivery {
+            Delivery::Target { .. } => {}
             Delivery::Store(request_id, request) => {
                 let reply = self.execute_store_request(&request);
                 let event = Event::Store { request_id, reply };
@@ -445,13 +490,33 @@
                 }
             }
             Effect::Send { to, message } => self.send(vm, to, message),
+            Effect::Dispatch(dispatch) if self.is_cut(vm, dispatch.address) => {
+                self.fail_connection(vm, dispatch.attempt);
+            }
+            Effect::Resume(resume) if self.is_cut(vm, resume.address) => {
+                self.fail_connection(vm, resume.attempt);
+            }
+            Effect::ProbePath(probe) => {
+                let is_connected =
+                    !self.is_cut(vm, probe.address) && self.targets.accepts(probe.address);
+                let event = Event::PathProbed {
+                    target: probe.target,
+                    is_connected,
+                };
+                self.schedule(CONNECT_US, vm, Delivery::Event(event));
+            }
             Effect::Dispatch(dispatch) => {
                 let events = self.targets.dispatch(&dispatch, self.now_us);
                 self.schedule_target_events(vm, dispatch.attempt, events);
+                let resume_id = self.targets.last_resume_id();
+                self.record_attempt(vm, dispatch.attempt, dispatch.address, &resume_id);
             }
             Effect::Resume(resume) => {
-                let events = self.targets.resume(&resume.resume_id, self.now_us);
+                let events =
+                    self.targets
+                        .resume(&resume.resume_id, resume.last_event_id, self.now_us);
                 self.schedule_target_events(vm, resume.attempt, events);
+                self.record_attempt(vm, resume.attempt, resume.address, &resume.resume_id);
             }
             Effect::Store {
                 request_id,
@@ -478,20 +543,97 @@
         }
     }
 
+    fn is_cut(&self, vm: &VmName, address: SocketAddr) -> bool {
+        self.cut_paths
+            .iter()
+            .any(|(cut_vm, cut)| cut_vm == vm && *cut == address)
+    }
+
+    fn fail_connection(&mut self, vm: &VmName, attempt: AttemptId) {
+        let event = TargetEvent::Failed {
+            failure: AttemptFailure::NotConnected,
+            detail: "no path".to_owned(),
+        };
+        self.schedule_target_events(vm, attempt, vec![(CONNECT_US, event)]);
+    }
+
+    fn record_attempt(
+        &mut self,
+        vm: &VmName,
+        attempt: AttemptId,
+        address: SocketAddr,
+        resume_id: &str,
+    ) {
+        self.attempts.push(OpenAttempt {
+            vm: vm.clone(),
+            attempt,
+            address,
+            resume_id: resume_id.to_owned(),
+        });
+    }
+
+    /// Cuts a VM off from some targets: attempts in flight break, new ones don't connect.
+    pub fn cut_paths(&mut self, vm: &str, targets: &[&str]) {
+        let name = vm_name(vm);
+        for target in targets {
+            let address = self.targets.address(target);
+            self.cut_paths.push((name.clone(), address));
+            let is_broken = |open: &OpenAttempt| open.vm == name && open.address == address;
+            let attempts = std::mem::take(&mut self.attempts);
+            let (broken, open): (Vec<_>, Vec<_>) = attempts.into_iter().partition(is_broken);
+            self.attempts = open;
+            for broken in broken {
+                self.targets.break_stream(&broken.resume_id);
+                *self
+                    .epochs
+                    .entry((name.clone(), broken.attempt))
+                    .or_default() += 1;
+                let event = TargetEvent::Failed {
+                    failure: AttemptFailure::Interrupted,
+                    detail: "path was cut".to_owned(),
+                };
+                self.schedule_target_events(&name, broken.attempt, vec![(0, event)]);
+            }
+        }
+    }
+
+    /// Ends all cuts between VMs and targets.
+    pub fn restore_paths(&mut self) {
+        self.cut_paths.clear();
+    }
+
     fn schedule_target_events(
         &mut self,
         vm: &VmName,
         attempt: AttemptId,
-        events: Vec<(u64, lagoon_node::TargetEvent)>,
+        events: Vec<(u64, TargetEvent)>,
     ) {
+        let epoch = self.epoch(vm, attempt);
         for (delay_us, event) in events {
-            let event = Event::Target { attempt, event };
-            self.schedule(delay_us, vm, Delivery::Event(event));
+            let event = Delivery::Target {
+                attempt,
+                event,
+                epoch,
+            };
+            self.schedule(delay_us, vm, event);
         }
     }
 
+    fn epoch(&self, vm: &VmName, attempt: AttemptId) -> u64 {
+        let epoch = self.epochs.get(&(vm.clone(), attempt));
+        epoch.copied().unwrap_or_default()
+    }
+
     fn send(&mut self, from: &VmName, to: SocketAddr, message: PeerMessage) {
         self.sent_messages += 1;
+        let is_accepted = matches!(
+            &message,
+            PeerMessage::CarryEvent {
+                event: CarryEvent::Accepted,
+                ..
+            }
+        );
+        self.carried_attempts += u64::from(is_accepted);
         let bytes = postcard::to_stdvec(&message).map_or(0, |bytes| bytes.len());
         self.sent_bytes += bytes as u64;
         let receiver = self
--- a/crates/testkit/src/targets.rs
+++ b/crates/testkit/src/targets.rs
@@ -57,6 +57,8 @@
     pub(crate) executions: Vec<Execution>,
     /// Interrupted streams by resume id, with the events not sent yet.
     streams: BTreeMap<String, Vec<TimedEvent>>,
+    /// All events of the streams that were started, by resume id.
+    started: BTreeMap<String, Vec<TimedEvent>>,
     /// Requests per second that targets state to take.
     limits: BTreeMap<TargetName, f64>,
     /// Targets of resumable streams by resume id.
@@ -94,6 +96,32 @@
         self.by_address.insert(address, name);
     }
 
+    /// Address of a target; panics on an unknown name.
+    pub(crate) fn address(&self, name: &str) -> SocketAddr {
+        let mut targets = self.by_address.iter();
+        let found = targets.find(|(_, target)| target.as_str() == name);
+        *found.unwrap_or_else(|| panic!("no target {name}")).0
+    }
+
+    /// Whether the target at this address accepts connections.
+    pub(crate) fn accepts(&self, address: SocketAddr) -> bool {
+        let target = self.by_address.get(&address);
+        target.is_some_and(|target| self.mode(target) != TargetMode::RefuseConnection)
+    }
+
+    /// Resume id of the stream that was started last.
+    pub(crate) fn last_resume_id(&self) -> String {
+        self.started_streams.to_string()
+    }
+
+    /// Lets a stream whose connection was cut be resumed.
+    pub(crate) fn break_stream(&mut self, resume_id: &str) {
+        if let Some(events) = self.started.get(resume_id) {
+            let events = events.clone();
+            self.streams.insert(resume_id.to_owned(), events);
+        }
+    }
+
     pub(crate) fn set_mode(&mut self, name: &TargetName, mode: TargetMode) {
         self.modes.insert(name.clone(), mode);
     }
@@ -176,6 +204,9 @@
             stream_events(&body, tokens, prompt_tokens, self.started_streams)
         };
         let resume_id = self.started_streams.to_string();
+        if !is_service {
+            self.started.insert(resume_id.clone(), events.clone());
+        }
         self.stream_targets.insert(resume_id, target.clone());
         let events = self.apply_mode(mode, events, dispatch);
         self.answer(&target, events, now_us)
@@ -209,8 +240,20 @@
     }
 
     /// Remaining events of a resumed stream.
-    pub(crate) fn resume(&mut self, resume_id: &str, now_us: u64) -> Vec<TimedEvent> {
-        let events = self.remaining_events(resume_id);
+    pub(crate) fn resume(
+        &mut self,
+        resume_id: &str,
+        last_event_id: u64,
+        now_us: u64,
+    ) -> Vec<TimedEvent> {
+        let mut events = self.remaining_events(resume_id);
+        events.retain(|(_, event)| match event {
+            TargetEvent::Chunk { sequence, .. } => {
+                sequence.is_none_or(|sequence| sequence > last_event_id)
+            }
+            TargetEvent::Head { .. } => false,
+            _ => true,
+        });
         match self.stream_targets.get(resume_id).cloned() {
             Some(target) => self.answer(&target, events, now_us),
             None => events,
