--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -1,5 +1,7 @@
 //! Relays event streams to callers, and resumes them after an interruption.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use futures::stream;
 use futures::StreamExt;
@@ -11,9 +13,12 @@
 
 use crate::body::{ResponseBody, TruncatedBody};
 use crate::forward::{
-    forwarded_head, FailedAttempt, ForwardedRequest, ResponseStream, TargetResponse, RESUME_DELAY,
+    forwarded_head, FailedAttempt, ForwardedRequest, ResponseStream, TargetResponse,
 };
 
+/// Delay before an interrupted stream is requested again from the same target.
+const RESUME_DELAY: Duration = Duration::from_millis(5);
+
 /// Stream that is being relayed to a caller. Dropping it before the end of the
 /// stream closes the connection to the target, which then stops the execution.
 pub(crate) struct Relay {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -21,7 +21,6 @@
 mod permits;
 mod pool;
 mod registration;
-mod relay;
 mod response;
 mod run;
 mod server;
