--- a/crates/daemon/src/actors/node.rs
+++ b/crates/daemon/src/actors/node.rs
@@ -132,6 +132,9 @@
         metrics.gauge("calls_under_way", status.calls as u64);
         metrics.gauge("queued", status.queued as u64);
         metrics.gauge("forwarded", status.forwarded as u64);
+        metrics.gauge("carried_by_others", status.carried_by_others as u64);
+        metrics.gauge("carried_for_others", status.carried_for_others as u64);
+        metrics.gauge("lost_paths", status.lost_paths as u64);
         metrics.gauge("journal_backlog", status.journal_backlog as u64);
         metrics.flush();
         after!(GAUGE_INTERVAL, [cx], report_gauges());
--- a/crates/node/src/node/carry.rs
+++ b/crates/node/src/node/carry.rs
@@ -111,6 +111,21 @@
         self.carried.is_empty() && self.offered.is_empty()
     }
 
+    /// Attempts that other VMs carry for this one.
+    pub(super) fn handed_count(&self) -> usize {
+        self.handed.len()
+    }
+
+    /// Attempts that this VM carries for others.
+    pub(super) fn carried_count(&self) -> usize {
+        self.carried.len()
+    }
+
+    /// Targets whose path is lost.
+    pub(super) fn lost_path_count(&self) -> usize {
+        self.paths.lost_targets().count()
+    }
+
     fn handed_id(&self, attempt: AttemptId) -> Option<u64> {
         let mut handed = self.handed.iter();
         let found = handed.find(|(_, handed)| handed.request.attempt == attempt);
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -78,6 +78,15 @@
     pub calls: usize,
     /// Calls of local callers that are forwarded to other owners.
     pub forwarded: usize,
+    /// Attempts of the VM's calls that other VMs carry, as it can't reach their targets.
+    #[serde(default)]
+    pub carried_by_others: usize,
+    /// Attempts that the VM carries for others.
+    #[serde(default)]
+    pub carried_for_others: usize,
+    /// Targets of the failure domain that the VM can't reach, though another VM may.
+    #[serde(default)]
+    pub lost_paths: usize,
     /// Calls queued for a target.
     pub queued: usize,
     /// Record groups that are not durable yet.
