--- a/crates/entry/tests/stranded.rs
+++ b/crates/entry/tests/stranded.rs
@@ -508,3 +508,45 @@
     }
     assert_eq!(fleet.desks[0].arrivals().len(), before);
 }
+
+// Guards against attempts that come from no listed VM, or name no target, and are sent on.
+#[parameterized(
+    no_listed_vm = { 1, "desk", 403 },
+    unknown_target = { 2, "desk", 200 },
+    not_an_attempt = { 2, "", 400 },
+)]
+fn attempt_that_no_vm_has_a_reason_to_send_reaches_no_target(vms: usize, id: &str, status: u16) {
+    let fleet = start(vms, 1);
+    let mut headers = service_call_headers("outside");
+    if !id.is_empty() {
+        headers.push(format!("lagoon-carry-target: {id}"));
+        headers.push("lagoon-carry-run: 1".to_owned());
+    }
+    let peers = fleet.vms[0].peers;
+    let response = read_response(send_request(
+        peers,
+        "GET /v1/carry/look/x",
+        "vm",
+        &headers,
+        "",
+    ));
+    assert_eq!(response.status, status, "{response:?}");
+    let is_declined = response.head.contains("lagoon-carry-end: unknown target");
+    assert_eq!(is_declined, status == 200, "{response:?}");
+    let executions = fleet.desks.iter().map(|desk| desk.executions().len());
+    assert_eq!(executions.sum::<usize>(), 0);
+}
+
+// Guards against a caller who names a target, or an attempt, that only VMs may name.
+#[test]
+fn carry_headers_of_callers_are_without_effect() {
+    let fleet = start(2, 1);
+    isolate(&fleet, 0);
+    for vm in &fleet.vms {
+        let mut headers = service_call_headers(&unique_id());
+        headers.push("lagoon-carry-target: other".to_owned());
+        headers.push("lagoon-carry-run: 7".to_owned());
+        let response = try_call(vm.callers, "GET /look/x", &headers, "");
+        assert_eq!((response.status, response.body.as_str()), (200, "done"));
+    }
+}
