Attempts wait where no target responds at all

Two targets of a domain without a sign of life counted as a domain that is cut off, also where no target anywhere responded: the streams were ended and had nowhere to go on. An attempt is given up for its domain only if a target elsewhere responded since.

--- a/crates/paths/src/paths.rs
+++ b/crates/paths/src/paths.rs
@@ -464,9 +464,10 @@
         }
     }
 
-    /// Whether the target and another one of its failure domain are down, and none there
-    /// has given a sign of life since: a domain that is cut off, rather than a target
-    /// that is silent for a while.
+    /// Whether the target and another one of its failure domain are down, none there has
+    /// given a sign of life since, and one elsewhere has: a domain that is cut off, rather
+    /// than targets that are silent for a while. Where none responds, there is nowhere to
+    /// go on either.
     fn is_domain_down(&self, target: K) -> bool {
         let Some(path) = self.paths.get(&target) else {
             return false;
@@ -478,6 +479,7 @@
         path.down_ms.is_some()
             && down.count() >= self.settings.isolation_paths
             && heard_ms < since_ms
+            && Some(self.heard_ms) > since_ms
     }
 
     /// Whether the path is lost or its target down, so that attempts on it may be
