--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -199,7 +199,7 @@
         id: u64,
         /// Number of the event, from 0; the first one accepts or declines the request.
         sequence: u64,
-        /// What became of it.
+        /// Outcome of the request so far, or an event of the target.
         event: CarryEvent,
     },
     /// The origin of a carried attempt needs its response no more.
