--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -45,6 +45,9 @@
 /// The most that one turn generates.
 const TURN: u64 = 288;
 
+/// Budget of a program of one turn.
+const ONE_TURN_BUDGET: u64 = TURN;
+
 /// Programs that loop until they are stopped.
 const PROGRAMS: usize = 48;
 
@@ -267,6 +270,64 @@
     judge_budget(record, &spent)
 }
 
+/// All processes are killed at the same moment, and start again 1 s later. Each program has
+/// one turn, and a budget that holds it.
+fn unserved(record: &Arc<Record>, has_trouble: bool) -> bool {
+    let mut site = site_with(record, CONFIG, 6, &["engines"; 6]);
+    site.vms.iter_mut().for_each(Vm::start);
+    site.wait_ready();
+    // Traffic starts 10 s after the machines do.
+    record.wait_until(10.0);
+    let before = single_turns(&site, 20.0);
+    record.wait_until(20.0);
+    if has_trouble {
+        record.write("all processes are killed");
+        site.vms.iter_mut().for_each(Vm::kill);
+        record.wait_until(21.0);
+        record.write("they start again");
+        site.vms.iter_mut().for_each(Vm::start);
+    }
+    site.wait_ready();
+    let during = single_turns(&site, 33.0);
+    let after = single_turns(&site, 50.0);
+    let share = |(served, sent): (u64, u64)| served as f64 / sent.max(1) as f64;
+    for (when, counts) in [
+        ("before the fault", before),
+        ("in the 12 s after it", during),
+        ("later", after),
+    ] {
+        let (served, sent) = counts;
+        record.write(&format!(
+            "check: {when}, {served} of {sent} requests were served"
+        ));
+    }
+    share(before) >= 0.25 && share(after) < 0.25
+}
+
+/// Sends programs of one turn through all VMs until a time since the start; returns how
+/// many were served, and sent.
+fn single_turns(site: &Site, until_s: f64) -> (u64, u64) {
+    let lines: Vec<_> = (0..12)
+        .map(|line| {
+            let address = site.vms[line % site.vms.len()].callers;
+            let record = Arc::clone(&site.record);
+            thread::spawn(move || {
+                let (mut served, mut sent) = (0, 0);
+                while record.elapsed().as_secs_f64() < until_s {
+                    let program = fleet::next_id("one");
+                    let answer = turn(&record, address, (&program, ONE_TURN_BUDGET), TURN);
+                    sent += 1;
+                    served += u64::from(answer.status == 200 && answer.is_complete);
+                    thread::sleep(Duration::from_millis(300));
+                }
+                (served, sent)
+            })
+        })
+        .collect();
+    let counts = lines.into_iter().map(|line| line.join().expect("client"));
+    counts.fold((0, 0), |sum, count| (sum.0 + count.0, sum.1 + count.1))
+}
+
 /// Sends streams that belong to no program through all VMs, `lines` side by side, until a
 /// time since the start.
 fn run_streams(site: &Site, lines: usize, until_s: f64) {
@@ -441,6 +502,7 @@
         "forgotten-allowance" => forgotten_allowance(&record, has_trouble),
         "forgotten-reserve" => forgotten_reserve(&record, has_trouble),
         "deleted-row" => deleted_row(&record, has_trouble),
+        "unserved" => unserved(&record, has_trouble),
         "partial-entry" => partial_entry(&record, has_trouble),
         _ => panic!("unknown case"),
     };
