Review, case 3: a stopping VM and one of its zone both grant a call beyond the budget

It takes the place of the case on deleted rows, which stays in the rig (deleted-row).

Code at fault: entry run.rs, unregister at SIGTERM, while the VM serves on; gateway peers.rs, coordinator_candidates; ledger/allowance.rs.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,4 +5,4 @@
 [ -x target/release/lagoon-entry ] && [ -x target/review-rig ] || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-REVIEW_FOLDER=$folder target/review-rig deleted-row review/3/record.txt
+REVIEW_FOLDER=$folder target/review-rig two-coordinators review/3/record.txt
--- a/review/rig/fleet.rs
+++ b/review/rig/fleet.rs
@@ -249,16 +249,23 @@
         }
     }
 
+    /// Sends SIGTERM.
+    pub fn terminate(&mut self) {
+        if let Some(child) = &self.child {
+            // SAFETY: a signal to a child that has not been waited for.
+            unsafe { kill(child.id() as i32, SIGTERM) };
+        }
+    }
+
     /// Stops the process as planned: SIGTERM, and SIGKILL after `grace_s`.
     pub fn stop(&mut self) {
-        let Some(child) = &mut self.child else {
-            return;
-        };
-        // SAFETY: a signal to a child that has not been waited for.
-        unsafe { kill(child.id() as i32, SIGTERM) };
+        self.terminate();
         let until = Instant::now() + Duration::from_secs(8);
-        while Instant::now() < until && matches!(child.try_wait(), Ok(None)) {
-            thread::sleep(Duration::from_millis(20));
+        while Instant::now() < until {
+            match self.child.as_mut().map(Child::try_wait) {
+                Some(Ok(None)) => thread::sleep(Duration::from_millis(20)),
+                _ => break,
+            }
         }
         self.kill();
     }
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -48,6 +48,9 @@
 /// Budget of a program of one turn.
 const ONE_TURN_BUDGET: u64 = TURN;
 
+/// `recover_s` of the site.
+const RECOVER_S: f64 = 12.0;
+
 /// Programs that loop until they are stopped.
 const PROGRAMS: usize = 48;
 
@@ -212,28 +215,32 @@
     judge_budget(record, &spent)
 }
 
-/// A program that loops comes back within the retention each time; long after its budget
-/// was spent, the store is slow.
+/// The store is slow as programs begin. They go on with pauses that are shorter than the
+/// retention, until their budgets are spent.
 fn forgotten_reserve(record: &Arc<Record>, has_trouble: bool) -> bool {
     let config = CONFIG.replace("\"retention_s\": 60.0", "\"retention_s\": 18.0");
     let mut site = site_with(record, &config, 6, &["engines"; 4]);
     site.vms.iter_mut().for_each(Vm::start);
     site.wait_ready();
     let spent = Spent::default();
+    // Traffic starts 10 s after the machines do.
     record.wait_until(10.0);
-    site.run_programs(0, usize::MAX, 2, &spent);
-    for second in [26.0, 38.0, 50.0, 62.0, 74.0, 86.0] {
-        record.wait_until(second);
-        site.run_programs(0, usize::MAX, 1, &spent);
-    }
-    record.wait_until(97.0);
     if has_trouble {
         site.set_store(&[], SLOW, "the store is slow, x 60");
     }
-    record.wait_until(97.5);
-    site.run_programs(0, usize::MAX, 2, &spent);
-    record.wait_until(101.5);
+    // Two lines of turns of each program.
+    thread::scope(|scope| {
+        scope.spawn(|| site.run_programs(0, 1, 3, &spent));
+        scope.spawn(|| site.run_programs(0, 1, 3, &spent));
+    });
+    record.wait_until(14.5);
     site.set_store(&[], SERVES, "the store serves as before");
+    for second in [22.0, 34.0, 46.0, 58.0, 70.0, 82.0] {
+        record.wait_until(second);
+        site.run_programs(0, 1, 3, &spent);
+    }
+    record.wait_until(94.0);
+    site.run_programs(0, usize::MAX, 3, &spent);
     judge_budget(record, &spent)
 }
 
@@ -270,9 +277,10 @@
     judge_budget(record, &spent)
 }
 
-/// All processes are killed at the same moment, and start again 1 s later. Each program has
-/// one turn, and a budget that holds it.
-fn unserved(record: &Arc<Record>, has_trouble: bool) -> bool {
+/// All processes are killed at the same moment, and start again 1 s later; or, `in_turn`,
+/// they are stopped as planned and started one after the other. Each program has one turn,
+/// and a budget that holds it.
+fn unserved(record: &Arc<Record>, has_trouble: bool, in_turn: bool) -> bool {
     let mut site = site_with(record, CONFIG, 6, &["engines"; 6]);
     site.vms.iter_mut().for_each(Vm::start);
     site.wait_ready();
@@ -280,7 +288,13 @@
     record.wait_until(10.0);
     let before = single_turns(&site, 20.0);
     record.wait_until(20.0);
-    if has_trouble {
+    if has_trouble && in_turn {
+        for vm in &mut site.vms {
+            record.write(&format!("{} gets SIGTERM and starts again", vm.name));
+            vm.stop();
+            vm.start();
+        }
+    } else if has_trouble {
         record.write("all processes are killed");
         site.vms.iter_mut().for_each(Vm::kill);
         record.wait_until(21.0);
@@ -288,8 +302,9 @@
         site.vms.iter_mut().for_each(Vm::start);
     }
     site.wait_ready();
-    let during = single_turns(&site, 33.0);
-    let after = single_turns(&site, 50.0);
+    let back_s = record.elapsed().as_secs_f64();
+    let during = single_turns(&site, back_s + RECOVER_S);
+    let after = single_turns(&site, back_s + RECOVER_S + 16.0);
     let share = |(served, sent): (u64, u64)| served as f64 / sent.max(1) as f64;
     for (when, counts) in [
         ("before the fault", before),
@@ -489,6 +504,42 @@
     judge_budget(record, &spent)
 }
 
+/// A VM is stopped as planned, and half a second later its zone is cut off.
+fn two_coordinators(record: &Arc<Record>, has_trouble: bool) -> bool {
+    let mut site = site_with(record, CONFIG, 7, &["engines"; 6]);
+    let links = Links::put(&site);
+    site.vms.iter_mut().for_each(Vm::start);
+    site.wait_ready();
+    let spent = Spent::default();
+    let stopped = 6;
+    // Traffic starts 10 s after the machines do.
+    record.wait_until(10.0);
+    site.run_programs(0, usize::MAX, 2, &spent);
+    record.wait_until(18.0);
+    if has_trouble {
+        record.write(&format!("{} gets SIGTERM", site.vms[stopped].name));
+        site.vms[stopped].terminate();
+    }
+    record.wait_until(18.5);
+    if has_trouble {
+        links.cut(&site, ZONES[0]);
+    }
+    // The balancer sends callers to a VM for up to 2 s after SIGTERM.
+    record.wait_until(18.6);
+    site.run_programs(stopped, usize::MAX, 1, &spent);
+    record.wait_until(20.5);
+    site.run_programs(0, usize::MAX, 1, &spent);
+    record.wait_until(24.0);
+    if has_trouble {
+        links.heal(&site, ZONES[0], SERVES);
+        site.vms[stopped].stop();
+        record.write("it has stopped, and starts again");
+        site.vms[stopped].start();
+    }
+    record.wait_until(30.0);
+    judge_budget(record, &spent)
+}
+
 fn run() -> bool {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, case, record] = arguments.as_slice() else {
@@ -498,11 +549,13 @@
     let record = Record::new(Path::new(record));
     record.write(&format!("case {case}, with the disruption: {has_trouble}"));
     let is_broken = match case.as_str() {
+        "two-coordinators" => two_coordinators(&record, has_trouble),
         "zone-after-zone" => zone_after_zone(&record, has_trouble),
         "forgotten-allowance" => forgotten_allowance(&record, has_trouble),
         "forgotten-reserve" => forgotten_reserve(&record, has_trouble),
         "deleted-row" => deleted_row(&record, has_trouble),
-        "unserved" => unserved(&record, has_trouble),
+        "unserved" => unserved(&record, has_trouble, false),
+        "unserved-in-turn" => unserved(&record, has_trouble, true),
         "partial-entry" => partial_entry(&record, has_trouble),
         _ => panic!("unknown case"),
     };
