--- a/review/rig/fleet.rs
+++ b/review/rig/fleet.rs
@@ -3,6 +3,7 @@
 use std::fs::{self, File};
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, AtomicU8, Ordering};
@@ -188,9 +189,21 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64) -> i32;
 }
 
 const SIGTERM: i32 = 15;
+const SIGKILL: u64 = 9;
+const PR_SET_PDEATHSIG: i32 = 1;
+
+/// Has the kernel end the process of a VM if the case is ended from outside.
+fn end_with_parent() -> std::io::Result<()> {
+    // SAFETY: sets an attribute of the calling process.
+    match unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) } {
+        0 => Ok(()),
+        _ => Err(std::io::Error::last_os_error()),
+    }
+}
 
 impl Vm {
     /// VM that is not started yet.
@@ -232,7 +245,10 @@
             .folder
             .join(format!("{}-{}.log", self.name, self.starts));
         let log = File::create(log).expect("log");
-        let child = Command::new("target/release/lagoon-entry")
+        let mut command = Command::new("target/release/lagoon-entry");
+        // SAFETY: the function makes one system call.
+        unsafe { command.pre_exec(end_with_parent) };
+        let child = command
             .arg("--settings")
             .arg(&file)
             .stdin(Stdio::null())
