Streams granted fewer tokens than their maximum get the rest while they run

Cause: a call to the store that fails once makes a VM accept fewer tokens than a call's maximum, of a reserve or an allowance, and a longer stream was cut once they were used up, also when tokens were to be had again.

Fix: a relay whose call has fewer tokens than its maximum reserves the rest on the same ways as any call once tokens for fewer than two events are left, and an event waits up to 1 s for them. What all calls of a program get is bounded as before, since further tokens are reserved like those of a call.

Ruled out: the change of the configuration itself; it only opens the time in which such a cut counts.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -283,14 +283,12 @@
         );
     }
 
-    /// Reserves the maximum output tokens of a model call from its program's
-    /// budget; does nothing for other requests.
-    async fn reserve_tokens(&mut self) -> Result<(), Box<Response<ResponseBody>>> {
-        let (Some(model_call), Some(program)) = (&self.metadata.model_call, &self.metadata.program)
-        else {
-            return Ok(());
-        };
-        let request = TokenRequest {
+    /// Request for the maximum output tokens of a model call; `None` for other
+    /// requests.
+    fn token_request(&self) -> Option<TokenRequest> {
+        let model_call = self.metadata.model_call.as_ref()?;
+        let program = self.metadata.program.as_ref()?;
+        Some(TokenRequest {
             program: ProgramKey(program.clone()),
             budget_tokens: model_call.budget_tokens,
             max_tokens: self.metadata.max_output_tokens,
@@ -300,7 +298,29 @@
                 .unwrap_or(self.metadata.max_output_tokens / EXPECTED_TOKENS_DIVISOR),
             retention_ms: self.route.retention_ms,
             origin_vm: self.state.affinity.borrow().origin_vm(&self.metadata),
+        })
+    }
+
+    /// Request for the tokens by which a call's reservation falls short of its
+    /// maximum; `None` if it doesn't.
+    pub(crate) fn missing_tokens(&self) -> Option<TokenRequest> {
+        let request = self.token_request()?;
+        let granted_tokens = self.reservation.as_ref()?.granted_tokens();
+        let max_tokens = request.max_tokens.checked_sub(granted_tokens)?;
+        (max_tokens > 0).then(|| TokenRequest {
+            max_tokens,
+            expected_tokens: max_tokens / EXPECTED_TOKENS_DIVISOR,
+            ..request
+        })
+    }
+
+    /// Reserves the maximum output tokens of a model call from its program's
+    /// budget; does nothing for other requests.
+    async fn reserve_tokens(&mut self) -> Result<(), Box<Response<ResponseBody>>> {
+        let Some(request) = self.token_request() else {
+            return Ok(());
         };
+        let budget_tokens = request.budget_tokens;
         let started_ms = self.state.now_ms();
         let deadline_ms = self.deadline_ms.min(started_ms + RESERVATION_TIMEOUT_MS);
         let deadline = self.state.clock.instant(deadline_ms);
@@ -314,7 +334,6 @@
                 Ok(())
             }
             Err(ChargeDecision::Exhausted { charged_tokens }) => {
-                let budget_tokens = model_call.budget_tokens;
                 log::info!(request = self.metadata.request_id.as_str(), charged_tokens, budget_tokens, tokens = self.metadata.max_output_tokens; "budget spent");
                 self.record_response(budget_exhausted_status(), "budget spent");
                 Err(Box::new(response::plain_text(
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -1,24 +1,34 @@
 //! Relays event streams to callers, and resumes them after an interruption.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::future::{LocalBoxFuture, OptionFuture};
 use futures::stream;
-use futures::StreamExt;
+use futures::{FutureExt, StreamExt};
 use http_body_util::BodyExt;
 use hyper::{Response, StatusCode};
 use lagoon_gateway::{EventReader, RetryDecision, TargetHash, TargetKey};
 use lagoon_turns::TurnOutput;
-use tokio::time::{sleep, timeout_at};
+use tokio::time::{sleep, timeout_at, Instant};
 
 use crate::body::{ResponseBody, TruncatedBody};
 use crate::forward::{
     forwarded_head, FailedAttempt, ForwardedRequest, ResponseStream, TargetResponse,
 };
+use crate::ledger::TokenReservation;
 
 /// Delay before an interrupted stream is requested again from the same target.
 const RESUME_DELAY: Duration = Duration::from_millis(5);
 
+/// Events for which tokens must be left; with fewer, further ones are reserved.
+const EVENTS_AHEAD: u64 = 2;
+
+/// Maximum time that an event waits until tokens for it are reserved. Callers give a
+/// stream up after a pause of about two seconds.
+const MAX_TOKEN_WAIT: Duration = Duration::from_millis(1_000);
+
 /// Stream that is being relayed to a caller. Dropping it before the end of the
 /// stream closes the connection to the target, which then stops the execution.
 pub(crate) struct Relay {
@@ -30,6 +40,9 @@
     begun_at: Option<TargetHash>,
     /// Data of the relayed events, if the route keeps turns.
     output: Option<TurnOutput>,
+    /// Reservation of further tokens in progress, for a call that was granted fewer
+    /// than its maximum.
+    extension: Option<LocalBoxFuture<'static, Option<TokenReservation>>>,
     status: StatusCode,
     /// Text of the log line that is written on drop.
     outcome: &'static str,
@@ -56,6 +69,7 @@
             output: request.route.keeps_turns.then(TurnOutput::default),
             request,
             stream: Some(stream),
+            extension: None,
             status,
             outcome: "caller left",
         };
@@ -85,9 +99,14 @@
                 return Ok(None);
             };
             let is_resumable = self.request.route.is_repeatable();
+            let is_extended = self.extension.is_some();
             let frame = tokio::select! {
                 biased;
                 frame = timeout_at(deadline, stream.body.frame()) => frame,
+                extension = OptionFuture::from(self.extension.as_mut()), if is_extended => {
+                    self.extend(extension.flatten());
+                    continue;
+                }
                 hopeless = stream.connection.until_hopeless(), if is_resumable => {
                     self.resume_or_fail(hopeless.into()).await?;
                     continue;
@@ -106,7 +125,7 @@
                     stream.in_flight.record_progress();
                     let events = self.reader.push(&data);
                     stream.in_flight.record_events(events.count);
-                    if !self.use_tokens(events.count) {
+                    if !self.use_tokens(events.count).await {
                         self.outcome = "charge used up in the stream";
                         return Err(TruncatedBody);
                     }
@@ -191,12 +210,60 @@
         Err(TruncatedBody)
     }
 
-    /// Uses tokens for events that are about to be relayed; `false` if too few
-    /// are reserved.
-    fn use_tokens(&mut self, events: u64) -> bool {
+    /// Uses tokens for events that are about to be relayed, and reserves further ones
+    /// when few are left; `false` if none are to be had.
+    async fn use_tokens(&mut self, events: u64) -> bool {
         let tokens = events * self.request.tokens_per_event;
-        let reservation = self.request.reservation.as_mut();
-        reservation.is_none_or(|reservation| reservation.use_tokens(tokens))
+        let wait_until = self.request.deadline().min(Instant::now() + MAX_TOKEN_WAIT);
+        while self.lacks_tokens(tokens) {
+            self.start_extension();
+            let extension = OptionFuture::from(self.extension.as_mut());
+            match timeout_at(wait_until, extension).await {
+                Ok(Some(extension @ Some(_))) => self.extend(extension),
+                Ok(Some(None) | None) | Err(_) => return false,
+            }
+        }
+        if let Some(reservation) = &mut self.request.reservation {
+            reservation.use_tokens(tokens);
+        }
+        if self.lacks_tokens(EVENTS_AHEAD * self.request.tokens_per_event) {
+            self.start_extension();
+        }
+        true
+    }
+
+    fn lacks_tokens(&self, tokens: u64) -> bool {
+        let reservation = self.request.reservation.as_ref();
+        reservation.is_some_and(|reservation| reservation.left_tokens() < tokens)
+    }
+
+    /// Starts to reserve the tokens by which the call's reservation falls short of its
+    /// maximum, unless that is in progress.
+    fn start_extension(&mut self) {
+        if self.extension.is_some() {
+            return;
+        }
+        let Some(missing) = self.request.missing_tokens() else {
+            return;
+        };
+        let budget_client = Rc::clone(&self.request.state.budget_client);
+        let extension = budget_client.reserve_more(missing, self.request.deadline());
+        self.extension = Some(extension.boxed_local());
+    }
+
+    fn extend(&mut self, extension: Option<TokenReservation>) {
+        self.extension = None;
+        let Some(extension) = extension else {
+            return;
+        };
+        log::info!(
+            request = self.request.metadata.request_id.as_str(),
+            tokens = extension.granted_tokens();
+            "reserved further tokens for the stream"
+        );
+        if let Some(reservation) = &mut self.request.reservation {
+            reservation.extend(extension);
+        }
     }
 
     /// Completes the relay after the target ended its stream at an event
--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -35,6 +35,9 @@
 
 const RETRY_DELAY: Duration = Duration::from_millis(30);
 
+/// Delay between two attempts to reserve further tokens for a call.
+const EXTENSION_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// Interval between connectivity checks while the store is unreachable.
 const CONNECTIVITY_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -148,6 +151,23 @@
         }
     }
 
+    /// Reserves further tokens for a call that was granted fewer than its maximum,
+    /// with retries until `deadline`; `None` if the program has no more.
+    pub(crate) async fn reserve_more(
+        self: Rc<Self>,
+        request: TokenRequest,
+        deadline: Instant,
+    ) -> Option<TokenReservation> {
+        while Instant::now() < deadline {
+            match self.reserve(request.clone(), deadline).await {
+                Ok(reservation) => return Some(reservation),
+                Err(ChargeDecision::Exhausted { .. }) => return None,
+                Err(_) => sleep(EXTENSION_RETRY_DELAY).await,
+            }
+        }
+        None
+    }
+
     fn charge_request(&self, request: &TokenRequest) -> ChargeRequest {
         let waiter = WaiterId(self.next_waiter.get());
         self.next_waiter.set(waiter.0 + 1);
--- a/crates/entry/src/ledger/reservation.rs
+++ b/crates/entry/src/ledger/reservation.rs
@@ -32,6 +32,8 @@
     source: TokenSource,
     granted_tokens: u64,
     used_tokens: u64,
+    /// Further tokens of the same call, which are used after these.
+    extensions: Vec<TokenReservation>,
 }
 
 impl TokenReservation {
@@ -47,20 +49,43 @@
             source,
             granted_tokens,
             used_tokens: 0,
+            extensions: Vec::new(),
         }
     }
 
+    /// Adds further tokens that were reserved for the same call.
+    pub(crate) fn extend(&mut self, extension: TokenReservation) {
+        self.extensions.push(extension);
+    }
+
     /// Uses tokens; `false`, without effect, if too few are left.
     pub(crate) fn use_tokens(&mut self, tokens: u64) -> bool {
-        if self.used_tokens + tokens > self.granted_tokens {
+        if tokens > self.left_tokens() {
             return false;
         }
-        self.used_tokens += tokens;
+        let own_tokens = tokens.min(self.granted_tokens - self.used_tokens);
+        self.used_tokens += own_tokens;
+        let mut rest = tokens - own_tokens;
+        for extension in &mut self.extensions {
+            let part = rest.min(extension.left_tokens());
+            extension.use_tokens(part);
+            rest -= part;
+        }
         true
     }
 
+    pub(crate) fn granted_tokens(&self) -> u64 {
+        let extensions = self.extensions.iter();
+        self.granted_tokens + extensions.map(Self::granted_tokens).sum::<u64>()
+    }
+
     pub(crate) fn used_tokens(&self) -> u64 {
-        self.used_tokens
+        let extensions = self.extensions.iter();
+        self.used_tokens + extensions.map(Self::used_tokens).sum::<u64>()
+    }
+
+    pub(crate) fn left_tokens(&self) -> u64 {
+        self.granted_tokens() - self.used_tokens()
     }
 }
 
