Entry: requests without a whole response leave a line; panics are caught

A caller whose connection ended before the end of its response left no line that named the request and the cause, and a panic ended the task of its connection without any trace.

Each request is now open in the record of its connection until hyper has flushed the last byte of its response. What is open when the connection ends, or when its task is dropped at the exit of the process or by a panic, is logged with a cause of a closed list and counted (lagoon_unanswered_total). So are bytes of a request whose head was not read; a connection that closes without such bytes leaves nothing.

A panic is logged and counted (lagoon_panics_total) by a hook, and its request is refused with 503 and Retry-After if no target may have got a part of it, and answered with 502 otherwise. A panic in a response stream truncates it.

The interface of the daemon has no way to panic, so the process is not tested with one.

--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -6,10 +6,13 @@
 use std::task::{ready, Context, Poll};
 
 use bytes::Bytes;
-use futures::stream::{LocalBoxStream, Stream};
+use futures::stream::{LocalBoxStream, Stream, StreamExt};
 use hyper::body::{Body, Frame, SizeHint};
 use thiserror::Error;
 
+use crate::panics;
+use crate::unanswered::{Cause, RequestGuard};
+
 /// Error of a response body that ends early. The connection is closed before
 /// the end of the body, so that the caller recognizes the response as
 /// incomplete.
@@ -17,19 +20,65 @@
 #[error("response body ended early")]
 pub(crate) struct TruncatedBody;
 
-pub(crate) enum ResponseBody {
+enum Content {
     /// Complete body; `None` once it was sent.
     Full(Option<Bytes>),
     /// Body of unknown length, sent chunk by chunk.
     Stream(LocalBoxStream<'static, Result<Bytes, TruncatedBody>>),
 }
 
+pub(crate) struct ResponseBody {
+    content: Content,
+    /// Request of a caller that this responds to.
+    request: Option<RequestGuard>,
+    /// Whether a part of the content is still to be sent.
+    is_unfinished: bool,
+}
+
 impl ResponseBody {
     pub(crate) fn full<B>(bytes: B) -> ResponseBody
     where
         B: Into<Bytes>,
     {
-        ResponseBody::Full(Some(bytes.into()))
+        ResponseBody::new(Content::Full(Some(bytes.into())))
+    }
+
+    pub(crate) fn stream<S>(chunks: S) -> ResponseBody
+    where
+        S: Stream<Item = Result<Bytes, TruncatedBody>> + 'static,
+    {
+        ResponseBody::new(Content::Stream(chunks.boxed_local()))
+    }
+
+    fn new(content: Content) -> ResponseBody {
+        ResponseBody {
+            content,
+            request: None,
+            is_unfinished: false,
+        }
+    }
+
+    /// Makes this the response to a caller's request, which is answered when the whole
+    /// body was taken.
+    pub(crate) fn answering(mut self, request: RequestGuard) -> ResponseBody {
+        self.request = Some(request);
+        self
+    }
+
+    fn poll_content(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, TruncatedBody>>> {
+        match &mut self.content {
+            Content::Full(bytes) => Poll::Ready(bytes.take().map(Ok)),
+            Content::Stream(chunks) => Pin::new(chunks).poll_next(cx),
+        }
+    }
+}
+
+impl Drop for ResponseBody {
+    fn drop(&mut self) {
+        // A body that was never polled belongs to a response without one.
+        if let Some(request) = self.request.take().filter(|_| !self.is_unfinished) {
+            request.set_responded();
+        }
     }
 }
 
@@ -41,25 +90,28 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedBody>>> {
-        match &mut *self {
-            ResponseBody::Full(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
-            ResponseBody::Stream(chunks) => {
-                let chunk = ready!(Pin::new(chunks).poll_next(cx));
-                Poll::Ready(chunk.map(|chunk| chunk.map(Frame::data)))
+        self.is_unfinished = matches!(self.content, Content::Stream(_));
+        let Some(polled) = panics::catch(|| self.poll_content(cx)) else {
+            if let Some(request) = &self.request {
+                request.set_cause(Cause::Panic);
             }
-        }
+            return Poll::Ready(Some(Err(TruncatedBody)));
+        };
+        let chunk = ready!(polled);
+        self.is_unfinished &= chunk.is_some();
+        Poll::Ready(chunk.map(|chunk| chunk.map(Frame::data)))
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, ResponseBody::Full(None))
+        matches!(self.content, Content::Full(None))
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self {
-            ResponseBody::Full(bytes) => {
+        match &self.content {
+            Content::Full(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
             }
-            ResponseBody::Stream(_) => SizeHint::default(),
+            Content::Stream(_) => SizeHint::default(),
         }
     }
 }
--- /dev/null
+++ b/crates/entry/src/caller_io.rs
@@ -0,0 +1,98 @@
+//! Socket of a caller's connection, which tells [`CallerConnection`] how it ends.
+
+use std::io::Error;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use crate::unanswered::CallerConnection;
+
+/// Maximum number of unread bytes that are counted when a connection ends.
+const MAX_UNREAD_BYTES: usize = 4_096;
+
+pub(crate) struct CallerIo {
+    stream: TcpStream,
+    connection: Rc<CallerConnection>,
+}
+
+impl CallerIo {
+    pub(crate) fn new(stream: TcpStream, connection: &Rc<CallerConnection>) -> CallerIo {
+        CallerIo {
+            stream,
+            connection: Rc::clone(connection),
+        }
+    }
+
+    /// Bytes that the system has received and nobody has read, up to
+    /// [`MAX_UNREAD_BYTES`].
+    pub(crate) fn unread_bytes(&self) -> usize {
+        let mut buffer = [0; MAX_UNREAD_BYTES];
+        // An error means that the connection is gone with what it held.
+        self.stream.try_read(&mut buffer).unwrap_or_default()
+    }
+
+    fn noted<T>(&self, result: Result<T, Error>) -> Result<T, Error> {
+        if let Err(error) = &result {
+            self.connection.record_error(error);
+        }
+        result
+    }
+}
+
+impl AsyncRead for CallerIo {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<Result<(), Error>> {
+        let filled = buffer.filled().len();
+        let has_room = buffer.remaining() > 0;
+        let read = ready!(Pin::new(&mut self.stream).poll_read(cx, buffer));
+        self.noted(read)?;
+        match buffer.filled().len() - filled {
+            0 if has_room => self.connection.record_caller_left(),
+            0 => {}
+            bytes => self.connection.record_received(bytes),
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for CallerIo {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<Result<usize, Error>> {
+        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, bytes));
+        Poll::Ready(self.noted(written))
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[std::io::IoSlice<'_>],
+    ) -> Poll<Result<usize, Error>> {
+        let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, parts));
+        Poll::Ready(self.noted(written))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    /// hyper flushes the socket only when its own buffer is empty.
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<(), Error>> {
+        let flushed = ready!(Pin::new(&mut self.stream).poll_flush(cx));
+        self.noted(flushed)?;
+        self.connection.record_flushed();
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<(), Error>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/entry/src/carry.rs
+++ b/crates/entry/src/carry.rs
@@ -10,7 +10,6 @@
 use std::rc::Rc;
 
 use futures::stream;
-use futures::StreamExt;
 use http::request::Parts;
 use http::{HeaderMap, Uri};
 use http_body_util::BodyExt;
@@ -224,7 +223,7 @@
             }
         }
     });
-    response.map(|()| ResponseBody::Stream(chunks.boxed_local()))
+    response.map(|()| ResponseBody::stream(chunks))
 }
 
 impl Passage {
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -37,6 +37,7 @@
 use crate::ledger::{TokenRequest, TokenReservation};
 use crate::response;
 use crate::state::{BodyMemory, DaemonState};
+use crate::unanswered::RequestGuard;
 
 pub(crate) use attempt::{forwarded_head, FailedAttempt, ResponseStream, TargetResponse};
 use permit::Permit;
@@ -65,6 +66,7 @@
 /// Request that is being forwarded, with the state shared by its attempts.
 pub(crate) struct ForwardedRequest {
     pub(crate) state: Rc<DaemonState>,
+    pub(crate) caller: RequestGuard,
     pub(crate) route: Arc<Route>,
     pub(crate) metadata: RequestMetadata,
     pub(crate) attempts: Attempts,
@@ -112,15 +114,25 @@
 pub(crate) async fn handle(
     state: Rc<DaemonState>,
     request: Request<Incoming>,
+    caller: RequestGuard,
 ) -> Response<ResponseBody> {
     let arrived_ms = state.now_ms();
     let (parts, body) = request.into_parts();
+    let metadata = decode_request_headers(&parts.headers);
+    caller.set_id(&metadata.request_id);
     let limits = state.limits();
-    let (body, body_memory) = match read_body(&state, body, &limits).await {
+    let (body, body_memory) = match read_body(&state, body, &limits, &caller).await {
         Ok(read) => read,
         Err(response) => return *response,
     };
-    let request = match route_request(state, parts, body, body_memory, arrived_ms) {
+    let request = match route_request(
+        state,
+        parts,
+        metadata,
+        (body, body_memory),
+        arrived_ms,
+        caller,
+    ) {
         Ok(request) => request,
         Err(response) => return *response,
     };
@@ -132,11 +144,11 @@
 fn route_request(
     state: Rc<DaemonState>,
     parts: Parts,
-    body: Bytes,
-    body_memory: BodyMemory,
+    metadata: RequestMetadata,
+    (body, body_memory): (Bytes, BodyMemory),
     arrived_ms: u64,
+    caller: RequestGuard,
 ) -> Result<ForwardedRequest, Box<Response<ResponseBody>>> {
-    let metadata = decode_request_headers(&parts.headers);
     let config = state.config.borrow().clone();
     let Some(config) = config.filter(|_| state.targets_loaded.get()) else {
         log::info!(request = metadata.request_id.as_str(), status = 503; "refused: no configuration yet");
@@ -169,6 +181,7 @@
             deadline_ms.min(route.timeout_ms)
         });
     Ok(ForwardedRequest {
+        caller,
         attempts: Attempts::default(),
         reservation: None,
         tokens_per_event: engine.map_or(1, |engine| engine.tokens_per_event),
--- a/crates/entry/src/forward/reading.rs
+++ b/crates/entry/src/forward/reading.rs
@@ -12,6 +12,7 @@
 use crate::forward::OVERLOADED_RETRY_AFTER_MS;
 use crate::response;
 use crate::state::{BodyMemory, DaemonState};
+use crate::unanswered::{Cause, RequestGuard};
 
 /// Reads a request body and reserves memory for it. Refuses a body over the
 /// configured limit with 413, one that can't be read with 400, and any with 503
@@ -20,6 +21,7 @@
     state: &Rc<DaemonState>,
     body: Incoming,
     limits: &Limits,
+    caller: &RequestGuard,
 ) -> Result<(Bytes, BodyMemory), Box<Response<ResponseBody>>> {
     let limit = usize::try_from(limits.max_body_bytes).unwrap_or(usize::MAX);
     if body.size_hint().lower() > limits.max_body_bytes {
@@ -31,11 +33,15 @@
     let Some(declared) = state.reserve_body_memory(body.size_hint().lower()) else {
         return Err(memory_exhausted(state));
     };
+    caller.set_cause(Cause::BodyNotRead);
     let body = match Limited::new(body, limit).collect().await {
         Ok(body) => body.to_bytes(),
         Err(error) => {
             log::debug!(error = error.to_string(); "cannot read a request body");
             let is_too_long = error.is::<http_body_util::LengthLimitError>();
+            if is_too_long {
+                caller.clear_cause();
+            }
             let status = if is_too_long {
                 StatusCode::PAYLOAD_TOO_LARGE
             } else {
@@ -44,6 +50,7 @@
             return Err(Box::new(response::plain_text(status, "body not read")));
         }
     };
+    caller.clear_cause();
     drop(declared);
     match state.reserve_body_memory(body.len() as u64) {
         Some(body_memory) => Ok((body, body_memory)),
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 use futures::stream;
-use futures::StreamExt;
 use http_body_util::BodyExt;
 use hyper::{Response, StatusCode};
 use lagoon_gateway::{EventReader, RetryDecision, TargetHash, TargetKey};
@@ -15,6 +14,7 @@
 use crate::forward::{
     forwarded_head, FailedAttempt, ForwardedRequest, ResponseStream, TargetResponse,
 };
+use crate::unanswered::Cause;
 
 /// Delay before an interrupted stream is requested again from the same target.
 const RESUME_DELAY: Duration = Duration::from_millis(5);
@@ -31,13 +31,19 @@
     /// Data of the relayed events, if the route keeps turns.
     output: Option<TurnOutput>,
     status: StatusCode,
-    /// Text of the log line that is written on drop.
-    outcome: &'static str,
+    /// How the relay ends, for the log line that is written on drop; an error until
+    /// the stream has ended.
+    outcome: Result<(), Cause>,
 }
 
 impl Drop for Relay {
     fn drop(&mut self) {
-        self.request.record_response(self.status, self.outcome);
+        let why = match self.outcome {
+            Ok(()) => "streamed".to_owned(),
+            Err(Cause::CallerLeft) => self.request.caller.lost_cause().to_string(),
+            Err(cause) => cause.to_string(),
+        };
+        self.request.record_response(self.status, &why);
     }
 }
 
@@ -57,7 +63,7 @@
             request,
             stream: Some(stream),
             status,
-            outcome: "caller left",
+            outcome: Err(Cause::CallerLeft),
         };
         let chunks = stream::unfold(Some(relay), |relay| async {
             let mut relay = relay?;
@@ -67,7 +73,7 @@
                 None => None,
             }
         });
-        head.map(|()| ResponseBody::Stream(chunks.boxed_local()))
+        head.map(|()| ResponseBody::stream(chunks))
     }
 
     /// Next bytes for the caller; `None` at the end of the stream.
@@ -94,8 +100,7 @@
                 }
             };
             let Ok(frame) = frame else {
-                self.outcome = "out of time in the stream";
-                return Err(TruncatedBody);
+                return Err(self.cut_off(Cause::OutOfTime));
             };
             match frame {
                 Some(Ok(frame)) => {
@@ -107,8 +112,7 @@
                     let events = self.reader.push(&data);
                     stream.in_flight.record_events(events.count);
                     if !self.use_tokens(events.count) {
-                        self.outcome = "charge used up in the stream";
-                        return Err(TruncatedBody);
+                        return Err(self.cut_off(Cause::TokensUsedUp));
                     }
                     if events.count > 0 && self.reader.event_count() == events.count {
                         self.record_begin();
@@ -133,6 +137,13 @@
         }
     }
 
+    /// Records why the response ends here.
+    fn cut_off(&mut self, cause: Cause) -> TruncatedBody {
+        self.outcome = Err(cause);
+        self.request.caller.set_cause(cause);
+        TruncatedBody
+    }
+
     /// Records that the first event is about to be relayed, and the version it has.
     fn record_begin(&mut self) {
         let Some(stream) = &self.stream else {
@@ -187,8 +198,7 @@
         if is_resumed {
             return Ok(());
         }
-        self.outcome = "stream broke off";
-        Err(TruncatedBody)
+        Err(self.cut_off(Cause::StreamBroke))
     }
 
     /// Uses tokens for events that are about to be relayed; `false` if too few
@@ -210,7 +220,7 @@
         stream
             .connection
             .release(stream.keep_alive_s, closes_connection);
-        self.outcome = "streamed";
+        self.outcome = Ok(());
     }
 
     /// Makes the turn safe before the caller sees the end of its response.
@@ -221,8 +231,7 @@
         if self.request.keep_turn(output).await {
             return Ok(());
         }
-        self.outcome = "turn not kept";
-        Err(TruncatedBody)
+        Err(self.cut_off(Cause::TurnNotKept))
     }
 
     /// Whether the target that made the first event may have run another version than
--- a/crates/entry/src/forward/sending.rs
+++ b/crates/entry/src/forward/sending.rs
@@ -193,6 +193,7 @@
         // Whatever follows, the program has begun.
         self.demand = Demand::Running;
         self.may_have_run = true;
+        self.caller.set_passed_on();
         in_flight.may_run = true;
         Some(self.build_request(entry, last_event_id))
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 //! sockets, the timers and the control flow.
 
 mod body;
+mod caller_io;
 mod carry;
 mod clock;
 mod connection;
@@ -16,6 +17,7 @@
 mod metrics;
 mod news;
 mod options;
+mod panics;
 mod paths;
 mod peers;
 mod permits;
@@ -31,6 +33,7 @@
 mod suspects;
 mod tables;
 mod turns;
+mod unanswered;
 mod watch;
 
 pub use options::{parse_args, Command, UsageError};
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -4,10 +4,12 @@
 
 use lagoon_telemetry::dropped_log_lines;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
+use crate::panics;
+
 const LATENCY_BUCKETS_S: [f64; 12] = [
     0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0,
 ];
@@ -23,6 +25,8 @@
     carried: IntCounterVec,
     carried_for_others: IntCounterVec,
     streams: IntCounterVec,
+    unanswered: IntCounterVec,
+    panics: IntCounter,
     stream_lookups: IntCounterVec,
     gossip_messages: IntCounterVec,
     gossip_bytes: IntCounterVec,
@@ -105,6 +109,16 @@
                 "Event streams by what became of them",
                 &["event"],
             )?,
+            unanswered: counters(
+                "lagoon_unanswered_total",
+                "Callers' requests without a whole response",
+                &["cause"],
+            )?,
+            panics: {
+                let panics = IntCounter::new("lagoon_panics_total", "Panics since the start")?;
+                registry.register(Box::new(panics.clone()))?;
+                panics
+            },
             stream_lookups: counters(
                 "lagoon_stream_lookups_total",
                 "Lookups of the version of a stream that is taken up",
@@ -200,6 +214,10 @@
         self.0.streams.with_label_values(&[event]).inc();
     }
 
+    pub(crate) fn record_unanswered(&self, cause: &str) {
+        self.0.unanswered.with_label_values(&[cause]).inc();
+    }
+
     pub(crate) fn record_stream_lookup(&self, outcome: &str) {
         self.0.stream_lookups.with_label_values(&[outcome]).inc();
     }
@@ -253,6 +271,8 @@
     /// Encodes all metrics in the Prometheus text format.
     pub(crate) fn encode(&self) -> Result<Vec<u8>, prometheus::Error> {
         self.0.dropped_log_lines.set(dropped_log_lines() as i64);
+        let panics = &self.0.panics;
+        panics.inc_by(panics::count() - panics.get());
         let mut text = Vec::new();
         TextEncoder::new().encode(&self.0.registry.gather(), &mut text)?;
         Ok(text)
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -18,6 +18,7 @@
 use crate::ledger::BudgetClient;
 use crate::metrics::Metrics;
 use crate::news;
+use crate::panics;
 use crate::peers::PeerClient;
 use crate::registration::Registration;
 use crate::server;
@@ -26,6 +27,7 @@
 use crate::store::StoreClient;
 use crate::suspects::CrashTracker;
 use crate::turns::TurnKeeper;
+use crate::unanswered::Client;
 use crate::watch::{follow_table, FollowedTable};
 
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(100);
@@ -77,7 +79,12 @@
 /// up.
 pub fn run(settings: &EntrySettings, file: &Path) -> Result<(), RunError> {
     let runtime = Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, main_task(settings.clone(), file.to_owned()))
+    panics::install_hook();
+    let tasks = LocalSet::new();
+    let result = tasks.block_on(&runtime, main_task(settings.clone(), file.to_owned()));
+    // Requests that are still open are logged when their tasks are dropped.
+    drop(tasks);
+    result
 }
 
 async fn main_task(settings: EntrySettings, file: PathBuf) -> Result<(), RunError> {
@@ -178,15 +185,16 @@
     })?;
 
     let handler_state = Rc::clone(state);
-    let handle = move |_, request| forward::handle(Rc::clone(&handler_state), request);
+    let handle = move |_, request, open| forward::handle(Rc::clone(&handler_state), request, open);
     spawn_local(server::serve(
         Rc::clone(state),
         callers,
         stopped.clone(),
+        Client::Caller,
         handle,
     ));
     let handler_state = Rc::clone(state);
-    let handle = move |_, request: hyper::Request<_>| {
+    let handle = move |_, request: hyper::Request<_>, _| {
         let response = server::readiness(&handler_state, request.uri().path());
         async move { response }
     };
@@ -194,15 +202,17 @@
         Rc::clone(state),
         ready,
         stopped.clone(),
+        Client::Other,
         handle,
     ));
     let handler_state = Rc::clone(state);
     let handle =
-        move |from, request| server::handle_internal(Rc::clone(&handler_state), from, request);
+        move |from, request, _| server::handle_internal(Rc::clone(&handler_state), from, request);
     spawn_local(server::serve(
         Rc::clone(state),
         peers,
         stopped.clone(),
+        Client::Other,
         handle,
     ));
     Ok(())
@@ -293,4 +303,5 @@
         log::warn!("not all turns were handed over");
     }
     log::info!(unclosed = state.connections.get(); "stopped");
+    state.exiting.set(true);
 }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -1,15 +1,14 @@
 //! HTTP servers for callers, the load balancer, other VMs and metrics scrapers.
 
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::{IpAddr, SocketAddr};
-use std::pin::pin;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
+use hyper::server::conn::http1::{self, Parts};
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -19,12 +18,15 @@
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 use crate::body::ResponseBody;
+use crate::caller_io::CallerIo;
 use crate::carry::{handle_carried, CARRY_PATH};
 use crate::connection::set_socket_options;
 use crate::message::MESSAGE_PATH;
 use crate::message_handler::handle_message;
+use crate::panics;
 use crate::response;
 use crate::state::DaemonState;
+use crate::unanswered::{CallerConnection, Client, RequestGuard};
 
 const ACCEPT_BACKLOG: i32 = 1_024;
 
@@ -59,15 +61,16 @@
 }
 
 /// Accepts connections until shortly after `stop` becomes true; open ones are
-/// then closed between two requests. `handle` gets the address of the client and its
-/// request.
+/// then closed between two requests. `handle` gets the address of the client, its
+/// request and the handle to it.
 pub(crate) async fn serve<F, R>(
     state: Rc<DaemonState>,
     listener: TcpListener,
     mut stop: watch::Receiver<bool>,
+    client: Client,
     handle: F,
 ) where
-    F: Fn(IpAddr, Request<Incoming>) -> R + Clone + 'static,
+    F: Fn(IpAddr, Request<Incoming>, RequestGuard) -> R + Clone + 'static,
     R: Future<Output = Response<ResponseBody>> + 'static,
 {
     let stopped = stop.clone();
@@ -88,12 +91,15 @@
                 // Closed before a request is read, so the caller may go to
                 // another VM.
                 log::warn!(connections = state.connections.get(); "connection closed: too many are open");
+                state.record_too_many_connections(client);
             }
             Ok((stream, from)) => {
                 let guard = ConnectionGuard::new(&state);
                 let handle = handle.clone();
-                let handle = move |request| handle(from.ip(), request);
-                let connection = serve_connection(guard, stream, stopped.clone(), handle);
+                let handle = move |request, open| handle(from.ip(), request, open);
+                let connection = CallerConnection::new(&state, client);
+                let connection =
+                    serve_connection(guard, connection, stream, stopped.clone(), handle);
                 tokio::task::spawn_local(connection);
             }
             Err(error) => {
@@ -124,48 +130,55 @@
 
 async fn serve_connection<F, R>(
     guard: ConnectionGuard,
+    caller: Rc<CallerConnection>,
     stream: TcpStream,
     mut stop: watch::Receiver<bool>,
     handle: F,
 ) where
-    F: Fn(Request<Incoming>) -> R + 'static,
+    F: Fn(Request<Incoming>, RequestGuard) -> R + 'static,
     R: Future<Output = Response<ResponseBody>> + 'static,
 {
     if let Err(error) = set_socket_options(&stream) {
         log::debug!(error = error.to_string(); "cannot set TCP options");
     }
-    let has_request = Cell::new(false);
     let service = service_fn(|request| {
-        has_request.set(true);
-        let response = handle(request);
-        async move { Ok::<_, Infallible>(response.await) }
+        let open = caller.begin_request();
+        let handle = &handle;
+        async move {
+            let handling = async { handle(request, open.clone()).await };
+            let response = panics::respond_anyway(handling, || open.record_panic()).await;
+            Ok::<_, Infallible>(response.map(|body| body.answering(open)))
+        }
     });
     let limits = guard.0.limits();
     let buffer_bytes = (limits.max_header_bytes + BODY_START_BYTES).max(MIN_BUFFER_BYTES);
     // hyper's header timeout includes the idle time before a header section, so
     // the longer of the two limits applies to both.
     let wait = Duration::from_millis(limits.header_timeout_ms.max(limits.idle_timeout_ms));
-    let connection = http1::Builder::new()
+    let mut served = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(wait)
         .max_buf_size(usize::try_from(buffer_bytes).unwrap_or(usize::MAX))
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = pin!(connection);
+        .serve_connection(TokioIo::new(CallerIo::new(stream, &caller)), service);
+    let mut connection = Pin::new(&mut served);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
         _ = stop.wait_for(|stop| *stop) => {
             // The first request of a new connection may be on its way; a graceful
             // shutdown closes the connection before it is read.
-            let wait = if has_request.get() { Duration::ZERO } else { FIRST_REQUEST_WAIT };
+            let wait = if caller.has_request() { Duration::ZERO } else { FIRST_REQUEST_WAIT };
             match timeout(wait, connection.as_mut()).await {
                 Ok(ended) => ended,
                 Err(_) => {
+                    caller.record_stop();
                     connection.as_mut().graceful_shutdown();
                     connection.await
                 }
             }
         }
     };
+    let Parts { io, read_buf, .. } = served.into_parts();
+    caller.end(&ended, io.inner(), read_buf.len());
     if let Err(error) = ended {
         log::debug!(error = error.to_string(); "incoming connection failed");
     }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -94,6 +94,8 @@
     /// Whether the table of targets was read since the start.
     pub(crate) targets_loaded: Cell<bool>,
     pub(crate) stopping: Cell<bool>,
+    /// Whether the process exits now, with what is still open.
+    pub(crate) exiting: Cell<bool>,
     /// Whether this VM's row is in the store's table of VMs.
     pub(crate) registered: Cell<bool>,
     /// Open incoming connections of all listeners.
@@ -140,6 +142,7 @@
             targets: RefCell::default(),
             targets_loaded: Cell::new(false),
             stopping: Cell::new(false),
+            exiting: Cell::new(false),
             registered: Cell::new(false),
             connections: Cell::new(0),
             max_connections: limits.descriptors as usize / DESCRIPTORS_PER_CONNECTION,
--- /dev/null
+++ b/crates/entry/src/unanswered.rs
@@ -0,0 +1,405 @@
+//! Log lines and counts of callers' requests that end without a whole response.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::io::{Error, ErrorKind};
+use std::rc::Rc;
+use std::thread;
+
+use compact_str::CompactString;
+use derive_more::Display;
+
+use crate::caller_io::CallerIo;
+use crate::state::DaemonState;
+
+/// Why a request has no response, or only a part of one.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub(crate) enum Cause {
+    /// The caller closed or reset its connection.
+    #[display("caller left")]
+    CallerLeft,
+    /// The connection to the caller failed: an error, or data unacknowledged for too
+    /// long.
+    #[display("connection to the caller broke")]
+    ConnectionBroke,
+    /// The head did not arrive whole in time.
+    #[display("header timeout")]
+    HeaderTimeout,
+    /// The idle limit closed the connection while a request was on its way.
+    #[display("closed when idle")]
+    IdleLimit,
+    /// The stop closed the connection while a request was on its way.
+    #[display("closed by the stop")]
+    Stop,
+    /// The connection was closed after a response, with bytes of the caller unread.
+    #[display("closed after a response")]
+    ClosedAfterResponse,
+    #[display("request body not read")]
+    BodyNotRead,
+    /// The target's stream was interrupted and not resumed.
+    #[display("stream broke off")]
+    StreamBroke,
+    #[display("out of time in the stream")]
+    OutOfTime,
+    /// The reservation did not cover the stream.
+    #[display("charge used up in the stream")]
+    TokensUsedUp,
+    #[display("turn not kept")]
+    TurnNotKept,
+    /// The connection was closed before anything was read.
+    #[display("too many connections")]
+    TooManyConnections,
+    #[display("process ended")]
+    ProcessEnded,
+    #[display("panic")]
+    Panic,
+}
+
+/// Request whose response is not known to be with the caller's host.
+struct OpenRequest {
+    number: u64,
+    id: CompactString,
+    started_ms: u64,
+    /// Version at the start; 0 without a configuration.
+    config_version: u64,
+    /// Whether a target may have got a part of it.
+    is_passed_on: bool,
+    /// Whether the whole response is in the connection's buffer.
+    is_responded: bool,
+    cause: Option<Cause>,
+}
+
+/// Who opens the connections of a listener.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Client {
+    Caller,
+    /// The load balancer, another VM or a scraper; these report lost requests
+    /// themselves.
+    Other,
+}
+
+/// Requests of one connection. Each that is open when a caller's connection ends leaves
+/// a log line.
+pub(crate) struct CallerConnection {
+    state: Rc<DaemonState>,
+    client: Client,
+    /// In order of arrival; more than one only if the caller pipelines.
+    open: RefCell<VecDeque<OpenRequest>>,
+    requests: Cell<u64>,
+    /// Bytes received since the start of the last request.
+    received_bytes: Cell<usize>,
+    /// Time of the first of them.
+    received_ms: Cell<u64>,
+    has_caller_left: Cell<bool>,
+    is_broken: Cell<bool>,
+    /// Whether the daemon asked the connection to close because it stops.
+    is_stopped: Cell<bool>,
+    has_ended: Cell<bool>,
+}
+
+impl CallerConnection {
+    pub(crate) fn new(state: &Rc<DaemonState>, client: Client) -> Rc<CallerConnection> {
+        Rc::new(CallerConnection {
+            state: Rc::clone(state),
+            client,
+            open: RefCell::default(),
+            requests: Cell::new(0),
+            received_bytes: Cell::new(0),
+            received_ms: Cell::new(0),
+            has_caller_left: Cell::new(false),
+            is_broken: Cell::new(false),
+            is_stopped: Cell::new(false),
+            has_ended: Cell::new(false),
+        })
+    }
+
+    pub(crate) fn has_request(&self) -> bool {
+        self.requests.get() > 0
+    }
+
+    /// Records that the head of the next request was read.
+    pub(crate) fn begin_request(self: &Rc<Self>) -> RequestGuard {
+        let number = self.requests.get();
+        self.requests.set(number + 1);
+        self.received_bytes.set(0);
+        self.open.borrow_mut().push_back(OpenRequest {
+            number,
+            id: CompactString::default(),
+            started_ms: self.state.now_ms(),
+            config_version: self.state.config_version(),
+            is_passed_on: false,
+            is_responded: false,
+            cause: None,
+        });
+        RequestGuard {
+            connection: Rc::clone(self),
+            number,
+        }
+    }
+
+    pub(crate) fn record_received(&self, bytes: usize) {
+        if self.received_bytes.get() == 0 {
+            self.received_ms.set(self.state.now_ms());
+        }
+        self.received_bytes.set(self.received_bytes.get() + bytes);
+    }
+
+    pub(crate) fn record_caller_left(&self) {
+        self.has_caller_left.set(true);
+    }
+
+    pub(crate) fn record_error(&self, error: &Error) {
+        if error.kind() == ErrorKind::ConnectionReset {
+            self.has_caller_left.set(true);
+        } else {
+            self.is_broken.set(true);
+        }
+    }
+
+    pub(crate) fn record_stop(&self) {
+        self.is_stopped.set(true);
+    }
+
+    /// Records that the system has all bytes of the connection's buffer.
+    pub(crate) fn record_flushed(&self) {
+        let mut open = self.open.borrow_mut();
+        if open.iter().any(OpenRequest::is_done) {
+            open.retain(|request| !request.is_done());
+            self.received_bytes.set(0);
+        }
+    }
+
+    /// Logs what is open after hyper has ended the connection. `unread` and the bytes
+    /// that the socket holds belong to no request that was begun.
+    pub(crate) fn end(&self, ended: &Result<(), hyper::Error>, io: &CallerIo, unread: usize) {
+        self.has_ended.set(true);
+        if ended.is_ok() {
+            let mut open = self.open.borrow_mut();
+            open.retain(|request| !request.is_responded || request.cause.is_some());
+        }
+        let has_open = !self.open.borrow().is_empty();
+        self.log_open(self.lost_cause());
+        // hyper answers a head that it can't parse.
+        let is_refused = ended.as_ref().is_err_and(hyper::Error::is_parse);
+        let unread = unread + io.unread_bytes();
+        if unread > 0 && !has_open && !is_refused {
+            let is_timeout = ended.as_ref().is_err_and(hyper::Error::is_timeout);
+            self.log_unread(self.unread_cause(is_timeout), unread);
+        }
+    }
+
+    /// Why a request that is open is lost, if nothing else is known.
+    fn lost_cause(&self) -> Cause {
+        if self.is_broken.get() && !self.has_caller_left.get() {
+            Cause::ConnectionBroke
+        } else if self.has_caller_left.get() || self.has_ended.get() {
+            Cause::CallerLeft
+        } else if thread::panicking() {
+            Cause::Panic
+        } else if self.state.exiting.get() {
+            Cause::ProcessEnded
+        } else {
+            Cause::CallerLeft
+        }
+    }
+
+    /// Why the bytes of a request whose head was not read are lost.
+    fn unread_cause(&self, is_timeout: bool) -> Cause {
+        let age_ms = self.state.now_ms() - self.received_ms.get();
+        if self.has_caller_left.get() {
+            Cause::CallerLeft
+        } else if self.is_broken.get() {
+            Cause::ConnectionBroke
+        } else if is_timeout {
+            let is_late = age_ms >= self.state.limits().header_timeout_ms;
+            match is_late || !self.has_request() {
+                true => Cause::HeaderTimeout,
+                false => Cause::IdleLimit,
+            }
+        } else if self.is_stopped.get() {
+            Cause::Stop
+        } else {
+            Cause::ClosedAfterResponse
+        }
+    }
+
+    fn log_open(&self, lost_cause: Cause) {
+        if self.client == Client::Other {
+            return;
+        }
+        let now_ms = self.state.now_ms();
+        let open = std::mem::take(&mut *self.open.borrow_mut());
+        for request in open {
+            self.state.record_unanswered(&Unanswered {
+                id: &request.id,
+                cause: request.cause.unwrap_or(lost_cause),
+                age_ms: now_ms - request.started_ms,
+                started_version: request.config_version,
+                is_passed_on: request.is_passed_on,
+                unread_bytes: 0,
+            });
+        }
+    }
+
+    fn log_unread(&self, cause: Cause, unread_bytes: usize) {
+        if self.client == Client::Other {
+            return;
+        }
+        let received_ms = match self.received_bytes.get() {
+            0 => self.state.now_ms(),
+            _ => self.received_ms.get(),
+        };
+        self.state.record_unanswered(&Unanswered {
+            id: "-",
+            cause,
+            age_ms: self.state.now_ms() - received_ms,
+            started_version: self.state.config_version(),
+            is_passed_on: false,
+            unread_bytes,
+        });
+    }
+}
+
+impl OpenRequest {
+    fn is_done(&self) -> bool {
+        self.is_responded && self.cause.is_none()
+    }
+}
+
+impl Drop for CallerConnection {
+    /// Logs what is open when the connection's task is dropped: at the exit of the
+    /// process, or by a panic outside of the handling of a request.
+    fn drop(&mut self) {
+        if self.has_ended.get() {
+            return;
+        }
+        let cause = match thread::panicking() {
+            true => Cause::Panic,
+            false => Cause::ProcessEnded,
+        };
+        let has_open = !self.open.borrow().is_empty();
+        self.log_open(cause);
+        if !has_open && self.received_bytes.get() > 0 {
+            self.log_unread(cause, self.received_bytes.get());
+        }
+    }
+}
+
+/// Handle to one request of a connection, for what handles it.
+#[derive(Clone)]
+pub(crate) struct RequestGuard {
+    connection: Rc<CallerConnection>,
+    number: u64,
+}
+
+impl RequestGuard {
+    fn update<F>(&self, change: F)
+    where
+        F: FnOnce(&mut OpenRequest),
+    {
+        let mut open = self.connection.open.borrow_mut();
+        if let Some(request) = open.iter_mut().find(|r| r.number == self.number) {
+            change(request);
+        }
+    }
+
+    pub(crate) fn set_id(&self, id: &CompactString) {
+        self.update(|request| request.id = id.clone());
+    }
+
+    /// Records why the response is missing or ends early.
+    pub(crate) fn set_cause(&self, cause: Cause) {
+        self.update(|request| request.cause = Some(cause));
+    }
+
+    /// Takes back a cause that was set ahead of what has succeeded.
+    pub(crate) fn clear_cause(&self) {
+        self.update(|request| request.cause = None);
+    }
+
+    /// Records that a target may get a part of the request from now on.
+    pub(crate) fn set_passed_on(&self) {
+        self.update(|request| request.is_passed_on = true);
+    }
+
+    /// Records that the handling of the request panicked; returns whether a target may
+    /// have got a part of it.
+    pub(crate) fn record_panic(&self) -> bool {
+        let mut is_passed_on = self.connection.client == Client::Other;
+        self.update(|request| {
+            is_passed_on |= request.is_passed_on;
+            request.cause = None;
+            log::error!(request = request.id.as_str(), passed_on = is_passed_on; "handling of a request panicked");
+        });
+        is_passed_on
+    }
+
+    /// Records that the connection's buffer has the last byte of the response.
+    pub(crate) fn set_responded(&self) {
+        self.update(|request| request.is_responded = true);
+    }
+
+    /// Why the caller gets no more of a response that is dropped before its end.
+    pub(crate) fn lost_cause(&self) -> Cause {
+        self.connection.lost_cause()
+    }
+}
+
+struct Unanswered<'a> {
+    /// `-` if the head was not read.
+    id: &'a str,
+    cause: Cause,
+    age_ms: u64,
+    started_version: u64,
+    is_passed_on: bool,
+    unread_bytes: usize,
+}
+
+impl DaemonState {
+    /// Version of the configuration; 0 without one.
+    pub(crate) fn config_version(&self) -> u64 {
+        let config = self.config.borrow();
+        config.as_ref().map_or(0, |config| config.version)
+    }
+
+    /// Records a connection that is closed because too many are open.
+    pub(crate) fn record_too_many_connections(&self, client: Client) {
+        if client == Client::Other {
+            return;
+        }
+        self.record_unanswered(&Unanswered {
+            id: "-",
+            cause: Cause::TooManyConnections,
+            age_ms: 0,
+            started_version: self.config_version(),
+            is_passed_on: false,
+            unread_bytes: 0,
+        });
+    }
+
+    fn record_unanswered(&self, unanswered: &Unanswered<'_>) {
+        let cause = unanswered.cause;
+        self.metrics.record_unanswered(&cause.to_string());
+        let level = match cause {
+            Cause::CallerLeft => log::Level::Info,
+            _ => log::Level::Warn,
+        };
+        let id = match unanswered.id {
+            "" => "-",
+            id => id,
+        };
+        log::log!(
+            level,
+            request = id,
+            cause = cause.to_string(),
+            age_ms = unanswered.age_ms,
+            config_version = unanswered.started_version,
+            config_version_now = self.config_version(),
+            passed_on = unanswered.is_passed_on,
+            stopping = self.stopping.get(),
+            unread_bytes = unanswered.unread_bytes,
+            connections = self.connections.get();
+            "unanswered: {cause}"
+        );
+    }
+}
--- a/crates/entry/tests/fleet/mod.rs
+++ b/crates/entry/tests/fleet/mod.rs
@@ -348,6 +348,13 @@
     pub(crate) fn callers(&self) -> SocketAddr {
         self.vms[0].callers
     }
+
+    /// Lines that a VM has logged so far.
+    pub(crate) fn log_lines(&self, vm: &Vm) -> Vec<String> {
+        let file = self.files.path().join(format!("{}.log", vm.name));
+        let text = fs::read_to_string(file).expect("log is read");
+        text.lines().map(str::to_owned).collect()
+    }
 }
 
 impl Vm {
