--- a/crates/entry/tests/fleet/mod.rs
+++ b/crates/entry/tests/fleet/mod.rs
@@ -369,6 +369,12 @@
         }
     }
 
+    /// Whether the process has exited.
+    pub(crate) fn has_ended(&mut self) -> bool {
+        let status = self.child.try_wait().expect("own child");
+        status.is_some()
+    }
+
     /// Waits for the process to exit; returns whether it exited successfully.
     pub(crate) fn wait(&mut self) -> bool {
         self.child.wait().expect("own child").success()
