Signals are handled before the daemon listens

What callers saw: connections reset, and a VM gone, as SIGHUP or SIGTERM came while the VM started.

Cause: the handlers were set up after the listeners, and SIGHUP's by a task that had yet to run; until then the default action of each signal ends the process.

--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -8,7 +8,7 @@
 use rand::RngExt;
 use thiserror::Error;
 use tokio::runtime::Builder;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, timeout, Instant};
@@ -88,6 +88,10 @@
 }
 
 async fn main_task(settings: EntrySettings, file: PathBuf) -> Result<(), RunError> {
+    // Before anything else: the default action of each of them ends the process.
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let hangup = signal(SignalKind::hangup())?;
     let clock = Clock::start();
     let metrics = Metrics::new()?;
     let store = Rc::new(StoreClient::new(
@@ -141,7 +145,7 @@
     spawn_local(housekeeping(Rc::clone(&state), Rc::clone(&store)));
     spawn_local(Rc::clone(&state.turn_keeper).sweep_periodically());
     spawn_local(Rc::clone(&state.budget_client).monitor_connectivity());
-    spawn_local(report_settings_changes(settings.clone(), file));
+    spawn_local(report_settings_changes(settings.clone(), file, hangup));
     let registration = Registration::new(&settings, writer.clone(), Rc::clone(&store));
     let registration = Rc::new(registration);
     spawn_local(Rc::clone(&registration).maintain(Rc::clone(&state)));
@@ -153,8 +157,6 @@
         "started"
     );
 
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
@@ -263,14 +265,7 @@
 
 /// On SIGHUP, logs whether the settings file has changed; changes take effect
 /// on restart.
-async fn report_settings_changes(settings: EntrySettings, file: PathBuf) {
-    let mut hangup = match signal(SignalKind::hangup()) {
-        Ok(hangup) => hangup,
-        Err(error) => {
-            log::error!(error = error.to_string(); "cannot handle SIGHUP");
-            return;
-        }
-    };
+async fn report_settings_changes(settings: EntrySettings, file: PathBuf, mut hangup: Signal) {
     while hangup.recv().await.is_some() {
         match load(&file) {
             Ok(new) if new == settings => log::info!("settings are unchanged"),
