Bytes that nobody has read stay unread when a connection closes

The count of unread bytes for the log line read them. A caller whose request isn't read gets a reset and may send it again, also a booking; after a read it gets an end without an answer instead and may not. They are peeked at now.

--- a/crates/entry/src/caller_io.rs
+++ b/crates/entry/src/caller_io.rs
@@ -1,10 +1,12 @@
 //! Socket of a caller's connection, which tells [`CallerConnection`] how it ends.
 
 use std::io::Error;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -27,11 +29,13 @@
     }
 
     /// Bytes that the system has received and nobody has read, up to
-    /// [`MAX_UNREAD_BYTES`].
+    /// [`MAX_UNREAD_BYTES`]. They stay unread, so that the connection is reset with them
+    /// and the caller knows that its request was not read.
     pub(crate) fn unread_bytes(&self) -> usize {
-        let mut buffer = [0; MAX_UNREAD_BYTES];
-        // An error means that the connection is gone with what it held.
-        self.stream.try_read(&mut buffer).unwrap_or_default()
+        let mut buffer = [MaybeUninit::uninit(); MAX_UNREAD_BYTES];
+        // An error means that there are none, or that the connection is gone.
+        let peeked = SockRef::from(&self.stream).peek(&mut buffer);
+        peeked.unwrap_or_default()
     }
 
     fn noted<T>(&self, result: Result<T, Error>) -> Result<T, Error> {
