Open connections follow the limits in force; refusals of long bodies arrive

What callers saw: (1) a connection that rested within a raised idle limit was closed under them, and a header section that a new configuration allows got 431 on an old connection; (2) the 413 of a long body, or the 503 for lack of memory, came on a connection that was then closed without notice or reset, so that the refusal or the next request was lost.

Causes: a connection kept the limits with which it was accepted; a refused body was not read, and hyper closes a connection whose request body is unread.

Fix: the timer of resting connections looks at the limit in force when it ends, and waits on if that is longer; header sections are held to the limit in force when they arrive, whatever the buffer of the connection. A refused body is read and discarded within bounds while the refusal is sent.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -41,7 +41,7 @@
 
 pub(crate) use attempt::{forwarded_head, FailedAttempt, ResponseStream, TargetResponse};
 use permit::Permit;
-use reading::read_body;
+use reading::{header_bytes, read_body, refuse_unread};
 pub(crate) use reading::{read_buffered, ReadError};
 use relay::Relay;
 
@@ -121,6 +121,15 @@
     let metadata = decode_request_headers(&parts.headers);
     caller.set_id(&metadata.request_id);
     let limits = state.limits();
+    if header_bytes(&parts.headers) > limits.max_header_bytes {
+        log::info!(request = metadata.request_id.as_str(), status = 431; "header section too long");
+        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        state.metrics.record_response(status.as_u16(), 0);
+        return refuse_unread(
+            body,
+            response::plain_text(status, "header section too long"),
+        );
+    }
     let (body, body_memory) = match read_body(&state, body, &limits, &caller).await {
         Ok(read) => read,
         Err(response) => return *response,
--- /dev/null
+++ b/crates/entry/src/idle.rs
@@ -0,0 +1,83 @@
+//! Timer of callers' connections that rest, by the configuration in force.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::task::{ready, Context, Poll};
+use std::time::{Duration, Instant};
+
+use hyper::rt::{Sleep, Timer};
+use lagoon_gateway::Limits;
+use tokio::time::{sleep_until, Sleep as TokioSleep};
+
+/// Maximum of the limit, whatever the configuration says.
+const MAX_REST: Duration = Duration::from_secs(86_400);
+
+/// Time that a connection may rest, or take for a header section. hyper's timer needs it
+/// to be shared between threads.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RestLimit(Arc<AtomicU64>);
+
+impl RestLimit {
+    pub(crate) fn new(limits: &Limits) -> RestLimit {
+        let limit = RestLimit::default();
+        limit.set(limits);
+        limit
+    }
+
+    /// hyper's header timeout includes the rest before a header section, so the longer of
+    /// the two limits applies to both.
+    pub(crate) fn set(&self, limits: &Limits) {
+        let rest_ms = limits.header_timeout_ms.max(limits.idle_timeout_ms);
+        self.0.store(rest_ms, Ordering::Relaxed);
+    }
+
+    pub(crate) fn get(&self) -> Duration {
+        Duration::from_millis(self.0.load(Ordering::Relaxed)).min(MAX_REST)
+    }
+}
+
+/// Timer whose waits last as long as the limit in force at their end allows, if that is
+/// longer than the one at their start: callers go by the newest limit.
+#[derive(Clone, Debug)]
+pub(crate) struct RestTimer {
+    pub(crate) limit: RestLimit,
+}
+
+impl Timer for RestTimer {
+    fn sleep(&self, duration: Duration) -> Pin<Box<dyn Sleep>> {
+        self.sleep_until(Instant::now() + duration)
+    }
+
+    fn sleep_until(&self, deadline: Instant) -> Pin<Box<dyn Sleep>> {
+        Box::pin(Rest {
+            limit: self.limit.clone(),
+            started: Instant::now(),
+            sleep: Box::pin(sleep_until(deadline.into())),
+        })
+    }
+}
+
+struct Rest {
+    limit: RestLimit,
+    started: Instant,
+    sleep: Pin<Box<TokioSleep>>,
+}
+
+impl Sleep for Rest {}
+
+impl Future for Rest {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        loop {
+            ready!(self.sleep.as_mut().poll(cx));
+            let deadline = self.started + self.limit.get();
+            if Instant::now() >= deadline {
+                return Poll::Ready(());
+            }
+            self.sleep.as_mut().reset(deadline.into());
+        }
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,6 +11,7 @@
 mod connection;
 mod exchange;
 mod forward;
+mod idle;
 mod ledger;
 mod message;
 mod message_handler;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -11,7 +11,7 @@
 use hyper::server::conn::http1::{self, Parts};
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -21,6 +21,7 @@
 use crate::caller_io::CallerIo;
 use crate::carry::{handle_carried, CARRY_PATH};
 use crate::connection::set_socket_options;
+use crate::idle::RestTimer;
 use crate::message::MESSAGE_PATH;
 use crate::message_handler::handle_message;
 use crate::panics;
@@ -30,19 +31,17 @@
 
 const ACCEPT_BACKLOG: i32 = 1_024;
 
-/// Buffer space, in addition to the maximum header section, for the start of
-/// the body that follows it.
-const BODY_START_BYTES: u64 = 4_096;
-
-/// Smallest buffer size that hyper accepts.
-const MIN_BUFFER_BYTES: u64 = 8_192;
+/// Buffer for the header section and the start of the body that follows it. Header
+/// sections are held to the limit in force when they arrive.
+const BUFFER_BYTES: usize = 131_072;
 
 const METRICS_PATH: &str = "/metrics";
 
 /// Time from the stop until a listener closes.
 const ACCEPT_LINGER: Duration = Duration::from_millis(50);
 
-/// Time that a new connection has for its first request when the daemon stops.
+/// Time that a connection has for its first request, or for the rest of a head that
+/// arrives, when the daemon stops.
 const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(200);
 
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -150,15 +149,11 @@
             Ok::<_, Infallible>(response.map(|body| body.answering(open)))
         }
     });
-    let limits = guard.0.limits();
-    let buffer_bytes = (limits.max_header_bytes + BODY_START_BYTES).max(MIN_BUFFER_BYTES);
-    // hyper's header timeout includes the idle time before a header section, so
-    // the longer of the two limits applies to both.
-    let wait = Duration::from_millis(limits.header_timeout_ms.max(limits.idle_timeout_ms));
+    let limit = guard.0.rest_limit.clone();
     let mut served = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(wait)
-        .max_buf_size(usize::try_from(buffer_bytes).unwrap_or(usize::MAX))
+        .header_read_timeout(limit.get())
+        .timer(RestTimer { limit })
+        .max_buf_size(BUFFER_BYTES)
         .serve_connection(TokioIo::new(CallerIo::new(stream, &caller)), service);
     let mut connection = Pin::new(&mut served);
     let ended = tokio::select! {
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -339,6 +339,7 @@
         log::info!(version = config.version, before = known_version, row_version = row.version; "configuration in force");
         let retention_ms = config.max_turn_retention_ms();
         self.state.turn_keeper.record_retention(retention_ms);
+        self.state.rest_limit.set(&config.limits);
         *known = Some(Rc::new(config));
     }
 
