A planned stop closes connections with notice, and only those that rest

Cause: 2.2 s after SIGTERM the VM closed its kept connections without having told their callers, and disabled the reuse of those with a response under way although its head had not said so. The close of the listener could go before connections that waited to be accepted.

Fix: from SIGTERM on each response says that it is the connection's last one, so what is left to close has rested for 2.2 s; a connection is closed only once no request is open and none arrives. Ruled out: the accept queue alone (its test passed before).

--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONNECTION};
 use hyper::server::conn::http1::{self, Parts};
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -44,6 +45,9 @@
 /// arrives, when the daemon stops.
 const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(200);
 
+/// Interval at which a connection is looked at while the daemon stops, until it rests.
+const STOP_RECHECK: Duration = Duration::from_millis(20);
+
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 pub(crate) fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
@@ -77,7 +81,9 @@
     // connections that callers have opened, so these are accepted first.
     let mut closes_at = None;
     loop {
+        // Biased, so that what waits to be accepted goes before the close.
         let accepted = tokio::select! {
+            biased;
             accepted = listener.accept() => accepted,
             _ = stop.wait_for(|stop| *stop), if closes_at.is_none() => {
                 closes_at = Some(Instant::now() + ACCEPT_LINGER);
@@ -145,7 +151,11 @@
         let handle = &handle;
         async move {
             let handling = async { handle(request, open.clone()).await };
-            let response = panics::respond_anyway(handling, || open.record_panic()).await;
+            let mut response = panics::respond_anyway(handling, || open.record_panic()).await;
+            if open.announces_close() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
             Ok::<_, Infallible>(response.map(|body| body.answering(open)))
         }
     });
@@ -159,15 +169,21 @@
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
         _ = stop.wait_for(|stop| *stop) => {
-            // The first request of a new connection may be on its way; a graceful
-            // shutdown closes the connection before it is read.
-            let wait = if caller.has_request() { Duration::ZERO } else { FIRST_REQUEST_WAIT };
-            match timeout(wait, connection.as_mut()).await {
-                Ok(ended) => ended,
-                Err(_) => {
-                    caller.record_stop();
-                    connection.as_mut().graceful_shutdown();
-                    connection.await
+            // The first request of a new connection may be on its way, as may the next
+            // one behind a response. A graceful shutdown would throw them away.
+            let mut wait = match caller.has_request() {
+                true => Duration::ZERO,
+                false => FIRST_REQUEST_WAIT,
+            };
+            loop {
+                match timeout(wait, connection.as_mut()).await {
+                    Ok(ended) => break ended,
+                    Err(_) if caller.rests(FIRST_REQUEST_WAIT) => {
+                        caller.record_stop();
+                        connection.as_mut().graceful_shutdown();
+                        break connection.await;
+                    }
+                    Err(_) => wait = STOP_RECHECK,
                 }
             }
         }
--- a/crates/entry/src/unanswered.rs
+++ b/crates/entry/src/unanswered.rs
@@ -5,6 +5,7 @@
 use std::io::{Error, ErrorKind};
 use std::rc::Rc;
 use std::thread;
+use std::time::Duration;
 
 use compact_str::CompactString;
 use derive_more::Display;
@@ -117,6 +118,13 @@
         self.requests.get() > 0
     }
 
+    /// Whether no request is open, and none has begun to arrive within `patience`.
+    pub(crate) fn rests(&self, patience: Duration) -> bool {
+        let age_ms = self.state.now_ms() - self.received_ms.get();
+        let arrives = self.received_bytes.get() > 0 && u128::from(age_ms) < patience.as_millis();
+        self.open.borrow().is_empty() && !arrives
+    }
+
     /// Records that the head of the next request was read.
     pub(crate) fn begin_request(self: &Rc<Self>) -> RequestGuard {
         let number = self.requests.get();
@@ -307,6 +315,12 @@
         self.update(|request| request.id = id.clone());
     }
 
+    /// Whether the response tells the caller that it is the connection's last one: the
+    /// daemon stops, and would close the connection while it rests.
+    pub(crate) fn announces_close(&self) -> bool {
+        self.connection.client == Client::Caller && self.connection.state.stopping.get()
+    }
+
     /// Records why the response is missing or ends early.
     pub(crate) fn set_cause(&self, cause: Cause) {
         self.update(|request| request.cause = Some(cause));
