Entry: lasting tasks start again after a panic

A panic in the watch of a table, housekeeping, the registration, gossip or a listener ended that task for good: the VM went on with the configuration and the targets that it had, or accepted nothing, and said it was ready.

--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -41,6 +41,26 @@
     assert_eq!(timeline("r9", &parse_log(LOG)), None);
 }
 
+const UNANSWERED_LOG: &str = r#"
+time_ms=2000 level=info module=m vm=a-1 message="stream begun" request=r1 target_id=i-1
+time_ms=2600 level=info module=m vm=a-1 message="process ended" request=r1 program=p1 status=200
+time_ms=2600 level=warn module=m vm=a-1 message="unanswered: process ended" request=r1 cause="process ended" age_ms=640 config_version=4 config_version_now=5 passed_on=true stopping=true unread_bytes=0 connections=1
+time_ms=2600 level=warn module=m vm=a-1 message="unanswered: closed by the stop" request=- cause="closed by the stop" age_ms=1 unread_bytes=7
+"#;
+
+// Guards against a timeline that ends without the cause for which a caller got nothing.
+#[test]
+fn timeline_of_unanswered_request_ends_with_its_cause() {
+    let timeline = timeline("r1", &parse_log(UNANSWERED_LOG)).expect("is named");
+    let last = timeline.lines().last().expect("has lines");
+    assert_eq!(
+        last,
+        "    600 ms  a-1  unanswered: process ended  request=r1  cause=process ended  age_ms=640  \
+         config_version=4  config_version_now=5  passed_on=true  stopping=true  unread_bytes=0  connections=1"
+    );
+    assert!(!timeline.contains("closed by the stop"), "{timeline}");
+}
+
 const STREAM_LOG: &str = r#"
 time_ms=10 vm=a-1 message="stream begun" request=r1 target_id=i-1 software_version=v1 stream=-
 time_ms=30 vm=b-1 message="version of an interrupted stream: a record" request=r2 source=a-2
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -32,6 +32,7 @@
 mod streams;
 mod suspects;
 mod tables;
+mod tasks;
 mod turns;
 mod unanswered;
 mod watch;
--- a/crates/entry/src/news.rs
+++ b/crates/entry/src/news.rs
@@ -11,10 +11,10 @@
 use lagoon_streams::OriginRecord;
 use rand::RngExt;
 use tokio::net::UdpSocket;
-use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use crate::state::DaemonState;
+use crate::tasks::spawn_lasting;
 
 /// Interval at which updates are sent; less than half of the duration of a
 /// model call at an idle engine.
@@ -63,9 +63,18 @@
     socket.set_nonblocking(true)?;
     let socket = Rc::new(UdpSocket::from_std(socket)?);
     state.origins.set_socket(&socket);
-    spawn_local(send_updates(Rc::clone(state), Rc::clone(&socket)));
-    spawn_local(repeat_news(Rc::clone(state), Rc::clone(&socket)));
-    spawn_local(receive_updates(Rc::clone(state), socket));
+    let (task_state, task_socket) = (Rc::clone(state), Rc::clone(&socket));
+    spawn_lasting("send updates", move || {
+        send_updates(Rc::clone(&task_state), Rc::clone(&task_socket))
+    });
+    let (task_state, task_socket) = (Rc::clone(state), Rc::clone(&socket));
+    spawn_lasting("repeat news", move || {
+        repeat_news(Rc::clone(&task_state), Rc::clone(&task_socket))
+    });
+    let task_state = Rc::clone(state);
+    spawn_lasting("receive updates", move || {
+        receive_updates(Rc::clone(&task_state), Rc::clone(&socket))
+    });
     Ok(())
 }
 
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -1,18 +1,24 @@
 //! Startup, periodic maintenance and shutdown of the daemon.
 
+use std::future::Future;
+use std::net::IpAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 
+use hyper::body::Incoming;
+use hyper::{Request, Response};
 use lagoon_gateway::{BudgetSettings, Peers, ProgramBudgets};
 use rand::RngExt;
 use thiserror::Error;
+use tokio::net::TcpListener;
 use tokio::runtime::Builder;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, timeout, Instant};
 
+use crate::body::ResponseBody;
 use crate::clock::Clock;
 use crate::forward;
 use crate::ledger::BudgetClient;
@@ -26,8 +32,9 @@
 use crate::state::{DaemonState, Services};
 use crate::store::StoreClient;
 use crate::suspects::CrashTracker;
+use crate::tasks::spawn_lasting;
 use crate::turns::TurnKeeper;
-use crate::unanswered::Client;
+use crate::unanswered::{Client, RequestGuard};
 use crate::watch::{follow_table, FollowedTable};
 
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(100);
@@ -136,15 +143,18 @@
         FollowedTable::Overdrawn,
         FollowedTable::Crashes,
     ] {
-        spawn_local(follow_table(Rc::clone(&state), Rc::clone(&store), table));
+        let (state, store) = (Rc::clone(&state), Rc::clone(&store));
+        spawn_lasting(table.task_name(), move || {
+            follow_table(Rc::clone(&state), Rc::clone(&store), table)
+        });
     }
-    spawn_local(housekeeping(Rc::clone(&state), Rc::clone(&store)));
-    spawn_local(Rc::clone(&state.turn_keeper).sweep_periodically());
-    spawn_local(Rc::clone(&state.budget_client).monitor_connectivity());
-    spawn_local(report_settings_changes(settings.clone(), file));
+    start_maintenance(&settings, &state, &store, file);
     let registration = Registration::new(&settings, writer.clone(), Rc::clone(&store));
     let registration = Rc::new(registration);
-    spawn_local(Rc::clone(&registration).maintain(Rc::clone(&state)));
+    let (task_registration, task_state) = (Rc::clone(&registration), Rc::clone(&state));
+    spawn_lasting("registration", move || {
+        Rc::clone(&task_registration).maintain(Rc::clone(&task_state))
+    });
     log::info!(
         domain = settings.vm.domain.as_str(),
         writer = writer.as_str(),
@@ -169,6 +179,30 @@
     Ok(())
 }
 
+fn start_maintenance(
+    settings: &EntrySettings,
+    state: &Rc<DaemonState>,
+    store: &Rc<StoreClient>,
+    file: PathBuf,
+) {
+    let (task_state, store) = (Rc::clone(state), Rc::clone(store));
+    spawn_lasting("housekeeping", move || {
+        housekeeping(Rc::clone(&task_state), Rc::clone(&store))
+    });
+    let turn_keeper = Rc::clone(&state.turn_keeper);
+    spawn_lasting("deletion of turns", move || {
+        Rc::clone(&turn_keeper).sweep_periodically()
+    });
+    let budget_client = Rc::clone(&state.budget_client);
+    spawn_lasting("connectivity", move || {
+        Rc::clone(&budget_client).monitor_connectivity()
+    });
+    let settings = settings.clone();
+    spawn_lasting("settings", move || {
+        report_settings_changes(settings.clone(), file.clone())
+    });
+}
+
 fn start_listeners(
     settings: &EntrySettings,
     state: &Rc<DaemonState>,
@@ -186,38 +220,39 @@
 
     let handler_state = Rc::clone(state);
     let handle = move |_, request, open| forward::handle(Rc::clone(&handler_state), request, open);
-    spawn_local(server::serve(
-        Rc::clone(state),
-        callers,
-        stopped.clone(),
-        Client::Caller,
-        handle,
-    ));
+    start_listener("callers", state, callers, stopped, Client::Caller, handle);
     let handler_state = Rc::clone(state);
-    let handle = move |_, request: hyper::Request<_>, _| {
+    let handle = move |_, request: Request<_>, _| {
         let response = server::readiness(&handler_state, request.uri().path());
         async move { response }
     };
-    spawn_local(server::serve(
-        Rc::clone(state),
-        ready,
-        stopped.clone(),
-        Client::Other,
-        handle,
-    ));
+    start_listener("readiness", state, ready, stopped, Client::Other, handle);
     let handler_state = Rc::clone(state);
     let handle =
         move |from, request, _| server::handle_internal(Rc::clone(&handler_state), from, request);
-    spawn_local(server::serve(
-        Rc::clone(state),
-        peers,
-        stopped.clone(),
-        Client::Other,
-        handle,
-    ));
+    start_listener("peers", state, peers, stopped, Client::Other, handle);
     Ok(())
 }
 
+fn start_listener<F, R>(
+    name: &'static str,
+    state: &Rc<DaemonState>,
+    listener: TcpListener,
+    stopped: &watch::Receiver<bool>,
+    client: Client,
+    handle: F,
+) where
+    F: Fn(IpAddr, Request<Incoming>, RequestGuard) -> R + Clone + 'static,
+    R: Future<Output = Response<ResponseBody>> + 'static,
+{
+    let (state, listener) = (Rc::clone(state), Rc::new(listener));
+    let stopped = stopped.clone();
+    spawn_lasting(name, move || {
+        let (state, listener) = (Rc::clone(&state), Rc::clone(&listener));
+        server::serve(state, listener, stopped.clone(), client, handle.clone())
+    });
+}
+
 async fn housekeeping(state: Rc<DaemonState>, store: Rc<StoreClient>) {
     let mut round = 0;
     loop {
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -65,7 +65,7 @@
 /// request and the handle to it.
 pub(crate) async fn serve<F, R>(
     state: Rc<DaemonState>,
-    listener: TcpListener,
+    listener: Rc<TcpListener>,
     mut stop: watch::Receiver<bool>,
     client: Client,
     handle: F,
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -71,6 +71,17 @@
         })
     }
 
+    /// Name of the task that follows the table.
+    pub(crate) fn task_name(self) -> &'static str {
+        match self {
+            FollowedTable::Config => "feed of the configuration",
+            FollowedTable::Targets => "feed of targets",
+            FollowedTable::Peers => "feed of VMs",
+            FollowedTable::Overdrawn => "feed of overdrawn programs",
+            FollowedTable::Crashes => "feed of crashes",
+        }
+    }
+
     /// Minimum time between a change and the next watch. Changes that come
     /// together, as those of many VMs that start, are then read in one call.
     fn min_interval(self) -> Duration {
