Entry: requests that cross the close of their connection leave a line

A request that a caller sends while this VM closes the kept connection, at the idle limit or by a stop, was answered by a reset, and no log said so: the close came first, so nothing of the request was read.

After its own close the VM now waits 0.5 s at most for the close of the caller. Bytes that arrive meanwhile are logged with the cause of the close. The test sends a request after the idle limit and failed without the wait.

--- a/crates/entry/src/caller_io.rs
+++ b/crates/entry/src/caller_io.rs
@@ -4,15 +4,21 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
+use std::time::Duration;
 
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 use crate::unanswered::CallerConnection;
 
 /// Maximum number of unread bytes that are counted when a connection ends.
 const MAX_UNREAD_BYTES: usize = 4_096;
 
+/// Time for which a connection that this VM has closed waits for the caller's close;
+/// covers a request that was sent before the caller noticed.
+const LINGER: Duration = Duration::from_millis(500);
+
 pub(crate) struct CallerIo {
     stream: TcpStream,
     connection: Rc<CallerConnection>,
@@ -34,6 +40,18 @@
         self.stream.try_read(&mut buffer).unwrap_or_default()
     }
 
+    /// Closes this side, and waits until the caller closes its own or sends more; returns
+    /// the bytes of it.
+    pub(crate) async fn late_bytes(&mut self) -> usize {
+        // An error means that the caller has closed the connection, as the read shows.
+        let _ = self.stream.shutdown().await;
+        let mut buffer = [0; MAX_UNREAD_BYTES];
+        match timeout(LINGER, self.stream.read(&mut buffer)).await {
+            Ok(Ok(bytes)) => bytes,
+            Ok(Err(_)) | Err(_) => 0,
+        }
+    }
+
     fn noted<T>(&self, result: Result<T, Error>) -> Result<T, Error> {
         if let Err(error) = &result {
             self.connection.record_error(error);
--- a/crates/entry/src/unanswered.rs
+++ b/crates/entry/src/unanswered.rs
@@ -170,8 +170,14 @@
     }
 
     /// Logs what is open after hyper has ended the connection. `unread` and the bytes
-    /// that the socket holds belong to no request that was begun.
-    pub(crate) fn end(&self, ended: &Result<(), hyper::Error>, io: &CallerIo, unread: usize) {
+    /// that the socket holds, or receives until the caller closes it, belong to no
+    /// request that was begun.
+    pub(crate) async fn end(
+        &self,
+        ended: &Result<(), hyper::Error>,
+        mut io: CallerIo,
+        unread: usize,
+    ) {
         self.has_ended.set(true);
         if ended.is_ok() {
             let mut open = self.open.borrow_mut();
@@ -181,9 +187,18 @@
         self.log_open(self.lost_cause());
         // hyper answers a head that it can't parse.
         let is_refused = ended.as_ref().is_err_and(hyper::Error::is_parse);
-        let unread = unread + io.unread_bytes();
-        if unread > 0 && !has_open && !is_refused {
-            let is_timeout = ended.as_ref().is_err_and(hyper::Error::is_timeout);
+        if has_open || is_refused || self.client == Client::Other {
+            return;
+        }
+        let mut unread = unread + io.unread_bytes();
+        let is_timeout = ended.as_ref().is_err_and(hyper::Error::is_timeout);
+        if unread == 0 && !self.has_caller_left.get() && !self.is_broken.get() {
+            unread = io.late_bytes().await;
+        }
+        if unread > 0 {
+            if self.received_bytes.get() == 0 {
+                self.record_received(unread);
+            }
             self.log_unread(self.unread_cause(is_timeout), unread);
         }
     }
--- a/crates/entry/tests/unanswered.rs
+++ b/crates/entry/tests/unanswered.rs
@@ -17,6 +17,9 @@
 
 const EVENT_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Maximum number of connections by the default settings.
+const MAX_CONNECTIONS: usize = 256;
+
 /// Longer than the idle limit of [`configure_limits`].
 const IDLE_TIME: Duration = Duration::from_millis(1_200);
 
@@ -255,3 +258,35 @@
     let fields = ["request=-", "unread_bytes=7", "stopping=true"];
     check_line(&unanswered_lines(&fleet), "closed by the stop", &fields);
 }
+
+// Guards against a request that crosses the close of its connection and leaves nothing.
+#[test]
+fn unanswered_request_that_crosses_the_idle_limit() {
+    let fleet = Fleet::start(1);
+    configure_limits(&fleet, 5_000);
+    let head = "GET /none/x HTTP/1.1\r\nHost: a.example\r\n\r\n";
+    let mut kept = send_bytes(fleet.callers(), head);
+    let mut text = Vec::new();
+    kept.read_to_end(&mut text).expect("closed at the limit");
+    kept.write_all(head.as_bytes()).expect("bytes are sent");
+    let unread = format!("unread_bytes={}", head.len());
+    expect_line(&fleet, "closed when idle", &["request=-", &unread]);
+}
+
+// Guards against connections that are closed at the maximum without a count.
+#[test]
+fn unanswered_when_too_many_connections_are_open() {
+    let fleet = Fleet::start(1);
+    let connect = |_| TcpStream::connect(fleet.callers()).expect("connection");
+    let mut open: Vec<TcpStream> = (0..MAX_CONNECTIONS).map(connect).collect();
+    let mut refused = connect(0);
+    let end = refused.read(&mut [0; 1]);
+    assert!(matches!(end, Ok(0) | Err(_)), "{end:?}");
+    open.clear();
+    wait_until("the line", || !unanswered_lines(&fleet).is_empty());
+    check_line(
+        &unanswered_lines(&fleet),
+        "too many connections",
+        &["request=-"],
+    );
+}
