--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -33,6 +33,7 @@
 mod streams;
 mod suspects;
 mod tables;
+mod tasks;
 mod turns;
 mod unanswered;
 mod watch;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -68,7 +68,7 @@
 /// request and the handle to it.
 pub(crate) async fn serve<F, R>(
     state: Rc<DaemonState>,
-    listener: TcpListener,
+    listener: Rc<TcpListener>,
     mut stop: watch::Receiver<bool>,
     client: Client,
     handle: F,
@@ -189,7 +189,7 @@
         }
     };
     let Parts { io, read_buf, .. } = served.into_parts();
-    caller.end(&ended, io.inner(), read_buf.len());
+    caller.end(&ended, io.into_inner(), read_buf.len()).await;
     if let Err(error) = ended {
         log::debug!(error = error.to_string(); "incoming connection failed");
     }
