Test: changes and signals leave no request unanswered

32 callers keep their connections (used at once, and after rests of up to four fifths of the idle limit), send long bodies slowly and in chunks, requests behind others, streams, turns, bookings and lookups, and spend budgets to their end. Beside them configurations come every 20 to 300 ms (limits, routes, services, timeouts, weights, tokens per event, 1,400 routes), SIGHUP with changed settings, planned stops, restarts and replacements of four VMs, a slow store and lost replies. Targets are sound. Each request is counted as answered, refused, cut, crossed or broken off while it was sent; the last three fail the run, as do refusals of what the limits allow, and connections that close at rest without a stop. Each run prints how often each case came up.

LAGOON_OLD_ENTRY names an older build that every second VM runs, or all of them until their restart with LAGOON_OLD_UNTIL_RESTART.

--- a/crates/entry/tests/fleet/mod.rs
+++ b/crates/entry/tests/fleet/mod.rs
@@ -5,9 +5,11 @@
 #![allow(dead_code)]
 
 use std::cell::RefCell;
+use std::env;
 use std::fs;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Mutex, PoisonError};
@@ -41,6 +43,8 @@
     pub(crate) callers: SocketAddr,
     pub(crate) ready: SocketAddr,
     pub(crate) peers: SocketAddr,
+    /// Text of its settings file.
+    settings: String,
     child: Child,
     /// Proxies through which it alone reaches the engines and the desks, in this order,
     /// and the store that lists them; `None` if it has no proxies of its own.
@@ -79,11 +83,39 @@
     started: RefCell<Vec<String>>,
     /// Whether VMs that start now are the fleet's first ones.
     is_first_start: bool,
+    old_build: Option<OldBuild>,
     files: TempDir,
 }
 
+/// Daemon of an older build, which some VMs run.
+#[derive(Clone, Debug)]
+pub(crate) struct OldBuild {
+    pub(crate) program: PathBuf,
+    /// Whether all VMs run it until their restart, instead of every second VM always.
+    pub(crate) is_until_restart: bool,
+}
+
+impl OldBuild {
+    /// Build that `LAGOON_OLD_ENTRY` names; with `LAGOON_OLD_UNTIL_RESTART`, all VMs
+    /// run it until their restart.
+    pub(crate) fn from_environment() -> Option<OldBuild> {
+        let program = env::var_os("LAGOON_OLD_ENTRY")?;
+        Some(OldBuild {
+            program: program.into(),
+            is_until_restart: env::var_os("LAGOON_OLD_UNTIL_RESTART").is_some(),
+        })
+    }
+
+    fn is_run_by(&self, number: usize, is_first_start: bool) -> bool {
+        match self.is_until_restart {
+            true => is_first_start,
+            false => number % 2 == 1,
+        }
+    }
+}
+
 /// Differences from a fleet of one failure domain with engines of one version.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct FleetOptions {
     /// Number of failure domains, to which VMs belong in turn as they start.
     pub(crate) domains: usize,
@@ -95,6 +127,8 @@
     pub(crate) is_first_start: bool,
     /// Software versions of the engines.
     pub(crate) engine_versions: [&'static str; 2],
+    /// Older build that some VMs run.
+    pub(crate) old_build: Option<OldBuild>,
 }
 
 impl Default for FleetOptions {
@@ -105,6 +139,7 @@
             has_paths: false,
             is_first_start: true,
             engine_versions: ["v1", "v1"],
+            old_build: None,
         }
     }
 }
@@ -198,6 +233,7 @@
             domains: options.domains,
             started: RefCell::default(),
             is_first_start: options.is_first_start,
+            old_build: options.old_build,
             files: TempDir::new().expect("folder"),
         };
         fleet.store.configure(CONFIG);
@@ -317,34 +353,83 @@
         let _starting = STARTING.lock().unwrap_or_else(PoisonError::into_inner);
         let (callers, ready, peers) = (free_address(), free_address(), free_address());
         let name = format!("vm-{}", callers.port());
-        let first_start = self.is_first_start;
         let domain = 1 + self.started.borrow().len() % self.domains;
+        let number = self.started.borrow().len();
         self.started.borrow_mut().push(name.clone());
-        let text = format!(
+        let first_start = self.is_first_start;
+        let settings = format!(
             "[vm]\nname = \"{name}\"\ndomain = \"d{domain}\"\nfirst_start = {first_start}\n\
              [listen]\ncallers = \"{callers}\"\nready = \"{ready}\"\npeers = \"{peers}\"\n\
              [store]\naddress = \"{store}\"\n[limits]\nstop_wait_s = 8\n"
         );
-        let file = self.files.path().join(format!("{name}.toml"));
-        fs::write(&file, text).expect("settings are written");
-        let log = fs::File::create(self.files.path().join(format!("{name}.log")));
-        let child = Command::new(env!("CARGO_BIN_EXE_lagoon-entry"))
-            .arg("--settings")
-            .arg(&file)
-            .stderr(log.expect("log file"))
-            .stdout(Stdio::null())
-            .spawn()
-            .expect("daemon starts");
+        fs::write(self.settings_file(&name), &settings).expect("settings are written");
+        let child = self.start_daemon(&name, number);
         Vm {
             name,
             callers,
             ready,
             peers,
+            settings,
             child,
             paths: None,
         }
     }
 
+    /// Starts the daemon of the VM that was started as this one of all.
+    fn start_daemon(&self, vm: &str, number: usize) -> Child {
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.files.path().join(format!("{vm}.log")));
+        let old_build = self.old_build.as_ref();
+        let old_build = old_build.filter(|build| build.is_run_by(number, self.is_first_start));
+        let program = old_build.map_or(env!("CARGO_BIN_EXE_lagoon-entry").into(), |build| {
+            build.program.clone()
+        });
+        Command::new(program)
+            .arg("--settings")
+            .arg(self.settings_file(vm))
+            .stderr(log.expect("log file"))
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("daemon starts")
+    }
+
+    fn settings_file(&self, vm: &str) -> PathBuf {
+        self.files.path().join(format!("{vm}.toml"))
+    }
+
+    /// Starts a VM again that has exited, at its addresses; doesn't wait for its
+    /// readiness.
+    pub(crate) fn spawn_again(&self, vm: &mut Vm) {
+        assert!(vm.has_ended(), "{} still runs", vm.name);
+        let settings = &mut vm.settings;
+        *settings = settings.replace("first_start = true", "first_start = false");
+        fs::write(self.settings_file(&vm.name), settings).expect("settings are written");
+        let number = {
+            let started = self.started.borrow();
+            started.iter().position(|name| *name == vm.name)
+        };
+        vm.child = self.start_daemon(&vm.name, number.expect("started before"));
+    }
+
+    /// Changes the settings file of a VM, without telling it.
+    pub(crate) fn change_settings(&self, vm: &Vm, number: u64) {
+        let settings = format!("{}settle_ms = {}\n", vm.settings, 1_000 + number);
+        fs::write(self.settings_file(&vm.name), settings).expect("settings are written");
+    }
+
+    /// Logs of all VMs that were started.
+    pub(crate) fn logs(&self) -> Vec<(String, String)> {
+        let started = self.started.borrow();
+        let logs = started.iter().map(|name| {
+            let file = self.files.path().join(format!("{name}.log"));
+            let text = fs::read(file).expect("log file");
+            (name.clone(), String::from_utf8_lossy(&text).into_owned())
+        });
+        logs.collect()
+    }
+
     pub(crate) fn callers(&self) -> SocketAddr {
         self.vms[0].callers
     }
--- a/crates/entry/tests/unanswered.rs
+++ b/crates/entry/tests/unanswered.rs
@@ -1,15 +1,18 @@
 //! Requests that reached a VM whole and get neither a whole answer nor a refusal.
 
+mod changes;
 mod client;
 mod fleet;
 
+use std::env;
 use std::net::TcpStream;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use client::{encode, encode_chunked, Connection, Pace};
 use fleet::{
-    call, complete_stream, get, send_request, try_call, wait_until, Fleet, CONFIG, EVENT_COUNT,
+    call, complete_stream, get, send_request, try_call, wait_until, Fleet, OldBuild, CONFIG,
+    EVENT_COUNT,
 };
 use lagoon_adapter::standin::{model_call_headers, service_call_headers};
 use lagoon_gateway::TargetStatus;
@@ -288,3 +291,34 @@
     let next = connection.read_answer();
     assert!(next.is_ok(), "{next:?}");
 }
+
+/// Defaults for `UNANSWERED_SEED`, `UNANSWERED_RUNS` and `UNANSWERED_SECONDS`, the first
+/// seed, the number of runs and the length of each.
+const DEFAULT_SEED: u64 = 1;
+const DEFAULT_RUNS: u64 = 1;
+const DEFAULT_SECONDS: u64 = 15;
+
+fn env_number(name: &str, fallback: u64) -> u64 {
+    env::var(name).map_or(fallback, |text| text.parse().expect("a number"))
+}
+
+// Guards against requests that reached a VM whole and get neither a whole answer nor a
+// refusal, beside changes of the configuration, signals, restarts and replacements. VMs
+// run an older build too if `LAGOON_OLD_ENTRY` names one.
+#[test]
+fn changes_and_signals_leave_no_request_unanswered() {
+    let first = env_number("UNANSWERED_SEED", DEFAULT_SEED);
+    let time = Duration::from_secs(env_number("UNANSWERED_SECONDS", DEFAULT_SECONDS));
+    let mut failed = Vec::new();
+    for seed in first..first + env_number("UNANSWERED_RUNS", DEFAULT_RUNS) {
+        let report = changes::run(seed, time, OldBuild::from_environment());
+        println!("seed {seed}: {:#?}", report.counts);
+        for failure in &report.failures {
+            println!("seed {seed}: {failure}");
+        }
+        if !report.failures.is_empty() {
+            failed.push((seed, report.failures.len()));
+        }
+    }
+    assert!(failed.is_empty(), "seeds and failures: {failed:?}");
+}
