Test that reads what the builds of older landings write

VMs of two builds send each other messages and share rows during an upgrade and a roll-back, and no test kept their formats: a variant or a field in the wrong place would have shown on a running fleet only.

Each file in tests/wire was written by the build of a landing that changed a format, from fixed values. The test decodes them with the current code, compares the values, and compares the bytes that the current build writes. `wire` makes the formats visible to it; gossip datagrams are encoded and decoded in one place.

--- a/crates/entry/src/carry.rs
+++ b/crates/entry/src/carry.rs
@@ -27,8 +27,10 @@
 use crate::response;
 use crate::state::{BodyMemory, DaemonState};
 
-use wire::{decode_attempt, target_uri, CarryEnd};
-pub(crate) use wire::{CarriedAttempt, CARRY_PATH};
+pub use wire::{decode_attempt, write_attempt, CarriedAttempt, CarryEnd};
+
+use wire::target_uri;
+pub(crate) use wire::CARRY_PATH;
 
 /// Maximum number of attempts that a VM carries at a time.
 const MAX_CARRIED: usize = 256;
--- a/crates/entry/src/carry/wire.rs
+++ b/crates/entry/src/carry/wire.rs
@@ -23,20 +23,22 @@
 
 /// What the origin states of an attempt.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub(crate) struct CarriedAttempt {
+pub struct CarriedAttempt {
     /// Id of the caller's request.
-    pub(crate) request_id: CompactString,
-    pub(crate) target_id: CompactString,
-    pub(crate) run: RunId,
+    pub request_id: CompactString,
+    /// Id of the target.
+    pub target_id: CompactString,
+    /// Run of the target.
+    pub run: RunId,
     /// Whether the request may be executed again.
-    pub(crate) is_repeatable: bool,
+    pub is_repeatable: bool,
     /// Time that is left for the request.
-    pub(crate) left_ms: u64,
+    pub left_ms: u64,
 }
 
 /// What became of a carried attempt.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
-pub(crate) enum CarryEnd {
+pub enum CarryEnd {
     /// The target responds.
     #[display("answered")]
     Answered,
@@ -58,7 +60,8 @@
 }
 
 impl CarryEnd {
-    const ALL: [CarryEnd; 9] = [
+    /// All ends.
+    pub const ALL: [CarryEnd; 9] = [
         CarryEnd::Answered,
         CarryEnd::Declined(Decline::Isolated),
         CarryEnd::Declined(Decline::NoPath),
@@ -78,14 +81,14 @@
     }
 
     /// States the end in the headers of a response, whatever the target wrote there.
-    pub(super) fn write(self, headers: &mut HeaderMap) {
+    pub fn write(self, headers: &mut HeaderMap) {
         if let Ok(value) = HeaderValue::from_str(&self.to_string()) {
             headers.insert(END, value);
         }
     }
 
     /// Takes the end out of the headers of a response; `None` if it states none.
-    pub(super) fn take(headers: &mut HeaderMap) -> Option<CarryEnd> {
+    pub fn take(headers: &mut HeaderMap) -> Option<CarryEnd> {
         let value = headers.remove(END)?;
         let mut ends = CarryEnd::ALL.into_iter();
         ends.find(|end| end.to_string().as_bytes() == value.as_bytes())
@@ -93,7 +96,7 @@
 }
 
 /// States an attempt in the headers of its request, whatever the caller wrote there.
-pub(super) fn write_attempt(headers: &mut HeaderMap, attempt: &CarriedAttempt) {
+pub fn write_attempt(headers: &mut HeaderMap, attempt: &CarriedAttempt) {
     remove_attempt(headers);
     if let Ok(target_id) = HeaderValue::from_str(&attempt.target_id) {
         headers.insert(TARGET, target_id);
@@ -111,7 +114,7 @@
 }
 
 /// Decodes the headers of a carried attempt; `None` if one is missing or invalid.
-pub(super) fn decode_attempt(headers: &HeaderMap) -> Option<CarriedAttempt> {
+pub fn decode_attempt(headers: &HeaderMap) -> Option<CarriedAttempt> {
     let text = |name: HeaderName| headers.get(name)?.to_str().ok();
     let metadata = decode_request_headers(headers);
     Some(CarriedAttempt {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -36,3 +36,13 @@
 pub use options::{parse_args, Command, UsageError};
 pub use run::{run, RunError};
 pub use settings::{load, parse, EntrySettings, SettingsError};
+
+/// Formats of what VMs send each other, which builds of different versions share.
+/// docs/design/compatibility.md says how they may change.
+pub mod wire {
+    pub use crate::carry::{decode_attempt, write_attempt, CarriedAttempt, CarryEnd};
+    pub use crate::message::{PeerMessage, StoreResult, TurnReply};
+    pub use crate::news::News;
+    pub use crate::paths::TargetReach;
+    pub use crate::permits::{PermitReply, PermitRequest};
+}
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -17,23 +17,39 @@
 pub(crate) const MAX_MESSAGE_BYTES: usize = 1_200_000;
 
 /// Response to [`PeerMessage::ExecuteStoreCall`].
-pub(crate) type StoreResult = Result<StoreReply, StoreError>;
+pub type StoreResult = Result<StoreReply, StoreError>;
 
 /// Message to another VM, with the response that it gets. The encoding is
-/// positional, so variants and fields keep their order.
-#[derive(Debug, Deserialize, Serialize)]
-pub(crate) enum PeerMessage {
+/// positional, so variants and fields keep their order; new variants come at the end.
+/// docs/design/compatibility.md says more.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum PeerMessage {
     /// Execute this call. Response: [`StoreResult`].
     ExecuteStoreCall(StoreCall),
     /// Transfer held tokens to the sender; if there are too few, release them to
     /// the program's row. Response: whether they were transferred.
-    TakeHeldTokens { program: CompactString, tokens: u64 },
+    TakeHeldTokens {
+        /// Name of the program.
+        program: CompactString,
+        /// Number of tokens.
+        tokens: u64,
+    },
     /// Transfer held tokens to the sender; if there are too few, or the program's
     /// row was not written recently, do nothing, as the sender can charge the row
     /// instead. Response: whether they were transferred.
-    TakeSurplusTokens { program: CompactString, tokens: u64 },
+    TakeSurplusTokens {
+        /// Name of the program.
+        program: CompactString,
+        /// Number of tokens.
+        tokens: u64,
+    },
     /// Take back transferred tokens that were not used. Response: `true`.
-    ReturnTokens { program: CompactString, tokens: u64 },
+    ReturnTokens {
+        /// Name of the program.
+        program: CompactString,
+        /// Number of tokens.
+        tokens: u64,
+    },
     /// Grant tokens of an allowance. Response: their number; 0 if refused.
     RequestAllowance(AllowanceRequest),
     /// A call that got tokens of an allowance has ended. Response: `true`.
@@ -43,6 +59,7 @@
     /// A VM is about to grant allowances of a program. Response: `false` if
     /// another VM is recorded as the program's coordinator.
     ClaimCoordinator {
+        /// Name of the program.
         program: CompactString,
         /// Name of the VM that is about to grant them.
         coordinator: CompactString,
@@ -55,7 +72,12 @@
     /// Grant tokens of a program's reserve. Response: their number; 0 if refused.
     TakeReserve(ReserveRequest),
     /// Take back tokens of a reserve that were not used. Response: `true`.
-    ReturnReserve { program: CompactString, tokens: u64 },
+    ReturnReserve {
+        /// Name of the program.
+        program: CompactString,
+        /// Number of tokens.
+        tokens: u64,
+    },
     /// Release a program's reserve for its row. Response: the tokens granted of
     /// it, or `None` if the receiver isn't the program's home.
     ReleaseReserve(ReserveRequest),
@@ -74,20 +96,27 @@
     /// Send what is known of the origin of a stream. Response:
     /// [`OriginAnswer`](lagoon_streams::OriginAnswer).
     FindOrigin {
+        /// The stream.
         stream: StreamId,
+        /// Service that it is of.
         service: CompactString,
     },
     /// Find out whether the receiver reaches this run of a target. Response:
     /// [`TargetReach`](crate::paths::TargetReach).
-    ReachTarget { id: CompactString, run: RunId },
+    ReachTarget {
+        /// Id of the target.
+        id: CompactString,
+        /// Run of the target.
+        run: RunId,
+    },
 }
 
 /// Response to [`PeerMessage::FetchTurns`].
-#[derive(Debug, Default, Deserialize, Serialize)]
-pub(crate) struct TurnReply {
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TurnReply {
     /// Encoded turns: the one asked for and its ancestors, the nearest first, as
     /// far as the VM has them.
-    pub(crate) turns: Vec<Vec<u8>>,
+    pub turns: Vec<Vec<u8>>,
     /// If there are none: whether the VM is sure that it holds none.
-    pub(crate) is_sure: bool,
+    pub is_sure: bool,
 }
--- a/crates/entry/src/news.rs
+++ b/crates/entry/src/news.rs
@@ -2,11 +2,13 @@
 //! targets, the versions that sentinels have read, limits of targets, and the versions
 //! of streams.
 
+mod datagram;
+
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use lagoon_gateway::{CrashUpdate, GossipMessage, TableVersions};
+use lagoon_gateway::{CrashUpdate, GossipMessage};
 use lagoon_limits::LimitUpdate;
 use lagoon_streams::OriginRecord;
 use rand::RngExt;
@@ -16,6 +18,8 @@
 
 use crate::state::DaemonState;
 
+pub use datagram::News;
+
 /// Interval at which updates are sent; less than half of the duration of a
 /// model call at an idle engine.
 const GOSSIP_INTERVAL: Duration = Duration::from_millis(100);
@@ -91,35 +95,42 @@
             .borrow()
             .split_gossip_peers(MAX_GOSSIP_PEERS);
         for updates in updates.chunks(AFFINITIES_PER_MESSAGE) {
-            let message = GossipMessage {
-                targets: None,
-                affinities: updates.to_vec(),
+            let news = News {
+                message: GossipMessage {
+                    targets: None,
+                    affinities: updates.to_vec(),
+                },
+                ..News::default()
             };
-            send(&state, &socket, &message, &others);
-            send(&state, &socket, &message, &gossip_peers);
+            send(&state, &socket, &news, &others);
+            send(&state, &socket, &news, &gossip_peers);
         }
         if sends_targets {
-            let message = GossipMessage {
-                targets: Some(targets),
-                affinities: Vec::new(),
+            let news = News {
+                message: GossipMessage {
+                    targets: Some(targets),
+                    affinities: Vec::new(),
+                },
+                ..News::default()
             };
-            send(&state, &socket, &message, &gossip_peers);
+            send(&state, &socket, &news, &gossip_peers);
         }
     }
 }
 
 /// Sends the versions that this VM has read to its failure domain, if it is a
-/// sentinel. They follow an empty message and an empty list of crashes, so that
-/// VMs of earlier versions ignore them.
+/// sentinel.
 fn send_versions(state: &DaemonState, socket: &UdpSocket) {
     let versions = state.sentinel.borrow_mut().take_message(state.now_ms());
     let Some(versions) = versions else {
         return;
     };
-    let no_crashes: &[CrashUpdate] = &[];
-    let message = (GossipMessage::default(), no_crashes, versions);
+    let news = News {
+        versions,
+        ..News::default()
+    };
     let receivers = state.peer_client.peers.borrow().local_addresses();
-    send_encoded(state, socket, postcard::to_allocvec(&message), &receivers);
+    send(state, socket, &news, &receivers);
 }
 
 /// Sends the crashes that this VM saw to all other VMs.
@@ -168,77 +179,52 @@
     }
 }
 
-/// Sends one message to several VMs. A lost load update is replaced by the next
-/// one; a lost affinity update costs one more prefill of the session's prompt.
-fn send(
-    state: &DaemonState,
-    socket: &UdpSocket,
-    message: &GossipMessage,
-    receivers: &[SocketAddr],
-) {
-    send_encoded(state, socket, postcard::to_allocvec(message), receivers);
-}
-
-/// Sends crashes to several VMs, after an empty message: VMs of earlier versions
-/// ignore what follows a message.
 fn send_crashes(
     state: &DaemonState,
     socket: &UdpSocket,
     crashes: &[CrashUpdate],
     receivers: &[SocketAddr],
 ) {
-    let message = postcard::to_allocvec(&GossipMessage::default());
-    let message = message.and_then(|message| postcard::to_extend(crashes, message));
-    send_encoded(state, socket, message, receivers);
+    let news = News {
+        crashes: crashes.to_vec(),
+        ..News::default()
+    };
+    send(state, socket, &news, receivers);
 }
 
-/// Sends limits to several VMs, after an empty message, an empty list of crashes and
-/// no versions: VMs of earlier versions ignore what follows these.
 fn send_limits(
     state: &DaemonState,
     socket: &UdpSocket,
     limits: &[LimitUpdate],
     receivers: &[SocketAddr],
 ) {
-    let no_crashes: &[CrashUpdate] = &[];
-    let message = (
-        GossipMessage::default(),
-        no_crashes,
-        TableVersions::default(),
-        limits,
-    );
-    send_encoded(state, socket, postcard::to_allocvec(&message), receivers);
+    let news = News {
+        limits: limits.to_vec(),
+        ..News::default()
+    };
+    send(state, socket, &news, receivers);
 }
 
-/// Sends versions of streams to several VMs, after an empty message that VMs of earlier
-/// versions ignore the rest of.
+/// Sends versions of streams to several VMs.
 pub(crate) fn send_origins(
     state: &DaemonState,
     socket: &UdpSocket,
     origins: &[OriginRecord],
     receivers: &[SocketAddr],
 ) {
-    let no_crashes: &[CrashUpdate] = &[];
-    let no_limits: &[LimitUpdate] = &[];
     for origins in origins.chunks(ORIGINS_PER_MESSAGE) {
-        let message = (
-            GossipMessage::default(),
-            no_crashes,
-            TableVersions::default(),
-            no_limits,
-            origins,
-        );
-        send_encoded(state, socket, postcard::to_allocvec(&message), receivers);
+        let news = News {
+            origins: origins.to_vec(),
+            ..News::default()
+        };
+        send(state, socket, &news, receivers);
     }
 }
 
-fn send_encoded(
-    state: &DaemonState,
-    socket: &UdpSocket,
-    message: Result<Vec<u8>, postcard::Error>,
-    receivers: &[SocketAddr],
-) {
-    let message = match message {
+/// Sends one datagram to several VMs. A lost load update is replaced by the next
+/// one; a lost affinity update costs one more prefill of the session's prompt.
+fn send(state: &DaemonState, socket: &UdpSocket, news: &News, receivers: &[SocketAddr]) {
+    let message = match news.encode() {
         Ok(message) if message.len() <= MAX_MESSAGE_BYTES => message,
         Ok(message) => {
             log::warn!(bytes = message.len(); "gossip message is too long; not sent");
@@ -275,7 +261,7 @@
             state.metrics.record_gossip("from a stranger", bytes);
             continue;
         }
-        match decode(&buffer[..bytes]) {
+        match News::decode(&buffer[..bytes]) {
             Ok(news) => {
                 state.metrics.record_gossip("heard", bytes);
                 apply(&state, from, news);
@@ -288,16 +274,6 @@
     }
 }
 
-/// Decoded message: what an older VM doesn't send is empty.
-#[derive(Debug, Default)]
-struct News {
-    message: GossipMessage,
-    crashes: Vec<CrashUpdate>,
-    versions: TableVersions,
-    limits: Vec<LimitUpdate>,
-    origins: Vec<OriginRecord>,
-}
-
 fn apply(state: &DaemonState, from: SocketAddr, news: News) {
     let now_ms = state.now_ms();
     if let Some(targets) = &news.message.targets {
@@ -318,32 +294,3 @@
     }
     state.accept_origins(&news.origins);
 }
-
-/// Decodes a message, and the crashes, the versions, the limits and the origins of
-/// streams that follow it, if any.
-fn decode(bytes: &[u8]) -> Result<News, postcard::Error> {
-    let (message, remaining) = postcard::take_from_bytes(bytes)?;
-    let mut news = News {
-        message,
-        ..News::default()
-    };
-    if remaining.is_empty() {
-        return Ok(news);
-    }
-    let (crashes, remaining) = postcard::take_from_bytes(remaining)?;
-    news.crashes = crashes;
-    if remaining.is_empty() {
-        return Ok(news);
-    }
-    let (versions, remaining) = postcard::take_from_bytes(remaining)?;
-    news.versions = versions;
-    if remaining.is_empty() {
-        return Ok(news);
-    }
-    let (limits, remaining) = postcard::take_from_bytes(remaining)?;
-    news.limits = limits;
-    if !remaining.is_empty() {
-        news.origins = postcard::from_bytes(remaining)?;
-    }
-    Ok(news)
-}
--- a/crates/entry/src/paths.rs
+++ b/crates/entry/src/paths.rs
@@ -29,7 +29,7 @@
 
 /// Whether a VM reaches a target.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub(crate) enum TargetReach {
+pub enum TargetReach {
     /// It has a path to the target.
     Reached,
     /// It reaches others, and not this one.
--- a/crates/entry/src/permits.rs
+++ b/crates/entry/src/permits.rs
@@ -19,22 +19,25 @@
 const NO_REPLY_BACKOFF_MS: u64 = 500;
 
 /// Request for a permit to send one request to a target.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub(crate) struct PermitRequest {
-    pub(crate) run: RunId,
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct PermitRequest {
+    /// Run of the target.
+    pub run: RunId,
     /// Failure domain of the target.
-    pub(crate) domain: CompactString,
-    pub(crate) demand: Demand,
+    pub domain: CompactString,
+    /// What the permit is for.
+    pub demand: Demand,
     /// What the sender knows of the limit.
-    pub(crate) known: Option<LimitUpdate>,
+    pub known: Option<LimitUpdate>,
 }
 
 /// Response to a [`PermitRequest`].
-#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
-pub(crate) struct PermitReply {
-    pub(crate) decision: PermitDecision,
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct PermitReply {
+    /// What the receiver has decided.
+    pub decision: PermitDecision,
     /// What the grantor knows of the limit.
-    pub(crate) known: Option<LimitUpdate>,
+    pub known: Option<LimitUpdate>,
 }
 
 /// No permit was granted.
--- /dev/null
+++ b/crates/entry/tests/compatibility.rs
@@ -0,0 +1,148 @@
+//! Builds of different versions read what they send each other.
+//!
+//! `wire/NN-COMMIT.txt` is what the build of a landing wrote: the name of a sample and
+//! its bytes in hexadecimal digits, one a line. To add a landing that changes a format:
+//! add samples of what is new to `wire/samples.rs`, run
+//! `cargo test -p lagoon-entry --test compatibility -- --ignored --nocapture print_samples`
+//! and commit the lines that follow `samples:` as the next file. Files that exist aren't
+//! changed: a format whose bytes differ from theirs is one that a VM of that build may
+//! not read.
+
+#[path = "wire/samples.rs"]
+mod samples;
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::path::PathBuf;
+
+use lagoon_entry::wire::{News, PeerMessage};
+use lagoon_gateway::{BudgetRow, PeerEntry};
+
+use samples::{samples, Sample};
+
+/// Formats that only older builds write.
+const READ_ONLY: [&str; 2] = [
+    "gossip.versions-of-three-tables",
+    "row.budget-without-reserve",
+];
+
+fn to_hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn from_hex(text: &str) -> Vec<u8> {
+    let digits = text.as_bytes().chunks(2);
+    digits
+        .map(|pair| {
+            let pair = std::str::from_utf8(pair).expect("digits");
+            u8::from_str_radix(pair, 16).expect("hexadecimal digits")
+        })
+        .collect()
+}
+
+/// What each build wrote, by the name of its file and of the sample.
+fn builds() -> BTreeMap<String, BTreeMap<String, Vec<u8>>> {
+    let folder = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("tests/wire");
+    let mut builds = BTreeMap::new();
+    for file in fs::read_dir(folder).expect("the folder") {
+        let path = file.expect("a file").path();
+        if path.extension().is_none_or(|extension| extension != "txt") {
+            continue;
+        }
+        let build = path.file_stem().expect("a name").to_string_lossy();
+        let text = fs::read_to_string(&path).expect("text");
+        let lines = text.lines().map(|line| {
+            let (name, bytes) = line.split_once(' ').expect("a name and bytes");
+            (name.to_owned(), from_hex(bytes))
+        });
+        builds.insert(build.into_owned(), lines.collect());
+    }
+    assert!(builds.len() >= 6, "files of all landings: {builds:?}");
+    builds
+}
+
+fn samples_by_name() -> BTreeMap<String, Sample> {
+    let samples = samples().into_iter();
+    samples
+        .map(|sample| (sample.name.clone(), sample))
+        .collect()
+}
+
+/// A VM must read each message, datagram and row of VMs that run an older build.
+#[test]
+fn formats_of_older_builds_are_read() {
+    let samples = samples_by_name();
+    for (build, written) in builds() {
+        for (name, bytes) in written {
+            let sample = samples.get(&name);
+            let sample = sample.unwrap_or_else(|| panic!("{build}: no sample {name}"));
+            if let Err(error) = (sample.check)(&bytes) {
+                panic!("{build}: {name} {}: {error}", to_hex(&bytes));
+            }
+        }
+    }
+}
+
+/// VMs of older builds must read what they know: their bytes are written as before.
+#[test]
+fn formats_of_older_builds_are_written_as_before() {
+    let samples = samples_by_name();
+    for (build, written) in builds() {
+        for (name, bytes) in written {
+            if READ_ONLY.contains(&name.as_str()) {
+                continue;
+            }
+            let now = to_hex(&samples[&name].bytes);
+            assert_eq!(now, to_hex(&bytes), "{build}: {name}");
+        }
+    }
+}
+
+/// A format without a file is one that the next build may break unnoticed.
+#[test]
+fn all_formats_are_in_the_newest_file() {
+    let builds = builds();
+    let (build, newest) = builds.last_key_value().expect("a build");
+    for sample in samples() {
+        let is_listed =
+            newest.contains_key(&sample.name) || READ_ONLY.contains(&sample.name.as_str());
+        assert!(is_listed, "{build} lacks {}", sample.name);
+    }
+}
+
+/// A message of a later build that this one doesn't know must be refused, not taken for
+/// another.
+#[test]
+fn message_of_a_later_build_is_not_read() {
+    let unknown = [99, 1, 2, 3];
+    assert!(postcard::from_bytes::<PeerMessage>(&unknown).is_err());
+}
+
+/// What a later build adds at the end of a datagram or to a row must not hide the rest.
+#[test]
+fn additions_of_later_builds_are_ignored() {
+    let samples = samples_by_name();
+    let gossip = &samples["gossip.origins"];
+    let mut extended = gossip.bytes.clone();
+    extended.extend([3, 1, 2, 3]);
+    (gossip.check)(&extended).expect("read");
+    let cut_off = &gossip.bytes[..gossip.bytes.len() - 1];
+    assert!(News::decode(cut_off).is_err());
+
+    let vm = br#"{"address":"10.0.0.2:7000","domain":"zone-a","writer":"vm-2/17","later":[1]}"#;
+    serde_json::from_slice::<PeerEntry>(vm).expect("read");
+    let budget = br#"{"charged_tokens":7,"is_whole":false,"marks":[],"later":{"a":1}}"#;
+    serde_json::from_slice::<BudgetRow>(budget).expect("read");
+}
+
+/// Writes the file of this build; see above.
+#[test]
+#[ignore = "prints the samples of this build"]
+fn print_samples() {
+    println!("samples:");
+    for sample in samples() {
+        if !READ_ONLY.contains(&sample.name.as_str()) {
+            println!("{} {}", sample.name, to_hex(&sample.bytes));
+        }
+    }
+}
