Tell a message that a VM doesn't know from a VM that is unreachable

The fault was read in the code: a VM of an older build answers a message that it doesn't know with 400, and the sender took each status but 200 for a VM that can't be reached. It wasn't asked for 1 to 32 s, chosen as holder or carrier, or counted as responsive, and lost its row after 120 s without another answer, although it was up. beside is such a pair (ReachTarget).

Now a message that can't be decoded is refused with a status of its own, 501, and a short text; 400 of older builds counts as the same. The sender records the VM as answering and doesn't send it messages of this protocol version or later ones for 30 s. Entries in `vms` state the protocol version, so that VMs of builds from now on aren't asked in the first place; store calls are relayed through VMs that know them. A status of 500 isn't taken for "not executed" any more, as the message was handled then.

Origins take an unknown end of a carried attempt for an interruption also beside a 4xx status of the target; it counted as a refusal, after which the request is sent again.

--- a/crates/entry/src/carry/origin.rs
+++ b/crates/entry/src/carry/origin.rs
@@ -208,13 +208,9 @@
                 }
             }
         };
-        let Some(end) = CarryEnd::take(response.headers_mut()) else {
-            // A VM of an earlier version, which sends nothing to targets.
-            let is_unknown_path = response.status().is_client_error();
-            return match is_unknown_path {
-                true => Ok(Err(CarryEnd::Declined(Decline::NoRoom))),
-                false => Err(NotCarried::Interrupted("no end stated".to_owned())),
-            };
+        let status = response.status();
+        let Some(end) = CarryEnd::take(status, response.headers_mut()) else {
+            return Err(NotCarried::Interrupted("no known end stated".to_owned()));
         };
         let connection = CarrierConnection {
             pooled,
--- a/crates/entry/src/carry/wire.rs
+++ b/crates/entry/src/carry/wire.rs
@@ -5,7 +5,7 @@
 use derive_more::Display;
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 use http::uri::PathAndQuery;
-use http::Uri;
+use http::{StatusCode, Uri};
 use hyper::Response;
 use lagoon_adapter::decode_request_headers;
 use lagoon_limits::RunId;
@@ -87,9 +87,14 @@
         }
     }
 
-    /// Takes the end out of the headers of a response; `None` if it states none.
-    pub fn take(headers: &mut HeaderMap) -> Option<CarryEnd> {
-        let value = headers.remove(END)?;
+    /// Takes the end out of a response. `None` if it states one that this build doesn't
+    /// know, or if it can't tell whether the request was sent to the target.
+    pub fn take(status: StatusCode, headers: &mut HeaderMap) -> Option<CarryEnd> {
+        let Some(value) = headers.remove(END) else {
+            // A VM of a build that carries nothing doesn't know the path.
+            let declined = CarryEnd::Declined(Decline::NoRoom);
+            return status.is_client_error().then_some(declined);
+        };
         let mut ends = CarryEnd::ALL.into_iter();
         ends.find(|end| end.to_string().as_bytes() == value.as_bytes())
     }
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -1,6 +1,7 @@
 //! Messages between entry VMs, as postcard over HTTP.
 
 use compact_str::CompactString;
+use hyper::StatusCode;
 use lagoon_gateway::{
     AllowanceRequest, AllowanceSettlement, ReserveRequest, StoreCall, StoreError, StoreReply,
 };
@@ -16,6 +17,11 @@
 /// Maximum size of a message and of its response.
 pub(crate) const MAX_MESSAGE_BYTES: usize = 1_200_000;
 
+/// Status of the response to a message that can't be decoded, as it is of another
+/// version. Nothing was executed. Builds before protocol version 7 respond with
+/// [`StatusCode::BAD_REQUEST`] instead.
+pub(crate) const NOT_UNDERSTOOD: StatusCode = StatusCode::NOT_IMPLEMENTED;
+
 /// Response to [`PeerMessage::ExecuteStoreCall`].
 pub type StoreResult = Result<StoreReply, StoreError>;
 
@@ -111,6 +117,34 @@
     },
 }
 
+impl PeerMessage {
+    /// Lowest [`PROTOCOL_VERSION`](lagoon_gateway::PROTOCOL_VERSION) with which a VM
+    /// understands this message. A new variant gets a new version.
+    pub fn protocol(&self) -> u32 {
+        match self {
+            PeerMessage::ExecuteStoreCall(StoreCall::ReadRange { .. })
+            | PeerMessage::CopyTurn(_)
+            | PeerMessage::ReleaseCopies(_)
+            | PeerMessage::TakeReserve(_)
+            | PeerMessage::ReturnReserve { .. }
+            | PeerMessage::ReleaseReserve(_)
+            | PeerMessage::FetchTurns { .. } => 2,
+            PeerMessage::ExecuteStoreCall(_)
+            | PeerMessage::TakeHeldTokens { .. }
+            | PeerMessage::TakeSurplusTokens { .. }
+            | PeerMessage::ReturnTokens { .. }
+            | PeerMessage::RequestAllowance(_)
+            | PeerMessage::SettleAllowance(_)
+            | PeerMessage::Probe
+            | PeerMessage::ClaimCoordinator { .. } => 1,
+            PeerMessage::ForgetCopies(_) => 3,
+            PeerMessage::RequestPermit(_) => 4,
+            PeerMessage::FindOrigin { .. } => 5,
+            PeerMessage::ReachTarget { .. } => 6,
+        }
+    }
+}
+
 /// Response to [`PeerMessage::FetchTurns`].
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TurnReply {
--- a/crates/entry/src/message_handler.rs
+++ b/crates/entry/src/message_handler.rs
@@ -8,7 +8,7 @@
 use lagoon_gateway::ProgramKey;
 
 use crate::body::ResponseBody;
-use crate::message::{PeerMessage, MAX_MESSAGE_BYTES};
+use crate::message::{PeerMessage, MAX_MESSAGE_BYTES, NOT_UNDERSTOOD};
 use crate::response;
 use crate::state::DaemonState;
 
@@ -18,12 +18,20 @@
 ) -> Response<ResponseBody> {
     let (budget_client, turn_keeper) = (&state.budget_client, &state.turn_keeper);
     let body = Limited::new(request.into_body(), MAX_MESSAGE_BYTES);
-    let Ok(body) = body.collect().await else {
-        return response::plain_text(StatusCode::BAD_REQUEST, "message not read");
+    let body = match body.collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            log::info!(error = error.to_string(); "message of another VM not read");
+            return response::plain_text(StatusCode::PAYLOAD_TOO_LARGE, "message not read");
+        }
     };
-    let message: PeerMessage = match postcard::from_bytes(&body.to_bytes()) {
+    let message: PeerMessage = match postcard::from_bytes(&body) {
         Ok(message) => message,
-        Err(error) => return response::plain_text(StatusCode::BAD_REQUEST, &error.to_string()),
+        Err(error) => {
+            log::info!(bytes = body.len(), error = error.to_string(); "message of another VM not understood; it may be of a later version");
+            let text = format!("message not understood: {error}");
+            return response::plain_text(NOT_UNDERSTOOD, &text);
+        }
     };
     let response = match message {
         PeerMessage::ExecuteStoreCall(call) => {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -25,12 +25,15 @@
 use lagoon_turns::{CopyReply, TurnId};
 use rand::RngExt;
 use serde::de::DeserializeOwned;
+use thiserror::Error;
 use tokio::time::{sleep, timeout};
 
 use crate::body::RequestBody;
 use crate::clock::Clock;
 use crate::connection::{Connection, ExchangeError};
-use crate::message::{PeerMessage, StoreResult, TurnReply, MAX_MESSAGE_BYTES, MESSAGE_PATH};
+use crate::message::{
+    PeerMessage, StoreResult, TurnReply, MAX_MESSAGE_BYTES, MESSAGE_PATH, NOT_UNDERSTOOD,
+};
 use crate::paths::TargetReach;
 use crate::permits::{PermitReply, PermitRequest};
 
@@ -58,6 +61,29 @@
 /// Idle connections kept per VM.
 const MAX_IDLE_CONNECTIONS: usize = 2;
 
+/// Reason why a message has no response.
+#[derive(Debug, Error)]
+enum MessageError {
+    /// No byte of it was sent, or the VM didn't take it: it was not executed.
+    #[error("not sent: {0}")]
+    NotSent(String),
+    /// The VM doesn't know this message, as its build is older: it was not executed.
+    #[error("not understood: {0}")]
+    NotUnderstood(String),
+    /// It was sent at least in part, so it may have been executed.
+    #[error("interrupted: {0}")]
+    Interrupted(String),
+}
+
+impl From<ExchangeError> for MessageError {
+    fn from(error: ExchangeError) -> MessageError {
+        match error {
+            ExchangeError::NotSent(detail) => MessageError::NotSent(detail),
+            ExchangeError::Interrupted(detail) => MessageError::Interrupted(detail),
+        }
+    }
+}
+
 /// Client of the other entry VMs.
 pub(crate) struct PeerClient {
     clock: Clock,
@@ -88,9 +114,15 @@
         let message = PeerMessage::ExecuteStoreCall(call.clone());
         let random = rand::rng().random();
         let now_ms = self.clock.now_ms();
-        let candidates = self.peers.borrow().candidates(MAX_RELAYS, random, now_ms);
+        let candidates = {
+            let peers = self.peers.borrow();
+            let mut candidates = peers.candidates(usize::MAX, random, now_ms);
+            candidates.retain(|(name, _)| !peers.lacks_protocol(name, message.protocol(), now_ms));
+            candidates
+        };
         let mut requests: FuturesUnordered<_> = candidates
             .into_iter()
+            .take(MAX_RELAYS)
             .zip(0..)
             .map(|(candidate, position)| {
                 let message = &message;
@@ -120,8 +152,8 @@
         let result = match response {
             Ok(result) => result,
             // The VM may still execute the call.
-            Err(ExchangeError::Interrupted(detail)) => Err(StoreError::NoReply(detail.into())),
-            Err(ExchangeError::NotSent(_)) => return None,
+            Err(MessageError::Interrupted(detail)) => Err(StoreError::NoReply(detail.into())),
+            Err(MessageError::NotSent(_) | MessageError::NotUnderstood(_)) => return None,
         };
         if result.is_err() {
             let now_ms = self.clock.now_ms();
@@ -438,7 +470,7 @@
         A: DeserializeOwned,
     {
         let address = self.peers.borrow().address(name)?;
-        let reply = timeout(max_wait, self.exchange(address, message)).await;
+        let reply = timeout(max_wait, self.exchange_if_known(name, address, message)).await;
         let error = match reply {
             Ok(Ok(reply)) => match postcard::from_bytes(&reply) {
                 Ok(reply) => return Some(reply),
@@ -489,32 +521,63 @@
         address: SocketAddr,
         message: &PeerMessage,
         max_wait: Duration,
-    ) -> Result<A, ExchangeError>
+    ) -> Result<A, MessageError>
     where
         A: DeserializeOwned,
     {
-        let timed_out = || ExchangeError::Interrupted("VM did not respond in time".to_owned());
-        let response = timeout(max_wait, self.exchange(address, message)).await;
+        let timed_out = || MessageError::Interrupted("VM did not respond in time".to_owned());
+        let response = timeout(max_wait, self.exchange_if_known(name, address, message)).await;
         let response = response.unwrap_or_else(|_| Err(timed_out()));
         let outcome = match &response {
-            Ok(_) => PeerOutcome::Answered,
-            Err(_) => PeerOutcome::Unreachable,
+            Ok(_) => Some(PeerOutcome::Answered),
+            // Recorded where it was found out.
+            Err(MessageError::NotUnderstood(_)) => None,
+            Err(_) => Some(PeerOutcome::Unreachable),
         };
-        let now_ms = self.clock.now_ms();
-        self.peers
-            .borrow_mut()
-            .record_outcome(name, outcome, now_ms);
+        if let Some(outcome) = outcome {
+            let now_ms = self.clock.now_ms();
+            let mut peers = self.peers.borrow_mut();
+            peers.record_outcome(name, outcome, now_ms);
+        }
         postcard::from_bytes(&response?)
-            .map_err(|error| ExchangeError::Interrupted(error.to_string()))
+            .map_err(|error| MessageError::Interrupted(error.to_string()))
+    }
+
+    /// Sends a message, unless the VM is known not to understand it, and remembers if
+    /// it doesn't.
+    async fn exchange_if_known(
+        &self,
+        name: &str,
+        address: SocketAddr,
+        message: &PeerMessage,
+    ) -> Result<Bytes, MessageError> {
+        let protocol = message.protocol();
+        let now_ms = self.clock.now_ms();
+        if self.peers.borrow().lacks_protocol(name, protocol, now_ms) {
+            let detail = format!("VM lacks protocol version {protocol}");
+            return Err(MessageError::NotUnderstood(detail));
+        }
+        let response = self.exchange(address, message).await;
+        if let Err(MessageError::NotUnderstood(detail)) = &response {
+            let now_ms = self.clock.now_ms();
+            let mut peers = self.peers.borrow_mut();
+            if peers.record_unknown_message(name, protocol, now_ms) {
+                log::info!(peer = name, protocol, detail = detail.as_str(); "VM doesn't understand a message; it isn't sent such ones for a time");
+            }
+        }
+        response
     }
 
     async fn exchange(
         &self,
         address: SocketAddr,
         message: &PeerMessage,
-    ) -> Result<Bytes, ExchangeError> {
-        let not_sent = |detail: String| ExchangeError::NotSent(detail);
+    ) -> Result<Bytes, MessageError> {
+        let not_sent = |detail: String| MessageError::NotSent(detail);
         let body = postcard::to_allocvec(message).map_err(|error| not_sent(error.to_string()))?;
+        if body.len() > MAX_MESSAGE_BYTES {
+            return Err(not_sent(format!("{} bytes are too many", body.len())));
+        }
         let request = Request::builder()
             .method(Method::POST)
             .uri(MESSAGE_PATH)
@@ -524,24 +587,29 @@
         let idle_connection = self.idle.borrow_mut().get_mut(&address).and_then(Vec::pop);
         let mut connection = match idle_connection.filter(Connection::is_ready) {
             Some(connection) => connection,
-            None => Connection::open(address).await?,
+            None => Connection::open(address)
+                .await
+                .map_err(ExchangeError::from)?,
         };
         let response = connection.send(request).await?;
         let status = response.status();
         let body = Limited::new(response.into_body(), MAX_MESSAGE_BYTES).collect();
         let body = body
             .await
-            .map_err(|error| ExchangeError::Interrupted(error.to_string()))?
+            .map_err(|error| MessageError::Interrupted(error.to_string()))?
             .to_bytes();
         let mut idle = self.idle.borrow_mut();
         let idle_connections = idle.entry(address).or_default();
         if idle_connections.len() < MAX_IDLE_CONNECTIONS {
             idle_connections.push(connection);
         }
-        if status == StatusCode::OK {
-            Ok(body)
-        } else {
-            Err(not_sent(format!("status {status}")))
+        let detail = || format!("status {status}");
+        match status {
+            StatusCode::OK => Ok(body),
+            NOT_UNDERSTOOD | StatusCode::BAD_REQUEST => Err(MessageError::NotUnderstood(detail())),
+            // The message was handled, and its response could not be encoded.
+            StatusCode::INTERNAL_SERVER_ERROR => Err(MessageError::Interrupted(detail())),
+            _ => Err(not_sent(detail())),
         }
     }
 }
--- a/crates/entry/src/registration.rs
+++ b/crates/entry/src/registration.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
-use lagoon_gateway::{PeerEntry, RowKey, RowWrite, StoreCall, StoreReply};
+use lagoon_gateway::{PeerEntry, RowKey, RowWrite, StoreCall, StoreReply, PROTOCOL_VERSION};
 use tokio::time::sleep;
 
 use crate::settings::EntrySettings;
@@ -42,6 +42,7 @@
             address: settings.listen.peers,
             domain: settings.vm.domain.clone(),
             writer,
+            protocol: PROTOCOL_VERSION,
         };
         Registration {
             store,
--- a/crates/entry/tests/compatibility.rs
+++ b/crates/entry/tests/compatibility.rs
@@ -15,15 +15,19 @@
 use std::fs;
 use std::path::PathBuf;
 
-use lagoon_entry::wire::{News, PeerMessage};
-use lagoon_gateway::{BudgetRow, PeerEntry};
+use http::{HeaderMap, StatusCode};
+use lagoon_entry::wire::{CarryEnd, News, PeerMessage};
+use lagoon_gateway::{BudgetRow, PeerEntry, PROTOCOL_VERSION};
+use lagoon_limits::RunId;
+use lagoon_paths::Decline;
 
 use samples::{samples, Sample};
 
 /// Formats that only older builds write.
-const READ_ONLY: [&str; 2] = [
+const READ_ONLY: [&str; 3] = [
     "gossip.versions-of-three-tables",
     "row.budget-without-reserve",
+    "row.vm",
 ];
 
 fn to_hex(bytes: &[u8]) -> String {
@@ -135,6 +139,35 @@
     serde_json::from_slice::<BudgetRow>(budget).expect("read");
 }
 
+/// A request that a target may have executed must not be sent again because the VM that
+/// carried it states an end that a later build has added.
+#[test]
+fn unknown_end_of_a_carried_attempt_is_none_that_allows_a_repetition() {
+    let take = |status, end: Option<&str>| {
+        let mut headers = HeaderMap::new();
+        if let Some(end) = end {
+            headers.insert("lagoon-carry-end", end.parse().expect("a value"));
+        }
+        CarryEnd::take(status, &mut headers)
+    };
+    let declined = CarryEnd::Declined(Decline::NoRoom);
+    assert_eq!(take(StatusCode::NOT_FOUND, Some("a later end")), None);
+    assert_eq!(take(StatusCode::OK, Some("a later end")), None);
+    assert_eq!(take(StatusCode::OK, None), None);
+    assert_eq!(take(StatusCode::NOT_FOUND, None), Some(declined));
+    let answered = take(StatusCode::NOT_FOUND, Some("answered"));
+    assert_eq!(answered, Some(CarryEnd::Answered));
+}
+
+/// Each message needs a protocol version that this build has.
+#[test]
+fn protocol_of_messages_is_at_most_that_of_the_build() {
+    assert_eq!(PeerMessage::Probe.protocol(), 1);
+    let id = "target-1".into();
+    let newest = PeerMessage::ReachTarget { id, run: RunId(1) };
+    assert!(newest.protocol() <= PROTOCOL_VERSION);
+}
+
 /// Writes the file of this build; see above.
 #[test]
 #[ignore = "prints the samples of this build"]
--- a/crates/entry/tests/wire/samples.rs
+++ b/crates/entry/tests/wire/samples.rs
@@ -4,7 +4,7 @@
 use std::fmt::Debug;
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use lagoon_entry::wire::{
     decode_attempt, write_attempt, CarriedAttempt, CarryEnd, News, PeerMessage, PermitReply,
     PermitRequest, StoreResult, TargetReach, TurnReply,
@@ -461,12 +461,18 @@
         address: "10.0.0.2:7000".parse().expect("an address"),
         domain: "zone-a".into(),
         writer: "vm-2/17".into(),
+        protocol: 0,
+    };
+    let stated = PeerEntry {
+        protocol: 7,
+        ..entry.clone()
     };
     let crash_key = text("row.crash-key", crash().row_key().into(), |key| {
         compare(&CrashRecord::from_row_key(key), &Some(crash()))
     });
     let mut rows = vec![
         json("row.vm", entry),
+        json("row.vm-with-protocol", stated),
         json("row.budget-without-reserve", budget(false)),
         json("row.budget", budget(true)),
         crash_key,
@@ -547,7 +553,7 @@
             for (line, end) in lines.lines().zip(CarryEnd::ALL) {
                 let mut headers = HeaderMap::new();
                 headers.insert("lagoon-carry-end", line.parse().map_err(|_| "no value")?);
-                compare(&CarryEnd::take(&mut headers), &Some(end))?;
+                compare(&CarryEnd::take(StatusCode::OK, &mut headers), &Some(end))?;
             }
             Ok(())
         }),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,7 +37,7 @@
 pub use gossip::{
     AffinityUpdate, GossipMessage, LoadReport, SessionHash, TargetHash, TargetUpdate,
 };
-pub use peers::{PeerEntry, PeerOutcome, Peers};
+pub use peers::{PeerEntry, PeerOutcome, Peers, PROTOCOL_VERSION};
 pub use placement::{place, Placement, PlacementRequest, PlacementSettings};
 pub use reply_timeout::ReplyTimeout;
 pub use request_metadata::{ModelCall, RequestMetadata};
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,7 +11,12 @@
 use crate::connectivity::Connectivity;
 use crate::reserve::UNLISTED_HOME_MS;
 
-/// Entry that a VM registers in the store, as JSON.
+/// Version of the messages that this build sends to other VMs and understands. It
+/// grows with each build that adds a message; docs/design/compatibility.md lists them.
+pub const PROTOCOL_VERSION: u32 = 7;
+
+/// Entry that a VM registers in the store, as JSON. Later versions may add fields, each
+/// with a default.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PeerEntry {
     /// Address for messages of other VMs.
@@ -21,6 +26,9 @@
     /// Name of the VM's incarnation, which identifies it as a writer of budget
     /// rows.
     pub writer: CompactString,
+    /// [`PROTOCOL_VERSION`] of its build; 0 for builds that don't state it.
+    #[serde(default)]
+    pub protocol: u32,
 }
 
 /// Outcome of a request to another VM.
@@ -44,6 +52,10 @@
 /// Maximum number of times that [`UNREACHABLE_BACKOFF_MS`] is doubled.
 const MAX_BACKOFF_DOUBLINGS: u32 = 5;
 
+/// Time for which a VM isn't sent messages that it has refused as unknown. A restart at
+/// another version ends it.
+const UNKNOWN_MESSAGE_BACKOFF_MS: u64 = 30_000;
+
 /// Time without a response after which a VM is taken for dead.
 const DEAD_AFTER_MS: u64 = 3_000;
 
@@ -59,6 +71,15 @@
     /// Time of the first failure since the VM's last response; `None` if there
     /// was no failure.
     failing_since_ms: Option<u64>,
+    /// Message that it has refused as unknown.
+    refused: Option<RefusedMessage>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct RefusedMessage {
+    /// Protocol version that the message needs.
+    protocol: u32,
+    until_ms: u64,
 }
 
 /// Other VMs by name.
@@ -117,6 +138,7 @@
                 backoff_until_ms: 0,
                 consecutive_failures: 0,
                 failing_since_ms: None,
+                refused: None,
             };
             self.peers.insert(name, peer);
         }
@@ -383,6 +405,35 @@
         }
     }
 
+    /// Records that a VM refused a message of this protocol version as unknown.
+    /// Returns whether that is new.
+    pub fn record_unknown_message(&mut self, name: &str, protocol: u32, now_ms: u64) -> bool {
+        let is_new = !self.lacks_protocol(name, protocol, now_ms);
+        self.record_outcome(name, PeerOutcome::Answered, now_ms);
+        if let Some(peer) = self.peers.get_mut(name) {
+            let earlier = peer.refused.filter(|refused| now_ms < refused.until_ms);
+            let lowest = earlier.map_or(protocol, |refused| refused.protocol.min(protocol));
+            peer.refused = Some(RefusedMessage {
+                protocol: lowest,
+                until_ms: now_ms + UNKNOWN_MESSAGE_BACKOFF_MS,
+            });
+        }
+        is_new
+    }
+
+    /// Whether a VM is known not to understand messages of this protocol version, by
+    /// its entry or by a refusal.
+    pub fn lacks_protocol(&self, name: &str, protocol: u32, now_ms: u64) -> bool {
+        let Some(peer) = self.peers.get(name) else {
+            return false;
+        };
+        let is_older = peer.entry.protocol > 0 && peer.entry.protocol < protocol;
+        let has_refused = peer
+            .refused
+            .is_some_and(|refused| now_ms < refused.until_ms && protocol >= refused.protocol);
+        is_older || has_refused
+    }
+
     /// VMs whose entries should be deleted, with the entries' versions.
     pub fn expired(&self, now_ms: u64) -> Vec<(CompactString, u64)> {
         let is_expired = |peer: &Peer| {
--- a/crates/gateway/tests/allowance.rs
+++ b/crates/gateway/tests/allowance.rs
@@ -170,6 +170,7 @@
             address: ([127, 0, 0, 1], 1).into(),
             domain: domain.into(),
             writer: "w".into(),
+            protocol: 0,
         };
         peers.upsert(name.into(), entry, 1);
     }
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -7,6 +7,7 @@
         address: ([127, 0, 0, 1], port).into(),
         domain: "d1".into(),
         writer: "w".into(),
+        protocol: 0,
     }
 }
 
@@ -147,3 +148,64 @@
     assert_eq!(ports(gossip_peers), [3, 4, 1]);
     assert_eq!(ports(others), [5]);
 }
+
+// Guards against a VM of an older build that is taken for unreachable, or dead, as it
+// refuses a message that it doesn't know.
+#[test]
+fn vm_that_refuses_an_unknown_message_counts_as_reachable() {
+    let mut peers = peers();
+    peers.record_outcome("a", PeerOutcome::Unreachable, 0);
+    assert!(peers.record_unknown_message("a", 3, 4_000));
+    assert!(!peers.is_dead("a", 10_000));
+    assert!(peers.expired(200_000).is_empty());
+    assert_eq!(names(&peers, 0, 4_000), ["a", "b", "c"]);
+    assert!(peers.responsive_at(([127, 0, 0, 1], 2).into()).is_some());
+}
+
+// Guards against callers that wait for a message to a VM that has refused such ones.
+#[test]
+fn refused_protocol_is_remembered_for_a_time() {
+    let mut peers = peers();
+    assert!(!peers.lacks_protocol("a", 3, 0));
+    assert!(peers.record_unknown_message("a", 3, 0));
+    assert!(!peers.record_unknown_message("a", 4, 1_000));
+    let lacking = |now_ms| {
+        (1..=5)
+            .filter(|v| peers.lacks_protocol("a", *v, now_ms))
+            .collect()
+    };
+    let lacking: [Vec<u32>; 3] = [1_000, 30_999, 31_000].map(lacking);
+    assert_eq!(lacking, [vec![3, 4, 5], vec![3, 4, 5], vec![]]);
+    assert!(!peers.lacks_protocol("b", 3, 1_000));
+}
+
+// Guards against a VM that isn't sent messages any more which it knows since it was
+// started with a new build.
+#[test]
+fn refused_protocol_is_forgotten_with_the_incarnation() {
+    let mut peers = peers();
+    peers.record_unknown_message("a", 3, 0);
+    let new = PeerEntry {
+        writer: "new".into(),
+        protocol: 7,
+        ..entry(2)
+    };
+    peers.upsert("a".into(), new, 11);
+    assert!(!peers.lacks_protocol("a", 3, 1));
+}
+
+// Guards against messages to a VM whose entry says that it doesn't know them, and
+// against none to VMs whose entry doesn't say.
+#[test]
+fn stated_protocol_tells_which_messages_a_vm_lacks() {
+    let mut peers = peers();
+    let stated = PeerEntry {
+        protocol: 7,
+        ..entry(2)
+    };
+    peers.upsert("a".into(), stated, 11);
+    assert!(!peers.lacks_protocol("a", 7, 0));
+    assert!(peers.lacks_protocol("a", 8, 0));
+    assert!(!peers.lacks_protocol("b", 8, 0));
+    assert!(!peers.lacks_protocol("unknown", 8, 0));
+}
--- a/crates/gateway/tests/reserve.rs
+++ b/crates/gateway/tests/reserve.rs
@@ -25,6 +25,7 @@
             address: "127.0.0.1:1".parse().expect("address"),
             domain: "d1".into(),
             writer: (*other).into(),
+            protocol: 0,
         };
         peers.upsert((*other).into(), entry, 1);
     }
