Budgets: what is in use is not deleted or forgotten

A program that loops got its budget a second time after four retentions, if each call came through another VM: the last writer deleted its row, as VMs that refused calls by the row wrote nothing. A quarter was granted twice in the same time, as the program's home forgot what it had granted or released unless a request concerned the reserve.

A VM that refuses a call by a row now writes the row, unless the row was written within half a retention. It knows that by the store's versions, not by a clock: a row newer than the version that the store had then. The row has the longest retention of the program's calls. A home keeps a reserve until the row is gone, or unchanged for four retentions, in which case it deletes the row, whose last writer has ended. A VM that finds a row deleted that it still uses restores it.

Store calls: one write more for a call that is refused at the VM's first read of a row that is older than half a retention, one read six retentions after the end of a program with a reserve that was granted or released.

--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -50,6 +50,8 @@
     allowances: RefCell<Allowances>,
     /// Reserves of the programs whose home this VM is.
     reserves: RefCell<Reserves>,
+    /// Whether the rows of programs with a reserve here are being checked.
+    is_checking_reserves: Cell<bool>,
     /// Whether nothing existed before this VM started.
     is_first_start: bool,
     /// Result of the last connectivity check; `Store` before the first.
@@ -111,6 +113,7 @@
             budgets: RefCell::new(budgets),
             allowances: RefCell::default(),
             reserves: RefCell::default(),
+            is_checking_reserves: Cell::new(false),
             is_first_start,
             connectivity: Cell::new(Connectivity::Store),
             checked_ms: Mutex::default(),
@@ -329,9 +332,13 @@
     async fn write_queued(self: Rc<Self>, first: BudgetWrite) {
         let mut next = Some(first);
         while let Some(BudgetWrite { program, write }) = next {
+            let began_ms = self.clock.now_ms();
             let reply = self
                 .write_with_retries(StoreCall::Transact(vec![write]))
                 .await;
+            if let Ok(StoreReply::Applied { version }) = reply {
+                self.record_store_version(version, began_ms);
+            }
             let now_ms = self.clock.now_ms();
             let decisions = self
                 .budgets
@@ -344,6 +351,13 @@
         }
     }
 
+    /// Records the store's version in the reply to a write, or to a read, that began
+    /// at `began_ms`.
+    pub(crate) fn record_store_version(&self, version: u64, began_ms: u64) {
+        let mut budgets = self.budgets.borrow_mut();
+        budgets.record_store_version(version, began_ms);
+    }
+
     fn deliver_decision(&self, program: &ProgramKey, waiter: WaiterId, decision: ChargeDecision) {
         let sender = self.waiters.borrow_mut().remove(&waiter);
         let is_undelivered = match sender {
@@ -424,10 +438,10 @@
 
     /// Removes expired coordinator claims and overdrawn listings, and the store
     /// rows of programs that have been idle for long.
-    pub(crate) async fn remove_expired(&self) {
+    pub(crate) async fn remove_expired(self: &Rc<Self>) {
         let now_ms = self.clock.now_ms();
         self.allowances.borrow_mut().remove_expired(now_ms);
-        self.reserves.borrow_mut().remove_expired(now_ms);
+        self.start_reserve_checks();
         self.remove_expired_overdrawn().await;
         let writes = self
             .budgets
--- a/crates/entry/src/ledger/reserve.rs
+++ b/crates/entry/src/ledger/reserve.rs
@@ -6,7 +6,10 @@
 
 use compact_str::CompactString;
 use futures::FutureExt;
-use lagoon_gateway::{ChargeDecision, HomeState, ProgramKey, ReserveRequest};
+use lagoon_gateway::{
+    ChargeDecision, HomeState, ProgramKey, ReserveRequest, RowCheck, StoreCall, StoreError,
+    StoreReply,
+};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, Instant};
 
@@ -17,6 +20,9 @@
 /// requested: several times that of a charge.
 const RESERVE_DELAY: Duration = Duration::from_millis(60);
 
+/// Maximum number of programs whose rows are read in one round of checks.
+const MAX_CHECKS: usize = 16;
+
 impl BudgetClient {
     /// Charges a call in the store, or takes tokens of the program's reserve if
     /// the store doesn't reply soon.
@@ -124,6 +130,57 @@
         self.reserves.borrow_mut().return_unused(program, tokens);
     }
 
+    /// Starts to check which programs have ended whose reserves this VM remembers.
+    pub(super) fn start_reserve_checks(self: &Rc<Self>) {
+        let now_ms = self.clock.now_ms();
+        let mut due = self.reserves.borrow().programs_to_check(now_ms);
+        if due.is_empty() || self.is_checking_reserves.get() || self.store.is_failing() {
+            return;
+        }
+        due.truncate(MAX_CHECKS);
+        self.is_checking_reserves.set(true);
+        let budget_client = Rc::clone(self);
+        spawn_local(async move {
+            for program in due {
+                if let Err(error) = budget_client.check_reserve(&program).await {
+                    log::debug!(program = program.0.as_str(), error = error.to_string(); "cannot check whether a program with a reserve has ended");
+                    break;
+                }
+            }
+            budget_client.is_checking_reserves.set(false);
+        });
+    }
+
+    /// Forgets the reserve of a program whose row is gone, and deletes a row that no
+    /// VM has written for long.
+    async fn check_reserve(&self, program: &ProgramKey) -> Result<(), StoreError> {
+        let key = program.row_key();
+        let to_key = compact_str::format_compact!("{}\0", key.key);
+        let read = StoreCall::ReadRange {
+            table: key.table,
+            partition: key.partition,
+            from_key: key.key,
+            to_key,
+        };
+        let began_ms = self.clock.now_ms();
+        let StoreReply::Rows { rows, .. } = self.store.call(&read).await? else {
+            return Err(StoreError::NoReply("reply to another call".into()));
+        };
+        let row = rows.first();
+        let check = RowCheck { row, began_ms };
+        let deletion = self.reserves.borrow_mut().on_row_read(program, check);
+        let Some(deletion) = deletion else {
+            return Ok(());
+        };
+        let deleted = StoreCall::Transact(vec![deletion]);
+        if let StoreReply::Applied { .. } = self.store.call(&deleted).await? {
+            let row = None;
+            let check = RowCheck { row, began_ms };
+            self.reserves.borrow_mut().on_row_read(program, check);
+        }
+        Ok(())
+    }
+
     /// Returns unused tokens of a reserve to the program's home.
     pub(super) fn return_reserve(&self, home: CompactString, program: &ProgramKey, tokens: u64) {
         if tokens == 0 {
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -152,6 +152,7 @@
         let mut rows: Vec<Row> = Vec::new();
         let mut from_key = CompactString::default();
         let mut first_version = None;
+        let began_ms = self.state.now_ms();
         loop {
             let call = StoreCall::Read {
                 table: self.table.name(),
@@ -184,6 +185,8 @@
                 "read is older than the known version".into(),
             ));
         }
+        let budget_client = &self.state.budget_client;
+        budget_client.record_store_version(version, began_ms);
         self.record_success(version, &rows);
         self.version = version;
         self.apply_all(rows);
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -17,6 +17,7 @@
 
 use crate::reserve::reserve_tokens;
 use crate::store::{RowWrite, StoreError, StoreReply};
+use crate::store_versions::StoreVersions;
 
 use program_budget::{PendingWrite, ProgramBudget};
 pub use row::{BudgetRow, ProgramKey, WriterMark};
@@ -130,6 +131,7 @@
     settings: BudgetSettings,
     next_sequence: u64,
     programs: FastMap<ProgramKey, ProgramBudget>,
+    versions: StoreVersions,
 }
 
 impl ProgramBudgets {
@@ -139,9 +141,16 @@
             settings,
             next_sequence: 1,
             programs: FastMap::default(),
+            versions: StoreVersions::default(),
         }
     }
 
+    /// Records that the store replied with this version to a call that began at
+    /// `began_ms`, so that newer rows are known to be newer than that.
+    pub fn record_store_version(&mut self, version: u64, began_ms: u64) {
+        self.versions.record(version, began_ms);
+    }
+
     /// Number of known programs.
     pub fn len(&self) -> usize {
         self.programs.len()
@@ -184,7 +193,7 @@
                 charged_tokens: refusal.charged_tokens,
             });
         }
-        if budget.needs_reserve(request.tokens) {
+        if budget.is_fresh(now_ms) && budget.needs_reserve(request.tokens) {
             return Some(ChargeDecision::ReserveNeeded);
         }
         budget.waiting.push(request);
@@ -224,7 +233,8 @@
     /// write of the row is in flight.
     pub fn charge_write(&mut self, program: &ProgramKey) -> Option<BudgetWrite> {
         let budget = self.programs.get_mut(program)?;
-        if budget.pending.is_some() || budget.waiting.is_empty() {
+        let is_due = budget.is_refresh_due || !budget.waiting.is_empty();
+        if budget.pending.is_some() || !is_due {
             return None;
         }
         let held_before_tokens = std::mem::take(&mut budget.held_tokens);
@@ -275,6 +285,7 @@
         let sequence = self.next_sequence;
         self.next_sequence += 1;
         let budget = self.programs.get_mut(program)?;
+        budget.is_refresh_due = false;
         let mut pending = PendingWrite {
             sequence,
             granted,
@@ -291,6 +302,7 @@
             pending.row.charged_tokens += granted_tokens;
             pending.row.is_whole = true;
         }
+        pending.row.retention_ms = budget.retention_ms;
         pending.row.set_mark(WriterMark {
             writer: self.settings.writer.clone(),
             sequence,
@@ -336,15 +348,14 @@
             return Vec::new();
         };
         let writer = self.settings.writer.as_str();
-        if reply.is_ok() {
-            budget.last_written_ms = now_ms;
-        }
         let decisions = match reply {
             Ok(StoreReply::Applied { version }) => budget.on_applied(*version, pending, writer),
             Ok(StoreReply::Conflict(rows)) => {
                 let key = program.row_key();
                 let found = rows.iter().find(|row| row.key == key);
-                budget.on_conflict(writer, found, pending)
+                let is_recent =
+                    found.is_some_and(|row| budget.is_recent(row.version, &self.versions, now_ms));
+                budget.on_conflict(writer, found, pending, is_recent)
             }
             Err(StoreError::NoReply(_)) => {
                 budget.held_tokens += pending.certain_tokens();
@@ -358,6 +369,9 @@
                 budget.fail_all(pending.granted)
             }
         };
+        if reply.is_ok() {
+            budget.last_seen_ms = now_ms;
+        }
         budget.record_refusal(&decisions, now_ms);
         decisions
     }
--- a/crates/gateway/src/budget/program_budget.rs
+++ b/crates/gateway/src/budget/program_budget.rs
@@ -3,6 +3,7 @@
 use crate::budget::row::{BudgetRow, MAX_WRITERS};
 use crate::budget::{BudgetSettings, ChargeDecision, ChargeRequest, Grant, WaiterId};
 use crate::store::Row;
+use crate::store_versions::StoreVersions;
 
 /// Retention (time that a program may pause between calls) of a program whose
 /// calls come through other VMs only, so that its route's retention isn't known
@@ -15,10 +16,15 @@
 const REFUSAL_TTL_MS: u64 = 300;
 
 /// Idle time after which a program's row is deleted, as a multiple of the
-/// retention. A VM that spends held tokens writes the row at least once in two
-/// retentions, so that the row of a program in use isn't deleted.
+/// retention. The row of a program in use is written at least once in two
+/// retentions: by a VM that spends held tokens, and by one that refuses a call
+/// unless the row was written lately.
 const REMOVAL_RETENTIONS: u64 = 4;
 
+/// Age of a row's last write from which a VM that refuses a call by the row
+/// writes it, as a divisor of the retention.
+const REFRESH_DIVISOR: u64 = 2;
+
 /// Write in flight, or one whose outcome is unknown.
 #[derive(Clone, Debug)]
 pub(super) struct PendingWrite {
@@ -97,10 +103,15 @@
     /// Whether another VM requested more tokens than are held here, so that the
     /// row must be written: it may list tokens as held here that are not.
     pub(super) is_release_requested: bool,
+    /// Whether the next write is due although no call waits, as it shows that the
+    /// program is in use.
+    pub(super) is_refresh_due: bool,
     pub(super) refusal: Option<Refusal>,
     pub(super) last_used_ms: u64,
-    pub(super) last_written_ms: u64,
-    /// Longest retention of the calls through this VM; 0 if there was none.
+    /// Time of the last reply that showed the row.
+    pub(super) last_seen_ms: u64,
+    /// Longest retention of the program's calls through this VM, and by its row; 0
+    /// if none is known.
     pub(super) retention_ms: u64,
 }
 
@@ -137,12 +148,29 @@
         if row.is_whole {
             self.released_tokens = None;
         }
+        self.retention_ms = self.retention_ms.max(row.retention_ms);
         self.row = row;
     }
 
-    /// Whether the row was written recently enough that no other VM has deleted it.
+    /// Whether a row that was found at this version was written lately, so that no
+    /// VM deletes it before the program's next call.
+    pub(super) fn is_recent(
+        &self,
+        found_version: u64,
+        versions: &StoreVersions,
+        now_ms: u64,
+    ) -> bool {
+        let since_ms = now_ms.saturating_sub(self.retention_ms / REFRESH_DIVISOR);
+        let has_changed = self.version > 0 && found_version > self.version;
+        (has_changed && self.last_seen_ms >= since_ms)
+            || versions.is_written_since(found_version, since_ms)
+    }
+
+    /// Whether the row is known to have been written recently enough that no VM has
+    /// deleted it.
     pub(super) fn is_fresh(&self, now_ms: u64) -> bool {
-        now_ms <= self.last_written_ms + self.retention_ms
+        let is_known = self.version > 0 && self.row.retention_ms >= self.retention_ms;
+        is_known && now_ms <= self.last_seen_ms + self.retention_ms
     }
 
     /// Takes held tokens for a call at another VM; `false` if there are too few.
@@ -256,14 +284,20 @@
         decisions
     }
 
+    /// Handles a reply that shows another row than expected, which is not `is_recent`
+    /// if it may have been written long ago.
     pub(super) fn on_conflict(
         &mut self,
         writer: &str,
         found: Option<&Row>,
         pending: PendingWrite,
+        is_recent: bool,
     ) -> Vec<(WaiterId, ChargeDecision)> {
         let value = found.and_then(|row| row.value.as_deref());
         let row = match value.map(serde_json::from_slice::<BudgetRow>) {
+            // A row that was deleted although this VM uses the program is restored
+            // as far as it is known here.
+            None if self.version > 0 => self.row.clone(),
             None => BudgetRow::default(),
             Some(Ok(row)) => row,
             Some(Err(_)) => {
@@ -280,6 +314,8 @@
             Some(_) => found.map_or(0, |row| row.version),
             None => 0,
         };
+        let is_refreshed = is_recent && row.retention_ms >= self.retention_ms;
+        let is_missing = value.is_none() && self.row == BudgetRow::default();
         self.set_row(row);
         for unresolved in std::mem::take(&mut self.unresolved) {
             let certain_tokens = unresolved.certain_tokens();
@@ -313,7 +349,14 @@
                 retention_ms,
             });
         self.waiting.splice(0..0, retried);
-        self.decide(Vec::new(), writer)
+        if is_refreshed || is_missing {
+            self.decide(Vec::new(), writer)
+        } else {
+            // The next write shows other VMs that the program is in use, also if it
+            // grants nothing. The calls may have got other tokens meanwhile.
+            self.is_refresh_due = true;
+            Vec::new()
+        }
     }
 
     pub(super) fn record_refusal(&mut self, decisions: &[(WaiterId, ChargeDecision)], now_ms: u64) {
--- a/crates/gateway/src/budget/row.rs
+++ b/crates/gateway/src/budget/row.rs
@@ -26,7 +26,8 @@
 pub struct ProgramKey(pub CompactString);
 
 impl ProgramKey {
-    pub(super) fn row_key(&self) -> RowKey {
+    /// Key of the program's row in the store.
+    pub fn row_key(&self) -> RowKey {
         let hash = hash64(self.0.as_bytes());
         let key = if self.0.len() <= MAX_KEY_BYTES {
             self.0.clone()
@@ -65,6 +66,10 @@
     /// Last write of each writer, newest last.
     #[serde(rename = "marks")]
     pub writers: Vec<WriterMark>,
+    /// Longest time that the program may pause between calls, by all writers; 0 if
+    /// none stated it.
+    #[serde(default)]
+    pub retention_ms: u64,
 }
 
 impl BudgetRow {
--- a/crates/gateway/src/reserve.rs
+++ b/crates/gateway/src/reserve.rs
@@ -15,7 +15,8 @@
 use lagoon_ids::FastMap;
 use serde::{Deserialize, Serialize};
 
-use crate::budget::ProgramKey;
+use crate::budget::{BudgetRow, ProgramKey};
+use crate::store::{Row, RowWrite};
 
 /// Part of a budget that is its reserve, as a divisor.
 const RESERVE_DIVISOR: u64 = 4;
@@ -28,9 +29,14 @@
 const MIN_GRANT_NUMERATOR: u64 = 3;
 const MIN_GRANT_DENOMINATOR: u64 = 2;
 
-/// Time without a call after which a reserve is forgotten, as a multiple of the
-/// retention; that of the program's row.
-const EXPIRY_RETENTIONS: u64 = 4;
+/// Time without a request after which a home finds out whether the program's row is
+/// still there, as a multiple of the retention. The row's last writer has deleted
+/// it by then, if the program has ended.
+const CHECK_RETENTIONS: u64 = 6;
+
+/// Time for which a row must be unchanged until the home deletes it, as a multiple
+/// of the retention. That of a program in use is written more often.
+const UNCHANGED_RETENTIONS: u64 = 4;
 
 /// Uptime from which a VM is a home: programs that an earlier run of it, or
 /// another home before it, granted tokens have ended by then.
@@ -125,6 +131,27 @@
     is_released: bool,
     last_used_ms: u64,
     retention_ms: u64,
+    /// Version of the program's row at the last check, and the time of the check; 0
+    /// before the first.
+    row_version: u64,
+    checked_ms: u64,
+}
+
+impl Reserve {
+    fn is_check_due(&self, now_ms: u64) -> bool {
+        let retention_ms = self.retention_ms;
+        now_ms > self.last_used_ms + CHECK_RETENTIONS * retention_ms
+            && now_ms > self.checked_ms + UNCHANGED_RETENTIONS * retention_ms
+    }
+}
+
+/// Read of a program's row.
+#[derive(Clone, Copy, Debug)]
+pub struct RowCheck<'a> {
+    /// Row found; `None` if there is none.
+    pub row: Option<&'a Row>,
+    /// Time at which the read began.
+    pub began_ms: u64,
 }
 
 /// Reserves of the programs whose home this VM is.
@@ -180,11 +207,46 @@
         Some(reserve)
     }
 
-    /// Forgets the reserves of programs that have been idle for long.
-    pub fn remove_expired(&mut self, now_ms: u64) {
-        self.programs.retain(|_, reserve| {
-            now_ms <= reserve.last_used_ms + EXPIRY_RETENTIONS * reserve.retention_ms
-        });
+    /// Programs that may have ended: no request has come for long, which their calls
+    /// need not cause. Their rows decide, see [`Reserves::on_row_read`].
+    pub fn programs_to_check(&self, now_ms: u64) -> Vec<ProgramKey> {
+        let due = self.programs.iter();
+        due.filter(|(_, reserve)| reserve.is_check_due(now_ms))
+            .map(|(program, _)| program.clone())
+            .collect()
+    }
+
+    /// Forgets the reserve of a program that has no row any more: its calls at any VM
+    /// would have kept it. Returns the write that deletes a row that has not changed
+    /// for long, as its last writer may have ended; once that is applied, the row is
+    /// to be checked again.
+    pub fn on_row_read(&mut self, program: &ProgramKey, check: RowCheck<'_>) -> Option<RowWrite> {
+        let reserve = self.programs.get_mut(program)?;
+        if reserve.last_used_ms >= check.began_ms {
+            return None;
+        }
+        let Some(row) = check.row.filter(|row| row.value.is_some()) else {
+            self.programs.remove(program);
+            return None;
+        };
+        let value = row.value.as_deref().unwrap_or_default();
+        if let Ok(budget_row) = serde_json::from_slice::<BudgetRow>(value) {
+            reserve.retention_ms = reserve.retention_ms.max(budget_row.retention_ms);
+        }
+        let is_unchanged = reserve.row_version == row.version
+            && check.began_ms > reserve.checked_ms + UNCHANGED_RETENTIONS * reserve.retention_ms;
+        if is_unchanged {
+            return Some(RowWrite {
+                key: program.row_key(),
+                expected_version: row.version,
+                value: None,
+            });
+        }
+        if reserve.row_version != row.version {
+            reserve.row_version = row.version;
+            reserve.checked_ms = check.began_ms;
+        }
+        None
     }
 
     /// Number of programs.
--- a/crates/gateway/tests/budget.rs
+++ b/crates/gateway/tests/budget.rs
@@ -6,7 +6,9 @@
     budgets, deferred_charge, program, request, step, Cluster, Store, BUDGET, MAX_CALL_TOKENS,
     RETENTION_MS,
 };
-use lagoon_gateway::{ChargeDecision, Grant, ProgramBudgets, Row, StoreReply, WaiterId};
+use lagoon_gateway::{
+    ChargeDecision, ChargeRequest, Grant, ProgramBudgets, Row, RowWrite, StoreReply, WaiterId,
+};
 use proptest::prelude::*;
 
 fn charge(budgets: &mut ProgramBudgets, store: &mut Store, waiter: u64) -> ChargeDecision {
@@ -19,7 +21,16 @@
     waiter: u64,
     now_ms: u64,
 ) -> ChargeDecision {
-    if let Some(decision) = budgets.request_charge(&program(), request(waiter), now_ms) {
+    charge_request_at(budgets, store, request(waiter), now_ms)
+}
+
+fn charge_request_at(
+    budgets: &mut ProgramBudgets,
+    store: &mut Store,
+    request: ChargeRequest,
+    now_ms: u64,
+) -> ChargeDecision {
+    if let Some(decision) = budgets.request_charge(&program(), request, now_ms) {
         return decision;
     }
     loop {
@@ -255,6 +266,111 @@
     assert!(a.is_empty() && b.is_empty());
 }
 
+/// VM that spent the whole budget at time 0 and is idle since.
+fn spent_by_one_vm(store: &mut Store, retention_ms: u64) -> ProgramBudgets {
+    let mut vm = budgets("a");
+    loop {
+        let request = ChargeRequest {
+            retention_ms,
+            ..request(1)
+        };
+        match charge_request_at(&mut vm, store, request, 0) {
+            ChargeDecision::Granted(grant) => vm.settle(&program(), grant, grant.tokens, 0),
+            _ => return vm,
+        }
+    }
+}
+
+fn remove_expired(vm: &mut ProgramBudgets, store: &mut Store, now_ms: u64) {
+    for write in vm.remove_expired(now_ms) {
+        store.apply(&write);
+    }
+}
+
+// Guards against a row that is deleted while VMs refuse the program's calls by it.
+#[test]
+fn charge_refused_by_an_old_row_keeps_it() {
+    let mut store = Store::default();
+    let mut a = spent_by_one_vm(&mut store, RETENTION_MS);
+    let version = store.version;
+    let read_ms = RETENTION_MS / 2 + 1;
+    let refused = charge_at(&mut budgets("b"), &mut store, 1, read_ms);
+    assert!(matches!(refused, ChargeDecision::Exhausted { .. }));
+    assert_eq!(store.version, version + 1);
+    remove_expired(&mut a, &mut store, 4 * RETENTION_MS + 1);
+    let refused = charge_at(&mut budgets("c"), &mut store, 1, 4 * RETENTION_MS + 1);
+    assert!(matches!(refused, ChargeDecision::Exhausted { .. }));
+}
+
+// Guards against more calls of the store than one for a call that is refused by a
+// row that is known to be recent.
+#[test]
+fn charge_refused_by_a_recent_row_writes_nothing() {
+    let mut store = Store::default();
+    let mut b = budgets("b");
+    b.record_store_version(store.version, 0);
+    spent_by_one_vm(&mut store, RETENTION_MS);
+    let version = store.version;
+    let refused = charge_at(&mut b, &mut store, 1, RETENTION_MS / 2);
+    assert!(matches!(refused, ChargeDecision::Exhausted { .. }));
+    assert_eq!(store.version, version);
+}
+
+// Guards against a row that its last writer deletes by a shorter retention than that
+// of calls at other VMs.
+#[test]
+fn charge_refused_by_a_row_of_shorter_retention_extends_it() {
+    let mut store = Store::default();
+    let mut b = budgets("b");
+    b.record_store_version(store.version, 0);
+    let mut a = spent_by_one_vm(&mut store, RETENTION_MS / 10);
+    charge_at(&mut b, &mut store, 1, 1_000);
+    remove_expired(&mut a, &mut store, RETENTION_MS);
+    let refused = charge_at(&mut budgets("c"), &mut store, 1, RETENTION_MS);
+    assert!(matches!(refused, ChargeDecision::Exhausted { .. }));
+}
+
+// Guards against a row that isn't kept for a call that got other tokens while it
+// waited for a slow store.
+#[test]
+fn cancelled_charge_keeps_an_old_row() {
+    let mut store = Store::default();
+    let mut a = spent_by_one_vm(&mut store, RETENTION_MS);
+    let mut b = budgets("b");
+    let now_ms = RETENTION_MS;
+    assert_eq!(b.request_charge(&program(), request(1), now_ms), None);
+    let mut next = b.charge_write(&program());
+    b.cancel_charge(&program(), WaiterId(1));
+    while let Some(write) = next {
+        let reply = Ok(store.apply(&write.write));
+        assert_eq!(b.on_write_reply(&program(), &reply, now_ms), []);
+        next = b.charge_write(&program());
+    }
+    remove_expired(&mut a, &mut store, 4 * RETENTION_MS + 1);
+    assert!(store.charged() > 0);
+}
+
+// Guards against a budget that starts anew at a VM that was cut off for so long that
+// the row was deleted meanwhile.
+#[test]
+fn charge_restores_a_row_that_was_deleted() {
+    let mut store = Store::default();
+    let mut a = spent_by_one_vm(&mut store, RETENTION_MS);
+    let mut b = budgets("b");
+    charge_at(&mut b, &mut store, 1, 1_000);
+    let charged = store.charged();
+    let row = store.read().expect("a row");
+    store.apply(&RowWrite {
+        key: row.key,
+        expected_version: row.version,
+        value: None,
+    });
+    a.remove_expired(4 * RETENTION_MS + 1);
+    let refused = charge_at(&mut b, &mut store, 2, 4 * RETENTION_MS);
+    assert!(matches!(refused, ChargeDecision::Exhausted { .. }));
+    assert_eq!(store.charged(), charged);
+}
+
 #[test]
 fn request_charge_writes_once_the_row_is_not_fresh() {
     let mut store = Store::default();
--- a/crates/gateway/tests/cluster/mod.rs
+++ b/crates/gateway/tests/cluster/mod.rs
@@ -8,8 +8,8 @@
 
 use lagoon_gateway::{
     BudgetSettings, BudgetWrite, ChargeDecision, ChargeRequest, DeferredCharge, Grant,
-    ProgramBudgets, ProgramKey, ReserveRequest, Reserves, Row, RowKey, RowWrite, StoreError,
-    StoreReply, WaiterId,
+    ProgramBudgets, ProgramKey, ReserveRequest, Reserves, Row, RowCheck, RowKey, RowWrite,
+    StoreError, StoreReply, WaiterId,
 };
 use proptest::prelude::*;
 
@@ -94,6 +94,16 @@
         }
     }
 
+    /// Row of the program; `None` if there is none.
+    pub(crate) fn read(&self) -> Option<Row> {
+        let row = self.rows.iter().next();
+        row.map(|(key, (version, value))| Row {
+            key: key.clone(),
+            value: Some(value.clone()),
+            version: *version,
+        })
+    }
+
     pub(crate) fn charged(&self) -> u64 {
         let row = self.rows.values().next();
         row.map_or(0, |(_, value)| {
@@ -126,6 +136,13 @@
     DeferredCharge(usize, u64),
     /// A call takes tokens of the reserve.
     TakeReserve,
+    /// A call at a VM whose charge takes long gets tokens of the reserve instead.
+    TakeReserveMeanwhile(usize),
+    /// A call at a VM that is decided at once and uses this share of its tokens.
+    Call(usize, u64),
+    /// Time goes by, but less than the program may pause, and all VMs remove what is
+    /// expired.
+    Wait(u64),
     /// A call that took tokens of the reserve has used so many.
     SettleReserve(u64),
     /// The home releases the reserve, and the response is lost.
@@ -167,9 +184,33 @@
     ]
 }
 
+/// Steps of a program that lasts for many retentions, with VMs that start anew.
+pub(crate) fn step_of_long_program() -> impl Strategy<Value = Step> {
+    let vm = 0..3_usize;
+    prop_oneof![
+        3 => step_with_reserve(),
+        6 => (vm.clone(), 0..=MAX_CALL_TOKENS).prop_map(|(vm, used)| Step::Call(vm, used)),
+        3 => vm.clone().prop_map(|vm| Step::Call(vm, MAX_CALL_TOKENS)),
+        3 => vm.clone().prop_map(Step::Restart),
+        1 => vm.prop_map(Step::TakeReserveMeanwhile),
+        9 => (1..=RETENTION_MS).prop_map(Step::Wait),
+        3 => Just(Step::Wait(RETENTION_MS)),
+    ]
+}
+
+/// Time that the program may pause by the calls through a VM. They differ, as calls
+/// on other routes do.
+fn retention_ms(vm: usize) -> u64 {
+    match vm {
+        0 => RETENTION_MS / 4,
+        _ => RETENTION_MS,
+    }
+}
+
 pub(crate) struct Vm {
     budgets: ProgramBudgets,
     write: Option<BudgetWrite>,
+    write_began_ms: u64,
     waiting: Vec<u64>,
     grants: Vec<Grant>,
 }
@@ -201,6 +242,13 @@
     pub(crate) releases: u64,
     /// How often a call got tokens of the reserve.
     pub(crate) reserve_calls: u64,
+    now_ms: u64,
+    /// Time at which a call was last decided on, and the longest pause that the
+    /// program may make by then.
+    last_call_ms: u64,
+    max_pause_ms: u64,
+    /// How often the row was deleted.
+    pub(crate) deletions: u64,
 }
 
 impl Cluster {
@@ -208,6 +256,7 @@
         let vms = ["a", "b", "c"].map(|name| Vm {
             budgets: new_budgets(name, keeps_reserve),
             write: None,
+            write_began_ms: 0,
             waiting: Vec::new(),
             grants: Vec::new(),
         });
@@ -225,16 +274,73 @@
             reserve_used: 0,
             releases: 0,
             reserve_calls: 0,
+            now_ms: 0,
+            last_call_ms: 0,
+            max_pause_ms: 0,
+            deletions: 0,
         }
     }
 
+    /// Whether the home remembers the reserve.
+    pub(crate) fn has_reserve(&self) -> bool {
+        let reserves = self.reserves.as_ref();
+        reserves.is_some_and(|reserves| !reserves.is_empty())
+    }
+
+    /// Whether the home ended.
+    pub(crate) fn has_home_ended(&self) -> bool {
+        self.reserves.is_none()
+    }
+
+    /// Time since the first call.
+    pub(crate) fn now_ms(&self) -> u64 {
+        self.now_ms
+    }
+
+    fn record_call(&mut self, index: usize) {
+        self.last_call_ms = self.now_ms;
+        self.max_pause_ms = self.max_pause_ms.max(retention_ms(index));
+    }
+
+    fn wait(&mut self, time_ms: u64) {
+        let next_call_ms = self.last_call_ms + self.max_pause_ms;
+        self.now_ms = (self.now_ms + time_ms).min(next_call_ms).max(self.now_ms);
+        for index in 0..self.vms.len() {
+            let writes = self.vms[index].budgets.remove_expired(self.now_ms);
+            for write in writes {
+                self.delete(&write);
+            }
+        }
+        let Some(mut reserves) = self.reserves.take() else {
+            return;
+        };
+        for program in reserves.programs_to_check(self.now_ms) {
+            let row = self.store.read();
+            let began_ms = self.now_ms;
+            let row = row.as_ref();
+            let deletion = reserves.on_row_read(&program, RowCheck { row, began_ms });
+            if deletion.is_some_and(|write| self.delete(&write)) {
+                let row = None;
+                reserves.on_row_read(&program, RowCheck { row, began_ms });
+            }
+        }
+        self.reserves = Some(reserves);
+    }
+
+    /// Applies a write that deletes the row; `false` if the row is another one.
+    fn delete(&mut self, write: &RowWrite) -> bool {
+        let is_deleted = matches!(self.store.apply(write), StoreReply::Applied { .. });
+        self.deletions += u64::from(is_deleted);
+        is_deleted
+    }
+
     /// Has the home release the reserve for a VM that needs it; `false` if the
     /// home has ended.
     fn release_for(&mut self, index: usize) -> bool {
         let Some(reserves) = &mut self.reserves else {
             return false;
         };
-        let granted_tokens = reserves.release(&reserve_request(), 0);
+        let granted_tokens = reserves.release(&reserve_request(), self.now_ms);
         if let Some(granted_tokens) = granted_tokens {
             self.releases += 1;
             let vm = &mut self.vms[index];
@@ -247,14 +353,24 @@
         let vm = &mut self.vms[index];
         if vm.write.is_none() {
             vm.write = vm.budgets.charge_write(&program());
+            vm.write_began_ms = self.now_ms;
         }
     }
 
     pub(crate) fn reply(&mut self, index: usize, reply: Result<StoreReply, StoreError>) {
         let vm = &mut self.vms[index];
         vm.write = None;
+        if let Ok(StoreReply::Applied { version }) = reply {
+            let began_ms = vm.write_began_ms;
+            vm.budgets.record_store_version(version, began_ms);
+        }
         let mut needs_reserve = false;
-        for (waiter, decision) in vm.budgets.on_write_reply(&program(), &reply, 0) {
+        let decisions = vm.budgets.on_write_reply(&program(), &reply, self.now_ms);
+        if reply.is_ok() && !decisions.is_empty() {
+            self.record_call(index);
+        }
+        let vm = &mut self.vms[index];
+        for (waiter, decision) in decisions {
             vm.waiting.retain(|other| *other != waiter.0);
             match decision {
                 ChargeDecision::Granted(grant) => vm.grants.push(grant),
@@ -271,11 +387,18 @@
     fn request_charge(&mut self, index: usize) {
         let waiter = self.next_id;
         self.next_id += 1;
+        let request = ChargeRequest {
+            retention_ms: retention_ms(index),
+            ..request(waiter)
+        };
         let budgets = &mut self.vms[index].budgets;
-        let mut decision = budgets.request_charge(&program(), request(waiter), 0);
+        let mut decision = budgets.request_charge(&program(), request, self.now_ms);
         if decision == Some(ChargeDecision::ReserveNeeded) && self.release_for(index) {
             let budgets = &mut self.vms[index].budgets;
-            decision = budgets.request_charge(&program(), request(waiter), 0);
+            decision = budgets.request_charge(&program(), request, self.now_ms);
+        }
+        if decision.is_some() {
+            self.record_call(index);
         }
         let vm = &mut self.vms[index];
         match decision {
@@ -292,7 +415,7 @@
             Step::Settle(index, used) => {
                 let vm = &mut self.vms[index];
                 if let Some(grant) = vm.grants.pop() {
-                    vm.budgets.settle(&program(), grant, used, 0);
+                    vm.budgets.settle(&program(), grant, used, self.now_ms);
                     self.used += used;
                 }
             }
@@ -300,6 +423,7 @@
                 let vm = &mut self.vms[index];
                 if vm.write.is_none() {
                     vm.write = vm.budgets.release_write(&program());
+                    vm.write_began_ms = self.now_ms;
                 }
             }
             Step::Reply(index) => {
@@ -353,14 +477,15 @@
             Step::DeferredCharge(index, tokens) => {
                 // The tokens are spent, even if their deferred charge gets lost.
                 let vm = &mut self.vms[index];
-                vm.budgets.add_deferred_charge(&deferred_charge(tokens), 0);
+                let charge = deferred_charge(tokens);
+                vm.budgets.add_deferred_charge(&charge, self.now_ms);
                 self.deferred += tokens;
             }
             Step::TakeReserve => {
                 let Some(reserves) = &mut self.reserves else {
                     return;
                 };
-                let granted = reserves.grant(&reserve_request(), 0);
+                let granted = reserves.grant(&reserve_request(), self.now_ms);
                 if granted > 0 {
                     self.reserve_calls += 1;
                     self.reserve_grants.push(granted);
@@ -378,10 +503,27 @@
             }
             Step::LoseRelease => {
                 if let Some(reserves) = &mut self.reserves {
-                    reserves.release(&reserve_request(), 0);
+                    reserves.release(&reserve_request(), self.now_ms);
                 }
             }
             Step::EndHome => self.reserves = None,
+            Step::TakeReserveMeanwhile(index) => {
+                let waiting = self.vms[index].waiting.len();
+                self.request_charge(index);
+                if self.vms[index].waiting.len() > waiting {
+                    self.run(&Step::Cancel(index));
+                    self.run(&Step::TakeReserve);
+                    self.run(&Step::Reply(index));
+                }
+            }
+            Step::Call(index, used) => {
+                self.request_charge(index);
+                while self.vms[index].write.is_some() {
+                    self.run(&Step::Reply(index));
+                }
+                self.run(&Step::Settle(index, used));
+            }
+            Step::Wait(time_ms) => self.wait(time_ms),
         }
     }
 
@@ -389,14 +531,14 @@
         if from == to
             || !self.vms[from]
                 .budgets
-                .transfer_out(&program(), MAX_CALL_TOKENS, 0)
+                .transfer_out(&program(), MAX_CALL_TOKENS, self.now_ms)
         {
             return;
         }
         if arrives {
             self.vms[to]
                 .budgets
-                .transfer_in(&program(), MAX_CALL_TOKENS, 0);
+                .transfer_in(&program(), MAX_CALL_TOKENS, self.now_ms);
         } else {
             self.is_lossy = true;
         }
--- a/crates/gateway/tests/reserve.rs
+++ b/crates/gateway/tests/reserve.rs
@@ -6,8 +6,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use cluster::{
-    budgets_with_reserve, program, request, reserve_request, step_with_reserve, Cluster, Store,
-    BUDGET, MAX_CALL_TOKENS,
+    budgets_with_reserve, program, request, reserve_request, step_of_long_program,
+    step_with_reserve, Cluster, Store, BUDGET, MAX_CALL_TOKENS, RETENTION_MS,
 };
 use lagoon_gateway::{
     reserve_tokens, ChargeDecision, HomeState, PeerEntry, Peers, ProgramBudgets, ProgramKey,
@@ -208,6 +208,52 @@
     }
 }
 
+static LONG_PROGRAMS: AtomicU64 = AtomicU64::new(0);
+static RELEASES_OF_LONG_PROGRAMS: AtomicU64 = AtomicU64::new(0);
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 500,
+        rng_seed: prop::test_runner::RngSeed::Fixed(31),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    // Guards against a row, or what a home granted or released, that is forgotten
+    // while other VMs use the program, whichever VM wrote or asked last.
+    fn run_schedules_of_long_programs(
+        steps in prop::collection::vec(step_of_long_program(), 1..200)
+    ) {
+        let mut cluster = Cluster::new(true);
+        let mut has_reserve = false;
+        for step in &steps {
+            cluster.run(step);
+            let committed = cluster.committed();
+            let now_ms = cluster.now_ms();
+            prop_assert!(committed <= BUDGET, "{committed} after {step:?} at {now_ms}");
+            prop_assert_eq!(cluster.deletions, 0, "row deleted at {}", now_ms);
+            prop_assert!(
+                !has_reserve || cluster.has_reserve() || cluster.has_home_ended(),
+                "reserve forgotten at {now_ms}"
+            );
+            has_reserve |= cluster.has_reserve();
+        }
+        if cluster.now_ms() > 12 * RETENTION_MS {
+            LONG_PROGRAMS.fetch_add(1, Ordering::SeqCst);
+            RELEASES_OF_LONG_PROGRAMS.fetch_add(cluster.releases, Ordering::SeqCst);
+        }
+    }
+}
+
+#[test]
+fn row_and_reserve_of_a_long_program_are_kept() {
+    run_schedules_of_long_programs();
+    let counts = [&LONG_PROGRAMS, &RELEASES_OF_LONG_PROGRAMS];
+    let counts = counts.map(|count| count.load(Ordering::SeqCst));
+    println!("programs of more than 12 retentions, and their releases: {counts:?}");
+    assert!(counts.iter().all(|count| *count > 200), "{counts:?}");
+}
+
 #[test]
 fn budget_with_reserve_is_kept_whatever_ends() {
     run_reserve_schedules();
