Reserves: a call larger than the rest of its budget needs no home

After a restart of all VMs no VM was a home for half an hour, so a call that needs more than three quarters of its program's budget was refused ("budget held elsewhere") though nothing of the budget was spent.

What an earlier home granted can't be found out then: if all VMs ended in an outage, no record of it is left, and the row knows of no call. But such a budget is smaller than one and a third of the call, and may be exceeded by one call. So the row gets the whole budget if the home can't tell what it granted; the reserve is then overspent at most once. The allowance of calls larger than half of their budget is smaller by as much, so that both together stay within the program's largest call.

--- a/crates/entry/src/ledger/reserve.rs
+++ b/crates/entry/src/ledger/reserve.rs
@@ -7,8 +7,8 @@
 use compact_str::CompactString;
 use futures::FutureExt;
 use lagoon_gateway::{
-    ChargeDecision, HomeState, ProgramKey, ReserveRequest, RowCheck, StoreCall, StoreError,
-    StoreReply,
+    may_release_unconfirmed, ChargeDecision, HomeState, ProgramKey, ReserveRequest, RowCheck,
+    StoreCall, StoreError, StoreReply,
 };
 use tokio::task::spawn_local;
 use tokio::time::{sleep, Instant};
@@ -64,9 +64,23 @@
             result => return result,
         }
         let (program, held_tokens) = (&request.program, request.max_tokens);
-        let Some(home) = self.home_of(program) else {
-            return Err(ChargeDecision::HeldElsewhere { held_tokens });
+        let granted_tokens = match self.request_release(request).await {
+            Some(granted_tokens) => granted_tokens,
+            // The calls of such a program would be refused until the home knows.
+            None if may_release_unconfirmed(request.budget_tokens, held_tokens) => 0,
+            None => return Err(ChargeDecision::HeldElsewhere { held_tokens }),
         };
+        self.budgets
+            .borrow_mut()
+            .record_release(program, granted_tokens);
+        self.charge_in_store(request, deadline).await
+    }
+
+    /// Has the program's home release the reserve; returns the tokens granted of it,
+    /// or `None` if the home can't be reached or doesn't know.
+    async fn request_release(&self, request: &TokenRequest) -> Option<u64> {
+        let program = &request.program;
+        let home = self.home_of(program)?;
         let reserve_request = request.reserve_request(false);
         let granted_tokens = if self.is_own_name(&home) {
             self.release_reserve(&reserve_request)
@@ -75,13 +89,7 @@
             released.await
         };
         log::debug!(program = program.0.as_str(), home = home.as_str(), granted_tokens; "reserve released");
-        let Some(granted_tokens) = granted_tokens else {
-            return Err(ChargeDecision::HeldElsewhere { held_tokens });
-        };
-        self.budgets
-            .borrow_mut()
-            .record_release(program, granted_tokens);
-        self.charge_in_store(request, deadline).await
+        granted_tokens
     }
 
     /// Takes tokens of the program's reserve, perhaps fewer than the call's maximum
--- a/crates/gateway/src/allowance.rs
+++ b/crates/gateway/src/allowance.rs
@@ -20,6 +20,7 @@
 
 use crate::budget::{DeferredCharge, ProgramKey};
 use crate::connectivity::Connectivity;
+use crate::reserve::max_allowance_tokens;
 
 /// Request for tokens for one call, sent to the coordinator of the call's
 /// program.
@@ -90,7 +91,8 @@
         allowance.budget_tokens = request.budget_tokens;
         allowance.max_call_tokens = allowance.max_call_tokens.max(request.max_tokens);
         let committed_tokens = allowance.in_flight_tokens + allowance.spent_tokens;
-        let remaining_tokens = request.max_tokens.saturating_sub(committed_tokens);
+        let max_tokens = max_allowance_tokens(request.budget_tokens, request.max_tokens);
+        let remaining_tokens = max_tokens.saturating_sub(committed_tokens);
         let expected_tokens = request.expected_tokens.max(1);
         let min_grant_tokens =
             (expected_tokens * MIN_GRANT_NUMERATOR / MIN_GRANT_DENOMINATOR).min(request.max_tokens);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,7 +42,9 @@
 pub use placement::{place, Placement, PlacementRequest, PlacementSettings};
 pub use reply_timeout::ReplyTimeout;
 pub use request_metadata::{ModelCall, RequestMetadata};
-pub use reserve::{reserve_tokens, HomeState, ReserveRequest, Reserves, RowCheck};
+pub use reserve::{
+    may_release_unconfirmed, reserve_tokens, HomeState, ReserveRequest, Reserves, RowCheck,
+};
 pub use retry::{decide_retry, AttemptFailure, Attempts, RetryDecision};
 pub use sentinel::{Sentinel, SentinelSettings, SentinelTable, TableVersions};
 pub use store::{Row, RowKey, RowWrite, StoreCall, StoreError, StoreReply};
--- a/crates/gateway/src/reserve.rs
+++ b/crates/gateway/src/reserve.rs
@@ -60,6 +60,21 @@
     budget_tokens / RESERVE_DIVISOR
 }
 
+/// Whether a call's program gets its whole budget where its home can't say what it
+/// granted. That may overspend the budget by the reserve. It is for calls that don't
+/// fit into the budget without the reserve, and [`max_allowance_tokens`] leaves room.
+pub fn may_release_unconfirmed(budget_tokens: u64, max_tokens: u64) -> bool {
+    max_tokens > budget_tokens - reserve_tokens(budget_tokens)
+}
+
+/// Maximum allowance that a program gets by a call of this size: the call, or the
+/// reserve less if the reserve may be released unconfirmed for this or a larger call.
+/// Reserve and allowance together then stay within the program's largest call.
+pub(crate) fn max_allowance_tokens(budget_tokens: u64, max_tokens: u64) -> u64 {
+    let rest_tokens = max_tokens.saturating_sub(reserve_tokens(budget_tokens));
+    max_tokens.min(rest_tokens.max(budget_tokens / 2))
+}
+
 /// State of a VM that decides whether it is a home.
 #[derive(Clone, Copy, Debug)]
 pub struct HomeState {
