Reserves: a VM that registers late is no home at once

A VM that the store turned away in the first seconds of the system counted as a home from its start, though the others, which did not list it, had granted the same reserves meanwhile. It also granted its own callers tokens before it was listed. The same holds for a VM whose entry got lost and that registers again.

The time until a VM is a home now starts with its last registration; only a VM that is registered within 5 s of the first start is one at once.

Evidence: four cases of `is_home`, which fail by the uptime alone.

--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -54,6 +54,8 @@
     is_checking_reserves: Cell<bool>,
     /// Whether nothing existed before this VM started.
     is_first_start: bool,
+    /// Time of the last registration of this VM; `None` before it.
+    registered_ms: Cell<Option<u64>>,
     /// Result of the last connectivity check; `Store` before the first.
     connectivity: Cell<Connectivity>,
     /// Time of the last connectivity check; `None` before the first. Locked
@@ -115,6 +117,7 @@
             reserves: RefCell::default(),
             is_checking_reserves: Cell::new(false),
             is_first_start,
+            registered_ms: Cell::new(None),
             connectivity: Cell::new(Connectivity::Store),
             checked_ms: Mutex::default(),
             overdrawn_rows: RefCell::default(),
--- a/crates/entry/src/ledger/reserve.rs
+++ b/crates/entry/src/ledger/reserve.rs
@@ -138,6 +138,11 @@
         self.reserves.borrow_mut().return_unused(program, tokens);
     }
 
+    /// Records that this VM was registered in the list of VMs, perhaps again.
+    pub(crate) fn record_registration(&self) {
+        self.registered_ms.set(Some(self.clock.now_ms()));
+    }
+
     /// Starts to check which programs have ended whose reserves this VM remembers.
     pub(super) fn start_reserve_checks(self: &Rc<Self>) {
         let now_ms = self.clock.now_ms();
@@ -206,6 +211,7 @@
         let state = HomeState {
             uptime_ms: self.clock.now_ms(),
             is_first_start: self.is_first_start,
+            registered_ms: self.registered_ms.get(),
             list_age_ms: self.peer_client.listing_age_ms(),
         };
         let program = ProgramKey(request.program.clone());
--- a/crates/entry/src/registration.rs
+++ b/crates/entry/src/registration.rs
@@ -56,9 +56,11 @@
     pub(crate) async fn maintain(self: Rc<Self>, state: Rc<DaemonState>) {
         while !state.stopping.get() {
             if !state.registered.get() && !self.store.is_unavailable() {
-                state
-                    .registered
-                    .set(self.write(Some(self.value.clone())).await);
+                let is_registered = self.write(Some(self.value.clone())).await;
+                state.registered.set(is_registered);
+                if is_registered {
+                    state.budget_client.record_registration();
+                }
             }
             let expired = state.peer_client.peers.borrow().expired(state.now_ms());
             for (name, version) in expired {
--- a/crates/gateway/src/reserve.rs
+++ b/crates/gateway/src/reserve.rs
@@ -38,10 +38,14 @@
 /// of the retention. That of a program in use is written more often.
 const UNCHANGED_RETENTIONS: u64 = 4;
 
-/// Uptime from which a VM is a home: programs that an earlier run of it, or
+/// Time since the registration from which a VM is a home: programs that an earlier run of it, or
 /// another home before it, granted tokens have ended by then.
 const MIN_HOME_UPTIME_MS: u64 = 1_800_000;
 
+/// Time after the first start within which a VM must be registered to be a home at
+/// once: a later one may be missing in the lists of VMs that granted tokens instead.
+const MAX_FIRST_REGISTRATION_MS: u64 = 5_000;
+
 /// Maximum age of a home's list of VMs, and maximum retention of the programs
 /// that it grants tokens. Twice this is the minimum uptime, so that a home whose
 /// list lacks a newer VM stops a retention before that one starts.
@@ -82,6 +86,9 @@
     pub uptime_ms: u64,
     /// Whether nothing existed before this VM started.
     pub is_first_start: bool,
+    /// Time from the start to the last registration in the list of VMs, which is
+    /// repeated if the entry got lost; `None` before it.
+    pub registered_ms: Option<u64>,
     /// Time since the list of VMs was known to be current; `None` before it was
     /// read.
     pub list_age_ms: Option<u64>,
@@ -91,7 +98,11 @@
     /// Whether this VM may grant reserves of programs that return within
     /// `retention_ms`, as far as other homes and earlier runs are concerned.
     pub fn is_home(&self, retention_ms: u64) -> bool {
-        let is_settled = self.is_first_start || self.uptime_ms >= MIN_HOME_UPTIME_MS;
+        let Some(registered_ms) = self.registered_ms else {
+            return false;
+        };
+        let is_first = self.is_first_start && registered_ms <= MAX_FIRST_REGISTRATION_MS;
+        let is_settled = is_first || self.uptime_ms >= registered_ms + MIN_HOME_UPTIME_MS;
         let knows_others = self.list_age_ms.is_some_and(|age| age <= MAX_LIST_AGE_MS);
         is_settled && knows_others && retention_ms <= MAX_LIST_AGE_MS
     }
--- a/crates/gateway/tests/reserve.rs
+++ b/crates/gateway/tests/reserve.rs
@@ -33,20 +33,28 @@
 }
 
 // Guards against two homes that each grant the reserve: a VM that started after
-// programs began, or one whose list may lack a newer VM.
+// programs began, one that was missing in the lists of others for a while, or one
+// whose list may lack a newer VM.
 #[parameterized(
-    first_start = { 0, true, Some(0), MINUTE_MS, true },
-    just_started = { 0, false, Some(0), MINUTE_MS, false },
-    nearly_old_enough = { 30 * MINUTE_MS - 1, false, Some(0), MINUTE_MS, false },
-    old_enough = { 30 * MINUTE_MS, false, Some(0), MINUTE_MS, true },
-    list_not_read = { 40 * MINUTE_MS, true, None, MINUTE_MS, false },
-    list_recent = { 40 * MINUTE_MS, true, Some(15 * MINUTE_MS), MINUTE_MS, true },
-    list_old = { 40 * MINUTE_MS, true, Some(15 * MINUTE_MS + 1), MINUTE_MS, false },
-    long_retention = { 40 * MINUTE_MS, true, Some(0), 16 * MINUTE_MS, false },
+    first_start = { 0, true, Some(0), Some(0), MINUTE_MS, true },
+    just_started = { 0, false, Some(0), Some(0), MINUTE_MS, false },
+    nearly_old_enough = { 30 * MINUTE_MS - 1, false, Some(0), Some(0), MINUTE_MS, false },
+    old_enough = { 30 * MINUTE_MS, false, Some(0), Some(0), MINUTE_MS, true },
+    list_not_read = { 40 * MINUTE_MS, true, Some(0), None, MINUTE_MS, false },
+    list_recent = { 40 * MINUTE_MS, true, Some(0), Some(15 * MINUTE_MS), MINUTE_MS, true },
+    list_old = { 40 * MINUTE_MS, true, Some(0), Some(15 * MINUTE_MS + 1), MINUTE_MS, false },
+    long_retention = { 40 * MINUTE_MS, true, Some(0), Some(0), 16 * MINUTE_MS, false },
+    first_start_not_registered = { 6_000, true, None, Some(0), MINUTE_MS, false },
+    not_registered = { 40 * MINUTE_MS, false, None, Some(0), MINUTE_MS, false },
+    registered_soon = { 6_000, true, Some(5_000), Some(0), MINUTE_MS, true },
+    registered_late = { 6_000, true, Some(5_001), Some(0), MINUTE_MS, false },
+    registered_late_and_long_ago = { 31 * MINUTE_MS, true, Some(MINUTE_MS), Some(0), MINUTE_MS, true },
+    registered_again = { 70 * MINUTE_MS, true, Some(41 * MINUTE_MS), Some(0), MINUTE_MS, false },
 )]
 fn is_home(
     uptime_ms: u64,
     is_first_start: bool,
+    registered_ms: Option<u64>,
     list_age_ms: Option<u64>,
     retention_ms: u64,
     expected: bool,
@@ -54,6 +62,7 @@
     let state = HomeState {
         uptime_ms,
         is_first_start,
+        registered_ms,
         list_age_ms,
     };
     assert_eq!(state.is_home(retention_ms), expected);
