--- a/crates/gateway/tests/budget.rs
+++ b/crates/gateway/tests/budget.rs
@@ -7,7 +7,8 @@
     RETENTION_MS,
 };
 use lagoon_gateway::{
-    ChargeDecision, ChargeRequest, Grant, ProgramBudgets, Row, RowWrite, StoreReply, WaiterId,
+    BudgetRow, ChargeDecision, ChargeRequest, Grant, ProgramBudgets, Row, RowWrite, StoreReply,
+    WaiterId,
 };
 use proptest::prelude::*;
 
@@ -350,6 +351,19 @@
     assert!(store.charged() > 0);
 }
 
+// Guards against rows of other builds that can't be read: those without a retention,
+// or with fields that this build doesn't know.
+#[test]
+fn row_of_another_build_is_read() {
+    for row in [
+        r#"{"charged_tokens":7,"is_whole":true,"marks":[]}"#,
+        r#"{"charged_tokens":7,"marks":[],"retention_ms":5,"later":{}}"#,
+    ] {
+        let row: BudgetRow = serde_json::from_str(row).expect("a row");
+        assert_eq!(row.charged_tokens, 7);
+    }
+}
+
 // Guards against a budget that starts anew at a VM that was cut off for so long that
 // the row was deleted meanwhile.
 #[test]
--- a/crates/gateway/tests/reserve.rs
+++ b/crates/gateway/tests/reserve.rs
@@ -12,7 +12,7 @@
 use lagoon_gateway::{
     may_release_unconfirmed, reserve_tokens, AllowanceRequest, Allowances, ChargeDecision,
     Connectivity, HomeState, PeerEntry, Peers, ProgramBudgets, ProgramKey, ReserveRequest,
-    Reserves,
+    Reserves, Row, RowCheck,
 };
 use proptest::prelude::*;
 use yare::parameterized;
@@ -137,6 +137,57 @@
     assert_eq!(Reserves::default().grant(&request, 0), expected);
 }
 
+fn row(version: u64) -> Row {
+    Row {
+        key: program().row_key(),
+        value: Some(br#"{"charged_tokens":1,"marks":[]}"#.to_vec()),
+        version,
+    }
+}
+
+/// Reads the row for each program that is due; returns the versions that are deleted.
+fn check(reserves: &mut Reserves, row: Option<&Row>, began_ms: u64) -> Vec<u64> {
+    let due = reserves.programs_to_check(began_ms).into_iter();
+    let deletions = due.filter_map(|program| {
+        let check = RowCheck { row, began_ms };
+        reserves.on_row_read(&program, check)
+    });
+    deletions.map(|write| write.expected_version).collect()
+}
+
+// Guards against a reserve that is forgotten while VMs write the program's row, and
+// against one that is kept for good as the row's last writer has ended.
+#[test]
+fn reserve_is_kept_as_long_as_the_row_changes() {
+    let mut reserves = Reserves::default();
+    reserves.grant(&reserve_request(), 0);
+    let mut now_ms = 6 * RETENTION_MS;
+    assert!(reserves.programs_to_check(now_ms).is_empty());
+    for version in 1..5 {
+        now_ms += 4 * RETENTION_MS + 1;
+        assert!(check(&mut reserves, Some(&row(version)), now_ms).is_empty());
+        assert_eq!(reserves.len(), 1);
+    }
+    let early_ms = now_ms + 4 * RETENTION_MS;
+    assert!(reserves.programs_to_check(early_ms).is_empty());
+    assert_eq!(check(&mut reserves, Some(&row(4)), early_ms + 1), [4]);
+    assert_eq!(reserves.len(), 1, "the row is not deleted yet");
+    check(&mut reserves, None, early_ms + 1);
+    assert!(reserves.is_empty());
+}
+
+#[test]
+fn reserve_that_is_used_while_the_row_is_read_is_kept() {
+    let mut reserves = Reserves::default();
+    reserves.grant(&reserve_request(), 0);
+    let began_ms = 6 * RETENTION_MS + 1;
+    let due = reserves.programs_to_check(began_ms);
+    reserves.grant(&reserve_request(), began_ms);
+    let row = None;
+    reserves.on_row_read(&due[0], RowCheck { row, began_ms });
+    assert_eq!(reserves.len(), 1);
+}
+
 // Guards against tokens that are granted both by the home and by the row.
 #[test]
 fn release_ends_all_grants() {
