Allowances: records of grants at a second VM, for other domains and after stops

A program whose budget is spent may get the tokens of one more call while the store is unreachable. The VM that granted them was the only one to know. Callers got that call twice: through a VM that was stopping and one that took its place (it left the list of VMs at SIGTERM and went on granting); through two failure domains that were cut off one after the other; through a VM that was killed before the charge and started again, as claims were held by name.

Now the first two VMs of each failure domain in the program's ranking hold the record of a grant, by incarnation, before it is used. A VM that stops grants nothing from SIGTERM on, and passes its records and charges to the next two. A VM that starts is passed the records it should hold. Two VMs that may both have granted end the allowance.

--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -13,6 +13,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use compact_str::{format_compact, CompactString};
 use lagoon_gateway::{
     Allowances, BudgetWrite, ChargeDecision, ChargeRequest, Connectivity, ProgramBudgets,
     ProgramKey, Reserves, StoreCall, StoreError, StoreReply, WaiterId,
@@ -48,6 +49,8 @@
     peer_client: Rc<PeerClient>,
     budgets: RefCell<ProgramBudgets>,
     allowances: RefCell<Allowances>,
+    /// Incarnation of this VM, as the holder of a claim to grant allowances.
+    claimant: CompactString,
     /// Reserves of the programs whose home this VM is.
     reserves: RefCell<Reserves>,
     /// Whether nothing existed before this VM started.
@@ -102,14 +105,17 @@
         store: Rc<StoreClient>,
         peer_client: Rc<PeerClient>,
         budgets: ProgramBudgets,
+        writer: &str,
         is_first_start: bool,
     ) -> Rc<BudgetClient> {
+        let claimant = format_compact!("{}/{writer}", peer_client.peers.borrow().own_name());
         Rc::new(BudgetClient {
             clock,
             store,
             peer_client,
             budgets: RefCell::new(budgets),
             allowances: RefCell::default(),
+            claimant,
             reserves: RefCell::default(),
             is_first_start,
             connectivity: Cell::new(Connectivity::Store),
@@ -405,13 +411,9 @@
             return;
         }
         let now_ms = self.clock.now_ms();
-        for charge in self.allowances.borrow_mut().take_deferred_charges() {
-            let program = charge.program.clone();
-            log::info!(program = program.0.as_str(), tokens = charge.tokens; "charging what was spent without the store");
-            self.budgets
-                .borrow_mut()
-                .add_deferred_charge(&charge, now_ms);
-            spawn_local(Rc::clone(self).list_overdrawn(program));
+        let charges = self.allowances.borrow_mut().take_deferred_charges();
+        for charge in &charges {
+            self.defer_charge(charge);
         }
         let due = self.budgets.borrow().programs_to_write(now_ms);
         for program in due {
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -2,7 +2,8 @@
 
 use compact_str::CompactString;
 use lagoon_gateway::{
-    AllowanceRequest, AllowanceSettlement, ReserveRequest, StoreCall, StoreError, StoreReply,
+    AllowanceRecord, AllowanceRequest, AllowanceSettlement, ReserveRequest, StoreCall, StoreError,
+    StoreReply,
 };
 use lagoon_limits::RunId;
 use lagoon_streams::StreamId;
@@ -44,7 +45,8 @@
     /// another VM is recorded as the program's coordinator.
     ClaimCoordinator {
         program: CompactString,
-        /// Name of the VM that is about to grant them.
+        /// Incarnation of the VM that is about to grant them, by its name in messages
+        /// of earlier versions.
         coordinator: CompactString,
     },
     /// Hold an encoded turn until the store has it. Response:
@@ -80,6 +82,9 @@
     /// Find out whether the receiver reaches this run of a target. Response:
     /// [`TargetReach`](crate::paths::TargetReach).
     ReachTarget { id: CompactString, run: RunId },
+    /// Hold these records of allowances, and write the charges in them. Response:
+    /// `true`.
+    HoldAllowances(Vec<AllowanceRecord>),
 }
 
 /// Response to [`PeerMessage::FetchTurns`].
--- a/crates/entry/src/message_handler.rs
+++ b/crates/entry/src/message_handler.rs
@@ -49,9 +49,9 @@
         PeerMessage::ClaimCoordinator {
             program,
             coordinator,
-        } => postcard::to_allocvec(
-            &budget_client.claim_coordinator(&ProgramKey(program), &coordinator),
-        ),
+        } => {
+            postcard::to_allocvec(&budget_client.agree_to_claim(&ProgramKey(program), &coordinator))
+        }
         PeerMessage::CopyTurn(turn) => postcard::to_allocvec(&turn_keeper.hold_copy(&turn)),
         PeerMessage::ReleaseCopies(ids) => {
             turn_keeper.drop_copies(&ids);
@@ -81,6 +81,10 @@
         PeerMessage::ReachTarget { id, run } => {
             postcard::to_allocvec(&state.reach_of(&id, run).await)
         }
+        PeerMessage::HoldAllowances(records) => {
+            budget_client.hold_allowances(&records);
+            postcard::to_allocvec(&true)
+        }
         PeerMessage::Probe => postcard::to_allocvec(&budget_client.is_store_unavailable()),
     };
     match response {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -16,8 +16,8 @@
 use hyper::header::HOST;
 use hyper::{Method, Request, StatusCode};
 use lagoon_gateway::{
-    allowance_coordinator, classify_connectivity, AllowanceRequest, AllowanceSettlement,
-    Connectivity, PeerOutcome, PeerProbe, Peers, ProgramKey, ReserveRequest, StoreCall, StoreError,
+    classify_connectivity, AllowanceRecord, AllowanceRequest, AllowanceSettlement, Connectivity,
+    CutDoubt, PeerOutcome, PeerProbe, Peers, ProgramKey, ReserveRequest, StoreCall, StoreError,
 };
 use lagoon_ids::FastMap;
 use lagoon_limits::RunId;
@@ -62,6 +62,8 @@
 pub(crate) struct PeerClient {
     clock: Clock,
     pub(crate) peers: RefCell<Peers>,
+    /// Failure domains that may have grants of which this VM hasn't been told.
+    cut_doubt: RefCell<CutDoubt>,
     idle: RefCell<FastMap<SocketAddr, Vec<Connection>>>,
     /// Number of periodic probes so far; selects the VM that is probed next.
     next_probe: Cell<usize>,
@@ -75,6 +77,7 @@
         PeerClient {
             clock,
             peers: RefCell::new(peers),
+            cut_doubt: RefCell::default(),
             idle: RefCell::default(),
             next_probe: Cell::new(0),
             listing_read_ms: Cell::new(None),
@@ -222,6 +225,10 @@
         let probes = join_all(probes).await;
         let own = self.peers.borrow().own_domain().clone();
         let connectivity = classify_connectivity(&own, &probes);
+        let now_ms = self.clock.now_ms();
+        self.cut_doubt
+            .borrow_mut()
+            .record_probes(&own, &probes, now_ms);
         let answered = probes
             .iter()
             .filter(|probe| probe.is_store_down.is_some())
@@ -255,30 +262,73 @@
         self.next_probe.set(next_probe.wrapping_add(1));
         let (name, entry) = &peers[next_probe % peers.len()];
         let response = self.request::<bool>(name, entry.address, &PeerMessage::Probe, PEER_TIMEOUT);
-        if let Err(error) = response.await {
-            log::debug!(peer = name.as_str(), error = error.to_string(); "VM does not respond to a probe");
+        match response.await {
+            Ok(_) => {
+                let mut cut_doubt = self.cut_doubt.borrow_mut();
+                cut_doubt.record_reply(&entry.domain, self.clock.now_ms());
+            }
+            Err(error) => {
+                log::debug!(peer = name.as_str(), error = error.to_string(); "VM does not respond to a probe");
+            }
         }
     }
 
-    /// Asks the program's coordinator in each failure domain whether this VM
-    /// may grant an allowance; `false` unless all agree.
-    pub(crate) async fn confirm_coordinator(&self, program: &ProgramKey) -> bool {
-        let (own, coordinators) = {
-            let peers = self.peers.borrow();
-            let domains = peers.domains().into_iter();
-            let coordinators =
-                domains.filter_map(|vms| allowance_coordinator(program, vms).cloned());
-            (peers.own_name().clone(), coordinators.collect::<Vec<_>>())
-        };
+    /// Whether this VM must not grant allowances, nor agree to grants, as it may not
+    /// know of those of other failure domains.
+    pub(crate) fn forbids_grants(&self, connectivity: Connectivity) -> bool {
+        self.cut_doubt.borrow().forbids_grants(connectivity)
+    }
+
+    /// Whether the VM with this name responds at present.
+    pub(crate) async fn is_in_reach(&self, name: &str) -> bool {
+        let reply = self.request_soon::<bool>(name, &PeerMessage::Probe, LOCAL_TIMEOUT);
+        reply.await.is_some()
+    }
+
+    /// Asks the VMs that hold the records of a program's allowance whether this VM,
+    /// the incarnation `claimant`, may grant it; `false` unless there are some and all
+    /// agree.
+    pub(crate) async fn confirm_coordinator(
+        &self,
+        program: &ProgramKey,
+        connectivity: Connectivity,
+        claimant: &CompactString,
+    ) -> bool {
+        let now_ms = self.clock.now_ms();
+        let holders = self
+            .peers
+            .borrow()
+            .claim_holders(program, connectivity, now_ms);
         let message = PeerMessage::ClaimCoordinator {
             program: program.0.clone(),
-            coordinator: own.clone(),
+            coordinator: claimant.clone(),
         };
-        let others = coordinators.iter().filter(|name| **name != own);
-        let responses =
-            others.map(|name| self.request_by_name::<bool>(name, &message, PEER_TIMEOUT));
+        let responses = holders
+            .iter()
+            .map(|name| self.request_by_name::<bool>(name, &message, PEER_TIMEOUT));
         let responses = join_all(responses).await;
-        responses.iter().all(|response| *response == Some(true))
+        !responses.is_empty() && responses.iter().all(|response| *response == Some(true))
+    }
+
+    /// Has another VM hold records of allowances; `false` if it doesn't confirm. A VM
+    /// of an earlier version holds the claims in them.
+    pub(crate) async fn hold_allowances(&self, name: &str, records: &[AllowanceRecord]) -> bool {
+        let message = PeerMessage::HoldAllowances(records.to_vec());
+        let is_held = self.request_by_name::<bool>(name, &message, LOCAL_TIMEOUT);
+        if is_held.await == Some(true) {
+            return true;
+        }
+        for record in records {
+            let claim = PeerMessage::ClaimCoordinator {
+                program: record.program.clone(),
+                coordinator: record.coordinator.clone(),
+            };
+            let reply = self.request_by_name::<bool>(name, &claim, LOCAL_TIMEOUT);
+            if reply.await.is_none() || record.uncharged_tokens > 0 {
+                return false;
+            }
+        }
+        true
     }
 
     /// Reports to the coordinator what a call used.
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -102,6 +102,7 @@
         Rc::clone(&store),
         Rc::clone(&peer_client),
         budgets,
+        &writer,
         settings.vm.first_start,
     );
     let crash_tracker = CrashTracker::new(clock, Rc::clone(&budget_client), metrics.clone());
@@ -134,6 +135,7 @@
     spawn_local(housekeeping(Rc::clone(&state), Rc::clone(&store)));
     spawn_local(Rc::clone(&state.turn_keeper).sweep_periodically());
     spawn_local(Rc::clone(&state.budget_client).monitor_connectivity());
+    spawn_local(Rc::clone(&state.budget_client).tell_domains());
     spawn_local(report_settings_changes(settings.clone(), file));
     let registration = Registration::new(&settings, writer.clone(), Rc::clone(&store));
     let registration = Rc::new(registration);
@@ -153,6 +155,8 @@
         _ = interrupt.recv() => {}
     }
     state.stopping.set(true);
+    // Before this VM leaves the list by which others take its place.
+    state.budget_client.stop_granting();
     spawn_local(async move { registration.unregister().await });
     state.hand_over_origins();
     state.turn_keeper.stop();
@@ -292,5 +296,9 @@
     {
         log::warn!("not all turns were handed over");
     }
+    let handed_over = state.budget_client.hand_over_allowances();
+    if timeout(HANDOVER_TIMEOUT, handed_over).await.is_err() {
+        log::warn!("not all allowances were handed over");
+    }
     log::info!(unclosed = state.connections.get(); "stopped");
 }
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -311,7 +311,13 @@
             return;
         };
         match serde_json::from_slice(&value) {
-            Ok(entry) => peers.upsert(name, entry, row.version),
+            Ok(entry) => {
+                let is_new = peers.upsert(name.clone(), entry, row.version);
+                drop(peers);
+                if is_new {
+                    self.state.budget_client.share_records(name);
+                }
+            }
             Err(error) => {
                 log::warn!(peer = name.as_str(), error = error.to_string(); "invalid entry of a VM");
                 peers.remove(&name, now_ms);
--- /dev/null
+++ b/crates/entry/tests/allowances.rs
@@ -0,0 +1,173 @@
+//! Allowances of one call beyond a budget: that all VMs together grant one, whichever
+//! VMs stop, end or are cut off.
+
+mod fleet;
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use fleet::{call, get, wait_until, Fleet};
+use lagoon_adapter::standin::model_call_headers;
+use lagoon_standin::fleet::StoreFault;
+use nix::sys::signal::Signal;
+
+/// Tokens of a whole response, which is also the maximum of one call.
+const MAX_CALL_TOKENS: u64 = 72;
+const TOKENS_PER_EVENT: u64 = 12;
+const BUDGET_TOKENS: u64 = 300;
+
+const PROGRAMS: usize = 24;
+
+/// Time for which a VM that is stopping is sure to serve callers.
+const SERVES_WHILE_STOPPING: Duration = Duration::from_millis(2_100);
+
+/// Time for which VMs that are cut off are called.
+const CUT_OFF_TIME: Duration = Duration::from_secs(3);
+
+/// Time from the end of one cut to the next one.
+const TIME_BETWEEN_CUTS: Duration = Duration::from_secs(1);
+
+/// Tokens that the callers of each program got.
+type Spent = [u64; PROGRAMS];
+
+/// One call of a program; returns the status and the tokens that the caller got.
+fn next_call(vm: SocketAddr, program: usize) -> (u16, u64) {
+    let name = format!("p{program}");
+    let headers = model_call_headers("r", &name, BUDGET_TOKENS, MAX_CALL_TOKENS);
+    let response = call(vm, "POST /stream/x", &headers, "p");
+    let events = response.body.matches("id: ").count() as u64;
+    (response.status, TOKENS_PER_EVENT * events)
+}
+
+/// Calls of all programs through a VM, side by side, until `ends` holds for the status
+/// of one or the time is over.
+fn call_all<F>(fleet: &Fleet, vm: usize, time: Duration, spent: &mut Spent, ends: F)
+where
+    F: Fn(u16) -> bool + Sync,
+{
+    let end = Instant::now() + time;
+    let address = fleet.vms[vm].callers;
+    thread::scope(|scope| {
+        for (program, spent) in spent.iter_mut().enumerate() {
+            let ends = &ends;
+            scope.spawn(move || {
+                while Instant::now() < end {
+                    let (status, tokens) = next_call(address, program);
+                    *spent += tokens;
+                    if ends(status) {
+                        return;
+                    }
+                    thread::sleep(Duration::from_millis(50));
+                }
+            });
+        }
+    });
+}
+
+/// Spends the budgets of all programs.
+fn spend_budgets(fleet: &Fleet) -> Spent {
+    let mut spent = Spent::default();
+    let time = Duration::from_secs(20);
+    call_all(fleet, 0, time, &mut spent, |status| status == 402);
+    let is_spent = |spent: &u64| *spent > BUDGET_TOKENS - MAX_CALL_TOKENS;
+    assert!(spent.iter().all(is_spent), "{spent:?}");
+    spent
+}
+
+fn assert_kept(spent: &Spent) {
+    let bound = BUDGET_TOKENS + MAX_CALL_TOKENS;
+    let broken = spent.iter().filter(|spent| **spent > bound).count();
+    assert_eq!(broken, 0, "{spent:?}, bound {bound}");
+}
+
+fn granted(spent: &Spent) -> usize {
+    spent.iter().filter(|spent| **spent > BUDGET_TOKENS).count()
+}
+
+// Guards against a second allowance by the VMs that no longer list one that is
+// stopping and still serves.
+#[test]
+fn stopping_vm_and_its_successor_grant_one_allowance() {
+    let fleet = Fleet::start(4);
+    let mut spent = spend_budgets(&fleet);
+    let stopping = 3;
+    fleet.vms[stopping].signal(Signal::SIGTERM);
+    let stopped = Instant::now();
+    let others = format!("\nlagoon_other_vms {}\n", fleet.vms.len() - 2);
+    for vm in &fleet.vms[..stopping] {
+        wait_until("the others to list it no more", || {
+            get(vm.peers, "/metrics").body.contains(&others)
+        });
+    }
+    fleet.store.set_fault(StoreFault::Unavailable);
+    let time = SERVES_WHILE_STOPPING.saturating_sub(stopped.elapsed());
+    call_all(&fleet, stopping, time, &mut spent, |_| false);
+    let granted_by_stopping = granted(&spent);
+    call_all(&fleet, 0, CUT_OFF_TIME, &mut spent, |_| false);
+    assert_kept(&spent);
+    assert!(granted_by_stopping > 0, "callers of it were refused");
+    assert!(granted(&spent) > PROGRAMS / 2, "{spent:?}");
+}
+
+// Guards against a second allowance by a VM that stopped in an outage and started
+// again, or by the one that took its place.
+#[test]
+fn allowance_of_a_vm_that_stopped_in_an_outage_is_granted_once() {
+    let mut fleet = Fleet::start(3);
+    let mut spent = spend_budgets(&fleet);
+    fleet.store.set_fault(StoreFault::Unavailable);
+    call_all(&fleet, 0, CUT_OFF_TIME, &mut spent, |_| false);
+    assert!(granted(&spent) > PROGRAMS / 2, "{spent:?}");
+    fleet.vms[2].signal(Signal::SIGTERM);
+    assert!(fleet.vms[2].wait());
+    fleet.store.set_fault(StoreFault::None);
+    fleet.restart_vm(2);
+    fleet.wait_for_peers();
+    // Any allowance that is charged late must not be granted again either.
+    fleet.store.set_fault(StoreFault::Unavailable);
+    call_all(&fleet, 0, CUT_OFF_TIME, &mut spent, |_| false);
+    assert_kept(&spent);
+}
+
+// Guards against a second allowance by a VM that was killed before it could charge
+// the first one.
+#[test]
+fn allowance_of_a_killed_vm_is_granted_once() {
+    let mut fleet = Fleet::start_in_domains(6, 3);
+    let mut spent = spend_budgets(&fleet);
+    fleet.store.set_fault(StoreFault::Unavailable);
+    call_all(&fleet, 0, CUT_OFF_TIME, &mut spent, |_| false);
+    assert!(granted(&spent) > PROGRAMS / 2, "{spent:?}");
+    fleet.vms[5].signal(Signal::SIGKILL);
+    fleet.vms[5].wait();
+    fleet.store.set_fault(StoreFault::None);
+    fleet.restart_vm(5);
+    fleet.wait_for_peers();
+    thread::sleep(TIME_BETWEEN_CUTS);
+    fleet.store.set_fault(StoreFault::Unavailable);
+    call_all(&fleet, 0, CUT_OFF_TIME, &mut spent, |_| false);
+    assert_kept(&spent);
+}
+
+// Guards against a second allowance by a failure domain that is cut off after another
+// one that granted it, before this was charged. The VMs of the domains that are out of
+// reach are frozen.
+#[test]
+fn domains_cut_off_one_after_the_other_grant_one_allowance() {
+    let fleet = Fleet::start_in_domains(6, 3);
+    let mut spent = spend_budgets(&fleet);
+    let signal_all =
+        |vms: &[usize], signal| vms.iter().for_each(|vm| fleet.vms[*vm].signal(signal));
+    signal_all(&[1, 2, 4, 5], Signal::SIGSTOP);
+    fleet.store.set_fault(StoreFault::Unavailable);
+    call_all(&fleet, 0, CUT_OFF_TIME, &mut spent, |_| false);
+    let granted_in_first = granted(&spent);
+    signal_all(&[1, 2, 4, 5], Signal::SIGCONT);
+    thread::sleep(TIME_BETWEEN_CUTS);
+    signal_all(&[0, 2, 3, 5], Signal::SIGSTOP);
+    call_all(&fleet, 1, CUT_OFF_TIME, &mut spent, |_| false);
+    signal_all(&[0, 2, 3, 5], Signal::SIGCONT);
+    assert_kept(&spent);
+    assert!(granted_in_first > 0, "{spent:?}");
+}
--- a/crates/entry/tests/fleet/mod.rs
+++ b/crates/entry/tests/fleet/mod.rs
@@ -327,14 +327,7 @@
         );
         let file = self.files.path().join(format!("{name}.toml"));
         fs::write(&file, text).expect("settings are written");
-        let log = fs::File::create(self.files.path().join(format!("{name}.log")));
-        let child = Command::new(env!("CARGO_BIN_EXE_lagoon-entry"))
-            .arg("--settings")
-            .arg(&file)
-            .stderr(log.expect("log file"))
-            .stdout(Stdio::null())
-            .spawn()
-            .expect("daemon starts");
+        let child = self.spawn_daemon(&name);
         Vm {
             name,
             callers,
@@ -345,6 +338,32 @@
         }
     }
 
+    /// Starts the process of a VM by the settings file that was written for it.
+    fn spawn_daemon(&self, name: &str) -> Child {
+        let log_file = self.files.path().join(format!("{name}.log"));
+        let log = fs::File::options().create(true).append(true).open(log_file);
+        Command::new(env!("CARGO_BIN_EXE_lagoon-entry"))
+            .arg("--settings")
+            .arg(self.files.path().join(format!("{name}.toml")))
+            .stderr(log.expect("log file"))
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("daemon starts")
+    }
+
+    /// Starts a VM that has ended again, under its name and as one that ran before,
+    /// and waits until it is ready.
+    pub(crate) fn restart_vm(&mut self, vm: usize) {
+        let name = self.vms[vm].name.clone();
+        let file = self.files.path().join(format!("{name}.toml"));
+        let text = fs::read_to_string(&file).expect("settings are read");
+        let text = text.replace("first_start = true", "first_start = false");
+        fs::write(&file, text).expect("settings are written");
+        self.vms[vm].child = self.spawn_daemon(&name);
+        let ready = self.vms[vm].ready;
+        wait_until("readiness", || get(ready, "/ready").status == 200);
+    }
+
     pub(crate) fn callers(&self) -> SocketAddr {
         self.vms[0].callers
     }
--- a/crates/gateway/src/allowance.rs
+++ b/crates/gateway/src/allowance.rs
@@ -8,11 +8,13 @@
 //! spent is charged to the program's budget row once the store is reachable.
 //!
 //! The group of VMs that may grant can change before deferred charges are
-//! written. So one VM of each failure domain, chosen by [`allowance_coordinator`]
-//! among the domain's VMs, records which VM grants for the program. If the VMs of
-//! all domains are cut off together, the coordinator needs the agreement of each
-//! of these VMs before it grants. A program whose row exceeds its budget after
-//! the charge is listed as overdrawn and gets no further allowance.
+//! written, and a VM that granted may end or lose its place in the list of VMs.
+//! So the first two VMs of each failure domain, ranked for the program, hold a
+//! record of which incarnation of which VM grants for it (see
+//! [`crate::Peers::claim_holders`]). The coordinator needs the agreement of those
+//! of its group before it grants. A VM that stops grants nothing more, and passes
+//! its records and charges on. A program whose row exceeds its budget after the
+//! charge is listed as overdrawn and gets no further allowance.
 
 use compact_str::CompactString;
 use lagoon_ids::{rendezvous_hash, FastMap, FastSet};
@@ -48,6 +50,36 @@
     pub used_tokens: u64,
 }
 
+/// What a VM knows of a program's allowance, for the VMs that hold it too.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct AllowanceRecord {
+    /// Program, by the name that its caller gives.
+    pub program: CompactString,
+    /// Incarnation of the VM that may have granted tokens, and alone may do so.
+    pub coordinator: CompactString,
+    /// Time since the last claim by any VM.
+    pub age_ms: u64,
+    /// Tokens that the receiver is to charge, as the sender ends; 0 if the sender
+    /// charges what it granted.
+    pub uncharged_tokens: u64,
+    /// Tokens that all calls of the program may generate together.
+    pub budget_tokens: u64,
+    /// Maximum output tokens of the program's largest call so far.
+    pub max_call_tokens: u64,
+}
+
+impl AllowanceRecord {
+    /// Charge that the receiver is to write; `None` if there is none.
+    pub fn deferred_charge(&self) -> Option<DeferredCharge> {
+        (self.uncharged_tokens > 0).then(|| DeferredCharge {
+            program: ProgramKey(self.program.clone()),
+            tokens: self.uncharged_tokens,
+            budget_tokens: self.budget_tokens,
+            max_call_tokens: self.max_call_tokens,
+        })
+    }
+}
+
 /// Maximum grant as a multiple of the call's expected tokens.
 const MAX_GRANT_FACTOR: u64 = 3;
 
@@ -64,14 +96,42 @@
     spent_tokens: u64,
 }
 
-/// Allowances that this VM coordinates.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ClaimState {
+    /// This VM waits for the agreement of others, and has granted nothing.
+    Pending,
+    /// The coordinator may have granted tokens.
+    Granted,
+    /// Two VMs are known that may have granted tokens; no VM may grant any more.
+    Contested,
+}
+
+/// Right of one incarnation of a VM to grant for a program.
+#[derive(Clone, Debug)]
+struct Claim {
+    coordinator: CompactString,
+    /// Time of the last claim by any VM.
+    claimed_ms: u64,
+    state: ClaimState,
+}
+
+impl Claim {
+    fn is_of(&self, coordinator: &str) -> bool {
+        self.coordinator == coordinator && self.state != ClaimState::Contested
+    }
+}
+
+/// Allowances that this VM coordinates, and claims of others.
 #[derive(Debug, Default)]
 pub struct Allowances {
     programs: FastMap<ProgramKey, Allowance>,
     overdrawn: FastSet<ProgramKey>,
-    /// VM recorded as the coordinator of each program, and the time of the last
-    /// claim by any VM.
-    coordinators: FastMap<ProgramKey, (CompactString, u64)>,
+    claims: FastMap<ProgramKey, Claim>,
+    /// Programs for which this VM granted or agreed to grants while its failure domain
+    /// was cut off, and of which the other domains have yet to be told.
+    untold: FastSet<ProgramKey>,
+    /// Whether this VM is stopping.
+    is_stopped: bool,
 }
 
 /// Time after the last claim for which a program's coordinator stays recorded. It
@@ -79,13 +139,19 @@
 const COORDINATOR_TTL_MS: u64 = 600_000;
 
 impl Allowances {
-    /// Tokens granted to a call; 0 if too few remain or the program is listed as
-    /// overdrawn.
+    /// Tokens granted to a call; 0 if too few remain, the program is listed as
+    /// overdrawn, or this VM is stopping.
     pub fn grant(&mut self, request: &AllowanceRequest) -> u64 {
         let program = ProgramKey(request.program.clone());
-        if self.overdrawn.contains(&program) {
+        if self.is_stopped || self.overdrawn.contains(&program) {
             return 0;
         }
+        if let Some(claim) = self.claims.get_mut(&program) {
+            claim.state = ClaimState::Granted;
+        }
+        if request.connectivity == Connectivity::OwnDomain {
+            self.untold.insert(program.clone());
+        }
         let allowance = self.programs.entry(program).or_default();
         allowance.budget_tokens = request.budget_tokens;
         allowance.max_call_tokens = allowance.max_call_tokens.max(request.max_tokens);
@@ -127,18 +193,112 @@
             .collect()
     }
 
-    /// Records `coordinator` as the VM that grants for a program; `false` if
-    /// another one is recorded.
+    /// Records `coordinator`, another VM's incarnation, as the one that grants for a
+    /// program; `false` if a different one is recorded.
     pub fn claim_coordinator(
         &mut self,
         program: &ProgramKey,
         coordinator: &str,
         now_ms: u64,
     ) -> bool {
-        let entry = self.coordinators.entry(program.clone());
-        let (current, claimed_ms) = entry.or_insert_with(|| (coordinator.into(), now_ms));
-        *claimed_ms = now_ms;
-        current == coordinator
+        self.claim(program, coordinator, ClaimState::Granted, now_ms)
+    }
+
+    /// Records this VM's own incarnation as the one that is about to grant for a
+    /// program; `false` if a different one is recorded.
+    pub fn claim_own(&mut self, program: &ProgramKey, own: &str, now_ms: u64) -> bool {
+        self.claim(program, own, ClaimState::Pending, now_ms)
+    }
+
+    fn claim(
+        &mut self,
+        program: &ProgramKey,
+        coordinator: &str,
+        state: ClaimState,
+        now_ms: u64,
+    ) -> bool {
+        let claim = self.claims.entry(program.clone()).or_insert_with(|| Claim {
+            coordinator: coordinator.into(),
+            claimed_ms: now_ms,
+            state,
+        });
+        claim.claimed_ms = now_ms;
+        claim.is_of(coordinator)
+    }
+
+    /// Removes this VM's own claim to a program, which other VMs didn't agree to, so
+    /// that it doesn't outrank what they know. Has no effect once tokens were granted.
+    pub fn withdraw_claim(&mut self, program: &ProgramKey, own: &str) {
+        let claim = self.claims.get(program);
+        if claim.is_some_and(|claim| claim.is_of(own) && claim.state == ClaimState::Pending) {
+            self.claims.remove(program);
+        }
+    }
+
+    /// Holds what another VM knows of an allowance. It replaces a claim of this VM
+    /// that is pending; with a different one that may have been used, the allowance is
+    /// contested.
+    pub fn hold_record(&mut self, record: &AllowanceRecord, now_ms: u64) {
+        let program = ProgramKey(record.program.clone());
+        let held = Claim {
+            coordinator: record.coordinator.clone(),
+            claimed_ms: now_ms.saturating_sub(record.age_ms),
+            state: ClaimState::Granted,
+        };
+        let claim = self.claims.entry(program).or_insert_with(|| held.clone());
+        if claim.state == ClaimState::Pending {
+            *claim = held;
+        } else if claim.coordinator != held.coordinator {
+            claim.state = ClaimState::Contested;
+        }
+    }
+
+    /// Grants nothing from now on, as this VM is stopping.
+    pub fn stop(&mut self) {
+        self.is_stopped = true;
+    }
+
+    /// All that this VM knows of allowances that may have been granted, for the VMs
+    /// that hold it too.
+    pub fn records(&self, now_ms: u64) -> Vec<AllowanceRecord> {
+        let claims = self.claims.iter();
+        claims
+            .filter(|(_, claim)| claim.state != ClaimState::Pending)
+            .map(|(program, claim)| AllowanceRecord {
+                program: program.0.clone(),
+                coordinator: claim.coordinator.clone(),
+                age_ms: now_ms.saturating_sub(claim.claimed_ms),
+                uncharged_tokens: 0,
+                budget_tokens: 0,
+                max_call_tokens: 0,
+            })
+            .collect()
+    }
+
+    /// Records that another VM of the own failure domain, which may be cut off, may
+    /// grant for a program, so that this VM tells the other domains of it too.
+    pub fn set_untold(&mut self, program: &ProgramKey) {
+        self.untold.insert(program.clone());
+    }
+
+    /// Records that the other failure domains know who granted for a program.
+    pub fn set_told(&mut self, program: &ProgramKey) {
+        self.untold.remove(program);
+    }
+
+    /// What the other failure domains have yet to be told.
+    pub fn untold_records(&self, now_ms: u64) -> Vec<AllowanceRecord> {
+        let mut records = self.records(now_ms);
+        records.retain(|record| {
+            let program = ProgramKey(record.program.clone());
+            self.untold.contains(&program)
+        });
+        records
+    }
+
+    /// Whether the other failure domains have yet to be told of a grant.
+    pub fn has_untold(&self) -> bool {
+        !self.untold.is_empty()
     }
 
     /// Whether this VM has granted an allowance to a program.
@@ -146,11 +306,12 @@
         self.programs.contains_key(program)
     }
 
-    /// Removes coordinators of programs that had no claim for
-    /// `COORDINATOR_TTL_MS`.
+    /// Removes claims to programs that had none for `COORDINATOR_TTL_MS`.
     pub fn remove_expired(&mut self, now_ms: u64) {
-        self.coordinators
-            .retain(|_, (_, claimed_ms)| now_ms < *claimed_ms + COORDINATOR_TTL_MS);
+        self.claims
+            .retain(|_, claim| now_ms < claim.claimed_ms + COORDINATOR_TTL_MS);
+        let claims = &self.claims;
+        self.untold.retain(|program| claims.contains_key(program));
     }
 
     /// Marks a program as overdrawn, so that [`Allowances::grant`] returns 0 for it, or
@@ -169,6 +330,18 @@
     }
 }
 
+/// The first two of these VMs in a program's ranking; fewer if there are fewer.
+pub fn record_holders<'a>(
+    program: &ProgramKey,
+    vms: &[&'a CompactString],
+) -> Vec<&'a CompactString> {
+    let ranked = || vms.iter().copied();
+    let first = allowance_coordinator(program, ranked());
+    let rest = ranked().filter(|name| Some(*name) != first);
+    let holders = [first, allowance_coordinator(program, rest)];
+    holders.into_iter().flatten().collect()
+}
+
 /// VM that coordinates a program's allowance, by rendezvous hashing; `None` if
 /// `vms` is empty.
 pub fn allowance_coordinator<'a, I>(program: &ProgramKey, vms: I) -> Option<&'a CompactString>
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,13 +25,16 @@
 
 pub use admission::{admit, Admission, AdmissionSettings};
 pub use affinity::AffinityTable;
-pub use allowance::{allowance_coordinator, AllowanceRequest, AllowanceSettlement, Allowances};
+pub use allowance::{
+    allowance_coordinator, record_holders, AllowanceRecord, AllowanceRequest, AllowanceSettlement,
+    Allowances,
+};
 pub use budget::{
     BudgetRow, BudgetSettings, BudgetWrite, ChargeDecision, ChargeRequest, DeferredCharge, Grant,
     ProgramBudgets, ProgramKey, WaiterId, WriterMark,
 };
 pub use config::{Config, Engine, Limits, Route, RouteKind, Service, TrafficSplit};
-pub use connectivity::{classify_connectivity, Connectivity, PeerProbe};
+pub use connectivity::{classify_connectivity, Connectivity, CutDoubt, PeerProbe};
 pub use crash_log::{fingerprint, CrashLog, CrashRecord, CrashUpdate};
 pub use events::{CompleteEvents, EventReader};
 pub use gossip::{
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,6 +7,7 @@
 use lagoon_ids::{hash64, rendezvous_hash, FastMap};
 use serde::{Deserialize, Serialize};
 
+use crate::allowance::record_holders;
 use crate::budget::ProgramKey;
 use crate::connectivity::Connectivity;
 use crate::reserve::UNLISTED_HOME_MS;
@@ -69,6 +70,8 @@
     peers: FastMap<CompactString, Peer>,
     /// VMs that are no longer listed, with the time of their removal.
     unlisted: FastMap<CompactString, u64>,
+    /// Whether this VM is stopping and no candidate for any role.
+    is_stopping: bool,
 }
 
 /// Rank of a VM in the order that `random` gives.
@@ -84,9 +87,15 @@
             own_domain: domain,
             peers: FastMap::default(),
             unlisted: FastMap::default(),
+            is_stopping: false,
         }
     }
 
+    /// Excludes this VM from the candidates for coordinators, as it is stopping.
+    pub fn set_stopping(&mut self) {
+        self.is_stopping = true;
+    }
+
     /// Name of this VM, which is never listed as a peer.
     pub fn own_name(&self) -> &CompactString {
         &self.own_name
@@ -103,14 +112,15 @@
     }
 
     /// Adds or updates the entry of a VM; `version` is the version of its row in
-    /// the store.
-    pub fn upsert(&mut self, name: CompactString, entry: PeerEntry, version: u64) {
+    /// the store. Returns whether this incarnation of the VM is new.
+    pub fn upsert(&mut self, name: CompactString, entry: PeerEntry, version: u64) -> bool {
         if name == self.own_name {
-            return;
+            return false;
         }
         self.unlisted.remove(&name);
         let known = self.peers.get(&name).filter(|peer| peer.entry == entry);
-        if known.is_none() {
+        let is_new = known.is_none();
+        if is_new {
             let peer = Peer {
                 entry,
                 version,
@@ -120,6 +130,19 @@
             };
             self.peers.insert(name, peer);
         }
+        is_new
+    }
+
+    /// Whether a VM, of the own failure domain, is one of those that hold a program's
+    /// record there.
+    pub fn is_record_holder(&self, program: &ProgramKey, name: &str) -> bool {
+        let peers = self.peers.iter();
+        let local = peers.filter(|(_, peer)| peer.entry.domain == self.own_domain);
+        let local = local.map(|(name, _)| name).chain([&self.own_name]);
+        let vms: Vec<&CompactString> = local.collect();
+        record_holders(program, &vms)
+            .iter()
+            .any(|holder| *holder == name)
     }
 
     /// Removes a VM whose entry was deleted from the store or is invalid.
@@ -311,22 +334,62 @@
         since.is_some_and(|since_ms| now_ms >= since_ms + DEAD_AFTER_MS)
     }
 
-    /// VMs by failure domain, this one included.
-    pub fn domains(&self) -> Vec<Vec<&CompactString>> {
+    /// Other VMs that must agree before this one grants a program's allowance, and
+    /// that hold the record of it: in each failure domain of the group, the first VM
+    /// in the program's ranking, and the next one that isn't taken for dead. So the
+    /// VM that is first after an end or a change of the list knows of it. Empty if
+    /// no other VM would hold it.
+    pub fn claim_holders(
+        &self,
+        program: &ProgramKey,
+        connectivity: Connectivity,
+        now_ms: u64,
+    ) -> Vec<CompactString> {
         let mut domains: FastMap<&str, Vec<&CompactString>> = FastMap::default();
-        domains
-            .entry(self.own_domain.as_str())
-            .or_default()
-            .push(&self.own_name);
+        for name in self.coordinator_candidates(connectivity) {
+            let peer = self.peers.get(name);
+            let domain = peer.map_or(&self.own_domain, |peer| &peer.entry.domain);
+            domains.entry(domain.as_str()).or_default().push(name);
+        }
+        let holders = domains.values().flat_map(|vms| {
+            let vms = || vms.iter().copied();
+            let first = rendezvous_hash(&program.0, vms());
+            let others = vms().filter(|name| Some(*name) != first);
+            let second = others.filter(|name| !self.is_dead(name, now_ms));
+            [first, rendezvous_hash(&program.0, second)]
+        });
+        let others = holders.flatten().filter(|name| **name != self.own_name);
+        others.cloned().collect()
+    }
+
+    /// Other failure domains, with the names of their VMs in order.
+    pub fn other_domains(&self) -> FastMap<CompactString, Vec<CompactString>> {
+        let mut domains: FastMap<CompactString, Vec<CompactString>> = FastMap::default();
         for (name, peer) in &self.peers {
-            let domain = domains.entry(peer.entry.domain.as_str()).or_default();
-            domain.push(name);
+            if peer.entry.domain != self.own_domain {
+                let vms = domains.entry(peer.entry.domain.clone()).or_default();
+                vms.push(name.clone());
+            }
         }
-        domains.into_values().collect()
+        domains.values_mut().for_each(|vms| vms.sort());
+        domains
     }
 
-    /// VMs of which one coordinates a program's allowance: this one and, if
-    /// grants are allowed, the others of the group that may grant.
+    /// Other VMs of the own failure domain that hold a program's record when this one
+    /// ends: the first two in the program's ranking that aren't taken for dead.
+    pub fn record_successors(&self, program: &ProgramKey, now_ms: u64) -> Vec<CompactString> {
+        let is_candidate = |name: &CompactString, peer: &Peer| {
+            peer.entry.domain == self.own_domain && !self.is_dead(name, now_ms)
+        };
+        let others = self.peers.iter();
+        let others = others.filter(|(name, peer)| is_candidate(name, peer));
+        let vms: Vec<&CompactString> = others.map(|(name, _)| name).collect();
+        let successors = record_holders(program, &vms);
+        successors.into_iter().cloned().collect()
+    }
+
+    /// VMs of which one coordinates a program's allowance: this one, unless it is
+    /// stopping, and, if grants are allowed, the others of the group that may grant.
     pub fn coordinator_candidates(&self, connectivity: Connectivity) -> Vec<&CompactString> {
         let is_member = |peer: &Peer| match connectivity {
             Connectivity::AllDomains => true,
@@ -334,10 +397,8 @@
             Connectivity::Store | Connectivity::Indeterminate => false,
         };
         let others = self.peers.iter().filter(|(_, peer)| is_member(peer));
-        others
-            .map(|(name, _)| name)
-            .chain([&self.own_name])
-            .collect()
+        let own = (!self.is_stopping).then_some(&self.own_name);
+        others.map(|(name, _)| name).chain(own).collect()
     }
 
     /// Failure domain of this VM.
--- a/crates/gateway/tests/allowance.rs
+++ b/crates/gateway/tests/allowance.rs
@@ -1,8 +1,9 @@
 //! Allowances and connectivity while the store is unreachable.
 
+use compact_str::CompactString;
 use lagoon_gateway::{
-    classify_connectivity, AllowanceRequest, AllowanceSettlement, Allowances, Connectivity,
-    DeferredCharge, PeerEntry, PeerProbe, Peers, ProgramKey,
+    classify_connectivity, AllowanceRecord, AllowanceRequest, AllowanceSettlement, Allowances,
+    Connectivity, DeferredCharge, PeerEntry, PeerOutcome, PeerProbe, Peers, ProgramKey,
 };
 use yare::parameterized;
 
@@ -185,3 +186,160 @@
         ["own"]
     );
 }
+
+fn peers_in(own: &str, domain: &str, others: &[(&str, &str)]) -> Peers {
+    let mut peers = Peers::new(own.into(), domain.into());
+    for (name, domain) in others {
+        let entry = PeerEntry {
+            address: ([127, 0, 0, 1], 1).into(),
+            domain: (*domain).into(),
+            writer: "w".into(),
+        };
+        peers.upsert((*name).into(), entry, 1);
+    }
+    peers
+}
+
+// Guards against a VM that takes a coordinator's place without knowing what that one
+// granted: of any two lists that differ by one VM, one's coordinator holds the claims
+// of the other's.
+#[test]
+fn claim_holders_include_the_next_coordinator() {
+    let all = ["a", "b", "c", "d"];
+    for number in 0..50 {
+        let program = ProgramKey(format!("p{number}").into());
+        let view = |own: &'static str, listed: &[&'static str]| {
+            let others = listed.iter().filter(|name| **name != own);
+            let others: Vec<_> = others.map(|name| (*name, "d1")).collect();
+            peers_in(own, "d1", &others)
+        };
+        let coordinator_of = |listed: &[&'static str]| {
+            let peers = view(listed[0], listed);
+            let candidates = peers.coordinator_candidates(Connectivity::OwnDomain);
+            let name = lagoon_gateway::allowance_coordinator(&program, candidates);
+            let name = name.expect("a coordinator").clone();
+            *all.iter().find(|listed| **listed == name).expect("listed")
+        };
+        let first = coordinator_of(&all);
+        let rest: Vec<_> = all.into_iter().filter(|name| *name != first).collect();
+        let next = coordinator_of(&rest);
+        let holders = view(first, &all).claim_holders(&program, Connectivity::OwnDomain, 0);
+        assert_eq!(holders, [next]);
+        // A VM that joins and ranks first asks the one that ranked first before.
+        let holders = view(next, &all).claim_holders(&program, Connectivity::OwnDomain, 0);
+        assert!(holders.contains(&first.into()));
+    }
+}
+
+// Guards against grants that no VM but the coordinator knows of, as the VM that held
+// them is dead.
+#[test]
+fn claim_holders_pass_over_a_dead_second_vm() {
+    let program = ProgramKey("p".into());
+    let others = [
+        ("a", "d1"),
+        ("b", "d1"),
+        ("c", "d1"),
+        ("e", "d2"),
+        ("f", "d2"),
+    ];
+    let mut peers = peers_in("own", "d1", &others);
+    let mut holders = peers.claim_holders(&program, Connectivity::AllDomains, 0);
+    holders.sort();
+    assert!(holders.ends_with(&["e".into(), "f".into()]), "{holders:?}");
+    let local = peers.claim_holders(&program, Connectivity::OwnDomain, 0);
+    for name in &local {
+        peers.record_outcome(name, PeerOutcome::Unreachable, 0);
+    }
+    let later = peers.claim_holders(&program, Connectivity::OwnDomain, 3_000);
+    // The first one in the ranking must agree, whether it is dead or not.
+    assert_eq!(later.first(), local.first());
+    assert!(later.iter().any(|name| !local.contains(name)) || local.len() == 1);
+    assert_eq!(
+        peers.claim_holders(&program, Connectivity::Indeterminate, 0),
+        Vec::<CompactString>::new()
+    );
+}
+
+// Guards against grants of a VM that no longer counts as a coordinator elsewhere.
+#[test]
+fn stopping_vm_grants_nothing_and_is_no_candidate() {
+    let mut allowances = Allowances::default();
+    assert!(allowances.grant(&request(12)) > 0);
+    allowances.stop();
+    assert_eq!(allowances.grant(&request(12)), 0);
+    let mut peers = peers_in("own", "d1", &[("a", "d1")]);
+    peers.set_stopping();
+    let candidates = peers.coordinator_candidates(Connectivity::OwnDomain);
+    assert_eq!(candidates, ["a"]);
+}
+
+fn record(coordinator: &str) -> AllowanceRecord {
+    AllowanceRecord {
+        program: "p".into(),
+        coordinator: coordinator.into(),
+        age_ms: 0,
+        uncharged_tokens: 0,
+        budget_tokens: 0,
+        max_call_tokens: 0,
+    }
+}
+
+// Guards against a claim of a VM's own that outranks what another VM has granted.
+#[test]
+fn hold_record_replaces_a_pending_claim_only() {
+    let program = ProgramKey("p".into());
+    let mut allowances = Allowances::default();
+    assert!(allowances.claim_own(&program, "own", 0));
+    assert_eq!(allowances.records(0), []);
+    allowances.hold_record(&record("a"), 0);
+    assert!(!allowances.claim_own(&program, "own", 0));
+    assert!(allowances.claim_coordinator(&program, "a", 0));
+    assert_eq!(allowances.records(0), [record("a")]);
+}
+
+// Guards against a grant by either of two VMs that both may have granted.
+#[test]
+fn contested_allowance_is_granted_by_no_vm() {
+    let program = ProgramKey("p".into());
+    let mut allowances = Allowances::default();
+    assert!(allowances.claim_coordinator(&program, "a", 0));
+    allowances.hold_record(&record("a"), 0);
+    assert!(allowances.claim_coordinator(&program, "a", 0));
+    allowances.hold_record(&record("b"), 0);
+    for name in ["a", "b", "c"] {
+        assert!(!allowances.claim_coordinator(&program, name, 0), "{name}");
+    }
+}
+
+// Guards against a claim that others refused and that its VM then takes for its right.
+#[test]
+fn withdraw_claim_keeps_what_was_granted() {
+    let program = ProgramKey("p".into());
+    let mut allowances = Allowances::default();
+    assert!(allowances.claim_own(&program, "own", 0));
+    allowances.withdraw_claim(&program, "own");
+    assert!(allowances.claim_coordinator(&program, "a", 0));
+    allowances.withdraw_claim(&program, "own");
+    assert!(allowances.claim_coordinator(&program, "a", 0));
+    let mut allowances = Allowances::default();
+    assert!(allowances.claim_own(&program, "own", 0));
+    assert!(allowances.grant(&request(12)) > 0);
+    allowances.withdraw_claim(&program, "own");
+    assert!(!allowances.claim_coordinator(&program, "a", 0));
+}
+
+// Guards against records that are passed on for ever.
+#[test]
+fn record_expires_by_its_last_claim() {
+    let program = ProgramKey("p".into());
+    let mut allowances = Allowances::default();
+    assert!(allowances.claim_coordinator(&program, "a", 0));
+    let records = allowances.records(400_000);
+    let mut other = Allowances::default();
+    other.hold_record(&records[0], 700_000);
+    other.remove_expired(800_000);
+    assert_eq!(other.records(800_000).len(), 1);
+    other.remove_expired(900_000);
+    assert_eq!(other.records(900_000), []);
+}
