--- a/crates/entry/src/ledger/allowance.rs
+++ b/crates/entry/src/ledger/allowance.rs
@@ -155,19 +155,20 @@
         spawn_local(async move { budget_client.hand_over_records(records).await });
     }
 
-    /// Passes on what this VM granted and could not charge, before its end. Calls in
-    /// flight are charged their whole grant.
+    /// Passes on what this VM knows of allowances, and what it granted and could not
+    /// charge, before its end. Calls in flight are charged their whole grant.
     pub(crate) async fn hand_over_allowances(&self) {
         let charges = self.allowances.borrow_mut().take_deferred_charges();
-        let records = charges.into_iter().map(|charge| AllowanceRecord {
+        let mut records = self.allowances.borrow().records(self.clock.now_ms());
+        records.extend(charges.into_iter().map(|charge| AllowanceRecord {
             program: charge.program.0,
             coordinator: self.claimant.clone(),
             age_ms: 0,
             uncharged_tokens: charge.tokens,
             budget_tokens: charge.budget_tokens,
             max_call_tokens: charge.max_call_tokens,
-        });
-        self.hand_over_records(records.collect()).await;
+        }));
+        self.hand_over_records(records).await;
     }
 
     /// Passes the records of programs that a VM of the own failure domain holds on to
@@ -203,8 +204,8 @@
             let mut by_vm: FastMap<CompactString, Vec<AllowanceRecord>> = FastMap::default();
             for record in &records {
                 let mut record = record.clone();
-                let is_charged = rank > 0 && !uncharged.contains(&record.program);
-                if is_charged {
+                let is_charged_by_first = rank > 0 && !uncharged.contains(&record.program);
+                if is_charged_by_first {
                     record.uncharged_tokens = 0;
                 }
                 if let Some(name) = successors(&record).into_iter().nth(rank) {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -6,6 +6,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -55,6 +56,13 @@
 /// domains. After that, a charge in the store is as fast.
 const SURPLUS_TIMEOUT: Duration = Duration::from_millis(30);
 
+/// Time between two probes of a failure domain that was out of reach.
+const MISSED_PROBE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Beginning of the error of a message that a VM answered and didn't handle, as one of
+/// an earlier version does with a message that it doesn't know.
+const STATUS_DETAIL: &str = "status";
+
 /// Idle connections kept per VM.
 const MAX_IDLE_CONNECTIONS: usize = 2;
 
@@ -273,6 +281,38 @@
         }
     }
 
+    /// Finds out when failure domains that were out of reach are in reach again. Sends
+    /// nothing if there are none.
+    pub(crate) async fn watch_missed_domains(self: Rc<Self>) {
+        let mut round = 0;
+        loop {
+            sleep(MISSED_PROBE_INTERVAL).await;
+            self.probe_missed_domains(round).await;
+            round += 1;
+        }
+    }
+
+    /// Probes one VM of each failure domain that was out of reach.
+    async fn probe_missed_domains(&self, round: usize) {
+        let missed: Vec<_> = {
+            let cut_doubt = self.cut_doubt.borrow();
+            let domains = self.peers.borrow().other_domains();
+            let missed = cut_doubt.missed_domains();
+            let probed = missed.filter_map(|domain| {
+                let vms = domains.get(domain)?;
+                Some((domain.clone(), vms[round % vms.len()].clone()))
+            });
+            probed.collect()
+        };
+        let probes = missed.iter().map(|(domain, name)| async move {
+            if self.is_in_reach(name).await {
+                let mut cut_doubt = self.cut_doubt.borrow_mut();
+                cut_doubt.record_reply(domain, self.clock.now_ms());
+            }
+        });
+        join_all(probes).await;
+    }
+
     /// Whether this VM must not grant allowances, nor agree to grants, as it may not
     /// know of those of other failure domains.
     pub(crate) fn forbids_grants(&self, connectivity: Connectivity) -> bool {
@@ -313,10 +353,18 @@
     /// Has another VM hold records of allowances; `false` if it doesn't confirm. A VM
     /// of an earlier version holds the claims in them.
     pub(crate) async fn hold_allowances(&self, name: &str, records: &[AllowanceRecord]) -> bool {
+        let Some(address) = self.peers.borrow().address(name) else {
+            return false;
+        };
         let message = PeerMessage::HoldAllowances(records.to_vec());
-        let is_held = self.request_by_name::<bool>(name, &message, LOCAL_TIMEOUT);
-        if is_held.await == Some(true) {
-            return true;
+        let reply = self.request::<bool>(name, address, &message, LOCAL_TIMEOUT);
+        match reply.await {
+            Ok(is_held) => return is_held,
+            Err(ExchangeError::NotSent(detail)) if detail.starts_with(STATUS_DETAIL) => {}
+            Err(error) => {
+                log::debug!(peer = name, error = error.to_string(); "cannot pass on records of allowances");
+                return false;
+            }
         }
         for record in records {
             let claim = PeerMessage::ClaimCoordinator {
@@ -591,7 +639,7 @@
         if status == StatusCode::OK {
             Ok(body)
         } else {
-            Err(not_sent(format!("status {status}")))
+            Err(not_sent(format!("{STATUS_DETAIL} {status}")))
         }
     }
 }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -136,6 +136,7 @@
     spawn_local(Rc::clone(&state.turn_keeper).sweep_periodically());
     spawn_local(Rc::clone(&state.budget_client).monitor_connectivity());
     spawn_local(Rc::clone(&state.budget_client).tell_domains());
+    spawn_local(Rc::clone(&state.peer_client).watch_missed_domains());
     spawn_local(report_settings_changes(settings.clone(), file));
     let registration = Registration::new(&settings, writer.clone(), Rc::clone(&store));
     let registration = Rc::new(registration);
--- a/crates/gateway/src/allowance.rs
+++ b/crates/gateway/src/allowance.rs
@@ -140,13 +140,16 @@
 
 impl Allowances {
     /// Tokens granted to a call; 0 if too few remain, the program is listed as
-    /// overdrawn, or this VM is stopping.
+    /// overdrawn, its allowance is contested, or this VM is stopping.
     pub fn grant(&mut self, request: &AllowanceRequest) -> u64 {
         let program = ProgramKey(request.program.clone());
         if self.is_stopped || self.overdrawn.contains(&program) {
             return 0;
         }
         if let Some(claim) = self.claims.get_mut(&program) {
+            if claim.state == ClaimState::Contested {
+                return 0;
+            }
             claim.state = ClaimState::Granted;
         }
         if request.connectivity == Connectivity::OwnDomain {
--- a/crates/gateway/src/connectivity.rs
+++ b/crates/gateway/src/connectivity.rs
@@ -87,7 +87,7 @@
 /// Time for which a failure domain that was out of reach must be in reach again
 /// before it counts as having told what it granted; over twice the time between two
 /// attempts to tell.
-const TELL_TIME_MS: u64 = 1_000;
+const TELL_TIME_MS: u64 = 500;
 
 /// Other failure domains that may have been cut off and granted allowances of which
 /// this VM hasn't been told.
@@ -133,6 +133,11 @@
         }
     }
 
+    /// Domains that were out of reach and aren't known to have told what they granted.
+    pub fn missed_domains(&self) -> impl Iterator<Item = &CompactString> {
+        self.missed.keys()
+    }
+
     /// Whether a VM with this connectivity must not grant, nor agree to grants.
     pub fn forbids_grants(&self, connectivity: Connectivity) -> bool {
         connectivity == Connectivity::OwnDomain && !self.missed.is_empty()
--- a/crates/gateway/tests/allowance.rs
+++ b/crates/gateway/tests/allowance.rs
@@ -310,6 +310,11 @@
     for name in ["a", "b", "c"] {
         assert!(!allowances.claim_coordinator(&program, name, 0), "{name}");
     }
+    let mut allowances = Allowances::default();
+    assert!(allowances.claim_own(&program, "own", 0));
+    assert!(allowances.grant(&request(12)) > 0);
+    allowances.hold_record(&record("b"), 0);
+    assert_eq!(allowances.grant(&request(12)), 0);
 }
 
 // Guards against a claim that others refused and that its VM then takes for its right.
