--- a/crates/gateway/src/allowance.rs
+++ b/crates/gateway/src/allowance.rs
@@ -55,7 +55,8 @@
 pub struct AllowanceRecord {
     /// Program, by the name that its caller gives.
     pub program: CompactString,
-    /// Incarnation of the VM that may have granted tokens, and alone may do so.
+    /// Incarnation of the VM that may have granted tokens, and alone may do so; empty
+    /// if there are two of them, and so no VM may.
     pub coordinator: CompactString,
     /// Time since the last claim by any VM.
     pub age_ms: u64,
@@ -269,7 +270,10 @@
             .filter(|(_, claim)| claim.state != ClaimState::Pending)
             .map(|(program, claim)| AllowanceRecord {
                 program: program.0.clone(),
-                coordinator: claim.coordinator.clone(),
+                coordinator: match claim.state {
+                    ClaimState::Contested => CompactString::default(),
+                    ClaimState::Pending | ClaimState::Granted => claim.coordinator.clone(),
+                },
                 age_ms: now_ms.saturating_sub(claim.claimed_ms),
                 uncharged_tokens: 0,
                 budget_tokens: 0,
--- a/crates/gateway/tests/allowance.rs
+++ b/crates/gateway/tests/allowance.rs
@@ -310,6 +310,12 @@
     for name in ["a", "b", "c"] {
         assert!(!allowances.claim_coordinator(&program, name, 0), "{name}");
     }
+    let records = allowances.records(0);
+    let mut other = Allowances::default();
+    other.hold_record(&records[0], 0);
+    for name in ["a", "b", "c"] {
+        assert!(!other.claim_coordinator(&program, name, 0), "{name}");
+    }
     let mut allowances = Allowances::default();
     assert!(allowances.claim_own(&program, "own", 0));
     assert!(allowances.grant(&request(12)) > 0);
