--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -3,7 +3,8 @@
 use compact_str::CompactString;
 use hyper::StatusCode;
 use lagoon_gateway::{
-    AllowanceRequest, AllowanceSettlement, ReserveRequest, StoreCall, StoreError, StoreReply,
+    AllowanceRecord, AllowanceRequest, AllowanceSettlement, ReserveRequest, StoreCall, StoreError,
+    StoreReply,
 };
 use lagoon_limits::RunId;
 use lagoon_streams::StreamId;
@@ -67,7 +68,8 @@
     ClaimCoordinator {
         /// Name of the program.
         program: CompactString,
-        /// Name of the VM that is about to grant them.
+        /// Incarnation of the VM that is about to grant them, by its name in messages
+        /// of earlier versions.
         coordinator: CompactString,
     },
     /// Hold an encoded turn until the store has it. Response:
@@ -115,6 +117,9 @@
         /// Run of the target.
         run: RunId,
     },
+    /// Hold these records of allowances, and write the charges in them. Response:
+    /// `true`.
+    HoldAllowances(Vec<AllowanceRecord>),
 }
 
 impl PeerMessage {
@@ -141,6 +146,7 @@
             PeerMessage::RequestPermit(_) => 4,
             PeerMessage::FindOrigin { .. } => 5,
             PeerMessage::ReachTarget { .. } => 6,
+            PeerMessage::HoldAllowances(_) => 8,
         }
     }
 }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -120,6 +120,7 @@
         Rc::clone(&store),
         Rc::clone(&peer_client),
         budgets,
+        &writer,
         settings.vm.first_start,
     );
     let crash_tracker = CrashTracker::new(clock, Rc::clone(&budget_client), metrics.clone());
@@ -172,6 +173,8 @@
         _ = interrupt.recv() => {}
     }
     state.stopping.set(true);
+    // Before this VM leaves the list by which others take its place.
+    state.budget_client.stop_granting();
     spawn_local(async move { registration.unregister().await });
     state.hand_over_origins();
     state.turn_keeper.stop();
@@ -199,6 +202,14 @@
     spawn_lasting("connectivity", move || {
         Rc::clone(&budget_client).monitor_connectivity()
     });
+    let budget_client = Rc::clone(&state.budget_client);
+    spawn_lasting("records of allowances", move || {
+        Rc::clone(&budget_client).tell_domains()
+    });
+    let peer_client = Rc::clone(&state.peer_client);
+    spawn_lasting("failure domains out of reach", move || {
+        Rc::clone(&peer_client).watch_missed_domains()
+    });
     let settings = settings.clone();
     spawn_lasting("settings", move || {
         report_settings_changes(settings.clone(), file.clone())
@@ -339,6 +350,10 @@
     {
         log::warn!("not all turns were handed over");
     }
+    let handed_over = state.budget_client.hand_over_allowances();
+    if timeout(HANDOVER_TIMEOUT, handed_over).await.is_err() {
+        log::warn!("not all allowances were handed over");
+    }
     log::info!(unclosed = state.connections.get(); "stopped");
     state.exiting.set(true);
 }
--- a/crates/entry/tests/fleet/mod.rs
+++ b/crates/entry/tests/fleet/mod.rs
@@ -430,6 +430,15 @@
         logs.collect()
     }
 
+    /// Starts a VM that has ended again, under its name and as one that ran before,
+    /// and waits until it is ready.
+    pub(crate) fn restart_vm(&mut self, index: usize) {
+        let mut vm = self.vms.remove(index);
+        self.spawn_again(&mut vm);
+        wait_until("readiness", || get(vm.ready, "/ready").status == 200);
+        self.vms.insert(index, vm);
+    }
+
     pub(crate) fn callers(&self) -> SocketAddr {
         self.vms[0].callers
     }
--- a/crates/entry/tests/wire/samples.rs
+++ b/crates/entry/tests/wire/samples.rs
@@ -10,10 +10,10 @@
     PermitRequest, StoreResult, TargetReach, TurnReply,
 };
 use lagoon_gateway::{
-    AffinityUpdate, AllowanceRequest, AllowanceSettlement, BudgetRow, Connectivity, CrashRecord,
-    CrashUpdate, GossipMessage, LoadReport, PeerEntry, ReserveRequest, Row, RowKey, RowWrite,
-    SessionHash, StoreCall, StoreError, StoreReply, TableVersions, TargetHash, TargetUpdate,
-    WriterMark,
+    AffinityUpdate, AllowanceRecord, AllowanceRequest, AllowanceSettlement, BudgetRow,
+    Connectivity, CrashRecord, CrashUpdate, GossipMessage, LoadReport, PeerEntry, ReserveRequest,
+    Row, RowKey, RowWrite, SessionHash, StoreCall, StoreError, StoreReply, TableVersions,
+    TargetHash, TargetUpdate, WriterMark,
 };
 use lagoon_limits::{Demand, LimitUpdate, PermitDecision, RunId};
 use lagoon_streams::{OriginAnswer, OriginRecord, OriginReply, SoftwareId, StreamId};
@@ -364,6 +364,17 @@
                 run: limit().run,
             },
         ),
+        encoded(
+            "message.hold-allowances",
+            PeerMessage::HoldAllowances(vec![AllowanceRecord {
+                program: "program-1".into(),
+                coordinator: "vm-2/17".into(),
+                age_ms: 1_500,
+                uncharged_tokens: 288,
+                budget_tokens: 2_304,
+                max_call_tokens: 288,
+            }]),
+        ),
         encoded("reply.reached", TargetReach::Reached),
         encoded("reply.not-reached", TargetReach::NotReached),
         encoded("reply.isolated", TargetReach::Isolated),
@@ -456,6 +467,11 @@
             sequence: 5,
             held_tokens: 60,
         }],
+        retention_ms: 0,
+    };
+    let retained = BudgetRow {
+        retention_ms: 60_000,
+        ..budget(true)
     };
     let entry = PeerEntry {
         address: "10.0.0.2:7000".parse().expect("an address"),
@@ -475,6 +491,7 @@
         json("row.vm-with-protocol", stated),
         json("row.budget-without-reserve", budget(false)),
         json("row.budget", budget(true)),
+        json("row.budget-with-retention", retained),
         crash_key,
     ];
     rows.extend(turn_rows());
--- a/crates/gateway/src/budget/row.rs
+++ b/crates/gateway/src/budget/row.rs
@@ -68,10 +68,14 @@
     pub writers: Vec<WriterMark>,
     /// Longest time that the program may pause between calls, by all writers; 0 if
     /// none stated it.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_zero")]
     pub retention_ms: u64,
 }
 
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
 impl BudgetRow {
     /// Sequence number of a writer's last write; 0 if the row doesn't list the
     /// writer.
