Entry: a request that was received and not read is logged with its id

The line of a request that crossed the close of its connection said how many of its bytes had arrived, but not which request it was, so lagoon explain of its id did not show it. The id is now taken from these bytes where they have it.

--- a/crates/entry/src/caller_io.rs
+++ b/crates/entry/src/caller_io.rs
@@ -6,7 +6,7 @@
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -32,23 +32,22 @@
         }
     }
 
-    /// Bytes that the system has received and nobody has read, up to
+    /// Adds what the system has received and nobody has read, up to
     /// [`MAX_UNREAD_BYTES`].
-    pub(crate) fn unread_bytes(&self) -> usize {
+    pub(crate) fn read_rest(&self, unread: &mut Vec<u8>) {
         let mut buffer = [0; MAX_UNREAD_BYTES];
         // An error means that the connection is gone with what it held.
-        self.stream.try_read(&mut buffer).unwrap_or_default()
+        let bytes = self.stream.try_read(&mut buffer).unwrap_or_default();
+        unread.extend_from_slice(&buffer[..bytes]);
     }
 
-    /// Closes this side, and waits until the caller closes its own or sends more; returns
-    /// the bytes of it.
-    pub(crate) async fn late_bytes(&mut self) -> usize {
-        // An error means that the caller has closed the connection, as the read shows.
+    /// Closes this side, and waits until the caller closes its own or sends more, which is
+    /// added.
+    pub(crate) async fn read_late(&mut self, unread: &mut Vec<u8>) {
+        // An error means that the caller has closed the connection, as the wait shows.
         let _ = self.stream.shutdown().await;
-        let mut buffer = [0; MAX_UNREAD_BYTES];
-        match timeout(LINGER, self.stream.read(&mut buffer)).await {
-            Ok(Ok(bytes)) => bytes,
-            Ok(Err(_)) | Err(_) => 0,
+        if let Ok(Ok(())) = timeout(LINGER, self.stream.readable()).await {
+            self.read_rest(unread);
         }
     }
 
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -178,7 +178,7 @@
         }
     };
     let Parts { io, read_buf, .. } = served.into_parts();
-    caller.end(&ended, io.into_inner(), read_buf.len()).await;
+    caller.end(&ended, io.into_inner(), &read_buf).await;
     if let Err(error) = ended {
         log::debug!(error = error.to_string(); "incoming connection failed");
     }
--- a/crates/entry/src/unanswered.rs
+++ b/crates/entry/src/unanswered.rs
@@ -8,6 +8,7 @@
 
 use compact_str::CompactString;
 use derive_more::Display;
+use lagoon_adapter::request_id_in;
 
 use crate::caller_io::CallerIo;
 use crate::state::DaemonState;
@@ -176,7 +177,7 @@
         &self,
         ended: &Result<(), hyper::Error>,
         mut io: CallerIo,
-        unread: usize,
+        unread: &[u8],
     ) {
         self.has_ended.set(true);
         if ended.is_ok() {
@@ -190,16 +191,18 @@
         if has_open || is_refused || self.client == Client::Other {
             return;
         }
-        let mut unread = unread + io.unread_bytes();
+        let mut unread = unread.to_vec();
+        io.read_rest(&mut unread);
         let is_timeout = ended.as_ref().is_err_and(hyper::Error::is_timeout);
-        if unread == 0 && !self.has_caller_left.get() && !self.is_broken.get() {
-            unread = io.late_bytes().await;
+        if unread.is_empty() && !self.has_caller_left.get() && !self.is_broken.get() {
+            io.read_late(&mut unread).await;
         }
-        if unread > 0 {
+        if !unread.is_empty() {
             if self.received_bytes.get() == 0 {
-                self.record_received(unread);
+                self.record_received(unread.len());
             }
-            self.log_unread(self.unread_cause(is_timeout), unread);
+            let id = request_id_in(&unread).unwrap_or_default();
+            self.log_unread(id, self.unread_cause(is_timeout), unread.len());
         }
     }
 
@@ -256,7 +259,7 @@
         }
     }
 
-    fn log_unread(&self, cause: Cause, unread_bytes: usize) {
+    fn log_unread(&self, id: &str, cause: Cause, unread_bytes: usize) {
         if self.client == Client::Other {
             return;
         }
@@ -265,7 +268,7 @@
             _ => self.received_ms.get(),
         };
         self.state.record_unanswered(&Unanswered {
-            id: "-",
+            id,
             cause,
             age_ms: self.state.now_ms() - received_ms,
             started_version: self.state.config_version(),
@@ -295,7 +298,7 @@
         let has_open = !self.open.borrow().is_empty();
         self.log_open(cause);
         if !has_open && self.received_bytes.get() > 0 {
-            self.log_unread(cause, self.received_bytes.get());
+            self.log_unread("", cause, self.received_bytes.get());
         }
     }
 }
@@ -361,7 +364,7 @@
 }
 
 struct Unanswered<'a> {
-    /// `-` if the head was not read.
+    /// Empty if it isn't known.
     id: &'a str,
     cause: Cause,
     age_ms: u64,
@@ -383,7 +386,7 @@
             return;
         }
         self.record_unanswered(&Unanswered {
-            id: "-",
+            id: "",
             cause: Cause::TooManyConnections,
             age_ms: 0,
             started_version: self.config_version(),
--- a/crates/entry/tests/unanswered.rs
+++ b/crates/entry/tests/unanswered.rs
@@ -122,7 +122,7 @@
 fn stream_request(address: SocketAddr, id: &str) -> TcpStream {
     let mut headers = model_call(id, BUDGET_TOKENS / 2);
     // The route's timeout alone applies.
-    headers.retain(|header| !header.starts_with("lagoonscale-deadline-ms"));
+    headers.retain(|header| !header.contains("deadline"));
     send_request(address, "POST /stream/x", "a.example", &headers, "p")
 }
 
@@ -184,9 +184,11 @@
 #[test]
 fn unanswered_when_the_body_is_not_sent() {
     let fleet = Fleet::start(1);
-    let head = "POST /book/x HTTP/1.1\r\nHost: a.example\r\n\
-        Lagoonscale-Request-Id: r1\r\nContent-Length: 50\r\n\r\npart";
-    drop(send_bytes(fleet.callers(), head));
+    let headers = service_call_headers("r1").join("\r\n");
+    let head = format!(
+        "POST /book/x HTTP/1.1\r\nHost: a.example\r\n{headers}\r\nContent-Length: 50\r\n\r\npart"
+    );
+    drop(send_bytes(fleet.callers(), &head));
     expect_line(
         &fleet,
         "request body not read",
@@ -264,13 +266,14 @@
 fn unanswered_request_that_crosses_the_idle_limit() {
     let fleet = Fleet::start(1);
     configure_limits(&fleet, 5_000);
-    let head = "GET /none/x HTTP/1.1\r\nHost: a.example\r\n\r\n";
-    let mut kept = send_bytes(fleet.callers(), head);
+    let headers = service_call_headers("r1").join("\r\n");
+    let head = format!("GET /none/x HTTP/1.1\r\nHost: a.example\r\n{headers}\r\n\r\n");
+    let mut kept = send_bytes(fleet.callers(), &head);
     let mut text = Vec::new();
     kept.read_to_end(&mut text).expect("closed at the limit");
     kept.write_all(head.as_bytes()).expect("bytes are sent");
     let unread = format!("unread_bytes={}", head.len());
-    expect_line(&fleet, "closed when idle", &["request=-", &unread]);
+    expect_line(&fleet, "closed when idle", &["request=r1", &unread]);
 }
 
 // Guards against connections that are closed at the maximum without a count.
