--- a/crates/entry/src/caller_io.rs
+++ b/crates/entry/src/caller_io.rs
@@ -1,13 +1,12 @@
 //! Socket of a caller's connection, which tells [`CallerConnection`] how it ends.
 
 use std::io::Error;
-use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
-use socket2::SockRef;
+use futures::FutureExt;
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -34,25 +33,24 @@
         }
     }
 
-    /// Bytes that the system has received and nobody has read, up to
-    /// [`MAX_UNREAD_BYTES`]. They stay unread, so that the connection is reset with them
-    /// and the caller knows that its request was not read.
-    pub(crate) fn unread_bytes(&self) -> usize {
-        let mut buffer = [MaybeUninit::uninit(); MAX_UNREAD_BYTES];
-        // An error means that there are none, or that the connection is gone.
-        let peeked = SockRef::from(&self.stream).peek(&mut buffer);
-        peeked.unwrap_or_default()
+    /// Adds what the system has received and nobody has read, up to
+    /// [`MAX_UNREAD_BYTES`]. It stays unread, so that the connection is reset and the
+    /// caller knows that its request was not read.
+    pub(crate) fn peek_rest(&self, unread: &mut Vec<u8>) {
+        let mut buffer = [0; MAX_UNREAD_BYTES];
+        // An error means that the connection is gone with what it held.
+        if let Some(Ok(bytes)) = self.stream.peek(&mut buffer).now_or_never() {
+            unread.extend_from_slice(&buffer[..bytes]);
+        }
     }
 
-    /// Closes this side, and waits until the caller closes its own or sends more; returns
-    /// the bytes of it, which stay unread.
-    pub(crate) async fn late_bytes(&mut self) -> usize {
-        // An error means that the caller has closed the connection, as the peek shows.
+    /// Closes this side, and waits until the caller closes its own or sends more, which is
+    /// added.
+    pub(crate) async fn peek_late(&mut self, unread: &mut Vec<u8>) {
+        // An error means that the caller has closed the connection, as the wait shows.
         let _ = self.stream.shutdown().await;
-        let mut buffer = [0; MAX_UNREAD_BYTES];
-        match timeout(LINGER, self.stream.peek(&mut buffer)).await {
-            Ok(Ok(bytes)) => bytes,
-            Ok(Err(_)) | Err(_) => 0,
+        if let Ok(Ok(())) = timeout(LINGER, self.stream.readable()).await {
+            self.peek_rest(unread);
         }
     }
 
