--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -37,10 +37,11 @@
 use crate::ledger::{TokenRequest, TokenReservation};
 use crate::response;
 use crate::state::{BodyMemory, DaemonState};
+use crate::unanswered::RequestGuard;
 
 pub(crate) use attempt::{forwarded_head, FailedAttempt, ResponseStream, TargetResponse};
 use permit::Permit;
-use reading::read_body;
+use reading::{header_bytes, read_body, refuse_unread};
 pub(crate) use reading::{read_buffered, ReadError};
 use relay::Relay;
 
@@ -65,6 +66,7 @@
 /// Request that is being forwarded, with the state shared by its attempts.
 pub(crate) struct ForwardedRequest {
     pub(crate) state: Rc<DaemonState>,
+    pub(crate) caller: RequestGuard,
     pub(crate) route: Arc<Route>,
     pub(crate) metadata: RequestMetadata,
     pub(crate) attempts: Attempts,
@@ -112,15 +114,34 @@
 pub(crate) async fn handle(
     state: Rc<DaemonState>,
     request: Request<Incoming>,
+    caller: RequestGuard,
 ) -> Response<ResponseBody> {
     let arrived_ms = state.now_ms();
     let (parts, body) = request.into_parts();
+    let metadata = decode_request_headers(&parts.headers);
+    caller.set_id(&metadata.request_id);
     let limits = state.limits();
-    let (body, body_memory) = match read_body(&state, body, &limits).await {
+    if header_bytes(&parts.headers) > limits.max_header_bytes {
+        log::info!(request = metadata.request_id.as_str(), status = 431; "header section too long");
+        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        state.metrics.record_response(status.as_u16(), 0);
+        return refuse_unread(
+            body,
+            response::plain_text(status, "header section too long"),
+        );
+    }
+    let (body, body_memory) = match read_body(&state, body, &limits, &caller).await {
         Ok(read) => read,
         Err(response) => return *response,
     };
-    let request = match route_request(state, parts, body, body_memory, arrived_ms) {
+    let request = match route_request(
+        state,
+        parts,
+        metadata,
+        (body, body_memory),
+        arrived_ms,
+        caller,
+    ) {
         Ok(request) => request,
         Err(response) => return *response,
     };
@@ -132,11 +153,11 @@
 fn route_request(
     state: Rc<DaemonState>,
     parts: Parts,
-    body: Bytes,
-    body_memory: BodyMemory,
+    metadata: RequestMetadata,
+    (body, body_memory): (Bytes, BodyMemory),
     arrived_ms: u64,
+    caller: RequestGuard,
 ) -> Result<ForwardedRequest, Box<Response<ResponseBody>>> {
-    let metadata = decode_request_headers(&parts.headers);
     let config = state.config.borrow().clone();
     let Some(config) = config.filter(|_| state.targets_loaded.get()) else {
         log::info!(request = metadata.request_id.as_str(), status = 503; "refused: no configuration yet");
@@ -169,6 +190,7 @@
             deadline_ms.min(route.timeout_ms)
         });
     Ok(ForwardedRequest {
+        caller,
         attempts: Attempts::default(),
         reservation: None,
         tokens_per_event: engine.map_or(1, |engine| engine.tokens_per_event),
@@ -283,14 +305,12 @@
         );
     }
 
-    /// Reserves the maximum output tokens of a model call from its program's
-    /// budget; does nothing for other requests.
-    async fn reserve_tokens(&mut self) -> Result<(), Box<Response<ResponseBody>>> {
-        let (Some(model_call), Some(program)) = (&self.metadata.model_call, &self.metadata.program)
-        else {
-            return Ok(());
-        };
-        let request = TokenRequest {
+    /// Request for the maximum output tokens of a model call; `None` for other
+    /// requests.
+    fn token_request(&self) -> Option<TokenRequest> {
+        let model_call = self.metadata.model_call.as_ref()?;
+        let program = self.metadata.program.as_ref()?;
+        Some(TokenRequest {
             program: ProgramKey(program.clone()),
             budget_tokens: model_call.budget_tokens,
             max_tokens: self.metadata.max_output_tokens,
@@ -300,7 +320,29 @@
                 .unwrap_or(self.metadata.max_output_tokens / EXPECTED_TOKENS_DIVISOR),
             retention_ms: self.route.retention_ms,
             origin_vm: self.state.affinity.borrow().origin_vm(&self.metadata),
+        })
+    }
+
+    /// Request for the tokens by which a call's reservation falls short of its
+    /// maximum; `None` if it doesn't.
+    pub(crate) fn missing_tokens(&self) -> Option<TokenRequest> {
+        let request = self.token_request()?;
+        let granted_tokens = self.reservation.as_ref()?.granted_tokens();
+        let max_tokens = request.max_tokens.checked_sub(granted_tokens)?;
+        (max_tokens > 0).then(|| TokenRequest {
+            max_tokens,
+            expected_tokens: max_tokens / EXPECTED_TOKENS_DIVISOR,
+            ..request
+        })
+    }
+
+    /// Reserves the maximum output tokens of a model call from its program's
+    /// budget; does nothing for other requests.
+    async fn reserve_tokens(&mut self) -> Result<(), Box<Response<ResponseBody>>> {
+        let Some(request) = self.token_request() else {
+            return Ok(());
         };
+        let budget_tokens = request.budget_tokens;
         let started_ms = self.state.now_ms();
         let deadline_ms = self.deadline_ms.min(started_ms + RESERVATION_TIMEOUT_MS);
         let deadline = self.state.clock.instant(deadline_ms);
@@ -314,7 +356,6 @@
                 Ok(())
             }
             Err(ChargeDecision::Exhausted { charged_tokens }) => {
-                let budget_tokens = model_call.budget_tokens;
                 log::info!(request = self.metadata.request_id.as_str(), charged_tokens, budget_tokens, tokens = self.metadata.max_output_tokens; "budget spent");
                 self.record_response(budget_exhausted_status(), "budget spent");
                 Err(Box::new(response::plain_text(
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,17 +5,20 @@
 //! sockets, the timers and the control flow.
 
 mod body;
+mod caller_io;
 mod carry;
 mod clock;
 mod connection;
 mod exchange;
 mod forward;
+mod idle;
 mod ledger;
 mod message;
 mod message_handler;
 mod metrics;
 mod news;
 mod options;
+mod panics;
 mod paths;
 mod peers;
 mod permits;
@@ -30,7 +33,9 @@
 mod streams;
 mod suspects;
 mod tables;
+mod tasks;
 mod turns;
+mod unanswered;
 mod watch;
 
 pub use options::{parse_args, Command, UsageError};
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -1,23 +1,30 @@
 //! Startup, periodic maintenance and shutdown of the daemon.
 
+use std::future::Future;
+use std::net::IpAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 
+use hyper::body::Incoming;
+use hyper::{Request, Response};
 use lagoon_gateway::{BudgetSettings, Peers, ProgramBudgets};
 use rand::RngExt;
 use thiserror::Error;
+use tokio::net::TcpListener;
 use tokio::runtime::Builder;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, timeout, Instant};
 
+use crate::body::ResponseBody;
 use crate::clock::Clock;
 use crate::forward;
 use crate::ledger::BudgetClient;
 use crate::metrics::Metrics;
 use crate::news;
+use crate::panics;
 use crate::peers::PeerClient;
 use crate::registration::Registration;
 use crate::server;
@@ -25,7 +32,9 @@
 use crate::state::{DaemonState, Services};
 use crate::store::StoreClient;
 use crate::suspects::CrashTracker;
+use crate::tasks::spawn_lasting;
 use crate::turns::TurnKeeper;
+use crate::unanswered::{Client, RequestGuard};
 use crate::watch::{follow_table, FollowedTable};
 
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(100);
@@ -77,10 +86,19 @@
 /// up.
 pub fn run(settings: &EntrySettings, file: &Path) -> Result<(), RunError> {
     let runtime = Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, main_task(settings.clone(), file.to_owned()))
+    panics::install_hook();
+    let tasks = LocalSet::new();
+    let result = tasks.block_on(&runtime, main_task(settings.clone(), file.to_owned()));
+    // Requests that are still open are logged when their tasks are dropped.
+    drop(tasks);
+    result
 }
 
 async fn main_task(settings: EntrySettings, file: PathBuf) -> Result<(), RunError> {
+    // Before anything else: the default action of each of them ends the process.
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let _hangup = signal(SignalKind::hangup())?;
     let clock = Clock::start();
     let metrics = Metrics::new()?;
     let store = Rc::new(StoreClient::new(
@@ -129,15 +147,18 @@
         FollowedTable::Overdrawn,
         FollowedTable::Crashes,
     ] {
-        spawn_local(follow_table(Rc::clone(&state), Rc::clone(&store), table));
+        let (state, store) = (Rc::clone(&state), Rc::clone(&store));
+        spawn_lasting(table.task_name(), move || {
+            follow_table(Rc::clone(&state), Rc::clone(&store), table)
+        });
     }
-    spawn_local(housekeeping(Rc::clone(&state), Rc::clone(&store)));
-    spawn_local(Rc::clone(&state.turn_keeper).sweep_periodically());
-    spawn_local(Rc::clone(&state.budget_client).monitor_connectivity());
-    spawn_local(report_settings_changes(settings.clone(), file));
+    start_maintenance(&settings, &state, &store, file);
     let registration = Registration::new(&settings, writer.clone(), Rc::clone(&store));
     let registration = Rc::new(registration);
-    spawn_local(Rc::clone(&registration).maintain(Rc::clone(&state)));
+    let (task_registration, task_state) = (Rc::clone(&registration), Rc::clone(&state));
+    spawn_lasting("registration", move || {
+        Rc::clone(&task_registration).maintain(Rc::clone(&task_state))
+    });
     log::info!(
         domain = settings.vm.domain.as_str(),
         writer = writer.as_str(),
@@ -146,8 +167,6 @@
         "started"
     );
 
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
@@ -162,6 +181,30 @@
     Ok(())
 }
 
+fn start_maintenance(
+    settings: &EntrySettings,
+    state: &Rc<DaemonState>,
+    store: &Rc<StoreClient>,
+    file: PathBuf,
+) {
+    let (task_state, store) = (Rc::clone(state), Rc::clone(store));
+    spawn_lasting("housekeeping", move || {
+        housekeeping(Rc::clone(&task_state), Rc::clone(&store))
+    });
+    let turn_keeper = Rc::clone(&state.turn_keeper);
+    spawn_lasting("deletion of turns", move || {
+        Rc::clone(&turn_keeper).sweep_periodically()
+    });
+    let budget_client = Rc::clone(&state.budget_client);
+    spawn_lasting("connectivity", move || {
+        Rc::clone(&budget_client).monitor_connectivity()
+    });
+    let settings = settings.clone();
+    spawn_lasting("settings", move || {
+        report_settings_changes(settings.clone(), file.clone())
+    });
+}
+
 fn start_listeners(
     settings: &EntrySettings,
     state: &Rc<DaemonState>,
@@ -178,36 +221,40 @@
     })?;
 
     let handler_state = Rc::clone(state);
-    let handle = move |_, request| forward::handle(Rc::clone(&handler_state), request);
-    spawn_local(server::serve(
-        Rc::clone(state),
-        callers,
-        stopped.clone(),
-        handle,
-    ));
+    let handle = move |_, request, open| forward::handle(Rc::clone(&handler_state), request, open);
+    start_listener("callers", state, callers, stopped, Client::Caller, handle);
     let handler_state = Rc::clone(state);
-    let handle = move |_, request: hyper::Request<_>| {
+    let handle = move |_, request: Request<_>, _| {
         let response = server::readiness(&handler_state, request.uri().path());
         async move { response }
     };
-    spawn_local(server::serve(
-        Rc::clone(state),
-        ready,
-        stopped.clone(),
-        handle,
-    ));
+    start_listener("readiness", state, ready, stopped, Client::Other, handle);
     let handler_state = Rc::clone(state);
     let handle =
-        move |from, request| server::handle_internal(Rc::clone(&handler_state), from, request);
-    spawn_local(server::serve(
-        Rc::clone(state),
-        peers,
-        stopped.clone(),
-        handle,
-    ));
+        move |from, request, _| server::handle_internal(Rc::clone(&handler_state), from, request);
+    start_listener("peers", state, peers, stopped, Client::Other, handle);
     Ok(())
 }
 
+fn start_listener<F, R>(
+    name: &'static str,
+    state: &Rc<DaemonState>,
+    listener: TcpListener,
+    stopped: &watch::Receiver<bool>,
+    client: Client,
+    handle: F,
+) where
+    F: Fn(IpAddr, Request<Incoming>, RequestGuard) -> R + Clone + 'static,
+    R: Future<Output = Response<ResponseBody>> + 'static,
+{
+    let (state, listener) = (Rc::clone(state), Rc::new(listener));
+    let stopped = stopped.clone();
+    spawn_lasting(name, move || {
+        let (state, listener) = (Rc::clone(&state), Rc::clone(&listener));
+        server::serve(state, listener, stopped.clone(), client, handle.clone())
+    });
+}
+
 async fn housekeeping(state: Rc<DaemonState>, store: Rc<StoreClient>) {
     let mut round = 0;
     loop {
@@ -293,4 +340,5 @@
         log::warn!("not all turns were handed over");
     }
     log::info!(unclosed = state.connections.get(); "stopped");
+    state.exiting.set(true);
 }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -1,48 +1,53 @@
 //! HTTP servers for callers, the load balancer, other VMs and metrics scrapers.
 
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::{IpAddr, SocketAddr};
-use std::pin::pin;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
+use hyper::header::{HeaderValue, CONNECTION};
+use hyper::server::conn::http1::{self, Parts};
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 use crate::body::ResponseBody;
+use crate::caller_io::CallerIo;
 use crate::carry::{handle_carried, CARRY_PATH};
 use crate::connection::set_socket_options;
+use crate::idle::RestTimer;
 use crate::message::MESSAGE_PATH;
 use crate::message_handler::handle_message;
+use crate::panics;
 use crate::response;
 use crate::state::DaemonState;
+use crate::unanswered::{CallerConnection, Client, RequestGuard};
 
 const ACCEPT_BACKLOG: i32 = 1_024;
 
-/// Buffer space, in addition to the maximum header section, for the start of
-/// the body that follows it.
-const BODY_START_BYTES: u64 = 4_096;
-
-/// Smallest buffer size that hyper accepts.
-const MIN_BUFFER_BYTES: u64 = 8_192;
+/// Buffer for the header section and the start of the body that follows it. Header
+/// sections are held to the limit in force when they arrive.
+const BUFFER_BYTES: usize = 131_072;
 
 const METRICS_PATH: &str = "/metrics";
 
 /// Time from the stop until a listener closes.
 const ACCEPT_LINGER: Duration = Duration::from_millis(50);
 
-/// Time that a new connection has for its first request when the daemon stops.
+/// Time that a connection has for its first request, or for the rest of a head that
+/// arrives, when the daemon stops.
 const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(200);
 
+/// Interval at which a connection is looked at while the daemon stops, until it rests.
+const STOP_RECHECK: Duration = Duration::from_millis(20);
+
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 pub(crate) fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
@@ -59,15 +64,16 @@
 }
 
 /// Accepts connections until shortly after `stop` becomes true; open ones are
-/// then closed between two requests. `handle` gets the address of the client and its
-/// request.
+/// then closed between two requests. `handle` gets the address of the client, its
+/// request and the handle to it.
 pub(crate) async fn serve<F, R>(
     state: Rc<DaemonState>,
-    listener: TcpListener,
+    listener: Rc<TcpListener>,
     mut stop: watch::Receiver<bool>,
+    client: Client,
     handle: F,
 ) where
-    F: Fn(IpAddr, Request<Incoming>) -> R + Clone + 'static,
+    F: Fn(IpAddr, Request<Incoming>, RequestGuard) -> R + Clone + 'static,
     R: Future<Output = Response<ResponseBody>> + 'static,
 {
     let stopped = stop.clone();
@@ -75,7 +81,9 @@
     // connections that callers have opened, so these are accepted first.
     let mut closes_at = None;
     loop {
+        // Biased, so that what waits to be accepted goes before the close.
         let accepted = tokio::select! {
+            biased;
             accepted = listener.accept() => accepted,
             _ = stop.wait_for(|stop| *stop), if closes_at.is_none() => {
                 closes_at = Some(Instant::now() + ACCEPT_LINGER);
@@ -88,12 +96,15 @@
                 // Closed before a request is read, so the caller may go to
                 // another VM.
                 log::warn!(connections = state.connections.get(); "connection closed: too many are open");
+                state.record_too_many_connections(client);
             }
             Ok((stream, from)) => {
                 let guard = ConnectionGuard::new(&state);
                 let handle = handle.clone();
-                let handle = move |request| handle(from.ip(), request);
-                let connection = serve_connection(guard, stream, stopped.clone(), handle);
+                let handle = move |request, open| handle(from.ip(), request, open);
+                let connection = CallerConnection::new(&state, client);
+                let connection =
+                    serve_connection(guard, connection, stream, stopped.clone(), handle);
                 tokio::task::spawn_local(connection);
             }
             Err(error) => {
@@ -124,48 +135,61 @@
 
 async fn serve_connection<F, R>(
     guard: ConnectionGuard,
+    caller: Rc<CallerConnection>,
     stream: TcpStream,
     mut stop: watch::Receiver<bool>,
     handle: F,
 ) where
-    F: Fn(Request<Incoming>) -> R + 'static,
+    F: Fn(Request<Incoming>, RequestGuard) -> R + 'static,
     R: Future<Output = Response<ResponseBody>> + 'static,
 {
     if let Err(error) = set_socket_options(&stream) {
         log::debug!(error = error.to_string(); "cannot set TCP options");
     }
-    let has_request = Cell::new(false);
     let service = service_fn(|request| {
-        has_request.set(true);
-        let response = handle(request);
-        async move { Ok::<_, Infallible>(response.await) }
+        let open = caller.begin_request();
+        let handle = &handle;
+        async move {
+            let handling = async { handle(request, open.clone()).await };
+            let mut response = panics::respond_anyway(handling, || open.record_panic()).await;
+            if open.announces_close() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response.map(|body| body.answering(open)))
+        }
     });
-    let limits = guard.0.limits();
-    let buffer_bytes = (limits.max_header_bytes + BODY_START_BYTES).max(MIN_BUFFER_BYTES);
-    // hyper's header timeout includes the idle time before a header section, so
-    // the longer of the two limits applies to both.
-    let wait = Duration::from_millis(limits.header_timeout_ms.max(limits.idle_timeout_ms));
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(wait)
-        .max_buf_size(usize::try_from(buffer_bytes).unwrap_or(usize::MAX))
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = pin!(connection);
+    let limit = guard.0.rest_limit.clone();
+    let mut served = http1::Builder::new()
+        .header_read_timeout(limit.get())
+        .timer(RestTimer { limit })
+        .max_buf_size(BUFFER_BYTES)
+        .serve_connection(TokioIo::new(CallerIo::new(stream, &caller)), service);
+    let mut connection = Pin::new(&mut served);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
         _ = stop.wait_for(|stop| *stop) => {
-            // The first request of a new connection may be on its way; a graceful
-            // shutdown closes the connection before it is read.
-            let wait = if has_request.get() { Duration::ZERO } else { FIRST_REQUEST_WAIT };
-            match timeout(wait, connection.as_mut()).await {
-                Ok(ended) => ended,
-                Err(_) => {
-                    connection.as_mut().graceful_shutdown();
-                    connection.await
+            // The first request of a new connection may be on its way, as may the next
+            // one behind a response. A graceful shutdown would throw them away.
+            let mut wait = match caller.has_request() {
+                true => Duration::ZERO,
+                false => FIRST_REQUEST_WAIT,
+            };
+            loop {
+                match timeout(wait, connection.as_mut()).await {
+                    Ok(ended) => break ended,
+                    Err(_) if caller.rests(FIRST_REQUEST_WAIT) => {
+                        caller.record_stop();
+                        connection.as_mut().graceful_shutdown();
+                        break connection.await;
+                    }
+                    Err(_) => wait = STOP_RECHECK,
                 }
             }
         }
     };
+    let Parts { io, read_buf, .. } = served.into_parts();
+    caller.end(&ended, io.into_inner(), read_buf.len()).await;
     if let Err(error) = ended {
         log::debug!(error = error.to_string(); "incoming connection failed");
     }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -13,6 +13,7 @@
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
+use crate::idle::RestLimit;
 use crate::ledger::BudgetClient;
 use crate::metrics::Metrics;
 use crate::peers::PeerClient;
@@ -90,10 +91,14 @@
     pub(crate) admission_settings: AdmissionSettings,
     /// `None` until a valid configuration was read.
     pub(crate) config: RefCell<Option<Rc<Config>>>,
+    /// Rest of callers' connections that the configuration allows.
+    pub(crate) rest_limit: RestLimit,
     pub(crate) targets: RefCell<Targets>,
     /// Whether the table of targets was read since the start.
     pub(crate) targets_loaded: Cell<bool>,
     pub(crate) stopping: Cell<bool>,
+    /// Whether the process exits now, with what is still open.
+    pub(crate) exiting: Cell<bool>,
     /// Whether this VM's row is in the store's table of VMs.
     pub(crate) registered: Cell<bool>,
     /// Open incoming connections of all listeners.
@@ -137,9 +142,11 @@
             placement_settings: PlacementSettings::default(),
             admission_settings: AdmissionSettings::default(),
             config: RefCell::new(None),
+            rest_limit: RestLimit::new(&Limits::default()),
             targets: RefCell::default(),
             targets_loaded: Cell::new(false),
             stopping: Cell::new(false),
+            exiting: Cell::new(false),
             registered: Cell::new(false),
             connections: Cell::new(0),
             max_connections: limits.descriptors as usize / DESCRIPTORS_PER_CONNECTION,
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -71,6 +71,17 @@
         })
     }
 
+    /// Name of the task that follows the table.
+    pub(crate) fn task_name(self) -> &'static str {
+        match self {
+            FollowedTable::Config => "feed of the configuration",
+            FollowedTable::Targets => "feed of targets",
+            FollowedTable::Peers => "feed of VMs",
+            FollowedTable::Overdrawn => "feed of overdrawn programs",
+            FollowedTable::Crashes => "feed of crashes",
+        }
+    }
+
     /// Minimum time between a change and the next watch. Changes that come
     /// together, as those of many VMs that start, are then read in one call.
     fn min_interval(self) -> Duration {
@@ -339,6 +350,7 @@
         log::info!(version = config.version, before = known_version, row_version = row.version; "configuration in force");
         let retention_ms = config.max_turn_retention_ms();
         self.state.turn_keeper.record_retention(retention_ms);
+        self.state.rest_limit.set(&config.limits);
         *known = Some(Rc::new(config));
     }
 
