Refuse entries that aren't whole; one bad route takes no other away

Callers saw: streams ran at targets of another service, as another writer had written an entry under the id of one of them. Its zone, slots and start were missing.

Cause: the decoder took defaults for missing fields and didn't look at two others, so such an entry was taken for a whole one. An entry that could not be decoded removed its target, with all that was known of it. In a configuration, one route of another type than expected made all of it unreadable; a negative time-out or weight counted as 0, and a limit of 2^64-1 overflowed.

A refused entry suspends a known target: nothing new is sent there until its next valid entry, which finds the target as it was; an expiry meanwhile still counts as a crash. An entry that moves a known target to a service that the configuration doesn't name waits for one that does. An invalid route refuses its requests, as the route of a shorter prefix may lead to another service; an invalid service has none. What is refused is logged with row and field, and counted.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -161,8 +161,11 @@
     let path_and_query = parts.uri.path_and_query();
     let path_and_query = path_and_query.map_or(parts.uri.path(), PathAndQuery::as_str);
     let affinity_hash = hash64(metadata.affinity_key().as_bytes());
-    let service = route.service(affinity_hash).cloned().unwrap_or_default();
-    let engine = config.service(&service).and_then(|s| s.engine.clone());
+    // Without a service there is no target, so that the request is refused.
+    let service = route.service(affinity_hash);
+    let service = service.and_then(|name| config.service(name));
+    let engine = service.and_then(|service| service.engine.clone());
+    let service = service.map_or_else(CompactString::default, |service| service.name.clone());
     let wait_ms = metadata
         .deadline_ms
         .map_or(route.timeout_ms, |deadline_ms| {
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -18,6 +18,7 @@
     failed_attempts: IntCounterVec,
     target_crashes: IntCounterVec,
     store_calls: IntCounterVec,
+    invalid_rows: IntCounterVec,
     permits: IntCounterVec,
     paths: IntCounterVec,
     carried: IntCounterVec,
@@ -80,6 +81,11 @@
                 &["event"],
             )?,
             store_calls: counters("lagoon_store_calls_total", "Store calls", &["call", "end"])?,
+            invalid_rows: counters(
+                "lagoon_invalid_rows_total",
+                "Rows of the store, or parts of its configuration, that are not used",
+                &["table"],
+            )?,
             permits: counters(
                 "lagoon_permits_total",
                 "Requests for permits to targets with limits",
@@ -170,6 +176,10 @@
         self.0.store_calls.with_label_values(&[call, end]).inc();
     }
 
+    pub(crate) fn record_invalid_row(&self, table: &str) {
+        self.0.invalid_rows.with_label_values(&[table]).inc();
+    }
+
     pub(crate) fn record_gossip(&self, end: &str, bytes: usize) {
         self.0.gossip_messages.with_label_values(&[end]).inc();
         let counter = self.0.gossip_bytes.with_label_values(&[end]);
--- a/crates/entry/src/streams.rs
+++ b/crates/entry/src/streams.rs
@@ -193,7 +193,9 @@
                 log::info!(service; "cannot read the versions of a service now");
                 return None;
             };
-            let entries = rows.iter().filter_map(decode_entry);
+            let entries = rows
+                .iter()
+                .filter_map(|row| decode_entry(row, &self.metrics));
             let entries = entries.filter(|entry| entry.service == service);
             versions.extend(
                 entries.map(|entry| SoftwareId::new(&entry.service, &entry.software_version)),
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -7,10 +7,13 @@
 use compact_str::CompactString;
 use lagoon_adapter::{decode_config, decode_target, CONFIG_KEY, OPERATOR_TABLE, TARGET_TABLE};
 use lagoon_gateway::{
-    ProgramKey, Row, SentinelTable, StoreCall, StoreError, StoreReply, TargetEntry,
+    Config, ProgramKey, Row, SentinelTable, StoreCall, StoreError, StoreReply, TargetEntry,
+    TargetStatus,
 };
+use lagoon_ids::FastSet;
 use tokio::time::sleep;
 
+use crate::metrics::Metrics;
 use crate::state::DaemonState;
 use crate::store::StoreClient;
 use crate::tables::{CRASH_TABLE, OVERDRAWN_TABLE, PEER_TABLE};
@@ -275,9 +278,14 @@
                 rows.into_iter().for_each(|row| self.apply(row));
             }
             FollowedTable::Targets => {
-                let entries = rows.iter().filter_map(decode_entry).collect();
+                let listed: FastSet<&str> = rows.iter().map(|row| row.key.key.as_str()).collect();
                 let now_ms = self.state.now_ms();
-                self.state.targets.borrow_mut().replace(entries, now_ms);
+                let mut targets = self.state.targets.borrow_mut();
+                targets.retain(|id| listed.contains(id), now_ms);
+                drop(targets);
+                for row in &rows {
+                    self.apply_target_value(row);
+                }
                 self.state.targets_loaded.set(true);
             }
         }
@@ -313,7 +321,11 @@
         match serde_json::from_slice(&value) {
             Ok(entry) => peers.upsert(name, entry, row.version),
             Err(error) => {
-                log::warn!(peer = name.as_str(), error = error.to_string(); "invalid entry of a VM");
+                self.state.metrics.record_invalid_row(PEER_TABLE);
+                log::warn!(peer = name.as_str(), row_version = row.version, error = error.to_string(); "invalid entry of a VM");
+                if name == peers.own_name() {
+                    self.state.registered.set(false);
+                }
                 peers.remove(&name, now_ms);
             }
         }
@@ -324,39 +336,69 @@
             log::warn!(row_version = row.version; "configuration was removed; the last one stays in force");
             return;
         };
-        let config = match decode_config(value) {
-            Ok(config) => config,
+        let decoded = match decode_config(value) {
+            Ok(decoded) => decoded,
             Err(error) => {
+                self.state.metrics.record_invalid_row(OPERATOR_TABLE);
                 log::error!(row_version = row.version, error = error.to_string(); "configuration ignored");
                 return;
             }
         };
+        let config = decoded.config;
         let mut known = self.state.config.borrow_mut();
         let known_version = known.as_ref().map_or(0, |config| config.version);
         if config.version <= known_version && known.is_some() {
             return;
         }
         log::info!(version = config.version, before = known_version, row_version = row.version; "configuration in force");
+        for error in &decoded.invalid {
+            self.state.metrics.record_invalid_row(OPERATOR_TABLE);
+            log::error!(version = config.version, row_version = row.version, error = error.to_string(); "part of the configuration ignored");
+        }
+        let mut targets = self.state.targets.borrow_mut();
+        targets.release_held(|service| config.service(service).is_some());
         let retention_ms = config.max_turn_retention_ms();
         self.state.turn_keeper.record_retention(retention_ms);
         *known = Some(Rc::new(config));
     }
 
-    fn apply_target(&mut self, row: &Row) {
-        let now_ms = self.state.now_ms();
+    fn apply_target(&self, row: &Row) {
         let id = row.key.key.as_str();
-        let mut targets = self.state.targets.borrow_mut();
-        match (&row.value, decode_entry(row)) {
-            (None, _) => {
-                log::info!(target_id = id, row_version = row.version; "target removed");
-                targets.remove(id, now_ms);
+        if row.value.is_some() {
+            if let Some(status) = self.apply_target_value(row) {
+                log::info!(target_id = id, state = status.to_string(), row_version = row.version; "target changed");
             }
-            (Some(_), Some(entry)) => {
-                log::info!(target_id = id, state = entry.status.to_string(), row_version = row.version; "target changed");
-                targets.upsert(entry);
-            }
-            (Some(_), None) => targets.remove(id, now_ms),
+            return;
+        }
+        log::info!(target_id = id, row_version = row.version; "target removed");
+        let now_ms = self.state.now_ms();
+        self.state.targets.borrow_mut().remove(id, now_ms);
+    }
+
+    /// Applies the row of a target that was not removed; returns its status, or `None`
+    /// if the row is invalid.
+    fn apply_target_value(&self, row: &Row) -> Option<TargetStatus> {
+        let state = &self.state;
+        let id = row.key.key.as_str();
+        let mut targets = state.targets.borrow_mut();
+        let Some(entry) = decode_entry(row, &state.metrics) else {
+            targets.suspend(id);
+            return None;
+        };
+        let status = entry.status;
+        let config = state.config.borrow();
+        let is_named = |config: &Rc<Config>| config.service(&entry.service).is_some();
+        if config.as_ref().is_none_or(is_named) {
+            targets.upsert(entry);
+            return Some(status);
+        }
+        let service = entry.service.clone();
+        if targets.hold(entry) {
+            state.metrics.record_invalid_row(TARGET_TABLE);
+            log::warn!(target_id = id, row_version = row.version, service = service.as_str(); "entry of a target has a service that the configuration doesn't name");
+            return None;
         }
+        Some(status)
     }
 
     fn update_gauges(&self) {
@@ -378,12 +420,13 @@
 }
 
 /// Decodes the row of a target; `None` for a removed or invalid one.
-pub(crate) fn decode_entry(row: &Row) -> Option<TargetEntry> {
+pub(crate) fn decode_entry(row: &Row, metrics: &Metrics) -> Option<TargetEntry> {
     let value = row.value.as_deref()?;
     match decode_target(&row.key.key, value) {
         Ok(entry) => Some(entry),
         Err(error) => {
-            log::warn!(target_id = row.key.key.as_str(), error = error.to_string(); "invalid entry of a target");
+            metrics.record_invalid_row(TARGET_TABLE);
+            log::warn!(target_id = row.key.key.as_str(), row_version = row.version, error = error.to_string(); "invalid entry of a target");
             None
         }
     }
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -161,6 +161,8 @@
                 let target = &mut self.arena[key];
                 target.entry = entry;
                 target.is_missing = false;
+                target.is_entry_invalid = false;
+                target.held_entry = None;
                 return;
             }
             if current.software_version != entry.software_version {
@@ -182,6 +184,52 @@
         self.by_service.entry(service).or_default().push(key);
     }
 
+    /// Handles an invalid entry under an id. A known target gets no requests until its
+    /// next valid entry; what is known of it is kept, as it may come from another writer
+    /// than the target.
+    pub fn suspend(&mut self, id: &str) {
+        self.suspend_for(id, None);
+    }
+
+    /// Like [`Targets::upsert`], for an entry whose service the configuration doesn't
+    /// name. If the target is known for another service, the entry counts as an invalid
+    /// one until [`Targets::release_held`]; returns whether that is so.
+    pub fn hold(&mut self, entry: TargetEntry) -> bool {
+        let current = self.by_id.get(&entry.id).map(|key| &self.arena[*key].entry);
+        let is_moved = current.is_some_and(|current| current.service != entry.service);
+        if is_moved {
+            let id = entry.id.clone();
+            self.suspend_for(&id, Some(entry));
+        } else {
+            self.upsert(entry);
+        }
+        is_moved
+    }
+
+    fn suspend_for(&mut self, id: &str, entry: Option<TargetEntry>) {
+        if let Some(&key) = self.by_id.get(id) {
+            let target = &mut self.arena[key];
+            target.is_missing = false;
+            target.is_entry_invalid = true;
+            target.held_entry = entry;
+        }
+    }
+
+    /// Applies the held entries whose service is named now.
+    pub fn release_held<F>(&mut self, is_named: F)
+    where
+        F: Fn(&str) -> bool,
+    {
+        let held = self.arena.values_mut().filter_map(|target| {
+            let entry = target.held_entry.as_ref();
+            let is_due = entry.is_some_and(|entry| is_named(&entry.service));
+            is_due.then(|| target.held_entry.take()).flatten()
+        });
+        for entry in held.collect::<Vec<_>>() {
+            self.upsert(entry);
+        }
+    }
+
     /// Handles the removal of an entry. Right after an outage of the store the
     /// target is kept for a while, as its entry may only have expired.
     pub fn remove(&mut self, id: &str, now_ms: u64) {
@@ -195,21 +243,16 @@
         }
     }
 
-    /// Replaces all entries; targets without an entry are removed as by
+    /// Removes the targets for whose id `is_listed` returns `false`, as by
     /// [`Targets::remove`].
-    pub fn replace(&mut self, entries: Vec<TargetEntry>, now_ms: u64) {
-        let removed: Vec<CompactString> = self
-            .by_id
-            .keys()
-            .filter(|id| !entries.iter().any(|entry| entry.id == **id))
-            .cloned()
-            .collect();
-        for id in removed {
+    pub fn retain<F>(&mut self, is_listed: F, now_ms: u64)
+    where
+        F: Fn(&str) -> bool,
+    {
+        let removed = self.by_id.keys().filter(|id| !is_listed(id));
+        for id in removed.cloned().collect::<Vec<_>>() {
             self.remove(&id, now_ms);
         }
-        for entry in entries {
-            self.upsert(entry);
-        }
     }
 
     /// Starts the grace period of missing entries after a store outage.
--- a/crates/gateway/src/targets/target.rs
+++ b/crates/gateway/src/targets/target.rs
@@ -123,6 +123,11 @@
     /// Whether the store has no entry of the target, perhaps only because it
     /// expired in an outage.
     pub(super) is_missing: bool,
+    /// Whether the store has no valid entry of the target in place of the last one.
+    pub(super) is_entry_invalid: bool,
+    /// Entry in place of the last one, with another service that the configuration
+    /// doesn't name.
+    pub(super) held_entry: Option<TargetEntry>,
     /// Whether the target has stated in a response that it is about to stop.
     pub(super) is_leaving: bool,
     /// Time of the last sign of life that this VM or a gossip peer got; `None`
@@ -152,6 +157,8 @@
             last_progress_ms: 0,
             ejected_until_ms: 0,
             is_missing: false,
+            is_entry_invalid: false,
+            held_entry: None,
             is_leaving,
             alive_ms: None,
             unfinished: UnfinishedAttempts::default(),
@@ -165,10 +172,14 @@
         self.unfinished.record_alive(now_ms);
     }
 
-    /// Whether the target takes new requests: it has announced neither in its entry
-    /// nor in a response that it is about to stop.
+    /// Whether the target takes new requests: its entry is valid, and it has announced
+    /// neither there nor in a response that it is about to stop.
     pub fn accepts_requests(&self) -> bool {
-        self.entry.status == TargetStatus::Ready && !self.is_leaving
+        !self.is_entry_invalid && !self.has_announced_stop()
+    }
+
+    fn has_announced_stop(&self) -> bool {
+        self.entry.status != TargetStatus::Ready || self.is_leaving
     }
 
     /// Whether the target has stated in a response that it is about to stop.
@@ -180,7 +191,7 @@
     /// that it has crashed if its entry expires now.
     pub(super) fn has_crashed_if_expired(&self, now_ms: u64) -> bool {
         let is_silent = |alive_ms| now_ms >= alive_ms + MIN_SILENCE_MS;
-        self.accepts_requests() && self.alive_ms.is_none_or(is_silent)
+        !self.has_announced_stop() && self.alive_ms.is_none_or(is_silent)
     }
 
     pub(super) fn record_result(&mut self, is_good: bool) {
