Refuse rows of VMs with numbers that overflow

Callers would see: a budget that is free again, as the sum of a row's tokens wraps around; a turn that is said never to have existed, as its rows can't be read, or is kept for ever. No VM writes such rows; one damaged row should not do that either.

Fix: tokens in a budget row are at most 10^15, retention and end of a turn bounded, and the time of a row's deletion is compared without a sum that overflows. A turn whose rows can't be read isn't known to be absent. Keys of crashes are read only as they are written, so that the row can be deleted. Each has a log line and counts.

--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -14,8 +14,8 @@
 use std::time::Duration;
 
 use lagoon_gateway::{
-    Allowances, BudgetWrite, ChargeDecision, ChargeRequest, Connectivity, ProgramBudgets,
-    ProgramKey, Reserves, StoreCall, StoreError, StoreReply, WaiterId,
+    Allowances, BudgetRow, BudgetWrite, ChargeDecision, ChargeRequest, Connectivity,
+    ProgramBudgets, ProgramKey, Reserves, StoreCall, StoreError, StoreReply, WaiterId,
 };
 use lagoon_ids::FastMap;
 use tokio::sync::{oneshot, Mutex};
@@ -332,6 +332,7 @@
             let reply = self
                 .write_with_retries(StoreCall::Transact(vec![write]))
                 .await;
+            self.note_invalid_row(&program, &reply);
             let now_ms = self.clock.now_ms();
             let decisions = self
                 .budgets
@@ -344,6 +345,20 @@
         }
     }
 
+    /// Logs and counts a row that can't be read. Its program gets nothing from the row.
+    fn note_invalid_row(&self, program: &ProgramKey, reply: &Result<StoreReply, StoreError>) {
+        let Ok(StoreReply::Conflict(rows)) = reply else {
+            return;
+        };
+        for row in rows {
+            let decoded = row.value.as_deref().map(BudgetRow::decode);
+            if let Some(Err(error)) = decoded {
+                self.store.record_invalid_row(&row.key.table);
+                log::warn!(program = program.0.as_str(), key = row.key.key.as_str(), row_version = row.version, error = error.to_string(); "invalid budget row");
+            }
+        }
+    }
+
     fn deliver_decision(&self, program: &ProgramKey, waiter: WaiterId, decision: ChargeDecision) {
         let sender = self.waiters.borrow_mut().remove(&waiter);
         let is_undelivered = match sender {
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -92,6 +92,11 @@
         self.recovered_ms.get()
     }
 
+    /// Counts a row of a reply that can't be used.
+    pub(crate) fn record_invalid_row(&self, table: &str) {
+        self.metrics.record_invalid_row(table);
+    }
+
     /// Whether the store counts as unavailable after consecutive failures.
     pub(crate) fn is_unavailable(&self) -> bool {
         self.failures.get() >= UNAVAILABLE_FAILURES
--- a/crates/entry/src/suspects.rs
+++ b/crates/entry/src/suspects.rs
@@ -231,6 +231,7 @@
     /// Applies a row of the crash table; a deleted one removes its crash.
     pub(crate) fn apply_row(&self, row: &Row) {
         let Some(record) = CrashRecord::from_row_key(&row.key.key) else {
+            self.metrics.record_invalid_row(CRASH_TABLE);
             log::warn!(key = row.key.key.as_str(); "row key does not name a crash");
             return;
         };
--- a/crates/entry/src/turns/deletion.rs
+++ b/crates/entry/src/turns/deletion.rs
@@ -95,7 +95,8 @@
         let turn = &kept.turn;
         let expires_unix_ms = RowExpiry::expires_unix_ms(unix_now_ms(), turn.retention_ms);
         // A chain of many turns is postponed once in a retention.
-        if kept.expires_unix_ms + turn.retention_ms >= expires_unix_ms + turn.retention_ms / 2 {
+        let least_unix_ms = expires_unix_ms + turn.retention_ms / 2 - turn.retention_ms;
+        if kept.expires_unix_ms >= least_unix_ms {
             return;
         }
         let Some(write) = kept.extend_write(expires_unix_ms) else {
--- a/crates/entry/src/turns/lookup.rs
+++ b/crates/entry/src/turns/lookup.rs
@@ -11,10 +11,10 @@
 use compact_str::CompactString;
 use futures::future::join_all;
 use futures::stream::{FuturesUnordered, StreamExt};
-use lagoon_gateway::{StoreError, StoreReply};
+use lagoon_gateway::{Row, StoreError, StoreReply};
 use lagoon_turns::{
     collect_chain, decode_rows, read_range, Chain, ChainError, KeptRow, Lookup, PeerAnswer,
-    StoreAnswer, Turn, TurnId, Verdict,
+    StoreAnswer, Turn, TurnId, Verdict, TURN_TABLE,
 };
 
 /// Timeout of a request to the VM that probably has a chain; after that, a read
@@ -170,7 +170,16 @@
     pub(super) async fn read_row(&self, id: &TurnId) -> Result<Option<KeptRow>, StoreError> {
         let call = read_range(id);
         match self.budget_client.execute_or_relay(&call).await? {
-            StoreReply::Rows { rows, has_more, .. } if !has_more => Ok(decode_rows(id, &rows)),
+            StoreReply::Rows { rows, has_more, .. } if !has_more => {
+                let kept = decode_rows(id, &rows);
+                let has_head = |row: &Row| row.key.key == id.as_str() && row.value.is_some();
+                if kept.is_none() && rows.iter().any(has_head) {
+                    self.metrics.record_invalid_row(TURN_TABLE);
+                    log::warn!(turn = id.as_str(); "invalid rows of a turn");
+                    return Err(StoreError::NoReply("invalid rows of a turn".into()));
+                }
+                Ok(kept)
+            }
             _ => Err(StoreError::NoReply("not the whole turn".into())),
         }
     }
--- a/crates/gateway/src/budget/program_budget.rs
+++ b/crates/gateway/src/budget/program_budget.rs
@@ -263,7 +263,7 @@
         pending: PendingWrite,
     ) -> Vec<(WaiterId, ChargeDecision)> {
         let value = found.and_then(|row| row.value.as_deref());
-        let row = match value.map(serde_json::from_slice::<BudgetRow>) {
+        let row = match value.map(BudgetRow::decode) {
             None => BudgetRow::default(),
             Some(Ok(row)) => row,
             Some(Err(_)) => {
--- a/crates/gateway/src/budget/row.rs
+++ b/crates/gateway/src/budget/row.rs
@@ -3,7 +3,8 @@
 use compact_str::CompactString;
 use derive_more::{AsRef, Display, From};
 use lagoon_ids::hash64;
-use serde::{Deserialize, Serialize};
+use serde::de::Error;
+use serde::{Deserialize, Deserializer, Serialize};
 
 use crate::store::RowKey;
 
@@ -21,6 +22,9 @@
 /// Writers kept in a row; the one with the oldest write is dropped first.
 pub(super) const MAX_WRITERS: usize = 16;
 
+/// Maximum number of tokens in a row; sums of them over all writers can't overflow.
+const MAX_ROW_TOKENS: u64 = 1_000_000_000_000_000;
+
 /// Name of a program as its caller gives it.
 #[derive(AsRef, Clone, Debug, Display, Eq, From, Hash, Ord, PartialEq, PartialOrd)]
 pub struct ProgramKey(pub CompactString);
@@ -51,6 +55,7 @@
     pub sequence: u64,
     /// Tokens that the writer held after that write, without those granted to its
     /// calls in flight.
+    #[serde(deserialize_with = "row_tokens")]
     pub held_tokens: u64,
 }
 
@@ -58,6 +63,7 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct BudgetRow {
     /// Tokens that are spent, held, or charged for calls in flight.
+    #[serde(deserialize_with = "row_tokens")]
     pub charged_tokens: u64,
     /// Whether the reserve was released, so that the whole budget may be charged.
     #[serde(default)]
@@ -67,7 +73,29 @@
     pub writers: Vec<WriterMark>,
 }
 
+fn row_tokens<'de, D>(deserializer: D) -> Result<u64, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    let tokens = u64::deserialize(deserializer)?;
+    if tokens > MAX_ROW_TOKENS {
+        return Err(D::Error::custom(format_args!(
+            "{tokens} tokens are too many"
+        )));
+    }
+    Ok(tokens)
+}
+
 impl BudgetRow {
+    /// Decodes a row's value.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a field is missing, of another type or out of range.
+    pub fn decode(value: &[u8]) -> Result<BudgetRow, serde_json::Error> {
+        serde_json::from_slice(value)
+    }
+
     /// Sequence number of a writer's last write; 0 if the row doesn't list the
     /// writer.
     pub(super) fn last_sequence_of(&self, writer: &str) -> u64 {
--- a/crates/gateway/src/crash_log.rs
+++ b/crates/gateway/src/crash_log.rs
@@ -93,11 +93,13 @@
     pub fn from_row_key(key: &str) -> Option<CrashRecord> {
         let (fingerprint, remaining) = key.split_at_checked(FINGERPRINT_DIGITS)?;
         let (target, earlier) = remaining.split_at_checked(TARGET_DIGITS)?;
-        Some(CrashRecord {
+        let record = CrashRecord {
             fingerprint: u64::from_str_radix(fingerprint, 16).ok()?,
             target: TargetHash(u32::from_str_radix(target, 16).ok()?),
             earlier: u8::from_str_radix(earlier, 16).ok()?,
-        })
+        };
+        // Another spelling of a number would name another row.
+        (record.row_key() == key).then_some(record)
     }
 }
 
--- a/crates/turns/src/turn.rs
+++ b/crates/turns/src/turn.rs
@@ -43,6 +43,11 @@
     }
 }
 
+/// Maximum retention and time of a turn; sums and small multiples of them can't
+/// overflow.
+const MAX_RETENTION_MS: u64 = 1_000_000_000_000;
+const MAX_UNIX_MS: u64 = 1_000_000_000_000_000;
+
 /// Input and output of one call that was answered completely.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Turn {
@@ -109,9 +114,13 @@
         postcard::to_allocvec(&record).unwrap_or_default()
     }
 
-    /// Decodes a turn; `None` if the bytes are not a valid record.
+    /// Decodes a turn; `None` if the bytes are not a valid record, or a time in it is out
+    /// of range.
     pub fn decode(bytes: &[u8]) -> Option<Turn> {
         let record: TurnRecord<'_> = postcard::from_bytes(bytes).ok()?;
+        if record.retention_ms > MAX_RETENTION_MS || record.ended_unix_ms > MAX_UNIX_MS {
+            return None;
+        }
         let ancestors = record.ancestors.iter().map(|id| TurnId::parse(id).ok());
         Some(Turn {
             id: TurnId::parse(&record.id).ok()?,
