--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -15,8 +15,8 @@
 
 use compact_str::{format_compact, CompactString};
 use lagoon_gateway::{
-    Allowances, BudgetWrite, ChargeDecision, ChargeRequest, Connectivity, ProgramBudgets,
-    ProgramKey, Reserves, StoreCall, StoreError, StoreReply, WaiterId,
+    Allowances, BudgetRow, BudgetWrite, ChargeDecision, ChargeRequest, Connectivity,
+    ProgramBudgets, ProgramKey, Reserves, StoreCall, StoreError, StoreReply, WaiterId,
 };
 use lagoon_ids::FastMap;
 use tokio::sync::{oneshot, Mutex};
@@ -368,6 +368,7 @@
             if let Ok(StoreReply::Applied { version }) = reply {
                 self.record_store_version(version, began_ms);
             }
+            self.note_invalid_row(&program, &reply);
             let now_ms = self.clock.now_ms();
             let decisions = self
                 .budgets
@@ -387,6 +388,20 @@
         budgets.record_store_version(version, began_ms);
     }
 
+    /// Logs and counts a row that can't be read. Its program gets nothing from the row.
+    fn note_invalid_row(&self, program: &ProgramKey, reply: &Result<StoreReply, StoreError>) {
+        let Ok(StoreReply::Conflict(rows)) = reply else {
+            return;
+        };
+        for row in rows {
+            let decoded = row.value.as_deref().map(BudgetRow::decode);
+            if let Some(Err(error)) = decoded {
+                self.store.record_invalid_row(&row.key.table);
+                log::warn!(program = program.0.as_str(), key = row.key.key.as_str(), row_version = row.version, error = error.to_string(); "invalid budget row");
+            }
+        }
+    }
+
     fn deliver_decision(&self, program: &ProgramKey, waiter: WaiterId, decision: ChargeDecision) {
         let sender = self.waiters.borrow_mut().remove(&waiter);
         let is_undelivered = match sender {
--- a/crates/gateway/src/budget/program_budget.rs
+++ b/crates/gateway/src/budget/program_budget.rs
@@ -294,7 +294,7 @@
         is_recent: bool,
     ) -> Vec<(WaiterId, ChargeDecision)> {
         let value = found.and_then(|row| row.value.as_deref());
-        let row = match value.map(serde_json::from_slice::<BudgetRow>) {
+        let row = match value.map(BudgetRow::decode) {
             // A row that was deleted although this VM uses the program is restored
             // as far as it is known here.
             None if self.version > 0 => self.row.clone(),
