--- a/crates/entry/tests/changes/mod.rs
+++ b/crates/entry/tests/changes/mod.rs
@@ -8,7 +8,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use lagoon_adapter::standin::{kept_turn_headers, model_call_headers, service_call_headers};
+use lagoon_adapter::standin::{
+    expected_tokens_header, kept_turn_headers, model_call_headers, service_call_headers,
+};
 use lagoon_gateway::TargetStatus;
 use lagoon_standin::fleet::{FaultProxy, ProxyFault, Store, StoreFault, Target};
 use nix::sys::signal::Signal;
@@ -494,7 +496,7 @@
             _ => 0,
         };
         if hint > 0 {
-            headers.push(format!("Lagoonscale-Length-Hint: {hint}"));
+            headers.push(expected_tokens_header(hint));
         }
         Prepared {
             bytes: encode(&format!("POST {}", kind.path), &headers, b"prompt"),
--- a/crates/entry/tests/unanswered.rs
+++ b/crates/entry/tests/unanswered.rs
@@ -14,7 +14,7 @@
     call, complete_stream, get, send_request, try_call, wait_until, Fleet, OldBuild, CONFIG,
     EVENT_COUNT,
 };
-use lagoon_adapter::standin::{model_call_headers, service_call_headers};
+use lagoon_adapter::standin::{expected_tokens_header, model_call_headers, service_call_headers};
 use lagoon_gateway::TargetStatus;
 use lagoon_standin::fleet::{StoreFault, Target};
 use nix::sys::signal::Signal;
@@ -38,7 +38,7 @@
     let fleet = Fleet::start(1);
     let headers = |program: &str| {
         let mut headers = model_call_headers(program, program, BUDGET_TOKENS, STREAM_TOKENS);
-        headers.push(format!("Lagoonscale-Length-Hint: {LENGTH_HINT_TOKENS}"));
+        headers.push(expected_tokens_header(LENGTH_HINT_TOKENS));
         headers
     };
     let (mut cuts, mut refusals) = (Vec::new(), 0);
