--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -63,6 +63,10 @@
 /// gives no estimate.
 const EXPECTED_TOKENS_DIVISOR: u64 = 4;
 
+/// Bytes by which a header section may exceed its limit, as callers may count it in
+/// another way.
+const HEADER_SLACK_BYTES: u64 = 4_096;
+
 /// Request that is being forwarded, with the state shared by its attempts.
 pub(crate) struct ForwardedRequest {
     pub(crate) state: Rc<DaemonState>,
@@ -121,7 +125,7 @@
     let metadata = decode_request_headers(&parts.headers);
     caller.set_id(&metadata.request_id);
     let limits = state.limits();
-    if header_bytes(&parts.headers) > limits.max_header_bytes {
+    if header_bytes(&parts.headers) > limits.max_header_bytes + HEADER_SLACK_BYTES {
         log::info!(request = metadata.request_id.as_str(), status = 431; "header section too long");
         let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
         state.metrics.record_response(status.as_u16(), 0);
