Stand-ins listen below the ephemeral ports

Its port was an ephemeral one, which another process had taken for an outgoing connection. Ports of stand-ins now lie where the system gives none away.

--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -10,6 +10,7 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::channel;
 use std::sync::Arc;
 use std::thread;
@@ -58,6 +59,25 @@
 /// Time for which a crashed server accepts no connections.
 const CRASH_DOWNTIME: Duration = Duration::from_millis(250);
 
+/// Ports of servers: below the ephemeral ones, so that no outgoing connection takes the
+/// port of a server whose listener is closed for a time.
+const PORTS: std::ops::Range<u16> = 10_000..20_000;
+
+/// Listens on a free port of [`PORTS`]. Processes begin at different ports.
+async fn bind_free_port() -> TcpListener {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    const PORTS_PER_PROCESS: usize = 97;
+    let first = std::process::id() as usize * PORTS_PER_PROCESS;
+    for _ in PORTS {
+        let number = first + NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = PORTS.start + (number % PORTS.len()) as u16;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)).await {
+            return listener;
+        }
+    }
+    panic!("no port is free");
+}
+
 /// Runs a server on its own thread until the process ends, with a listener on a
 /// free loopback port.
 fn start_server<F, R>(server: F) -> SocketAddr
@@ -70,8 +90,7 @@
         let runtime = Builder::new_current_thread().enable_all().build();
         let runtime = runtime.expect("runtime starts");
         LocalSet::new().block_on(&runtime, async move {
-            let address = SocketAddr::from(([127, 0, 0, 1], 0));
-            let listener = TcpListener::bind(address).await.expect("port is free");
+            let listener = bind_free_port().await;
             // Fails only if the caller of `start_server` is gone.
             let _ = address_sender.send(listener.local_addr().expect("socket has an address"));
             server(listener).await;
