Further tokens of a stream: from allowances too, and none is lost

Causes: the rest that a call asked for was taken for the size of its program's allowance; a row that lacks the whole rest counted as one that has nothing; the request for the rest was dropped with the stream. And a VM still accepted fewer tokens than a call's maximum after one failed call to the store.

--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -1,16 +1,15 @@
 //! Relays event streams to callers, and resumes them after an interruption.
 
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::future::{LocalBoxFuture, OptionFuture};
+use futures::future::OptionFuture;
 use futures::stream;
-use futures::FutureExt;
 use http_body_util::BodyExt;
 use hyper::{Response, StatusCode};
 use lagoon_gateway::{EventReader, RetryDecision, TargetHash, TargetKey};
 use lagoon_turns::TurnOutput;
+use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout_at, Instant};
 
 use crate::body::{ResponseBody, TruncatedBody};
@@ -43,7 +42,7 @@
     output: Option<TurnOutput>,
     /// Reservation of further tokens in progress, for a call that was granted fewer
     /// than its maximum.
-    extension: Option<LocalBoxFuture<'static, Option<TokenReservation>>>,
+    extension: Option<oneshot::Receiver<Option<TokenReservation>>>,
     status: StatusCode,
     /// How the relay ends, for the log line that is written on drop; an error until
     /// the stream has ended.
@@ -111,7 +110,7 @@
                 biased;
                 frame = timeout_at(deadline, stream.body.frame()) => frame,
                 extension = OptionFuture::from(self.extension.as_mut()), if is_extended => {
-                    self.extend(extension.flatten());
+                    self.extend(extension.and_then(Result::ok).flatten());
                     continue;
                 }
                 hopeless = stream.connection.until_hopeless(), if is_resumable => {
@@ -227,18 +226,19 @@
         let tokens = events * self.request.tokens_per_event;
         let wait_until = self.request.deadline().min(Instant::now() + MAX_TOKEN_WAIT);
         while self.lacks_tokens(tokens) {
-            self.start_extension();
+            self.start_extension(tokens);
             let extension = OptionFuture::from(self.extension.as_mut());
             match timeout_at(wait_until, extension).await {
-                Ok(Some(extension @ Some(_))) => self.extend(extension),
-                Ok(Some(None) | None) | Err(_) => return false,
+                Ok(Some(Ok(extension @ Some(_)))) => self.extend(extension),
+                Ok(_) | Err(_) => return false,
             }
         }
         if let Some(reservation) = &mut self.request.reservation {
             reservation.use_tokens(tokens);
         }
-        if self.lacks_tokens(EVENTS_AHEAD * self.request.tokens_per_event) {
-            self.start_extension();
+        let ahead_tokens = EVENTS_AHEAD * self.request.tokens_per_event;
+        if self.lacks_tokens(ahead_tokens) {
+            self.start_extension(ahead_tokens);
         }
         true
     }
@@ -249,17 +249,17 @@
     }
 
     /// Starts to reserve the tokens by which the call's reservation falls short of its
-    /// maximum, unless that is in progress.
-    fn start_extension(&mut self) {
+    /// maximum, or at least `min_tokens`, unless that is in progress.
+    fn start_extension(&mut self, min_tokens: u64) {
         if self.extension.is_some() {
             return;
         }
         let Some(missing) = self.request.missing_tokens() else {
             return;
         };
-        let budget_client = Rc::clone(&self.request.state.budget_client);
-        let extension = budget_client.reserve_more(missing, self.request.deadline());
-        self.extension = Some(extension.boxed_local());
+        let deadline = self.request.deadline().min(Instant::now() + MAX_TOKEN_WAIT);
+        let budget_client = &self.request.state.budget_client;
+        self.extension = Some(budget_client.reserve_more(missing, min_tokens, deadline));
     }
 
     fn extend(&mut self, extension: Option<TokenReservation>) {
--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -36,7 +36,8 @@
 
 const RETRY_DELAY: Duration = Duration::from_millis(30);
 
-/// Delay between two attempts to reserve further tokens for a call.
+/// Delay after the first attempt to reserve further tokens for a call; it doubles with
+/// each further one.
 const EXTENSION_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Interval between connectivity checks while the store is unreachable.
@@ -163,21 +164,39 @@
         }
     }
 
-    /// Reserves further tokens for a call that was granted fewer than its maximum,
-    /// with retries until `deadline`; `None` if the program has no more.
-    pub(crate) async fn reserve_more(
-        self: Rc<Self>,
-        request: TokenRequest,
+    /// Reserves further tokens for a call that was granted fewer than its maximum: the
+    /// rest or, if the program has less, `min_tokens`. Retries until `deadline`; the
+    /// result is `None` if there are none by then. If nobody waits for it any more, the
+    /// tokens go back to their source.
+    pub(crate) fn reserve_more(
+        self: &Rc<Self>,
+        mut request: TokenRequest,
+        min_tokens: u64,
         deadline: Instant,
-    ) -> Option<TokenReservation> {
-        while Instant::now() < deadline {
-            match self.reserve(request.clone(), deadline).await {
-                Ok(reservation) => return Some(reservation),
-                Err(ChargeDecision::Exhausted { .. }) => return None,
-                Err(_) => sleep(EXTENSION_RETRY_DELAY).await,
+    ) -> oneshot::Receiver<Option<TokenReservation>> {
+        let (sender, receiver) = oneshot::channel();
+        let budget_client = Rc::clone(self);
+        spawn_local(async move {
+            let mut delay = EXTENSION_RETRY_DELAY;
+            while !sender.is_closed() && Instant::now() < deadline {
+                match budget_client.reserve(request.clone(), deadline).await {
+                    Ok(reservation) => {
+                        // A reservation that can't be delivered is dropped.
+                        let _ = sender.send(Some(reservation));
+                        return;
+                    }
+                    Err(ChargeDecision::Exhausted { .. }) if request.max_tokens > min_tokens => {
+                        request.max_tokens = min_tokens;
+                    }
+                    Err(_) => {
+                        sleep(delay).await;
+                        delay *= 2;
+                    }
+                }
             }
-        }
-        None
+            let _ = sender.send(None);
+        });
+        receiver
     }
 
     fn charge_request(&self, request: &TokenRequest) -> ChargeRequest {
--- a/crates/entry/src/ledger/reserve.rs
+++ b/crates/entry/src/ledger/reserve.rs
@@ -42,7 +42,8 @@
             result = &mut charge => return result,
             () = sleep(delay) => {}
         }
-        let accepts_fewer = self.store.is_failing();
+        // One failed call doesn't show that the store can't be used.
+        let accepts_fewer = self.store.is_unavailable();
         let Some(from_reserve) = self.take_reserve(request, accepts_fewer).await else {
             return charge.await;
         };
--- a/crates/gateway/src/allowance.rs
+++ b/crates/gateway/src/allowance.rs
@@ -161,7 +161,9 @@
         allowance.budget_tokens = request.budget_tokens;
         allowance.max_call_tokens = allowance.max_call_tokens.max(request.max_tokens);
         let committed_tokens = allowance.in_flight_tokens + allowance.spent_tokens;
-        let max_tokens = max_allowance_tokens(request.budget_tokens, request.max_tokens);
+        // A call that was granted fewer than its maximum asks for the rest, which says
+        // nothing of the program's allowance.
+        let max_tokens = max_allowance_tokens(request.budget_tokens, allowance.max_call_tokens);
         let remaining_tokens = max_tokens.saturating_sub(committed_tokens);
         let expected_tokens = request.expected_tokens.max(1);
         let min_grant_tokens =
@@ -169,7 +171,8 @@
         if remaining_tokens < min_grant_tokens {
             return 0;
         }
-        let granted_tokens = remaining_tokens.min(expected_tokens * MAX_GRANT_FACTOR);
+        let wanted_tokens = request.max_tokens.min(expected_tokens * MAX_GRANT_FACTOR);
+        let granted_tokens = remaining_tokens.min(wanted_tokens);
         allowance.in_flight_tokens += granted_tokens;
         granted_tokens
     }
--- a/crates/gateway/tests/allowance.rs
+++ b/crates/gateway/tests/allowance.rs
@@ -48,6 +48,25 @@
     assert!(granted <= MAX_CALL_TOKENS);
 }
 
+// Guards against a stream that is cut although its program's allowance has tokens left:
+// the rest that its call asks for was taken for the whole allowance.
+#[test]
+fn grant_of_the_rest_of_a_call_reaches_its_maximum() {
+    let mut allowances = Allowances::default();
+    let mut granted = allowances.grant(&request(60));
+    assert_eq!(granted, 180);
+    for _ in 0..20 {
+        let rest = AllowanceRequest {
+            max_tokens: MAX_CALL_TOKENS - granted,
+            expected_tokens: (MAX_CALL_TOKENS - granted) / 4,
+            ..request(0)
+        };
+        granted += allowances.grant(&rest);
+    }
+    assert_eq!(granted, MAX_CALL_TOKENS);
+    assert_eq!(allowances.grant(&request(1)), 0);
+}
+
 #[test]
 fn grant_too_small_for_a_call_is_refused() {
     let mut allowances = Allowances::default();
