Idle limits: usual names; buffers hold the header sections that are allowed

A buffer of 128 kB refused larger header sections that a configuration allows. Turns and allowances are handed over side by side at the stop, within the time that there was for turns.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -65,7 +65,7 @@
 
 /// Bytes by which a header section may exceed its limit, as callers may count it in
 /// another way.
-const HEADER_SLACK_BYTES: u64 = 4_096;
+pub(crate) const HEADER_SLACK_BYTES: u64 = 4_096;
 
 /// Request that is being forwarded, with the state shared by its attempts.
 pub(crate) struct ForwardedRequest {
--- a/crates/entry/src/idle.rs
+++ b/crates/entry/src/idle.rs
@@ -12,16 +12,16 @@
 use tokio::time::{sleep_until, Sleep as TokioSleep};
 
 /// Maximum of the limit, whatever the configuration says.
-const MAX_REST: Duration = Duration::from_secs(86_400);
+const MAX_IDLE: Duration = Duration::from_secs(86_400);
 
 /// Time that a connection may rest, or take for a header section. hyper's timer needs it
 /// to be shared between threads.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct RestLimit(Arc<AtomicU64>);
+pub(crate) struct IdleLimit(Arc<AtomicU64>);
 
-impl RestLimit {
-    pub(crate) fn new(limits: &Limits) -> RestLimit {
-        let limit = RestLimit::default();
+impl IdleLimit {
+    pub(crate) fn new(limits: &Limits) -> IdleLimit {
+        let limit = IdleLimit::default();
         limit.set(limits);
         limit
     }
@@ -29,29 +29,29 @@
     /// hyper's header timeout includes the rest before a header section, so the longer of
     /// the two limits applies to both.
     pub(crate) fn set(&self, limits: &Limits) {
-        let rest_ms = limits.header_timeout_ms.max(limits.idle_timeout_ms);
-        self.0.store(rest_ms, Ordering::Relaxed);
+        let idle_ms = limits.header_timeout_ms.max(limits.idle_timeout_ms);
+        self.0.store(idle_ms, Ordering::Relaxed);
     }
 
     pub(crate) fn get(&self) -> Duration {
-        Duration::from_millis(self.0.load(Ordering::Relaxed)).min(MAX_REST)
+        Duration::from_millis(self.0.load(Ordering::Relaxed)).min(MAX_IDLE)
     }
 }
 
 /// Timer whose waits last as long as the limit in force at their end allows, if that is
 /// longer than the one at their start: callers go by the newest limit.
 #[derive(Clone, Debug)]
-pub(crate) struct RestTimer {
-    pub(crate) limit: RestLimit,
+pub(crate) struct IdleTimer {
+    pub(crate) limit: IdleLimit,
 }
 
-impl Timer for RestTimer {
+impl Timer for IdleTimer {
     fn sleep(&self, duration: Duration) -> Pin<Box<dyn Sleep>> {
         self.sleep_until(Instant::now() + duration)
     }
 
     fn sleep_until(&self, deadline: Instant) -> Pin<Box<dyn Sleep>> {
-        Box::pin(Rest {
+        Box::pin(IdleSleep {
             limit: self.limit.clone(),
             started: Instant::now(),
             sleep: Box::pin(sleep_until(deadline.into())),
@@ -59,15 +59,15 @@
     }
 }
 
-struct Rest {
-    limit: RestLimit,
+struct IdleSleep {
+    limit: IdleLimit,
     started: Instant,
     sleep: Pin<Box<TokioSleep>>,
 }
 
-impl Sleep for Rest {}
+impl Sleep for IdleSleep {}
 
-impl Future for Rest {
+impl Future for IdleSleep {
     type Output = ();
 
     fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::future::join;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use lagoon_gateway::{BudgetSettings, Peers, ProgramBudgets};
@@ -54,7 +55,7 @@
 /// killed.
 const EXIT_MARGIN_S: f64 = 0.4;
 
-/// Time for the last turns to be handed over before the process exits.
+/// Time for the last turns and allowances to be handed over before the process exits.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Error with which the daemon exits.
@@ -344,15 +345,12 @@
     }
     // Streams that began and turns that ended since the stop began.
     state.hand_over_origins();
-    if timeout(HANDOVER_TIMEOUT, state.turn_keeper.hand_over())
-        .await
-        .is_err()
-    {
-        log::warn!("not all turns were handed over");
-    }
-    let handed_over = state.budget_client.hand_over_allowances();
+    let handed_over = join(
+        state.turn_keeper.hand_over(),
+        state.budget_client.hand_over_allowances(),
+    );
     if timeout(HANDOVER_TIMEOUT, handed_over).await.is_err() {
-        log::warn!("not all allowances were handed over");
+        log::warn!("not all turns and allowances were handed over");
     }
     log::info!(unclosed = state.connections.get(); "stopped");
     state.exiting.set(true);
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -22,7 +22,8 @@
 use crate::caller_io::CallerIo;
 use crate::carry::{handle_carried, CARRY_PATH};
 use crate::connection::set_socket_options;
-use crate::idle::RestTimer;
+use crate::forward::HEADER_SLACK_BYTES;
+use crate::idle::IdleTimer;
 use crate::message::MESSAGE_PATH;
 use crate::message_handler::handle_message;
 use crate::panics;
@@ -32,9 +33,9 @@
 
 const ACCEPT_BACKLOG: i32 = 1_024;
 
-/// Buffer for the header section and the start of the body that follows it. Header
-/// sections are held to the limit in force when they arrive.
-const BUFFER_BYTES: usize = 131_072;
+/// Smallest buffer for the header section and the start of the body that follows it.
+/// Header sections are held to the limit in force when they arrive.
+const MIN_BUFFER_BYTES: u64 = 131_072;
 
 const METRICS_PATH: &str = "/metrics";
 
@@ -159,11 +160,15 @@
             Ok::<_, Infallible>(response.map(|body| body.answering(open)))
         }
     });
-    let limit = guard.0.rest_limit.clone();
+    let header_bytes = guard.0.limits().max_header_bytes;
+    let buffer_bytes = header_bytes
+        .saturating_add(HEADER_SLACK_BYTES)
+        .max(MIN_BUFFER_BYTES);
+    let limit = guard.0.idle_limit.clone();
     let mut served = http1::Builder::new()
         .header_read_timeout(limit.get())
-        .timer(RestTimer { limit })
-        .max_buf_size(BUFFER_BYTES)
+        .timer(IdleTimer { limit })
+        .max_buf_size(usize::try_from(buffer_bytes).unwrap_or(usize::MAX))
         .serve_connection(TokioIo::new(CallerIo::new(stream, &caller)), service);
     let mut connection = Pin::new(&mut served);
     let ended = tokio::select! {
@@ -178,7 +183,7 @@
             loop {
                 match timeout(wait, connection.as_mut()).await {
                     Ok(ended) => break ended,
-                    Err(_) if caller.rests(FIRST_REQUEST_WAIT) => {
+                    Err(_) if caller.is_idle(FIRST_REQUEST_WAIT) => {
                         caller.record_stop();
                         connection.as_mut().graceful_shutdown();
                         break connection.await;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -13,7 +13,7 @@
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
-use crate::idle::RestLimit;
+use crate::idle::IdleLimit;
 use crate::ledger::BudgetClient;
 use crate::metrics::Metrics;
 use crate::peers::PeerClient;
@@ -92,7 +92,7 @@
     /// `None` until a valid configuration was read.
     pub(crate) config: RefCell<Option<Rc<Config>>>,
     /// Rest of callers' connections that the configuration allows.
-    pub(crate) rest_limit: RestLimit,
+    pub(crate) idle_limit: IdleLimit,
     pub(crate) targets: RefCell<Targets>,
     /// Whether the table of targets was read since the start.
     pub(crate) targets_loaded: Cell<bool>,
@@ -142,7 +142,7 @@
             placement_settings: PlacementSettings::default(),
             admission_settings: AdmissionSettings::default(),
             config: RefCell::new(None),
-            rest_limit: RestLimit::new(&Limits::default()),
+            idle_limit: IdleLimit::new(&Limits::default()),
             targets: RefCell::default(),
             targets_loaded: Cell::new(false),
             stopping: Cell::new(false),
--- a/crates/entry/src/unanswered.rs
+++ b/crates/entry/src/unanswered.rs
@@ -120,7 +120,7 @@
     }
 
     /// Whether no request is open, and none has begun to arrive within `patience`.
-    pub(crate) fn rests(&self, patience: Duration) -> bool {
+    pub(crate) fn is_idle(&self, patience: Duration) -> bool {
         let age_ms = self.state.now_ms() - self.received_ms.get();
         let arrives = self.received_bytes.get() > 0 && u128::from(age_ms) < patience.as_millis();
         self.open.borrow().is_empty() && !arrives
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -379,7 +379,7 @@
         targets.release_held(|service| config.service(service).is_some());
         let retention_ms = config.max_turn_retention_ms();
         self.state.turn_keeper.record_retention(retention_ms);
-        self.state.rest_limit.set(&config.limits);
+        self.state.idle_limit.set(&config.limits);
         *known = Some(Rc::new(config));
     }
 
