--- a/crates/entry/src/idle.rs
+++ b/crates/entry/src/idle.rs
@@ -11,6 +11,9 @@
 use lagoon_gateway::Limits;
 use tokio::time::{sleep_until, Sleep as TokioSleep};
 
+/// Time for a request that a caller sent within the idle limit to arrive.
+const IDLE_GRACE_MS: u64 = 1_000;
+
 /// Maximum of the limit, whatever the configuration says.
 const MAX_IDLE: Duration = Duration::from_secs(86_400);
 
@@ -29,7 +32,8 @@
     /// hyper's header timeout includes the rest before a header section, so the longer of
     /// the two limits applies to both.
     pub(crate) fn set(&self, limits: &Limits) {
-        let idle_ms = limits.header_timeout_ms.max(limits.idle_timeout_ms);
+        let idle_ms = limits.idle_timeout_ms.saturating_add(IDLE_GRACE_MS);
+        let idle_ms = limits.header_timeout_ms.max(idle_ms);
         self.0.store(idle_ms, Ordering::Relaxed);
     }
 
