Types of client accounts, for the parts that use them

The configuration gets accounts, a route may be public and a request has an account, whose priority goes before the route's. Nothing sets them yet, so all requests are served as before.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -21,6 +21,7 @@
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{Request, Response, StatusCode};
+use lagoon_accounts::Account;
 use lagoon_adapter::{budget_exhausted_status, decode_request_headers};
 use lagoon_gateway::{
     fingerprint, place, Attempts, ChargeDecision, Placement, PlacementRequest, ProgramKey,
@@ -72,6 +73,8 @@
     pub(crate) state: Rc<DaemonState>,
     pub(crate) caller: RequestGuard,
     pub(crate) route: Arc<Route>,
+    /// Account of the caller's key; `None` where callers need none.
+    pub(crate) account: Option<Arc<Account>>,
     pub(crate) metadata: RequestMetadata,
     pub(crate) attempts: Attempts,
     /// `None` for a request other than a model call with a budget.
@@ -205,6 +208,7 @@
         deadline_ms: arrived_ms + wait_ms,
         config_version: config.version,
         service,
+        account: None,
         route,
         fingerprint: fingerprint(path_and_query, &body, &metadata),
         metadata,
@@ -273,6 +277,13 @@
         }
     }
 
+    /// Priority of the request, 0 the highest: the account's, or else the route's.
+    pub(crate) fn priority(&self) -> u32 {
+        let account = self.account.as_ref();
+        let priority = account.and_then(|account| account.priority);
+        priority.unwrap_or(self.route.priority)
+    }
+
     fn refuse(&self, why: &'static str, retry_after_ms: u64) -> Box<Response<ResponseBody>> {
         self.record_response(StatusCode::SERVICE_UNAVAILABLE, why);
         Box::new(response::retryable_unavailable(why, retry_after_ms))
--- a/crates/entry/src/forward/admission.rs
+++ b/crates/entry/src/forward/admission.rs
@@ -29,7 +29,7 @@
         }
         let settings = self.state.admission_settings;
         self.demand = Demand::NewProgram {
-            priority: self.route.priority,
+            priority: self.priority(),
         };
         loop {
             let Some(placement) = self.evaluate_placement() else {
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -4,6 +4,7 @@
 
 use compact_str::CompactString;
 use derive_more::Display;
+use lagoon_accounts::Accounts;
 use lagoon_ids::FastMap;
 
 /// Whether a route's requests may run more than once.
@@ -63,6 +64,8 @@
     /// Whether a call's input and output are kept, so that a later call sends
     /// only what is new.
     pub keeps_turns: bool,
+    /// Whether callers need no key.
+    pub is_public: bool,
 }
 
 impl Route {
@@ -153,6 +156,8 @@
     pub version: u64,
     /// Limits on requests and connections, the same for all routes.
     pub limits: Limits,
+    /// Client accounts; `None` if callers need no key.
+    pub accounts: Option<Accounts>,
     services: FastMap<CompactString, Arc<Service>>,
     /// Routes by host, longest prefix first.
     hosts: FastMap<CompactString, Vec<Arc<Route>>>,
@@ -178,6 +183,7 @@
         Config {
             version,
             limits,
+            accounts: None,
             services,
             hosts,
         }
--- a/crates/gateway/tests/config.rs
+++ b/crates/gateway/tests/config.rs
@@ -24,6 +24,7 @@
         sticky: false,
         retention_ms: 0,
         keeps_turns: false,
+        is_public: false,
     }
 }
 
--- a/crates/gateway/tests/retry.rs
+++ b/crates/gateway/tests/retry.rs
@@ -21,6 +21,7 @@
         sticky: false,
         retention_ms: 0,
         keeps_turns: false,
+        is_public: false,
     }
 }
 
