Decode client accounts and public routes of the configuration

The configuration may list accounts with keys, a priority, a rate and a burst, and a route may be public. Nothing read them.

decode_config translates the list into Accounts. An account that can't be used has its keys put in doubt, as has a key of two accounts; a list of another type puts all keys in doubt. Each such case, and each value that isn't used as written, leaves one line that names account and place and quotes no value.

--- a/crates/accounts/src/keys.rs
+++ b/crates/accounts/src/keys.rs
@@ -41,11 +41,21 @@
 pub struct Accounts {
     /// `None` for a key that is in doubt.
     by_digest: FastMap<Digest, Option<Arc<Account>>>,
+    /// Whether there may be keys that can't be read.
+    is_unreadable: bool,
 }
 
 impl Accounts {
-    /// Adds a key of an account. A key that another account has, too, is in doubt from
-    /// then on; returns whether that is so.
+    /// Accounts that can't be read at all: every key is in doubt.
+    pub fn unreadable() -> Accounts {
+        Accounts {
+            is_unreadable: true,
+            ..Accounts::default()
+        }
+    }
+
+    /// Adds a key of an account. A key that another account has, too, or one that can't
+    /// be read, is in doubt from then on; returns whether that is so.
     pub fn add_key(&mut self, key: &[u8], account: &Arc<Account>) -> bool {
         let entry = self.by_digest.entry(digest(key));
         let known = entry.or_insert_with(|| Some(Arc::clone(account)));
@@ -68,6 +78,7 @@
         match self.by_digest.get(&digest(key)) {
             Some(Some(account)) => KeyLookup::Known(Arc::clone(account)),
             Some(None) => KeyLookup::InDoubt,
+            None if self.is_unreadable => KeyLookup::InDoubt,
             None => KeyLookup::Unknown,
         }
     }
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -375,6 +375,9 @@
             self.state.metrics.record_invalid_row(OPERATOR_TABLE);
             log::error!(version = config.version, row_version = row.version, error = error.to_string(); "part of the configuration ignored");
         }
+        for adjusted in &decoded.adjusted {
+            log::warn!(version = config.version, row_version = row.version, detail = adjusted.to_string(); "part of the configuration is not used as written");
+        }
         let mut targets = self.state.targets.borrow_mut();
         targets.release_held(|service| config.service(service).is_some());
         let retention_ms = config.max_turn_retention_ms();
