Serve callers by the keys of their accounts

Where the configuration has accounts, a request on a route that isn't public needs a key: without one, or with one that no account has, it gets 401, and 503 with Retry-After where the key is in doubt. The check is made before the body is read and again after it, against the configuration of that moment.

Targets get the account's name in place of the key, on a public route neither; the headers are those of the attempt, so that carried ones have them, too. Each request line has the account, and lagoon_key_refusals_total counts refusals by reason. Without accounts nothing changes.

A kept turn is kept under its id and the hash of its account's name, so that another account gets 404 for it. A caller without an account can't name such an id where there are accounts. An id that would get longer than 128 bytes is replaced by its digest.

--- a/crates/accounts/src/lib.rs
+++ b/crates/accounts/src/lib.rs
@@ -1,7 +1,9 @@
 //! Client accounts and the keys by which callers are recognized, without I/O.
 
 mod account;
+mod authentication;
 mod keys;
 
 pub use account::{Account, Quota};
+pub use authentication::{authenticate, Recency, Refusal};
 pub use keys::{Accounts, KeyLookup};
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -21,10 +21,10 @@
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{Request, Response, StatusCode};
-use lagoon_accounts::Account;
+use lagoon_accounts::{Account, Refusal};
 use lagoon_adapter::{budget_exhausted_status, decode_request_headers};
 use lagoon_gateway::{
-    fingerprint, place, Attempts, ChargeDecision, Placement, PlacementRequest, ProgramKey,
+    fingerprint, place, Attempts, ChargeDecision, Config, Placement, PlacementRequest, ProgramKey,
     RequestMetadata, RetryDecision, Route, TargetEntry, TargetKey,
 };
 use lagoon_ids::hash64;
@@ -34,6 +34,7 @@
 use rand::RngExt;
 use tokio::time::{timeout_at, Instant};
 
+use crate::accounts::{refused, Identity};
 use crate::body::ResponseBody;
 use crate::ledger::{TokenRequest, TokenReservation};
 use crate::response;
@@ -75,6 +76,8 @@
     pub(crate) route: Arc<Route>,
     /// Account of the caller's key; `None` where callers need none.
     pub(crate) account: Option<Arc<Account>>,
+    /// Whom the request is served for.
+    identity: Identity,
     pub(crate) metadata: RequestMetadata,
     pub(crate) attempts: Attempts,
     /// `None` for a request other than a model call with a budget.
@@ -137,6 +140,9 @@
             response::plain_text(status, "header section too long"),
         );
     }
+    if let Some(response) = refuse_before_body(&state, &parts, &metadata, arrived_ms) {
+        return refuse_unread(body, response);
+    }
     let (body, body_memory) = match read_body(&state, body, &limits, &caller).await {
         Ok(read) => read,
         Err(response) => return *response,
@@ -155,8 +161,75 @@
     request.run().await
 }
 
-/// Finds the route of a request. Refuses the request with 503 while the
-/// configuration or the targets are unknown, and with 404 if no route matches.
+/// Response to a request that is refused by its route or its key alone, so that its body
+/// uses no memory; `None` if the body must be read. Without accounts, all bodies are.
+fn refuse_before_body(
+    state: &DaemonState,
+    parts: &Parts,
+    metadata: &RequestMetadata,
+    arrived_ms: u64,
+) -> Option<Response<ResponseBody>> {
+    let config = state.config.borrow().clone()?;
+    config.accounts.as_ref()?;
+    let host = request_host(parts);
+    let Some(route) = config.route(&host, parts.uri.path()) else {
+        return Some(no_route(state, parts, metadata, &host, &config));
+    };
+    let identity = Identity::find(&config, route, &parts.headers, state.recency());
+    let refusal = identity.err()?;
+    Some(refuse_key(
+        state, metadata, &config, route, arrived_ms, refusal,
+    ))
+}
+
+/// Host that the caller addresses, in lower case.
+fn request_host(parts: &Parts) -> String {
+    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
+    host.to_ascii_lowercase()
+}
+
+fn no_route(
+    state: &DaemonState,
+    parts: &Parts,
+    metadata: &RequestMetadata,
+    host: &str,
+    config: &Config,
+) -> Response<ResponseBody> {
+    log::info!(request = metadata.request_id.as_str(), status = 404, host, path = parts.uri.path(), config_version = config.version; "no route");
+    state.metrics.record_response(404, 0);
+    response::plain_text(StatusCode::NOT_FOUND, "no route")
+}
+
+/// Logs and counts a request that is refused for its key; returns the response.
+fn refuse_key(
+    state: &DaemonState,
+    metadata: &RequestMetadata,
+    config: &Config,
+    route: &Route,
+    arrived_ms: u64,
+    refusal: Refusal,
+) -> Response<ResponseBody> {
+    let response = refused(refusal);
+    let status = response.status().as_u16();
+    let waited_ms = state.now_ms() - arrived_ms;
+    log::info!(
+        request = metadata.request_id.as_str(),
+        account = "-",
+        route = route.name.as_str(),
+        config_version = config.version,
+        status,
+        waited_ms;
+        "refused: {refusal}"
+    );
+    state.metrics.record_response(status, waited_ms);
+    state.metrics.record_key_refusal(&refusal.to_string());
+    response
+}
+
+/// Finds the route of a request, and the account of its key. Refuses the request with 503
+/// while the configuration or the targets are unknown, with 404 if no route matches, and
+/// with 401 or 503 for its key.
 fn route_request(
     state: Rc<DaemonState>,
     parts: Parts,
@@ -174,18 +247,18 @@
             UNAVAILABLE_RETRY_AFTER_MS,
         )));
     };
-    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
-    let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
-    let host = host.to_ascii_lowercase();
-    let route = config.route(&host, parts.uri.path()).cloned();
-    let Some(route) = route else {
-        log::info!(request = metadata.request_id.as_str(), status = 404, host = host.as_str(), path = parts.uri.path(), config_version = config.version; "no route");
-        state.metrics.record_response(404, 0);
-        return Err(Box::new(response::plain_text(
-            StatusCode::NOT_FOUND,
-            "no route",
-        )));
+    let host = request_host(&parts);
+    let Some(route) = config.route(&host, parts.uri.path()).cloned() else {
+        let response = no_route(&state, &parts, &metadata, &host, &config);
+        return Err(Box::new(response));
     };
+    // Again after the body: the configuration may have changed while it arrived, and the
+    // VM may have been suspended.
+    let identity = Identity::find(&config, &route, &parts.headers, state.recency());
+    let identity = identity.map_err(|refusal| {
+        let refused = refuse_key(&state, &metadata, &config, &route, arrived_ms, refusal);
+        Box::new(refused)
+    })?;
     let path_and_query = parts.uri.path_and_query();
     let path_and_query = path_and_query.map_or(parts.uri.path(), PathAndQuery::as_str);
     let affinity_hash = hash64(metadata.affinity_key().as_bytes());
@@ -208,7 +281,8 @@
         deadline_ms: arrived_ms + wait_ms,
         config_version: config.version,
         service,
-        account: None,
+        account: identity.account().cloned(),
+        identity,
         route,
         fingerprint: fingerprint(path_and_query, &body, &metadata),
         metadata,
@@ -284,6 +358,13 @@
         priority.unwrap_or(self.route.priority)
     }
 
+    /// Name of the account for log lines; `-` without one.
+    pub(crate) fn account_name(&self) -> &str {
+        self.account
+            .as_ref()
+            .map_or("-", |account| account.name.as_str())
+    }
+
     fn refuse(&self, why: &'static str, retry_after_ms: u64) -> Box<Response<ResponseBody>> {
         self.record_response(StatusCode::SERVICE_UNAVAILABLE, why);
         Box::new(response::retryable_unavailable(why, retry_after_ms))
@@ -304,6 +385,7 @@
             request = self.metadata.request_id.as_str(),
             program = self.metadata.program.as_deref().unwrap_or("-"),
             session = self.metadata.session.as_deref().unwrap_or("-"),
+            account = self.account_name(),
             route = self.route.name.as_str(),
             config_version = self.config_version,
             status = status.as_u16(),
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -360,6 +360,7 @@
             deadline_ms: left_ms.max(1),
             last_event_id,
             body_bytes: has_body.then_some(body_bytes),
+            account: self.identity.headers(),
         };
         let mut request = Request::new(RequestBody::new(
             self.chain.iter().chain([&self.body]).cloned(),
--- a/crates/entry/src/forward/turns.rs
+++ b/crates/entry/src/forward/turns.rs
@@ -4,6 +4,7 @@
 use lagoon_turns::{Turn, TurnId, TurnOutput};
 use tokio::time::timeout_at;
 
+use crate::accounts::Identity;
 use crate::body::ResponseBody;
 use crate::clock::unix_now_ms;
 use crate::forward::{ForwardedRequest, OVERLOADED_RETRY_AFTER_MS};
@@ -31,8 +32,11 @@
             // The events before it belong to the turn, and are not known here.
             return Err(self.refuse("a kept turn can't be resumed", OVERLOADED_RETRY_AFTER_MS));
         }
-        if TurnId::parse(&self.metadata.request_id).is_err() {
+        let Ok(id) = TurnId::parse(&self.metadata.request_id) else {
             return Err(self.bad_turn("a kept turn needs a request id"));
+        };
+        if self.kept_id(&id).is_none() {
+            return Err(self.bad_turn("a kept turn can't have this request id"));
         }
         let Some(previous) = &self.metadata.previous_turn else {
             return Ok(());
@@ -43,6 +47,9 @@
         if previous.as_str() == self.metadata.request_id {
             return Err(self.bad_turn("a turn can't continue itself"));
         }
+        let Some(previous) = self.kept_id(&previous) else {
+            return Err(self.no_such_turn());
+        };
         let hint = self.state.affinity.borrow().origin_vm(&self.metadata);
         let deadline_ms = self
             .deadline_ms
@@ -52,11 +59,7 @@
         let found = timeout_at(deadline, keeper.find_chain(&previous, hint)).await;
         let chain = match found.unwrap_or(Err(LookupFailure::Uncertain)) {
             Ok(chain) => chain,
-            Err(LookupFailure::NeverExisted) => {
-                self.record_response(StatusCode::NOT_FOUND, "no such turn");
-                let response = response::plain_text(StatusCode::NOT_FOUND, "no such turn");
-                return Err(Box::new(response));
-            }
+            Err(LookupFailure::NeverExisted) => return Err(self.no_such_turn()),
             Err(LookupFailure::Uncertain) => {
                 return Err(self.refuse("previous turn not certain", UNCERTAIN_RETRY_AFTER_MS));
             }
@@ -77,6 +80,22 @@
         Ok(())
     }
 
+    /// Id under which the keeper has a turn that the caller names. `None` for one that may
+    /// be an account's, if the caller has no account.
+    fn kept_id(&self, id: &TurnId) -> Option<TurnId> {
+        match &self.identity {
+            Identity::NoAccounts => Some(id.clone()),
+            Identity::Public => (!id.is_of_account()).then(|| id.clone()),
+            Identity::Account(account) => Some(id.of_account(account.hash)),
+        }
+    }
+
+    fn no_such_turn(&self) -> Box<Response<ResponseBody>> {
+        self.record_response(StatusCode::NOT_FOUND, "no such turn");
+        let response = response::plain_text(StatusCode::NOT_FOUND, "no such turn");
+        Box::new(response)
+    }
+
     fn bad_turn(&self, why: &'static str) -> Box<Response<ResponseBody>> {
         self.record_response(StatusCode::BAD_REQUEST, why);
         Box::new(response::plain_text(StatusCode::BAD_REQUEST, why))
@@ -88,7 +107,8 @@
         if !self.route.keeps_turns {
             return true;
         }
-        let Ok(id) = TurnId::parse(&self.metadata.request_id) else {
+        let id = TurnId::parse(&self.metadata.request_id).ok();
+        let Some(id) = id.and_then(|id| self.kept_id(&id)) else {
             return false;
         };
         let turn = Turn {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! `lagoon-adapter` defines header names and formats; this crate contains the
 //! sockets, the timers and the control flow.
 
+mod accounts;
 mod body;
 mod caller_io;
 mod carry;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -21,6 +21,7 @@
     target_crashes: IntCounterVec,
     store_calls: IntCounterVec,
     invalid_rows: IntCounterVec,
+    key_refusals: IntCounterVec,
     permits: IntCounterVec,
     paths: IntCounterVec,
     carried: IntCounterVec,
@@ -90,6 +91,11 @@
                 "Rows of the store, or parts of its configuration, that are not used",
                 &["table"],
             )?,
+            key_refusals: counters(
+                "lagoon_key_refusals_total",
+                "Requests that were refused for the key that they carry, by reason",
+                &["reason"],
+            )?,
             permits: counters(
                 "lagoon_permits_total",
                 "Requests for permits to targets with limits",
@@ -212,6 +218,11 @@
         self.0.paths.with_label_values(&[event]).inc();
     }
 
+    /// Counts a request that was refused for its key.
+    pub(crate) fn record_key_refusal(&self, reason: &str) {
+        self.0.key_refusals.with_label_values(&[reason]).inc();
+    }
+
     pub(crate) fn record_carried(&self, end: &str) {
         self.0.carried.with_label_values(&[end]).inc();
     }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use compact_str::CompactString;
+use lagoon_accounts::Recency;
 use lagoon_gateway::{
     AdmissionSettings, AffinityTable, Config, Limits, PlacementSettings, Sentinel,
     SentinelSettings, SentinelTable, TargetKey, Targets,
@@ -174,6 +175,11 @@
             .map_or_else(Limits::default, |config| config.limits)
     }
 
+    /// How recent the configuration in force is known to be.
+    pub(crate) fn recency(&self) -> Recency {
+        Recency::Recent
+    }
+
     /// Whether the load balancer should send callers to this VM.
     pub(crate) fn is_ready(&self) -> bool {
         !self.stopping.get() && self.targets_loaded.get() && self.config.borrow().is_some()
--- /dev/null
+++ b/crates/entry/tests/accounts.rs
@@ -0,0 +1,208 @@
+//! Client accounts at daemons as processes: whom they serve, and what targets get.
+
+mod fleet;
+
+use std::io::Write;
+use std::net::SocketAddr;
+
+use fleet::{
+    call, complete_stream, get, read_response, send_request, wait_until, Fleet, Response, CONFIG,
+};
+use lagoon_adapter::standin::{
+    account_header, kept_turn_headers, key_header, with_accounts, ReceivedRequest,
+};
+use yare::parameterized;
+
+const ACCOUNTS: &[(&str, &[&str])] = &[
+    ("acme", &["sesame", "twin"]),
+    ("bolt", &["thunder", "twin"]),
+];
+
+const PUBLIC: &[&str] = &["lookups"];
+
+fn config(version: u64, accounts: &[(&str, &[&str])]) -> String {
+    with_accounts(CONFIG, version, accounts, PUBLIC).expect("is a configuration")
+}
+
+/// Puts a configuration in force at all VMs.
+fn configure(fleet: &Fleet, version: u64, accounts: &[(&str, &[&str])]) {
+    fleet.store.configure(&config(version, accounts));
+    let expected = format!("\nlagoon_config_version {version}\n");
+    for vm in &fleet.vms {
+        wait_until("the configuration", || {
+            get(vm.peers, "/metrics").body.contains(&expected)
+        });
+    }
+}
+
+fn start(vms: usize) -> Fleet {
+    let fleet = Fleet::start(vms);
+    configure(&fleet, 4, ACCOUNTS);
+    fleet
+}
+
+fn book(address: SocketAddr, headers: &[String]) -> Response {
+    call(address, "POST /book/x", headers, "body")
+}
+
+/// Requests that the desks have run.
+fn received(fleet: &Fleet) -> Vec<ReceivedRequest> {
+    let executions = fleet.desks.iter().flat_map(|desk| desk.executions());
+    executions.map(|execution| execution.received).collect()
+}
+
+fn assert_no_key_in_logs(fleet: &Fleet) {
+    for (_, log) in fleet.logs() {
+        for key in ["sesame", "thunder", "twin", "guess"] {
+            assert!(!log.contains(key), "{log}");
+        }
+    }
+}
+
+// Guards against a key that reaches a target, an account that the caller forges, and log
+// lines without the account.
+#[test]
+fn target_gets_account_in_place_of_key() {
+    let fleet = start(1);
+    let headers = [key_header("sesame"), account_header("bolt")];
+    assert_eq!(book(fleet.callers(), &headers).status, 200);
+    let received = received(&fleet);
+    assert_eq!(received[0].account.as_deref(), Some("acme"));
+    assert!(!received[0].has_key);
+    let lines = fleet.log_lines(&fleet.vms[0]);
+    let answered = lines.iter().find(|line| line.contains("answered"));
+    assert!(answered.expect("a line").contains("acme"), "{answered:?}");
+    assert_no_key_in_logs(&fleet);
+}
+
+// Guards against a request that runs without a valid key, and a status by which a caller
+// with a valid one gives up.
+#[parameterized(
+    no_key = { &[], 401, "no key" },
+    unknown = { &["guess"], 401, "unknown key" },
+    two_headers = { &["sesame", "sesame"], 401, "no key" },
+    in_doubt = { &["twin"], 503, "key in doubt" },
+)]
+fn request_is_refused(keys: &[&str], status: u16, reason: &str) {
+    let fleet = start(1);
+    let headers: Vec<_> = keys.iter().map(|key| key_header(key)).collect();
+    let response = book(fleet.callers(), &headers);
+    assert_eq!(response.status, status, "{response:?}");
+    assert_eq!(response.head.contains("retry-after: 0.700"), status == 503);
+    assert_eq!(received(&fleet), []);
+    let counter = format!("lagoon_key_refusals_total{{reason=\"{reason}\"}} 1\n");
+    let metrics = get(fleet.vms[0].peers, "/metrics").body;
+    assert!(metrics.contains(&counter), "{metrics}");
+    assert_no_key_in_logs(&fleet);
+}
+
+// Guards against a public route that needs a key, or passes one on.
+#[test]
+fn public_route_needs_no_key_and_passes_none_on() {
+    let fleet = start(1);
+    let requests: [&[String]; 3] = [
+        &[],
+        &[key_header("sesame"), account_header("bolt")],
+        &[key_header("guess")],
+    ];
+    for headers in requests {
+        let response = call(fleet.callers(), "GET /look/x", headers, "");
+        assert_eq!(response.status, 200, "{response:?}");
+    }
+    for received in received(&fleet) {
+        assert_eq!((received.account, received.has_key), (None, false));
+    }
+}
+
+// Guards against a fleet without accounts that treats keys in another way than before.
+#[test]
+fn without_accounts_headers_are_passed_on() {
+    let fleet = Fleet::start(1);
+    let headers = [key_header("guess"), account_header("bolt")];
+    assert_eq!(book(fleet.callers(), &headers).status, 200);
+    assert_eq!(book(fleet.callers(), &[]).status, 200);
+    let received = received(&fleet);
+    assert_eq!(received[0].account.as_deref(), Some("bolt"));
+    assert!(received[0].has_key);
+    assert!(!received[1].has_key);
+}
+
+// Guards against 401 from a VM that doesn't know the keys.
+#[test]
+fn vm_without_configuration_refuses_with_503() {
+    let fleet = start(1);
+    let vm = fleet.spawn_vm_at(SocketAddr::from(([127, 0, 0, 1], 1)));
+    wait_until("the listener", || get(vm.ready, "/ready").status != 0);
+    for headers in [
+        vec![key_header("sesame")],
+        vec![key_header("guess")],
+        vec![],
+    ] {
+        let response = book(vm.callers, &headers);
+        assert_eq!(response.status, 503, "{response:?}");
+        assert!(response.head.contains("retry-after: "), "{response:?}");
+    }
+}
+
+// Guards against a body that is read before its key is checked: the refusal comes though
+// the body never does.
+#[test]
+fn unknown_key_is_refused_before_the_body() {
+    let fleet = start(1);
+    let mut stream = std::net::TcpStream::connect(fleet.callers()).expect("connection");
+    let head = format!(
+        "POST /book/x HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n{}\r\n\
+         Content-Length: 100000\r\n\r\nstart",
+        key_header("guess")
+    );
+    stream.write_all(head.as_bytes()).expect("head is sent");
+    assert_eq!(read_response(stream).status, 401);
+}
+
+// Guards against a request that runs though its key was removed while its body arrived.
+#[test]
+fn key_that_is_removed_while_the_body_arrives_is_refused() {
+    let fleet = start(1);
+    let mut stream = std::net::TcpStream::connect(fleet.callers()).expect("connection");
+    let head = format!(
+        "POST /book/x HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n{}\r\n\
+         Content-Length: 10\r\n\r\nstart",
+        key_header("sesame")
+    );
+    stream.write_all(head.as_bytes()).expect("head is sent");
+    configure(&fleet, 5, &[("bolt", &["thunder"])]);
+    stream.write_all(b"-end-").expect("body is sent");
+    assert_eq!(read_response(stream).status, 401);
+    assert_eq!(received(&fleet), []);
+}
+
+// Guards against an account that continues, or learns of, a turn of another one.
+#[test]
+fn kept_turn_belongs_to_its_account() {
+    let fleet = start(2);
+    let turn = |vm: usize, key: &str, id: &str, previous: Option<&str>| {
+        let mut headers = kept_turn_headers(id, "program", previous);
+        headers.push(key_header(key));
+        let stream = send_request(
+            fleet.vms[vm].callers,
+            "POST /chat/x",
+            "a.example",
+            &headers,
+            "input;",
+        );
+        read_response(stream)
+    };
+    let first = turn(0, "sesame", "t1", None);
+    assert_eq!((first.status, first.body), (200, complete_stream()));
+    for vm in 0..2 {
+        let other = turn(vm, "thunder", &format!("u{vm}"), Some("t1"));
+        let unknown = turn(vm, "thunder", &format!("v{vm}"), Some("t0"));
+        assert_eq!((other.status, unknown.status), (404, 404));
+        assert_eq!(other.body, unknown.body);
+        let next = turn(vm, "sesame", &format!("t2-{vm}"), Some("t1"));
+        assert_eq!((next.status, next.body), (200, complete_stream()));
+    }
+    // The same id is another turn.
+    assert_eq!(turn(0, "thunder", "t1", None).status, 200);
+    assert_eq!(turn(1, "thunder", "u2", Some("t1")).status, 200);
+}
--- a/crates/entry/tests/fleet/mod.rs
+++ b/crates/entry/tests/fleet/mod.rs
@@ -347,6 +347,11 @@
         self.spawn_vm_at_store(self.store_address())
     }
 
+    /// Like [`Fleet::spawn_vm`], for a VM that reaches the store at `store`.
+    pub(crate) fn spawn_vm_at(&self, store: SocketAddr) -> Vm {
+        self.spawn_vm_at_store(store)
+    }
+
     fn spawn_vm_at_store(&self, store: SocketAddr) -> Vm {
         // Between fork and exec, a child process inherits the sockets with
         // which `free_address` probes ports, and so keeps these ports in use.
--- a/crates/turns/src/turn.rs
+++ b/crates/turns/src/turn.rs
@@ -1,14 +1,21 @@
 //! Record of one kept turn.
 
 use bytes::Bytes;
-use compact_str::CompactString;
+use compact_str::{format_compact, CompactString};
 use derive_more::{AsRef, Display};
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
 use thiserror::Error;
 
 /// Maximum length of a turn's id.
 const MAX_ID_BYTES: usize = 128;
 
+/// Separates an account's hash from the id that the caller gave.
+const ACCOUNT_SEPARATOR: char = '@';
+
+/// Length of an account's hash in an id.
+const ACCOUNT_DIGITS: usize = 16;
+
 /// Number of ancestors that a record names, so that a reader can read them in
 /// parallel; the rest of a longer chain is named by the oldest of these.
 const MAX_LISTED_ANCESTORS: usize = 16;
@@ -37,6 +44,31 @@
         is_valid.then(|| TurnId(text.into())).ok_or(TurnIdError)
     }
 
+    /// Id under which the turn of an account is kept, by the hash of its name, so that
+    /// no other account can name it. An id that would get too long is replaced by its
+    /// digest.
+    pub fn of_account(&self, account: u64) -> TurnId {
+        let qualified = format_compact!("{account:016x}{ACCOUNT_SEPARATOR}{self}");
+        if qualified.len() <= MAX_ID_BYTES {
+            return TurnId(qualified);
+        }
+        let digest: String = Sha256::digest(self.0.as_bytes())
+            .iter()
+            .map(|byte| format!("{byte:02x}"))
+            .collect();
+        TurnId(format_compact!(
+            "{account:016x}{ACCOUNT_SEPARATOR}{ACCOUNT_SEPARATOR}{digest}"
+        ))
+    }
+
+    /// Whether the id may be that of an account's turn.
+    pub fn is_of_account(&self) -> bool {
+        let Some((account, _)) = self.0.split_once(ACCOUNT_SEPARATOR) else {
+            return false;
+        };
+        account.len() == ACCOUNT_DIGITS && account.bytes().all(|byte| byte.is_ascii_hexdigit())
+    }
+
     /// The id as text.
     pub fn as_str(&self) -> &str {
         &self.0
--- a/crates/turns/tests/records.rs
+++ b/crates/turns/tests/records.rs
@@ -77,6 +77,37 @@
 }
 
 // Guards against a turn of which a row is missing being taken for a shorter one.
+// Guards against a turn that another account, or a caller without one, can name.
+#[parameterized(
+    short = { "t1" },
+    like_another_account = { "00000000000000ab@t1" },
+    longest_as_given = { &"a".repeat(111) },
+    shortest_by_digest = { &"a".repeat(112) },
+    longest = { &"a".repeat(128) },
+)]
+fn turn_ids_of_accounts_differ(text: &str) {
+    let own = id(text);
+    let (first, second) = (own.of_account(0xab), own.of_account(0xac));
+    assert_ne!(first, second);
+    assert_ne!(first, own);
+    assert!(first.is_of_account() && second.is_of_account());
+    assert_eq!(first, own.of_account(0xab));
+    assert!(TurnId::parse(first.as_str()).is_ok(), "{first}");
+    assert_ne!(first, id(&text[1..]).of_account(0xab));
+}
+
+// Guards against ordinary ids that are taken for those of accounts' turns.
+#[parameterized(
+    plain = { "t1" },
+    address = { "someone@example" },
+    digits = { "00000000000000ab" },
+    too_short = { "0000000000000ab@t1" },
+    no_hash = { "00000000000000ag@t1" },
+)]
+fn turn_id_is_not_of_account(text: &str) {
+    assert!(!id(text).is_of_account());
+}
+
 #[test]
 fn decode_rows_without_any_of_them_is_none() {
     let turn = turn("t2", &["t1"], &[7; 9_000], b"out\n");
