Copies of kept turns in each failure domain

Now a turn that the store has is also sent to one VM of each domain, found by a hash of the program's name (message CacheTurn, protocol version 11), and a VM asks its own domain's one before it reads the store.

--- a/crates/entry/src/forward/turns.rs
+++ b/crates/entry/src/forward/turns.rs
@@ -49,7 +49,8 @@
             .min(self.state.now_ms() + LOOKUP_TIMEOUT_MS);
         let deadline = self.state.clock.instant(deadline_ms);
         let keeper = &self.state.turn_keeper;
-        let found = timeout_at(deadline, keeper.find_chain(&previous, hint)).await;
+        let program = self.metadata.program.as_deref();
+        let found = timeout_at(deadline, keeper.find_chain(&previous, program, hint)).await;
         let chain = match found.unwrap_or(Err(LookupFailure::Uncertain)) {
             Ok(chain) => chain,
             Err(LookupFailure::NeverExisted) => {
@@ -103,6 +104,7 @@
         let now_ms = self.state.now_ms();
         let deadline_ms = self.deadline_ms.min(now_ms + KEEP_TIMEOUT_MS);
         let deadline = self.state.clock.instant(deadline_ms);
-        self.state.turn_keeper.keep(turn, deadline).await
+        let program = self.metadata.program.as_deref();
+        self.state.turn_keeper.keep(turn, program, deadline).await
     }
 }
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -120,6 +120,9 @@
     /// Hold these records of allowances, and write the charges in them. Response:
     /// `true`.
     HoldAllowances(Vec<AllowanceRecord>),
+    /// Keep a copy of an encoded turn that the store has, as a cache for the receiver's
+    /// failure domain. Response: `true`.
+    CacheTurn(Vec<u8>),
 }
 
 impl PeerMessage {
@@ -147,6 +150,7 @@
             PeerMessage::FindOrigin { .. } => 5,
             PeerMessage::ReachTarget { .. } => 6,
             PeerMessage::HoldAllowances(_) => 8,
+            PeerMessage::CacheTurn(_) => 11,
         }
     }
 }
--- a/crates/entry/src/message_handler.rs
+++ b/crates/entry/src/message_handler.rs
@@ -61,6 +61,10 @@
             postcard::to_allocvec(&budget_client.agree_to_claim(&ProgramKey(program), &coordinator))
         }
         PeerMessage::CopyTurn(turn) => postcard::to_allocvec(&turn_keeper.hold_copy(&turn)),
+        PeerMessage::CacheTurn(turn) => {
+            turn_keeper.cache_copy(&turn);
+            postcard::to_allocvec(&true)
+        }
         PeerMessage::ReleaseCopies(ids) => {
             turn_keeper.drop_copies(&ids);
             postcard::to_allocvec(&true)
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -35,6 +35,7 @@
     charge_s: Histogram,
     permit_s: Histogram,
     kept_turn_s: HistogramVec,
+    shared_turns: IntCounterVec,
     chain_s: HistogramVec,
     config_version: IntGauge,
     targets: IntGauge,
@@ -140,6 +141,11 @@
                 "Time from a turn's last event until it is safe, by place",
                 &["place"],
             )?,
+            shared_turns: counters(
+                "lagoon_shared_turns_total",
+                "Copies of turns for failure domains, by outcome",
+                &["outcome"],
+            )?,
             chain_s: histograms(
                 "lagoon_chain_seconds",
                 "Time to find the chain of a call, by source",
@@ -241,6 +247,10 @@
         histogram.observe(took_ms as f64 / 1e3);
     }
 
+    pub(crate) fn record_shared_turn(&self, outcome: &str) {
+        self.0.shared_turns.with_label_values(&[outcome]).inc();
+    }
+
     pub(crate) fn record_chain(&self, source: &str, took_ms: u64) {
         let histogram = self.0.chain_s.with_label_values(&[source]);
         histogram.observe(took_ms as f64 / 1e3);
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -470,6 +470,16 @@
         reply.ok()
     }
 
+    /// Has the VM at `address` cache a turn for its failure domain. If the message is
+    /// lost, the turn is read from the store.
+    pub(crate) async fn cache_turn(&self, name: &str, address: SocketAddr, turn: Vec<u8>) {
+        let message = PeerMessage::CacheTurn(turn);
+        let cached = self.request::<bool>(name, address, &message, LOCAL_TIMEOUT);
+        if let Err(error) = cached.await {
+            log::debug!(peer = name, error = error.to_string(); "turn not cached in another failure domain");
+        }
+    }
+
     /// Tells a VM that it may drop its copy of a turn. If the message is lost, the
     /// VM writes the turn to the store, which has it already.
     pub(crate) async fn release_copies(&self, name: &str, id: &TurnId) {
--- a/crates/entry/src/turns.rs
+++ b/crates/entry/src/turns.rs
@@ -5,6 +5,7 @@
 
 mod deletion;
 mod lookup;
+mod sharing;
 mod writer;
 
 use std::cell::{Cell, RefCell};
@@ -65,6 +66,8 @@
     /// Start of the time in which the store was available throughout; `None`
     /// while it isn't.
     available_since_ms: Cell<Option<u64>>,
+    /// Copies of turns for other failure domains.
+    shared_bytes: sharing::ByteBudget,
     /// Searches for a turn at all VMs that are in progress.
     searches: Cell<u32>,
     /// Longest retention of all configurations and turns seen so far.
@@ -120,6 +123,7 @@
             holders: RefCell::default(),
             expiry: RefCell::default(),
             available_since_ms: Cell::new(Some(0)),
+            shared_bytes: sharing::ByteBudget::default(),
             searches: Cell::new(0),
             retention_ms: Cell::new(0),
             stopping: Cell::new(false),
@@ -128,9 +132,14 @@
         })
     }
 
-    /// Makes a turn safe; `false` if that fails until `deadline`, or if another
-    /// version of the turn exists.
-    pub(crate) async fn keep(self: &Rc<Self>, turn: Turn, deadline: Instant) -> bool {
+    /// Makes a turn of a program safe; `false` if that fails until `deadline`, or if
+    /// another version of the turn exists.
+    pub(crate) async fn keep(
+        self: &Rc<Self>,
+        turn: Turn,
+        program: Option<&str>,
+        deadline: Instant,
+    ) -> bool {
         let started_ms = self.clock.now_ms();
         self.record_retention(turn.retention_ms);
         let turn = Rc::new(turn);
@@ -153,6 +162,9 @@
             self.cache.borrow_mut().insert(Rc::clone(&turn));
             self.unsaved.borrow_mut().mark_safe(&turn.id);
         }
+        if let Some(program) = program.filter(|_| place == "store") {
+            self.share_turn(&turn, program);
+        }
         let took_ms = self.clock.now_ms() - started_ms;
         self.metrics.record_kept_turn(place, took_ms);
         log::info!(turn = turn.id.as_str(), bytes = turn.len_bytes(), place, took_ms; "turn kept");
--- a/crates/entry/src/turns/lookup.rs
+++ b/crates/entry/src/turns/lookup.rs
@@ -67,15 +67,17 @@
 }
 
 impl TurnKeeper {
-    /// Collects the chain that ends with `last`; `hint` is a VM that probably
-    /// has it.
+    /// Collects the chain that ends with `last`, for a call of a program; `hint` is a VM
+    /// that probably has it.
     pub(crate) async fn find_chain(
         &self,
         last: &TurnId,
+        program: Option<&str>,
         hint: Option<SocketAddr>,
     ) -> Result<Chain, LookupFailure> {
         let started_ms = self.clock.now_ms();
         let mut hint = hint;
+        let mut shared = program;
         let mut source = "memory";
         for _ in 0..MAX_ROUNDS {
             let missing = match collect_chain(last, |id| self.find_in_memory(id)) {
@@ -97,6 +99,12 @@
                     continue;
                 }
             }
+            if let Some(program) = shared.take() {
+                if self.fetch_shared(program, &missing[0]).await {
+                    source = "vm of the domain";
+                    continue;
+                }
+            }
             if self.read_missing(&missing).await {
                 source = "store";
                 continue;
@@ -124,7 +132,7 @@
     }
 
     /// Adds turns that another VM sent; returns whether `wanted` is among them.
-    fn add_turns(&self, wanted: &TurnId, encoded: &[Vec<u8>]) -> bool {
+    pub(super) fn add_turns(&self, wanted: &TurnId, encoded: &[Vec<u8>]) -> bool {
         let mut is_found = false;
         for bytes in encoded {
             let Some(turn) = Turn::decode(bytes) else {
--- a/crates/entry/tests/wire/samples.rs
+++ b/crates/entry/tests/wire/samples.rs
@@ -375,6 +375,7 @@
                 max_call_tokens: 288,
             }]),
         ),
+        encoded("message.cache-turn", PeerMessage::CacheTurn(vec![1, 2, 3])),
         encoded("reply.reached", TargetReach::Reached),
         encoded("reply.not-reached", TargetReach::NotReached),
         encoded("reply.isolated", TargetReach::Isolated),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -14,7 +14,7 @@
 
 /// Version of the messages that this build sends to other VMs and understands. It
 /// grows with each build that adds a message; docs/design/compatibility.md lists them.
-pub const PROTOCOL_VERSION: u32 = 8;
+pub const PROTOCOL_VERSION: u32 = 11;
 
 /// Entry that a VM registers in the store, as JSON. Later versions may add fields, each
 /// with a default.
@@ -258,6 +258,25 @@
             .collect()
     }
 
+    /// Name and address of the VM of each failure domain that keeps copies of what
+    /// belongs to `key`, with the domain's name. A domain where that is this VM is left
+    /// out. VMs that know the same others give the same, but for those that don't respond.
+    pub fn domain_holders(&self, key: &str) -> Vec<(CompactString, CompactString, SocketAddr)> {
+        let key_hash = hash64(key.as_bytes());
+        let mut first: FastMap<&str, (u64, &str)> = FastMap::default();
+        let own = (self.own_name.as_str(), self.own_domain.as_str());
+        for (name, domain) in self.responsive_entries().chain([own]) {
+            let ranked = (random_rank(name, key_hash), name);
+            let best = first.entry(domain).or_insert(ranked);
+            *best = ranked.max(*best);
+        }
+        let others = first.into_iter().filter_map(|(domain, (_, name))| {
+            let peer = self.peers.get(name)?;
+            Some((domain.into(), name.into(), peer.entry.address))
+        });
+        others.collect()
+    }
+
     /// Names and failure domains of all other VMs.
     pub fn entries(&self) -> impl Iterator<Item = (&str, &str)> {
         let peers = self.peers.iter();
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -209,3 +209,40 @@
     assert!(!peers.lacks_protocol("b", 8, 0));
     assert!(!peers.lacks_protocol("unknown", 8, 0));
 }
+
+// Guards against VMs that look for the copies of a program's turns where no VM has sent
+// them.
+#[test]
+fn domain_holders_are_the_same_for_all_vms() {
+    let vms = [
+        ("a", "d1"),
+        ("b", "d1"),
+        ("c", "d2"),
+        ("e", "d2"),
+        ("f", "d3"),
+    ];
+    let holders_at = |own: (&str, &str), key: &str| {
+        let mut peers = Peers::new(own.0.into(), own.1.into());
+        for (number, (name, domain)) in vms.iter().enumerate() {
+            let entry = PeerEntry {
+                domain: (*domain).into(),
+                ..entry(number as u16)
+            };
+            peers.upsert((*name).into(), entry, 10);
+        }
+        let mut holders = peers.domain_holders(key);
+        holders.sort();
+        let names = holders.into_iter().map(|(domain, name, _)| (domain, name));
+        names.collect::<Vec<_>>()
+    };
+    for key in ["p1", "p2", "p3", "p4", "p5", "p6"] {
+        let own = |own| holders_at(own, key);
+        let stranger = own(("x", "d4"));
+        assert_eq!(stranger.len(), 3, "{key}");
+        for vm in vms {
+            let others = stranger.iter().filter(|(_, name)| name != vm.0);
+            let others: Vec<_> = others.cloned().collect();
+            assert_eq!(own(vm), others, "{key} at {}", vm.0);
+        }
+    }
+}
