--- a/crates/entry/tests/fleet/mod.rs
+++ b/crates/entry/tests/fleet/mod.rs
@@ -86,6 +86,8 @@
     /// Whether VMs that start now are the fleet's first ones.
     is_first_start: bool,
     old_build: Option<OldBuild>,
+    /// Further lines of the section `[limits]` of the VMs' settings.
+    limits: &'static str,
     files: TempDir,
 }
 
@@ -131,6 +133,8 @@
     pub(crate) engine_versions: [&'static str; 2],
     /// Older build that some VMs run.
     pub(crate) old_build: Option<OldBuild>,
+    /// Further lines of the section `[limits]` of the VMs' settings.
+    pub(crate) limits: &'static str,
 }
 
 impl Default for FleetOptions {
@@ -142,6 +146,7 @@
             is_first_start: true,
             engine_versions: ["v1", "v1"],
             old_build: None,
+            limits: "",
         }
     }
 }
@@ -236,6 +241,7 @@
             started: RefCell::default(),
             is_first_start: options.is_first_start,
             old_build: options.old_build,
+            limits: options.limits,
             files: TempDir::new().expect("folder"),
         };
         fleet.store.configure(CONFIG);
@@ -358,11 +364,11 @@
         let domain = 1 + self.started.borrow().len() % self.domains;
         let number = self.started.borrow().len();
         self.started.borrow_mut().push(name.clone());
-        let first_start = self.is_first_start;
+        let (first_start, limits) = (self.is_first_start, self.limits);
         let settings = format!(
             "[vm]\nname = \"{name}\"\ndomain = \"d{domain}\"\nfirst_start = {first_start}\n\
              [listen]\ncallers = \"{callers}\"\nready = \"{ready}\"\npeers = \"{peers}\"\n\
-             [store]\naddress = \"{store}\"\n[limits]\nstop_wait_s = 8\n"
+             [store]\naddress = \"{store}\"\n[limits]\nstop_wait_s = 8\n{limits}"
         );
         fs::write(self.settings_file(&name), &settings).expect("settings are written");
         let (child, runs_old_build) = self.start_daemon(&name, number);
@@ -477,6 +483,11 @@
         }
     }
 
+    /// Process id.
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Whether the process has exited.
     pub(crate) fn has_ended(&mut self) -> bool {
         let status = self.child.try_wait().expect("own child");
