--- a/crates/daemon/tests/site/mod.rs
+++ b/crates/daemon/tests/site/mod.rs
@@ -1,6 +1,9 @@
 //! Test deployment on loopback: daemons as processes, the simulated platform
 //! and targets as threads.
 
+// Each test binary uses a part of this module.
+#![allow(dead_code)]
+
 use std::fs;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
@@ -225,6 +228,11 @@
         });
     }
 
+    /// Process id.
+    pub(crate) fn id(&self) -> u32 {
+        self.child.as_ref().expect("running daemon").id()
+    }
+
     pub(crate) fn signal(&self, signal: Signal) {
         let child = self.child.as_ref().expect("running daemon");
         kill(Pid::from_raw(child.id() as i32), signal).expect("signal");
