lagoon-entry counts the bytes that it holds for peers, and bounds them

The memory for bodies was reserved for stated lengths only: a chunked body was counted after it was read, refused bodies were discarded without a bound on their number, responses for callers that don't read and kept turns while they are assembled were not counted, and hyper's buffers grew to 131 KB each.

- lagoon-memory counts bytes when they are taken, in segments of 64 KiB.
What exceeds a quarter of limits.memory_mb is withdrawn from the holding with the largest product of size and age; an eighth is kept for holdings up to 64 KiB.
- BodyMemory moves out of DaemonState, whose two fields become one.
- Bodies have a time limit for progress (the idle limit) and for the whole (limits.body_timeout_ms, 408), heads header_timeout_ms and a second, an address seven eighths of the connections, discarded bodies 32 places.
- Reads are limited to 16,383 bytes, so that hyper's buffers stay small.

--- a/crates/entry/src/caller_io.rs
+++ b/crates/entry/src/caller_io.rs
@@ -11,6 +11,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::reads::poll_read_part;
 use crate::unanswered::CallerConnection;
 
 /// Maximum number of unread bytes that are counted when a connection ends.
@@ -68,11 +69,9 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<Result<(), Error>> {
-        let filled = buffer.filled().len();
         let has_room = buffer.remaining() > 0;
-        let read = ready!(Pin::new(&mut self.stream).poll_read(cx, buffer));
-        self.noted(read)?;
-        match buffer.filled().len() - filled {
+        let read = ready!(poll_read_part(&mut self.stream, cx, buffer));
+        match self.noted(read)? {
             0 if has_room => self.connection.record_caller_left(),
             0 => {}
             bytes => self.connection.record_received(bytes),
--- a/crates/entry/src/carry.rs
+++ b/crates/entry/src/carry.rs
@@ -17,14 +17,16 @@
 use hyper::{Request, Response, StatusCode};
 use lagoon_adapter::{decode_response_headers, shorten_deadline, ResponseMetadata};
 use lagoon_gateway::{TargetEntry, TargetKey};
+use lagoon_memory::Holding;
 use lagoon_paths::{Decline, Way};
 
 use crate::body::{RequestBody, ResponseBody, TruncatedBody};
 use crate::clock::unix_now_ms;
 use crate::exchange::{send_direct, DirectExchange, NoExchange, SendOptions};
-use crate::forward::{forwarded_head, read_buffered, ReadError};
+use crate::forward::forwarded_head;
+use crate::memory::{BodyLimits, ReadError};
 use crate::response;
-use crate::state::{BodyMemory, DaemonState};
+use crate::state::DaemonState;
 
 pub use wire::{decode_attempt, write_attempt, CarriedAttempt, CarryEnd};
 
@@ -90,7 +92,7 @@
     attempt: &CarriedAttempt,
     uri: Uri,
     parts: Parts,
-    body: Incoming,
+    mut body: Incoming,
     arrived_ms: u64,
 ) -> Result<Response<ResponseBody>, CarryEnd> {
     let no_room = CarryEnd::Declined(Decline::NoRoom);
@@ -102,11 +104,18 @@
     if way == Way::Carried {
         return Err(no_path(state));
     }
-    let (body, body_memory) = match read_buffered(state, body, usize::MAX).await {
-        Ok(read) => read,
-        Err(ReadError::NoMemory) => return Err(no_room),
+    let body_memory = state.memory.hold();
+    let limits = BodyLimits::of_size(usize::MAX);
+    let body = match state.memory.read(&body_memory, &mut body, limits).await {
+        Ok(body) => body,
+        Err(ReadError::NoMemory) => {
+            state.memory.record_exhausted("carried body");
+            return Err(no_room);
+        }
         // The origin has left.
-        Err(ReadError::Broken(_) | ReadError::TooLong) => return Err(CarryEnd::NotSent),
+        Err(ReadError::Broken(_) | ReadError::TooLong | ReadError::TimedOut) => {
+            return Err(CarryEnd::NotSent)
+        }
     };
     let options = SendOptions {
         key,
@@ -178,7 +187,7 @@
     keep_alive_s: Option<u64>,
     closes_connection: bool,
     _guard: CarriedGuard,
-    _body_memory: BodyMemory,
+    _body_memory: Holding,
 }
 
 /// Passes a response on, always in chunks: the last one tells the origin that the
@@ -187,7 +196,7 @@
     mut exchange: DirectExchange,
     metadata: &ResponseMetadata,
     guard: CarriedGuard,
-    body_memory: BodyMemory,
+    body_memory: Holding,
 ) -> Response<ResponseBody> {
     let head = std::mem::take(exchange.response.headers_mut());
     let mut response = Response::new(());
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -16,6 +16,7 @@
 use tokio::time::timeout;
 
 use crate::body::RequestBody;
+use crate::reads::PartialReads;
 
 /// Covers some round trips between failure domains, and a queue of connections
 /// at the target.
@@ -122,7 +123,7 @@
         }
         let (sender, driver) = Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(PartialReads(stream)))
             .await
             .map_err(|error| OpenError {
                 detail: error.to_string(),
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -29,6 +29,7 @@
 };
 use lagoon_ids::hash64;
 use lagoon_limits::Demand;
+use lagoon_memory::Holding;
 use lagoon_streams::SoftwareId;
 use lagoon_turns::TurnId;
 use rand::RngExt;
@@ -37,13 +38,12 @@
 use crate::body::ResponseBody;
 use crate::ledger::{TokenRequest, TokenReservation};
 use crate::response;
-use crate::state::{BodyMemory, DaemonState};
+use crate::state::DaemonState;
 use crate::unanswered::RequestGuard;
 
 pub(crate) use attempt::{forwarded_head, FailedAttempt, ResponseStream, TargetResponse};
 use permit::Permit;
 use reading::{header_bytes, read_body, refuse_unread};
-pub(crate) use reading::{read_buffered, ReadError};
 use relay::Relay;
 
 const RESERVATION_TIMEOUT_MS: u64 = 1_500;
@@ -97,8 +97,8 @@
     pub(crate) body: Bytes,
     /// Identifies the content among requests that crash targets.
     pub(crate) fingerprint: u64,
-    _body_memory: BodyMemory,
-    _chain_memory: Option<BodyMemory>,
+    _body_memory: Holding,
+    _chain_memory: Option<Holding>,
     excluded_targets: Vec<TargetKey>,
     demand: Demand,
     /// Permit for the next attempt; `None` if there is none, or the target has no
@@ -132,10 +132,8 @@
         log::info!(request = metadata.request_id.as_str(), status = 431; "header section too long");
         let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
         state.metrics.record_response(status.as_u16(), 0);
-        return refuse_unread(
-            body,
-            response::plain_text(status, "header section too long"),
-        );
+        let response = response::plain_text(status, "header section too long");
+        return refuse_unread(&state, body, &caller, response);
     }
     let (body, body_memory) = match read_body(&state, body, &limits, &caller).await {
         Ok(read) => read,
@@ -161,7 +159,7 @@
     state: Rc<DaemonState>,
     parts: Parts,
     metadata: RequestMetadata,
-    (body, body_memory): (Bytes, BodyMemory),
+    (body, body_memory): (Bytes, Holding),
     arrived_ms: u64,
     caller: RequestGuard,
 ) -> Result<ForwardedRequest, Box<Response<ResponseBody>>> {
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -17,7 +17,8 @@
 use crate::clock::unix_now_ms;
 use crate::exchange::NoExchange;
 use crate::forward::sending::ResponseConnection;
-use crate::forward::{read_buffered, ForwardedRequest, ReadError};
+use crate::forward::ForwardedRequest;
+use crate::memory::{BodyLimits, ReadError};
 use crate::state::DaemonState;
 
 /// Maximum size of a response that isn't a stream, which is buffered before it
@@ -264,24 +265,30 @@
     /// bodies.
     async fn read_response_body(
         &self,
-        body: Incoming,
+        mut body: Incoming,
         connection: &ResponseConnection,
     ) -> Result<Bytes, FailedAttempt> {
+        let memory = &self.state.memory;
+        let holding = memory.hold_pinned();
+        let limits = BodyLimits::of_size(MAX_BUFFERED_BYTES);
         let read = tokio::select! {
             biased;
-            read = read_buffered(&self.state, body, MAX_BUFFERED_BYTES) => read,
+            read = memory.read(&holding, &mut body, limits) => read,
             hopeless = connection.until_hopeless(), if self.route.is_repeatable() => {
                 return Err(hopeless.into());
             }
         };
         match read {
-            Ok((bytes, _)) => Ok(bytes),
+            // The caller may read slowly: the bytes are counted until they are sent.
+            Ok(bytes) => Ok(holding.bind(bytes)),
             Err(ReadError::Broken(detail)) => {
                 connection.record_broken();
                 Err(FailedAttempt::interrupted(detail))
             }
             Err(ReadError::TooLong) => Err(FailedAttempt::interrupted("response too long")),
+            Err(ReadError::TimedOut) => Err(FailedAttempt::interrupted("response took too long")),
             Err(ReadError::NoMemory) => {
+                memory.record_exhausted("response");
                 Err(FailedAttempt::interrupted("no memory for the response"))
             }
         }
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -8,6 +8,7 @@
 use http_body_util::BodyExt;
 use hyper::{Response, StatusCode};
 use lagoon_gateway::{EventReader, RetryDecision, TargetHash, TargetKey};
+use lagoon_memory::{Exhausted, Holding};
 use lagoon_turns::TurnOutput;
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout_at, Instant};
@@ -40,6 +41,8 @@
     begun_at: Option<TargetHash>,
     /// Data of the relayed events, if the route keeps turns.
     output: Option<TurnOutput>,
+    /// Bytes of the output, and of an event that has not arrived whole.
+    held: Holding,
     /// Reservation of further tokens in progress, for a call that was granted fewer
     /// than its maximum.
     extension: Option<oneshot::Receiver<Option<TokenReservation>>>,
@@ -73,6 +76,7 @@
             reader: EventReader::resume_after(request.metadata.last_event_id),
             begun_at: None,
             output: request.route.keeps_turns.then(TurnOutput::default),
+            held: request.state.memory.hold(),
             request,
             stream: Some(stream),
             extension: None,
@@ -108,6 +112,7 @@
             let is_extended = self.extension.is_some();
             let frame = tokio::select! {
                 biased;
+                () = self.held.withdrawn() => return Err(self.memory_exhausted()),
                 frame = timeout_at(deadline, stream.body.frame()) => frame,
                 extension = OptionFuture::from(self.extension.as_mut()), if is_extended => {
                     self.extend(extension.and_then(Result::ok).flatten());
@@ -139,6 +144,9 @@
                     if let Some(output) = &mut self.output {
                         output.push_events(&events.bytes);
                     }
+                    if self.hold_bytes().is_err() {
+                        return Err(self.memory_exhausted());
+                    }
                     if !events.bytes.is_empty() {
                         return Ok(Some(events.bytes.into()));
                     }
@@ -156,6 +164,19 @@
         }
     }
 
+    /// Counts what is kept of the stream.
+    fn hold_bytes(&self) -> Result<(), Exhausted> {
+        let output_bytes = self.output.as_ref().map_or(0, TurnOutput::capacity_bytes);
+        let bytes = output_bytes + self.reader.partial_bytes();
+        self.request.state.memory.set(&self.held, bytes)
+    }
+
+    fn memory_exhausted(&mut self) -> TruncatedBody {
+        self.request.state.memory.record_exhausted("stream");
+        self.output = None;
+        self.cut_off(Cause::NoMemory)
+    }
+
     /// Records why the response ends here.
     fn cut_off(&mut self, cause: Cause) -> TruncatedBody {
         self.outcome = Err(cause);
--- a/crates/entry/src/forward/turns.rs
+++ b/crates/entry/src/forward/turns.rs
@@ -65,9 +65,12 @@
             return Err(self.bad_turn("the previous turn belongs to another host"));
         }
         let chunks = chain.chunks();
-        let chain_bytes = chunks.iter().map(|chunk| chunk.len() as u64).sum();
-        self._chain_memory = self.state.reserve_body_memory(chain_bytes);
-        if self._chain_memory.is_none() {
+        let chain_bytes = chunks.iter().map(|chunk| chunk.len()).sum();
+        let chain_memory = self.state.memory.hold_pinned();
+        let reserved = self.state.memory.set(&chain_memory, chain_bytes);
+        self._chain_memory = Some(chain_memory);
+        if reserved.is_err() {
+            self.state.memory.record_exhausted("chain of turns");
             return Err(self.refuse("too many bytes are held", OVERLOADED_RETRY_AFTER_MS));
         }
         keeper.extend(chain.turns());
--- a/crates/entry/src/message_handler.rs
+++ b/crates/entry/src/message_handler.rs
@@ -2,12 +2,12 @@
 
 use std::rc::Rc;
 
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use lagoon_gateway::ProgramKey;
 
 use crate::body::ResponseBody;
+use crate::memory::BodyLimits;
 use crate::message::{PeerMessage, MAX_MESSAGE_BYTES, NOT_UNDERSTOOD};
 use crate::response;
 use crate::state::DaemonState;
@@ -17,11 +17,13 @@
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let (budget_client, turn_keeper) = (&state.budget_client, &state.turn_keeper);
-    let body = Limited::new(request.into_body(), MAX_MESSAGE_BYTES);
-    let body = match body.collect().await {
-        Ok(body) => body.to_bytes(),
+    let holding = state.memory.hold();
+    let limits = BodyLimits::of_size(MAX_MESSAGE_BYTES);
+    let mut body = request.into_body();
+    let body = match state.memory.read(&holding, &mut body, limits).await {
+        Ok(body) => body,
         Err(error) => {
-            log::info!(error = error.to_string(); "message of another VM not read");
+            log::info!(error = format!("{error:?}"); "message of another VM not read");
             return response::plain_text(StatusCode::PAYLOAD_TOO_LARGE, "message not read");
         }
     };
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -27,6 +27,7 @@
     carried_for_others: IntCounterVec,
     streams: IntCounterVec,
     unanswered: IntCounterVec,
+    refused_bytes: IntCounterVec,
     panics: IntCounter,
     stream_lookups: IntCounterVec,
     gossip_messages: IntCounterVec,
@@ -43,6 +44,7 @@
     other_vms: IntGauge,
     sessions: IntGauge,
     quarantined: IntGauge,
+    held_bytes: IntGauge,
     connections: IntGauge,
     dropped_log_lines: IntGauge,
 }
@@ -120,6 +122,11 @@
                 "Callers' requests without a whole response",
                 &["cause"],
             )?,
+            refused_bytes: counters(
+                "lagoon_refused_bytes_total",
+                "Heads, bodies and responses cut short for lack of memory or time",
+                &["what"],
+            )?,
             panics: {
                 let panics = IntCounter::new("lagoon_panics_total", "Panics since the start")?;
                 registry.register(Box::new(panics.clone()))?;
@@ -161,6 +168,7 @@
                 "lagoon_quarantined_requests",
                 "Requests refused because targets crashed while they ran",
             )?,
+            held_bytes: gauge("lagoon_held_bytes", "Bytes held for callers and targets")?,
             connections: gauge("lagoon_connections", "Connections that are open here")?,
             dropped_log_lines: gauge(
                 "lagoon_dropped_log_lines",
@@ -224,6 +232,14 @@
         self.0.streams.with_label_values(&[event]).inc();
     }
 
+    pub(crate) fn record_refused_bytes(&self, what: &str) {
+        self.0.refused_bytes.with_label_values(&[what]).inc();
+    }
+
+    pub(crate) fn set_held_bytes(&self, bytes: u64) {
+        self.0.held_bytes.set(bytes as i64);
+    }
+
     pub(crate) fn record_unanswered(&self, cause: &str) {
         self.0.unanswered.with_label_values(&[cause]).inc();
     }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -24,12 +24,13 @@
 use crate::connection::set_socket_options;
 use crate::forward::HEADER_SLACK_BYTES;
 use crate::idle::IdleTimer;
+use crate::memory::AddressGuard;
 use crate::message::MESSAGE_PATH;
 use crate::message_handler::handle_message;
 use crate::panics;
 use crate::response;
 use crate::state::DaemonState;
-use crate::unanswered::{CallerConnection, Client, RequestGuard};
+use crate::unanswered::{CallerConnection, Cause, Client, RequestGuard};
 
 const ACCEPT_BACKLOG: i32 = 1_024;
 
@@ -97,10 +98,18 @@
                 // Closed before a request is read, so the caller may go to
                 // another VM.
                 log::warn!(connections = state.connections.get(); "connection closed: too many are open");
-                state.record_too_many_connections(client);
+                state.record_too_many_connections(client, Cause::TooManyConnections);
             }
             Ok((stream, from)) => {
-                let guard = ConnectionGuard::new(&state);
+                let by_address = match client {
+                    Client::Caller => state.memory.admit(from.ip()).map(Some),
+                    Client::Other => Some(None),
+                };
+                let Some(by_address) = by_address else {
+                    state.record_too_many_connections(client, Cause::TooManyOfAddress);
+                    continue;
+                };
+                let guard = ConnectionGuard::new(&state, by_address);
                 let handle = handle.clone();
                 let handle = move |request, open| handle(from.ip(), request, open);
                 let connection = CallerConnection::new(&state, client);
@@ -117,20 +126,27 @@
 }
 
 /// Counts a connection as open until it is dropped.
-struct ConnectionGuard(Rc<DaemonState>);
+struct ConnectionGuard {
+    state: Rc<DaemonState>,
+    _by_address: Option<AddressGuard>,
+}
 
 impl ConnectionGuard {
-    fn new(state: &Rc<DaemonState>) -> ConnectionGuard {
+    fn new(state: &Rc<DaemonState>, by_address: Option<AddressGuard>) -> ConnectionGuard {
         state.connections.set(state.connections.get() + 1);
         state.metrics.set_connections(state.connections.get());
-        ConnectionGuard(Rc::clone(state))
+        ConnectionGuard {
+            state: Rc::clone(state),
+            _by_address: by_address,
+        }
     }
 }
 
 impl Drop for ConnectionGuard {
     fn drop(&mut self) {
-        self.0.connections.set(self.0.connections.get() - 1);
-        self.0.metrics.set_connections(self.0.connections.get());
+        let state = &self.state;
+        state.connections.set(state.connections.get() - 1);
+        state.metrics.set_connections(state.connections.get());
     }
 }
 
@@ -160,11 +176,11 @@
             Ok::<_, Infallible>(response.map(|body| body.answering(open)))
         }
     });
-    let header_bytes = guard.0.limits().max_header_bytes;
+    let header_bytes = guard.state.limits().max_header_bytes;
     let buffer_bytes = header_bytes
         .saturating_add(HEADER_SLACK_BYTES)
         .max(MIN_BUFFER_BYTES);
-    let limit = guard.0.idle_limit.clone();
+    let limit = guard.state.idle_limit.clone();
     let mut served = http1::Builder::new()
         .header_read_timeout(limit.get())
         .timer(IdleTimer { limit })
@@ -173,6 +189,7 @@
     let mut connection = Pin::new(&mut served);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
+        () = caller.until_refused() => Ok(()),
         _ = stop.wait_for(|stop| *stop) => {
             // The first request of a new connection may be on its way, as may the next
             // one behind a response. A graceful shutdown would throw them away.
@@ -228,6 +245,7 @@
 }
 
 fn serve_metrics(state: &DaemonState) -> Response<ResponseBody> {
+    state.memory.update_metrics();
     state.metrics.set_sessions(state.affinity.borrow().len());
     state
         .metrics
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -78,9 +78,14 @@
     /// Milliseconds within which the tokens that a call used must be known at
     /// the store; at least 100.
     pub settle_ms: u64,
-    /// Memory of the process in megabytes, a quarter of which request bodies
-    /// may take; at least 16.
+    /// Memory of the process in megabytes, a quarter of which bytes that are held
+    /// for callers and targets may take; at least 16.
     pub memory_mb: u64,
+    /// Milliseconds in which the whole body of a caller's request must arrive; at least
+    /// 1,000.
+    pub body_timeout_ms: u64,
+    /// Open connections of one caller's address; 0 for seven eighths of all.
+    pub connections_per_address: u64,
     /// File descriptors of the process, four of which each incoming connection
     /// may need; at least 256.
     pub descriptors: u64,
@@ -92,6 +97,8 @@
             stop_wait_s: 8.0,
             settle_ms: 1_000,
             memory_mb: 120,
+            body_timeout_ms: 60_000,
+            connections_per_address: 0,
             descriptors: 1_024,
         }
     }
@@ -159,6 +166,11 @@
         ),
         ("limits.settle_ms", limits.settle_ms >= 100, "at least 100"),
         ("limits.memory_mb", limits.memory_mb >= 16, "at least 16"),
+        (
+            "limits.body_timeout_ms",
+            limits.body_timeout_ms >= 1_000,
+            "at least 1000",
+        ),
         (
             "limits.descriptors",
             limits.descriptors >= 256,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -15,6 +15,7 @@
 use crate::clock::Clock;
 use crate::idle::IdleLimit;
 use crate::ledger::BudgetClient;
+use crate::memory::PeerMemory;
 use crate::metrics::Metrics;
 use crate::peers::PeerClient;
 use crate::permits::Permits;
@@ -28,38 +29,6 @@
 /// target, one to another VM or the store, and one in reserve.
 const DESCRIPTORS_PER_CONNECTION: usize = 4;
 
-/// The process memory divided by this is the maximum total size of request
-/// bodies. Each body is in memory twice: as received and as sent.
-const BODY_MEMORY_DIVISOR: u64 = 4;
-
-/// Memory reserved for a request body, until it is dropped.
-pub(crate) struct BodyMemory {
-    state: Rc<DaemonState>,
-    bytes: u64,
-}
-
-impl BodyMemory {
-    /// Reserves more memory; `false`, without effect, if too little is left.
-    pub(crate) fn grow(&mut self, bytes: u64) -> bool {
-        let body_memory_bytes = self.state.body_memory_bytes.get() + bytes;
-        let fits = body_memory_bytes <= self.state.max_body_memory_bytes;
-        if fits {
-            self.state.body_memory_bytes.set(body_memory_bytes);
-            self.bytes += bytes;
-        }
-        fits
-    }
-}
-
-impl Drop for BodyMemory {
-    fn drop(&mut self) {
-        let body_memory_bytes = self.state.body_memory_bytes.get();
-        self.state
-            .body_memory_bytes
-            .set(body_memory_bytes - self.bytes);
-    }
-}
-
 /// Parts of the daemon with state of their own.
 pub(crate) struct Services {
     pub(crate) budget_client: Rc<BudgetClient>,
@@ -105,10 +74,8 @@
     pub(crate) connections: Cell<usize>,
     /// Maximum of `connections`; further ones are closed at once.
     pub(crate) max_connections: usize,
-    /// Memory reserved for request bodies.
-    body_memory_bytes: Cell<u64>,
-    /// Memory for request bodies beyond which requests are refused.
-    max_body_memory_bytes: u64,
+    /// Memory for bytes that are held for peers.
+    pub(crate) memory: Rc<PeerMemory>,
     pub(crate) affinity: RefCell<AffinityTable>,
     pub(crate) sentinel: RefCell<Sentinel>,
     /// Notified to renew the watch in flight, by table.
@@ -123,6 +90,9 @@
         settings: &EntrySettings,
     ) -> Rc<DaemonState> {
         let limits = &settings.limits;
+        let max_connections = limits.descriptors as usize / DESCRIPTORS_PER_CONNECTION;
+        let memory = PeerMemory::new(limits, max_connections, clock, metrics.clone());
+        let memory = Rc::new(memory);
         Rc::new(DaemonState {
             clock,
             domain: settings.vm.domain.clone(),
@@ -149,9 +119,8 @@
             exiting: Cell::new(false),
             registered: Cell::new(false),
             connections: Cell::new(0),
-            max_connections: limits.descriptors as usize / DESCRIPTORS_PER_CONNECTION,
-            body_memory_bytes: Cell::new(0),
-            max_body_memory_bytes: limits.memory_mb * 1_000_000 / BODY_MEMORY_DIVISOR,
+            max_connections,
+            memory,
             affinity: RefCell::default(),
             sentinel: RefCell::new(Sentinel::new(
                 SentinelSettings::default(),
@@ -191,18 +160,4 @@
             self.renewals[table as usize].notify_waiters();
         }
     }
-
-    /// Reserves memory for a request body until the result is dropped; `None`
-    /// if too little is left.
-    pub(crate) fn reserve_body_memory(self: &Rc<Self>, bytes: u64) -> Option<BodyMemory> {
-        let body_memory_bytes = self.body_memory_bytes.get() + bytes;
-        if body_memory_bytes > self.max_body_memory_bytes {
-            return None;
-        }
-        self.body_memory_bytes.set(body_memory_bytes);
-        Some(BodyMemory {
-            state: Rc::clone(self),
-            bytes,
-        })
-    }
 }
--- a/crates/entry/src/unanswered.rs
+++ b/crates/entry/src/unanswered.rs
@@ -10,10 +10,21 @@
 use compact_str::CompactString;
 use derive_more::Display;
 use lagoon_adapter::request_id_in;
+use lagoon_memory::Holding;
+use tokio::time::sleep;
 
 use crate::caller_io::CallerIo;
 use crate::state::DaemonState;
 
+/// Bytes of a head up to which they aren't counted: hyper's smallest buffer.
+const MIN_HELD_HEAD_BYTES: usize = 8_192;
+
+/// Bytes that some callers send behind a body, and that belong to no request.
+const LINE_END_BYTES: usize = 2;
+
+/// Time for a head that a caller sent within the header timeout to arrive.
+const HEAD_GRACE_MS: u64 = 1_000;
+
 /// Why a request has no response, or only a part of one.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub(crate) enum Cause {
@@ -51,6 +62,12 @@
     /// The connection was closed before anything was read.
     #[display("too many connections")]
     TooManyConnections,
+    /// The connection was closed before anything was read.
+    #[display("too many connections of one address")]
+    TooManyOfAddress,
+    /// The bytes that are held for all peers are too many, and this one's cost most.
+    #[display("memory exhausted")]
+    NoMemory,
     #[display("process ended")]
     ProcessEnded,
     #[display("panic")]
@@ -97,6 +114,12 @@
     /// Whether the daemon asked the connection to close because it stops.
     is_stopped: Cell<bool>,
     has_ended: Cell<bool>,
+    /// Bytes of a head that has not arrived whole.
+    head: Holding,
+    /// Whether the rest of a refused body arrives.
+    is_discarding: Cell<bool>,
+    /// Why the daemon closes the connection while a head arrives.
+    refusal: Cell<Option<Cause>>,
 }
 
 impl CallerConnection {
@@ -112,6 +135,9 @@
             is_broken: Cell::new(false),
             is_stopped: Cell::new(false),
             has_ended: Cell::new(false),
+            head: state.memory.hold(),
+            is_discarding: Cell::new(false),
+            refusal: Cell::new(None),
         })
     }
 
@@ -131,6 +157,8 @@
         let number = self.requests.get();
         self.requests.set(number + 1);
         self.received_bytes.set(0);
+        self.is_discarding.set(false);
+        self.set_head_bytes(0);
         self.open.borrow_mut().push_back(OpenRequest {
             number,
             id: CompactString::default(),
@@ -151,6 +179,52 @@
             self.received_ms.set(self.state.now_ms());
         }
         self.received_bytes.set(self.received_bytes.get() + bytes);
+        let received_bytes = self.received_bytes.get();
+        if received_bytes > MIN_HELD_HEAD_BYTES && self.has_partial_head() {
+            self.set_head_bytes(received_bytes);
+        }
+    }
+
+    /// Whether bytes have arrived that belong to no request yet.
+    fn has_partial_head(&self) -> bool {
+        let is_begun = self.received_bytes.get() > LINE_END_BYTES;
+        is_begun && !self.is_discarding.get() && self.open.borrow().is_empty()
+    }
+
+    /// Where there is no memory, the head counts as refused; its connection is closed.
+    fn set_head_bytes(&self, bytes: usize) {
+        if self.state.memory.set(&self.head, bytes).is_err() {
+            self.refusal.set(Some(Cause::NoMemory));
+        }
+    }
+
+    /// Waits until the head that arrives is refused, for lack of memory or time.
+    pub(crate) async fn until_refused(&self) {
+        let mut is_withdrawn = false;
+        loop {
+            let limit_ms = self.state.limits().header_timeout_ms + HEAD_GRACE_MS;
+            let now_ms = self.state.now_ms();
+            let mut wait_ms = limit_ms;
+            if self.has_partial_head() {
+                let age_ms = now_ms - self.received_ms.get();
+                if is_withdrawn || self.refusal.get().is_some() {
+                    self.refusal.set(Some(Cause::NoMemory));
+                    self.state.memory.record_exhausted("head");
+                    return;
+                }
+                if age_ms >= limit_ms {
+                    self.refusal.set(Some(Cause::HeaderTimeout));
+                    self.state.memory.record_late("head");
+                    return;
+                }
+                wait_ms = limit_ms - age_ms;
+            }
+            let wait = Duration::from_millis(wait_ms);
+            tokio::select! {
+                () = sleep(wait) => {}
+                () = self.head.withdrawn(), if !is_withdrawn => is_withdrawn = true,
+            }
+        }
     }
 
     pub(crate) fn record_caller_left(&self) {
@@ -175,6 +249,7 @@
         if open.iter().any(OpenRequest::is_done) {
             open.retain(|request| !request.is_done());
             self.received_bytes.set(0);
+            self.set_head_bytes(0);
         }
     }
 
@@ -236,6 +311,8 @@
             Cause::CallerLeft
         } else if self.is_broken.get() {
             Cause::ConnectionBroke
+        } else if let Some(refusal) = self.refusal.get() {
+            refusal
         } else if is_timeout {
             let is_late = age_ms >= self.state.limits().header_timeout_ms;
             match is_late || !self.has_request() {
@@ -349,6 +426,11 @@
         self.update(|request| request.cause = None);
     }
 
+    /// Records that the rest of the request's body is discarded.
+    pub(crate) fn begin_discard(&self) {
+        self.connection.is_discarding.set(true);
+    }
+
     /// Records that a target may get a part of the request from now on.
     pub(crate) fn set_passed_on(&self) {
         self.update(|request| request.is_passed_on = true);
@@ -395,13 +477,13 @@
     }
 
     /// Records a connection that is closed because too many are open.
-    pub(crate) fn record_too_many_connections(&self, client: Client) {
+    pub(crate) fn record_too_many_connections(&self, client: Client, cause: Cause) {
         if client == Client::Other {
             return;
         }
         self.record_unanswered(&Unanswered {
             id: "",
-            cause: Cause::TooManyConnections,
+            cause,
             age_ms: 0,
             started_version: self.config_version(),
             is_passed_on: false,
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -78,6 +78,11 @@
         self.partial.len() > MAX_EVENT_BYTES
     }
 
+    /// Memory of the incomplete event.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.capacity()
+    }
+
     /// Whether no event is incomplete.
     pub fn is_at_event_boundary(&self) -> bool {
         self.partial.is_empty()
--- /dev/null
+++ b/crates/memory/src/holding.rs
@@ -0,0 +1,105 @@
+//! Bytes of one peer.
+
+use std::future::{poll_fn, Future};
+
+use bytes::Bytes;
+
+use crate::{Exhausted, Memory};
+
+/// Bytes that are held on behalf of one peer; released on drop.
+#[derive(Debug)]
+pub struct Holding {
+    memory: Memory,
+    id: u64,
+}
+
+impl Holding {
+    pub(crate) fn new(memory: Memory, id: u64) -> Holding {
+        Holding { memory, id }
+    }
+
+    /// Adds bytes to the buffer of the holding, which has up to `max_bytes` in the end.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the memory is exhausted and no other holding costs more, or if the bytes
+    /// were withdrawn.
+    pub fn push(&self, data: &[u8], max_bytes: usize, now_ms: u64) -> Result<(), Exhausted> {
+        self.memory.lock().push(self.id, data, max_bytes, now_ms)
+    }
+
+    /// Length of the buffer.
+    pub fn buffered_bytes(&self) -> usize {
+        self.memory.lock().buffered_bytes(self.id)
+    }
+
+    /// Takes the buffer. Its bytes stay counted until the holding is dropped, and can't be
+    /// withdrawn any more.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bytes were withdrawn.
+    pub fn finish(&self) -> Result<Bytes, Exhausted> {
+        self.memory.lock().finish(self.id)
+    }
+
+    /// Changes the number of bytes that are held elsewhere, for a holding without a buffer.
+    ///
+    /// # Errors
+    ///
+    /// Like [`Holding::push`].
+    pub fn set(&self, bytes: u64, now_ms: u64) -> Result<(), Exhausted> {
+        self.memory.lock().set(self.id, bytes, now_ms)
+    }
+
+    /// Whether the bytes were withdrawn.
+    pub fn is_withdrawn(&self) -> bool {
+        self.memory.lock().is_withdrawn(self.id)
+    }
+
+    /// Waits until the bytes are withdrawn. Only the last of several waits is woken.
+    pub fn withdrawn(&self) -> impl Future<Output = ()> + '_ {
+        poll_fn(|cx| self.memory.lock().poll_withdrawn(self.id, cx))
+    }
+
+    /// These bytes, with which the holding is dropped.
+    pub fn bind(self, bytes: Bytes) -> Bytes {
+        Bytes::from_owner(HeldBytes {
+            bytes,
+            _holding: self,
+        })
+    }
+}
+
+impl Drop for Holding {
+    fn drop(&mut self) {
+        self.memory.lock().close(self.id);
+    }
+}
+
+struct HeldBytes {
+    bytes: Bytes,
+    _holding: Holding,
+}
+
+impl AsRef<[u8]> for HeldBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Permission to discard the bytes of a peer.
+#[derive(Debug)]
+pub struct DiscardGuard(Memory);
+
+impl DiscardGuard {
+    pub(crate) fn new(memory: Memory) -> DiscardGuard {
+        DiscardGuard(memory)
+    }
+}
+
+impl Drop for DiscardGuard {
+    fn drop(&mut self) {
+        self.0.lock().end_discard();
+    }
+}
--- a/crates/turns/src/output.rs
+++ b/crates/turns/src/output.rs
@@ -35,6 +35,11 @@
         self.data.len()
     }
 
+    /// Memory of the output so far.
+    pub fn capacity_bytes(&self) -> usize {
+        self.data.capacity()
+    }
+
     /// The whole output.
     pub fn into_bytes(self) -> Bytes {
         self.data.into()
