Serve keys only while the configuration is known to be recent

A VM that the store doesn't answer served by the configuration that it had, however old. With accounts.strict_revocation a request with a key is served only while the VM has evidence, younger than accounts.revocation_ms less 500 ms, that its configuration is the newest; otherwise it gets 503, and 503 in place of 401 from 2,500 ms on. Evidence is the start of a read or watch of the store, by CLOCK_BOOTTIME, for a version that is in force. The configuration is watched for 800 ms at a time then.

A VM whose evidence is older than 2 s asks others with ReadFreshness (protocol version 9) and gets their evidence and, if it is newer, the configuration's row. The age in a reply counts back from the time of the question.

The gauge lagoon_config_evidence_age_ms shows the age.

--- a/crates/accounts/src/lib.rs
+++ b/crates/accounts/src/lib.rs
@@ -2,8 +2,10 @@
 
 mod account;
 mod authentication;
+mod freshness;
 mod keys;
 
 pub use account::{Account, Quota};
 pub use authentication::{authenticate, Recency, Refusal};
+pub use freshness::{Freshness, FreshnessSettings, StatedEvidence};
 pub use keys::{Accounts, KeyLookup};
--- a/crates/entry/src/accounts.rs
+++ b/crates/entry/src/accounts.rs
@@ -3,19 +3,10 @@
 use std::sync::Arc;
 
 use http::HeaderMap;
-use hyper::header::{HeaderValue, WWW_AUTHENTICATE};
-use hyper::{Response, StatusCode};
 use lagoon_accounts::{authenticate, Account, Recency, Refusal};
 use lagoon_adapter::{caller_key, AccountHeaders};
 use lagoon_gateway::{Config, Route};
 
-use crate::body::ResponseBody;
-use crate::response;
-
-/// `Retry-After` of a request that is refused while the configuration in force isn't
-/// known to be recent, or a key is in doubt.
-const RETRY_AFTER_MS: u64 = 700;
-
 /// For whom a request is served.
 #[derive(Clone, Debug, Default)]
 pub(crate) enum Identity {
@@ -61,15 +52,3 @@
         }
     }
 }
-
-/// Response to a request that is refused.
-pub(crate) fn refused(refusal: Refusal) -> Response<ResponseBody> {
-    let why = refusal.to_string();
-    if !refusal.is_final() {
-        return response::retryable_unavailable(&why, RETRY_AFTER_MS);
-    }
-    let mut response = response::plain_text(StatusCode::UNAUTHORIZED, &why);
-    let scheme = HeaderValue::from_static("Bearer");
-    response.headers_mut().insert(WWW_AUTHENTICATE, scheme);
-    response
-}
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -19,7 +19,7 @@
 use http::request::Parts;
 use http::uri::PathAndQuery;
 use hyper::body::Incoming;
-use hyper::header::HOST;
+use hyper::header::{HeaderValue, HOST, WWW_AUTHENTICATE};
 use hyper::{Request, Response, StatusCode};
 use lagoon_accounts::{Account, Refusal};
 use lagoon_adapter::{budget_exhausted_status, decode_request_headers};
@@ -34,7 +34,7 @@
 use rand::RngExt;
 use tokio::time::{timeout_at, Instant};
 
-use crate::accounts::{refused, Identity};
+use crate::accounts::Identity;
 use crate::body::ResponseBody;
 use crate::ledger::{TokenRequest, TokenReservation};
 use crate::response;
@@ -58,7 +58,7 @@
 const HELD_RETRY_AFTER_MS: u64 = 450;
 
 /// `Retry-After` while the configuration, the targets or a budget's state is
-/// unavailable.
+/// unavailable, the configuration may be outdated, or a key is in doubt.
 const UNAVAILABLE_RETRY_AFTER_MS: u64 = 700;
 
 /// Ratio of a call's maximum output tokens to the expected ones, if the caller
@@ -169,19 +169,28 @@
     metadata: &RequestMetadata,
     arrived_ms: u64,
 ) -> Option<Response<ResponseBody>> {
-    let config = state.config.borrow().clone()?;
-    config.accounts.as_ref()?;
+    let config = state.config.borrow().clone();
+    if config.is_none() && state.evidence.is_strict() {
+        return Some(no_configuration(state, metadata));
+    }
+    let config = config.filter(|config| config.accounts.is_some())?;
     let host = request_host(parts);
     let Some(route) = config.route(&host, parts.uri.path()) else {
         return Some(no_route(state, parts, metadata, &host, &config));
     };
-    let identity = Identity::find(&config, route, &parts.headers, state.recency());
+    let identity = Identity::find(&config, route, &parts.headers, state.evidence.recency());
     let refusal = identity.err()?;
     Some(refuse_key(
         state, metadata, &config, route, arrived_ms, refusal,
     ))
 }
 
+fn no_configuration(state: &DaemonState, metadata: &RequestMetadata) -> Response<ResponseBody> {
+    log::info!(request = metadata.request_id.as_str(), status = 503; "refused: no configuration yet");
+    state.metrics.record_response(503, 0);
+    response::retryable_unavailable("no configuration yet", UNAVAILABLE_RETRY_AFTER_MS)
+}
+
 /// Host that the caller addresses, in lower case.
 fn request_host(parts: &Parts) -> String {
     let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
@@ -227,6 +236,18 @@
     response
 }
 
+/// Response to a request that is refused for its key.
+fn refused(refusal: Refusal) -> Response<ResponseBody> {
+    let why = refusal.to_string();
+    if !refusal.is_final() {
+        return response::retryable_unavailable(&why, UNAVAILABLE_RETRY_AFTER_MS);
+    }
+    let mut response = response::plain_text(StatusCode::UNAUTHORIZED, &why);
+    let scheme = HeaderValue::from_static("Bearer");
+    response.headers_mut().insert(WWW_AUTHENTICATE, scheme);
+    response
+}
+
 /// Finds the route of a request, and the account of its key. Refuses the request with 503
 /// while the configuration or the targets are unknown, with 404 if no route matches, and
 /// with 401 or 503 for its key.
@@ -240,12 +261,7 @@
 ) -> Result<ForwardedRequest, Box<Response<ResponseBody>>> {
     let config = state.config.borrow().clone();
     let Some(config) = config.filter(|_| state.targets_loaded.get()) else {
-        log::info!(request = metadata.request_id.as_str(), status = 503; "refused: no configuration yet");
-        state.metrics.record_response(503, 0);
-        return Err(Box::new(response::retryable_unavailable(
-            "no configuration yet",
-            UNAVAILABLE_RETRY_AFTER_MS,
-        )));
+        return Err(Box::new(no_configuration(&state, &metadata)));
     };
     let host = request_host(&parts);
     let Some(route) = config.route(&host, parts.uri.path()).cloned() else {
@@ -254,7 +270,7 @@
     };
     // Again after the body: the configuration may have changed while it arrived, and the
     // VM may have been suspended.
-    let identity = Identity::find(&config, &route, &parts.headers, state.recency());
+    let identity = Identity::find(&config, &route, &parts.headers, state.evidence.recency());
     let identity = identity.map_err(|refusal| {
         let refused = refuse_key(&state, &metadata, &config, &route, arrived_ms, refusal);
         Box::new(refused)
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,8 +10,10 @@
 mod carry;
 mod clock;
 mod connection;
+mod evidence;
 mod exchange;
 mod forward;
+mod freshness;
 mod idle;
 mod ledger;
 mod message;
@@ -41,12 +43,13 @@
 
 pub use options::{parse_args, Command, UsageError};
 pub use run::{run, RunError};
-pub use settings::{load, parse, EntrySettings, SettingsError};
+pub use settings::{load, parse, AccountSettings, EntrySettings, SettingsError};
 
 /// Formats of what VMs send each other, which builds of different versions share.
 /// docs/design/compatibility.md says how they may change.
 pub mod wire {
     pub use crate::carry::{decode_attempt, write_attempt, CarriedAttempt, CarryEnd};
+    pub use crate::evidence::FreshnessReply;
     pub use crate::message::{PeerMessage, StoreResult, TurnReply};
     pub use crate::news::News;
     pub use crate::paths::TargetReach;
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -120,6 +120,13 @@
     /// Hold these records of allowances, and write the charges in them. Response:
     /// `true`.
     HoldAllowances(Vec<AllowanceRecord>),
+    /// Send how recent the receiver's configuration is. Response:
+    /// `Option<`[`FreshnessReply`](crate::evidence::FreshnessReply)`>`; `None` if it doesn't know.
+    ReadFreshness {
+        /// Version of the configuration's row that is in force at the sender; 0 if none
+        /// is.
+        known_version: u64,
+    },
 }
 
 impl PeerMessage {
@@ -147,6 +154,7 @@
             PeerMessage::FindOrigin { .. } => 5,
             PeerMessage::ReachTarget { .. } => 6,
             PeerMessage::HoldAllowances(_) => 8,
+            PeerMessage::ReadFreshness { .. } => 9,
         }
     }
 }
--- a/crates/entry/src/message_handler.rs
+++ b/crates/entry/src/message_handler.rs
@@ -93,6 +93,9 @@
             budget_client.hold_allowances(&records);
             postcard::to_allocvec(&true)
         }
+        PeerMessage::ReadFreshness { known_version } => {
+            postcard::to_allocvec(&state.evidence.reply(known_version))
+        }
         PeerMessage::Probe => postcard::to_allocvec(&budget_client.is_store_unavailable()),
     };
     match response {
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -38,6 +38,7 @@
     kept_turn_s: HistogramVec,
     chain_s: HistogramVec,
     config_version: IntGauge,
+    config_evidence_age_ms: IntGauge,
     targets: IntGauge,
     leaving_targets: IntGauge,
     limited_targets: IntGauge,
@@ -151,6 +152,10 @@
                 "Time to find the chain of a call, by source",
                 &["source"],
             )?,
+            config_evidence_age_ms: gauge(
+                "lagoon_config_evidence_age_ms",
+                "Age of the evidence that the configuration in force is the newest, or -1",
+            )?,
             config_version: gauge("lagoon_config_version", "Configuration in force")?,
             targets: gauge("lagoon_targets", "Targets known")?,
             leaving_targets: gauge(
@@ -218,6 +223,13 @@
         self.0.paths.with_label_values(&[event]).inc();
     }
 
+    /// Sets the age of the evidence that the configuration is the newest; `None` if there
+    /// is none.
+    pub(crate) fn set_config_evidence_age(&self, age_ms: Option<u64>) {
+        let age_ms = age_ms.map_or(-1, |age_ms| i64::try_from(age_ms).unwrap_or(i64::MAX));
+        self.0.config_evidence_age_ms.set(age_ms);
+    }
+
     /// Counts a request that was refused for its key.
     pub(crate) fn record_key_refusal(&self, reason: &str) {
         self.0.key_refusals.with_label_values(&[reason]).inc();
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -32,6 +32,7 @@
 use crate::body::RequestBody;
 use crate::clock::Clock;
 use crate::connection::{Connection, ExchangeError};
+use crate::evidence::FreshnessReply;
 use crate::message::{
     PeerMessage, StoreResult, TurnReply, MAX_MESSAGE_BYTES, MESSAGE_PATH, NOT_UNDERSTOOD,
 };
@@ -533,6 +534,20 @@
         self.request_soon(name, &message, max_wait).await
     }
 
+    /// Asks the VM with this name how recent its configuration is; `None` without a reply
+    /// in time, or if it doesn't know.
+    pub(crate) async fn read_freshness(
+        &self,
+        name: &str,
+        known_version: u64,
+        max_wait: Duration,
+    ) -> Option<FreshnessReply> {
+        let message = PeerMessage::ReadFreshness { known_version };
+        let reply: Option<Option<FreshnessReply>> =
+            self.request_soon(name, &message, max_wait).await;
+        reply.flatten()
+    }
+
     /// Records that no connection to the VM with this name could be opened.
     pub(crate) fn record_unreachable(&self, name: &str) {
         let now_ms = self.clock.now_ms();
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -22,6 +22,7 @@
 use crate::body::ResponseBody;
 use crate::clock::Clock;
 use crate::forward;
+use crate::freshness;
 use crate::ledger::BudgetClient;
 use crate::metrics::Metrics;
 use crate::news;
@@ -211,6 +212,10 @@
     spawn_lasting("failure domains out of reach", move || {
         Rc::clone(&peer_client).watch_missed_domains()
     });
+    let task_state = Rc::clone(state);
+    spawn_lasting("evidence of other VMs", move || {
+        freshness::keep_evidence(Rc::clone(&task_state))
+    });
     let settings = settings.clone();
     spawn_lasting("settings", move || {
         report_settings_changes(settings.clone(), file.clone())
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -229,6 +229,9 @@
 
 fn serve_metrics(state: &DaemonState) -> Response<ResponseBody> {
     state.metrics.set_sessions(state.affinity.borrow().len());
+    state
+        .metrics
+        .set_config_evidence_age(state.evidence.age_ms());
     state
         .metrics
         .set_quarantined(state.crash_tracker.quarantined_count());
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -22,6 +22,9 @@
     /// Limits set by the deployment and the machine.
     #[serde(default)]
     pub limits: EntryLimits,
+    /// Revocation of client accounts' keys, and their quotas.
+    #[serde(default)]
+    pub accounts: AccountSettings,
     /// Level, destination and maximum rate of log lines.
     #[serde(default)]
     pub log: LogSettings,
@@ -97,6 +100,36 @@
     }
 }
 
+/// Revocation of client accounts' keys, and their quotas.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct AccountSettings {
+    /// Whether requests with a key are refused unless the configuration is known to be
+    /// so recent that the key wasn't revoked `revocation_ms` ago.
+    pub strict_revocation: bool,
+    /// Milliseconds after which a key that was removed serves no request; at least
+    /// 1,000.
+    pub revocation_ms: u64,
+    /// Seconds of the window in which an account's requests are counted; above 0.
+    pub quota_window_s: f64,
+    /// Part of a quota by which it may be exceeded; at least 0.
+    pub quota_excess: f64,
+    /// Requests in a window by which a quota may be exceeded besides; at least 0.
+    pub quota_slack: f64,
+}
+
+impl Default for AccountSettings {
+    fn default() -> Self {
+        AccountSettings {
+            strict_revocation: false,
+            revocation_ms: 5_000,
+            quota_window_s: 5.0,
+            quota_excess: 0.1,
+            quota_slack: 20.0,
+        }
+    }
+}
+
 /// Unreadable or invalid settings file.
 #[derive(Debug, Error)]
 pub enum SettingsError {
@@ -151,6 +184,8 @@
     let settings: EntrySettings = serde_path_to_error::deserialize(deserializer)
         .map_err(|error| key_error(error.path().to_string(), error.inner().message().to_owned()))?;
     let limits = &settings.limits;
+    let accounts = &settings.accounts;
+    let is_amount = |number: f64| number.is_finite() && number >= 0.0;
     let checks = [
         (
             "limits.stop_wait_s",
@@ -169,6 +204,26 @@
             settings.store.row_bytes >= 4_096,
             "at least 4096",
         ),
+        (
+            "accounts.revocation_ms",
+            accounts.revocation_ms >= 1_000,
+            "at least 1000",
+        ),
+        (
+            "accounts.quota_window_s",
+            is_amount(accounts.quota_window_s) && accounts.quota_window_s > 0.0,
+            "above 0",
+        ),
+        (
+            "accounts.quota_excess",
+            is_amount(accounts.quota_excess),
+            "at least 0",
+        ),
+        (
+            "accounts.quota_slack",
+            is_amount(accounts.quota_slack),
+            "at least 0",
+        ),
         ("vm.name", !settings.vm.name.is_empty(), "a non-empty name"),
     ];
     for (key, is_valid, allowed) in checks {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -5,7 +5,6 @@
 use std::rc::Rc;
 
 use compact_str::CompactString;
-use lagoon_accounts::Recency;
 use lagoon_gateway::{
     AdmissionSettings, AffinityTable, Config, Limits, PlacementSettings, Sentinel,
     SentinelSettings, SentinelTable, TargetKey, Targets,
@@ -14,6 +13,7 @@
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
+use crate::evidence::ConfigEvidence;
 use crate::idle::IdleLimit;
 use crate::ledger::BudgetClient;
 use crate::metrics::Metrics;
@@ -92,6 +92,8 @@
     pub(crate) admission_settings: AdmissionSettings,
     /// `None` until a valid configuration was read.
     pub(crate) config: RefCell<Option<Rc<Config>>>,
+    /// How recent it is.
+    pub(crate) evidence: ConfigEvidence,
     /// Rest of callers' connections that the configuration allows.
     pub(crate) idle_limit: IdleLimit,
     pub(crate) targets: RefCell<Targets>,
@@ -143,6 +145,7 @@
             placement_settings: PlacementSettings::default(),
             admission_settings: AdmissionSettings::default(),
             config: RefCell::new(None),
+            evidence: ConfigEvidence::new(&settings.accounts),
             idle_limit: IdleLimit::new(&Limits::default()),
             targets: RefCell::default(),
             targets_loaded: Cell::new(false),
@@ -175,11 +178,6 @@
             .map_or_else(Limits::default, |config| config.limits)
     }
 
-    /// How recent the configuration in force is known to be.
-    pub(crate) fn recency(&self) -> Recency {
-        Recency::Recent
-    }
-
     /// Whether the load balancer should send callers to this VM.
     pub(crate) fn is_ready(&self) -> bool {
         !self.stopping.get() && self.targets_loaded.get() && self.config.borrow().is_some()
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -13,6 +13,7 @@
 use lagoon_ids::FastSet;
 use tokio::time::sleep;
 
+use crate::clock::boot_now_ms;
 use crate::metrics::Metrics;
 use crate::state::DaemonState;
 use crate::store::StoreClient;
@@ -29,6 +30,9 @@
 /// Like `MAX_WAIT_MS`, for tables whose changes may be noticed late.
 const SLOW_MAX_WAIT_MS: u64 = 30_000;
 
+/// In place of a row's version: there is no row. No configuration in force is as new.
+const REMOVED: u64 = u64::MAX;
+
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
 pub(crate) async fn follow_table(
@@ -41,6 +45,7 @@
         store,
         table,
         version: 0,
+        newest_config: 0,
         failing_since_ms: None,
     };
     loop {
@@ -125,6 +130,9 @@
     table: FollowedTable,
     /// Newest known version of the store; 0 before the first read.
     version: u64,
+    /// Version of the configuration's row when the table was last read or watched;
+    /// `REMOVED` if there was none.
+    newest_config: u64,
     /// Time of the first failed call since the last reply; `None` if there was
     /// none.
     failing_since_ms: Option<u64>,
@@ -167,6 +175,7 @@
         let mut from_key = CompactString::default();
         let mut first_version = None;
         let began_ms = self.state.now_ms();
+        let began_boot_ms = boot_now_ms();
         loop {
             let call = StoreCall::Read {
                 table: self.table.name(),
@@ -203,7 +212,9 @@
         budget_client.record_store_version(version, began_ms);
         self.record_success(version, &rows);
         self.version = version;
+        self.newest_config = newest_config(&rows).unwrap_or(REMOVED);
         self.apply_all(rows);
+        self.record_evidence(began_boot_ms);
         Ok(())
     }
 
@@ -218,6 +229,7 @@
             };
             let recoveries = self.store.recoveries();
             let started_ms = self.state.now_ms();
+            let started_boot_ms = boot_now_ms();
             let reply = tokio::select! {
                 reply = self.store.call(&call) => reply,
                 () = self.renewal_due() => {
@@ -233,7 +245,9 @@
                     let newest = rows.iter().map(|row| row.version).max();
                     self.version = self.version.max(version).max(newest.unwrap_or_default());
                     self.record_success(self.version, &rows);
+                    self.newest_config = newest_config(&rows).unwrap_or(self.newest_config);
                     rows.into_iter().for_each(|row| self.apply(row));
+                    self.record_evidence(started_boot_ms);
                     self.update_gauges();
                     if is_changed {
                         sleep(self.table.min_interval()).await;
@@ -255,8 +269,19 @@
         }
     }
 
+    /// Records that the configuration was read by a call that began at `began_ms`.
+    fn record_evidence(&self, began_ms: Option<u64>) {
+        if self.table == FollowedTable::Config {
+            self.state.evidence.record(began_ms, self.newest_config);
+        }
+    }
+
     /// Records that a watch begins; returns its maximum duration.
     fn start_watch(&self) -> u64 {
+        let max_watch_ms = self.state.evidence.max_watch_ms();
+        if let (FollowedTable::Config, Some(max_watch_ms)) = (self.table, max_watch_ms) {
+            return max_watch_ms;
+        }
         let Some(table) = self.table.sentinel_table() else {
             return self.table.max_wait_ms();
         };
@@ -308,7 +333,7 @@
 
     fn apply(&mut self, row: Row) {
         match self.table {
-            FollowedTable::Config if row.key.key == CONFIG_KEY => self.apply_config(&row),
+            FollowedTable::Config if row.key.key == CONFIG_KEY => apply_config(&self.state, &row),
             FollowedTable::Config => {}
             FollowedTable::Targets => self.apply_target(&row),
             FollowedTable::Peers => self.apply_peer(row),
@@ -351,41 +376,6 @@
         }
     }
 
-    fn apply_config(&mut self, row: &Row) {
-        let Some(value) = &row.value else {
-            log::warn!(row_version = row.version; "configuration was removed; the last one stays in force");
-            return;
-        };
-        let decoded = match decode_config(value) {
-            Ok(decoded) => decoded,
-            Err(error) => {
-                self.state.metrics.record_invalid_row(OPERATOR_TABLE);
-                log::error!(row_version = row.version, error = error.to_string(); "configuration ignored");
-                return;
-            }
-        };
-        let config = decoded.config;
-        let mut known = self.state.config.borrow_mut();
-        let known_version = known.as_ref().map_or(0, |config| config.version);
-        if config.version <= known_version && known.is_some() {
-            return;
-        }
-        log::info!(version = config.version, before = known_version, row_version = row.version; "configuration in force");
-        for error in &decoded.invalid {
-            self.state.metrics.record_invalid_row(OPERATOR_TABLE);
-            log::error!(version = config.version, row_version = row.version, error = error.to_string(); "part of the configuration ignored");
-        }
-        for adjusted in &decoded.adjusted {
-            log::warn!(version = config.version, row_version = row.version, detail = adjusted.to_string(); "part of the configuration is not used as written");
-        }
-        let mut targets = self.state.targets.borrow_mut();
-        targets.release_held(|service| config.service(service).is_some());
-        let retention_ms = config.max_turn_retention_ms();
-        self.state.turn_keeper.record_retention(retention_ms);
-        self.state.idle_limit.set(&config.limits);
-        *known = Some(Rc::new(config));
-    }
-
     fn apply_target(&self, row: &Row) {
         let id = row.key.key.as_str();
         if row.value.is_some() {
@@ -443,6 +433,58 @@
     }
 }
 
+/// Version of the configuration's row among these; `None` if it isn't among them.
+fn newest_config(rows: &[Row]) -> Option<u64> {
+    let rows = rows.iter().filter(|row| row.key.key == CONFIG_KEY);
+    rows.map(|row| row.version).max()
+}
+
+/// Puts the configuration in a row in force, if it is newer than the one that is.
+pub(crate) fn apply_config(state: &DaemonState, row: &Row) {
+    let Some(value) = &row.value else {
+        log::warn!(row_version = row.version; "configuration was removed; the last one stays in force");
+        return;
+    };
+    let decoded = match decode_config(value) {
+        Ok(decoded) => decoded,
+        Err(error) => {
+            state.metrics.record_invalid_row(OPERATOR_TABLE);
+            log::error!(row_version = row.version, error = error.to_string(); "configuration ignored");
+            state.evidence.refuse(row.version);
+            return;
+        }
+    };
+    let config = decoded.config;
+    let mut known = state.config.borrow_mut();
+    let known_version = known.as_ref().map_or(0, |config| config.version);
+    if known.as_deref() == Some(&config) {
+        state.evidence.put_in_force(row.version, value);
+        return;
+    }
+    if config.version <= known_version && known.is_some() {
+        if row.version > state.evidence.version() {
+            state.evidence.refuse(row.version);
+            log::error!(row_version = row.version, version = config.version, in_force = known_version; "configuration ignored, as its version has not grown");
+        }
+        return;
+    }
+    log::info!(version = config.version, before = known_version, row_version = row.version; "configuration in force");
+    for error in &decoded.invalid {
+        state.metrics.record_invalid_row(OPERATOR_TABLE);
+        log::error!(version = config.version, row_version = row.version, error = error.to_string(); "part of the configuration ignored");
+    }
+    for adjusted in &decoded.adjusted {
+        log::warn!(version = config.version, row_version = row.version, detail = adjusted.to_string(); "part of the configuration is not used as written");
+    }
+    let mut targets = state.targets.borrow_mut();
+    targets.release_held(|service| config.service(service).is_some());
+    let retention_ms = config.max_turn_retention_ms();
+    state.turn_keeper.record_retention(retention_ms);
+    state.idle_limit.set(&config.limits);
+    *known = Some(Rc::new(config));
+    state.evidence.put_in_force(row.version, value);
+}
+
 /// Decodes the row of a target; `None` for a removed or invalid one.
 pub(crate) fn decode_entry(row: &Row, metrics: &Metrics) -> Option<TargetEntry> {
     let value = row.value.as_deref()?;
--- a/crates/entry/tests/accounts.rs
+++ b/crates/entry/tests/accounts.rs
@@ -4,13 +4,18 @@
 
 use std::io::Write;
 use std::net::SocketAddr;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use fleet::{
-    call, complete_stream, get, read_response, send_request, wait_until, Fleet, Response, CONFIG,
+    call, complete_stream, get, read_response, send_request, wait_until, Fleet, FleetOptions,
+    Response, CONFIG,
 };
 use lagoon_adapter::standin::{
     account_header, kept_turn_headers, key_header, with_accounts, ReceivedRequest,
 };
+use lagoon_standin::fleet::ProxyFault;
+use nix::sys::signal::Signal;
 use yare::parameterized;
 
 const ACCOUNTS: &[(&str, &[&str])] = &[
@@ -45,10 +50,13 @@
     call(address, "POST /book/x", headers, "body")
 }
 
-/// Requests that the desks have run.
+/// Requests that the desks have run, in the order of their start.
 fn received(fleet: &Fleet) -> Vec<ReceivedRequest> {
     let executions = fleet.desks.iter().flat_map(|desk| desk.executions());
-    executions.map(|execution| execution.received).collect()
+    let mut executions: Vec<_> = executions.collect();
+    executions.sort_by_key(|execution| execution.started);
+    let received = executions.into_iter();
+    received.map(|execution| execution.received).collect()
 }
 
 fn assert_no_key_in_logs(fleet: &Fleet) {
@@ -69,9 +77,37 @@
     let received = received(&fleet);
     assert_eq!(received[0].account.as_deref(), Some("acme"));
     assert!(!received[0].has_key);
-    let lines = fleet.log_lines(&fleet.vms[0]);
-    let answered = lines.iter().find(|line| line.contains("answered"));
-    assert!(answered.expect("a line").contains("acme"), "{answered:?}");
+    // A thread of its own writes the lines.
+    wait_until("the line", || {
+        let lines = fleet.log_lines(&fleet.vms[0]);
+        let mut answered = lines.iter().filter(|line| line.contains("answered"));
+        answered.any(|line| line.contains("account=acme"))
+    });
+    assert_no_key_in_logs(&fleet);
+}
+
+// Guards against a key in the attempts that another VM carries to the target, and an
+// account that they lack.
+#[test]
+fn carried_attempt_has_account_and_no_key() {
+    let options = FleetOptions {
+        has_paths: true,
+        ..FleetOptions::default()
+    };
+    let fleet = Fleet::start_with(2, options);
+    configure(&fleet, 4, ACCOUNTS);
+    fleet.set_path_fault(0, ProxyFault::Refused);
+    let headers = [key_header("sesame"), account_header("bolt")];
+    assert_eq!(book(fleet.callers(), &headers).status, 200);
+    let public = call(fleet.callers(), "GET /look/x", &headers, "");
+    assert_eq!(public.status, 200);
+    let carried = get(fleet.vms[1].peers, "/metrics").body;
+    let counter = "lagoon_carried_for_others_total{end=\"answered\"} 2\n";
+    assert!(carried.contains(counter), "{carried}");
+    let received = received(&fleet);
+    assert_eq!(received[0].account.as_deref(), Some("acme"));
+    assert_eq!(received[1].account, None);
+    assert!(!received[0].has_key && !received[1].has_key);
     assert_no_key_in_logs(&fleet);
 }
 
@@ -206,3 +242,124 @@
     assert_eq!(turn(0, "thunder", "t1", None).status, 200);
     assert_eq!(turn(1, "thunder", "u2", Some("t1")).status, 200);
 }
+
+const REVOCATION: Duration = Duration::from_secs(5);
+
+/// Fleet with strict revocation.
+fn start_strict(vms: usize) -> Fleet {
+    let options = FleetOptions {
+        settings: "[accounts]\nstrict_revocation = true\n",
+        ..FleetOptions::default()
+    };
+    Fleet::start_with(vms, options)
+}
+
+fn status(address: SocketAddr, key: &str) -> u16 {
+    book(address, &[key_header(key)]).status
+}
+
+fn look(address: SocketAddr) -> u16 {
+    call(address, "GET /look/x", &[], "").status
+}
+
+fn wait_for_status(address: SocketAddr, key: &str, expected: u16) {
+    wait_until("the status", || status(address, key) == expected);
+}
+
+// Guards against a VM that serves revoked keys, or none at all, while the store turns it
+// away and serves others: it gets configuration and evidence from these.
+#[test]
+fn key_is_revoked_at_vm_that_the_store_turns_away() {
+    let mut fleet = start_strict(2);
+    let view = fleet.store.start_view();
+    fleet.start_vm_at_store(view.address);
+    fleet.wait_for_peers();
+    configure(&fleet, 4, ACCOUNTS);
+    let vm = fleet.vms[2].callers;
+    wait_for_status(vm, "sesame", 200);
+    view.set_rejecting(true);
+    thread::sleep(Duration::from_secs(3));
+    fleet
+        .store
+        .configure(&config(5, &[("bolt", &["thunder"]), ("cord", &["new"])]));
+    let acknowledged = Instant::now();
+    while acknowledged.elapsed() < REVOCATION + Duration::from_secs(3) {
+        let is_revoked = acknowledged.elapsed() > REVOCATION;
+        let (revoked, other) = (status(vm, "sesame"), status(vm, "thunder"));
+        assert!(!is_revoked || revoked != 200, "revoked key is served");
+        assert_ne!(other, 401);
+        thread::sleep(Duration::from_millis(50));
+    }
+    wait_for_status(vm, "sesame", 401);
+    wait_for_status(vm, "thunder", 200);
+    wait_for_status(vm, "new", 200);
+    wait_until("the line", || {
+        let lines = fleet.log_lines(&fleet.vms[2]);
+        let mut lines = lines.iter();
+        lines.any(|line| line.contains("configuration from another VM"))
+    });
+    view.set_rejecting(false);
+    wait_for_status(vm, "thunder", 200);
+}
+
+// Guards against a VM without any evidence that serves keys or answers 401, and one that
+// stops public routes, too.
+#[test]
+fn vm_without_evidence_refuses_keys_only() {
+    let mut fleet = start_strict(0);
+    let view = fleet.store.start_view();
+    fleet.start_vm_at_store(view.address);
+    configure(&fleet, 4, ACCOUNTS);
+    let (vm, peers) = (fleet.vms[0].callers, fleet.vms[0].peers);
+    wait_for_status(vm, "sesame", 200);
+    wait_for_status(vm, "guess", 401);
+    view.set_rejecting(true);
+    // The last watch that was answered began before.
+    thread::sleep(REVOCATION);
+    for key in ["sesame", "guess"] {
+        let response = book(vm, &[key_header(key)]);
+        assert_eq!(response.status, 503, "{response:?}");
+        assert!(response.head.contains("retry-after: 0.700"), "{response:?}");
+    }
+    assert_eq!(book(vm, &[]).status, 503);
+    assert_eq!(look(vm), 200);
+    let metrics = get(peers, "/metrics").body;
+    let counter = "lagoon_key_refusals_total{reason=\"stale configuration\"} 3\n";
+    assert!(metrics.contains(counter), "{metrics}");
+    view.set_rejecting(false);
+    wait_for_status(vm, "sesame", 200);
+    wait_for_status(vm, "guess", 401);
+    // A configuration that can't be decoded is no evidence.
+    fleet.store.configure("{}");
+    thread::sleep(REVOCATION);
+    assert_eq!(status(vm, "sesame"), 503);
+    assert_eq!(look(vm), 200);
+    configure(&fleet, 5, ACCOUNTS);
+    wait_for_status(vm, "sesame", 200);
+}
+
+// Guards against a VM that was frozen with fresh evidence, and serves the requests that
+// waited in its sockets by it.
+#[test]
+fn frozen_vm_serves_no_revoked_key() {
+    let fleet = start_strict(2);
+    configure(&fleet, 4, ACCOUNTS);
+    let vm = fleet.vms[0].callers;
+    wait_for_status(vm, "sesame", 200);
+    fleet.vms[0].signal(Signal::SIGSTOP);
+    fleet.store.configure(&config(5, &[("bolt", &["thunder"])]));
+    thread::sleep(REVOCATION + Duration::from_millis(200));
+    let headers = [key_header("sesame")];
+    let waiting: Vec<_> = (0..20)
+        .map(|_| send_request(vm, "POST /book/x", "a.example", &headers, "body"))
+        .collect();
+    let before = received(&fleet).len();
+    fleet.vms[0].signal(Signal::SIGCONT);
+    for stream in waiting {
+        let response = read_response(stream);
+        assert!(matches!(response.status, 401 | 503), "{response:?}");
+    }
+    assert_eq!(received(&fleet).len(), before);
+    wait_for_status(vm, "thunder", 200);
+    wait_for_status(vm, "sesame", 401);
+}
--- a/crates/entry/tests/compatibility.rs
+++ b/crates/entry/tests/compatibility.rs
@@ -167,6 +167,8 @@
     let newest = PeerMessage::ReachTarget { id, run: RunId(1) };
     assert!(newest.protocol() <= PROTOCOL_VERSION);
     let newest = PeerMessage::HoldAllowances(Vec::new());
+    assert!(newest.protocol() <= PROTOCOL_VERSION);
+    let newest = PeerMessage::ReadFreshness { known_version: 1 };
     assert_eq!(newest.protocol(), PROTOCOL_VERSION);
 }
 
--- a/crates/entry/tests/fleet/mod.rs
+++ b/crates/entry/tests/fleet/mod.rs
@@ -86,6 +86,8 @@
     /// Whether VMs that start now are the fleet's first ones.
     is_first_start: bool,
     old_build: Option<OldBuild>,
+    /// Sections of the settings files besides the usual ones.
+    settings: &'static str,
     files: TempDir,
 }
 
@@ -131,6 +133,8 @@
     pub(crate) engine_versions: [&'static str; 2],
     /// Older build that some VMs run.
     pub(crate) old_build: Option<OldBuild>,
+    /// Sections of the settings files besides the usual ones.
+    pub(crate) settings: &'static str,
 }
 
 impl Default for FleetOptions {
@@ -142,6 +146,7 @@
             is_first_start: true,
             engine_versions: ["v1", "v1"],
             old_build: None,
+            settings: "",
         }
     }
 }
@@ -236,6 +241,7 @@
             started: RefCell::default(),
             is_first_start: options.is_first_start,
             old_build: options.old_build,
+            settings: options.settings,
             files: TempDir::new().expect("folder"),
         };
         fleet.store.configure(CONFIG);
@@ -367,7 +373,8 @@
         let settings = format!(
             "[vm]\nname = \"{name}\"\ndomain = \"d{domain}\"\nfirst_start = {first_start}\n\
              [listen]\ncallers = \"{callers}\"\nready = \"{ready}\"\npeers = \"{peers}\"\n\
-             [store]\naddress = \"{store}\"\n[limits]\nstop_wait_s = 8\n"
+             [store]\naddress = \"{store}\"\n{}[limits]\nstop_wait_s = 8\n",
+            self.settings
         );
         fs::write(self.settings_file(&name), &settings).expect("settings are written");
         let (child, runs_old_build) = self.start_daemon(&name, number);
--- a/crates/entry/tests/wire/samples.rs
+++ b/crates/entry/tests/wire/samples.rs
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use lagoon_entry::wire::{
-    decode_attempt, write_attempt, CarriedAttempt, CarryEnd, News, PeerMessage, PermitReply,
-    PermitRequest, StoreResult, TargetReach, TurnReply,
+    decode_attempt, write_attempt, CarriedAttempt, CarryEnd, FreshnessReply, News, PeerMessage,
+    PermitReply, PermitRequest, StoreResult, TargetReach, TurnReply,
 };
 use lagoon_gateway::{
     AffinityUpdate, AllowanceRecord, AllowanceRequest, AllowanceSettlement, BudgetRow,
@@ -375,6 +375,29 @@
                 max_call_tokens: 288,
             }]),
         ),
+        encoded(
+            "message.read-freshness",
+            PeerMessage::ReadFreshness {
+                known_version: 4_711,
+            },
+        ),
+        encoded(
+            "reply.freshness",
+            Some(FreshnessReply {
+                age_ms: 1_500,
+                version: 4_712,
+                value: Some(b"{}".to_vec()),
+            }),
+        ),
+        encoded(
+            "reply.freshness-of-known-version",
+            Some(FreshnessReply {
+                age_ms: 0,
+                version: 4_711,
+                value: None,
+            }),
+        ),
+        encoded("reply.freshness-unknown", None::<FreshnessReply>),
         encoded("reply.reached", TargetReach::Reached),
         encoded("reply.not-reached", TargetReach::NotReached),
         encoded("reply.isolated", TargetReach::Isolated),
--- a/crates/standin/src/fleet/store.rs
+++ b/crates/standin/src/fleet/store.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -66,9 +67,16 @@
     /// Address of its HTTP server, on loopback.
     pub address: SocketAddr,
     addresses: ShownAddresses,
+    is_rejecting: Arc<AtomicBool>,
 }
 
 impl StoreView {
+    /// Sets whether this server rejects every call with 503, while the store serves
+    /// others.
+    pub fn set_rejecting(&self, is_rejecting: bool) {
+        self.is_rejecting.store(is_rejecting, Ordering::SeqCst);
+    }
+
     /// Shows the target that is listed at one address at another one, in all rows
     /// that are read from now on.
     pub fn show(&self, listed: SocketAddr, shown: SocketAddr) {
@@ -95,11 +103,24 @@
     /// addresses.
     pub fn start_view(&self) -> StoreView {
         let addresses = ShownAddresses::default();
+        let is_rejecting = Arc::new(AtomicBool::new(false));
         let (state, shared) = (Arc::clone(&self.state), Arc::clone(&addresses));
+        let rejects = Arc::clone(&is_rejecting);
         let address = serve(Arc::default(), move |request| {
-            handle(Arc::clone(&state), Arc::clone(&shared), request)
+            let (state, shared) = (Arc::clone(&state), Arc::clone(&shared));
+            let rejects = rejects.load(Ordering::SeqCst);
+            async move {
+                if rejects {
+                    return Ok(full_response(StatusCode::SERVICE_UNAVAILABLE, Vec::new()));
+                }
+                handle(state, shared, request).await
+            }
         });
-        StoreView { address, addresses }
+        StoreView {
+            address,
+            addresses,
+            is_rejecting,
+        }
     }
 
     /// Injects a fault; [`StoreFault::None`] ends it.
