--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -120,6 +120,13 @@
     /// Hold these records of allowances, and write the charges in them. Response:
     /// `true`.
     HoldAllowances(Vec<AllowanceRecord>),
+    /// Send how recent the receiver's configuration is. Response:
+    /// `Option<`[`FreshnessReply`](crate::evidence::FreshnessReply)`>`; `None` if it doesn't know.
+    ReadFreshness {
+        /// Version of the configuration's row that is in force at the sender; 0 if none
+        /// is.
+        known_version: u64,
+    },
     /// Keep a copy of an encoded turn that the store has, as a cache for the receiver's
     /// failure domain. Response: `true`.
     CacheTurn(Vec<u8>),
@@ -150,6 +157,7 @@
             PeerMessage::FindOrigin { .. } => 5,
             PeerMessage::ReachTarget { .. } => 6,
             PeerMessage::HoldAllowances(_) => 8,
+            PeerMessage::ReadFreshness { .. } => 9,
             PeerMessage::CacheTurn(_) => 11,
         }
     }
--- a/crates/entry/tests/fleet/mod.rs
+++ b/crates/entry/tests/fleet/mod.rs
@@ -88,6 +88,8 @@
     old_build: Option<OldBuild>,
     /// Further lines of the section `[limits]` of the VMs' settings.
     limits: &'static str,
+    /// Sections of the settings files besides the usual ones.
+    settings: &'static str,
     files: TempDir,
 }
 
@@ -135,6 +137,8 @@
     pub(crate) old_build: Option<OldBuild>,
     /// Further lines of the section `[limits]` of the VMs' settings.
     pub(crate) limits: &'static str,
+    /// Sections of the settings files besides the usual ones.
+    pub(crate) settings: &'static str,
 }
 
 impl Default for FleetOptions {
@@ -147,6 +151,7 @@
             engine_versions: ["v1", "v1"],
             old_build: None,
             limits: "",
+            settings: "",
         }
     }
 }
@@ -242,6 +247,7 @@
             is_first_start: options.is_first_start,
             old_build: options.old_build,
             limits: options.limits,
+            settings: options.settings,
             files: TempDir::new().expect("folder"),
         };
         fleet.store.configure(CONFIG);
@@ -373,7 +379,8 @@
         let settings = format!(
             "[vm]\nname = \"{name}\"\ndomain = \"d{domain}\"\nfirst_start = {first_start}\n\
              [listen]\ncallers = \"{callers}\"\nready = \"{ready}\"\npeers = \"{peers}\"\n\
-             [store]\naddress = \"{store}\"\n[limits]\nstop_wait_s = 8\n{limits}"
+             [store]\naddress = \"{store}\"\n{}[limits]\nstop_wait_s = 8\n{limits}",
+             self.settings
         );
         fs::write(self.settings_file(&name), &settings).expect("settings are written");
         let (child, runs_old_build) = self.start_daemon(&name, number);
