Quotas of client accounts: grantor, transfers and stock, without I/O

An account's limit holds over all VMs, none of which sees what the others send. Each failure domain has a bucket with its part of the limit at one VM, domains transfer what they don't need, and VMs hold batches that expire after 200 ms. The token bucket and the ranking of VMs are those of lagoon-limits, which now takes the bucket's capacity as an argument.

--- a/crates/limits/src/grantor.rs
+++ b/crates/limits/src/grantor.rs
@@ -19,6 +19,12 @@
 /// permit.
 pub const NO_GRANTOR_RETRY_MS: u64 = 100;
 
+/// Tokens that a full bucket has, besides those of [`BURST_S`].
+const MIN_CAPACITY: f64 = 2.0;
+
+/// Time at the bucket's rate whose tokens a full bucket has.
+const BURST_S: f64 = 0.1;
+
 /// Rate of a standby's bucket as a share of the limit. Primary and standby together
 /// stay below 1.5 times the limit.
 const STANDBY_SHARE: f64 = 0.4;
@@ -116,11 +122,12 @@
             GrantorRank::Primary => limit_per_s.max(MIN_RATE_PER_S),
             GrantorRank::Standby => limit_per_s.max(MIN_RATE_PER_S) * STANDBY_SHARE,
         };
+        let capacity = MIN_CAPACITY + BURST_S * rate_per_s;
         let bucket = self
             .buckets
             .entry(run)
-            .or_insert_with(|| TokenBucket::new(rate_per_s, now_ms));
-        bucket.refill(rate_per_s, now_ms);
+            .or_insert_with(|| TokenBucket::new(rate_per_s, capacity, now_ms));
+        bucket.refill(rate_per_s, capacity, now_ms);
         match bucket.take(demand.level(bucket.capacity())) {
             Ok(()) => PermitDecision::Granted,
             Err(wait_ms) => PermitDecision::Refused {
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -9,9 +9,10 @@
 mod ranking;
 mod statement;
 
+pub use bucket::TokenBucket;
 pub use grantor::{
     Demand, Grantor, GrantorRank, PermitDecision, NO_GRANTOR_RETRY_MS, PERMIT_TIMEOUT_MS,
     PERMIT_TTL_MS,
 };
-pub use ranking::grantors;
+pub use ranking::{grantors, rank};
 pub use statement::{LimitChange, LimitTable, LimitUpdate, RunId};
--- a/crates/limits/src/ranking.rs
+++ b/crates/limits/src/ranking.rs
@@ -4,8 +4,10 @@
 
 use crate::statement::RunId;
 
-fn rank(run: RunId, vm: &str) -> u64 {
-    hash64(&(hash64(vm.as_bytes()) ^ run.0).to_le_bytes())
+/// Weight of a VM for a key. The VM with the highest one comes first in the order of
+/// those that may grant for the key.
+pub fn rank(key: u64, vm: &str) -> u64 {
+    hash64(&(hash64(vm.as_bytes()) ^ key).to_le_bytes())
 }
 
 /// VMs that grant permits for a run of a target in `domain`, of the given names and
@@ -20,7 +22,7 @@
     ranked.sort_by_key(|(name, vm_domain)| {
         (
             *vm_domain != domain,
-            std::cmp::Reverse(rank(run, name)),
+            std::cmp::Reverse(rank(run.0, name)),
             *name,
         )
     });
--- /dev/null
+++ b/crates/quotas/src/grantor.rs
@@ -0,0 +1,486 @@
+//! Buckets of a failure domain, and transfers between domains.
+
+use std::collections::VecDeque;
+
+use derive_more::Display;
+use lagoon_ids::FastMap;
+use lagoon_limits::TokenBucket;
+use serde::{Deserialize, Serialize};
+
+use crate::order::TAKEOVER_MS;
+use crate::rate::RecentRate;
+use crate::{QuotaDemand, QuotaTerms};
+
+/// Minimum time between two requests for a transfer, per account and other domain.
+pub const TRANSFER_INTERVAL_MS: u64 = 50;
+
+/// Time for which a donor keeps what its own domain needs.
+const DONOR_RESERVE_MS: u64 = 200;
+
+/// Time after which transferred tokens that exceed the capacity expire, as a share of
+/// the time for which VMs may use tokens.
+const TRANSFER_TTL_SHARE: f64 = 0.5;
+
+/// Share of the slack that the smallest buckets of all domains may take together.
+const CAPACITY_SLACK_SHARE: f64 = 0.5;
+
+/// Largest value of the smallest capacity.
+const MAX_MIN_CAPACITY: f64 = 2.0;
+
+/// Share of the rate that the second VM of the order grants before it has confirmed that
+/// the first can't be reached. Each further one grants this share of the one before it,
+/// so that substitutes add at most 0.67 where many requests to many VMs are lost.
+const SUBSTITUTE_SHARE: f64 = 0.4;
+
+/// Share of the rate that a first-ranked VM grants after its start, as a substitute may
+/// not have noticed it yet.
+const STARTING_SHARE: f64 = 0.6;
+
+/// Time at the domain's rate whose tokens a bucket holds at least. VMs and other domains
+/// ask in intervals of 50 to 100 ms; a smaller bucket would lose what accrues between two
+/// requests.
+const MIN_CAPACITY_S: f64 = 0.1;
+
+/// Capacity below which a new program needs a full bucket, not half of it.
+const SMALL_CAPACITY: f64 = 2.0;
+
+/// Bounds of the time for which a VM itself refuses further requests of a class. The
+/// lower bound limits the messages for an account that is far above its limit: with 50 ms
+/// instead, a peak of the largest account took twice as many.
+const RETRY_MS: std::ops::RangeInclusive<f64> = 80.0..=100.0;
+
+/// Time without a request after which a full bucket is dropped.
+const MAX_IDLE_MS: u64 = 60_000;
+
+/// Tolerance for sums of floating-point fractions, in tokens.
+const ROUNDING: f64 = 1e-6;
+
+/// What a VM is for an account in its failure domain.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum GrantorRole {
+    /// First VM of the order.
+    #[display("first")]
+    First,
+    /// VM that was asked although as many others as `before` come before it.
+    #[display("substitute")]
+    Substitute {
+        /// At least 1.
+        before: u32,
+    },
+    /// As `Substitute`, after it has itself failed to reach all VMs before it.
+    #[display("confirmed substitute")]
+    ConfirmedSubstitute,
+}
+
+/// Tokens that a VM gets, by class.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Grant {
+    /// Tokens for programs that have begun.
+    pub running: u32,
+    /// Tokens for new programs.
+    pub new_programs: u32,
+    /// Time for which the VM refuses requests of a class of which it got fewer tokens
+    /// than it asked for.
+    pub retry_ms: u32,
+}
+
+/// Response to a request for tokens.
+#[derive(Clone, Copy, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
+pub enum QuotaDecision {
+    /// These tokens may be used; none if the account is at its limit.
+    #[display("granted")]
+    Granted(Grant),
+    /// The VM doesn't grant tokens.
+    #[display("not the grantor")]
+    NotGrantor,
+}
+
+/// Tokens that a domain lacks and may ask other domains for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Shortage {
+    /// Tokens that are missing.
+    pub tokens: u32,
+    /// Time of the requests, to be passed to [`Grantor::add_transferred`].
+    pub asked_ms: u64,
+}
+
+#[derive(Clone, Debug)]
+struct DomainBucket {
+    terms: QuotaTerms,
+    bucket: TokenBucket,
+    /// Transferred tokens beyond the capacity, with the time at which they expire.
+    extra: Vec<(u64, f64)>,
+    /// Tokens granted or donated lately, with the time; those that other domains
+    /// transferred are negative.
+    granted: VecDeque<(u64, f64)>,
+    demand: RecentRate,
+    transfer_asked_ms: Option<u64>,
+    epoch: u64,
+    was_first: bool,
+}
+
+impl DomainBucket {
+    fn extra(&self) -> f64 {
+        self.extra.iter().map(|(_, tokens)| tokens).sum()
+    }
+
+    fn available(&self) -> f64 {
+        self.bucket.tokens() + self.extra() + ROUNDING
+    }
+
+    fn take_one(&mut self) {
+        for (_, tokens) in &mut self.extra {
+            if *tokens >= 1.0 {
+                *tokens -= 1.0;
+                return;
+            }
+        }
+        self.bucket.remove(1.0);
+    }
+
+    /// Takes up to `count` tokens while there are at least `level`.
+    fn take_from(&mut self, level: f64, count: u32) -> u32 {
+        let mut taken = 0;
+        while taken < count && self.available() >= level.max(1.0) {
+            self.take_one();
+            taken += 1;
+        }
+        taken
+    }
+
+    /// Tokens without which this demand can't be granted.
+    fn missing_tokens(&self, demand: QuotaDemand) -> u32 {
+        let new_programs = match demand.new_programs {
+            0 => 0.0,
+            count => f64::from(count - 1) + self.new_program_level().max(1.0),
+        };
+        let needed = f64::from(demand.running) + new_programs;
+        (needed - self.available()).max(0.0).ceil() as u32
+    }
+
+    /// Level from which on new programs get tokens.
+    fn new_program_level(&self) -> f64 {
+        let capacity = self.bucket.capacity();
+        match capacity < SMALL_CAPACITY {
+            true => capacity,
+            false => capacity / 2.0,
+        }
+    }
+}
+
+/// Buckets of the accounts for which this VM grants tokens in its failure domain.
+#[derive(Clone, Debug)]
+pub struct Grantor {
+    ttl_ms: u64,
+    /// Requests beyond rate, burst and excess that each window allows.
+    slack: f64,
+    buckets: FastMap<u64, DomainBucket>,
+    /// Number of failure domains.
+    domains: usize,
+    /// Changes of the list of VMs, and the time of the last one. An account for which
+    /// this VM is first and has no bucket had none of its tokens granted since then.
+    epoch: u64,
+    epoch_ms: u64,
+    started_ms: u64,
+    seen_ms: u64,
+}
+
+impl Grantor {
+    /// Grantor that has just started. VMs may use tokens for `ttl_ms`; each window may
+    /// have `slack` requests more than rate, burst and excess allow.
+    pub fn new(ttl_ms: u64, slack: f64, now_ms: u64) -> Grantor {
+        Grantor {
+            ttl_ms,
+            slack,
+            buckets: FastMap::default(),
+            domains: 1,
+            epoch: 0,
+            epoch_ms: now_ms,
+            started_ms: now_ms,
+            seen_ms: now_ms,
+        }
+    }
+
+    /// Records that the list of VMs has changed, and how many failure domains it has.
+    pub fn record_list_change(&mut self, domains: usize, now_ms: u64) {
+        self.domains = domains.max(1);
+        self.epoch += 1;
+        self.epoch_ms = now_ms;
+    }
+
+    /// Has to be called every 100 ms, so that a suspension of the VM is noticed: others
+    /// may have taken over, so it begins again like a VM that has just started.
+    pub fn observe_time(&mut self, now_ms: u64) {
+        if now_ms >= self.seen_ms + TAKEOVER_MS {
+            self.buckets.clear();
+            self.epoch += 1;
+            self.epoch_ms = now_ms;
+            self.started_ms = now_ms;
+        }
+        self.seen_ms = self.seen_ms.max(now_ms);
+    }
+
+    /// Tokens that a bucket holds at least. Small buckets are short more often, so that
+    /// more is asked of other domains; large ones take more of the slack.
+    fn min_capacity(&self) -> f64 {
+        (self.slack * CAPACITY_SLACK_SHARE / self.domains as f64).clamp(1.0, MAX_MIN_CAPACITY)
+    }
+
+    /// Bucket of an account, filled until now.
+    fn bucket(
+        &mut self,
+        account: u64,
+        terms: QuotaTerms,
+        role: GrantorRole,
+        now_ms: u64,
+    ) -> &mut DomainBucket {
+        self.observe_time(now_ms);
+        let (epoch, epoch_ms) = (self.epoch, self.epoch_ms);
+        let is_starting = now_ms < self.started_ms + TAKEOVER_MS;
+        let is_first = role == GrantorRole::First;
+        let known = self.buckets.get(&account);
+        let terms = match known {
+            Some(known) if known.terms.version > terms.version => known.terms,
+            _ => terms,
+        };
+        let domains = self.domains as f64;
+        let share_per_s = terms.rate_per_s / domains;
+        let full = (terms.burst / domains)
+            .max(share_per_s * MIN_CAPACITY_S)
+            .max(self.min_capacity());
+        let (rate_per_s, capacity) = match role {
+            GrantorRole::First if is_starting => (share_per_s * STARTING_SHARE, full),
+            GrantorRole::First | GrantorRole::ConfirmedSubstitute => (share_per_s, full),
+            GrantorRole::Substitute { before } => {
+                let depth = i32::try_from(before).unwrap_or(i32::MAX);
+                (share_per_s * SUBSTITUTE_SHARE.powi(depth), 1.0)
+            }
+        };
+        // A bucket from before a change of the list continues only if this VM has been
+        // the grantor throughout; another one may have granted meanwhile.
+        let continues = |known: &DomainBucket| {
+            known.epoch == epoch || (known.epoch + 1 == epoch && known.was_first && is_first)
+        };
+        if !known.is_some_and(continues) {
+            let begun_ms = if is_first { epoch_ms } else { now_ms };
+            let new = DomainBucket {
+                terms,
+                bucket: TokenBucket::new(rate_per_s, capacity, begun_ms),
+                extra: Vec::new(),
+                granted: VecDeque::new(),
+                demand: RecentRate::default(),
+                transfer_asked_ms: None,
+                epoch,
+                was_first: is_first,
+            };
+            self.buckets.insert(account, new);
+        }
+        let ttl_ms = self.ttl_ms;
+        let bucket = self.buckets.entry(account);
+        let bucket = bucket.or_insert_with(|| unreachable!("inserted above"));
+        bucket.epoch = epoch;
+        bucket.was_first = is_first;
+        bucket.terms = terms;
+        bucket.bucket.refill(rate_per_s, capacity, now_ms);
+        bucket
+            .extra
+            .retain(|(expires_ms, tokens)| now_ms < *expires_ms && *tokens >= 1.0);
+        while let Some((granted_ms, _)) = bucket.granted.front() {
+            if now_ms < granted_ms + ttl_ms {
+                break;
+            }
+            bucket.granted.pop_front();
+        }
+        bucket
+    }
+
+    /// Takes back tokens that a VM did not use. They don't extend the sum of what is in
+    /// the bucket and what was granted lately beyond a full bucket and the tokens that
+    /// accrue while tokens are usable, as VMs could use those at the same time.
+    fn take_back(&mut self, account: u64, tokens: u32) {
+        let ttl_s = self.ttl_ms as f64 / 1e3;
+        let domains = self.domains as f64;
+        let Some(bucket) = self.buckets.get_mut(&account) else {
+            return;
+        };
+        let mut unmatched = f64::from(tokens);
+        for (_, granted) in &mut bucket.granted {
+            let taken = unmatched.min(granted.max(0.0));
+            *granted -= taken;
+            unmatched -= taken;
+        }
+        let granted: f64 = bucket.granted.iter().map(|(_, tokens)| tokens).sum();
+        let capacity = bucket.bucket.capacity();
+        let accruing = ttl_s * bucket.terms.rate_per_s / domains;
+        let max = capacity.min(capacity + accruing - granted);
+        // Tokens that were granted too long ago, or by another VM, aren't taken back.
+        bucket.bucket.add(f64::from(tokens) - unmatched, max);
+    }
+
+    /// Decides on a VM's request for tokens, with those that it returns.
+    pub fn decide(
+        &mut self,
+        account: u64,
+        terms: QuotaTerms,
+        role: GrantorRole,
+        demand: QuotaDemand,
+        returned: u32,
+        now_ms: u64,
+    ) -> QuotaDecision {
+        if !terms.is_valid() {
+            return QuotaDecision::NotGrantor;
+        }
+        let bucket = self.bucket(account, terms, role, now_ms);
+        bucket.demand.record(f64::from(demand.total()), now_ms);
+        if returned > 0 {
+            self.take_back(account, returned);
+        }
+        self.grant(account, terms, role, demand, now_ms)
+    }
+
+    /// Grants what is missing after a transfer, without counting the demand again.
+    pub fn grant(
+        &mut self,
+        account: u64,
+        terms: QuotaTerms,
+        role: GrantorRole,
+        demand: QuotaDemand,
+        now_ms: u64,
+    ) -> QuotaDecision {
+        let bucket = self.bucket(account, terms, role, now_ms);
+        let level = bucket.new_program_level();
+        let running = bucket.take_from(1.0, demand.running);
+        let new_programs = bucket.take_from(level, demand.new_programs);
+        let granted = f64::from(running + new_programs);
+        if granted > 0.0 {
+            bucket.granted.push_back((now_ms, granted));
+        }
+        let needed = match running < demand.running {
+            true => 1.0,
+            false => level,
+        };
+        let missing = (needed - bucket.available()).max(0.0);
+        let mut free = bucket.bucket;
+        let wait_ms = match free.take(free.tokens() + missing) {
+            Ok(()) => 0.0,
+            Err(wait_ms) => wait_ms,
+        };
+        QuotaDecision::Granted(Grant {
+            running,
+            new_programs,
+            retry_ms: wait_ms.clamp(*RETRY_MS.start(), *RETRY_MS.end()).ceil() as u32,
+        })
+    }
+
+    /// Tokens to ask other domains for, where `missing` could not be granted; `None` if
+    /// there are no others, or they were asked a short time ago. A substitute that isn't
+    /// confirmed doesn't ask, as the first-ranked VM may.
+    pub fn shortage(
+        &mut self,
+        account: u64,
+        role: GrantorRole,
+        missing: QuotaDemand,
+        now_ms: u64,
+    ) -> Option<Shortage> {
+        let is_unconfirmed = matches!(role, GrantorRole::Substitute { .. });
+        if self.domains < 2 || missing.total() == 0 || is_unconfirmed {
+            return None;
+        }
+        let bucket = self.buckets.get_mut(&account)?;
+        let is_recent = |asked_ms: u64| now_ms < asked_ms + TRANSFER_INTERVAL_MS;
+        if bucket.transfer_asked_ms.is_some_and(is_recent) {
+            return None;
+        }
+        bucket.transfer_asked_ms = Some(now_ms);
+        let soon = bucket.demand.expected(TRANSFER_INTERVAL_MS, now_ms);
+        Some(Shortage {
+            tokens: bucket
+                .missing_tokens(missing)
+                .saturating_add(soon.floor() as u32),
+            asked_ms: now_ms,
+        })
+    }
+
+    /// Tokens that are still missing after other domains have transferred some.
+    pub fn missing_tokens(&self, account: u64, missing: QuotaDemand) -> u32 {
+        let bucket = self.buckets.get(&account);
+        bucket.map_or(0, |bucket| bucket.missing_tokens(missing))
+    }
+
+    /// Adds tokens that another domain transferred after a request at `asked_ms`.
+    /// Returns how many are of use: none if they come too late.
+    pub fn add_transferred(
+        &mut self,
+        account: u64,
+        tokens: u32,
+        asked_ms: u64,
+        now_ms: u64,
+    ) -> u32 {
+        let ttl_ms = (self.ttl_ms as f64 * TRANSFER_TTL_SHARE) as u64;
+        let expires_ms = asked_ms + ttl_ms;
+        let Some(bucket) = self.buckets.get_mut(&account) else {
+            return 0;
+        };
+        if now_ms >= expires_ms {
+            return 0;
+        }
+        let capacity = bucket.bucket.capacity();
+        let room = (capacity - bucket.bucket.tokens()).max(0.0).floor() as u32;
+        let into_bucket = tokens.min(room);
+        bucket.bucket.add(f64::from(into_bucket), capacity);
+        if tokens > into_bucket {
+            let extra = f64::from(tokens - into_bucket);
+            bucket.extra.push((expires_ms, extra));
+        }
+        bucket.granted.push_back((now_ms, -f64::from(tokens)));
+        tokens
+    }
+
+    /// Takes tokens off for another domain; returns how many, at most `asked`.
+    pub fn donate(
+        &mut self,
+        account: u64,
+        terms: QuotaTerms,
+        role: GrantorRole,
+        asked: u32,
+        now_ms: u64,
+    ) -> u32 {
+        let is_unconfirmed = matches!(role, GrantorRole::Substitute { .. });
+        if !terms.is_valid() || is_unconfirmed {
+            return 0;
+        }
+        let bucket = self.bucket(account, terms, role, now_ms);
+        let reserve = bucket.demand.expected(DONOR_RESERVE_MS, now_ms);
+        let spare = (bucket.bucket.tokens() + ROUNDING - reserve)
+            .max(0.0)
+            .floor();
+        let given = asked.min(spare as u32);
+        bucket.bucket.remove(f64::from(given));
+        if given > 0 {
+            bucket.granted.push_back((now_ms, f64::from(given)));
+        }
+        given
+    }
+
+    /// Removes buckets that were not used lately. They were full, and a new one for the
+    /// account is, too.
+    pub fn remove_idle(&mut self, now_ms: u64) {
+        self.buckets.retain(|_, known| {
+            let mut filled = known.bucket;
+            let rate_per_s = known.terms.rate_per_s / self.domains as f64;
+            filled.refill(rate_per_s, known.bucket.capacity(), now_ms);
+            let is_full = filled.tokens() >= filled.capacity();
+            known.bucket.idle_ms(now_ms) < MAX_IDLE_MS || !is_full
+        });
+    }
+
+    /// Accounts that have a bucket here.
+    pub fn len(&self) -> usize {
+        self.buckets.len()
+    }
+
+    /// Whether no account has a bucket here.
+    pub fn is_empty(&self) -> bool {
+        self.buckets.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/quotas/tests/quotas.rs
@@ -0,0 +1,396 @@
+//! Quotas in fleets of VMs, under virtual time: the sum that reaches targets.
+
+mod simulation;
+
+use lagoon_accounts::Quota;
+use lagoon_quotas::{
+    grantor_order, Grantor, GrantorRole, QuotaDecision, QuotaDemand, QuotaTerms, RequestClass,
+    Stock, Take,
+};
+use simulation::{Fault, Simulation, Source};
+use yare::parameterized;
+
+/// Account of most tests.
+const ACCOUNT: u64 = 42;
+
+const RUNNING: RequestClass = RequestClass::Running;
+
+fn quota(rate_per_s: f64, burst: f64) -> Quota {
+    Quota { rate_per_s, burst }
+}
+
+/// Requests a second as a multiple of the account's rate, through all VMs.
+fn everywhere(account: u64, per_s: f64) -> Source {
+    Source::new(account, per_s)
+}
+
+/// Guards against sums over the quota, and against refusals below it, where the load is
+/// spread over 90 VMs.
+#[parameterized(
+    usual_traffic = { 40.0, 40.0, 0.625 },
+    at_the_limit = { 40.0, 40.0, 1.5 },
+    ten_times = { 40.0, 40.0, 10.0 },
+    ten_times_a_small_limit = { 4.0, 4.0, 10.0 },
+    ten_times_the_largest_account = { 600.0, 600.0, 10.0 },
+    ten_times_without_burst = { 200.0, 0.0, 10.0 },
+    ten_times_with_a_large_burst = { 20.0, 200.0, 10.0 },
+)]
+fn spread_load_uses_its_limit(rate_per_s: f64, burst: f64, demand: f64) {
+    let mut simulation = Simulation::new(4, 90, 1);
+    simulation.set_quota(ACCOUNT, quota(rate_per_s, burst));
+    simulation.add_source(everywhere(ACCOUNT, rate_per_s * demand));
+    simulation.run(25_000);
+    simulation.assert_within_quotas();
+    let used = simulation.used(ACCOUNT, 5_000, 25_000);
+    let due = rate_per_s * demand.min(1.0) * 20.0;
+    assert!(used >= 0.9 * due, "{used} of {due}");
+    if demand < 1.0 {
+        let refused = simulation.refused(ACCOUNT, 5_000);
+        assert!(
+            refused * 100 <= used as usize,
+            "{refused} refused, {used} used"
+        );
+    }
+}
+
+/// Guards against an account at ten times its usual traffic for 6 s that exceeds its
+/// quota or takes tokens of others.
+#[test]
+fn peak_of_one_account_stays_within_its_quota() {
+    let mut simulation = Simulation::new(3, 90, 2);
+    for account in 0..86 {
+        let usual_per_s = if account == 0 { 150.0 } else { 5.0 };
+        simulation.set_quota(account, quota(1.6 * usual_per_s, 1.6 * usual_per_s));
+        simulation.add_source(everywhere(account, usual_per_s));
+    }
+    simulation.run(8_000);
+    simulation.add_source(everywhere(0, 9.0 * 150.0).until(14_000));
+    simulation.run(12_000);
+    simulation.assert_within_quotas();
+    let used = simulation.used(0, 9_000, 14_000);
+    assert!(used >= 0.9 * 240.0 * 5.0, "{used}");
+    let others = 1..86;
+    let used: f64 = others
+        .clone()
+        .map(|account| simulation.used(account, 8_000, 20_000))
+        .sum();
+    let refused: usize = others
+        .map(|account| simulation.refused(account, 8_000))
+        .sum();
+    println!("others: {refused} refused, {used} used");
+    assert!(
+        refused as f64 <= 0.02 * used,
+        "{refused} refused, {used} used"
+    );
+}
+
+/// Guards against a domain that uses its own part alone while others need nothing.
+#[parameterized(
+    usual = { 60.0, 60.0 },
+    small = { 8.0, 8.0 },
+    without_burst = { 100.0, 0.0 },
+    large = { 600.0, 600.0 },
+)]
+fn demand_in_one_domain_uses_the_whole_limit(rate_per_s: f64, burst: f64) {
+    let mut simulation = Simulation::new(4, 40, 3);
+    simulation.set_quota(ACCOUNT, quota(rate_per_s, burst));
+    let vms = simulation.vms_of_domain(1);
+    simulation.add_source(everywhere(ACCOUNT, 5.0 * rate_per_s).through(vms));
+    simulation.run(25_000);
+    simulation.assert_within_quotas();
+    let used = simulation.used(ACCOUNT, 5_000, 25_000);
+    let due = rate_per_s * 20.0;
+    assert!(used >= 0.9 * due, "{used} of {due}");
+}
+
+/// Guards against partitioned domains that together exceed the quota, or of which one
+/// gets less than its part.
+#[parameterized(three = { 3 }, four = { 4 }, five = { 5 })]
+fn partitioned_domain_has_its_own_share(domains: usize) {
+    let mut simulation = Simulation::new(domains, 30, 4);
+    simulation.set_quota(ACCOUNT, quota(100.0, 100.0));
+    simulation.add_source(everywhere(ACCOUNT, 1_000.0));
+    simulation.run(8_000);
+    simulation.apply(Fault::CutDomain {
+        domain: 0,
+        for_ms: 15_000,
+    });
+    simulation.run(15_000);
+    let inside = simulation.used_in_domain(ACCOUNT, 0, 10_000, 23_000);
+    let due = 100.0 / domains as f64 * 13.0;
+    assert!(inside >= 0.9 * due, "{inside} of {due}");
+    simulation.run(8_000);
+    simulation.assert_within_quotas();
+}
+
+/// Guards against the sum of two grantors during a takeover, after which the limit is
+/// still used.
+#[parameterized(
+    killed = { |vm| Fault::Kill { vm, for_ms: 6_000 } },
+    killed_shortly = { |vm| Fault::Kill { vm, for_ms: 300 } },
+    frozen = { |vm| Fault::Freeze { vm, for_ms: 6_000 } },
+    frozen_shortly = { |vm| Fault::Freeze { vm, for_ms: 700 } },
+    left = { |vm| Fault::Leave { vm } },
+)]
+fn takeover_stays_within_the_quota(fault: fn(usize) -> Fault) {
+    for (domains, rate_per_s, demand) in [(1, 200.0, 10.0), (3, 200.0, 10.0), (3, 200.0, 0.5)] {
+        let mut simulation = Simulation::new(domains, 12 * domains, 5);
+        simulation.set_quota(ACCOUNT, quota(rate_per_s, rate_per_s));
+        simulation.add_source(everywhere(ACCOUNT, demand * rate_per_s));
+        simulation.run(8_000);
+        // All first-ranked VMs at once, at the worst a full bucket in each.
+        for domain in 0..domains {
+            let first = simulation.first_grantor(ACCOUNT, domain);
+            simulation.apply(fault(first));
+        }
+        if demand < 1.0 {
+            simulation.run(3_000);
+            let end_ms = simulation.now_ms() + 6_000;
+            simulation.add_source(everywhere(ACCOUNT, 10.0 * rate_per_s).until(end_ms));
+        }
+        simulation.run(14_000);
+        simulation.assert_within_quotas();
+        let used = simulation.used(ACCOUNT, 18_000, 22_000);
+        let due = rate_per_s * demand.min(1.0) * 4.0;
+        assert!(used >= 0.85 * due, "{used} of {due}");
+    }
+}
+
+/// Guards against tokens of a new first-ranked VM on top of those of the one before it.
+#[test]
+fn vm_that_joins_adds_nothing_to_the_quota() {
+    let mut simulation = Simulation::new(3, 12, 6);
+    simulation.set_quota(ACCOUNT, quota(200.0, 200.0));
+    simulation.add_source(everywhere(ACCOUNT, 2_000.0));
+    simulation.run(8_000);
+    let before = simulation.first_grantors(ACCOUNT);
+    while simulation.first_grantors(ACCOUNT) == before {
+        simulation.apply(Fault::Join { domain: 0 });
+    }
+    simulation.run(10_000);
+    simulation.assert_within_quotas();
+}
+
+/// Guards against tokens that a VM uses after a freeze, beside those that others got
+/// meanwhile.
+#[test]
+fn tokens_expire_while_their_vm_is_frozen() {
+    let mut simulation = Simulation::new(2, 8, 7);
+    simulation.set_quota(ACCOUNT, quota(100.0, 100.0));
+    simulation.add_source(everywhere(ACCOUNT, 1_000.0));
+    simulation.run(6_000);
+    for vm in 0..4 {
+        simulation.apply(Fault::Freeze { vm, for_ms: 400 });
+        simulation.run(1_000);
+    }
+    // Requests that wait with their token for half a second are sent with a new one.
+    simulation.set_hold_ms(400..600);
+    simulation.run(8_000);
+    simulation.assert_within_quotas();
+}
+
+/// Guards against replies and transfers that count twice when they are lost.
+#[test]
+fn lost_messages_lose_tokens_and_add_none() {
+    let mut simulation = Simulation::new(4, 40, 8);
+    simulation.set_quota(ACCOUNT, quota(100.0, 100.0));
+    simulation.add_source(everywhere(ACCOUNT, 1_000.0));
+    simulation.set_loss(0.2);
+    simulation.run(25_000);
+    simulation.assert_within_quotas();
+    let used = simulation.used(ACCOUNT, 5_000, 25_000);
+    assert!(used >= 0.4 * 2_000.0, "{used}");
+}
+
+/// Guards against buckets that begin full when all VMs start again.
+#[test]
+fn restart_of_all_vms_adds_nothing_to_the_quota() {
+    let mut simulation = Simulation::new(4, 40, 9);
+    simulation.set_quota(ACCOUNT, quota(100.0, 100.0));
+    simulation.add_source(everywhere(ACCOUNT, 1_000.0));
+    for _ in 0..6 {
+        simulation.run(2_500);
+        for vm in 0..40 {
+            simulation.apply(Fault::Kill { vm, for_ms: 100 });
+        }
+    }
+    simulation.run(10_000);
+    simulation.assert_within_quotas();
+    let used = simulation.used(ACCOUNT, 18_000, 25_000);
+    assert!(used >= 0.9 * 700.0, "{used}");
+}
+
+/// Guards against a lower limit that isn't binding one window after it is in force.
+#[test]
+fn lower_limit_is_binding_after_one_window() {
+    let mut simulation = Simulation::new(4, 40, 10);
+    simulation.set_quota(ACCOUNT, quota(200.0, 200.0));
+    simulation.add_source(everywhere(ACCOUNT, 2_000.0));
+    simulation.run(10_000);
+    simulation.assert_within_quotas();
+    let from_ms = simulation.change_quota(ACCOUNT, quota(20.0, 20.0));
+    simulation.run(15_000);
+    simulation.assert_within(ACCOUNT, quota(20.0, 20.0), from_ms);
+}
+
+/// Guards against sums over the quota, and against messages that grow with accounts, in
+/// a fleet of 330 VMs and 4,100 accounts.
+#[test]
+fn many_accounts_stay_within_their_quotas() {
+    let mut simulation = Simulation::new(5, 330, 11);
+    // A quarter of 8,900 requests a second is the largest account's.
+    simulation.set_quota(0, quota(1.6 * 2_225.0, 1.6 * 2_225.0));
+    simulation.add_source(everywhere(0, 2_225.0));
+    for account in 1..4_100 {
+        simulation.set_quota(account, quota(1.6 * 1.63, 1.6 * 1.63));
+    }
+    simulation.add_source(Source::new(1, 6_675.0).of_accounts(1..4_100));
+    simulation.run(4_000);
+    let messages = simulation.messages();
+    simulation.run(4_000);
+    let usual_per_vm_s = (simulation.messages() - messages) as f64 / 4.0 / 330.0;
+    simulation.add_source(everywhere(0, 9.0 * 2_225.0).until(14_000));
+    let messages = simulation.messages();
+    simulation.run(6_000);
+    println!("{:?}", simulation.kinds());
+    let per_vm_s = (simulation.messages() - messages) as f64 / 6.0 / 330.0;
+    println!("{usual_per_vm_s:.1} and {per_vm_s:.1} messages and replies per VM and second");
+    simulation.assert_within_quotas();
+    let used = simulation.used(0, 9_000, 14_000);
+    assert!(used >= 0.9 * 1.6 * 2_225.0 * 5.0, "{used}");
+    // A message and its reply take some 350 bytes, so 14 KB/s are 80 of either.
+    assert!(usual_per_vm_s <= 75.0, "{usual_per_vm_s}");
+    assert!(per_vm_s <= 95.0, "{per_vm_s}");
+}
+
+fn terms(rate_per_s: f64, burst: f64) -> QuotaTerms {
+    QuotaTerms::new(1, quota(rate_per_s, burst))
+}
+
+fn ask(grantor: &mut Grantor, role: GrantorRole, demand: [u32; 2], now_ms: u64) -> [u32; 2] {
+    let demand = QuotaDemand {
+        running: demand[0],
+        new_programs: demand[1],
+    };
+    grantor.observe_time(now_ms);
+    match grantor.decide(ACCOUNT, terms(10.0, 10.0), role, demand, 0, now_ms) {
+        QuotaDecision::Granted(grant) => [grant.running, grant.new_programs],
+        QuotaDecision::NotGrantor => panic!("grants"),
+    }
+}
+
+fn wait(grantor: &mut Grantor, from_ms: u64, until_ms: u64) {
+    for now_ms in (from_ms..=until_ms).step_by(100) {
+        grantor.observe_time(now_ms);
+    }
+}
+
+/// Guards against new programs that take the tokens of programs that have begun.
+#[test]
+fn new_programs_get_tokens_while_the_bucket_is_half_full() {
+    let mut grantor = Grantor::new(200, 20.0, 0);
+    wait(&mut grantor, 0, 10_000);
+    let first = ask(&mut grantor, GrantorRole::First, [0, 20], 10_000);
+    assert_eq!(first, [0, 6]);
+    let second = ask(&mut grantor, GrantorRole::First, [20, 0], 10_000);
+    assert_eq!(second, [4, 0]);
+}
+
+/// Guards against a substitute that grants as much as the first-ranked VM before it
+/// knows that this one is gone.
+#[test]
+fn substitute_grants_a_part_until_it_is_confirmed() {
+    let mut granted = [0; 2];
+    let second = GrantorRole::Substitute { before: 1 };
+    for (role, granted) in [second, GrantorRole::ConfirmedSubstitute]
+        .into_iter()
+        .zip(&mut granted)
+    {
+        let mut grantor = Grantor::new(200, 20.0, 0);
+        for now_ms in (0..=10_000).step_by(50) {
+            *granted += ask(&mut grantor, role, [10, 0], now_ms)[0];
+        }
+    }
+    assert_eq!(granted, [40, 100]);
+}
+
+/// Guards against a VM that goes on with a full bucket after it was suspended.
+#[test]
+fn suspended_grantor_begins_again() {
+    let mut grantor = Grantor::new(200, 20.0, 0);
+    wait(&mut grantor, 0, 5_000);
+    assert_eq!(ask(&mut grantor, GrantorRole::First, [3, 0], 5_000), [3, 0]);
+    assert_eq!(
+        ask(&mut grantor, GrantorRole::First, [10, 0], 9_000),
+        [0, 0]
+    );
+    let after = ask(&mut grantor, GrantorRole::First, [10, 0], 9_500);
+    assert_eq!(after, [3, 0], "0.6 of the rate");
+}
+
+/// Guards against a donor that gives away what its own domain needs.
+#[test]
+fn donor_keeps_what_its_domain_needs() {
+    let mut grantor = Grantor::new(200, 20.0, 0);
+    grantor.record_list_change(2, 0);
+    wait(&mut grantor, 0, 5_000);
+    let give = |grantor: &mut Grantor, role, now_ms| {
+        grantor.donate(ACCOUNT, terms(10.0, 10.0), role, 100, now_ms)
+    };
+    assert_eq!(
+        give(&mut grantor, GrantorRole::Substitute { before: 1 }, 5_000),
+        0
+    );
+    let mut own = 0;
+    for now_ms in (5_000..6_000).step_by(50) {
+        own += ask(&mut grantor, GrantorRole::First, [1, 0], now_ms)[0];
+    }
+    assert_eq!(own, 9, "a full bucket and what accrues");
+    assert_eq!(give(&mut grantor, GrantorRole::First, 6_000), 0);
+    wait(&mut grantor, 6_000, 10_000);
+    assert_eq!(give(&mut grantor, GrantorRole::First, 10_000), 4);
+}
+
+/// Guards against a stock whose tokens stay usable, and against requests that ask the
+/// grantor though it has just refused them.
+#[test]
+fn stock_uses_returns_and_refuses() {
+    let mut stock = Stock::new(200);
+    let grant = |running, retry_ms| lagoon_quotas::Grant {
+        running,
+        new_programs: 0,
+        retry_ms,
+    };
+    assert_eq!(stock.take(ACCOUNT, RUNNING, 0), Take::Ask);
+    stock.begin_wait(ACCOUNT, RUNNING);
+    assert_eq!(stock.demand(ACCOUNT, 0).running, 1);
+    stock.add(ACCOUNT, grant(2, 50), 0, 10);
+    stock.end_wait(ACCOUNT, RUNNING);
+    let expires_ms = 200;
+    let new_program = stock.take(ACCOUNT, RequestClass::NewProgram, 20);
+    assert_eq!(new_program, Take::Ask, "tokens of running programs");
+    assert_eq!(stock.take(ACCOUNT, RUNNING, 20), Take::Token { expires_ms });
+    stock.put_back(ACCOUNT, RUNNING, expires_ms, 30);
+    assert_eq!(stock.take_returned(ACCOUNT, 40), 2);
+    stock.begin_wait(ACCOUNT, RUNNING);
+    stock.demand(ACCOUNT, 40);
+    stock.add(ACCOUNT, grant(0, 50), 40, 50);
+    let refused = stock.take(ACCOUNT, RUNNING, 60);
+    assert_eq!(refused, Take::Refused { retry_ms: 40 });
+    stock.add(ACCOUNT, grant(1, 50), 60, 70);
+    assert_eq!(stock.take(ACCOUNT, RUNNING, 260), Take::Ask);
+    assert_eq!(stock.take_expired(), 1);
+}
+
+/// Guards against VMs that disagree on the order, and one VM that is first for all.
+#[test]
+fn order_is_the_same_everywhere_and_differs_by_account() {
+    let vms = ["a", "b", "c", "d"];
+    let mut firsts = std::collections::BTreeSet::new();
+    for account in 0..64 {
+        let order = grantor_order(account, vms.into_iter());
+        assert_eq!(order, grantor_order(account, vms.into_iter().rev()));
+        firsts.insert(order[0]);
+    }
+    assert_eq!(firsts.len(), vms.len());
+}
