--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -27,6 +27,7 @@
 mod peers;
 mod permits;
 mod pool;
+mod quotas;
 mod reads;
 mod registration;
 mod response;
@@ -56,4 +57,5 @@
     pub use crate::news::News;
     pub use crate::paths::TargetReach;
     pub use crate::permits::{PermitReply, PermitRequest};
+    pub use crate::quotas::{QuotaRequest, TransferRequest};
 }
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::permits::PermitRequest;
+use crate::quotas::{QuotaRequest, TransferRequest};
 
 /// Path of the HTTP requests that carry messages.
 pub(crate) const MESSAGE_PATH: &str = "/v1/message";
@@ -127,6 +128,12 @@
         /// is.
         known_version: u64,
     },
+    /// Grant tokens of an account's quota. Response:
+    /// [`QuotaDecision`](lagoon_quotas::QuotaDecision).
+    RequestQuota(QuotaRequest),
+    /// Transfer tokens of an account's quota to the sender's failure domain. Response:
+    /// their number, `u32`.
+    TransferQuota(TransferRequest),
     /// Keep a copy of an encoded turn that the store has, as a cache for the receiver's
     /// failure domain. Response: `true`.
     CacheTurn(Vec<u8>),
@@ -158,6 +165,7 @@
             PeerMessage::ReachTarget { .. } => 6,
             PeerMessage::HoldAllowances(_) => 8,
             PeerMessage::ReadFreshness { .. } => 9,
+            PeerMessage::RequestQuota(_) | PeerMessage::TransferQuota(_) => 10,
             PeerMessage::CacheTurn(_) => 11,
         }
     }
--- a/crates/entry/src/message_handler.rs
+++ b/crates/entry/src/message_handler.rs
@@ -102,6 +102,12 @@
         PeerMessage::ReadFreshness { known_version } => {
             postcard::to_allocvec(&state.evidence.reply(known_version))
         }
+        PeerMessage::RequestQuota(request) => {
+            postcard::to_allocvec(&state.quotas.handle_request(&request).await)
+        }
+        PeerMessage::TransferQuota(request) => {
+            postcard::to_allocvec(&state.quotas.handle_transfer(&request))
+        }
         PeerMessage::Probe => postcard::to_allocvec(&budget_client.is_store_unavailable()),
     };
     match response {
--- a/crates/entry/tests/fleet/mod.rs
+++ b/crates/entry/tests/fleet/mod.rs
@@ -380,7 +380,7 @@
             "[vm]\nname = \"{name}\"\ndomain = \"d{domain}\"\nfirst_start = {first_start}\n\
              [listen]\ncallers = \"{callers}\"\nready = \"{ready}\"\npeers = \"{peers}\"\n\
              [store]\naddress = \"{store}\"\n{}[limits]\nstop_wait_s = 8\n{limits}",
-             self.settings
+            self.settings
         );
         fs::write(self.settings_file(&name), &settings).expect("settings are written");
         let (child, runs_old_build) = self.start_daemon(&name, number);
