lagoond: connections that arrive together are all served

Callers saw a request hang for as long as another connection to the same VM stayed open. The thread pool of tiny_http counts a thread as idle from its notification until it runs. Of connections that arrive within that time, some are queued for a thread that already has one, and wait until a thread ends another connection; callers may keep those for hours.

Each server now opens and closes a connection to itself every 50 ms. The thread that takes it ends at once and takes the next connection from the queue, so one that was queued waits for some intervals at most. The simulated servers do the same.

--- a/crates/daemon/src/constants.rs
+++ b/crates/daemon/src/constants.rs
@@ -44,3 +44,6 @@
 /// Maximum size of a target's response that is not streamed; with a larger one,
 /// the attempt counts as interrupted.
 pub(crate) const MAX_RESPONSE_BYTES: u64 = 8_000_000;
+/// Interval of the connections that make a server's pool of threads look at its queue;
+/// the longest time for which a connection that was queued by mistake waits.
+pub(crate) const POOL_WAKE_INTERVAL: Duration = Duration::from_millis(50);
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -1,7 +1,7 @@
 //! HTTP server with a thread for each request.
 
 use std::io::Read;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
@@ -9,7 +9,10 @@
 use lagoon_errors::{CallError, ErrorKind};
 use tiny_http::{Request, Server};
 
-use crate::constants::{MAX_CONCURRENT_REQUESTS, MAX_HEADER_BYTES, WORKER_STACK_BYTES};
+use crate::constants::{
+    CONNECT_TIMEOUT, MAX_CONCURRENT_REQUESTS, MAX_HEADER_BYTES, POOL_WAKE_INTERVAL,
+    WORKER_STACK_BYTES,
+};
 use crate::http::response::respond_error;
 
 /// Number of requests that are being served.
@@ -57,9 +60,28 @@
             }
         })
         .map_err(|error| error.to_string())?;
+    thread::Builder::new()
+        .name(format!("{name} pool"))
+        .stack_size(WORKER_STACK_BYTES)
+        .spawn(move || wake_pool(address))
+        .map_err(|error| error.to_string())?;
     Ok(active)
 }
 
+/// Opens and closes a connection to the own server at intervals.
+///
+/// The server's pool counts a thread as idle from the time it is notified until it
+/// runs. A connection that arrives meanwhile is queued for it, and then waits until a
+/// thread is done with another connection, which callers may keep for hours. The thread
+/// of a connection that closes at once takes the next one from the queue.
+fn wake_pool(address: SocketAddr) {
+    loop {
+        thread::sleep(POOL_WAKE_INTERVAL);
+        // Fails while the process is out of descriptors; the next one comes soon.
+        let _ = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT);
+    }
+}
+
 fn spawn_handler<F>(request: Request, active: &ActiveRequests, handle: &Arc<F>)
 where
     F: Fn(Request) + Send + Sync + 'static,
--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -55,6 +55,34 @@
     })
 }
 
+/// Largest number of connections that arrive together.
+const MAX_BURST: usize = 8;
+
+/// Time in which a connection is served.
+const SERVE_TIME: Duration = Duration::from_secs(5);
+
+// Guards against a connection that is served only after another one has closed, as it
+// arrived while the server's threads were waking up for others.
+#[test]
+fn connections_that_arrive_together_are_all_served() {
+    let site = Site::start(1);
+    let connect = || TcpStream::connect(site.vms[0].callers).expect("connection");
+    let is_served = |mut stream: &TcpStream| {
+        let request = b"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n";
+        stream.write_all(request).expect("request is sent");
+        stream.set_read_timeout(Some(SERVE_TIME)).expect("timeout");
+        stream.read(&mut [0; 1_024]).is_ok_and(|read| read > 0)
+    };
+    // Occupy the threads that the server always has.
+    let kept: Vec<TcpStream> = (0..4).map(|_| connect()).collect();
+    assert!(kept.iter().all(is_served));
+    for burst in 1..=MAX_BURST {
+        let together: Vec<TcpStream> = (0..burst).map(|_| connect()).collect();
+        let served = together.iter().filter(|stream| is_served(stream)).count();
+        assert_eq!(served, burst);
+    }
+}
+
 /// Index of the VM that a response names as the program's owner.
 fn owner_index(site: &Site, reply: &Reply) -> usize {
     let is_owner = |name: &str| reply.summary.contains(&format!("\"owner\":\"{name}\""));
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -1,9 +1,10 @@
 //! HTTP server with a thread per request.
 
 use std::io::Write;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::thread;
+use std::time::Duration;
 
 use serde::Serialize;
 use tiny_http::{Header, Request, Response, Server};
@@ -11,6 +12,10 @@
 /// Stack size of a thread that serves one request.
 const STACK_BYTES: usize = 128 * 1024;
 
+/// Interval of the connections that make the server's pool of threads look at its
+/// queue.
+const POOL_WAKE_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Serves requests until the process ends.
 ///
 /// # Errors
@@ -22,6 +27,12 @@
 {
     let server = Server::http(address).map_err(|error| error.to_string())?;
     let handle = Arc::new(handle);
+    // Of connections that arrive together, the pool leaves some in its queue until a
+    // thread is done with another connection. One that closes at once is such a one.
+    thread::spawn(move || loop {
+        thread::sleep(POOL_WAKE_INTERVAL);
+        let _ = TcpStream::connect(address);
+    });
     for request in server.incoming_requests() {
         let handle = Arc::clone(&handle);
         let spawned = thread::Builder::new()
