Test of a killed owner: wait until its booking is durable

The test failed twice with "booking never came" after it killed the owner of a booking. A response that says durable=false is lost with its owner (PROMISES, History), and the repeated booking is then in doubt for good, whatever the time. The test killed the owner after any response.

The test now repeats the booking until its response says durable=true. A new test shows the class: with the platform down while a booking runs, its response says durable=false, and after the owner was killed the repeated booking is in_doubt (502) and has run once.

--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -34,12 +34,30 @@
     })
 }
 
-fn book_until_ok(site: &Site, vm: usize, program: &str, number: &str) -> Reply {
-    let client = site.client(vm);
+fn book(site: &Site, vm: usize, program: &str, number: &str) -> Result<Reply, String> {
     let body = json!({"slot": number});
+    let headers = headers(program, number);
+    site.client(vm).call_service("booking", &headers, &body)
+}
+
+fn book_until_ok(site: &Site, vm: usize, program: &str, number: &str) -> Reply {
+    book_until(site, vm, program, number, |reply| reply.status == 200)
+}
+
+/// Repeats a booking until its response says that it survives the death of the owner.
+fn book_until_durable(site: &Site, vm: usize, program: &str, number: &str) -> Reply {
+    book_until(site, vm, program, number, |reply| {
+        reply.status == 200 && reply.summary.contains("durable=true")
+    })
+}
+
+fn book_until<F>(site: &Site, vm: usize, program: &str, number: &str, is_awaited: F) -> Reply
+where
+    F: Fn(&Reply) -> bool,
+{
     let mut last = String::new();
     wait_for("booking", || {
-        let reply = client.call_service("booking", &headers(program, number), &body);
+        let reply = book(site, vm, program, number);
         let seen = match &reply {
             Ok(reply) => format!("{} {} {}", reply.status, reply.text, reply.summary),
             Err(error) => error.to_string(),
@@ -51,7 +69,7 @@
             );
             last = seen;
         }
-        reply.ok().filter(|reply| reply.status == 200)
+        reply.ok().filter(&is_awaited)
     })
 }
 
@@ -202,7 +220,8 @@
 fn killed_owner_successor_has_its_programs() {
     let mut site = Site::start(3);
     let first = chat_until_complete(&site, 0, "harvest", "1");
-    let booked = book_until_ok(&site, 1, "harvest", "2");
+    // A successor has no response whose record wasn't durable.
+    let booked = book_until_durable(&site, 1, "harvest", "2");
     let owner = owner_index(&site, &first);
     site.vms[owner].signal(Signal::SIGKILL);
     let other = (owner + 1) % 3;
@@ -213,6 +232,42 @@
     site.vms[owner].exit_code();
 }
 
+/// Service time of a booking during which the platform fails: longer than a call waits
+/// for its intent to be durable.
+const SLOW_BOOKING: Duration = Duration::from_millis(3_000);
+
+// Guards against a response that doesn't say that it can get lost, and against a
+// booking that runs again, or seems not to have run, after it got lost with its owner.
+#[test]
+fn booking_that_is_not_durable_is_in_doubt_after_its_owner_was_killed() {
+    let mut site = Site::start(3);
+    let first = chat_until_complete(&site, 0, "harvest", "1");
+    let owner = owner_index(&site, &first);
+    let other = (owner + 1) % 3;
+    let slow = json!({"fail": "none", "delay_ms": SLOW_BOOKING.as_millis() as u64});
+    post_json(site.booking_service, "/control", &slow);
+    let booked = thread::scope(|scope| {
+        let booked = scope.spawn(|| book(&site, other, "harvest", "2"));
+        thread::sleep(SLOW_BOOKING / 2);
+        post_json(site.platform, "/control", &json!({"mode": "down"}));
+        booked.join().expect("caller")
+    });
+    let booked = booked.expect("response");
+    assert_eq!(booked.status, 200, "{}", booked.text);
+    assert!(
+        booked.summary.contains("durable=false"),
+        "{}",
+        booked.summary
+    );
+    site.vms[owner].signal(Signal::SIGKILL);
+    site.vms[owner].exit_code();
+    post_json(site.platform, "/control", &json!({"mode": "up"}));
+    let repeated = book_until(&site, other, "harvest", "2", |reply| reply.status != 503);
+    assert_eq!(repeated.status, 502, "{}", repeated.text);
+    assert!(repeated.text.contains("in_doubt"), "{}", repeated.text);
+    assert_eq!(site.executed_bookings(), ["harvest#2"]);
+}
+
 #[test]
 fn suspended_owner_exits_when_resumed() {
     let mut site = Site::start(3);
--- a/crates/standin/src/caller/client.rs
+++ b/crates/standin/src/caller/client.rs
@@ -163,9 +163,10 @@
         status: response.status().as_u16(),
         program: header("Lagoon-Program"),
         summary: format!(
-            "target={} owner={} left_tokens={} left_money_micros={} left_turns={}",
+            "target={} owner={} durable={} left_tokens={} left_money_micros={} left_turns={}",
             header("Lagoon-Target"),
             header("Lagoon-Owner"),
+            header("Lagoon-Durable"),
             header("Lagoon-Left-Tokens"),
             header("Lagoon-Left-Money-Micros"),
             header("Lagoon-Left-Turns"),
