--- a/crates/daemon/tests/site/mod.rs
+++ b/crates/daemon/tests/site/mod.rs
@@ -7,8 +7,8 @@
 use std::fs;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
-use std::process::{Child, Command};
-use std::sync::atomic::{AtomicU16, Ordering};
+use std::process::{self, Child, Command};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -28,6 +28,8 @@
 
 const FIRST_PORT: u16 = 20_000;
 const LAST_PORT: u16 = 30_000;
+/// Number of ports by which the first ports of two processes with successive ids differ.
+const PORTS_PER_PROCESS: usize = 97;
 const SHEET_HEADER: &str =
     "kind,name,market,domain,address,serves,slots,price_micros,budget_tokens,\
 budget_money_micros,budget_turns,weight_latency,weight_cache,repeat,fencing,version,key_sha256";
@@ -55,12 +57,16 @@
 /// Returns an address that nothing listens on.
 ///
 /// The ports are below the system's ephemeral range, and no two tests of this
-/// process get the same one.
+/// process get the same one. Processes begin at different ports: a daemon binds its port
+/// some time after this, and another process may find it free until then.
 fn free_address() -> SocketAddr {
-    static NEXT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+    static TAKEN: AtomicUsize = AtomicUsize::new(0);
+    let ports = usize::from(LAST_PORT - FIRST_PORT);
+    let first = process::id() as usize * PORTS_PER_PROCESS;
     loop {
-        let port = NEXT.fetch_add(1, Ordering::SeqCst);
-        assert!(port < LAST_PORT, "no free port is left");
+        let taken = TAKEN.fetch_add(1, Ordering::SeqCst);
+        assert!(taken < ports, "no free port is left");
+        let port = FIRST_PORT + ((first + taken) % ports) as u16;
         let address = SocketAddr::from(([127, 0, 0, 1], port));
         if TcpListener::bind(address).is_ok() {
             return address;
@@ -104,6 +110,12 @@
 impl Site {
     /// Starts the simulated services and the VMs, and applies a sheet.
     pub(crate) fn start(vms: usize) -> Site {
+        Site::start_with(vms, None)
+    }
+
+    /// Like [`Site::start`]; `targets`, if they are given, take the places of the engine
+    /// and the service in the sheet.
+    pub(crate) fn start_with(vms: usize, targets: Option<[SocketAddr; 2]>) -> Site {
         let files = TempDir::new().expect("folder");
         let (platform, engine, booking_service) = (free_address(), free_address(), free_address());
         spawn(platform, move || platform::run(platform, 1));
@@ -127,8 +139,8 @@
         let vms = (1..=vms).map(|n| Vm::new(n, platform, &files)).collect();
         let mut site = Site {
             vms,
-            engine,
-            booking_service,
+            engine: targets.map_or(engine, |[engine, _]| engine),
+            booking_service: targets.map_or(booking_service, |[_, service]| service),
             platform,
             _files: files,
         };
@@ -183,9 +195,14 @@
 }
 
 impl Vm {
+    /// What the daemon has logged; nothing if its log can't be read.
+    pub(crate) fn log(&self) -> String {
+        fs::read_to_string(self.settings.with_extension("log")).unwrap_or_default()
+    }
+
     fn print_log_tail(&self) {
-        let log = fs::read_to_string(self.settings.with_extension("log"));
-        let lines: Vec<&str> = log.as_ref().map_or(Vec::new(), |log| log.lines().collect());
+        let log = self.log();
+        let lines: Vec<&str> = log.lines().collect();
         println!("last lines of {}'s log:", self.name);
         for line in &lines[lines.len().saturating_sub(LOG_TAIL_LINES)..] {
             println!("{line}");
