--- a/crates/entry/tests/stranded.rs
+++ b/crates/entry/tests/stranded.rs
@@ -577,6 +577,7 @@
         deadline_ms: LEFT_AT_CARRIER_MS,
         last_event_id: None,
         body_bytes: Some(1),
+        account: AccountHeaders::AsReceived,
     };
     let mut head = format!(
         "POST /v1/carry/book/x HTTP/1.1\r\nHost: vm\r\nConnection: close\r\n\
