--- a/crates/entry/tests/stranded.rs
+++ b/crates/entry/tests/stranded.rs
@@ -17,7 +17,7 @@
 use lagoon_adapter::standin::{
     decode_received_request, model_call_headers, response_headers, service_call_headers,
 };
-use lagoon_adapter::{target_request_headers, AttemptHeaders};
+use lagoon_adapter::{target_request_headers, AccountHeaders, AttemptHeaders};
 use lagoon_gateway::{TargetStatus, Targets};
 use lagoon_standin::fleet::{ExecutionState, ProxyFault};
 use nix::sys::signal::Signal;
