Quotas: least bucket and least life of tokens follow the settings

With no excess in the settings, tokens would expire as they are granted, and the smallest bucket was a constant beside a life of tokens that is a setting.

--- a/crates/quotas/src/grantor.rs
+++ b/crates/quotas/src/grantor.rs
@@ -36,10 +36,10 @@
 /// not have noticed it yet.
 const STARTING_SHARE: f64 = 0.6;
 
-/// Time at the domain's rate whose tokens a bucket holds at least. VMs and other domains
-/// ask in intervals of 50 to 100 ms; a smaller bucket would lose what accrues between two
-/// requests.
-const MIN_CAPACITY_S: f64 = 0.1;
+/// Time at the domain's rate whose tokens a bucket holds at least, as a share of the time
+/// for which VMs may use tokens. VMs and other domains ask in intervals of 50 to 100 ms;
+/// a smaller bucket would lose what accrues between two requests.
+const MIN_CAPACITY_SHARE: f64 = 0.5;
 
 /// Capacity below which a new program needs a full bucket, not half of it.
 const SMALL_CAPACITY: f64 = 2.0;
@@ -248,8 +248,9 @@
         };
         let domains = self.domains as f64;
         let share_per_s = terms.rate_per_s / domains;
+        let min_capacity_s = self.ttl_ms as f64 / 1e3 * MIN_CAPACITY_SHARE;
         let full = (terms.burst / domains)
-            .max(share_per_s * MIN_CAPACITY_S)
+            .max(share_per_s * min_capacity_s)
             .max(self.min_capacity());
         let (rate_per_s, capacity) = match role {
             GrantorRole::First if is_starting => (share_per_s * STARTING_SHARE, full),
--- a/crates/quotas/src/lib.rs
+++ b/crates/quotas/src/lib.rs
@@ -73,10 +73,12 @@
 }
 
 /// Time for which a VM may use a token after it asked for it, by the length of the
-/// windows and the excess that they allow.
+/// windows and the excess that they allow. At least the time of a round trip, also where
+/// the settings allow no excess.
 pub fn token_ttl_ms(window_s: f64, excess: f64) -> u64 {
     /// The rest of the excess is left to transfers, takeovers and the time that requests
     /// travel.
     const TTL_SHARE: f64 = 0.4;
-    (window_s * excess * TTL_SHARE * 1e3) as u64
+    const MIN_TTL_MS: u64 = 40;
+    ((window_s * excess * TTL_SHARE * 1e3) as u64).max(MIN_TTL_MS)
 }
