--- a/crates/entry/src/forward/quota.rs
+++ b/crates/entry/src/forward/quota.rs
@@ -41,7 +41,8 @@
         return Ok(None);
     };
     // Without an account, the request is refused or served elsewhere.
-    let Ok(identity) = Identity::find(&config, route, &parts.headers, state.recency()) else {
+    let Ok(identity) = Identity::find(&config, route, &parts.headers, state.evidence.recency())
+    else {
         return Ok(None);
     };
     let Some((account, quota)) = identity.account().and_then(with_quota) else {
--- a/crates/entry/src/quotas.rs
+++ b/crates/entry/src/quotas.rs
@@ -23,6 +23,7 @@
 use crate::clock::{boot_now_ms, Clock};
 use crate::metrics::Metrics;
 use crate::peers::PeerClient;
+use crate::settings::AccountSettings;
 
 /// Lowest protocol version with which a VM understands the messages here.
 const QUOTA_PROTOCOL: u32 = 10;
@@ -92,12 +93,12 @@
     pub(crate) slack: f64,
 }
 
-impl Default for QuotaBounds {
-    fn default() -> Self {
+impl From<&AccountSettings> for QuotaBounds {
+    fn from(settings: &AccountSettings) -> Self {
         QuotaBounds {
-            window_s: 5.0,
-            excess: 0.1,
-            slack: 20.0,
+            window_s: settings.quota_window_s,
+            excess: settings.quota_excess,
+            slack: settings.quota_slack,
         }
     }
 }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -22,6 +22,7 @@
 use crate::body::ResponseBody;
 use crate::clock::Clock;
 use crate::forward;
+use crate::freshness;
 use crate::ledger::BudgetClient;
 use crate::metrics::Metrics;
 use crate::news;
@@ -137,7 +138,7 @@
         clock,
         Rc::clone(&peer_client),
         metrics.clone(),
-        QuotaBounds::default(),
+        QuotaBounds::from(&settings.accounts),
     );
     let services = Services {
         budget_client,
@@ -220,6 +221,10 @@
         Rc::clone(&peer_client).watch_missed_domains()
     });
     let task_state = Rc::clone(state);
+    spawn_lasting("evidence of other VMs", move || {
+        freshness::keep_evidence(Rc::clone(&task_state))
+    });
+    let task_state = Rc::clone(state);
     spawn_lasting("quotas", move || maintain_quotas(Rc::clone(&task_state)));
     let settings = settings.clone();
     spawn_lasting("settings", move || {
