--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -138,7 +138,7 @@
         clock,
         Rc::clone(&peer_client),
         metrics.clone(),
-        QuotaBounds::default(),
+        QuotaBounds::from(&settings.accounts),
     );
     let services = Services {
         budget_client,
