--- a/crates/gateway/examples/decisions.rs
+++ b/crates/gateway/examples/decisions.rs
@@ -40,6 +40,7 @@
             running: number % 12,
             waiting: 0,
             slots: 12,
+            work_percent: None,
         };
         targets.record_load(key, load, 0);
     }
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -73,6 +73,9 @@
     pub waiting: u32,
     /// Requests that it runs concurrently at most.
     pub slots: u32,
+    /// How long work takes there at present, in percent of the usual; `None` if the
+    /// target reports no valid figure.
+    pub work_percent: Option<u32>,
 }
 
 /// Settings of [`Targets`]: ejection, expiry and decay of estimates.
--- a/crates/gateway/tests/gossip.rs
+++ b/crates/gateway/tests/gossip.rs
@@ -47,6 +47,7 @@
         running: requests,
         waiting: 0,
         slots: 4,
+        work_percent: None,
     }
 }
 
--- a/crates/gateway/tests/overload.rs
+++ b/crates/gateway/tests/overload.rs
@@ -219,6 +219,7 @@
                 running: engine.running() as u32,
                 waiting: engine.waiting() as u32,
                 slots: SLOTS,
+                work_percent: None,
             };
             for job in ended {
                 let targets = &mut self.vms[job.vm].targets;
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -306,6 +306,7 @@
         running: 3,
         waiting: 2,
         slots: 4,
+        work_percent: None,
     };
     targets.record_load(key, load, 100);
     let settings = targets.settings;
