Quotas: first-ranked VM that is partitioned alone grants the part of one VM

It went on granting the domain's whole share to its own callers, beside the substitute that had confirmed that it could not be reached: 2,016 requests in a window with one domain and 1,341 with three, where 1,340 are allowed. It now finds out within some 0.7 s that it reaches no other VM of its domain.

--- a/crates/entry/src/quotas.rs
+++ b/crates/entry/src/quotas.rs
@@ -499,15 +499,18 @@
         false
     }
 
-    /// What this VM is for an account; `None` if it grants nothing. While other VMs come
-    /// before it, finds out whether these can be reached.
+    /// What this VM is for an account; `None` if it grants nothing. While that depends on
+    /// whether other VMs can be reached, finds out.
     fn role(self: &Rc<Self>, account: u64) -> Option<GrantorRole> {
         let order = self.own_order(account);
         let own_name = self.peer_client.peers.borrow().own_name().clone();
         let position = order.iter().position(|vm| *vm == own_name)?;
         let now_ms = self.now_ms();
-        let before = &order[..position];
-        for vm in before {
+        let to_probe = self
+            .reachability
+            .borrow()
+            .to_probe(&order, position, now_ms);
+        for vm in to_probe {
             if self.reachability.borrow_mut().begin_probe(vm, now_ms) {
                 let (quotas, vm) = (Rc::clone(self), vm.clone());
                 spawn_local(async move {
@@ -521,11 +524,13 @@
                 });
             }
         }
-        self.reachability.borrow().role(before, now_ms)
+        self.reachability.borrow().role(&order, position, now_ms)
     }
 
     /// Handles another VM's request for tokens.
     pub(crate) async fn handle_request(self: &Rc<Self>, request: &QuotaRequest) -> QuotaDecision {
+        let now_ms = self.now_ms();
+        self.reachability.borrow_mut().record_request(now_ms);
         let decision = self.decide(request).await;
         let outcome = format!("{decision} for another VM");
         self.metrics.record_quota_request(&outcome);
--- a/crates/quotas/src/grantor.rs
+++ b/crates/quotas/src/grantor.rs
@@ -67,6 +67,13 @@
         /// At least 1.
         before: u32,
     },
+    /// First VM of the order, which reaches no other one. A substitute grants in its place,
+    /// so it grants the part of one of as many VMs as `vms`.
+    #[display("isolated")]
+    Isolated {
+        /// VMs in the domain.
+        vms: u32,
+    },
     /// As `Substitute`, after it has itself failed to reach all VMs before it.
     #[display("confirmed substitute")]
     ConfirmedSubstitute,
@@ -255,6 +262,7 @@
         let (rate_per_s, capacity) = match role {
             GrantorRole::First if is_starting => (share_per_s * STARTING_SHARE, full),
             GrantorRole::First | GrantorRole::ConfirmedSubstitute => (share_per_s, full),
+            GrantorRole::Isolated { vms } => (share_per_s / f64::from(vms.max(1)), 1.0),
             GrantorRole::Substitute { before } => {
                 let depth = i32::try_from(before).unwrap_or(i32::MAX);
                 (share_per_s * SUBSTITUTE_SHARE.powi(depth), 1.0)
--- a/crates/quotas/src/order.rs
+++ b/crates/quotas/src/order.rs
@@ -29,6 +29,27 @@
 /// Time between two probes of a VM that a substitute makes while it is asked.
 const PROBE_INTERVAL_MS: u64 = 250;
 
+/// Time after a sign of another VM of its domain for which a first-ranked VM isn't
+/// isolated.
+const HEARD_VALID_MS: u64 = 300;
+
+/// Time for which a first-ranked VM must have missed others to be isolated. With the time
+/// until it notices, it is below [`TAKEOVER_MS`], when a substitute grants the full share.
+const ISOLATION_MS: u64 = 200;
+
+/// Others that a first-ranked VM must have missed to be isolated, and their least number.
+const MAX_WITNESSES: usize = 3;
+const MIN_WITNESSES: usize = 2;
+
+/// VMs after the first in an order by which that one finds out whether it is isolated;
+/// none where too few are listed to tell an isolated VM from the end of the others.
+fn isolation_witnesses<S>(order: &[S]) -> &[S] {
+    match order.get(1..) {
+        Some(others) if others.len() >= MIN_WITNESSES => &others[..others.len().min(MAX_WITNESSES)],
+        _ => &[],
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Failing {
     since_ms: u64,
@@ -41,12 +62,15 @@
     failing: FastMap<CompactString, Failing>,
     replied_ms: FastMap<CompactString, u64>,
     probed_ms: FastMap<CompactString, u64>,
+    /// Time of the last sign of another VM of the domain.
+    heard_ms: Option<u64>,
 }
 
 impl Reachability {
     /// Records that a VM replied.
     pub fn record_reply(&mut self, vm: &str, now_ms: u64) {
         self.failing.remove(vm);
+        self.heard_ms = Some(now_ms);
         self.replied_ms.insert(vm.into(), now_ms);
     }
 
@@ -63,25 +87,53 @@
         failing.last_ms = now_ms;
     }
 
-    /// Whether a VM was out of reach for [`TAKEOVER_MS`], by tries of which the last one
-    /// is recent.
-    fn is_unreached(&self, vm: &str, now_ms: u64) -> bool {
+    /// Whether a VM was out of reach for this time, by tries of which the last one is
+    /// recent.
+    fn is_missed(&self, vm: &str, for_ms: u64, now_ms: u64) -> bool {
         self.failing.get(vm).is_some_and(|failing| {
-            failing.last_ms >= failing.since_ms + TAKEOVER_MS
-                && now_ms <= failing.last_ms + TAKEOVER_MS
+            failing.last_ms >= failing.since_ms + for_ms && now_ms <= failing.last_ms + TAKEOVER_MS
         })
     }
 
-    /// Role of the VM that has these VMs before it in the order of an account; `None` if
-    /// it refuses the role, as it reaches one of them itself. Otherwise it and the
-    /// first-ranked VM would both grant for as long as some VMs reach only one of them.
-    pub fn role<S>(&self, before: &[S], now_ms: u64) -> Option<GrantorRole>
+    /// Records that another VM of the domain has asked this one for tokens.
+    pub fn record_request(&mut self, now_ms: u64) {
+        self.heard_ms = Some(now_ms);
+    }
+
+    /// VMs that the one at this position of an account's order has to reach or to miss
+    /// before it knows its role: those before it. The first one needs others only if it
+    /// has heard of none lately.
+    pub fn to_probe<'a, S>(&self, order: &'a [S], position: usize, now_ms: u64) -> &'a [S] {
+        if position > 0 {
+            return &order[..position];
+        }
+        let is_recent = |heard_ms: u64| now_ms < heard_ms + HEARD_VALID_MS;
+        match self.heard_ms.is_some_and(is_recent) {
+            true => &[],
+            false => isolation_witnesses(order),
+        }
+    }
+
+    /// Role of the VM at this position of an account's order; `None` if it refuses the
+    /// role, as it reaches one before it itself. Otherwise it and the first-ranked VM would
+    /// both grant for as long as some VMs reach only one of them.
+    pub fn role<S>(&self, order: &[S], position: usize, now_ms: u64) -> Option<GrantorRole>
     where
         S: AsRef<str>,
     {
-        if before.is_empty() {
-            return Some(GrantorRole::First);
+        let count = |vms: usize| u32::try_from(vms).unwrap_or(u32::MAX);
+        if position == 0 {
+            let witnesses = self.to_probe(order, position, now_ms);
+            let is_missed = |vm: &S| self.is_missed(vm.as_ref(), ISOLATION_MS, now_ms);
+            let is_isolated = !witnesses.is_empty() && witnesses.iter().all(is_missed);
+            return Some(match is_isolated {
+                true => GrantorRole::Isolated {
+                    vms: count(order.len()),
+                },
+                false => GrantorRole::First,
+            });
         }
+        let before = &order[..position];
         let is_reached = |vm: &S| {
             let replied_ms = self.replied_ms.get(vm.as_ref());
             replied_ms.is_some_and(|replied_ms| now_ms < replied_ms + REPLY_VALID_MS)
@@ -89,11 +141,11 @@
         if before.iter().any(is_reached) {
             return None;
         }
-        let is_unreached = |vm: &S| self.is_unreached(vm.as_ref(), now_ms);
-        Some(match before.iter().all(is_unreached) {
+        let is_missed = |vm: &S| self.is_missed(vm.as_ref(), TAKEOVER_MS, now_ms);
+        Some(match before.iter().all(is_missed) {
             true => GrantorRole::ConfirmedSubstitute,
             false => GrantorRole::Substitute {
-                before: u32::try_from(before.len()).unwrap_or(u32::MAX),
+                before: count(before.len()),
             },
         })
     }
--- a/crates/quotas/tests/quotas.rs
+++ b/crates/quotas/tests/quotas.rs
@@ -430,3 +430,19 @@
     // Of an unoptimized build on a busy machine.
     assert!(took_us <= 500.0, "{took_us}");
 }
+
+/// Guards against a first-ranked VM that alone is partitioned, and that grants beside its
+/// substitute.
+#[parameterized(one = { 1 }, three = { 3 }, four = { 4 })]
+fn partitioned_first_vm_grants_the_part_of_one(domains: usize) {
+    let mut simulation = Simulation::new(domains, 24 * domains, 12);
+    simulation.set_quota(ACCOUNT, quota(200.0, 200.0));
+    simulation.add_source(everywhere(ACCOUNT, 20_000.0));
+    simulation.run(8_000);
+    let vm = simulation.first_grantor(ACCOUNT, 0);
+    simulation.apply(Fault::CutVm { vm, for_ms: 10_000 });
+    simulation.run(14_000);
+    simulation.assert_within_quotas();
+    let used = simulation.used(ACCOUNT, 11_000, 18_000);
+    assert!(used >= 0.9 * 7.0 * 200.0, "{used}");
+}
--- a/crates/quotas/tests/simulation/mod.rs
+++ b/crates/quotas/tests/simulation/mod.rs
@@ -37,6 +37,8 @@
     Join { domain: usize },
     /// The VM leaves the list and the fleet.
     Leave { vm: usize },
+    /// The VM reaches no other one for this time, but the targets.
+    CutVm { vm: usize, for_ms: u64 },
     /// The VMs of a failure domain and those of the others don't reach each other.
     CutDomain { domain: usize, for_ms: u64 },
 }
@@ -227,6 +229,7 @@
     sources: Vec<Source>,
     quotas: FastMap<u64, QuotaTerms>,
     cut: Option<(usize, u64)>,
+    cut_vms: Vec<(usize, u64)>,
     loss: f64,
     hold_ms: Range<u64>,
     /// Arrivals at targets, by account: time and domain of the sending VM.
@@ -249,6 +252,7 @@
             sources: Vec::new(),
             quotas: FastMap::default(),
             cut: None,
+            cut_vms: Vec::new(),
             loss: 0.0,
             hold_ms: 0..20,
             arrivals: FastMap::default(),
@@ -391,6 +395,7 @@
                 self.vms[vm].is_gone = true;
                 self.announce(vm, false);
             }
+            Fault::CutVm { vm, for_ms } => self.cut_vms.push((vm, now_ms + for_ms)),
             Fault::CutDomain { domain, for_ms } => self.cut = Some((domain, now_ms + for_ms)),
         }
     }
@@ -416,6 +421,13 @@
     }
 
     fn reaches(&self, from: usize, to: usize) -> bool {
+        let is_cut = |vm: usize| {
+            let mut cuts = self.cut_vms.iter();
+            cuts.any(|(cut, until_ms)| *cut == vm && self.now_ms < *until_ms)
+        };
+        if from != to && (is_cut(from) || is_cut(to)) {
+            return false;
+        }
         self.cut.is_none_or(|(domain, until_ms)| {
             let is_inside = |vm: usize| self.vms[vm].domain == domain;
             self.now_ms >= until_ms || is_inside(from) == is_inside(to)
@@ -622,12 +634,9 @@
         let domain = self.vms[vm].domain;
         let order = self.order(vm, account, domain);
         let position = order.iter().position(|other| *other == vm)?;
-        if position == 0 {
-            return Some(GrantorRole::First);
-        }
         let now_ms = self.now_ms;
-        let before = &order[..position];
-        for before in before {
+        let to_probe = self.vms[vm].reachability.to_probe(&order, position, now_ms);
+        for before in to_probe {
             let reachability = &mut self.vms[vm].reachability;
             if reachability.begin_probe(&name(*before), now_ms) {
                 self.number += 1;
@@ -638,8 +647,8 @@
                 self.send(vm, *before, Event::Probe { from: vm, probe });
             }
         }
-        let before: Vec<String> = before.iter().map(|vm| name(*vm)).collect();
-        self.vms[vm].reachability.role(&before, now_ms)
+        let order: Vec<String> = order.iter().map(|vm| name(*vm)).collect();
+        self.vms[vm].reachability.role(&order, position, now_ms)
     }
 
     fn handle(&mut self, vm: usize, event: Event) {
@@ -825,6 +834,9 @@
         returned: u32,
     ) {
         let now_ms = self.now_ms;
+        if reply_to.0 != vm {
+            self.vms[vm].reachability.record_request(now_ms);
+        }
         let Some(role) = self.role(vm, account) else {
             let (from, flight) = reply_to;
             let decision = QuotaDecision::NotGrantor;
