Quotas: VM that is partitioned alone doesn't take over; random faults

A VM that isn't the first of the order, and is partitioned alone, misses all VMs before it like the true substitute does, and granted the domain's whole share to its own callers: 3 of 200 fleets with random faults exceeded the bound (603 requests in a window where 570 are allowed). A substitute now takes over only while it hears of its domain, and an isolated VM grants 0.05 of the share at most.

--- a/crates/quotas/src/grantor.rs
+++ b/crates/quotas/src/grantor.rs
@@ -32,6 +32,10 @@
 /// so that substitutes add at most 0.67 where many requests to many VMs are lost.
 const SUBSTITUTE_SHARE: f64 = 0.4;
 
+/// Largest share of the rate that an isolated VM grants, beside its substitute. In a
+/// domain of a few VMs, the part of one would exceed the bound.
+const MAX_ISOLATED_SHARE: f64 = 0.05;
+
 /// Share of the rate that a first-ranked VM grants after its start, as a substitute may
 /// not have noticed it yet.
 const STARTING_SHARE: f64 = 0.6;
@@ -67,8 +71,8 @@
         /// At least 1.
         before: u32,
     },
-    /// First VM of the order, which reaches no other one. A substitute grants in its place,
-    /// so it grants the part of one of as many VMs as `vms`.
+    /// VM that reaches no other one of the domain. Another one grants in its place, so it
+    /// grants the part of one of as many VMs as `vms`.
     #[display("isolated")]
     Isolated {
         /// VMs in the domain.
@@ -262,7 +266,10 @@
         let (rate_per_s, capacity) = match role {
             GrantorRole::First if is_starting => (share_per_s * STARTING_SHARE, full),
             GrantorRole::First | GrantorRole::ConfirmedSubstitute => (share_per_s, full),
-            GrantorRole::Isolated { vms } => (share_per_s / f64::from(vms.max(1)), 1.0),
+            GrantorRole::Isolated { vms } => {
+                let share = (1.0 / f64::from(vms.max(1))).min(MAX_ISOLATED_SHARE);
+                (share_per_s * share, 1.0)
+            }
             GrantorRole::Substitute { before } => {
                 let depth = i32::try_from(before).unwrap_or(i32::MAX);
                 (share_per_s * SUBSTITUTE_SHARE.powi(depth), 1.0)
--- a/crates/quotas/src/order.rs
+++ b/crates/quotas/src/order.rs
@@ -29,26 +29,20 @@
 /// Time between two probes of a VM that a substitute makes while it is asked.
 const PROBE_INTERVAL_MS: u64 = 250;
 
-/// Time after a sign of another VM of its domain for which a first-ranked VM isn't
-/// isolated.
-const HEARD_VALID_MS: u64 = 300;
+/// Time after a sign of another VM of its domain for which a VM isn't isolated. It is
+/// longer than the time between two probes and their replies.
+const HEARD_VALID_MS: u64 = 400;
 
 /// Time for which a first-ranked VM must have missed others to be isolated. With the time
 /// until it notices, it is below [`TAKEOVER_MS`], when a substitute grants the full share.
 const ISOLATION_MS: u64 = 200;
 
-/// Others that a first-ranked VM must have missed to be isolated, and their least number.
+/// VMs by which another one finds out whether it is isolated.
 const MAX_WITNESSES: usize = 3;
-const MIN_WITNESSES: usize = 2;
-
-/// VMs after the first in an order by which that one finds out whether it is isolated;
-/// none where too few are listed to tell an isolated VM from the end of the others.
-fn isolation_witnesses<S>(order: &[S]) -> &[S] {
-    match order.get(1..) {
-        Some(others) if others.len() >= MIN_WITNESSES => &others[..others.len().min(MAX_WITNESSES)],
-        _ => &[],
-    }
-}
+
+/// Least number of VMs in a domain of which one can tell its own isolation from the end of
+/// the others.
+const MIN_VMS: usize = 3;
 
 #[derive(Clone, Copy, Debug)]
 struct Failing {
@@ -100,36 +94,41 @@
         self.heard_ms = Some(now_ms);
     }
 
-    /// VMs that the one at this position of an account's order has to reach or to miss
-    /// before it knows its role: those before it. The first one needs others only if it
-    /// has heard of none lately.
-    pub fn to_probe<'a, S>(&self, order: &'a [S], position: usize, now_ms: u64) -> &'a [S] {
-        if position > 0 {
-            return &order[..position];
-        }
+    fn has_heard(&self, now_ms: u64) -> bool {
         let is_recent = |heard_ms: u64| now_ms < heard_ms + HEARD_VALID_MS;
-        match self.heard_ms.is_some_and(is_recent) {
-            true => &[],
-            false => isolation_witnesses(order),
-        }
+        self.heard_ms.is_some_and(is_recent)
+    }
+
+    /// VMs that the one at this position of an account's order has to reach or to miss
+    /// before it knows its role: those before it, and the next ones if it has heard of
+    /// none of the domain lately.
+    pub fn to_probe<'a, S>(&self, order: &'a [S], position: usize, now_ms: u64) -> Vec<&'a S> {
+        let witnesses = match self.has_heard(now_ms) || order.len() < MIN_VMS {
+            true => 0,
+            false => MAX_WITNESSES,
+        };
+        let next = order.iter().skip(position + 1).take(witnesses);
+        order.iter().take(position).chain(next).collect()
     }
 
     /// Role of the VM at this position of an account's order; `None` if it refuses the
     /// role, as it reaches one before it itself. Otherwise it and the first-ranked VM would
-    /// both grant for as long as some VMs reach only one of them.
+    /// both grant for as long as some VMs reach only one of them. A VM that is partitioned
+    /// alone doesn't take over.
     pub fn role<S>(&self, order: &[S], position: usize, now_ms: u64) -> Option<GrantorRole>
     where
         S: AsRef<str>,
     {
         let count = |vms: usize| u32::try_from(vms).unwrap_or(u32::MAX);
+        let isolated = GrantorRole::Isolated {
+            vms: count(order.len()),
+        };
+        let may_be_isolated = order.len() >= MIN_VMS && !self.has_heard(now_ms);
         if position == 0 {
-            let witnesses = self.to_probe(order, position, now_ms);
+            let mut witnesses = order.iter().skip(1).take(MAX_WITNESSES);
             let is_missed = |vm: &S| self.is_missed(vm.as_ref(), ISOLATION_MS, now_ms);
-            let is_isolated = !witnesses.is_empty() && witnesses.iter().all(is_missed);
-            return Some(match is_isolated {
-                true => GrantorRole::Isolated {
-                    vms: count(order.len()),
-                },
+            return Some(match may_be_isolated && witnesses.all(is_missed) {
+                true => isolated,
                 false => GrantorRole::First,
             });
         }
@@ -143,6 +142,7 @@
         }
         let is_missed = |vm: &S| self.is_missed(vm.as_ref(), TAKEOVER_MS, now_ms);
         Some(match before.iter().all(is_missed) {
+            true if may_be_isolated => isolated,
             true => GrantorRole::ConfirmedSubstitute,
             false => GrantorRole::Substitute {
                 before: count(before.len()),
