--- a/crates/quotas/tests/simulation/mod.rs
+++ b/crates/quotas/tests/simulation/mod.rs
@@ -37,6 +37,8 @@
     Join { domain: usize },
     /// The VM leaves the list and the fleet.
     Leave { vm: usize },
+    /// The VM reaches no other one for this time, but the targets.
+    CutVm { vm: usize, for_ms: u64 },
     /// The VMs of a failure domain and those of the others don't reach each other.
     CutDomain { domain: usize, for_ms: u64 },
 }
@@ -227,11 +229,12 @@
     sources: Vec<Source>,
     quotas: FastMap<u64, QuotaTerms>,
     cut: Option<(usize, u64)>,
+    cut_vms: Vec<(usize, u64)>,
     loss: f64,
     hold_ms: Range<u64>,
     /// Arrivals at targets, by account: time and domain of the sending VM.
     arrivals: FastMap<u64, Vec<(u64, usize)>>,
-    refusals: FastMap<u64, Vec<u64>>,
+    refusals: FastMap<u64, Vec<(u64, RequestClass)>>,
     messages: u64,
     kinds: FastMap<&'static str, u64>,
     /// Orders of grantors by list, account and domain.
@@ -249,6 +252,7 @@
             sources: Vec::new(),
             quotas: FastMap::default(),
             cut: None,
+            cut_vms: Vec::new(),
             loss: 0.0,
             hold_ms: 0..20,
             arrivals: FastMap::default(),
@@ -362,6 +366,7 @@
 
     pub(crate) fn apply(&mut self, fault: Fault) {
         let now_ms = self.now_ms;
+        println!("{now_ms} ms: {fault:?}");
         match fault {
             Fault::Kill { vm, for_ms } => {
                 self.vms[vm].is_killed = true;
@@ -391,6 +396,7 @@
                 self.vms[vm].is_gone = true;
                 self.announce(vm, false);
             }
+            Fault::CutVm { vm, for_ms } => self.cut_vms.push((vm, now_ms + for_ms)),
             Fault::CutDomain { domain, for_ms } => self.cut = Some((domain, now_ms + for_ms)),
         }
     }
@@ -416,6 +422,13 @@
     }
 
     fn reaches(&self, from: usize, to: usize) -> bool {
+        let is_cut = |vm: usize| {
+            let mut cuts = self.cut_vms.iter();
+            cuts.any(|(cut, until_ms)| *cut == vm && self.now_ms < *until_ms)
+        };
+        if from != to && (is_cut(from) || is_cut(to)) {
+            return false;
+        }
         self.cut.is_none_or(|(domain, until_ms)| {
             let is_inside = |vm: usize| self.vms[vm].domain == domain;
             self.now_ms >= until_ms || is_inside(from) == is_inside(to)
@@ -514,7 +527,11 @@
         let state = &mut self.vms[vm];
         match state.stock.take(account, class, now_ms) {
             Take::Token { expires_ms } => self.hold(vm, account, class, expires_ms),
-            Take::Refused { .. } => self.refusals.entry(account).or_default().push(now_ms),
+            Take::Refused { .. } => self
+                .refusals
+                .entry(account)
+                .or_default()
+                .push((now_ms, class)),
             Take::Ask => {
                 state.stock.begin_wait(account, class);
                 if let Some(flight) = state.flights.get_mut(&account) {
@@ -592,7 +609,10 @@
             let flight = self.vms[vm].flights.remove(&account).expect("in flight");
             for class in flight.waiting {
                 self.vms[vm].stock.end_wait(account, class);
-                self.refusals.entry(account).or_default().push(now_ms);
+                self.refusals
+                    .entry(account)
+                    .or_default()
+                    .push((now_ms, class));
             }
             return;
         };
@@ -622,12 +642,9 @@
         let domain = self.vms[vm].domain;
         let order = self.order(vm, account, domain);
         let position = order.iter().position(|other| *other == vm)?;
-        if position == 0 {
-            return Some(GrantorRole::First);
-        }
         let now_ms = self.now_ms;
-        let before = &order[..position];
-        for before in before {
+        let to_probe = self.vms[vm].reachability.to_probe(&order, position, now_ms);
+        for before in to_probe {
             let reachability = &mut self.vms[vm].reachability;
             if reachability.begin_probe(&name(*before), now_ms) {
                 self.number += 1;
@@ -638,8 +655,8 @@
                 self.send(vm, *before, Event::Probe { from: vm, probe });
             }
         }
-        let before: Vec<String> = before.iter().map(|vm| name(*vm)).collect();
-        self.vms[vm].reachability.role(&before, now_ms)
+        let order: Vec<String> = order.iter().map(|vm| name(*vm)).collect();
+        self.vms[vm].reachability.role(&order, position, now_ms)
     }
 
     fn handle(&mut self, vm: usize, event: Event) {
@@ -737,7 +754,10 @@
                     match stock.take(account, class, now_ms) {
                         Take::Token { expires_ms } => self.hold(vm, account, class, expires_ms),
                         Take::Refused { .. } => {
-                            self.refusals.entry(account).or_default().push(now_ms);
+                            self.refusals
+                                .entry(account)
+                                .or_default()
+                                .push((now_ms, class));
                         }
                         Take::Ask => late.push(class),
                     }
@@ -825,6 +845,9 @@
         returned: u32,
     ) {
         let now_ms = self.now_ms;
+        if reply_to.0 != vm {
+            self.vms[vm].reachability.record_request(now_ms);
+        }
         let Some(role) = self.role(vm, account) else {
             let (from, flight) = reply_to;
             let decision = QuotaDecision::NotGrantor;
@@ -978,7 +1001,15 @@
 
     pub(crate) fn refused(&self, account: u64, from_ms: u64) -> usize {
         let refusals = self.refusals.get(&account).into_iter().flatten();
-        refusals.filter(|at_ms| **at_ms >= from_ms).count()
+        refusals.filter(|(at_ms, _)| *at_ms >= from_ms).count()
+    }
+
+    /// Refused requests of programs that have begun.
+    pub(crate) fn refused_running(&self, account: u64, from_ms: u64) -> usize {
+        let refusals = self.refusals.get(&account).into_iter().flatten();
+        let is_running = |class: &RequestClass| *class == RequestClass::Running;
+        let refused = refusals.filter(|(at_ms, class)| *at_ms >= from_ms && is_running(class));
+        refused.count()
     }
 
     /// Checks the sums of all accounts in every sliding window.
@@ -1003,14 +1034,18 @@
         let allowed = (quota.rate_per_s * window_s + quota.burst) * (1.0 + EXCESS) + SLACK;
         let mut first = 0;
         let mut most = 0;
+        let mut most_ms = 0;
         for (index, at_ms) in arrivals.iter().enumerate() {
             while arrivals[first] + WINDOW_MS <= *at_ms {
                 first += 1;
             }
-            most = most.max(index + 1 - first);
+            if index + 1 - first > most {
+                most = index + 1 - first;
+                most_ms = *at_ms;
+            }
         }
         if account == 42 || account == 0 {
-            println!("account {account}: at most {most} of {allowed:.0}");
+            println!("account {account}: at most {most} of {allowed:.0}, until {most_ms} ms");
         }
         assert!(
             most as f64 <= allowed,
