--- a/crates/entry/src/news.rs
+++ b/crates/entry/src/news.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use lagoon_gateway::{CrashUpdate, GossipMessage};
+use lagoon_gateway::{CapacityUpdate, CrashUpdate, GossipMessage};
 use lagoon_limits::LimitUpdate;
 use lagoon_streams::OriginRecord;
 use rand::RngExt;
@@ -51,6 +51,10 @@
 /// each, 12 gossip peers get at most 12 KB a second.
 const SPEEDS_PER_MESSAGE: usize = 6;
 
+/// Maximum number of accounts with admitted programs in one message, at up to 9 bytes
+/// each; further ones follow in the next.
+const ACCOUNTS_PER_MESSAGE: usize = 4;
+
 /// Interval at which a VM repeats the crashes and limits that it knows, as datagrams
 /// may get lost and VMs may be cut off for a time.
 const REPEAT_INTERVAL: Duration = Duration::from_secs(1);
@@ -94,16 +98,13 @@
         send_new_limits(&state, &socket);
         send_versions(&state, &socket);
         let targets = state.targets.borrow_mut().take_updates(state.now_ms());
-        let speeds = state
-            .targets
-            .borrow_mut()
-            .take_speeds(SPEEDS_PER_MESSAGE, state.now_ms());
+        let capacity = take_capacity_updates(&state);
         let updates = state.affinity.borrow_mut().take_updates();
         // The first message without targets reports that this VM has no
         // requests in flight; further ones add nothing.
         let had_no_targets = std::mem::replace(&mut has_no_targets, targets.is_empty());
         let sends_targets = !(had_no_targets && has_no_targets);
-        if !sends_targets && updates.is_empty() && speeds.is_empty() {
+        if !sends_targets && updates.is_empty() && capacity.is_empty() {
             continue;
         }
         let (gossip_peers, others) = state
@@ -122,13 +123,13 @@
             send(&state, &socket, &news, &others);
             send(&state, &socket, &news, &gossip_peers);
         }
-        if sends_targets || !speeds.is_empty() {
+        if sends_targets || !capacity.is_empty() {
             let news = News {
                 message: GossipMessage {
                     targets: sends_targets.then_some(targets),
                     affinities: Vec::new(),
                 },
-                speeds,
+                capacity,
                 ..News::default()
             };
             send(&state, &socket, &news, &gossip_peers);
@@ -311,8 +312,27 @@
         state.apply_limits(&news.limits, &from.to_string());
     }
     state.accept_origins(&news.origins);
-    if !news.speeds.is_empty() {
-        let mut targets = state.targets.borrow_mut();
-        targets.apply_speeds(&news.speeds, now_ms);
+    for update in &news.capacity {
+        match update {
+            CapacityUpdate::Speed(speed) => {
+                let mut targets = state.targets.borrow_mut();
+                targets.apply_speeds(std::slice::from_ref(speed), now_ms);
+            }
+            CapacityUpdate::Admitted(admitted) => {
+                let mut admission = state.admission.borrow_mut();
+                admission.apply_admitted(std::slice::from_ref(admitted), now_ms);
+            }
+        }
     }
 }
+
+/// Updates on the speed of targets and on admitted programs for gossip peers.
+fn take_capacity_updates(state: &DaemonState) -> Vec<CapacityUpdate> {
+    let mut targets = state.targets.borrow_mut();
+    let speeds = targets.take_speeds(SPEEDS_PER_MESSAGE, state.now_ms());
+    let mut admission = state.admission.borrow_mut();
+    let admitted = admission.take_admitted(ACCOUNTS_PER_MESSAGE);
+    let speeds = speeds.into_iter().map(CapacityUpdate::Speed);
+    let admitted = admitted.into_iter().map(CapacityUpdate::Admitted);
+    speeds.chain(admitted).collect()
+}
--- a/crates/entry/src/news/datagram.rs
+++ b/crates/entry/src/news/datagram.rs
@@ -2,7 +2,7 @@
 //! added. A VM ignores what follows the lists that it knows, and takes those that are
 //! missing for empty, so new lists are added at the end only.
 
-use lagoon_gateway::{CrashUpdate, GossipMessage, TableVersions, TargetSpeed};
+use lagoon_gateway::{CapacityUpdate, CrashUpdate, GossipMessage, TableVersions};
 use lagoon_limits::LimitUpdate;
 use lagoon_streams::OriginRecord;
 
@@ -19,8 +19,8 @@
     pub limits: Vec<LimitUpdate>,
     /// Software versions of streams.
     pub origins: Vec<OriginRecord>,
-    /// Speed of targets.
-    pub speeds: Vec<TargetSpeed>,
+    /// Speed of targets, and admitted programs.
+    pub capacity: Vec<CapacityUpdate>,
 }
 
 impl News {
@@ -30,8 +30,8 @@
     ///
     /// Fails if a part can't be encoded.
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
-        let has_speeds = !self.speeds.is_empty();
-        let has_origins = has_speeds || !self.origins.is_empty();
+        let has_capacity = !self.capacity.is_empty();
+        let has_origins = has_capacity || !self.origins.is_empty();
         let has_limits = has_origins || !self.limits.is_empty();
         let has_versions = has_limits || self.versions != TableVersions::default();
         let has_crashes = has_versions || !self.crashes.is_empty();
@@ -48,8 +48,8 @@
         if has_origins {
             bytes = postcard::to_extend(&self.origins, bytes)?;
         }
-        if has_speeds {
-            bytes = postcard::to_extend(&self.speeds, bytes)?;
+        if has_capacity {
+            bytes = postcard::to_extend(&self.capacity, bytes)?;
         }
         Ok(bytes)
     }
@@ -86,7 +86,7 @@
         let (origins, remaining) = postcard::take_from_bytes(remaining)?;
         news.origins = origins;
         if !remaining.is_empty() {
-            (news.speeds, _) = postcard::take_from_bytes(remaining)?;
+            (news.capacity, _) = postcard::take_from_bytes(remaining)?;
         }
         Ok(news)
     }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -6,8 +6,8 @@
 
 use compact_str::CompactString;
 use lagoon_gateway::{
-    AdmissionSettings, AffinityTable, Config, Limits, PlacementSettings, Sentinel,
-    SentinelSettings, SentinelTable, TargetKey, Targets,
+    AdmissionSettings, AffinityTable, Config, Limits, PlacementSettings, ProgramAdmission,
+    Sentinel, SentinelSettings, SentinelTable, TargetKey, Targets,
 };
 use lagoon_paths::{CarrierSettings, Carriers, PathSettings, Paths};
 use tokio::sync::Notify;
@@ -89,6 +89,7 @@
     pub(crate) origins: StreamOrigins,
     pub(crate) placement_settings: PlacementSettings,
     pub(crate) admission_settings: AdmissionSettings,
+    pub(crate) admission: RefCell<ProgramAdmission>,
     /// `None` until a valid configuration was read.
     pub(crate) config: RefCell<Option<Rc<Config>>>,
     /// Rest of callers' connections that the configuration allows.
@@ -141,6 +142,7 @@
             origins: StreamOrigins::default(),
             placement_settings: PlacementSettings::default(),
             admission_settings: AdmissionSettings::default(),
+            admission: RefCell::default(),
             config: RefCell::new(None),
             idle_limit: IdleLimit::new(&Limits::default()),
             targets: RefCell::default(),
--- a/crates/entry/tests/wire/samples.rs
+++ b/crates/entry/tests/wire/samples.rs
@@ -10,10 +10,10 @@
     PermitRequest, StoreResult, TargetReach, TurnReply,
 };
 use lagoon_gateway::{
-    AffinityUpdate, AllowanceRecord, AllowanceRequest, AllowanceSettlement, BudgetRow,
-    Connectivity, CrashRecord, CrashUpdate, GossipMessage, LoadReport, PeerEntry, ReserveRequest,
-    Row, RowKey, RowWrite, SessionHash, StoreCall, StoreError, StoreReply, TableVersions,
-    TargetHash, TargetSpeed, TargetUpdate, WriterMark,
+    AdmittedPrograms, AffinityUpdate, AllowanceRecord, AllowanceRequest, AllowanceSettlement,
+    BudgetRow, CapacityUpdate, Connectivity, CrashRecord, CrashUpdate, GossipMessage, LoadReport,
+    PeerEntry, ReserveRequest, Row, RowKey, RowWrite, SessionHash, StoreCall, StoreError,
+    StoreReply, TableVersions, TargetHash, TargetSpeed, TargetUpdate, WriterMark,
 };
 use lagoon_limits::{Demand, LimitUpdate, PermitDecision, RunId};
 use lagoon_streams::{OriginAnswer, OriginRecord, OriginReply, SoftwareId, StreamId};
@@ -456,13 +456,19 @@
             },
         ),
         gossip(
-            "gossip.speeds",
+            "gossip.capacity",
             News {
-                speeds: vec![TargetSpeed {
-                    target: 70_000,
-                    figure: Some((250, 40)),
-                    measured: Some((170, 3)),
-                }],
+                capacity: vec![
+                    CapacityUpdate::Speed(TargetSpeed {
+                        target: 70_000,
+                        figure: Some((250, 40)),
+                        measured: Some((170, 3)),
+                    }),
+                    CapacityUpdate::Admitted(AdmittedPrograms {
+                        account: 80_000,
+                        count: 2,
+                    }),
+                ],
                 ..News::default()
             },
         ),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -6,9 +6,12 @@
 //! sends the target of a session to all VMs, as the session's next request may
 //! come through any of them.
 
+use lagoon_capacity::TargetSpeed;
 use lagoon_ids::hash64;
 use serde::{Deserialize, Serialize};
 
+use crate::admission::AdmittedPrograms;
+
 /// Hash of a target's id that identifies it in gossip.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct TargetHash(pub u32);
@@ -70,3 +73,12 @@
     /// Sessions whose target changed since the sender's last message.
     pub affinities: Vec<AffinityUpdate>,
 }
+
+/// What a VM learned of the capacity of targets and of its use.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum CapacityUpdate {
+    /// Speed of a target.
+    Speed(TargetSpeed),
+    /// Programs that were admitted for an account.
+    Admitted(AdmittedPrograms),
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,7 +24,10 @@
 mod store_versions;
 mod targets;
 
-pub use admission::{admit, Admission, AdmissionSettings};
+pub use admission::{
+    admit, Admission, AdmissionSettings, AdmittedPrograms, NewProgram, ProgramAdmission,
+    ProgramDecision, Ticket,
+};
 pub use affinity::AffinityTable;
 pub use allowance::{
     allowance_coordinator, record_holders, AllowanceRecord, AllowanceRequest, AllowanceSettlement,
@@ -39,7 +42,8 @@
 pub use crash_log::{fingerprint, CrashLog, CrashRecord, CrashUpdate};
 pub use events::{CompleteEvents, EventReader};
 pub use gossip::{
-    AffinityUpdate, GossipMessage, LoadReport, SessionHash, TargetHash, TargetUpdate,
+    AffinityUpdate, CapacityUpdate, GossipMessage, LoadReport, SessionHash, TargetHash,
+    TargetUpdate,
 };
 pub use lagoon_capacity::{SampleKind, TargetSpeed};
 pub use peers::{PeerEntry, PeerOutcome, Peers, PROTOCOL_VERSION};
