--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -6,8 +6,8 @@
 
 use compact_str::CompactString;
 use lagoon_gateway::{
-    AdmissionSettings, AffinityTable, Config, Limits, PlacementSettings, Sentinel,
-    SentinelSettings, SentinelTable, TargetKey, Targets,
+    AdmissionSettings, AffinityTable, Config, Limits, PlacementSettings, ProgramAdmission,
+    Sentinel, SentinelSettings, SentinelTable, TargetKey, Targets,
 };
 use lagoon_paths::{CarrierSettings, Carriers, PathSettings, Paths};
 use tokio::sync::Notify;
@@ -62,6 +62,7 @@
     pub(crate) origins: StreamOrigins,
     pub(crate) placement_settings: PlacementSettings,
     pub(crate) admission_settings: AdmissionSettings,
+    pub(crate) admission: RefCell<ProgramAdmission>,
     /// `None` until a valid configuration was read.
     pub(crate) config: RefCell<Option<Rc<Config>>>,
     /// How recent it is.
@@ -118,6 +119,7 @@
             origins: StreamOrigins::default(),
             placement_settings: PlacementSettings::default(),
             admission_settings: AdmissionSettings::default(),
+            admission: RefCell::default(),
             config: RefCell::new(None),
             evidence: ConfigEvidence::new(&settings.accounts),
             idle_limit: IdleLimit::new(&Limits::default()),
