lagoond counts request bodies; bodies that arrive are kept in one slab

lagoond read bodies whole without counting them, and tiny_http held the rest of a refused body as a head.

- lagoond reads bodies into the accounting of lagoon-memory, 32 MB in all or four of the largest size; what exceeds it gets 503, after the rest was read.
- Bodies that arrive are kept in segments of 16 KiB of a slab that is mapped on its own and returns to the system with the last of them.

--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -23,6 +23,11 @@
         self.started_us + self.started_at.elapsed().as_micros() as u64
     }
 
+    /// Time since the epoch, in milliseconds.
+    pub(crate) fn now_ms(&self) -> u64 {
+        self.now_us() / 1_000
+    }
+
     /// Start of the process since the epoch, in milliseconds.
     pub(crate) fn started_ms(&self) -> u64 {
         self.started_us / 1_000
--- a/crates/daemon/src/constants.rs
+++ b/crates/daemon/src/constants.rs
@@ -8,6 +8,12 @@
 /// Maximum number of concurrent requests of an HTTP listener; further ones are
 /// rejected as overload.
 pub(crate) const MAX_CONCURRENT_REQUESTS: usize = 4_096;
+/// Maximum size of all request bodies that are held at the same time, and number of bodies
+/// of the largest size that it has room for at least.
+pub(crate) const MAX_HELD_BYTES: u64 = 32_000_000;
+pub(crate) const MIN_LARGEST_BODIES: u64 = 4;
+/// Size of one read of a body.
+pub(crate) const READ_BYTES: usize = 16 * 1024;
 /// Maximum size of a request's headers, names and values.
 pub(crate) const MAX_HEADER_BYTES: usize = 16_384;
 /// `max_tokens` that is added to a chat request without an output limit.
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -8,4 +8,4 @@
 
 pub(crate) use callers::CallerApi;
 pub(crate) use operators::OperatorApi;
-pub(crate) use server::{serve, ActiveRequests};
+pub(crate) use server::{serve, ActiveRequests, BodyMemory};
--- a/crates/daemon/src/http/callers.rs
+++ b/crates/daemon/src/http/callers.rs
@@ -7,15 +7,16 @@
 use compact_str::CompactString;
 use lagoon_errors::{CallError, ErrorKind};
 use lagoon_ids::TraceContext;
+use lagoon_memory::Holding;
 use lagoon_node::{CallKind, CallRef, CallerRequest, Event};
 use lagoon_telemetry::{extract, new_root, FinishedSpan, SpanKind, Tracer, TRACEPARENT};
 use tiny_http::{Method, Request};
-use xxhash_rust::xxh3::xxh3_128;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::clock::Clock;
 use crate::http::chat::parse_chat_request;
 use crate::http::response::{respond, respond_error, respond_json, send_frames, DeliveryOutcome};
-use crate::http::server::{header, read_body};
+use crate::http::server::{header, BodyMemory};
 use crate::input::{Input, InputSender};
 
 const CHAT_PATH: &str = "/v1/chat/completions";
@@ -28,7 +29,7 @@
     pub(crate) clock: Clock,
     pub(crate) tracer: Arc<Tracer>,
     pub(crate) ready: Arc<AtomicBool>,
-    pub(crate) body_limit_bytes: u64,
+    pub(crate) body_memory: BodyMemory,
     pub(crate) sample_percent: u64,
     pub(crate) next_ref: AtomicU64,
 }
@@ -37,6 +38,8 @@
 struct ParsedRequest {
     request: CallerRequest,
     parent: TraceContext,
+    /// Counts the body until the call has ended.
+    body_memory: Holding,
 }
 
 impl CallerApi {
@@ -100,7 +103,7 @@
             Err(error) => return respond_error(request, None, &error),
         };
         let context = parsed.request.trace;
-        let parent = parsed.parent;
+        let (parent, body_memory) = (parsed.parent, parsed.body_memory);
         let call_ref = self.new_ref();
         let (frames, receiver) = channel();
         let input = Input::Call {
@@ -112,6 +115,7 @@
         // If the actor thread has ended, the channel of frames closes at once.
         let _ = self.input_sender.send(input);
         let outcome = send_frames(request, &receiver);
+        drop(body_memory);
         if outcome == DeliveryOutcome::CallerGone {
             let _ = self
                 .input_sender
@@ -136,16 +140,17 @@
         request: &mut Request,
         service: Option<CompactString>,
     ) -> Result<ParsedRequest, CallError> {
-        let body = read_body(request, self.body_limit_bytes)?;
-        let mut hash_input = request.url().as_bytes().to_vec();
-        hash_input.push(0);
-        hash_input.extend_from_slice(&body);
-        let content_hash = xxh3_128(&hash_input);
+        let (body, body_memory) = self.body_memory.read_body(request)?;
+        let mut hasher = Xxh3::new();
+        hasher.update(request.url().as_bytes());
+        hasher.update(&[0]);
+        hasher.update(&body);
+        let content_hash = hasher.digest128();
         let (kind, body) = match service {
-            Some(service) => (CallKind::Service { service }, body),
+            Some(service) => (CallKind::Service { service }, Arc::from(body.as_ref())),
             None => {
                 let (kind, body) = parse_chat_request(&body)?;
-                (kind, body.into_owned())
+                (kind, Arc::from(body.as_ref()))
             }
         };
         let parent = header(request, TRACEPARENT)
@@ -165,13 +170,14 @@
                 CompactString::const_new("application/json"),
                 CompactString::new,
             ),
-            body: body.into(),
+            body,
             content_hash,
             trace: parent.child(&span_label),
         };
         Ok(ParsedRequest {
             request: caller_request,
             parent,
+            body_memory,
         })
     }
 
--- a/crates/daemon/src/http/operators.rs
+++ b/crates/daemon/src/http/operators.rs
@@ -12,7 +12,7 @@
 
 use crate::constants::OPERATOR_REPLY_TIMEOUT;
 use crate::http::response::{respond_error, respond_json};
-use crate::http::server::read_body;
+use crate::http::server::BodyMemory;
 use crate::input::{Input, InputSender};
 
 const PROGRAM_PATH: &str = "/v1/programs/";
@@ -20,7 +20,7 @@
 /// Request handler of the operators' API.
 pub(crate) struct OperatorApi {
     pub(crate) input_sender: InputSender,
-    pub(crate) body_limit_bytes: u64,
+    pub(crate) body_memory: BodyMemory,
     pub(crate) next_ref: AtomicU64,
 }
 
@@ -86,7 +86,7 @@
     where
         T: serde::de::DeserializeOwned,
     {
-        let body = read_body(request, self.body_limit_bytes)?;
+        let (body, _body_memory) = self.body_memory.read_body(request)?;
         serde_json::from_slice(&body)
             .map_err(|error| CallError::new(ErrorKind::BadRequest, error.to_string()))
     }
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -1,15 +1,20 @@
 //! HTTP server with a thread for each request.
 
-use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
 
+use bytes::Bytes;
 use lagoon_errors::{CallError, ErrorKind};
+use lagoon_memory::{Claim, Exhausted, Holding, Memory};
 use tiny_http::{Request, Server};
 
-use crate::constants::{MAX_CONCURRENT_REQUESTS, MAX_HEADER_BYTES, WORKER_STACK_BYTES};
+use crate::clock::Clock;
+use crate::constants::{
+    MAX_CONCURRENT_REQUESTS, MAX_HEADER_BYTES, MAX_HELD_BYTES, MIN_LARGEST_BODIES, READ_BYTES,
+    WORKER_STACK_BYTES,
+};
 use crate::http::response::respond_error;
 
 /// Number of requests that are being served.
@@ -111,27 +116,73 @@
     }
 }
 
-/// Reads the body of a request, which may have up to `limit_bytes`.
-pub(super) fn read_body(request: &mut Request, limit_bytes: u64) -> Result<Vec<u8>, CallError> {
-    let too_large = || {
-        let detail = format!("body has more than {limit_bytes} bytes");
-        CallError::new(ErrorKind::RequestTooLarge, detail)
-    };
-    if request.body_length().unwrap_or_default() as u64 > limit_bytes {
-        return Err(too_large());
+/// Memory for the bodies of requests, and their largest size.
+#[derive(Clone, Debug)]
+pub(crate) struct BodyMemory {
+    memory: Memory,
+    limit_bytes: u64,
+    clock: Clock,
+}
+
+impl BodyMemory {
+    /// Memory for bodies that have up to `limit_bytes` each.
+    pub(crate) fn new(limit_bytes: u64, clock: Clock) -> BodyMemory {
+        let held_bytes = MAX_HELD_BYTES.max(MIN_LARGEST_BODIES * limit_bytes);
+        BodyMemory {
+            memory: Memory::new(held_bytes, 0),
+            limit_bytes,
+            clock,
+        }
     }
-    let mut bytes = Vec::new();
-    let read = request
-        .as_reader()
-        .take(limit_bytes + 1)
-        .read_to_end(&mut bytes);
-    match read {
-        Err(error) => Err(CallError::new(ErrorKind::BadRequest, error.to_string())),
-        Ok(length) if length as u64 > limit_bytes => Err(too_large()),
-        Ok(_) => Ok(bytes),
+
+    /// Reads the body of a request. Its bytes are counted until the holding is dropped.
+    pub(super) fn read_body(&self, request: &mut Request) -> Result<(Bytes, Holding), CallError> {
+        let too_large = || {
+            let detail = format!("body has more than {} bytes", self.limit_bytes);
+            CallError::new(ErrorKind::RequestTooLarge, detail)
+        };
+        if request.body_length().unwrap_or_default() as u64 > self.limit_bytes {
+            return Err(too_large());
+        }
+        let exhausted = |_: Exhausted| {
+            let detail = "too many bytes are held for callers";
+            CallError::new(ErrorKind::Overloaded, detail)
+        };
+        let max_bytes = usize::try_from(self.limit_bytes).unwrap_or(usize::MAX);
+        let holding = self.memory.hold(Claim::Withdrawable, self.clock.now_ms());
+        let mut part = [0; READ_BYTES];
+        loop {
+            let read = match request.as_reader().read(&mut part) {
+                Ok(0) => break,
+                Ok(read) => read,
+                Err(error) if error.kind() == std::io::ErrorKind::Interrupted => continue,
+                Err(error) => {
+                    return Err(CallError::new(ErrorKind::BadRequest, error.to_string()));
+                }
+            };
+            let refused = if read > max_bytes - holding.buffered_bytes() {
+                Err(too_large())
+            } else {
+                let pushed = holding.push(&part[..read], self.clock.now_ms());
+                pushed.map_err(exhausted)
+            };
+            if let Err(error) = refused {
+                drop(holding);
+                discard(request, &mut part);
+                return Err(error);
+            }
+        }
+        let bytes = holding.finish().map_err(exhausted)?;
+        Ok((bytes, holding))
     }
 }
 
+/// Reads a refused body to its end, without keeping it: tiny_http would read what is left
+/// of it as a head, which it holds whole.
+fn discard(request: &mut Request, part: &mut [u8]) {
+    while request.as_reader().read(part).is_ok_and(|read| read > 0) {}
+}
+
 /// Value of the first header with this name, ignoring case.
 pub(super) fn header<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
     request
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -23,7 +23,7 @@
 };
 use crate::clock::Clock;
 use crate::constants::{DRAIN_TIMEOUT, MAX_INPUT_BATCH};
-use crate::http::{serve, ActiveRequests, CallerApi, OperatorApi};
+use crate::http::{serve, ActiveRequests, BodyMemory, CallerApi, OperatorApi};
 use crate::input::{Input, InputSender};
 
 /// Reason why the daemon ends other than by a planned stop.
@@ -81,8 +81,16 @@
     let ready = Arc::new(AtomicBool::new(false));
     let peer_socket =
         crate::actors::listen(settings.listen.peers).map_err(socket_error("listen.peers"))?;
-    let active = start_caller_api(settings, clock, &input_sender, &tracer, &ready)?;
-    start_operator_api(settings, &input_sender)?;
+    let body_memory = BodyMemory::new(settings.callers.body_limit_bytes, clock);
+    let active = start_caller_api(
+        settings,
+        clock,
+        &input_sender,
+        &tracer,
+        &ready,
+        body_memory.clone(),
+    )?;
+    start_operator_api(settings, &input_sender, body_memory)?;
     handle_signals(&input_sender).map_err(socket_error("signals"))?;
 
     let mut stakker = Stakker::new(Instant::now());
@@ -209,13 +217,14 @@
     input_sender: &InputSender,
     tracer: &Arc<Tracer>,
     ready: &Arc<AtomicBool>,
+    body_memory: BodyMemory,
 ) -> Result<ActiveRequests, RunError> {
     let api = CallerApi {
         input_sender: input_sender.clone(),
         clock,
         tracer: Arc::clone(tracer),
         ready: Arc::clone(ready),
-        body_limit_bytes: settings.callers.body_limit_bytes,
+        body_memory,
         sample_percent: settings.traces.sample_percent,
         // Based on the start time, so that no reference of an earlier run is reused.
         next_ref: AtomicU64::new(clock.started_ms() << 20),
@@ -226,10 +235,14 @@
     .map_err(socket_error("listen.callers"))
 }
 
-fn start_operator_api(settings: &Settings, input_sender: &InputSender) -> Result<(), RunError> {
+fn start_operator_api(
+    settings: &Settings,
+    input_sender: &InputSender,
+    body_memory: BodyMemory,
+) -> Result<(), RunError> {
     let api = OperatorApi {
         input_sender: input_sender.clone(),
-        body_limit_bytes: settings.callers.body_limit_bytes,
+        body_memory,
         next_ref: AtomicU64::new(1),
     };
     serve("operators", settings.listen.operators, move |request| {
--- a/crates/entry/src/memory.rs
+++ b/crates/entry/src/memory.rs
@@ -156,7 +156,7 @@
             if data.len() > limits.max_bytes - holding.buffered_bytes() {
                 return Err(ReadError::TooLong);
             }
-            let pushed = holding.push(&data, limits.max_bytes, self.clock.now_ms());
+            let pushed = holding.push(&data, self.clock.now_ms());
             pushed.map_err(|_| ReadError::NoMemory)?;
         }
     }
--- a/crates/memory/src/accounting.rs
+++ b/crates/memory/src/accounting.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 
-use crate::buffer::Buffer;
+use crate::buffer::{Buffer, Slab};
 use crate::{Exhausted, ORDINARY_BYTES};
 
 #[derive(Debug)]
@@ -40,6 +40,7 @@
     withdrawn_count: u64,
     next_id: u64,
     entries: BTreeMap<u64, Entry>,
+    slab: Slab,
 }
 
 impl Accounting {
@@ -53,6 +54,7 @@
             withdrawn_count: 0,
             next_id: 0,
             entries: BTreeMap::new(),
+            slab: Slab::new(max_bytes),
         }
     }
 
@@ -84,7 +86,8 @@
     }
 
     pub(crate) fn close(&mut self, id: u64) {
-        if let Some(entry) = self.entries.remove(&id) {
+        if let Some(mut entry) = self.entries.remove(&id) {
+            self.slab.release(&mut entry.buffer);
             self.held_bytes -= entry.bytes;
         }
     }
@@ -135,7 +138,7 @@
         self.held_bytes -= entry.bytes;
         self.withdrawn_count += 1;
         entry.bytes = 0;
-        entry.buffer = Buffer::default();
+        self.slab.release(&mut entry.buffer);
         entry.is_withdrawn = true;
         entry.is_withdrawable = false;
         if let Some(waker) = entry.waker.take() {
@@ -143,23 +146,21 @@
         }
     }
 
-    /// Adds bytes to the buffer of a holding, which has up to `max_bytes` in the end. The
-    /// capacity is counted, so that small chunks cost no more than large ones.
-    pub(crate) fn push(
-        &mut self,
-        id: u64,
-        mut data: &[u8],
-        max_bytes: usize,
-        now_ms: u64,
-    ) -> Result<(), Exhausted> {
+    /// Adds bytes to the buffer of a holding. The capacity is counted, so that small chunks
+    /// cost no more than large ones.
+    pub(crate) fn push(&mut self, id: u64, mut data: &[u8], now_ms: u64) -> Result<(), Exhausted> {
         while !data.is_empty() {
             let entry = self.entries.get(&id).ok_or(Exhausted)?;
-            let growth = entry.buffer.next_growth(data.len(), max_bytes);
+            let growth_bytes = entry.buffer.growth_bytes(data.len());
             // Also without growth, as it fails if the bytes were withdrawn.
-            let bytes = entry.bytes + growth.added_bytes() as u64;
+            let bytes = entry.bytes + growth_bytes as u64;
             self.set(id, bytes, now_ms)?;
             let entry = self.entries.get_mut(&id).ok_or(Exhausted)?;
-            let taken = entry.buffer.fill(growth, data);
+            let taken = entry.buffer.fill(growth_bytes, data, &mut self.slab);
+            let Some(taken) = taken else {
+                self.set(id, bytes - growth_bytes as u64, now_ms)?;
+                return Err(Exhausted);
+            };
             data = &data[taken..];
         }
         Ok(())
@@ -177,7 +178,8 @@
             return Err(Exhausted);
         }
         entry.is_withdrawable = false;
-        let bytes = std::mem::take(&mut entry.buffer).into_bytes();
+        let bytes = Bytes::from(entry.buffer.take_content(&self.slab));
+        self.slab.release(&mut entry.buffer);
         self.held_bytes = self.held_bytes - entry.bytes + bytes.len() as u64;
         entry.bytes = bytes.len() as u64;
         Ok(bytes)
--- a/crates/memory/src/holding.rs
+++ b/crates/memory/src/holding.rs
@@ -18,14 +18,14 @@
         Holding { memory, id }
     }
 
-    /// Adds bytes to the buffer of the holding, which has up to `max_bytes` in the end.
+    /// Adds bytes to the buffer of the holding.
     ///
     /// # Errors
     ///
     /// Fails if the memory is exhausted and no other holding costs more, or if the bytes
     /// were withdrawn.
-    pub fn push(&self, data: &[u8], max_bytes: usize, now_ms: u64) -> Result<(), Exhausted> {
-        self.memory.lock().push(self.id, data, max_bytes, now_ms)
+    pub fn push(&self, data: &[u8], now_ms: u64) -> Result<(), Exhausted> {
+        self.memory.lock().push(self.id, data, now_ms)
     }
 
     /// Length of the buffer.
