Soak with a caller that stalls; tests of the time and address limits

The soak gets a caller that leaves 24 bodies of 2 MB without an end, and checks that no VM had more than the 120 MB of its settings. Tests of the body's whole time (408, no target called), the time of a head and the connections of an address.

--- a/crates/entry/tests/memory.rs
+++ b/crates/entry/tests/memory.rs
@@ -10,7 +10,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use fleet::{call, try_call, wait_until, Fleet, FleetOptions, Vm};
+use fleet::{call, get, read_response, try_call, wait_until, Fleet, FleetOptions, Vm};
 use lagoon_adapter::standin::{response_headers, service_call_headers};
 use lagoon_gateway::TargetStatus;
 use yare::parameterized;
@@ -420,3 +420,56 @@
         assert_eq!(response.status, 200, "{line}: {response:?}");
     }
 }
+
+// Guards against a caller that holds its connection and its bytes without end, and against a
+// refusal that doesn't say that the request hasn't run.
+#[test]
+fn body_that_does_not_end_in_time_is_refused() {
+    let _turn = take_turn();
+    let fleet = start_fleet("body_timeout_ms = 1000\n");
+    let end = Instant::now() + CROWD_TIME;
+    let mut stream = TcpStream::connect(fleet.callers()).expect("connection");
+    begin_chunked(&mut stream, end).expect("head");
+    send_chunks(&mut stream, 1_000, 100_000, end).expect("chunks");
+    let response = read_response(stream);
+    assert_eq!(response.status, 408, "{response:?}");
+    assert!(response.head.contains("connection: close"), "{response:?}");
+    let desks = fleet.desks.iter();
+    assert!(desks.map(|desk| desk.arrivals().len()).sum::<usize>() == 0);
+}
+
+// Guards against a head that stays for as long as a connection may rest.
+#[test]
+fn connection_whose_head_does_not_end_in_time_is_closed() {
+    let _turn = take_turn();
+    let fleet = start_fleet("");
+    let started = Instant::now();
+    let mut stream = TcpStream::connect(fleet.callers()).expect("connection");
+    stream
+        .write_all(b"POST /book/x HTTP/1.1\r\nHost: a.exa")
+        .expect("head");
+    // A reset ends the connection, like a close.
+    let _ = stream.read(&mut [0; 1_024]);
+    let took = started.elapsed();
+    // The limits of the configuration: 3 s for a head, 15 s for a rest.
+    let allowed = Duration::from_secs(3)..Duration::from_secs(12);
+    assert!(allowed.contains(&took), "{took:?}");
+}
+
+// Guards against one address that takes all connections, so that the load balancer and other
+// VMs get none.
+#[test]
+fn connections_of_an_address_are_bounded() {
+    let _turn = take_turn();
+    let mut fleet = start_fleet("connections_per_address = 4\n");
+    let open: Vec<TcpStream> = (0..4)
+        .map(|_| connect(fleet.callers()).expect("connection"))
+        .collect();
+    let mut further = TcpStream::connect(fleet.callers()).expect("connection");
+    let read = further.read(&mut [0; 1]);
+    assert!(!matches!(read, Ok(bytes) if bytes > 0), "{read:?}");
+    assert_eq!(get(fleet.vms[0].ready, "/ready").status, 200);
+    drop(open);
+    let most_descriptors = descriptors(&fleet.vms[0]);
+    check(&mut fleet, most_descriptors);
+}
--- a/crates/entry/tests/soak.rs
+++ b/crates/entry/tests/soak.rs
@@ -6,9 +6,11 @@
 
 mod fleet;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::env;
-use std::net::SocketAddr;
+use std::fs;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -54,6 +56,15 @@
 /// Time between two requests that crash targets; longer than a target's restart.
 const CRASHER_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Memory that the default of `limits.memory_mb` grants a VM.
+const MAX_MEMORY_KB: u64 = 120_000_000 / 1_024;
+
+/// Bodies without an end: bytes of each, number at a time, and interval. A VM with all of
+/// them has more than it can hold.
+const STALLED_BYTES: usize = 2_000_000;
+const MAX_STALLED: usize = 24;
+const STALLER_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Time in which a restarted target is listed.
 const RESTART_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -289,6 +300,49 @@
     (moved, uncertain)
 }
 
+/// Begins bodies and doesn't end them, on a bounded number of connections.
+fn run_staller(seed: u64, vms: &Addresses, stop: &AtomicBool) {
+    let mut random = Pcg64::seed_from_u64(seed * 1_000 + CALLERS + 1);
+    let headers = service_call_headers("stalled").join("\r\n");
+    let head = format!(
+        "POST /book/x HTTP/1.1\r\nHost: a.example\r\n{headers}\r\nTransfer-Encoding: chunked\r\n\r\n"
+    );
+    let chunk = vec![b'x'; STALLED_BYTES];
+    let mut stalled = VecDeque::new();
+    while !stop.load(Ordering::SeqCst) {
+        let address = {
+            let vms = vms.lock().expect("no caller panics");
+            vms[random.random_range(0..vms.len())]
+        };
+        if let Ok(mut stream) = TcpStream::connect_timeout(&address, STALLER_INTERVAL) {
+            let parts = [
+                head.as_bytes(),
+                format!("{:x}\r\n", chunk.len()).as_bytes(),
+                &chunk,
+            ]
+            .concat();
+            // A VM may be stopped, suspended or closing the connection.
+            let set = stream.set_write_timeout(Some(STALLER_INTERVAL));
+            let _ = set.and_then(|()| stream.write_all(&parts));
+            stalled.push_back(stream);
+        }
+        stalled.drain(..stalled.len().saturating_sub(MAX_STALLED));
+        thread::sleep(STALLER_INTERVAL);
+    }
+}
+
+/// Checks that no VM had more memory than its settings grant it.
+fn check_memory(seed: u64, fleet: &Fleet) {
+    for vm in &fleet.vms {
+        let status = fs::read_to_string(format!("/proc/{}/status", vm.id()));
+        let status = status.expect("the process lives");
+        let most = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let most = most.and_then(|text| text.trim().strip_suffix(" kB"));
+        let most_kb: u64 = most.and_then(|kb| kb.parse().ok()).expect("memory");
+        assert!(most_kb <= MAX_MEMORY_KB, "seed {seed}: {most_kb} kB");
+    }
+}
+
 /// Sends the request that crashes targets through random VMs.
 fn run_crasher(seed: u64, vms: &Addresses, stop: &AtomicBool) {
     let mut random = Pcg64::seed_from_u64(seed * 1_000 + CALLERS);
@@ -640,6 +694,10 @@
         let (vms, stop) = (Arc::clone(&vms), Arc::clone(&stop));
         thread::spawn(move || run_crasher(seed, &vms, &stop))
     };
+    let staller = {
+        let (vms, stop) = (Arc::clone(&vms), Arc::clone(&stop));
+        thread::spawn(move || run_staller(seed, &vms, &stop))
+    };
     let restarts = {
         let (store, stop) = (fleet.store.clone(), Arc::clone(&stop));
         let engines = fleet.engines.iter().enumerate();
@@ -680,6 +738,7 @@
     }
     stop.store(true, Ordering::SeqCst);
     crasher.join().expect("caller");
+    staller.join().expect("stalling caller");
     restarts.join().expect("list of restarts");
     let departures = departures.join().expect("departures");
     let outcomes = callers
@@ -688,6 +747,7 @@
     let outcomes: Vec<Outcome> = outcomes.collect();
     assert!(outcomes.len() > 20, "seed {seed}: too few calls");
     check_guarantees(seed, &fleet, &outcomes);
+    check_memory(seed, &fleet);
     let (taken_up, gone_on) = count_take_ups(&outcomes);
     println!("seed {seed}: {taken_up} streams taken up, {gone_on} went on");
     let crashes = check_crasher(seed, &fleet);
