Test the close at the maximum of all connections and of one address

With the default, a single address meets its own bound, 224 of 256 connections, before that of all, so that unanswered_when_too_many_connections_are_open saw another cause and failed. It now has two cases, each as strict: with the bound by address lifted, and at that bound.

--- a/crates/entry/tests/unanswered_log.rs
+++ b/crates/entry/tests/unanswered_log.rs
@@ -7,11 +7,12 @@
 use std::thread;
 use std::time::Duration;
 
-use fleet::{call, get, read_response, send_request, wait_until, Fleet, CONFIG};
+use fleet::{call, get, read_response, send_request, wait_until, Fleet, FleetOptions, CONFIG};
 use lagoon_adapter::standin::{model_call_headers, response_headers, service_call_headers};
 use lagoon_gateway::TargetStatus;
 use lagoon_standin::fleet::TargetFault;
 use nix::sys::signal::Signal;
+use yare::parameterized;
 
 const BUDGET_TOKENS: u64 = 100_000;
 
@@ -276,20 +277,28 @@
     expect_line(&fleet, "closed when idle", &["request=r1", &unread]);
 }
 
-// Guards against connections that are closed at the maximum without a count.
-#[test]
-fn unanswered_when_too_many_connections_are_open() {
-    let fleet = Fleet::start(1);
+// Guards against connections that are closed at a maximum without a count: that of all, and
+// that of one address.
+#[parameterized(
+    of_all = { "connections_per_address = 1000\n", MAX_CONNECTIONS, "too many connections" },
+    of_one_address = { "", MAX_CONNECTIONS * 7 / 8, "too many connections of one address" },
+)]
+fn unanswered_when_too_many_connections_are_open(
+    limits: &'static str,
+    connections: usize,
+    cause: &str,
+) {
+    let options = FleetOptions {
+        limits,
+        ..FleetOptions::default()
+    };
+    let fleet = Fleet::start_with(1, options);
     let connect = |_| TcpStream::connect(fleet.callers()).expect("connection");
-    let mut open: Vec<TcpStream> = (0..MAX_CONNECTIONS).map(connect).collect();
+    let mut open: Vec<TcpStream> = (0..connections).map(connect).collect();
     let mut refused = connect(0);
     let end = refused.read(&mut [0; 1]);
     assert!(matches!(end, Ok(0) | Err(_)), "{end:?}");
     open.clear();
     wait_until("the line", || !unanswered_lines(&fleet).is_empty());
-    check_line(
-        &unanswered_lines(&fleet),
-        "too many connections",
-        &["request=-"],
-    );
+    check_line(&unanswered_lines(&fleet), cause, &["request=-"]);
 }
