Tests: processes that run at the same time use different ports

A VM of a test binds its port some time after the test has found it free. Two test binaries that run side by side, as in two work trees, tried the same ports in the same order, so that one could get a port that the other had just found free.

Processes now begin at different ports, as the simulated targets do.

--- a/crates/daemon/tests/site/mod.rs
+++ b/crates/daemon/tests/site/mod.rs
@@ -4,8 +4,8 @@
 use std::fs;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
-use std::process::{Child, Command};
-use std::sync::atomic::{AtomicU16, Ordering};
+use std::process::{self, Child, Command};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -25,6 +25,8 @@
 
 const FIRST_PORT: u16 = 20_000;
 const LAST_PORT: u16 = 30_000;
+/// Number of ports by which the first ports of two processes with successive ids differ.
+const PORTS_PER_PROCESS: usize = 97;
 const SHEET_HEADER: &str =
     "kind,name,market,domain,address,serves,slots,price_micros,budget_tokens,\
 budget_money_micros,budget_turns,weight_latency,weight_cache,repeat,fencing,version,key_sha256";
@@ -52,12 +54,16 @@
 /// Returns an address that nothing listens on.
 ///
 /// The ports are below the system's ephemeral range, and no two tests of this
-/// process get the same one.
+/// process get the same one. Processes begin at different ports: a daemon binds its port
+/// some time after this, and another process may find it free until then.
 fn free_address() -> SocketAddr {
-    static NEXT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+    static TAKEN: AtomicUsize = AtomicUsize::new(0);
+    let ports = usize::from(LAST_PORT - FIRST_PORT);
+    let first = process::id() as usize * PORTS_PER_PROCESS;
     loop {
-        let port = NEXT.fetch_add(1, Ordering::SeqCst);
-        assert!(port < LAST_PORT, "no free port is left");
+        let taken = TAKEN.fetch_add(1, Ordering::SeqCst);
+        assert!(taken < ports, "no free port is left");
+        let port = FIRST_PORT + ((first + taken) % ports) as u16;
         let address = SocketAddr::from(([127, 0, 0, 1], port));
         if TcpListener::bind(address).is_ok() {
             return address;
--- a/crates/entry/tests/fleet/mod.rs
+++ b/crates/entry/tests/fleet/mod.rs
@@ -10,8 +10,8 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU16, Ordering};
+use std::process::{self, Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -157,11 +157,19 @@
     pub(crate) is_complete: bool,
 }
 
+/// Number of ports by which the first ports of two processes with successive ids differ.
+const PORTS_PER_PROCESS: usize = 61;
+
+/// Returns an address that nothing listens on. Processes begin at different ports: a VM
+/// binds its port some time after this, and another process may find it free until then.
 fn free_address() -> SocketAddr {
-    static NEXT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+    static TAKEN: AtomicUsize = AtomicUsize::new(0);
+    let ports = usize::from(LAST_PORT - FIRST_PORT);
+    let first = process::id() as usize * PORTS_PER_PROCESS;
     loop {
-        let port = NEXT.fetch_add(1, Ordering::SeqCst);
-        assert!(port < LAST_PORT, "no port is left");
+        let taken = TAKEN.fetch_add(1, Ordering::SeqCst);
+        assert!(taken < ports, "no port is left");
+        let port = FIRST_PORT + ((first + taken) % ports) as u16;
         let address = SocketAddr::from(([127, 0, 0, 1], port));
         // Other VMs send datagrams to the UDP port of the same number.
         if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
