Count and log targets whose bytes are no response

A target in trouble can send status 000 or another line that is none of HTTP.

Operators could not see which target it was without reading the lines of single requests, and on a carrier not at all. The VM that sent the attempt now counts lagoon_invalid_responses_total{target_id} and logs "bytes of a target are no response" with the target and the parser's error. Heads that are too long count too. Statuses from 600 to 999 are forwarded as before.

--- a/crates/entry/src/carry/origin.rs
+++ b/crates/entry/src/carry/origin.rs
@@ -203,7 +203,7 @@
                 // A kept connection may have been closed meanwhile.
                 Err(ExchangeError::NotSent(_)) if pooled.is_reused => {}
                 Err(ExchangeError::NotSent(_)) => return Ok(Err(CarryEnd::NotSent)),
-                Err(ExchangeError::Interrupted(detail)) => {
+                Err(ExchangeError::Interrupted(detail) | ExchangeError::Invalid(detail)) => {
                     return Err(NotCarried::Interrupted(detail))
                 }
             }
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -78,6 +78,10 @@
     /// The request was sent at least in part, so it may have been executed.
     #[error("interrupted: {0}")]
     Interrupted(String),
+    /// The request was sent, and the bytes that arrived are no response, so it may have
+    /// been executed.
+    #[error("invalid response: {0}")]
+    Invalid(String),
 }
 
 impl From<OpenError> for ExchangeError {
@@ -151,9 +155,12 @@
             Ok(response) => Ok(response),
             Err(mut error) => {
                 let is_unsent = error.take_message().is_some();
-                let detail = error.into_error().to_string();
+                let error = error.into_error();
+                let detail = error.to_string();
                 Err(if is_unsent {
                     ExchangeError::NotSent(detail)
+                } else if error.is_parse() {
+                    ExchangeError::Invalid(detail)
                 } else {
                     ExchangeError::Interrupted(detail)
                 })
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -198,10 +198,24 @@
             guard.record_broken();
             Err(NoExchange::Interrupted(detail))
         }
+        Err(error @ ExchangeError::Invalid(_)) => {
+            guard.record_broken();
+            state.record_invalid_response(options.key, &error);
+            Err(NoExchange::Interrupted(error.to_string()))
+        }
     }
 }
 
 impl DaemonState {
+    /// Counts and logs that the bytes of a target are no response.
+    fn record_invalid_response(&self, key: TargetKey, error: &ExchangeError) {
+        let targets = self.targets.borrow();
+        // The target may have been removed since the request was sent.
+        let target_id = targets.get(key).map_or("", |target| &target.entry.id);
+        self.metrics.record_invalid_response(target_id);
+        log::warn!(target_id, error = error.to_string(); "bytes of a target are no response");
+    }
+
     /// Records that a target states in the response to a request, which was sent by
     /// `entry`, that it is about to stop, and closes its idle connections.
     pub(crate) fn record_leaving(
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -18,6 +18,7 @@
     registry: Registry,
     responses: IntCounterVec,
     failed_attempts: IntCounterVec,
+    invalid_responses: IntCounterVec,
     target_crashes: IntCounterVec,
     store_calls: IntCounterVec,
     invalid_rows: IntCounterVec,
@@ -79,6 +80,11 @@
         Ok(Metrics(Rc::new(MetricFamilies {
             responses: counters("lagoon_answers_total", "Answers by status", &["status"])?,
             failed_attempts: counters("lagoon_failed_tries_total", "Failed tries", &["failure"])?,
+            invalid_responses: counters(
+                "lagoon_invalid_responses_total",
+                "Attempts whose target sent bytes that are no response",
+                &["target_id"],
+            )?,
             target_crashes: counters(
                 "lagoon_target_crashes_total",
                 "Interrupted attempts, by what became of the target and of its crash count",
@@ -182,6 +188,11 @@
         self.0.failed_attempts.with_label_values(&[failure]).inc();
     }
 
+    pub(crate) fn record_invalid_response(&self, target_id: &str) {
+        let counter = self.0.invalid_responses.with_label_values(&[target_id]);
+        counter.inc();
+    }
+
     pub(crate) fn record_target_crash(&self, event: &str) {
         self.0.target_crashes.with_label_values(&[event]).inc();
     }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -83,7 +83,9 @@
     fn from(error: ExchangeError) -> MessageError {
         match error {
             ExchangeError::NotSent(detail) => MessageError::NotSent(detail),
-            ExchangeError::Interrupted(detail) => MessageError::Interrupted(detail),
+            ExchangeError::Interrupted(detail) | ExchangeError::Invalid(detail) => {
+                MessageError::Interrupted(detail)
+            }
         }
     }
 }
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -255,6 +255,8 @@
 fn store_error(error: ExchangeError) -> StoreError {
     match error {
         ExchangeError::NotSent(detail) => StoreError::NotSent(detail.into()),
-        ExchangeError::Interrupted(detail) => StoreError::NoReply(detail.into()),
+        ExchangeError::Interrupted(detail) | ExchangeError::Invalid(detail) => {
+            StoreError::NoReply(detail.into())
+        }
     }
 }
