Test that a carrier shortens the deadline that it passes on

No test noticed a carrier that leaves the deadline as the origin wrote it, so that the target works on after the caller has gone: none called shorten_deadline or looked at the deadline of a carried attempt. The new test keeps a carrier waiting for a body for 400 ms.

--- a/crates/entry/tests/stranded.rs
+++ b/crates/entry/tests/stranded.rs
@@ -17,7 +17,8 @@
 use lagoon_adapter::standin::{
     decode_received_request, model_call_headers, response_headers, service_call_headers,
 };
-use lagoon_gateway::TargetStatus;
+use lagoon_adapter::{target_request_headers, AttemptHeaders};
+use lagoon_gateway::{TargetStatus, Targets};
 use lagoon_standin::fleet::{ExecutionState, ProxyFault};
 use nix::sys::signal::Signal;
 use yare::parameterized;
@@ -550,3 +551,55 @@
         assert_eq!((response.status, response.body.as_str()), (200, "done"));
     }
 }
+
+/// Time between the head and the body of an attempt to carry, in which the carrier
+/// waits, and the time that the head leaves for the request.
+const CARRIER_WAIT: Duration = Duration::from_millis(400);
+const LEFT_AT_CARRIER_MS: u64 = 5_000;
+
+// Guards against a target that works on after the caller's deadline, as the carrier
+// passed the deadline on without the time that it had spent itself.
+#[test]
+fn carrier_subtracts_its_own_time_from_the_deadline() {
+    let fleet = start(2, 1);
+    let entry = fleet.entry(2, TargetStatus::Ready);
+    let mut targets = Targets::default();
+    targets.upsert(entry);
+    let (_, target) = targets.of_service("desks").next().expect("the desk");
+    let mut received = HeaderMap::new();
+    for header in service_call_headers(&unique_id()) {
+        let (name, value) = header.split_once(": ").expect("header");
+        let name: HeaderName = name.parse().expect("name");
+        received.insert(name, HeaderValue::from_str(value).expect("value"));
+    }
+    let attempt = AttemptHeaders {
+        target_id: &target.entry.id,
+        deadline_ms: LEFT_AT_CARRIER_MS,
+        last_event_id: None,
+        body_bytes: Some(1),
+    };
+    let mut head = format!(
+        "POST /v1/carry/book/x HTTP/1.1\r\nHost: vm\r\nConnection: close\r\n\
+         lagoon-carry-target: {}\r\nlagoon-carry-run: {}\r\n",
+        target.entry.id, target.run.0
+    );
+    for (name, value) in &target_request_headers(&received, &attempt) {
+        let value = value.to_str().expect("text");
+        head.push_str(&format!("{name}: {value}\r\n"));
+    }
+    let mut stream = TcpStream::connect(fleet.vms[1].peers).expect("connection");
+    stream
+        .write_all(format!("{head}\r\n").as_bytes())
+        .expect("head is sent");
+    thread::sleep(CARRIER_WAIT);
+    stream.write_all(b"p").expect("body is sent");
+    let response = read_response(stream);
+    assert!(
+        response.head.contains("lagoon-carry-end: answered"),
+        "{response:?}"
+    );
+    let executions = fleet.desks[0].executions();
+    let left_ms = executions[0].received.deadline_ms.expect("deadline");
+    let longest_ms = LEFT_AT_CARRIER_MS - CARRIER_WAIT.as_millis() as u64;
+    assert!(left_ms > 1 && left_ms <= longest_ms, "{left_ms}");
+}
