lagoond: name targets whose bytes are no response

No caller of lagoond gets an invalid status: a raw-socket test with ten invalid lines (000, 099, 1000, 20, a sign, letters, no status, no line), alone and after an interim response, with a body, for a call that must not be repeated and a streamed one, gets in_doubt and answer_broken (502, ran unknown). It stays as a guard.

The line "try failed" didn't name the target, and no counter did. It now does, and the daemon that sent the attempt counts invalid_responses, tagged with the target, and logs "bytes of a target are no response" with the target and the parser's error. The counter goes to StatsD; no test reads it there.

--- a/crates/daemon/src/actors/node.rs
+++ b/crates/daemon/src/actors/node.rs
@@ -99,6 +99,11 @@
                     request,
                 }
             }
+            Input::InvalidResponse(target) => {
+                let metrics = &self.parts.metrics;
+                metrics.count_tagged("invalid_responses", "target", target.as_str());
+                return;
+            }
             Input::Event(event) => event,
         };
         if let Event::CallerDisconnected { call_ref } = &event {
--- a/crates/daemon/src/actors/targets/attempt.rs
+++ b/crates/daemon/src/actors/targets/attempt.rs
@@ -7,13 +7,14 @@
 use eventsource_stream::EventStream;
 use futures::executor::block_on_stream;
 use futures::stream;
+use lagoon_ids::TargetName;
 use lagoon_node::{AttemptFailure, AttemptId, Dispatch, Event, StreamResume, TargetEvent};
 use lagoon_telemetry::{inject, TRACEPARENT};
 use ureq::http::Response;
 use ureq::{Agent, Body};
 
 use crate::constants::{MAX_ERROR_DETAIL_BYTES, MAX_RESPONSE_BYTES, TARGET_BUFFER_BYTES};
-use crate::input::InputSender;
+use crate::input::{Input, InputSender};
 
 const EVENT_STREAM: &str = "text/event-stream";
 const END_OF_STREAM: &str = "[DONE]";
@@ -43,6 +44,24 @@
         let detail = detail.into();
         self.report(TargetEvent::Failed { failure, detail });
     }
+
+    /// Reports that an attempt has no response. Counts and logs the target if its bytes
+    /// are none.
+    fn fail_without_response(
+        &self,
+        target: &TargetName,
+        failure: AttemptFailure,
+        error: &ureq::Error,
+    ) {
+        if matches!(error, ureq::Error::Protocol(_)) {
+            log::warn!(target = target.as_str(), error = error.to_string(); "bytes of a target are no response");
+            // Fails only if the process is about to exit.
+            let _ = self
+                .input_sender
+                .send(Input::InvalidResponse(target.clone()));
+        }
+        self.fail(failure, error.to_string());
+    }
 }
 
 /// Sends a request and reports its response.
@@ -63,7 +82,9 @@
             reporter.report(limit(&response));
             read_response(response, &reporter, is_chat, dispatch.stream);
         }
-        Err(error) => reporter.fail(classify_error(&error), error.to_string()),
+        Err(error) => {
+            reporter.fail_without_response(&dispatch.target, classify_error(&error), &error);
+        }
     }
 }
 
@@ -87,7 +108,9 @@
                 status => reporter.fail(AttemptFailure::Interrupted, format!("status {status}")),
             }
         }
-        Err(error) => reporter.fail(AttemptFailure::Interrupted, error.to_string()),
+        Err(error) => {
+            reporter.fail_without_response(&resume.target, AttemptFailure::Interrupted, &error);
+        }
     }
 }
 
--- a/crates/daemon/src/input.rs
+++ b/crates/daemon/src/input.rs
@@ -2,6 +2,7 @@
 
 use std::sync::mpsc::Sender;
 
+use lagoon_ids::TargetName;
 use lagoon_node::{
     CallRef, CallerRequest, Event, OperatorRef, OperatorReply, OperatorRequest, ResponseFrame,
 };
@@ -28,6 +29,8 @@
         request: OperatorRequest,
         reply: Sender<OperatorReply>,
     },
+    /// Bytes of this target are no response.
+    InvalidResponse(TargetName),
     /// Event that needs no response.
     Event(Event),
 }
--- /dev/null
+++ b/crates/daemon/tests/invalid_status.rs
@@ -0,0 +1,120 @@
+//! Targets of the daemon whose responses have an invalid status line.
+
+mod site;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+
+use serde_json::json;
+use site::Site;
+
+/// Status lines that are none of HTTP. The last ones lack a status, or the whole line.
+const INVALID_LINES: [&str; 10] = [
+    "HTTP/1.1 000 Trouble\r\n",
+    "HTTP/1.1 099 Trouble\r\n",
+    "HTTP/1.1 1000 Trouble\r\n",
+    "HTTP/1.1 20 OK\r\n",
+    "HTTP/1.1 +200 OK\r\n",
+    "HTTP/1.1 -200 OK\r\n",
+    "HTTP/1.1 abc OK\r\n",
+    "HTTP/1.1\r\n",
+    "HTTP/1.1 \r\n",
+    "",
+];
+
+/// Interim responses that may come before the response with the invalid line.
+const INTERIM_RESPONSES: [&str; 2] = ["", "HTTP/1.1 100 Continue\r\n\r\n"];
+
+/// Target that responds to calls with `head` and a body that no caller may get.
+struct RawTarget {
+    address: SocketAddr,
+    head: Arc<Mutex<String>>,
+    calls: Arc<AtomicUsize>,
+}
+
+impl RawTarget {
+    fn start() -> RawTarget {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).expect("listener");
+        let target = RawTarget {
+            address: listener.local_addr().expect("address"),
+            head: Arc::default(),
+            calls: Arc::default(),
+        };
+        let (head, calls) = (Arc::clone(&target.head), Arc::clone(&target.calls));
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (head, calls) = (Arc::clone(&head), Arc::clone(&calls));
+                thread::spawn(move || serve(stream, &head, &calls));
+            }
+        });
+        target
+    }
+}
+
+fn serve(mut stream: TcpStream, head: &Mutex<String>, calls: &AtomicUsize) {
+    let mut request = [0; 8_192];
+    let Ok(read @ 1..) = stream.read(&mut request) else {
+        return;
+    };
+    let load = r#"{"running": 0, "waiting": 0, "leaving": false}"#;
+    let response = if request[..read].starts_with(b"GET /load") {
+        let length = load.len();
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n{load}")
+    } else {
+        calls.fetch_add(1, Ordering::SeqCst);
+        let head = head.lock().expect("head").clone();
+        format!("{head}Content-Type: application/json\r\nContent-Length: 6\r\n\r\nsecret")
+    };
+    // Fails if the daemon has closed the connection.
+    let _ = stream.write_all(response.as_bytes());
+    // The daemon closes the connection.
+    let _ = stream.read(&mut request);
+}
+
+// Guards against an invalid status, or the body after it, that reaches a caller, and
+// against one that is taken for a promise that the call has not run.
+#[test]
+fn invalid_status_reaches_no_caller() {
+    let (engine, desk) = (RawTarget::start(), RawTarget::start());
+    let site = Site::start_with(1, Some([engine.address, desk.address]));
+    let client = site.client(0);
+    let mut number = 0;
+    for before in INTERIM_RESPONSES {
+        for line in INVALID_LINES {
+            for target in [&engine, &desk] {
+                *target.head.lock().expect("head") = format!("{before}{line}");
+            }
+            number += 1;
+            let program = format!("p{number}");
+            let headers = [("Lagoon-Program", program.as_str()), ("Lagoon-Call", "1")];
+            let calls = desk.calls.load(Ordering::SeqCst);
+            let booked = client.call_service("booking", &headers, &json!({"slot": 1}));
+            let booked = booked.expect("response");
+            assert_eq!(booked.status, 502, "{before}{line}: {}", booked.text);
+            assert!(booked.text.contains("in_doubt"), "{}", booked.text);
+            assert!(
+                booked.text.contains("\"ran\":\"unknown\""),
+                "{}",
+                booked.text
+            );
+            assert_eq!(desk.calls.load(Ordering::SeqCst), calls + 1, "{line}");
+            let chat = client.chat("contract-agent", "one", 8, &[], |_| {});
+            let chat = chat.expect("response");
+            assert_eq!(chat.status, 502, "{before}{line}: {}", chat.text);
+            assert!(chat.text.contains("answer_broken"), "{}", chat.text);
+            let all = format!("{} {}", booked.text, chat.text);
+            assert!(!all.contains("secret"), "{before}{line}: {all}");
+        }
+    }
+    for target in ["engine-1", "desk-1"] {
+        for message in ["try failed", "bytes of a target are no response"] {
+            let log = site.vms[0].log();
+            let mut lines = log.lines();
+            let is_named = |line: &str| line.contains(message) && line.contains(target);
+            assert!(lines.any(is_named), "{message}: {target}");
+        }
+    }
+}
--- a/crates/daemon/tests/site/mod.rs
+++ b/crates/daemon/tests/site/mod.rs
@@ -1,6 +1,9 @@
 //! Test deployment on loopback: daemons as processes, the simulated platform
 //! and targets as threads.
 
+// Each test binary uses a part of this module.
+#![allow(dead_code)]
+
 use std::fs;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
@@ -107,6 +110,12 @@
 impl Site {
     /// Starts the simulated services and the VMs, and applies a sheet.
     pub(crate) fn start(vms: usize) -> Site {
+        Site::start_with(vms, None)
+    }
+
+    /// Like [`Site::start`]; `targets`, if they are given, take the places of the engine
+    /// and the service in the sheet.
+    pub(crate) fn start_with(vms: usize, targets: Option<[SocketAddr; 2]>) -> Site {
         let files = TempDir::new().expect("folder");
         let (platform, engine, booking_service) = (free_address(), free_address(), free_address());
         spawn(platform, move || platform::run(platform, 1));
@@ -130,8 +139,8 @@
         let vms = (1..=vms).map(|n| Vm::new(n, platform, &files)).collect();
         let mut site = Site {
             vms,
-            engine,
-            booking_service,
+            engine: targets.map_or(engine, |[engine, _]| engine),
+            booking_service: targets.map_or(booking_service, |[_, service]| service),
             platform,
             _files: files,
         };
@@ -186,9 +195,14 @@
 }
 
 impl Vm {
+    /// What the daemon has logged; nothing if its log can't be read.
+    pub(crate) fn log(&self) -> String {
+        fs::read_to_string(self.settings.with_extension("log")).unwrap_or_default()
+    }
+
     fn print_log_tail(&self) {
-        let log = fs::read_to_string(self.settings.with_extension("log"));
-        let lines: Vec<&str> = log.as_ref().map_or(Vec::new(), |log| log.lines().collect());
+        let log = self.log();
+        let lines: Vec<&str> = log.lines().collect();
         println!("last lines of {}'s log:", self.name);
         for line in &lines[lines.len().saturating_sub(LOG_TAIL_LINES)..] {
             println!("{line}");
--- a/crates/node/src/effect.rs
+++ b/crates/node/src/effect.rs
@@ -18,6 +18,8 @@
     pub attempt: AttemptId,
     /// Key of the call; also sent to the target as the idempotency key.
     pub call: CallKey,
+    /// Name of the chosen target.
+    pub target: TargetName,
     /// Address of the chosen target, from the sheet.
     pub address: SocketAddr,
     /// HTTP path at the target.
@@ -37,6 +39,8 @@
 pub struct StreamResume {
     /// Attempt that the stream belongs to.
     pub attempt: AttemptId,
+    /// Name of the target that runs the attempt.
+    pub target: TargetName,
     /// Address of the target that runs the attempt.
     pub address: SocketAddr,
     /// ID of the stream at the target.
--- a/crates/node/src/node/answer.rs
+++ b/crates/node/src/node/answer.rs
@@ -277,8 +277,10 @@
 
     fn on_failure(&mut self, slot: CallSlot, failure: AttemptFailure, detail: &str) {
         let call = &self.calls[slot];
+        let target = call.target.as_ref();
         log::warn!(
             call = call.request.key.to_string(),
+            target = target.map_or("", |(name, _)| name.as_str()),
             failure = failure.to_string(),
             detail;
             "try failed"
--- a/crates/node/src/node/carry.rs
+++ b/crates/node/src/node/carry.rs
@@ -139,7 +139,12 @@
 }
 
 /// Work of a carried attempt as this VM sends it to the target.
-fn effect_of(work: CarriedWork, attempt: AttemptId, address: SocketAddr) -> Effect {
+fn effect_of(
+    work: CarriedWork,
+    attempt: AttemptId,
+    target: TargetName,
+    address: SocketAddr,
+) -> Effect {
     match work {
         CarriedWork::Dispatch {
             call,
@@ -151,6 +156,7 @@
         } => Effect::Dispatch(Box::new(Dispatch {
             attempt,
             call,
+            target,
             address,
             path,
             stream,
@@ -163,6 +169,7 @@
             last_event_id,
         } => Effect::Resume(Box::new(StreamResume {
             attempt,
+            target,
             address,
             resume_id,
             last_event_id,
@@ -191,7 +198,7 @@
             }
         }
         self.carrying.paths.attempt_started(run, 0, now_ms);
-        self.emit(effect_of(work, attempt, address));
+        self.emit(effect_of(work, attempt, target.clone(), address));
     }
 
     /// Hands an attempt that could not be connected to another VM; `false` if none
--- a/crates/node/src/node/carry/carrier.rs
+++ b/crates/node/src/node/carry/carrier.rs
@@ -82,13 +82,14 @@
             id: request.id,
             origin: request.origin,
             origin_address: request.origin_address,
-            target: request.target,
+            target: request.target.clone(),
             address,
             next_sequence: 1,
         };
         self.carrying.carried.insert(attempt, carried);
         self.carrying.paths.attempt_started(run, 0, now_ms);
-        self.emit(effect_of(request.work, attempt, address));
+        let effect = effect_of(request.work, attempt, request.target, address);
+        self.emit(effect);
     }
 
     /// Why this VM, which has no path to a target, doesn't carry.
