Test of a domain that is cut off while one of its VMs stops

The new test runs this order of events with processes: three domains, a VM added, one of its domain stopped and unlisted, the other domains frozen, the store away.

--- a/crates/entry/tests/allowances.rs
+++ b/crates/entry/tests/allowances.rs
@@ -171,3 +171,41 @@
     assert_kept(&spent);
     assert!(granted_in_first > 0, "{spent:?}");
 }
+
+/// Time for which the VMs of a failure domain that is partitioned are called.
+const PARTITION_TIME: Duration = Duration::from_secs(4);
+
+// Guards against a second allowance in a failure domain that is partitioned while one of
+// its VMs is stopping and another one has just been added: by the VM that stops, by the
+// others that no longer list it, and by the one that was added. The VMs of the other
+// domains are frozen.
+#[test]
+fn domain_that_is_cut_off_while_a_vm_stops_grants_one_allowance() {
+    let mut fleet = Fleet::start_in_domains(9, 3);
+    let mut spent = spend_budgets(&fleet);
+    fleet.start_vm();
+    let (stopping, added) = (6, 9);
+    fleet.wait_for_peers();
+    // VMs read the next change of their list a second after the last one.
+    thread::sleep(TIME_BETWEEN_CUTS);
+    fleet.vms[stopping].signal(Signal::SIGTERM);
+    let stopped = Instant::now();
+    let others = format!("\nlagoon_other_vms {}\n", fleet.vms.len() - 2);
+    for vm in [0, 3, added] {
+        wait_until("the others to list it no more", || {
+            get(fleet.vms[vm].peers, "/metrics").body.contains(&others)
+        });
+    }
+    for vm in [1, 2, 4, 5, 7, 8] {
+        fleet.vms[vm].signal(Signal::SIGSTOP);
+    }
+    fleet.store.set_fault(StoreFault::Unavailable);
+    let time = SERVES_WHILE_STOPPING.saturating_sub(stopped.elapsed());
+    call_all(&fleet, stopping, time, &mut spent, |_| false);
+    let granted_by_stopping = granted(&spent);
+    for vm in [0, added] {
+        call_all(&fleet, vm, PARTITION_TIME, &mut spent, |_| false);
+    }
+    assert_kept(&spent);
+    assert!(granted_by_stopping > 0, "callers of it were refused");
+}
