lagoond: an event of a stream that never ends is given up

A target whose stream holds an event or a comment without an end kept its call open, and the daemon read and buffered all of it: in the new test the callers got nothing in 60 s, while 32 MB were offered. The parser of event streams buffers an event until it ends and reads it again with each chunk, so the time grows with the square of the length; only the events that it returned counted towards the limit of a response.

The bytes since the last event are now counted, and the stream counts as interrupted above 262,144 of them, the limit of lagoon-entry. Callers get what they get for a stream that broke off. Endless heads, plain bodies, error bodies and bytes that are no response were bounded before; tests for them stay as guards.

Without the change the cases event and comment failed, with a timeout of the caller after 60 s.

--- a/crates/daemon/src/actors/targets/attempt.rs
+++ b/crates/daemon/src/actors/targets/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt at a target.
 
+use std::cell::Cell;
 use std::io::Read;
 use std::net::SocketAddr;
 
@@ -13,7 +14,9 @@
 use ureq::http::Response;
 use ureq::{Agent, Body};
 
-use crate::constants::{MAX_ERROR_DETAIL_BYTES, MAX_RESPONSE_BYTES, TARGET_BUFFER_BYTES};
+use crate::constants::{
+    MAX_ERROR_DETAIL_BYTES, MAX_EVENT_BYTES, MAX_RESPONSE_BYTES, TARGET_BUFFER_BYTES,
+};
 use crate::input::{Input, InputSender};
 
 const EVENT_STREAM: &str = "text/event-stream";
@@ -214,12 +217,21 @@
 fn read_events(response: Response<Body>, reporter: &AttemptReporter<'_>) {
     let mut reader = response.into_body().into_reader();
     let mut buffer = vec![0; TARGET_BUFFER_BYTES];
-    let chunks = std::iter::from_fn(move || match reader.read(&mut buffer) {
+    let bytes_since_event = Cell::new(0);
+    // The parser buffers an event until it ends, and reads it again with each chunk.
+    let chunks = std::iter::from_fn(|| match reader.read(&mut buffer) {
         Ok(0) => None,
-        Ok(length) => Some(Ok(buffer[..length].to_vec())),
+        Ok(_) if bytes_since_event.get() > MAX_EVENT_BYTES => {
+            Some(Err(std::io::Error::other("event is longer than the limit")))
+        }
+        Ok(length) => {
+            bytes_since_event.set(bytes_since_event.get() + length);
+            Some(Ok(buffer[..length].to_vec()))
+        }
         Err(error) => Some(Err(error)),
     });
     for event in block_on_stream(EventStream::new(stream::iter(chunks))) {
+        bytes_since_event.set(0);
         match event {
             Ok(event) if event.data == END_OF_STREAM => {
                 reporter.report(TargetEvent::Done);
--- a/crates/daemon/src/constants.rs
+++ b/crates/daemon/src/constants.rs
@@ -44,6 +44,9 @@
 /// Maximum size of a target's response that is not streamed; with a larger one,
 /// the attempt counts as interrupted.
 pub(crate) const MAX_RESPONSE_BYTES: u64 = 8_000_000;
+/// Maximum size of one event of a target's stream, comments before it included; with a
+/// larger one, the stream counts as interrupted. The same as in `lagoon-entry`.
+pub(crate) const MAX_EVENT_BYTES: usize = 262_144;
 /// Interval of the connections that make a server's pool of threads look at its queue;
 /// the longest time for which a connection that was queued by mistake waits.
 pub(crate) const POOL_WAKE_INTERVAL: Duration = Duration::from_millis(50);
--- a/crates/daemon/tests/invalid_status.rs
+++ b/crates/daemon/tests/malformed.rs
@@ -1,4 +1,4 @@
-//! Targets of the daemon whose responses have an invalid status line.
+//! Targets of the daemon whose bytes are no response, or never end.
 
 mod site;
 
@@ -10,6 +10,7 @@
 
 use serde_json::json;
 use site::Site;
+use yare::parameterized;
 
 /// Status lines that are none of HTTP. The last ones lack a status, or the whole line.
 const INVALID_LINES: [&str; 10] = [
@@ -28,11 +29,21 @@
 /// Interim responses that may come before the response with the invalid line.
 const INTERIM_RESPONSES: [&str; 2] = ["", "HTTP/1.1 100 Continue\r\n\r\n"];
 
+/// More than a daemon should read of one response that it can't forward, socket buffers
+/// included.
+const MAX_BYTES: usize = 32_000_000;
+
+/// Bytes of one write of an endless response.
+static BLOCK: [u8; 65_536] = [b'x'; 65_536];
+
 /// Target that responds to calls with `head` and a body that no caller may get.
 struct RawTarget {
     address: SocketAddr,
     head: Arc<Mutex<String>>,
     calls: Arc<AtomicUsize>,
+    /// Bytes of the longest endless response; a head that ends without a line end begins
+    /// one.
+    most: Arc<AtomicUsize>,
 }
 
 impl RawTarget {
@@ -42,19 +53,26 @@
             address: listener.local_addr().expect("address"),
             head: Arc::default(),
             calls: Arc::default(),
+            most: Arc::default(),
         };
         let (head, calls) = (Arc::clone(&target.head), Arc::clone(&target.calls));
+        let most = Arc::clone(&target.most);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (head, calls) = (Arc::clone(&head), Arc::clone(&calls));
-                thread::spawn(move || serve(stream, &head, &calls));
+                let most = Arc::clone(&most);
+                thread::spawn(move || serve(stream, &head, &calls, &most));
             }
         });
         target
     }
+
+    fn set_head(&self, head: String) {
+        *self.head.lock().expect("head") = head;
+    }
 }
 
-fn serve(mut stream: TcpStream, head: &Mutex<String>, calls: &AtomicUsize) {
+fn serve(mut stream: TcpStream, head: &Mutex<String>, calls: &AtomicUsize, most: &AtomicUsize) {
     let mut request = [0; 8_192];
     let Ok(read @ 1..) = stream.read(&mut request) else {
         return;
@@ -66,6 +84,10 @@
     } else {
         calls.fetch_add(1, Ordering::SeqCst);
         let head = head.lock().expect("head").clone();
+        if !head.is_empty() && !head.ends_with('\n') {
+            send_without_end(stream, &head, most);
+            return;
+        }
         format!("{head}Content-Type: application/json\r\nContent-Length: 6\r\n\r\nsecret")
     };
     // Fails if the daemon has closed the connection.
@@ -74,6 +96,39 @@
     let _ = stream.read(&mut request);
 }
 
+fn send_without_end(mut stream: TcpStream, head: &str, most: &AtomicUsize) {
+    let mut written = stream.write_all(head.as_bytes());
+    let mut bytes = 0;
+    while written.is_ok() && bytes <= MAX_BYTES {
+        bytes += BLOCK.len();
+        most.fetch_max(bytes, Ordering::SeqCst);
+        written = stream.write_all(&BLOCK);
+    }
+}
+
+// Guards against a daemon that reads such bytes until its memory is exhausted, or passes
+// them on as a response.
+#[parameterized(
+    no_response = { "x" },
+    head = { "HTTP/1.1 200 OK\r\nEndless: " },
+    body = { "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\nx" },
+    error_body = { "HTTP/1.1 422 No\r\nContent-Type: application/json\r\n\r\nx" },
+    event = { "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: x" },
+    comment = { "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: x" },
+)]
+fn endless_bytes_are_bounded_and_not_forwarded(head: &str) {
+    let (engine, desk) = (RawTarget::start(), RawTarget::start());
+    let site = Site::start_with(1, Some([engine.address, desk.address]));
+    engine.set_head(head.to_owned());
+    let chat = site.client(0).chat("contract-agent", "one", 8, &[], |_| {});
+    let chat = chat.expect("response");
+    assert!(!chat.complete, "{}", chat.summary);
+    assert!(!chat.text.contains("xx"), "{}", chat.text.len());
+    let bytes = engine.most.load(Ordering::SeqCst);
+    assert!(bytes > 0 && bytes < MAX_BYTES, "{bytes}");
+    site.vms[0].wait_ready();
+}
+
 // Guards against an invalid status, or the body after it, that reaches a caller, and
 // against one that is taken for a promise that the call has not run.
 #[test]
@@ -85,7 +140,7 @@
     for before in INTERIM_RESPONSES {
         for line in INVALID_LINES {
             for target in [&engine, &desk] {
-                *target.head.lock().expect("head") = format!("{before}{line}");
+                target.set_head(format!("{before}{line}"));
             }
             number += 1;
             let program = format!("p{number}");
