Endless interim responses are given up

A target, the store or another VM could answer a request with interim responses (1xx) and never with a response. The entry daemon read and dropped them as fast as they came until the request's deadline, with its one thread busy: 16 MB in the new test's 5 s, all that was offered. hyper skips interim responses without a limit on their number.

Above 16 of them to one request, its connection is now closed and the attempt has failed as with any bytes that are no response: it may have run, and the target is counted and logged. Sound servers send one or two.

--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -2,16 +2,20 @@
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::ext::on_informational;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use lagoon_paths::Loss;
 use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
@@ -31,6 +35,10 @@
 /// Maximum size of a response's head.
 const MAX_HEAD_BYTES: usize = 131_072;
 
+/// Maximum number of interim responses to one request, which are read and dropped. A
+/// server that sends more of them may never send a response.
+const MAX_INTERIM_RESPONSES: usize = 16;
+
 /// Idle time before the first keepalive probe, and interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -149,9 +157,18 @@
 
     pub(crate) async fn send(
         &mut self,
-        request: Request<RequestBody>,
+        mut request: Request<RequestBody>,
     ) -> Result<Response<Incoming>, ExchangeError> {
-        match self.sender.try_send_request(request).await {
+        let excess = notify_of_excess_interims(&mut request);
+        let sent = tokio::select! {
+            biased;
+            () = excess.notified() => {
+                self.task.abort();
+                return Err(ExchangeError::Invalid("too many interim responses".to_owned()));
+            }
+            sent = self.sender.try_send_request(request) => sent,
+        };
+        match sent {
             Ok(response) => Ok(response),
             Err(mut error) => {
                 let is_unsent = error.take_message().is_some();
@@ -169,6 +186,18 @@
     }
 }
 
+/// Returns what is notified once more than [`MAX_INTERIM_RESPONSES`] came to a request.
+fn notify_of_excess_interims(request: &mut Request<RequestBody>) -> Arc<Notify> {
+    let excess = Arc::new(Notify::new());
+    let (count, notified) = (AtomicUsize::new(0), Arc::clone(&excess));
+    on_informational(request, move |_| {
+        if count.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM_RESPONSES {
+            notified.notify_one();
+        }
+    });
+    excess
+}
+
 /// Sets the TCP options that detect an unresponsive caller, and disables Nagle's
 /// algorithm.
 pub(crate) fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
--- a/crates/entry/tests/endless.rs
+++ b/crates/entry/tests/endless.rs
@@ -20,6 +20,12 @@
 /// Bytes of one write.
 static BLOCK: [u8; 65_536] = [b'x'; 65_536];
 
+/// Interim response, which is followed by others of the same kind only.
+const INTERIM: &str = "HTTP/1.1 103 Early Hints\r\n\r\n";
+
+/// Number of interim responses of one write.
+const INTERIMS_PER_BLOCK: usize = 2_000;
+
 /// Server that starts each response with `head` and then sends bytes until the
 /// connection is closed; counts the bytes of the connection with most of them.
 fn start_endless_server(head: String) -> (SocketAddr, Arc<AtomicUsize>) {
@@ -41,13 +47,18 @@
     if !matches!(stream.read(&mut request), Ok(read) if read > 0) {
         return;
     }
+    let interims = INTERIM.repeat(INTERIMS_PER_BLOCK);
+    let block = match head {
+        INTERIM => interims.as_bytes(),
+        _ => &BLOCK,
+    };
     let mut written = stream.write_all(head.as_bytes());
     let mut bytes = 0;
     // Without a bound of the VM, the connection stays open at the end.
     while written.is_ok() && bytes <= MAX_BYTES {
-        bytes += BLOCK.len();
+        bytes += block.len();
         most.fetch_max(bytes, Ordering::SeqCst);
-        written = stream.write_all(&BLOCK);
+        written = stream.write_all(block);
     }
     // Fails when the VM closes the connection.
     let _ = stream.read(&mut request);
@@ -72,6 +83,8 @@
     endless_event = { "/stream/x", head_of_success("r1") },
     endless_kept_turn = { "/chat/x", head_of_success("r1") },
     endless_body = { "/look/x", head_of_success("r1") },
+    endless_interim_responses = { "/look/x", INTERIM.to_owned() },
+    endless_interim_responses_to_a_stream = { "/stream/x", INTERIM.to_owned() },
 )]
 fn endless_bytes_are_bounded_and_not_forwarded(path: &str, head: String) {
     let fleet = Fleet::start(1);
