--- a/crates/entry/src/evidence.rs
+++ b/crates/entry/src/evidence.rs
@@ -1,6 +1,7 @@
 //! Evidence of how recent the configuration in force is, by the clock of this VM.
 
 use std::cell::{Cell, RefCell};
+use std::fmt;
 
 use lagoon_accounts::{Freshness, FreshnessSettings, Recency, StatedEvidence};
 use serde::{Deserialize, Serialize};
@@ -9,7 +10,7 @@
 use crate::settings::AccountSettings;
 
 /// Response to [`PeerMessage::ReadFreshness`](crate::message::PeerMessage::ReadFreshness).
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Deserialize, Eq, PartialEq, Serialize)]
 pub struct FreshnessReply {
     /// Age of the evidence that the configuration in force was the newest.
     pub age_ms: u64,
@@ -19,6 +20,19 @@
     pub value: Option<Vec<u8>>,
 }
 
+impl fmt::Debug for FreshnessReply {
+    /// Leaves out the row, which has the accounts' keys.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let value_bytes = self.value.as_ref().map(Vec::len);
+        formatter
+            .debug_struct("FreshnessReply")
+            .field("age_ms", &self.age_ms)
+            .field("version", &self.version)
+            .field("value_bytes", &value_bytes)
+            .finish()
+    }
+}
+
 /// Evidence of how recent the configuration in force is.
 pub(crate) struct ConfigEvidence {
     /// Whether requests are refused for lack of evidence.
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -186,7 +186,7 @@
 }
 
 fn no_configuration(state: &DaemonState, metadata: &RequestMetadata) -> Response<ResponseBody> {
-    log::info!(request = metadata.request_id.as_str(), status = 503; "refused: no configuration yet");
+    log::info!(request = metadata.request_id.as_str(), account = "-", status = 503; "refused: no configuration yet");
     state.metrics.record_response(503, 0);
     response::retryable_unavailable("no configuration yet", UNAVAILABLE_RETRY_AFTER_MS)
 }
@@ -205,7 +205,7 @@
     host: &str,
     config: &Config,
 ) -> Response<ResponseBody> {
-    log::info!(request = metadata.request_id.as_str(), status = 404, host, path = parts.uri.path(), config_version = config.version; "no route");
+    log::info!(request = metadata.request_id.as_str(), account = "-", status = 404, host, path = parts.uri.path(), config_version = config.version; "no route");
     state.metrics.record_response(404, 0);
     response::plain_text(StatusCode::NOT_FOUND, "no route")
 }
@@ -275,6 +275,9 @@
         let refused = refuse_key(&state, &metadata, &config, &route, arrived_ms, refusal);
         Box::new(refused)
     })?;
+    if let Some(account) = identity.account() {
+        caller.set_account(&account.name);
+    }
     let path_and_query = parts.uri.path_and_query();
     let path_and_query = path_and_query.map_or(parts.uri.path(), PathAndQuery::as_str);
     let affinity_hash = hash64(metadata.affinity_key().as_bytes());
--- a/crates/entry/src/unanswered.rs
+++ b/crates/entry/src/unanswered.rs
@@ -61,6 +61,8 @@
 struct OpenRequest {
     number: u64,
     id: CompactString,
+    /// Name of the account; empty without one.
+    account: CompactString,
     started_ms: u64,
     /// Version at the start; 0 without a configuration.
     config_version: u64,
@@ -134,6 +136,7 @@
         self.open.borrow_mut().push_back(OpenRequest {
             number,
             id: CompactString::default(),
+            account: CompactString::default(),
             started_ms: self.state.now_ms(),
             config_version: self.state.config_version(),
             is_passed_on: false,
@@ -258,6 +261,7 @@
         for request in open {
             self.state.record_unanswered(&Unanswered {
                 id: &request.id,
+                account: &request.account,
                 cause: request.cause.unwrap_or(lost_cause),
                 age_ms: now_ms - request.started_ms,
                 started_version: request.config_version,
@@ -277,6 +281,7 @@
         };
         self.state.record_unanswered(&Unanswered {
             id,
+            account: "",
             cause,
             age_ms: self.state.now_ms() - received_ms,
             started_version: self.state.config_version(),
@@ -333,6 +338,10 @@
         self.update(|request| request.id = id.clone());
     }
 
+    pub(crate) fn set_account(&self, name: &CompactString) {
+        self.update(|request| request.account = name.clone());
+    }
+
     /// Whether the response tells the caller that it is the connection's last one: the
     /// daemon stops, and would close the connection while it rests.
     pub(crate) fn announces_close(&self) -> bool {
@@ -380,6 +389,8 @@
 struct Unanswered<'a> {
     /// Empty if it isn't known.
     id: &'a str,
+    /// Empty without one, or if it isn't known.
+    account: &'a str,
     cause: Cause,
     age_ms: u64,
     started_version: u64,
@@ -401,6 +412,7 @@
         }
         self.record_unanswered(&Unanswered {
             id: "",
+            account: "",
             cause: Cause::TooManyConnections,
             age_ms: 0,
             started_version: self.config_version(),
@@ -416,13 +428,14 @@
             Cause::CallerLeft => log::Level::Info,
             _ => log::Level::Warn,
         };
-        let id = match unanswered.id {
+        let or_dash = |text| match text {
             "" => "-",
-            id => id,
+            text => text,
         };
         log::log!(
             level,
-            request = id,
+            request = or_dash(unanswered.id),
+            account = or_dash(unanswered.account),
             cause = cause.to_string(),
             age_ms = unanswered.age_ms,
             config_version = unanswered.started_version,
