Quotas: buckets hold a part of the slack; running requests wait a quarter of a second

Buckets of all domains now hold 0.6 of the slack of a window beside the burst (4 tokens each with three domains, 2 at most before), and a request of a program that has begun waits up to 250 ms for a token before its body is read. Callers come back within 100 ms of the next token, not 200.

--- a/crates/entry/src/forward/quota.rs
+++ b/crates/entry/src/forward/quota.rs
@@ -26,6 +26,10 @@
 /// comes back; a stream that isn't resumed ends its program.
 const MAX_RESUME_WAIT: Duration = Duration::from_millis(1_000);
 
+/// Maximum time that a request of a program that has begun waits for a token, before its
+/// body is read. Its refusal may end the program, whose work so far is then lost.
+const MAX_RUNNING_WAIT: Duration = Duration::from_millis(250);
+
 /// Token for the first attempt of a request, before its body is read; `None` if its
 /// account has no quota.
 pub(super) async fn first_token(
@@ -52,12 +56,23 @@
         true => RequestClass::NewProgram,
         false => RequestClass::Running,
     };
-    let token = state
-        .quotas
-        .take_token(&account, quota, config.version, class);
-    let no_token = match token.await {
-        Ok(token) => return Ok(Some(token)),
-        Err(no_token) => no_token,
+    let wait_until = match class {
+        RequestClass::NewProgram => Instant::now(),
+        RequestClass::Running => Instant::now() + MAX_RUNNING_WAIT,
+    };
+    let no_token = loop {
+        let token = state
+            .quotas
+            .take_token(&account, quota, config.version, class);
+        let no_token = match token.await {
+            Ok(token) => return Ok(Some(token)),
+            Err(no_token) => no_token,
+        };
+        let wait = Duration::from_millis(no_token.retry_ms());
+        if Instant::now() + wait > wait_until {
+            break no_token;
+        }
+        sleep(wait).await;
     };
     let response = refusal(no_token);
     let status = response.status().as_u16();
--- a/crates/entry/src/quotas.rs
+++ b/crates/entry/src/quotas.rs
@@ -54,7 +54,7 @@
 
 /// Bounds of what is added to the time until a token may be granted, so that callers don't
 /// all come back at once.
-const RETRY_SPREAD_MS: std::ops::Range<u64> = 0..200;
+const RETRY_SPREAD_MS: std::ops::Range<u64> = 0..100;
 
 /// Rounds of maintenance, 100 ms apart, between two removals of idle state.
 const IDLE_ROUNDS: u32 = 50;
--- a/crates/quotas/src/grantor.rs
+++ b/crates/quotas/src/grantor.rs
@@ -21,11 +21,9 @@
 /// the time for which VMs may use tokens.
 const TRANSFER_TTL_SHARE: f64 = 0.5;
 
-/// Share of the slack that the smallest buckets of all domains may take together.
-const CAPACITY_SLACK_SHARE: f64 = 0.5;
-
-/// Largest value of the smallest capacity.
-const MAX_MIN_CAPACITY: f64 = 2.0;
+/// Share of the slack that the buckets of all domains hold together, beside the burst.
+/// The rest is left to takeovers, during which two VMs grant tokens of one domain.
+const CAPACITY_SLACK_SHARE: f64 = 0.6;
 
 /// Share of the rate that the second VM of the order grants before it has confirmed that
 /// the first can't be reached. Each further one grants this share of the one before it,
@@ -234,10 +232,11 @@
         was_suspended
     }
 
-    /// Tokens that a bucket holds at least. Small buckets are short more often, so that
-    /// more is asked of other domains; large ones take more of the slack.
-    fn min_capacity(&self) -> f64 {
-        (self.slack * CAPACITY_SLACK_SHARE / self.domains as f64).clamp(1.0, MAX_MIN_CAPACITY)
+    /// Tokens of the slack that a bucket holds. For accounts with a few requests a second
+    /// they are several times the burst of a domain, and the calls of a program come
+    /// several at a time.
+    fn slack_capacity(&self) -> f64 {
+        self.slack * CAPACITY_SLACK_SHARE / self.domains as f64
     }
 
     /// Bucket of an account, filled until now.
@@ -260,9 +259,8 @@
         let domains = self.domains as f64;
         let share_per_s = terms.rate_per_s / domains;
         let min_capacity_s = self.ttl_ms as f64 / 1e3 * MIN_CAPACITY_SHARE;
-        let full = (terms.burst / domains)
-            .max(share_per_s * min_capacity_s)
-            .max(self.min_capacity());
+        let full = (terms.burst / domains).max(share_per_s * min_capacity_s);
+        let full = (full + self.slack_capacity()).max(1.0);
         let (rate_per_s, capacity) = match role {
             GrantorRole::First if is_starting => (share_per_s * STARTING_SHARE, full),
             GrantorRole::First | GrantorRole::ConfirmedSubstitute => (share_per_s, full),
