--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -287,7 +287,10 @@
 async fn maintain_quotas(state: Rc<DaemonState>) {
     loop {
         sleep(HOUSEKEEPING_INTERVAL).await;
-        let is_listed = state.registered.get() && !state.stopping.get();
+        // Other VMs that read the row of an earlier run ask this one before it has written
+        // its own.
+        let is_known = state.peer_client.peers.borrow().is_own_listed();
+        let is_listed = (is_known || state.registered.get()) && !state.stopping.get();
         state.quotas.maintain(is_listed);
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -88,6 +88,8 @@
 pub struct Peers {
     own_name: CompactString,
     own_domain: CompactString,
+    /// Whether the store lists this VM, perhaps with the row of an earlier run.
+    is_own_listed: bool,
     peers: FastMap<CompactString, Peer>,
     /// VMs that are no longer listed, with the time of their removal.
     unlisted: FastMap<CompactString, u64>,
@@ -106,6 +108,7 @@
         Peers {
             own_name: own,
             own_domain: domain,
+            is_own_listed: false,
             peers: FastMap::default(),
             unlisted: FastMap::default(),
             is_stopping: false,
@@ -122,6 +125,12 @@
         &self.own_name
     }
 
+    /// Whether other VMs that read the list know this VM, by its own row or that of an
+    /// earlier run.
+    pub fn is_own_listed(&self) -> bool {
+        self.is_own_listed
+    }
+
     /// Number of other VMs.
     pub fn len(&self) -> usize {
         self.peers.len()
@@ -136,6 +145,7 @@
     /// the store. Returns whether this incarnation of the VM is new.
     pub fn upsert(&mut self, name: CompactString, entry: PeerEntry, version: u64) -> bool {
         if name == self.own_name {
+            self.is_own_listed = true;
             return false;
         }
         self.unlisted.remove(&name);
@@ -169,6 +179,7 @@
 
     /// Removes a VM whose entry was deleted from the store or is invalid.
     pub fn remove(&mut self, name: &str, now_ms: u64) {
+        self.is_own_listed &= name != self.own_name;
         if let Some((name, _)) = self.peers.remove_entry(name) {
             self.unlisted.insert(name, now_ms);
         }
@@ -179,6 +190,7 @@
     where
         F: Fn(&str) -> bool,
     {
+        self.is_own_listed = is_kept(&self.own_name);
         let removed = self.peers.keys().filter(|name| !is_kept(name));
         for name in removed.cloned().collect::<Vec<_>>() {
             self.remove(&name, now_ms);
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -246,3 +246,21 @@
         }
     }
 }
+
+// Guards against VMs that refuse to be grantors after a restart, until they have written
+// rows of their own, although all others know them by those of their earlier runs.
+#[test]
+fn own_row_of_an_earlier_run_is_known() {
+    let mut peers = Peers::new("own".into(), "d1".into());
+    assert!(!peers.is_own_listed());
+    peers.retain(|name| name == "own", 0);
+    assert!(peers.is_own_listed());
+    peers.remove("a", 1);
+    assert!(peers.is_own_listed());
+    peers.remove("own", 2);
+    assert!(!peers.is_own_listed());
+    peers.upsert("own".into(), entry(1), 10);
+    assert!(peers.is_own_listed());
+    peers.retain(|_| false, 3);
+    assert!(!peers.is_own_listed());
+}
