--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -77,8 +77,6 @@
     pub(crate) state: Rc<DaemonState>,
     pub(crate) caller: RequestGuard,
     pub(crate) route: Arc<Route>,
-    /// Account of the caller's key; `None` where callers need none.
-    pub(crate) account: Option<Arc<Account>>,
     /// Whom the request is served for.
     identity: Identity,
     pub(crate) metadata: RequestMetadata,
@@ -308,7 +306,6 @@
         deadline_ms: arrived_ms + wait_ms,
         config_version: config.version,
         service,
-        account: identity.account().cloned(),
         identity,
         route,
         fingerprint: fingerprint(path_and_query, &body, &metadata),
@@ -381,16 +378,19 @@
 
     /// Priority of the request, 0 the highest: the account's, or else the route's.
     pub(crate) fn priority(&self) -> u32 {
-        let account = self.account.as_ref();
+        let account = self.account();
         let priority = account.and_then(|account| account.priority);
         priority.unwrap_or(self.route.priority)
     }
 
+    /// Account of the caller's key; `None` where callers need none.
+    pub(crate) fn account(&self) -> Option<&Arc<Account>> {
+        self.identity.account()
+    }
+
     /// Name of the account for log lines; `-` without one.
     pub(crate) fn account_name(&self) -> &str {
-        self.account
-            .as_ref()
-            .map_or("-", |account| account.name.as_str())
+        self.account().map_or("-", |account| account.name.as_str())
     }
 
     fn refuse(&self, why: &'static str, retry_after_ms: u64) -> Box<Response<ResponseBody>> {
--- a/crates/entry/src/forward/admission.rs
+++ b/crates/entry/src/forward/admission.rs
@@ -36,7 +36,7 @@
     fn enter(request: &ForwardedRequest) -> WaitingProgram {
         let state = Rc::clone(&request.state);
         let name = request.metadata.program.as_deref().unwrap_or_default();
-        let account = request.account.as_ref();
+        let account = request.account();
         let program = NewProgram {
             program: hash64(name.as_bytes()),
             account: account.map_or(0, |account| account.hash as u32),
--- a/crates/entry/src/forward/quota.rs
+++ b/crates/entry/src/forward/quota.rs
@@ -125,7 +125,7 @@
 impl ForwardedRequest {
     /// Gets a token for the next attempt, unless the request has one or needs none.
     pub(super) async fn obtain_quota_token(&mut self) -> Result<(), NoToken> {
-        let Some((account, quota)) = self.account.as_ref().and_then(with_quota) else {
+        let Some((account, quota)) = self.account().and_then(with_quota) else {
             self.quota_token = None;
             return Ok(());
         };
