--- a/crates/capacity/src/service.rs
+++ b/crates/capacity/src/service.rs
@@ -179,7 +179,7 @@
         let weight = if step > LOW_LOAD_STEPS { 0.2 } else { 1.0 };
         let rest_ln = target.record_measured(settings, self, measured_ln, weight, now_ms);
         if step <= LOW_LOAD_STEPS {
-            target.add_untold(rest_ln);
+            target.add_unsent(rest_ln);
         }
     }
 
--- a/crates/capacity/src/target.rs
+++ b/crates/capacity/src/target.rs
@@ -28,7 +28,7 @@
 struct Figure {
     ln: f64,
     at_ms: u64,
-    is_told: bool,
+    is_sent: bool,
 }
 
 impl Figure {
@@ -41,7 +41,7 @@
 
 /// Measured samples since the last update for other VMs.
 #[derive(Clone, Copy, Debug, Default)]
-struct Untold {
+struct Unsent {
     sum_ln: f64,
     count: u8,
 }
@@ -63,7 +63,7 @@
     /// computed: of squares of figures, and of their products with those times.
     figure_squares: f64,
     figure_products: f64,
-    untold: Untold,
+    unsent: Unsent,
 }
 
 impl TargetEstimates {
@@ -86,7 +86,7 @@
         self.figure = Some(Figure {
             ln,
             at_ms,
-            is_told: false,
+            is_sent: false,
         });
         self.usual_figure
             .record(ln, 1.0, settings.sample_half_life_ms, at_ms);
@@ -183,30 +183,30 @@
         Some(now_ms.saturating_sub(newest_ms))
     }
 
-    pub(crate) fn add_untold(&mut self, rest_ln: f64) {
-        if self.untold.count < u8::MAX {
-            self.untold.sum_ln += rest_ln;
-            self.untold.count += 1;
+    pub(crate) fn add_unsent(&mut self, rest_ln: f64) {
+        if self.unsent.count < u8::MAX {
+            self.unsent.sum_ln += rest_ln;
+            self.unsent.count += 1;
         }
     }
 
-    /// Whether there is something that other VMs weren't told.
+    /// Whether there is something that was not sent to other VMs.
     pub fn has_news(&self) -> bool {
-        self.untold.count > 0 || self.figure.is_some_and(|figure| !figure.is_told)
+        self.unsent.count > 0 || self.figure.is_some_and(|figure| !figure.is_sent)
     }
 
     /// Update for other VMs, with what is new since the last call.
     pub fn take_update(&mut self, target: u32, now_ms: u64) -> TargetSpeed {
-        let figure = self.figure.as_mut().filter(|figure| !figure.is_told);
+        let figure = self.figure.as_mut().filter(|figure| !figure.is_sent);
         let figure = figure.map(|figure| {
-            figure.is_told = true;
+            figure.is_sent = true;
             let age_ms = now_ms.saturating_sub(figure.at_ms);
             (percent(figure.ln), age_ms.min(u64::from(u16::MAX)) as u16)
         });
-        let untold = std::mem::take(&mut self.untold);
-        let measured = (untold.count > 0).then(|| {
-            let mean_ln = untold.sum_ln / f64::from(untold.count);
-            (percent(mean_ln), untold.count)
+        let unsent = std::mem::take(&mut self.unsent);
+        let measured = (unsent.count > 0).then(|| {
+            let mean_ln = unsent.sum_ln / f64::from(unsent.count);
+            (percent(mean_ln), unsent.count)
         });
         TargetSpeed {
             target,
@@ -229,7 +229,7 @@
             if let Some(figure) = self.figure.as_mut().filter(|_| is_news) {
                 // Passed on by the VM that got it only, so that updates stay as few as
                 // responses.
-                figure.is_told = true;
+                figure.is_sent = true;
             }
         }
         if let Some((percent, count)) = update.measured.filter(|(percent, _)| *percent > 0) {
--- a/crates/capacity/src/update.rs
+++ b/crates/capacity/src/update.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Speed of one target, as the sender measured it or was told it by the target.
+/// Speed of one target, as the sender measured it or the target reported it.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TargetSpeed {
     /// Hash of the target's id.
--- a/crates/capacity/tests/fleet/simulation.rs
+++ b/crates/capacity/tests/fleet/simulation.rs
@@ -304,9 +304,9 @@
                     let target = &mut vm.targets[update.target as usize];
                     target.apply_update(&self.settings, &mut vm.service, update, now_ms);
                 }
-                for (known, told) in vm.reported.iter_mut().zip(&message.reported) {
-                    if told.1 > known.1 {
-                        *known = *told;
+                for (known, received) in vm.reported.iter_mut().zip(&message.reported) {
+                    if received.1 > known.1 {
+                        *known = *received;
                     }
                 }
             }
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -155,7 +155,7 @@
 struct AccountPrograms {
     admitted: f64,
     updated_ms: u64,
-    untold: u16,
+    unsent: u16,
     /// Virtual time at which the account's next program is due.
     next_turn: u64,
 }
@@ -247,7 +247,7 @@
             self.totals_ms = now_ms;
             // Those without a recent program don't count as accounts.
             self.accounts
-                .retain(|_, programs| programs.admitted(now_ms) > 0.05 || programs.untold > 0);
+                .retain(|_, programs| programs.admitted(now_ms) > 0.05 || programs.unsent > 0);
             let admitted = self
                 .accounts
                 .values()
@@ -327,22 +327,22 @@
         }
         if let Some(account) = self.accounts.get_mut(&waiting.program.account) {
             account.add(1.0, now_ms);
-            account.untold = account.untold.saturating_add(1);
+            account.unsent = account.unsent.saturating_add(1);
         }
     }
 
     /// At most `count` accounts with the programs that this VM has admitted since the
     /// last call, for gossip peers.
     pub fn take_admitted(&mut self, count: usize) -> Vec<AdmittedPrograms> {
-        let untold = self
+        let unsent = self
             .accounts
             .iter_mut()
-            .filter(|(_, programs)| programs.untold > 0);
-        untold
+            .filter(|(_, programs)| programs.unsent > 0);
+        unsent
             .take(count)
             .map(|(account, programs)| AdmittedPrograms {
                 account: *account,
-                count: std::mem::take(&mut programs.untold),
+                count: std::mem::take(&mut programs.unsent),
             })
             .collect()
     }
--- a/crates/gateway/src/targets/capacity.rs
+++ b/crates/gateway/src/targets/capacity.rs
@@ -100,13 +100,13 @@
             return Vec::new();
         }
         let targets = self.arena.values_mut();
-        let mut untold: Vec<&mut Target> = targets
+        let mut unsent: Vec<&mut Target> = targets
             .filter(|target| target.estimates.has_news())
             .collect();
         // The newest tell most.
-        untold.sort_by_key(|target| target.estimates.age_ms(now_ms));
-        let told = untold.into_iter().take(count);
-        told.map(|target| {
+        unsent.sort_by_key(|target| target.estimates.age_ms(now_ms));
+        let sent = unsent.into_iter().take(count);
+        sent.map(|target| {
             let hash = target.id_hash().0;
             target.estimates.take_update(hash, now_ms)
         })
--- a/crates/quotas/src/lib.rs
+++ b/crates/quotas/src/lib.rs
@@ -47,7 +47,7 @@
 /// Quota of an account in one version of the configuration.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub struct QuotaTerms {
-    /// Version of the configuration. The grantor applies the newest that it was told of.
+    /// Version of the configuration. The grantor applies the newest that it has received.
     pub version: u64,
     /// Requests per second over all VMs.
     pub rate_per_s: f64,
