Key and route of a request are looked up once before its body

The check of the key and the first token of a quota each found the route and the account, with a digest of the key, for every request with a key. The check now passes on what it found.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -141,10 +141,11 @@
         let response = response::plain_text(status, "header section too long");
         return refuse_unread(&state, body, &caller, response);
     }
-    if let Some(response) = refuse_before_body(&state, &parts, &metadata, arrived_ms) {
-        return refuse_unread(&state, body, &caller, response);
-    }
-    let quota_token = match first_token(&state, &parts, &metadata, arrived_ms).await {
+    let keyed = match check_before_body(&state, &parts, &metadata, arrived_ms) {
+        Ok(keyed) => keyed,
+        Err(response) => return refuse_unread(&state, body, &caller, *response),
+    };
+    let quota_token = match first_token(&state, keyed, &metadata, arrived_ms).await {
         Ok(token) => token,
         Err(response) => return refuse_unread(&state, body, &caller, *response),
     };
@@ -167,28 +168,43 @@
     request.run().await
 }
 
-/// Response to a request that is refused by its route or its key alone, so that its body
-/// uses no memory; `None` if the body must be read. Without accounts, all bodies are.
-fn refuse_before_body(
+/// Request with the key of an account, as known from its head.
+struct KeyedRequest {
+    config_version: u64,
+    route: Arc<Route>,
+    account: Arc<Account>,
+}
+
+/// Checks the route and the key of a request, so that the body of one that is refused uses
+/// no memory. Without accounts, all bodies are read; `None` if the request is no account's.
+fn check_before_body(
     state: &DaemonState,
     parts: &Parts,
     metadata: &RequestMetadata,
     arrived_ms: u64,
-) -> Option<Response<ResponseBody>> {
+) -> Result<Option<KeyedRequest>, Box<Response<ResponseBody>>> {
     let config = state.config.borrow().clone();
     if config.is_none() && state.evidence.is_strict() {
-        return Some(no_configuration(state, metadata));
+        return Err(Box::new(no_configuration(state, metadata)));
     }
-    let config = config.filter(|config| config.accounts.is_some())?;
+    let Some(config) = config.filter(|config| config.accounts.is_some()) else {
+        return Ok(None);
+    };
     let host = request_host(parts);
     let Some(route) = config.route(&host, parts.uri.path()) else {
-        return Some(no_route(state, parts, metadata, &host, &config));
+        let response = no_route(state, parts, metadata, &host, &config);
+        return Err(Box::new(response));
     };
     let identity = Identity::find(&config, route, &parts.headers, state.evidence.recency());
-    let refusal = identity.err()?;
-    Some(refuse_key(
-        state, metadata, &config, route, arrived_ms, refusal,
-    ))
+    let identity = identity.map_err(|refusal| {
+        let refused = refuse_key(state, metadata, &config, route, arrived_ms, refusal);
+        Box::new(refused)
+    })?;
+    Ok(identity.account().map(|account| KeyedRequest {
+        config_version: config.version,
+        route: Arc::clone(route),
+        account: Arc::clone(account),
+    }))
 }
 
 fn no_configuration(state: &DaemonState, metadata: &RequestMetadata) -> Response<ResponseBody> {
--- a/crates/entry/src/forward/quota.rs
+++ b/crates/entry/src/forward/quota.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::request::Parts;
 use hyper::Response;
 use lagoon_accounts::{Account, Quota};
 use lagoon_gateway::RequestMetadata;
@@ -12,9 +11,8 @@
 use lagoon_quotas::RequestClass;
 use tokio::time::{sleep, Instant};
 
-use crate::accounts::Identity;
 use crate::body::ResponseBody;
-use crate::forward::{request_host, ForwardedRequest};
+use crate::forward::{ForwardedRequest, KeyedRequest};
 use crate::quotas::{NoToken, QuotaToken};
 use crate::response;
 use crate::state::DaemonState;
@@ -30,26 +28,23 @@
 /// body is read. Its refusal may end the program, whose work so far is then lost.
 const MAX_RUNNING_WAIT: Duration = Duration::from_millis(250);
 
-/// Token for the first attempt of a request, before its body is read; `None` if its
-/// account has no quota.
+/// Token for the first attempt of a request, before its body is read; `None` if it is no
+/// account's, or its account has no quota.
 pub(super) async fn first_token(
     state: &Rc<DaemonState>,
-    parts: &Parts,
+    keyed: Option<KeyedRequest>,
     metadata: &RequestMetadata,
     arrived_ms: u64,
 ) -> Result<Option<QuotaToken>, Box<Response<ResponseBody>>> {
-    let Some(config) = state.config.borrow().clone() else {
-        return Ok(None);
-    };
-    let Some(route) = config.route(&request_host(parts), parts.uri.path()) else {
-        return Ok(None);
-    };
-    // Without an account, the request is refused or served elsewhere.
-    let Ok(identity) = Identity::find(&config, route, &parts.headers, state.evidence.recency())
+    let Some(KeyedRequest {
+        config_version,
+        route,
+        account,
+    }) = keyed
     else {
         return Ok(None);
     };
-    let Some((account, quota)) = identity.account().and_then(with_quota) else {
+    let Some(quota) = account.quota else {
         return Ok(None);
     };
     let class = match begins_program(state, metadata) {
@@ -63,7 +58,7 @@
     let no_token = loop {
         let token = state
             .quotas
-            .take_token(&account, quota, config.version, class);
+            .take_token(&account, quota, config_version, class);
         let no_token = match token.await {
             Ok(token) => return Ok(Some(token)),
             Err(no_token) => no_token,
@@ -83,7 +78,7 @@
         program = metadata.program.as_deref().unwrap_or("-"),
         account = account.name.as_str(),
         route = route.name.as_str(),
-        config_version = config.version,
+        config_version,
         status,
         rate_per_s = quota.rate_per_s,
         burst = quota.burst,
