Test of a carrier's deadline waits until the carrier has the head

The carrier counts its time from the head on, which the busy machine let it read 14 ms late, so the test's clock was ahead. A gauge lagoon_carrying shows that the attempt has begun; the test starts its wait then. The bound is unchanged.

--- a/crates/entry/src/carry.rs
+++ b/crates/entry/src/carry.rs
@@ -46,14 +46,20 @@
         if carried >= MAX_CARRIED || state.stopping.get() {
             return None;
         }
-        state.carried.set(carried + 1);
-        Some(CarriedGuard(Rc::clone(state)))
+        let guard = CarriedGuard(Rc::clone(state));
+        guard.set_count(carried + 1);
+        Some(guard)
+    }
+
+    fn set_count(&self, carried: usize) {
+        self.0.carried.set(carried);
+        self.0.metrics.set_carrying(carried);
     }
 }
 
 impl Drop for CarriedGuard {
     fn drop(&mut self) {
-        self.0.carried.set(self.0.carried.get() - 1);
+        self.set_count(self.0.carried.get() - 1);
     }
 }
 
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -53,6 +53,7 @@
     quarantined: IntGauge,
     held_bytes: IntGauge,
     connections: IntGauge,
+    carrying: IntGauge,
     dropped_log_lines: IntGauge,
     target_capacity: GaugeVec,
     target_slowness: GaugeVec,
@@ -214,6 +215,7 @@
             )?,
             held_bytes: gauge("lagoon_held_bytes", "Bytes held for callers and targets")?,
             connections: gauge("lagoon_connections", "Connections that are open here")?,
+            carrying: gauge("lagoon_carrying", "Attempts carried for other VMs now")?,
             dropped_log_lines: gauge(
                 "lagoon_dropped_log_lines",
                 "Log lines dropped since the start",
@@ -383,6 +385,10 @@
         self.0.connections.set(count as i64);
     }
 
+    pub(crate) fn set_carrying(&self, count: usize) {
+        self.0.carrying.set(count as i64);
+    }
+
     /// Replaces the estimates of all targets.
     pub(crate) fn set_estimates(&self, targets: &Targets, now_ms: u64) {
         let metrics = &self.0;
--- a/crates/entry/tests/stranded.rs
+++ b/crates/entry/tests/stranded.rs
@@ -592,6 +592,11 @@
     stream
         .write_all(format!("{head}\r\n").as_bytes())
         .expect("head is sent");
+    // The carrier counts from the head on, which a busy machine lets it read late.
+    wait_until("the head at the carrier", || {
+        let metrics = get(fleet.vms[1].peers, "/metrics").body;
+        metrics.contains("\nlagoon_carrying 1\n")
+    });
     thread::sleep(CARRIER_WAIT);
     stream.write_all(b"p").expect("body is sent");
     let response = read_response(stream);
