Tests wait for log lines and counters that follow a response

The expected values are unchanged; the count of unanswered requests is now compared to the end of its line, so that 1 does not match 10. Checks that a line is absent end the VMs first, which writes all queued lines; before, such a check could pass as the line was still queued. Half-written lines are no longer returned by Fleet::log_lines.

--- a/crates/entry/tests/accounts.rs
+++ b/crates/entry/tests/accounts.rs
@@ -8,8 +8,8 @@
 use std::time::{Duration, Instant};
 
 use fleet::{
-    call, complete_stream, get, read_response, send_request, wait_until, Fleet, FleetOptions,
-    Response, CONFIG,
+    call, complete_stream, get, read_response, send_request, wait_for_metric, wait_until, Fleet,
+    FleetOptions, Response, CONFIG,
 };
 use lagoon_adapter::standin::{
     account_header, kept_turn_headers, key_header, with_accounts, ReceivedRequest,
@@ -59,7 +59,8 @@
     received.map(|execution| execution.received).collect()
 }
 
-fn assert_no_key_in_logs(fleet: &Fleet) {
+fn assert_no_key_in_logs(mut fleet: Fleet) {
+    fleet.stop_all_vms();
     for (_, log) in fleet.logs() {
         for key in ["sesame", "thunder", "twin", "guess"] {
             assert!(!log.contains(key), "{log}");
@@ -77,13 +78,8 @@
     let received = received(&fleet);
     assert_eq!(received[0].account.as_deref(), Some("acme"));
     assert!(!received[0].has_key);
-    // A thread of its own writes the lines.
-    wait_until("the line", || {
-        let lines = fleet.log_lines(&fleet.vms[0]);
-        let mut answered = lines.iter().filter(|line| line.contains("answered"));
-        answered.any(|line| line.contains("account=acme"))
-    });
-    assert_no_key_in_logs(&fleet);
+    fleet.wait_for_line(&fleet.vms[0], &["answered", "account=acme"]);
+    assert_no_key_in_logs(fleet);
 }
 
 // Guards against a key in the attempts that another VM carries to the target, and an
@@ -105,9 +101,8 @@
     wait_until("a lookup", || {
         call(fleet.callers(), "GET /look/x", &headers, "").status == 200
     });
-    let carried = get(fleet.vms[1].peers, "/metrics").body;
     let counter = "lagoon_carried_for_others_total{end=\"answered\"} 2\n";
-    assert!(carried.contains(counter), "{carried}");
+    wait_for_metric(fleet.vms[1].peers, counter);
     for received in received(&fleet) {
         assert!(!received.has_key, "{received:?}");
     }
@@ -117,7 +112,7 @@
         let expected = (!is_public).then_some("acme");
         assert_eq!(execution.received.account.as_deref(), expected);
     }
-    assert_no_key_in_logs(&fleet);
+    assert_no_key_in_logs(fleet);
 }
 
 // Guards against a request that runs without a valid key, and a status by which a caller
@@ -136,9 +131,8 @@
     assert_eq!(response.head.contains("retry-after: 0.700"), status == 503);
     assert_eq!(received(&fleet), []);
     let counter = format!("lagoon_key_refusals_total{{reason=\"{reason}\"}} 1\n");
-    let metrics = get(fleet.vms[0].peers, "/metrics").body;
-    assert!(metrics.contains(&counter), "{metrics}");
-    assert_no_key_in_logs(&fleet);
+    wait_for_metric(fleet.vms[0].peers, &counter);
+    assert_no_key_in_logs(fleet);
 }
 
 // Guards against a public route that needs a key, or passes one on.
@@ -229,11 +223,7 @@
     let stream = send_request(fleet.callers(), "POST /book/x", "a.example", &headers, "x");
     wait_until("the request", || !received(&fleet).is_empty());
     drop(stream);
-    wait_until("the line", || {
-        let lines = fleet.log_lines(&fleet.vms[0]);
-        let mut lines = lines.iter().filter(|line| line.contains("unanswered"));
-        lines.any(|line| line.contains("account=acme"))
-    });
+    fleet.wait_for_line(&fleet.vms[0], &["unanswered", "account=acme"]);
 }
 
 // Guards against an account that continues, or learns of, a turn of another one.
@@ -317,11 +307,7 @@
     wait_for_status(vm, "sesame", 401);
     wait_for_status(vm, "thunder", 200);
     wait_for_status(vm, "new", 200);
-    wait_until("the line", || {
-        let lines = fleet.log_lines(&fleet.vms[2]);
-        let mut lines = lines.iter();
-        lines.any(|line| line.contains("configuration from another VM"))
-    });
+    fleet.wait_for_line(&fleet.vms[2], &["configuration from another VM"]);
     view.set_rejecting(false);
     wait_for_status(vm, "thunder", 200);
 }
@@ -347,9 +333,8 @@
     }
     assert_eq!(book(vm, &[]).status, 503);
     assert_eq!(look(vm), 200);
-    let metrics = get(peers, "/metrics").body;
     let counter = "lagoon_key_refusals_total{reason=\"stale configuration\"} 3\n";
-    assert!(metrics.contains(counter), "{metrics}");
+    wait_for_metric(peers, counter);
     view.set_rejecting(false);
     wait_for_status(vm, "sesame", 200);
     wait_for_status(vm, "guess", 401);
--- a/crates/entry/tests/fleet/mod.rs
+++ b/crates/entry/tests/fleet/mod.rs
@@ -482,11 +482,34 @@
         self.vms[0].callers
     }
 
-    /// Lines that a VM has logged so far.
+    /// Whole lines that a VM has written so far. A separate thread writes them: a line
+    /// that is logged before a response may be written after it.
     pub(crate) fn log_lines(&self, vm: &Vm) -> Vec<String> {
         let file = self.files.path().join(format!("{}.log", vm.name));
         let text = fs::read_to_string(file).expect("log is read");
-        text.lines().map(str::to_owned).collect()
+        let lines = text.split_inclusive('\n');
+        let whole = lines.filter_map(|line| line.strip_suffix('\n'));
+        whole.map(str::to_owned).collect()
+    }
+
+    /// Waits until a VM has written a line with all of these parts, and returns it.
+    pub(crate) fn wait_for_line(&self, vm: &Vm, parts: &[&str]) -> String {
+        let mut found = None;
+        wait_until(&format!("a line with {parts:?}"), || {
+            let mut lines = self.log_lines(vm).into_iter();
+            found = lines.find(|line| parts.iter().all(|part| line.contains(part)));
+            found.is_some()
+        });
+        found.expect("a line")
+    }
+
+    /// Ends all VMs and waits until they have written all their lines, for checks that a
+    /// line is absent.
+    pub(crate) fn stop_all_vms(&mut self) {
+        self.vms.iter().for_each(|vm| vm.signal(Signal::SIGTERM));
+        for vm in &mut self.vms {
+            assert!(vm.wait(), "{} ended with an error", vm.name);
+        }
     }
 }
 
@@ -526,6 +549,21 @@
     }
 }
 
+/// Waits until the metrics of the VM with this address for peers contain a text. A VM may
+/// count what it does for a request after the caller has its response.
+pub(crate) fn wait_for_metric(peers: SocketAddr, text: &str) {
+    let mut metrics = String::new();
+    let deadline = Instant::now() + TIMEOUT;
+    while Instant::now() < deadline {
+        metrics = get(peers, "/metrics").body;
+        if metrics.contains(text) {
+            return;
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    panic!("timed out waiting for {text:?} in\n{metrics}");
+}
+
 impl Drop for Vm {
     fn drop(&mut self) {
         // Fails if the process has already exited.
--- a/crates/entry/tests/invalid_status.rs
+++ b/crates/entry/tests/invalid_status.rs
@@ -245,15 +245,18 @@
             assert!(!response.body.contains("secret"), "{response:?}");
             let sent = target.requests() - requests;
             assert!(sent > 0, "{before}{line}: {response:?}");
-            let counted = invalid_responses(fleet.vms[sender].peers, id) - counted;
-            assert_eq!(counted, sent, "{before}{line}");
+            let newly_counted = || invalid_responses(fleet.vms[sender].peers, id) - counted;
+            wait_until("the counts", || newly_counted() >= sent);
+            assert_eq!(newly_counted(), sent, "{before}{line}");
         }
     }
-    let log = fleet.log_lines(&fleet.vms[sender]);
-    let named = log
-        .iter()
-        .filter(|line| line.contains("bytes of a target are no response") && line.contains(id));
-    assert_eq!(named.count(), target.requests());
+    let named = || {
+        let mut lines = fleet.log_lines(&fleet.vms[sender]);
+        lines.retain(|line| line.contains("bytes of a target are no response"));
+        lines.iter().filter(|line| line.contains(id)).count()
+    };
+    wait_until("the lines", || named() >= target.requests());
+    assert_eq!(named(), target.requests());
     target.set_script(Script::default());
     wait_until("a sound response", || send(&fleet, path).status == 200);
 }
--- a/crates/entry/tests/leaving.rs
+++ b/crates/entry/tests/leaving.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::Duration;
 
-use fleet::{call, complete_stream, get, wait_until, Fleet, Response};
+use fleet::{call, complete_stream, wait_for_metric, wait_until, Fleet, Response};
 use lagoon_adapter::standin::{model_call_headers, service_call_headers};
 use lagoon_gateway::TargetStatus;
 use lagoon_standin::fleet::{StoreFault, Target, TargetFault};
@@ -152,6 +152,5 @@
     assert_eq!(refused.status, 503);
     assert!(refused.head.contains("retry-after: "), "{}", refused.head);
     assert_eq!((answered, executions()), (2, 2));
-    let metrics = get(fleet.vms[0].peers, "/metrics").body;
-    assert!(metrics.contains("\nlagoon_leaving_targets 2\n"));
+    wait_for_metric(fleet.vms[0].peers, "\nlagoon_leaving_targets 2\n");
 }
--- a/crates/entry/tests/malformed.rs
+++ b/crates/entry/tests/malformed.rs
@@ -203,7 +203,7 @@
     assert_eq!(status("GET /none/x"), 503);
     let response = call(vm.callers, "POST /stream/x", &service_call_headers("r"), "");
     assert_eq!(response.body, complete_stream());
-    assert!(invalid_rows(vm.peers, "op") > 0);
+    wait_until("the count of the row", || invalid_rows(vm.peers, "op") > 0);
 }
 
 // Guards against a VM that stays unknown to the others after its row was damaged.
--- a/crates/entry/tests/quotas.rs
+++ b/crates/entry/tests/quotas.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use fleet::{get, try_call, wait_until, Fleet, FleetOptions, CONFIG};
+use fleet::{get, try_call, wait_for_metric, wait_until, Fleet, FleetOptions, CONFIG};
 use lagoon_adapter::standin::{key_header, service_call_headers, with_quotas};
 use lagoon_standin::fleet::{ProxyFault, TargetFault};
 use nix::sys::signal::Signal;
@@ -272,17 +272,12 @@
         refused = try_call(fleet.callers(), "GET /look/x", &headers(KEY), "").status == 429;
         refused
     });
-    let lines = fleet.log_lines(&fleet.vms[0]);
-    let line = lines
-        .iter()
-        .find(|line| line.contains("account is at its limit"));
-    let line = line.expect("a line");
+    let line = fleet.wait_for_line(&fleet.vms[0], &["account is at its limit"]);
     for field in ["acme", "rate_per_s", "retry_ms", "burst"] {
         assert!(line.contains(field), "{line}");
     }
-    let metrics = get(fleet.vms[0].peers, "/metrics").body;
-    assert!(
-        metrics.contains("lagoon_quota_tokens_total{outcome=\"refused\"}"),
-        "{metrics}"
+    wait_for_metric(
+        fleet.vms[0].peers,
+        "lagoon_quota_tokens_total{outcome=\"refused\"}",
     );
 }
--- a/crates/entry/tests/stranded.rs
+++ b/crates/entry/tests/stranded.rs
@@ -180,7 +180,9 @@
     assert!(cut_share >= SERVED_SHARE * other_share, "{counts:?}");
     assert!(other_share >= SERVED_SHARE, "{counts:?}");
     for vm in without_paths {
-        assert!(carried(&fleet, *vm) > 0, "VM {vm}: {counts:?}");
+        wait_until(&format!("a carried attempt of VM {vm}: {counts:?}"), || {
+            carried(&fleet, *vm) > 0
+        });
     }
     cut(&fleet, without_paths, ProxyFault::None);
     for vm in without_paths {
@@ -209,7 +211,7 @@
     let book = |_: &usize| !is_served(callers, 1);
     let unknown = (0..40).filter(book).count();
     assert!(unknown <= MAX_UNKNOWN, "{unknown}");
-    assert!(carried(&fleet, 0) > 0);
+    wait_until("a carried attempt", || carried(&fleet, 0) > 0);
     check_bookings(&fleet);
 }
 
@@ -240,7 +242,7 @@
         let response = read_response(stream);
         assert!(is_whole_stream(&response), "{response:?}");
     }
-    assert!(carried(&fleet, 0) > 0);
+    wait_until("a carried attempt", || carried(&fleet, 0) > 0);
 }
 
 fn open_stream(fleet: &Fleet, vm: usize) -> TcpStream {
@@ -434,7 +436,11 @@
     if is_whole {
         assert_eq!(response.body, EVENTS.concat());
     }
-    assert_eq!(carried(&fleet, 0) > 0, is_carried, "{response:?}");
+    if is_carried {
+        wait_until("the carried attempt", || carried(&fleet, 0) > 0);
+    } else {
+        assert_eq!(carried(&fleet, 0), 0, "{response:?}");
+    }
 }
 
 // Guards against a target that counts as crashed because one VM lost its path to it, so
@@ -487,7 +493,11 @@
         assert!(is_whole_stream(&response), "{response:?}");
     }
     assert_eq!(runs(&fleet), begun);
-    assert!((0..2).all(|vm| metric(&fleet, vm, "lagoon_paths_total{event=\"checked\"}") > 0));
+    for vm in 0..2 {
+        wait_until("a check of a path", || {
+            metric(&fleet, vm, "lagoon_paths_total{event=\"checked\"}") > 0
+        });
+    }
 }
 
 // Guards against a VM that sends new requests, for another VM, to a target that has told
--- a/crates/entry/tests/unanswered_log.rs
+++ b/crates/entry/tests/unanswered_log.rs
@@ -7,7 +7,10 @@
 use std::thread;
 use std::time::Duration;
 
-use fleet::{call, get, read_response, send_request, wait_until, Fleet, FleetOptions, CONFIG};
+use fleet::{
+    call, get, read_response, send_request, wait_for_metric, wait_until, Fleet, FleetOptions,
+    CONFIG,
+};
 use lagoon_adapter::standin::{model_call_headers, response_headers, service_call_headers};
 use lagoon_gateway::TargetStatus;
 use lagoon_standin::fleet::TargetFault;
@@ -99,9 +102,8 @@
     wait_until("the line", || !unanswered_lines(fleet).is_empty());
     let lines = unanswered_lines(fleet);
     check_line(&lines, cause, fields);
-    let counted = format!("lagoon_unanswered_total{{cause=\"{cause}\"}} 1");
-    let metrics = get(fleet.vms[0].peers, "/metrics").body;
-    assert!(metrics.contains(&counted), "{metrics}");
+    let counted = format!("lagoon_unanswered_total{{cause=\"{cause}\"}} 1\n");
+    wait_for_metric(fleet.vms[0].peers, &counted);
 }
 
 fn check_line(lines: &[String], cause: &str, fields: &[&str]) {
@@ -149,7 +151,7 @@
 // Guards against lines for requests that were answered, on kept and other connections.
 #[test]
 fn unanswered_has_no_line_for_whole_responses() {
-    let fleet = Fleet::start(1);
+    let mut fleet = Fleet::start(1);
     configure_limits(&fleet, 5_000);
     let mut kept = send_bytes(
         fleet.callers(),
@@ -168,6 +170,7 @@
     kept.read_to_string(&mut text).expect("closed at the limit");
     assert_eq!(text.matches("HTTP/1.1 404").count(), 2, "{text}");
     drop(idle);
+    fleet.stop_all_vms();
     assert_eq!(unanswered_lines(&fleet), Vec::<String>::new());
 }
 
