Shares of accounts in admission follow their quotas

Cause: an account counted as over its share from twice an equal share of the admitted programs on.

Change: shares are measured by the rates of the accounts' quotas in the configuration in force; accounts without a quota count as a mean one.

--- a/crates/accounts/src/keys.rs
+++ b/crates/accounts/src/keys.rs
@@ -54,6 +54,11 @@
         }
     }
 
+    /// Accounts that have a key, one time for each key.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Account>> {
+        self.by_digest.values().flatten()
+    }
+
     /// Adds a key of an account. A key that another account has, too, or one that can't
     /// be read, is in doubt from then on; returns whether that is so.
     pub fn add_key(&mut self, key: &[u8], account: &Arc<Account>) -> bool {
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use lagoon_accounts::Accounts;
 use lagoon_adapter::{decode_config, decode_target, CONFIG_KEY, OPERATOR_TABLE, TARGET_TABLE};
 use lagoon_gateway::{
-    Config, ProgramKey, Row, SentinelTable, StoreCall, StoreError, StoreReply, TargetEntry,
-    TargetStatus,
+    AccountRates, Config, ProgramKey, Row, SentinelTable, StoreCall, StoreError, StoreReply,
+    TargetEntry, TargetStatus,
 };
 use lagoon_ids::FastSet;
 use tokio::time::sleep;
@@ -481,10 +482,22 @@
     let retention_ms = config.max_turn_retention_ms();
     state.turn_keeper.record_retention(retention_ms);
     state.idle_limit.set(&config.limits);
+    let rates = account_rates(&config);
+    state.admission.borrow_mut().set_account_rates(rates);
     *known = Some(Rc::new(config));
     state.evidence.put_in_force(row.version, value);
 }
 
+/// Rates of the quotas of a configuration's accounts.
+fn account_rates(config: &Config) -> AccountRates {
+    let accounts = config.accounts.iter().flat_map(Accounts::iter);
+    let rates = accounts.filter_map(|account| {
+        let rate_per_s = account.quota?.rate_per_s;
+        Some((account.hash as u32, rate_per_s))
+    });
+    AccountRates::new(rates.collect())
+}
+
 /// Decodes the row of a target; `None` for a removed or invalid one.
 pub(crate) fn decode_entry(row: &Row, metrics: &Metrics) -> Option<TargetEntry> {
     let value = row.value.as_deref()?;
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -68,7 +68,7 @@
 /// Smallest factor of the share that an account over its share of the programs gets.
 const MIN_ACCOUNT_FACTOR: f64 = 0.5;
 
-/// Multiple of an equal share from which an account counts as over its share, and the
+/// Multiple of its share from which an account counts as over its share, and the
 /// admitted programs it needs at least. Below, a VM's counts are mostly chance.
 const TOLERATED_SHARES: f64 = 2.0;
 const MIN_PROGRAMS: f64 = 4.0;
@@ -172,6 +172,40 @@
     }
 }
 
+/// Rates of accounts' quotas, by which their shares of the programs are measured. With
+/// equal shares, an account that has a third of all quotas and uses them would be refused
+/// before targets that are half empty.
+#[derive(Clone, Debug)]
+pub struct AccountRates {
+    by_account: FastMap<u32, f64>,
+    /// Rate of an account without a quota.
+    default_per_s: f64,
+}
+
+impl Default for AccountRates {
+    fn default() -> Self {
+        AccountRates::new(FastMap::default())
+    }
+}
+
+impl AccountRates {
+    /// Rates in requests per second by hash of the account. Accounts without one count as
+    /// a mean account.
+    pub fn new(by_account: FastMap<u32, f64>) -> AccountRates {
+        let count = by_account.len().max(1) as f64;
+        let sum: f64 = by_account.values().sum();
+        AccountRates {
+            default_per_s: if sum > 0.0 { sum / count } else { 1.0 },
+            by_account,
+        }
+    }
+
+    fn of(&self, account: u32) -> f64 {
+        let rate_per_s = self.by_account.get(&account);
+        rate_per_s.copied().unwrap_or(self.default_per_s)
+    }
+}
+
 /// Admission of new programs by capacity, priority and account, with the programs that
 /// wait at this VM.
 #[derive(Debug, Default)]
@@ -179,14 +213,20 @@
     waiting: Vec<Waiting>,
     last_ticket: u64,
     accounts: FastMap<u32, AccountPrograms>,
-    /// Sum of the accounts' admitted programs, and the number of accounts with any.
+    /// Sum of the accounts' admitted programs, and of the rates of accounts with any.
     totals: (f64, f64),
+    rates: AccountRates,
     totals_ms: u64,
     virtual_time: u64,
     refused: VecDeque<(u64, u64)>,
 }
 
 impl ProgramAdmission {
+    /// Sets the rates by which the shares of accounts are measured.
+    pub fn set_account_rates(&mut self, rates: AccountRates) {
+        self.rates = rates;
+    }
+
     /// Adds a program that waits until [`ProgramAdmission::leave`].
     pub fn enter(&mut self, program: NewProgram, now_ms: u64) -> Ticket {
         self.last_ticket += 1;
@@ -248,16 +288,19 @@
             // Those without a recent program don't count as accounts.
             self.accounts
                 .retain(|_, programs| programs.admitted(now_ms) > 0.05 || programs.unsent > 0);
-            let admitted = self
+            let shares = self
                 .accounts
-                .values()
-                .map(|programs| programs.admitted(now_ms));
-            self.totals = admitted.fold((0.0, 0.0), |(sum, count), admitted| {
-                (sum + admitted, count + 1.0)
+                .iter()
+                .map(|(account, programs)| (programs.admitted(now_ms), self.rates.of(*account)));
+            self.totals = shares.fold((0.0, 0.0), |(sum, rates), (admitted, rate_per_s)| {
+                (sum + admitted, rates + rate_per_s)
             });
         }
-        let (sum, count) = self.totals;
-        let tolerated = TOLERATED_SHARES * sum / f64::max(count, 1.0);
+        let (sum, rates) = self.totals;
+        if rates <= 0.0 {
+            return 1.0;
+        }
+        let tolerated = TOLERATED_SHARES * sum * self.rates.of(account) / rates;
         (tolerated / admitted).clamp(MIN_ACCOUNT_FACTOR, 1.0)
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,8 +25,8 @@
 mod targets;
 
 pub use admission::{
-    admit, Admission, AdmissionSettings, AdmittedPrograms, NewProgram, ProgramAdmission,
-    ProgramDecision, Ticket,
+    admit, AccountRates, Admission, AdmissionSettings, AdmittedPrograms, NewProgram,
+    ProgramAdmission, ProgramDecision, Ticket,
 };
 pub use affinity::AffinityTable;
 pub use allowance::{
--- a/crates/gateway/tests/admission.rs
+++ b/crates/gateway/tests/admission.rs
@@ -1,8 +1,8 @@
 //! Admission of new programs.
 
 use lagoon_gateway::{
-    admit, Admission, AdmissionSettings, NewProgram, Placement, ProgramAdmission, ProgramDecision,
-    TargetKey,
+    admit, AccountRates, Admission, AdmissionSettings, NewProgram, Placement, ProgramAdmission,
+    ProgramDecision, TargetKey,
 };
 use yare::parameterized;
 
@@ -144,3 +144,34 @@
     assert!(retry_ms(20.0, 0.5) > 3 * retry_ms(12.0, 0.5));
     assert!(retry_ms(20.0, 1.0) >= 3 * retry_ms(20.0, 0.0) / 2);
 }
+
+// Guards against an account with a large quota that is refused while it uses no more than
+// its part, and against one with a small quota that fills as much as the large one.
+#[test]
+fn shares_of_accounts_follow_their_quotas() {
+    const LARGE: u32 = 1;
+    const SMALL: u32 = 2;
+    let mut admission = ProgramAdmission::default();
+    let rates = (2..=31).map(|account| (account, 10.0));
+    let rates = rates.chain([(LARGE, 150.0)]).collect();
+    admission.set_account_rates(AccountRates::new(rates));
+    let mut admit = |number: u64, account: u32, load: f64, now_ms: u64| {
+        let ticket = admission.enter(program(number, account, 0), now_ms);
+        let admitted = admission.try_admit(ticket, &placement(load), now_ms);
+        admission.leave(ticket);
+        admitted.is_ok()
+    };
+    for number in 0..90 {
+        let account = match number % 3 {
+            0 => LARGE,
+            _ => 2 + number as u32 / 3,
+        };
+        assert!(admit(number, account, 0.0, 0));
+    }
+    assert!(admit(100, LARGE, 7.0, 200));
+    for number in 200..220 {
+        admit(number, SMALL, 0.0, 200);
+    }
+    assert!(!admit(300, SMALL, 7.0, 400));
+    assert!(admit(301, LARGE, 7.0, 400));
+}
