Test of invalid statuses waits for the daemon's log lines

Cause: the lines were read right after the response; nothing states that they are written before it. Change: the test waits, with the usual bound, for each of the lines.

--- a/crates/daemon/tests/malformed.rs
+++ b/crates/daemon/tests/malformed.rs
@@ -9,7 +9,7 @@
 use std::thread;
 
 use serde_json::json;
-use site::Site;
+use site::{wait_for, Site};
 use yare::parameterized;
 
 /// Status lines that are none of HTTP. The last ones lack a status, or the whole line.
@@ -166,10 +166,14 @@
     }
     for target in ["engine-1", "desk-1"] {
         for message in ["try failed", "bytes of a target are no response"] {
-            let log = site.vms[0].log();
-            let mut lines = log.lines();
-            let is_named = |line: &str| line.contains(message) && line.contains(target);
-            assert!(lines.any(is_named), "{message}: {target}");
+            // A line may be written after the caller has its response.
+            wait_for(&format!("a line {message:?} of {target}"), || {
+                let log = site.vms[0].log();
+                let mut lines = log.lines();
+                lines.find_map(|line| {
+                    (line.contains(message) && line.contains(target)).then_some(())
+                })
+            });
         }
     }
 }
