Two tests no longer depend on the speed of the machine

request_is_not_refused_after_its_vm_was_cut_off failed at a busy machine, 2 of 6 runs beside 4 busy processes. Causes: if the VM is cut off before the response begins, the caller gets a whole 502, which the test took for a whole stream (seen once with the response printed, with streams of 1.8 s); and, by reading, a stream of 120 ms may end before the cut. The test now waits for the start of the response, and its streams take 1.8 s. What it checks is unchanged.

carrier_subtracts_its_own_time_from_the_deadline measured the wait from the write of the head; the carrier can only subtract the time from when it has the head (4601 ms left where 4600 were asked for, once). The test now asks for an interim response and begins to wait when it has it. The bound is unchanged.

--- a/crates/entry/tests/crashes.rs
+++ b/crates/entry/tests/crashes.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::Duration;
 
-use fleet::{call, get, read_response, send_request, wait_until, Fleet, Vm};
+use fleet::{call, get, read_response, send_request, wait_until, Fleet, FleetOptions, Vm};
 use lagoon_adapter::standin::{model_call_headers, program_headers, service_call_headers};
 use lagoon_gateway::TargetStatus;
 use lagoon_standin::fleet::{
@@ -257,11 +257,20 @@
     }
 }
 
+/// Interval by which a stream takes 1.8 s.
+const LONG_EVENT_INTERVAL: Duration = Duration::from_millis(300);
+
 // Guards against a quarantine of requests that were running when their VM lost
 // its connections to a whole failure domain.
 #[test]
 fn request_is_not_refused_after_its_vm_was_cut_off() {
-    let fleet = Fleet::start_proxied(1);
+    // On a busy machine, a stream of the usual 120 ms ended before its VM was cut off.
+    let options = FleetOptions {
+        has_proxies: true,
+        event_interval: LONG_EVENT_INTERVAL,
+        ..FleetOptions::default()
+    };
+    let fleet = Fleet::start_with(1, options);
     let targets = &fleet.proxies[1..];
     let running = |engine: &lagoon_standin::fleet::Target| {
         let executions = engine.executions();
@@ -274,10 +283,13 @@
         let headers = crasher_headers(&format!("cut{round}"));
         let caller = send_request(fleet.callers(), line, "a.example", &headers, "prompt");
         wait_until("the execution", || fleet.engines.iter().any(running));
+        // A request that is cut off before its response begins gets a whole 502.
+        caller.peek(&mut [0]).expect("response begins");
         for proxy in targets {
             proxy.set_fault(ProxyFault::Refused);
         }
-        assert!(!read_response(caller).is_complete);
+        let response = read_response(caller);
+        assert!(!response.is_complete, "{response:?}");
         thread::sleep(RESTART_TIME);
         for proxy in targets {
             proxy.set_fault(ProxyFault::None);
--- a/crates/entry/tests/fleet/mod.rs
+++ b/crates/entry/tests/fleet/mod.rs
@@ -7,7 +7,7 @@
 use std::cell::RefCell;
 use std::env;
 use std::fs;
-use std::io::{Read, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{self, Child, Command, Stdio};
@@ -139,6 +139,8 @@
     pub(crate) is_first_start: bool,
     /// Software versions of the engines.
     pub(crate) engine_versions: [&'static str; 2],
+    /// Time between two events of a stream.
+    pub(crate) event_interval: Duration,
     /// Older build that some VMs run.
     pub(crate) old_build: Option<OldBuild>,
     /// Further lines of the section `[limits]` of the VMs' settings.
@@ -155,6 +157,7 @@
             has_paths: false,
             is_first_start: true,
             engine_versions: ["v1", "v1"],
+            event_interval: EVENT_INTERVAL,
             old_build: None,
             limits: "",
             settings: "",
@@ -242,7 +245,7 @@
 
     pub(crate) fn start_with(vms: usize, options: FleetOptions) -> Fleet {
         let engine = |(id, version): (&str, &str)| {
-            let engine = Target::start(id, EVENT_COUNT, EVENT_INTERVAL);
+            let engine = Target::start(id, EVENT_COUNT, options.event_interval);
             engine.set_software_version(version);
             engine
         };
@@ -639,6 +642,35 @@
     }
 }
 
+/// Reads a message that one VM sends to another; `None` at the end of the connection.
+pub(crate) fn read_message(stream: &TcpStream) -> Option<Vec<u8>> {
+    let mut reader = BufReader::new(stream);
+    let mut length = 0;
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        let line = line.to_ascii_lowercase();
+        if let Some(value) = line.strip_prefix("content-length:") {
+            length = value.trim().parse().ok()?;
+        }
+        if line == "\r\n" {
+            break;
+        }
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    Some(body)
+}
+
+/// Answers a message of another VM.
+pub(crate) fn write_reply(mut stream: &TcpStream, status: &str, body: &str) -> Option<()> {
+    let length = body.len();
+    let response = format!("HTTP/1.1 {status}\r\ncontent-length: {length}\r\n\r\n{body}");
+    stream.write_all(response.as_bytes()).ok()
+}
+
 fn decode_chunked(mut remaining: &str) -> (String, bool) {
     let mut body = String::new();
     while let Some((size, after)) = remaining.split_once("\r\n") {
--- a/crates/entry/tests/stranded.rs
+++ b/crates/entry/tests/stranded.rs
@@ -567,6 +567,8 @@
 const CARRIER_WAIT: Duration = Duration::from_millis(400);
 const LEFT_AT_CARRIER_MS: u64 = 5_000;
 
+const INTERIM_RESPONSE: [u8; 25] = *b"HTTP/1.1 100 Continue\r\n\r\n";
+
 // Guards against a target that works on after the caller's deadline, as the carrier
 // passed the deadline on without the time that it had spent itself.
 #[test]
@@ -591,6 +593,7 @@
     };
     let mut head = format!(
         "POST /v1/carry/book/x HTTP/1.1\r\nHost: vm\r\nConnection: close\r\n\
+         Expect: 100-continue\r\n\
          lagoon-carry-target: {}\r\nlagoon-carry-run: {}\r\n",
         target.entry.id, target.run.0
     );
@@ -602,6 +605,11 @@
     stream
         .write_all(format!("{head}\r\n").as_bytes())
         .expect("head is sent");
+    // The carrier has the head once it asks for the body. It can't subtract the time before,
+    // which was over a millisecond on a busy machine.
+    let mut interim = [0; INTERIM_RESPONSE.len()];
+    stream.read_exact(&mut interim).expect("interim response");
+    assert_eq!(interim, INTERIM_RESPONSE);
     thread::sleep(CARRIER_WAIT);
     stream.write_all(b"p").expect("body is sent");
     let response = read_response(stream);
