lagoond: listeners on hyper, with bounds of heads, bodies and connections

tiny_http reads a head line of any length, closes no connection that stalls, accepts any number of connections and has a thread for each.

Callers' and operators' listeners are now hyper, each on a thread of its own with a current-thread runtime; the node gets the same inputs as before. New settings in [callers] (max_connections, connections_per_address, head_timeout_ms, connection_idle_ms, body_timeout_ms) with a counter bounds_met, gauges connections and held_bytes and at most one log line a second. A body that takes too long is refused with 408 (request_timeout, added at the end of the kinds). Metrics::count_tagged takes the amount.

What callers see stays, but for the header Server of tiny_http and bodies over 32 KB, which have a Content-Length instead of chunks. As before, a caller that closes its side after its request still gets the response.

--- /dev/null
+++ b/crates/connections/src/heads.rs
@@ -0,0 +1,124 @@
+//! Arrival of the head of a connection's next request.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use lagoon_memory::Holding;
+use tokio::time::sleep;
+
+/// Bytes of a head up to which they aren't counted: hyper's smallest buffer.
+const MIN_HELD_HEAD_BYTES: usize = 8_192;
+
+/// Bytes that some peers send behind a body, and that belong to no request.
+const LINE_END_BYTES: usize = 2;
+
+/// Why a head is refused while it arrives.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HeadRefusal {
+    /// It did not arrive whole in time.
+    TimedOut,
+    /// There is no memory for it, or it was withdrawn.
+    NoMemory,
+}
+
+/// Bytes and age of the head that arrives on a connection.
+#[derive(Debug)]
+pub struct HeadArrival {
+    /// Bytes received since the start of the last request.
+    received_bytes: Cell<usize>,
+    /// Time of the first of them.
+    received_ms: Cell<u64>,
+    holding: Holding,
+    /// Whether the rest of a refused body arrives.
+    is_discarding: Cell<bool>,
+    /// Requests whose head was read and whose response isn't sent yet.
+    open_requests: Cell<usize>,
+    has_no_memory: Cell<bool>,
+}
+
+impl HeadArrival {
+    /// Connection on which nothing has arrived. The holding counts its heads.
+    pub fn new(holding: Holding) -> HeadArrival {
+        HeadArrival {
+            received_bytes: Cell::new(0),
+            received_ms: Cell::new(0),
+            holding,
+            is_discarding: Cell::new(false),
+            open_requests: Cell::new(0),
+            has_no_memory: Cell::new(false),
+        }
+    }
+
+    /// Records bytes that were read from the connection.
+    pub fn record_received(&self, bytes: usize, now_ms: u64) {
+        if self.received_bytes.get() == 0 {
+            self.received_ms.set(now_ms);
+        }
+        self.received_bytes.set(self.received_bytes.get() + bytes);
+        let received_bytes = self.received_bytes.get();
+        if received_bytes > MIN_HELD_HEAD_BYTES && self.is_partial() {
+            self.hold(received_bytes, now_ms);
+        }
+    }
+
+    /// Records that the head of the next request was read.
+    pub fn begin_request(&self, now_ms: u64) {
+        self.open_requests.set(self.open_requests.get() + 1);
+        self.is_discarding.set(false);
+        self.restart(now_ms);
+    }
+
+    /// Records that this number of responses was sent.
+    pub fn end_requests(&self, requests: usize, now_ms: u64) {
+        self.open_requests.set(self.open_requests.get() - requests);
+        self.restart(now_ms);
+    }
+
+    /// Records that what arrives until the next request is the rest of a refused body.
+    pub fn begin_discard(&self) {
+        self.is_discarding.set(true);
+    }
+
+    fn restart(&self, now_ms: u64) {
+        self.received_bytes.set(0);
+        self.hold(0, now_ms);
+    }
+
+    /// Whether bytes have arrived that belong to no request yet.
+    fn is_partial(&self) -> bool {
+        let is_begun = self.received_bytes.get() > LINE_END_BYTES;
+        is_begun && !self.is_discarding.get() && self.open_requests.get() == 0
+    }
+
+    fn hold(&self, bytes: usize, now_ms: u64) {
+        if self.holding.set(bytes as u64, now_ms).is_err() {
+            self.has_no_memory.set(true);
+        }
+    }
+
+    /// Waits until the head that arrives is refused, for lack of memory or time.
+    pub async fn until_refused<F>(&self, limit: Duration, now_ms: F) -> HeadRefusal
+    where
+        F: Fn() -> u64,
+    {
+        let limit_ms = limit.as_millis() as u64;
+        let mut is_withdrawn = false;
+        loop {
+            let mut wait_ms = limit_ms;
+            if self.is_partial() {
+                let age_ms = now_ms() - self.received_ms.get();
+                if is_withdrawn || self.has_no_memory.get() {
+                    return HeadRefusal::NoMemory;
+                }
+                if age_ms >= limit_ms {
+                    return HeadRefusal::TimedOut;
+                }
+                wait_ms = limit_ms - age_ms;
+            }
+            tokio::select! {
+                () = sleep(Duration::from_millis(wait_ms)) => {}
+                () = self.holding.withdrawn(), if !is_withdrawn => is_withdrawn = true,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/connections/src/lib.rs
@@ -0,0 +1,17 @@
+//! Bounds of the connections that peers open to a server on hyper and tokio, on one thread.
+//!
+//! `lagoon-memory` counts the bytes; this crate reads them from sockets and bodies.
+
+mod addresses;
+mod bodies;
+mod heads;
+mod log_limit;
+mod reads;
+mod sockets;
+
+pub use addresses::{AddressGuard, AddressLimit};
+pub use bodies::{discard, read_body, BodyLimits, ReadError};
+pub use heads::{HeadArrival, HeadRefusal};
+pub use log_limit::LogLimit;
+pub use reads::{poll_read_part, PartialReads};
+pub use sockets::{listen, set_socket_options};
--- a/crates/daemon/src/actors/node.rs
+++ b/crates/daemon/src/actors/node.rs
@@ -3,7 +3,6 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::mpsc::Sender;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,10 +12,13 @@
 };
 use lagoon_telemetry::{FinishedSpan, Metrics, SpanKind, Tracer};
 use stakker::{after, call, Actor, CX};
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
 
 use crate::actors::{PeersActor, StoreActor, TargetsActor};
 use crate::clock::Clock;
 use crate::constants::{BUSY_TICK_INTERVAL, GAUGE_INTERVAL, IDLE_TICK_INTERVAL};
+use crate::http::{BoundCounts, ClientMemory};
 use crate::input::Input;
 
 /// Why the main loop ends.
@@ -36,6 +38,9 @@
     pub(crate) tracer: Arc<Tracer>,
     pub(crate) metrics: Metrics,
     pub(crate) ready: Arc<AtomicBool>,
+    /// Bounds that clients have met.
+    pub(crate) bound_counts: Arc<BoundCounts>,
+    pub(crate) client_memory: ClientMemory,
     /// Why the main loop is to end; `None` until then.
     pub(crate) exit: Rc<Cell<Option<ExitReason>>>,
     pub(crate) peers: Actor<PeersActor>,
@@ -48,8 +53,8 @@
     parts: NodeParts,
     /// Whether a tick at the busy interval is scheduled.
     is_tick_scheduled: bool,
-    callers: FastMap<CallRef, Sender<ResponseFrame>>,
-    operators: FastMap<OperatorRef, Sender<OperatorReply>>,
+    callers: FastMap<CallRef, UnboundedSender<ResponseFrame>>,
+    operators: FastMap<OperatorRef, oneshot::Sender<OperatorReply>>,
 }
 
 impl NodeActor {
@@ -101,7 +106,7 @@
             }
             Input::InvalidResponse(target) => {
                 let metrics = &self.parts.metrics;
-                metrics.count_tagged("invalid_responses", "target", target.as_str());
+                metrics.count_tagged("invalid_responses", 1, "target", target.as_str());
                 return;
             }
             Input::Event(event) => event,
@@ -141,6 +146,11 @@
         metrics.gauge("carried_for_others", status.carried_for_others as u64);
         metrics.gauge("lost_paths", status.lost_paths as u64);
         metrics.gauge("journal_backlog", status.journal_backlog as u64);
+        metrics.gauge("connections", self.parts.bound_counts.connections());
+        metrics.gauge("held_bytes", self.parts.client_memory.held_bytes());
+        for (bound, count) in self.parts.bound_counts.take() {
+            metrics.count_tagged("bounds_met", count as i64, "bound", bound);
+        }
         metrics.flush();
         after!(GAUGE_INTERVAL, [cx], report_gauges());
     }
@@ -203,13 +213,15 @@
             }
             ResponseFrame::Failed { error, .. } => {
                 let kind = error.kind.to_string();
-                self.parts.metrics.count_tagged("refusals", "kind", &kind);
+                self.parts
+                    .metrics
+                    .count_tagged("refusals", 1, "kind", &kind);
                 true
             }
             ResponseFrame::ProgramEnded { .. } => true,
         };
         if let Some(sender) = self.callers.get(&call_ref) {
-            // Fails if the caller has disconnected, which its HTTP thread reports.
+            // Fails if the caller has disconnected, which its HTTP server reports.
             let _ = sender.send(frame);
         }
         if is_last {
--- a/crates/daemon/src/constants.rs
+++ b/crates/daemon/src/constants.rs
@@ -2,18 +2,27 @@
 
 use std::time::Duration;
 
-/// Stack size of the threads that do socket I/O; each request and each attempt has
-/// a thread of its own.
+/// Stack size of the threads that do socket I/O; each attempt has a thread of its
+/// own.
 pub(crate) const WORKER_STACK_BYTES: usize = 256 * 1024;
-/// Maximum number of concurrent requests of an HTTP listener; further ones are
-/// rejected as overload.
-pub(crate) const MAX_CONCURRENT_REQUESTS: usize = 4_096;
-/// Maximum size of all request bodies that are held at the same time, and number of bodies
+/// Maximum number of connections to the operators' listener.
+pub(crate) const MAX_OPERATOR_CONNECTIONS: usize = 64;
+/// Maximum size of all heads over 8 KiB and request bodies that are held at the same time, and number of bodies
 /// of the largest size that it has room for at least.
 pub(crate) const MAX_HELD_BYTES: u64 = 32_000_000;
 pub(crate) const MIN_LARGEST_BODIES: u64 = 4;
-/// Size of one read of a body.
-pub(crate) const READ_BYTES: usize = 16 * 1024;
+/// Maximum number of refused bodies that are discarded at the same time; connections with
+/// further ones are closed at once.
+pub(crate) const MAX_DISCARDS: usize = 32;
+/// Maximum size of a head, up to which a client with larger headers than allowed gets a
+/// response that says so.
+pub(crate) const MAX_HEAD_BYTES: usize = 131_072;
+/// Maximum number of headers. With a name, a value and 16 bytes each, as many as
+/// [`MAX_HEADER_BYTES`] have room for.
+pub(crate) const MAX_HEADERS: usize = 1_024;
+/// Delay after a connection could not be accepted, which mostly means that the process is out
+/// of descriptors.
+pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Maximum size of a request's headers, names and values.
 pub(crate) const MAX_HEADER_BYTES: usize = 16_384;
 /// `max_tokens` that is added to a chat request without an output limit.
@@ -53,6 +62,3 @@
 /// Maximum size of one event of a target's stream, comments before it included; with a
 /// larger one, the stream counts as interrupted. The same as in `lagoon-entry`.
 pub(crate) const MAX_EVENT_BYTES: usize = 262_144;
-/// Interval of the connections that make a server's pool of threads look at its queue;
-/// the longest time for which a connection that was queued by mistake waits.
-pub(crate) const POOL_WAKE_INTERVAL: Duration = Duration::from_millis(50);
--- a/crates/daemon/src/http/callers.rs
+++ b/crates/daemon/src/http/callers.rs
@@ -1,22 +1,24 @@
 //! HTTP API of callers.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::mpsc::channel;
 use std::sync::Arc;
 
 use compact_str::CompactString;
+use hyper::Method;
 use lagoon_errors::{CallError, ErrorKind};
 use lagoon_ids::TraceContext;
 use lagoon_memory::Holding;
-use lagoon_node::{CallKind, CallRef, CallerRequest, Event};
-use lagoon_telemetry::{extract, new_root, FinishedSpan, SpanKind, Tracer, TRACEPARENT};
-use tiny_http::{Method, Request};
+use lagoon_node::{CallKind, CallRef, CallerRequest};
+use lagoon_telemetry::{extract, new_root, Tracer, TRACEPARENT};
+use tokio::sync::mpsc::unbounded_channel;
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::clock::Clock;
+use crate::http::body::ResponseBody;
 use crate::http::chat::parse_chat_request;
-use crate::http::response::{respond, respond_error, respond_json, send_frames, DeliveryOutcome};
-use crate::http::server::{header, BodyMemory};
+use crate::http::delivery::Delivery;
+use crate::http::response::{respond, respond_json, response_of, ApiResponse};
+use crate::http::server::ApiRequest;
 use crate::input::{Input, InputSender};
 
 const CHAT_PATH: &str = "/v1/chat/completions";
@@ -29,7 +31,6 @@
     pub(crate) clock: Clock,
     pub(crate) tracer: Arc<Tracer>,
     pub(crate) ready: Arc<AtomicBool>,
-    pub(crate) body_memory: BodyMemory,
     pub(crate) sample_percent: u64,
     pub(crate) next_ref: AtomicU64,
 }
@@ -43,106 +44,81 @@
 }
 
 impl CallerApi {
-    pub(crate) fn handle(&self, request: Request) {
-        let path = request
-            .url()
-            .split('?')
-            .next()
-            .unwrap_or_default()
-            .to_owned();
-        match (request.method(), path.as_str()) {
-            (Method::Get, "/healthz") => {
-                respond(
-                    request,
-                    200,
-                    &[("Content-Type", "text/plain")],
-                    b"ok\n".to_vec(),
-                );
-            }
-            (Method::Get, "/readyz") => self.respond_readiness(request),
-            (Method::Post, CHAT_PATH) => self.call(request, None),
-            (Method::Post, path) if path.starts_with(SERVICE_PATH) => {
+    pub(crate) async fn handle(&self, request: ApiRequest) -> ApiResponse {
+        let path = request.uri.path().to_owned();
+        match (&request.method, path.as_str()) {
+            (&Method::GET, "/healthz") => respond_text(200, "ok\n"),
+            (&Method::GET, "/readyz") => self.respond_readiness(),
+            (&Method::POST, CHAT_PATH) => self.call(request, None).await,
+            (&Method::POST, path) if path.starts_with(SERVICE_PATH) => {
                 let service = CompactString::new(&path[SERVICE_PATH.len()..]);
-                self.call(request, Some(service));
+                self.call(request, Some(service)).await
             }
-            (Method::Delete, path) if path.starts_with(PROGRAM_PATH) => {
+            (&Method::DELETE, path) if path.starts_with(PROGRAM_PATH) => {
                 let program = path[PROGRAM_PATH.len()..].to_owned();
-                self.end_program(request, program);
+                self.end_program(&request, program).await
             }
             _ => respond_json(
-                request,
                 404,
                 &serde_json::json!({"error": {"type": "not_found", "message": "no such route"}}),
             ),
         }
     }
 
-    fn respond_readiness(&self, request: Request) {
-        let ready = self.ready.load(Ordering::SeqCst);
-        let (status, text) = if ready {
-            (200, "ready\n")
-        } else {
-            (503, "not ready\n")
-        };
-        respond(
-            request,
-            status,
-            &[("Content-Type", "text/plain")],
-            text.as_bytes().to_vec(),
-        );
+    fn respond_readiness(&self) -> ApiResponse {
+        match self.ready.load(Ordering::SeqCst) {
+            true => respond_text(200, "ready\n"),
+            false => respond_text(503, "not ready\n"),
+        }
     }
 
     fn new_ref(&self) -> CallRef {
         CallRef(self.next_ref.fetch_add(1, Ordering::SeqCst))
     }
 
-    fn call(&self, mut request: Request, service: Option<CompactString>) {
+    async fn call(&self, mut request: ApiRequest, service: Option<CompactString>) -> ApiResponse {
         let start_us = self.clock.now_us();
-        let parsed = match self.parse_request(&mut request, service) {
+        let parsed = match self.parse_request(&mut request, service).await {
             Ok(parsed) => parsed,
-            Err(error) => return respond_error(request, None, &error),
+            Err(error) => return request.refuse(&error),
         };
-        let context = parsed.request.trace;
-        let (parent, body_memory) = (parsed.parent, parsed.body_memory);
         let call_ref = self.new_ref();
-        let (frames, receiver) = channel();
+        let mut delivery = Delivery {
+            input_sender: self.input_sender.clone(),
+            tracer: Arc::clone(&self.tracer),
+            clock: self.clock,
+            call_ref,
+            context: parsed.request.trace,
+            parent: parsed.parent,
+            start_us,
+            path: request.uri.to_string(),
+            _body_memory: parsed.body_memory,
+            is_whole: false,
+        };
+        drop(request);
+        let (frames, receiver) = unbounded_channel();
         let input = Input::Call {
             call_ref,
             request: Box::new(parsed.request),
             frames,
         };
-        let path = request.url().to_owned();
         // If the actor thread has ended, the channel of frames closes at once.
         let _ = self.input_sender.send(input);
-        let outcome = send_frames(request, &receiver);
-        drop(body_memory);
-        if outcome == DeliveryOutcome::CallerGone {
-            let _ = self
-                .input_sender
-                .send(Event::CallerDisconnected { call_ref }.into());
+        let response = response_of(receiver).await;
+        if !response.body().is_stream() {
+            delivery.set_whole();
         }
-        self.tracer.record(FinishedSpan {
-            name: "accept",
-            kind: SpanKind::Server,
-            context,
-            parent,
-            start_us,
-            end_us: self.clock.now_us(),
-            attributes: vec![
-                ("url.path", path),
-                ("lagoon.sent", format!("{outcome:?}").to_lowercase()),
-            ],
-        });
+        response.map(|body| body.delivering(delivery))
     }
 
-    fn parse_request(
+    async fn parse_request(
         &self,
-        request: &mut Request,
+        request: &mut ApiRequest,
         service: Option<CompactString>,
     ) -> Result<ParsedRequest, CallError> {
-        let (body, body_memory) = self.body_memory.read_body(request)?;
+        let (body, body_memory) = request.read_body().await?;
         let mut hasher = Xxh3::new();
-        hasher.update(request.url().as_bytes());
+        hasher.update(request.uri.to_string().as_bytes());
         hasher.update(&[0]);
         hasher.update(&body);
         let content_hash = hasher.digest128();
@@ -153,20 +129,21 @@
                 (kind, Arc::from(body.as_ref()))
             }
         };
-        let parent = header(request, TRACEPARENT)
+        let parent = request
+            .header(TRACEPARENT)
             .and_then(extract)
             .unwrap_or_else(|| new_root(self.sample_percent));
         let span_label = format!("accept {}", self.next_ref.load(Ordering::SeqCst));
         let caller_request = CallerRequest {
             api_key: api_key(request),
-            program: header(request, "Lagoon-Program").map(CompactString::new),
+            program: request.header("Lagoon-Program").map(CompactString::new),
             number: parse_header(request, "Lagoon-Call")?,
-            parent: header(request, "Lagoon-Parent").map(CompactString::new),
+            parent: request.header("Lagoon-Parent").map(CompactString::new),
             window_ms: parse_header(request, "Lagoon-Window-Ms")?,
             budget_tokens: parse_header(request, "Lagoon-Budget-Tokens")?,
-            continuation: header(request, "Lagoon-Continue").map(CompactString::new),
+            continuation: request.header("Lagoon-Continue").map(CompactString::new),
             kind,
-            content_type: header(request, "Content-Type").map_or(
+            content_type: request.header("Content-Type").map_or(
                 CompactString::const_new("application/json"),
                 CompactString::new,
             ),
@@ -181,32 +158,37 @@
         })
     }
 
-    fn end_program(&self, request: Request, program: String) {
+    async fn end_program(&self, request: &ApiRequest, program: String) -> ApiResponse {
         let call_ref = self.new_ref();
-        let (frames, receiver) = channel();
+        let (frames, receiver) = unbounded_channel();
         let input = Input::EndProgram {
             call_ref,
-            api_key: api_key(&request).to_string(),
+            api_key: api_key(request).to_string(),
             program,
             frames,
         };
         let _ = self.input_sender.send(input);
-        send_frames(request, &receiver);
+        response_of(receiver).await
     }
 }
 
-fn api_key(request: &Request) -> CompactString {
-    let value = header(request, "Authorization").unwrap_or_default();
+fn respond_text(status: u16, text: &'static str) -> ApiResponse {
+    let body = ResponseBody::whole([text.into()]);
+    respond(status, &[("Content-Type", "text/plain")], body)
+}
+
+fn api_key(request: &ApiRequest) -> CompactString {
+    let value = request.header("Authorization").unwrap_or_default();
     CompactString::new(value.strip_prefix("Bearer ").unwrap_or(value))
 }
 
 /// Returns `None` if the header is absent; an invalid value is a bad request.
-fn parse_header<T>(request: &Request, name: &str) -> Result<Option<T>, CallError>
+fn parse_header<T>(request: &ApiRequest, name: &str) -> Result<Option<T>, CallError>
 where
     T: std::str::FromStr,
     T::Err: std::fmt::Display,
 {
-    let Some(text) = header(request, name) else {
+    let Some(text) = request.header(name) else {
         return Ok(None);
     };
     text.parse()
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -1,21 +1,36 @@
-//! HTTP server with a thread for each request.
+//! HTTP server on a thread of its own.
 
-use std::net::{SocketAddr, TcpStream};
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
 
 use bytes::Bytes;
+use hyper::body::{Body, Incoming};
+use hyper::header::{HeaderMap, HeaderValue, CONNECTION};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Uri};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use lagoon_connections::{discard, listen, read_body, set_socket_options, BodyLimits, ReadError};
 use lagoon_errors::{CallError, ErrorKind};
-use lagoon_memory::{Claim, Exhausted, Holding, Memory};
-use tiny_http::{Request, Server};
+use lagoon_memory::{Claim, Holding, Memory};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Builder;
+use tokio::task::{spawn_local, LocalSet};
+use tokio::time::sleep;
 
 use crate::clock::Clock;
 use crate::constants::{
-    CONNECT_TIMEOUT, MAX_CONCURRENT_REQUESTS, MAX_HEADER_BYTES, MAX_HELD_BYTES, MIN_LARGEST_BODIES,
-    POOL_WAKE_INTERVAL, READ_BYTES, WORKER_STACK_BYTES,
+    ACCEPT_RETRY_DELAY, MAX_DISCARDS, MAX_HEADERS, MAX_HEADER_BYTES, MAX_HEAD_BYTES,
+    MAX_HELD_BYTES, MIN_LARGEST_BODIES,
 };
-use crate::http::response::respond_error;
+use crate::http::bounds::{Bound, BoundCounts, Bounds, ConnectionLimits};
+use crate::http::connection::{ClientIo, Connection};
+use crate::http::response::{respond_error, ApiResponse};
 
 /// Number of requests that are being served.
 #[derive(Clone, Debug, Default)]
@@ -26,13 +41,14 @@
         self.0.load(Ordering::SeqCst)
     }
 
-    fn track(&self) -> ActiveRequestGuard {
+    pub(super) fn track(&self) -> ActiveRequestGuard {
         self.0.fetch_add(1, Ordering::SeqCst);
         ActiveRequestGuard(Arc::clone(&self.0))
     }
 }
 
-struct ActiveRequestGuard(Arc<AtomicUsize>);
+/// Counts a request as being served.
+pub(super) struct ActiveRequestGuard(Arc<AtomicUsize>);
 
 impl Drop for ActiveRequestGuard {
     fn drop(&mut self) {
@@ -40,173 +56,277 @@
     }
 }
 
-/// Serves requests to an address in background threads.
-///
-/// # Errors
-///
-/// Fails if the server can't listen on the address.
-pub(crate) fn serve<F>(name: &str, address: SocketAddr, handle: F) -> Result<ActiveRequests, String>
-where
-    F: Fn(Request) + Send + Sync + 'static,
-{
-    let server = Server::http(address).map_err(|error| format!("{address}: {error}"))?;
-    let active = ActiveRequests::default();
-    let active_requests = active.clone();
-    let handle = Arc::new(handle);
-    thread::Builder::new()
-        .name(name.to_owned())
-        .stack_size(WORKER_STACK_BYTES)
-        .spawn(move || {
-            for request in server.incoming_requests() {
-                spawn_handler(request, &active_requests, &handle);
-            }
-        })
-        .map_err(|error| error.to_string())?;
-    thread::Builder::new()
-        .name(format!("{name} pool"))
-        .stack_size(WORKER_STACK_BYTES)
-        .spawn(move || wake_pool(address))
-        .map_err(|error| error.to_string())?;
-    Ok(active)
+/// Memory for the bytes of clients, and the largest size of a request body.
+#[derive(Clone, Debug)]
+pub(crate) struct ClientMemory {
+    memory: Memory,
+    limit_bytes: u64,
 }
 
-/// Opens and closes a connection to the own server at intervals.
-///
-/// The server's pool counts a thread as idle from the time it is notified until it
-/// runs. A connection that arrives meanwhile is queued for it, and then waits until a
-/// thread is done with another connection, which callers may keep for hours. The thread
-/// of a connection that closes at once takes the next one from the queue.
-fn wake_pool(address: SocketAddr) {
-    loop {
-        thread::sleep(POOL_WAKE_INTERVAL);
-        // Fails while the process is out of descriptors; the next one comes soon.
-        let _ = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT);
+impl ClientMemory {
+    /// Memory for bodies that have up to `limit_bytes` each.
+    pub(crate) fn new(limit_bytes: u64) -> ClientMemory {
+        let held_bytes = MAX_HELD_BYTES.max(MIN_LARGEST_BODIES * limit_bytes);
+        ClientMemory {
+            memory: Memory::new(held_bytes, MAX_DISCARDS),
+            limit_bytes,
+        }
+    }
+
+    /// Bytes that are held for clients.
+    pub(crate) fn held_bytes(&self) -> u64 {
+        self.memory.held_bytes()
     }
 }
 
-fn spawn_handler<F>(request: Request, active: &ActiveRequests, handle: &Arc<F>)
-where
-    F: Fn(Request) + Send + Sync + 'static,
-{
-    if active.count() >= MAX_CONCURRENT_REQUESTS {
-        let detail = format!("{MAX_CONCURRENT_REQUESTS} requests are served already");
-        respond_error(
-            request,
-            None,
-            &CallError::new(ErrorKind::Overloaded, detail),
+/// Server of one listener.
+pub(crate) struct Server {
+    pub(crate) name: &'static str,
+    pub(crate) limits: ConnectionLimits,
+    pub(crate) memory: ClientMemory,
+    pub(crate) clock: Clock,
+    pub(crate) counts: Arc<BoundCounts>,
+}
+
+impl Server {
+    /// Serves requests to an address in a background thread.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the server can't listen on the address.
+    pub(crate) fn start<F, R>(
+        self,
+        address: SocketAddr,
+        handle: F,
+    ) -> Result<ActiveRequests, String>
+    where
+        F: Fn(ApiRequest) -> R + Send + 'static,
+        R: Future<Output = ApiResponse> + 'static,
+    {
+        let listener = listen(address).map_err(|error| format!("{address}: {error}"))?;
+        let runtime = Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(|error| error.to_string())?;
+        let active = ActiveRequests::default();
+        let active_requests = active.clone();
+        let name = self.name.to_owned();
+        let serve = move || {
+            let accepting = async {
+                match TcpListener::from_std(listener) {
+                    Ok(listener) => self.accept(listener, active_requests, handle).await,
+                    Err(error) => log::error!(error = error.to_string(); "cannot listen"),
+                }
+            };
+            LocalSet::new().block_on(&runtime, accepting);
+        };
+        thread::Builder::new()
+            .name(name)
+            .spawn(serve)
+            .map_err(|error| error.to_string())?;
+        Ok(active)
+    }
+
+    /// Accepts connections until the process ends.
+    async fn accept<F, R>(self, listener: TcpListener, active: ActiveRequests, handle: F)
+    where
+        F: Fn(ApiRequest) -> R + 'static,
+        R: Future<Output = ApiResponse> + 'static,
+    {
+        let limit_bytes = self.memory.limit_bytes;
+        let bounds = Bounds::new(
+            self.name,
+            self.limits,
+            self.memory.memory,
+            self.clock,
+            self.counts,
         );
-        return;
+        let handle = Rc::new(handle);
+        loop {
+            let (stream, from) = match listener.accept().await {
+                Ok(accepted) => accepted,
+                Err(error) => {
+                    log::warn!(error = error.to_string(); "cannot accept a connection");
+                    sleep(ACCEPT_RETRY_DELAY).await;
+                    continue;
+                }
+            };
+            // Closed before a request is read, so the caller may go to another VM.
+            let Some(open) = bounds.admit() else {
+                bounds.record(Bound::Connections);
+                continue;
+            };
+            let Some(of_address) = bounds.addresses.admit(from.ip()) else {
+                bounds.record(Bound::ConnectionsOfAddress);
+                continue;
+            };
+            let connection = Connection::new(&bounds, &active);
+            let handle = Rc::clone(&handle);
+            spawn_local(async move {
+                serve_connection(&connection, stream, limit_bytes, &*handle).await;
+                drop((open, of_address));
+            });
+        }
     }
-    if let Err(error) = check_headers(&request) {
-        respond_error(request, None, &error);
-        return;
+}
+
+async fn serve_connection<F, R>(
+    connection: &Rc<Connection>,
+    stream: TcpStream,
+    limit_bytes: u64,
+    handle: &F,
+) where
+    F: Fn(ApiRequest) -> R,
+    R: Future<Output = ApiResponse>,
+{
+    let limits = connection.bounds.limits;
+    if let Err(error) = set_socket_options(&stream, limits.idle_timeout) {
+        log::debug!(error = error.to_string(); "cannot set TCP options");
     }
-    let guard = active.track();
-    let handle = Arc::clone(handle);
-    let spawned = thread::Builder::new()
-        .stack_size(WORKER_STACK_BYTES)
-        .spawn(move || {
-            handle(request);
-            drop(guard);
-        });
-    if let Err(error) = spawned {
-        // The request was dropped with the closure, which closes its connection.
-        log::error!(error = error.to_string(); "failed to start a thread for a request");
+    let service = service_fn(|request| {
+        let guard = connection.begin_request();
+        let request = ApiRequest::new(request, limit_bytes, connection);
+        async move {
+            let response = match check_headers(&request.headers) {
+                Ok(()) => handle(request).await,
+                Err(error) => request.refuse(&error),
+            };
+            Ok::<_, Infallible>(response.map(|body| body.answering(guard)))
+        }
+    });
+    let serving = http1::Builder::new()
+        // A caller that has closed its side after its request still gets the response.
+        .half_close(true)
+        // As clients know the names from earlier versions.
+        .title_case_headers(true)
+        .max_headers(MAX_HEADERS)
+        .max_buf_size(MAX_HEAD_BYTES)
+        // Includes the rest before a head; a head that has begun has `head_timeout`.
+        .header_read_timeout(limits.idle_timeout.max(limits.head_timeout))
+        .timer(TokioTimer::new())
+        .serve_connection(TokioIo::new(ClientIo::new(stream, connection)), service);
+    let ended = tokio::select! {
+        ended = serving => ended,
+        () = connection.until_refused() => Ok(()),
+    };
+    if let Err(error) = ended {
+        log::debug!(error = error.to_string(); "connection of a client failed");
     }
 }
 
-/// Rejects headers that are too large, and a length of the body that is not a
-/// number.
-fn check_headers(request: &Request) -> Result<(), CallError> {
-    let sizes = request
-        .headers()
+/// Rejects headers that are too large, or not text.
+fn check_headers(headers: &HeaderMap) -> Result<(), CallError> {
+    let sizes = headers
         .iter()
-        .map(|header| header.field.as_str().as_str().len() + header.value.as_str().len());
+        .map(|(name, value)| name.as_str().len() + value.len());
     if sizes.sum::<usize>() > MAX_HEADER_BYTES {
         let detail = format!("headers have more than {MAX_HEADER_BYTES} bytes");
         return Err(CallError::new(ErrorKind::HeadersTooLarge, detail));
     }
-    match header(request, "Content-Length").map(str::parse::<u64>) {
-        Some(Err(error)) => {
-            let detail = format!("Content-Length: {error}");
-            Err(CallError::new(ErrorKind::BadRequest, detail))
+    for (name, value) in headers {
+        if let Err(error) = value.to_str() {
+            let detail = format!("{name}: {error}");
+            return Err(CallError::new(ErrorKind::BadRequest, detail));
         }
-        _ => Ok(()),
     }
+    Ok(())
 }
 
-/// Memory for the bodies of requests, and their largest size.
-#[derive(Clone, Debug)]
-pub(crate) struct BodyMemory {
-    memory: Memory,
+/// Request whose body may not have arrived yet.
+pub(crate) struct ApiRequest {
+    pub(super) method: Method,
+    pub(super) uri: Uri,
+    pub(super) headers: HeaderMap,
+    /// `None` once it was read or refused.
+    body: Option<Incoming>,
     limit_bytes: u64,
-    clock: Clock,
+    connection: Rc<Connection>,
 }
 
-impl BodyMemory {
-    /// Memory for bodies that have up to `limit_bytes` each.
-    pub(crate) fn new(limit_bytes: u64, clock: Clock) -> BodyMemory {
-        let held_bytes = MAX_HELD_BYTES.max(MIN_LARGEST_BODIES * limit_bytes);
-        BodyMemory {
-            memory: Memory::new(held_bytes, 0),
+impl ApiRequest {
+    fn new(
+        request: Request<Incoming>,
+        limit_bytes: u64,
+        connection: &Rc<Connection>,
+    ) -> ApiRequest {
+        let (head, body) = request.into_parts();
+        ApiRequest {
+            method: head.method,
+            uri: head.uri,
+            headers: head.headers,
+            body: Some(body),
             limit_bytes,
-            clock,
+            connection: Rc::clone(connection),
         }
     }
 
-    /// Reads the body of a request. Its bytes are counted until the holding is dropped.
-    pub(super) fn read_body(&self, request: &mut Request) -> Result<(Bytes, Holding), CallError> {
+    /// Value of the first header with this name, ignoring case.
+    pub(super) fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// Reads the body. Its bytes are counted until the holding is dropped.
+    pub(super) async fn read_body(&mut self) -> Result<(Bytes, Holding), CallError> {
         let too_large = || {
             let detail = format!("body has more than {} bytes", self.limit_bytes);
             CallError::new(ErrorKind::RequestTooLarge, detail)
         };
-        if request.body_length().unwrap_or_default() as u64 > self.limit_bytes {
+        let bounds = &self.connection.bounds;
+        let clock = bounds.clock;
+        let holding = bounds.memory.hold(Claim::Withdrawable, clock.now_ms());
+        let Some(body) = &mut self.body else {
+            return Ok((Bytes::new(), holding));
+        };
+        if body.size_hint().lower() > self.limit_bytes {
             return Err(too_large());
         }
-        let exhausted = |_: Exhausted| {
-            let detail = "too many bytes are held for callers";
-            CallError::new(ErrorKind::Overloaded, detail)
+        let limits = BodyLimits {
+            max_bytes: usize::try_from(self.limit_bytes).unwrap_or(usize::MAX),
+            progress: bounds.limits.idle_timeout,
+            whole: bounds.limits.body_timeout,
         };
-        let max_bytes = usize::try_from(self.limit_bytes).unwrap_or(usize::MAX);
-        let holding = self.memory.hold(Claim::Withdrawable, self.clock.now_ms());
-        let mut part = [0; READ_BYTES];
-        loop {
-            let read = match request.as_reader().read(&mut part) {
-                Ok(0) => break,
-                Ok(read) => read,
-                Err(error) if error.kind() == std::io::ErrorKind::Interrupted => continue,
-                Err(error) => {
-                    return Err(CallError::new(ErrorKind::BadRequest, error.to_string()));
-                }
-            };
-            let refused = if read > max_bytes - holding.buffered_bytes() {
-                Err(too_large())
-            } else {
-                let pushed = holding.push(&part[..read], self.clock.now_ms());
-                pushed.map_err(exhausted)
-            };
-            if let Err(error) = refused {
-                drop(holding);
-                discard(request, &mut part);
-                return Err(error);
+        let error = match read_body(&holding, body, limits, || clock.now_ms()).await {
+            Ok(bytes) => {
+                self.body = None;
+                return Ok((bytes, holding));
             }
-        }
-        let bytes = holding.finish().map_err(exhausted)?;
-        Ok((bytes, holding))
+            Err(ReadError::Broken(error)) => {
+                self.body = None;
+                CallError::new(ErrorKind::BadRequest, error)
+            }
+            Err(ReadError::TooLong) => too_large(),
+            Err(ReadError::NoMemory) => {
+                bounds.record(Bound::BodyMemory);
+                let detail = "too many bytes are held for callers";
+                CallError::new(ErrorKind::Overloaded, detail)
+            }
+            Err(ReadError::TimedOut) => {
+                bounds.record(Bound::BodyTime);
+                CallError::new(ErrorKind::RequestTimeout, "body took too long")
+            }
+        };
+        Err(error)
     }
-}
 
-/// Reads a refused body to its end, without keeping it: tiny_http would read what is left
-/// of it as a head, which it holds whole.
-fn discard(request: &mut Request, part: &mut [u8]) {
-    while request.as_reader().read(part).is_ok_and(|read| read > 0) {}
-}
-
-/// Value of the first header with this name, ignoring case.
-pub(super) fn header<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
-    request
-        .headers()
-        .iter()
-        .find(|header| header.field.as_str().as_str().eq_ignore_ascii_case(name))
-        .map(|header| header.value.as_str())
+    /// Responds with an error. What is left of the body is discarded, so that the client gets
+    /// the response, if few others are: beyond that, and for a late body, the connection is
+    /// closed.
+    pub(super) fn refuse(mut self, error: &CallError) -> ApiResponse {
+        let mut response = respond_error(None, error);
+        let body = self.body.take().filter(|body| !body.is_end_stream());
+        let Some(body) = body else {
+            return response;
+        };
+        let is_late = error.kind == ErrorKind::RequestTimeout;
+        let guard = (!is_late).then(|| self.connection.bounds.memory.begin_discard());
+        let Some(guard) = guard.flatten() else {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+            return response;
+        };
+        self.connection.head.begin_discard();
+        spawn_local(async move {
+            discard(body).await;
+            drop(guard);
+        });
+        response
+    }
 }
--- a/crates/daemon/src/input.rs
+++ b/crates/daemon/src/input.rs
@@ -6,6 +6,8 @@
 use lagoon_node::{
     CallRef, CallerRequest, Event, OperatorRef, OperatorReply, OperatorRequest, ResponseFrame,
 };
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
 
 /// Message to the actor thread.
 #[derive(Debug)]
@@ -14,20 +16,20 @@
     Call {
         call_ref: CallRef,
         request: Box<CallerRequest>,
-        frames: Sender<ResponseFrame>,
+        frames: UnboundedSender<ResponseFrame>,
     },
     /// Caller's request to end a program; the response is sent to `frames`.
     EndProgram {
         call_ref: CallRef,
         api_key: String,
         program: String,
-        frames: Sender<ResponseFrame>,
+        frames: UnboundedSender<ResponseFrame>,
     },
     /// Operator's request; its reply is sent to `reply`.
     Operator {
         operator_ref: OperatorRef,
         request: OperatorRequest,
-        reply: Sender<OperatorReply>,
+        reply: oneshot::Sender<OperatorReply>,
     },
     /// Bytes of this target are no response.
     InvalidResponse(TargetName),
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -22,8 +22,10 @@
     ExitReason, NodeActor, NodeParts, PeersActor, StoreActor, TargetIoSettings, TargetsActor,
 };
 use crate::clock::Clock;
-use crate::constants::{DRAIN_TIMEOUT, MAX_INPUT_BATCH};
-use crate::http::{serve, ActiveRequests, BodyMemory, CallerApi, OperatorApi};
+use crate::constants::{DRAIN_TIMEOUT, MAX_INPUT_BATCH, MAX_OPERATOR_CONNECTIONS};
+use crate::http::{
+    ActiveRequests, BoundCounts, CallerApi, ClientMemory, ConnectionLimits, OperatorApi, Server,
+};
 use crate::input::{Input, InputSender};
 
 /// Reason why the daemon ends other than by a planned stop.
@@ -81,16 +83,20 @@
     let ready = Arc::new(AtomicBool::new(false));
     let peer_socket =
         crate::actors::listen(settings.listen.peers).map_err(socket_error("listen.peers"))?;
-    let body_memory = BodyMemory::new(settings.callers.body_limit_bytes, clock);
-    let active = start_caller_api(
-        settings,
+    let client_memory = ClientMemory::new(settings.callers.body_limit_bytes);
+    let bound_counts = Arc::new(BoundCounts::default());
+    let limits = connection_limits(settings);
+    let server = |name, limits| Server {
+        name,
+        limits,
+        memory: client_memory.clone(),
         clock,
-        &input_sender,
-        &tracer,
-        &ready,
-        body_memory.clone(),
-    )?;
-    start_operator_api(settings, &input_sender, body_memory)?;
+        counts: Arc::clone(&bound_counts),
+    };
+    let callers = server("callers", limits);
+    let active = start_caller_api(callers, settings, &input_sender, &tracer, &ready)?;
+    let operators = server("operators", limits_of_operators(limits));
+    start_operator_api(operators, settings, &input_sender)?;
     handle_signals(&input_sender).map_err(socket_error("signals"))?;
 
     let mut stakker = Stakker::new(Instant::now());
@@ -125,6 +131,8 @@
         tracer: Arc::clone(&tracer),
         metrics,
         ready,
+        bound_counts: Arc::clone(&bound_counts),
+        client_memory: client_memory.clone(),
         exit: Rc::clone(&exit),
         peers: peers.clone(),
         store: store.clone(),
@@ -211,44 +219,65 @@
     }
 }
 
+fn connection_limits(settings: &Settings) -> ConnectionLimits {
+    let callers = &settings.callers;
+    ConnectionLimits {
+        max_connections: callers.max_connections as usize,
+        by_address: callers.connections_per_address as usize,
+        head_timeout: Duration::from_millis(callers.head_timeout_ms),
+        idle_timeout: Duration::from_millis(callers.connection_idle_ms),
+        body_timeout: Duration::from_millis(callers.body_timeout_ms),
+    }
+}
+
+/// Operators have connections of their own, all of which may come from one address.
+fn limits_of_operators(callers: ConnectionLimits) -> ConnectionLimits {
+    ConnectionLimits {
+        max_connections: MAX_OPERATOR_CONNECTIONS,
+        by_address: MAX_OPERATOR_CONNECTIONS,
+        ..callers
+    }
+}
+
 fn start_caller_api(
+    server: Server,
     settings: &Settings,
-    clock: Clock,
     input_sender: &InputSender,
     tracer: &Arc<Tracer>,
     ready: &Arc<AtomicBool>,
-    body_memory: BodyMemory,
 ) -> Result<ActiveRequests, RunError> {
-    let api = CallerApi {
+    let api = Arc::new(CallerApi {
         input_sender: input_sender.clone(),
-        clock,
+        clock: server.clock,
         tracer: Arc::clone(tracer),
         ready: Arc::clone(ready),
-        body_memory,
         sample_percent: settings.traces.sample_percent,
         // Based on the start time, so that no reference of an earlier run is reused.
-        next_ref: AtomicU64::new(clock.started_ms() << 20),
+        next_ref: AtomicU64::new(server.clock.started_ms() << 20),
+    });
+    let handle = move |request| {
+        let api = Arc::clone(&api);
+        async move { api.handle(request).await }
     };
-    serve("callers", settings.listen.callers, move |request| {
-        api.handle(request);
-    })
-    .map_err(socket_error("listen.callers"))
+    let started = server.start(settings.listen.callers, handle);
+    started.map_err(socket_error("listen.callers"))
 }
 
 fn start_operator_api(
+    server: Server,
     settings: &Settings,
     input_sender: &InputSender,
-    body_memory: BodyMemory,
 ) -> Result<(), RunError> {
-    let api = OperatorApi {
+    let api = Arc::new(OperatorApi {
         input_sender: input_sender.clone(),
-        body_memory,
         next_ref: AtomicU64::new(1),
+    });
+    let handle = move |request| {
+        let api = Arc::clone(&api);
+        async move { api.handle(request).await }
     };
-    serve("operators", settings.listen.operators, move |request| {
-        api.handle(request);
-    })
-    .map_err(socket_error("listen.operators"))?;
+    let started = server.start(settings.listen.operators, handle);
+    started.map_err(socket_error("listen.operators"))?;
     Ok(())
 }
 
--- a/crates/errors/src/kind.rs
+++ b/crates/errors/src/kind.rs
@@ -79,6 +79,9 @@
     /// Headers exceed the size limit.
     #[display("headers_too_large")]
     HeadersTooLarge,
+    /// Request body did not arrive in time.
+    #[display("request_timeout")]
+    RequestTimeout,
 }
 
 /// Whether the target executed the call.
--- a/crates/errors/src/table.rs
+++ b/crates/errors/src/table.rs
@@ -73,6 +73,7 @@
     retry_after(ErrorKind::NotReady, 503, ExecutionStatus::NotRun, 2),
     no_retry(ErrorKind::Internal, 500, ExecutionStatus::Unknown),
     no_retry(ErrorKind::HeadersTooLarge, 431, ExecutionStatus::NotRun),
+    retry_after(ErrorKind::RequestTimeout, 408, ExecutionStatus::NotRun, 1),
 ];
 
 /// Entry of [`ERROR_SPECS`] for an error kind.
--- a/crates/errors/tests/table.rs
+++ b/crates/errors/tests/table.rs
@@ -9,7 +9,7 @@
     }
     assert_eq!(
         ERROR_SPECS.last().map(|spec| spec.kind),
-        Some(ErrorKind::HeadersTooLarge)
+        Some(ErrorKind::RequestTimeout)
     );
 }
 
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -145,6 +145,18 @@
     /// Timeout for making a reservation, a record of a call or the end of a
     /// response durable, in milliseconds.
     pub commit_wait_ms: u64,
+    /// Maximum number of connections; further ones are closed at once.
+    pub max_connections: u64,
+    /// Maximum number of connections of one address; 0 stands for seven eighths of
+    /// `max_connections`.
+    pub connections_per_address: u64,
+    /// Time in which the head of a request arrives after its first bytes, in milliseconds.
+    pub head_timeout_ms: u64,
+    /// Time that a connection may rest between two requests, a body between two parts, or a
+    /// caller without taking what is sent to it, in milliseconds.
+    pub connection_idle_ms: u64,
+    /// Time in which a whole body arrives, in milliseconds.
+    pub body_timeout_ms: u64,
 }
 
 impl Default for CallerSettings {
@@ -155,6 +167,11 @@
             queue_limit: 2_000,
             idle_limit_ms: 900_000,
             commit_wait_ms: 1_000,
+            max_connections: 512,
+            connections_per_address: 0,
+            head_timeout_ms: 4_000,
+            connection_idle_ms: 16_000,
+            body_timeout_ms: 60_000,
         }
     }
 }
--- a/crates/settings/src/validate.rs
+++ b/crates/settings/src/validate.rs
@@ -107,7 +107,7 @@
 }
 
 fn validate_numbers(settings: &Settings) -> Result<(), KeyError> {
-    let numbers: [(&str, u64, RangeInclusive<u64>); 16] = [
+    let numbers: [(&str, u64, RangeInclusive<u64>); 21] = [
         (
             "platform.timeout_ms",
             settings.platform.timeout_ms,
@@ -168,6 +168,31 @@
             settings.callers.commit_wait_ms,
             ranges::COMMIT_WAIT_MS,
         ),
+        (
+            "callers.max_connections",
+            settings.callers.max_connections,
+            ranges::MAX_CONNECTIONS,
+        ),
+        (
+            "callers.connections_per_address",
+            settings.callers.connections_per_address,
+            ranges::CONNECTIONS_PER_ADDRESS,
+        ),
+        (
+            "callers.head_timeout_ms",
+            settings.callers.head_timeout_ms,
+            ranges::HEAD_TIMEOUT_MS,
+        ),
+        (
+            "callers.connection_idle_ms",
+            settings.callers.connection_idle_ms,
+            ranges::CONNECTION_IDLE_MS,
+        ),
+        (
+            "callers.body_timeout_ms",
+            settings.callers.body_timeout_ms,
+            ranges::BODY_TIMEOUT_MS,
+        ),
         (
             "targets.stream_silence_ms",
             settings.targets.stream_silence_ms,
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -43,10 +43,10 @@
         self.client.count_with_tags(name, amount).send();
     }
 
-    /// Adds 1 to a counter, with a tag besides `vm`.
-    pub fn count_tagged(&self, name: &str, tag: &str, value: &str) {
+    /// Adds `amount` to a counter, with a tag besides `vm`.
+    pub fn count_tagged(&self, name: &str, amount: i64, tag: &str, value: &str) {
         self.client
-            .count_with_tags(name, 1)
+            .count_with_tags(name, amount)
             .with_tag(tag, value)
             .send();
     }
--- a/crates/telemetry/tests/export.rs
+++ b/crates/telemetry/tests/export.rs
@@ -101,7 +101,7 @@
     socket.set_read_timeout(timeout).expect("timeout");
     let address = socket.local_addr().expect("address");
     let metrics = Metrics::new(Some(address), "vm1").expect("metrics");
-    metrics.count_tagged("refusals", "kind", "overloaded");
+    metrics.count_tagged("refusals", 1, "kind", "overloaded");
     metrics.flush();
     let mut buffer = [0; 512];
     let length = socket.recv(&mut buffer).expect("packet");
