--- a/crates/gateway/tests/estimates.rs
+++ b/crates/gateway/tests/estimates.rs
@@ -197,3 +197,40 @@
     assert_eq!(sender.take_speeds(10, 1_140), []);
     assert_eq!(receiver.take_speeds(10, 1_140), []);
 }
+
+/// Capacity of a target after a second with all slots taken, by the factor and the scatter
+/// of event intervals.
+fn capacity_after(factor: f64, scatter: f64) -> f64 {
+    let (mut targets, keys) = targets(2);
+    let mut capacity = 0.0;
+    for number in 0..300_u64 {
+        let now_ms = 1_000 + number * 10;
+        report(&mut targets, keys[0], Some(100), now_ms);
+        // The first two seconds are those of an idle target.
+        if number == 200 {
+            (0..6).for_each(|_| targets.request_started(keys[0], now_ms));
+        }
+        let factor = if number < 200 { 1.0 } else { factor };
+        let deviation = ((number * 37 % 101) as f64 / 50.0 - 1.0) * scatter;
+        targets.record_event_interval(keys[0], 25.0 * factor * deviation.exp(), now_ms);
+        let target = targets.get(keys[0]).expect("is listed");
+        let estimate = targets.estimate(target, now_ms);
+        capacity = estimate.expect("has a figure").capacity;
+    }
+    capacity
+}
+
+// Guards against a target that slows down and gets new programs until its slots are taken,
+// as its capacity is learned in tens of seconds only.
+#[test]
+fn capacity_falls_at_once_while_event_intervals_are_long() {
+    let capacity = capacity_after(2.0, 0.0);
+    println!("{capacity}");
+    assert!(capacity < 0.5 * 6.0);
+}
+
+// Guards against a capacity that falls as single event intervals scatter.
+#[test]
+fn capacity_stays_while_event_intervals_scatter() {
+    assert!(capacity_after(1.0, 0.8) > 0.95 * 6.0);
+}
