lagoon-entry uses lagoon-connections; tests of lagoond's bounds

Reads of limited size, bodies, discards, connections by address, arrival of heads, log limits and socket options moved from lagoon-entry to lagoon-connections and are used from there by both daemons. lagoon-entry behaves as before, but for its debug line on a discarded body, which states the bytes also when the time is over.

--- a/crates/connections/src/bodies.rs
+++ b/crates/connections/src/bodies.rs
@@ -94,12 +94,13 @@
 
 /// Reads a refused body without keeping it, for a limited time and up to a limited length:
 /// a connection that is closed with unread bytes is reset, and its peer may lose the response.
-pub async fn discard<B>(mut body: B)
+/// Returns how much was read.
+pub async fn discard<B>(mut body: B) -> usize
 where
     B: Body<Data = Bytes> + Unpin,
 {
+    let mut bytes = 0;
     let read = async {
-        let mut bytes = 0;
         while let Some(Ok(frame)) = body.frame().await {
             bytes += frame.data_ref().map_or(0, Bytes::len);
             if bytes > MAX_DISCARDED_BYTES {
@@ -109,4 +110,5 @@
     };
     // The rest of a body that takes longer is left unread.
     let _ = timeout(DISCARD_TIMEOUT, read).await;
+    bytes
 }
--- a/crates/connections/src/heads.rs
+++ b/crates/connections/src/heads.rs
@@ -33,7 +33,7 @@
     is_discarding: Cell<bool>,
     /// Requests whose head was read and whose response isn't sent yet.
     open_requests: Cell<usize>,
-    has_no_memory: Cell<bool>,
+    refusal: Cell<Option<HeadRefusal>>,
 }
 
 impl HeadArrival {
@@ -45,7 +45,7 @@
             holding,
             is_discarding: Cell::new(false),
             open_requests: Cell::new(0),
-            has_no_memory: Cell::new(false),
+            refusal: Cell::new(None),
         }
     }
 
@@ -92,26 +92,43 @@
 
     fn hold(&self, bytes: usize, now_ms: u64) {
         if self.holding.set(bytes as u64, now_ms).is_err() {
-            self.has_no_memory.set(true);
+            self.refusal.set(Some(HeadRefusal::NoMemory));
         }
     }
 
-    /// Waits until the head that arrives is refused, for lack of memory or time.
-    pub async fn until_refused<F>(&self, limit: Duration, now_ms: F) -> HeadRefusal
+    /// Bytes received since the start of the last request.
+    pub fn received_bytes(&self) -> usize {
+        self.received_bytes.get()
+    }
+
+    /// Time of the first of them.
+    pub fn received_ms(&self) -> u64 {
+        self.received_ms.get()
+    }
+
+    /// Why the head that arrives is refused, if it is.
+    pub fn refusal(&self) -> Option<HeadRefusal> {
+        self.refusal.get()
+    }
+
+    /// Waits until the head that arrives is refused, for lack of memory or time. `limit` is
+    /// asked for again while it arrives.
+    pub async fn until_refused<L, F>(&self, limit: L, now_ms: F) -> HeadRefusal
     where
+        L: Fn() -> Duration,
         F: Fn() -> u64,
     {
-        let limit_ms = limit.as_millis() as u64;
         let mut is_withdrawn = false;
         loop {
+            let limit_ms = limit().as_millis() as u64;
             let mut wait_ms = limit_ms;
             if self.is_partial() {
                 let age_ms = now_ms() - self.received_ms.get();
-                if is_withdrawn || self.has_no_memory.get() {
-                    return HeadRefusal::NoMemory;
+                if is_withdrawn || self.refusal.get().is_some() {
+                    return self.refuse(HeadRefusal::NoMemory);
                 }
                 if age_ms >= limit_ms {
-                    return HeadRefusal::TimedOut;
+                    return self.refuse(HeadRefusal::TimedOut);
                 }
                 wait_ms = limit_ms - age_ms;
             }
@@ -121,4 +138,9 @@
             }
         }
     }
+
+    fn refuse(&self, refusal: HeadRefusal) -> HeadRefusal {
+        self.refusal.set(Some(refusal));
+        refusal
+    }
 }
--- a/crates/daemon/src/http/connection.rs
+++ b/crates/daemon/src/http/connection.rs
@@ -49,7 +49,7 @@
     pub(super) async fn until_refused(&self) {
         let clock = self.bounds.clock;
         let limit = self.bounds.limits.head_timeout;
-        let refusal = self.head.until_refused(limit, || clock.now_ms()).await;
+        let refusal = self.head.until_refused(|| limit, || clock.now_ms()).await;
         self.bounds.record(match refusal {
             HeadRefusal::TimedOut => Bound::HeadTime,
             HeadRefusal::NoMemory => Bound::HeadMemory,
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -324,7 +324,8 @@
         };
         self.connection.head.begin_discard();
         spawn_local(async move {
-            discard(body).await;
+            let bytes = discard(body).await;
+            log::debug!(bytes; "body of a refused request");
             drop(guard);
         });
         response
--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -146,6 +146,52 @@
     assert_eq!(reply.text.split_whitespace().count(), 30);
 }
 
+// Guards against events that are held back until others follow.
+#[test]
+fn events_arrive_as_the_target_sends_them() {
+    let site = Site::start(1);
+    let started = Instant::now();
+    let mut first = None;
+    let reply = site.client(0).chat("contract-agent", "one", 500, &[], |_| {
+        first.get_or_insert_with(|| started.elapsed());
+    });
+    let took = started.elapsed();
+    assert!(reply.expect("response").complete);
+    // The target takes a millisecond for each of the events.
+    let first = first.expect("event");
+    assert!(first < took / 2, "{first:?} of {took:?}");
+}
+
+// Guards against a caller that has left its stream and isn't noticed. Its call goes on for a
+// repeat.
+#[test]
+fn caller_that_leaves_its_stream_is_noticed() {
+    let files = tempfile::TempDir::new().expect("folder");
+    let spans = files.path().join("spans.jsonl");
+    let site = Site::start_bounded(1, None, &format!("[traces]\nfile = {spans:?}"));
+    let body = json!({
+        "model": "contract-agent", "stream": true, "max_tokens": 100_000,
+        "messages": [{"role": "user", "content": "quote"}],
+    });
+    let body = body.to_string();
+    let length = body.len();
+    let mut stream = TcpStream::connect(site.vms[0].callers).expect("connection");
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n\
+         Authorization: Bearer grower-desk-key\r\nContent-Length: {length}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).expect("head is sent");
+    stream.write_all(body.as_bytes()).expect("body is sent");
+    let read = stream.read(&mut [0; 4_096]).expect("response");
+    assert!(read > 0);
+    drop(stream);
+    // The target takes over 100 s for the whole stream.
+    wait_for("the span of the caller that left", || {
+        let spans = std::fs::read_to_string(&spans).unwrap_or_default();
+        spans.contains("callergone").then_some(())
+    });
+}
+
 #[test]
 fn chat_without_streaming_gets_one_body() {
     let site = Site::start(1);
--- a/crates/daemon/tests/site/mod.rs
+++ b/crates/daemon/tests/site/mod.rs
@@ -116,6 +116,16 @@
     /// Like [`Site::start`]; `targets`, if they are given, take the places of the engine
     /// and the service in the sheet.
     pub(crate) fn start_with(vms: usize, targets: Option<[SocketAddr; 2]>) -> Site {
+        Site::start_bounded(vms, targets, "")
+    }
+
+    /// Like [`Site::start_with`], with these lines in the section `callers` of the settings,
+    /// or sections behind it.
+    pub(crate) fn start_bounded(
+        vms: usize,
+        targets: Option<[SocketAddr; 2]>,
+        callers: &str,
+    ) -> Site {
         let files = TempDir::new().expect("folder");
         let (platform, engine, booking_service) = (free_address(), free_address(), free_address());
         spawn(platform, move || platform::run(platform, 1));
@@ -136,7 +146,8 @@
                 service_time_ms: 5,
             })
         });
-        let vms = (1..=vms).map(|n| Vm::new(n, platform, &files)).collect();
+        let new_vm = |n| Vm::new(n, platform, &files, callers);
+        let vms = (1..=vms).map(new_vm).collect();
         let mut site = Site {
             vms,
             engine: targets.map_or(engine, |[engine, _]| engine),
@@ -209,7 +220,7 @@
         }
     }
 
-    fn new(n: usize, platform: SocketAddr, files: &TempDir) -> Vm {
+    fn new(n: usize, platform: SocketAddr, files: &TempDir, bounds: &str) -> Vm {
         let (callers, operators, peers) = (free_address(), free_address(), free_address());
         let settings = files.path().join(format!("vm{n}.toml"));
         let log = files.path().join(format!("vm{n}.log"));
@@ -218,6 +229,7 @@
              [listen]\ncallers = \"{callers}\"\noperators = \"{operators}\"\npeers = \"{peers}\"\n\n\
              [platform]\naddress = \"{platform}\"\n\n\
              [members]\nheartbeat_ms = 200\nsuspect_ms = 1000\n\n\
+             [callers]\n{bounds}\n\
              [log]\nfile = {log:?}\n"
         );
         fs::write(&settings, text).expect("settings");
--- a/crates/entry/src/caller_io.rs
+++ b/crates/entry/src/caller_io.rs
@@ -7,11 +7,11 @@
 use std::time::Duration;
 
 use futures::FutureExt;
+use lagoon_connections::poll_read_part;
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use crate::reads::poll_read_part;
 use crate::unanswered::CallerConnection;
 
 /// Maximum number of unread bytes that are counted when a connection ends.
--- a/crates/entry/src/carry.rs
+++ b/crates/entry/src/carry.rs
@@ -16,6 +16,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use lagoon_adapter::{decode_response_headers, shorten_deadline, ResponseMetadata};
+use lagoon_connections::{BodyLimits, ReadError};
 use lagoon_gateway::{TargetEntry, TargetKey};
 use lagoon_memory::Holding;
 use lagoon_paths::{Decline, Way};
@@ -24,7 +25,6 @@
 use crate::clock::unix_now_ms;
 use crate::exchange::{send_direct, DirectExchange, NoExchange, SendOptions};
 use crate::forward::forwarded_head;
-use crate::memory::{BodyLimits, ReadError};
 use crate::response;
 use crate::state::DaemonState;
 
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -11,8 +11,8 @@
 use hyper::ext::on_informational;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use lagoon_connections::{set_socket_options, PartialReads};
 use lagoon_paths::Loss;
-use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -20,7 +20,6 @@
 use tokio::time::timeout;
 
 use crate::body::RequestBody;
-use crate::reads::PartialReads;
 
 /// Covers some round trips between failure domains, and a queue of connections
 /// at the target.
@@ -28,7 +27,7 @@
 
 /// Time after which a connection to a caller, a VM or the store is closed if sent data
 /// stays unacknowledged (`TCP_USER_TIMEOUT`), or keepalive probes do.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(800);
+pub(crate) const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// The same for a connection to a target, which may be silent for a second and go on.
 const TARGET_UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_600);
@@ -40,9 +39,6 @@
 /// server that sends more of them may never send a response.
 const MAX_INTERIM_RESPONSES: usize = 16;
 
-/// Idle time before the first keepalive probe, and interval between probes.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Reason why a connection could not be opened.
 #[derive(Clone, Debug, Error)]
 #[error("{detail}")]
@@ -130,7 +126,7 @@
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
             .await
             .map_err(|_| OpenError::timed_out())??;
-        if let Err(error) = set_options(&stream, unacknowledged_timeout) {
+        if let Err(error) = set_socket_options(&stream, unacknowledged_timeout) {
             log::warn!(address = address.to_string(), error = error.to_string(); "cannot set TCP options");
         }
         let (sender, driver) = Builder::new()
@@ -198,20 +194,3 @@
     });
     excess
 }
-
-/// Sets the TCP options that detect an unresponsive caller, and disables Nagle's
-/// algorithm.
-pub(crate) fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
-    set_options(stream, UNACKNOWLEDGED_TIMEOUT)
-}
-
-fn set_options(stream: &TcpStream, unacknowledged_timeout: Duration) -> std::io::Result<()> {
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(unacknowledged_timeout))?;
-    socket.set_tcp_keepalive(
-        &TcpKeepalive::new()
-            .with_time(KEEPALIVE_INTERVAL)
-            .with_interval(KEEPALIVE_INTERVAL),
-    )
-}
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -10,6 +10,7 @@
     decode_response_headers, is_end_to_end, target_request_headers, AttemptHeaders,
     ResponseMetadata,
 };
+use lagoon_connections::{BodyLimits, ReadError};
 use lagoon_gateway::{
     AttemptFailure, RouteKind, SampleKind, TargetEntry, TargetKey, UnfinishedAttempt,
 };
@@ -21,7 +22,6 @@
 use crate::exchange::NoExchange;
 use crate::forward::sending::ResponseConnection;
 use crate::forward::ForwardedRequest;
-use crate::memory::{BodyLimits, ReadError};
 use crate::state::DaemonState;
 
 /// Maximum size of a response that isn't a stream, which is buffered before it
--- a/crates/entry/src/forward/reading.rs
+++ b/crates/entry/src/forward/reading.rs
@@ -1,31 +1,23 @@
 //! Reading of bodies.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::HeaderMap;
-use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, CONNECTION};
 use hyper::{Response, StatusCode};
+use lagoon_connections::{discard, BodyLimits, ReadError};
 use lagoon_gateway::Limits;
 use lagoon_memory::Holding;
 use tokio::task::spawn_local;
-use tokio::time::timeout;
 
 use crate::body::ResponseBody;
 use crate::forward::OVERLOADED_RETRY_AFTER_MS;
-use crate::memory::{BodyLimits, ReadError};
 use crate::response;
 use crate::state::DaemonState;
 use crate::unanswered::{Cause, RequestGuard};
 
-/// Maximum number of bytes, and time, of a refused body that are discarded so that the
-/// caller gets the response.
-const MAX_DISCARDED_BYTES: usize = 16_777_216;
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// Bytes of a header besides its name and value.
 const HEADER_BYTES: usize = ": \r\n".len();
 
@@ -100,25 +92,13 @@
     };
     caller.begin_discard();
     spawn_local(async move {
-        let discarded = timeout(DISCARD_TIMEOUT, discard(body)).await;
-        log::debug!(bytes = discarded.unwrap_or_default(); "body of a refused request");
+        let bytes = discard(body).await;
+        log::debug!(bytes; "body of a refused request");
         drop(guard);
     });
     response
 }
 
-/// Reads a body, up to [`MAX_DISCARDED_BYTES`]; returns how much was read.
-async fn discard(mut body: Incoming) -> usize {
-    let mut bytes = 0;
-    while let Some(Ok(frame)) = body.frame().await {
-        bytes += frame.data_ref().map_or(0, Bytes::len);
-        if bytes > MAX_DISCARDED_BYTES {
-            break;
-        }
-    }
-    bytes
-}
-
 fn too_long() -> Response<ResponseBody> {
     response::plain_text(StatusCode::PAYLOAD_TOO_LARGE, "body too long")
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -28,7 +28,6 @@
 mod permits;
 mod pool;
 mod quotas;
-mod reads;
 mod registration;
 mod response;
 mod run;
--- a/crates/entry/src/message_handler.rs
+++ b/crates/entry/src/message_handler.rs
@@ -4,10 +4,10 @@
 
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
+use lagoon_connections::BodyLimits;
 use lagoon_gateway::ProgramKey;
 
 use crate::body::ResponseBody;
-use crate::memory::BodyLimits;
 use crate::message::{PeerMessage, MAX_MESSAGE_BYTES, NOT_UNDERSTOOD};
 use crate::response;
 use crate::state::DaemonState;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -13,7 +13,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use socket2::{Domain, Protocol, Socket, Type};
+use lagoon_connections::{set_socket_options, AddressGuard};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
@@ -21,10 +21,9 @@
 use crate::body::ResponseBody;
 use crate::caller_io::CallerIo;
 use crate::carry::{handle_carried, CARRY_PATH};
-use crate::connection::set_socket_options;
+use crate::connection::UNACKNOWLEDGED_TIMEOUT;
 use crate::forward::HEADER_SLACK_BYTES;
 use crate::idle::IdleTimer;
-use crate::memory::AddressGuard;
 use crate::message::MESSAGE_PATH;
 use crate::message_handler::handle_message;
 use crate::panics;
@@ -32,8 +31,6 @@
 use crate::state::DaemonState;
 use crate::unanswered::{CallerConnection, Cause, Client, RequestGuard};
 
-const ACCEPT_BACKLOG: i32 = 1_024;
-
 /// Smallest buffer for the header section and the start of the body that follows it.
 /// Header sections are held to the limit in force when they arrive.
 const MIN_BUFFER_BYTES: u64 = 131_072;
@@ -53,16 +50,7 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 pub(crate) fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = Socket::new(
-        Domain::for_address(address),
-        Type::STREAM,
-        Some(Protocol::TCP),
-    )?;
-    socket.set_reuse_address(true)?;
-    socket.set_nonblocking(true)?;
-    socket.bind(&address.into())?;
-    socket.listen(ACCEPT_BACKLOG)?;
-    TcpListener::from_std(socket.into())
+    TcpListener::from_std(lagoon_connections::listen(address)?)
 }
 
 /// Accepts connections until shortly after `stop` becomes true; open ones are
@@ -160,7 +148,7 @@
     F: Fn(Request<Incoming>, RequestGuard) -> R + 'static,
     R: Future<Output = Response<ResponseBody>> + 'static,
 {
-    if let Err(error) = set_socket_options(&stream) {
+    if let Err(error) = set_socket_options(&stream, UNACKNOWLEDGED_TIMEOUT) {
         log::debug!(error = error.to_string(); "cannot set TCP options");
     }
     let service = service_fn(|request| {
--- a/crates/entry/src/unanswered.rs
+++ b/crates/entry/src/unanswered.rs
@@ -10,18 +10,11 @@
 use compact_str::CompactString;
 use derive_more::Display;
 use lagoon_adapter::request_id_in;
-use lagoon_memory::Holding;
-use tokio::time::sleep;
+use lagoon_connections::{HeadArrival, HeadRefusal};
 
 use crate::caller_io::CallerIo;
 use crate::state::DaemonState;
 
-/// Bytes of a head up to which they aren't counted: hyper's smallest buffer.
-const MIN_HELD_HEAD_BYTES: usize = 8_192;
-
-/// Bytes that some callers send behind a body, and that belong to no request.
-const LINE_END_BYTES: usize = 2;
-
 /// Time for a head that a caller sent within the header timeout to arrive.
 const HEAD_GRACE_MS: u64 = 1_000;
 
@@ -107,21 +100,13 @@
     /// In order of arrival; more than one only if the caller pipelines.
     open: RefCell<VecDeque<OpenRequest>>,
     requests: Cell<u64>,
-    /// Bytes received since the start of the last request.
-    received_bytes: Cell<usize>,
-    /// Time of the first of them.
-    received_ms: Cell<u64>,
     has_caller_left: Cell<bool>,
     is_broken: Cell<bool>,
     /// Whether the daemon asked the connection to close because it stops.
     is_stopped: Cell<bool>,
     has_ended: Cell<bool>,
-    /// Bytes of a head that has not arrived whole.
-    head: Holding,
-    /// Whether the rest of a refused body arrives.
-    is_discarding: Cell<bool>,
-    /// Why the daemon closes the connection while a head arrives.
-    refusal: Cell<Option<Cause>>,
+    /// Head that has not arrived whole.
+    head: HeadArrival,
 }
 
 impl CallerConnection {
@@ -131,15 +116,11 @@
             client,
             open: RefCell::default(),
             requests: Cell::new(0),
-            received_bytes: Cell::new(0),
-            received_ms: Cell::new(0),
             has_caller_left: Cell::new(false),
             is_broken: Cell::new(false),
             is_stopped: Cell::new(false),
             has_ended: Cell::new(false),
-            head: state.memory.hold(),
-            is_discarding: Cell::new(false),
-            refusal: Cell::new(None),
+            head: HeadArrival::new(state.memory.hold()),
         })
     }
 
@@ -149,8 +130,8 @@
 
     /// Whether no request is open, and none has begun to arrive within `patience`.
     pub(crate) fn is_idle(&self, patience: Duration) -> bool {
-        let age_ms = self.state.now_ms() - self.received_ms.get();
-        let arrives = self.received_bytes.get() > 0 && u128::from(age_ms) < patience.as_millis();
+        let age_ms = self.state.now_ms() - self.head.received_ms();
+        let arrives = self.head.received_bytes() > 0 && u128::from(age_ms) < patience.as_millis();
         self.open.borrow().is_empty() && !arrives
     }
 
@@ -158,9 +139,7 @@
     pub(crate) fn begin_request(self: &Rc<Self>) -> RequestGuard {
         let number = self.requests.get();
         self.requests.set(number + 1);
-        self.received_bytes.set(0);
-        self.is_discarding.set(false);
-        self.set_head_bytes(0);
+        self.head.begin_request(self.state.now_ms());
         self.open.borrow_mut().push_back(OpenRequest {
             number,
             id: CompactString::default(),
@@ -178,55 +157,16 @@
     }
 
     pub(crate) fn record_received(&self, bytes: usize) {
-        if self.received_bytes.get() == 0 {
-            self.received_ms.set(self.state.now_ms());
-        }
-        self.received_bytes.set(self.received_bytes.get() + bytes);
-        let received_bytes = self.received_bytes.get();
-        if received_bytes > MIN_HELD_HEAD_BYTES && self.has_partial_head() {
-            self.set_head_bytes(received_bytes);
-        }
-    }
-
-    /// Whether bytes have arrived that belong to no request yet.
-    fn has_partial_head(&self) -> bool {
-        let is_begun = self.received_bytes.get() > LINE_END_BYTES;
-        is_begun && !self.is_discarding.get() && self.open.borrow().is_empty()
-    }
-
-    /// Where there is no memory, the head counts as refused; its connection is closed.
-    fn set_head_bytes(&self, bytes: usize) {
-        if self.state.memory.set(&self.head, bytes).is_err() {
-            self.refusal.set(Some(Cause::NoMemory));
-        }
+        self.head.record_received(bytes, self.state.now_ms());
     }
 
     /// Waits until the head that arrives is refused, for lack of memory or time.
     pub(crate) async fn until_refused(&self) {
-        let mut is_withdrawn = false;
-        loop {
-            let limit_ms = self.state.limits().header_timeout_ms + HEAD_GRACE_MS;
-            let now_ms = self.state.now_ms();
-            let mut wait_ms = limit_ms;
-            if self.has_partial_head() {
-                let age_ms = now_ms - self.received_ms.get();
-                if is_withdrawn || self.refusal.get().is_some() {
-                    self.refusal.set(Some(Cause::NoMemory));
-                    self.state.memory.record_exhausted("head");
-                    return;
-                }
-                if age_ms >= limit_ms {
-                    self.refusal.set(Some(Cause::HeaderTimeout));
-                    self.state.memory.record_late("head");
-                    return;
-                }
-                wait_ms = limit_ms - age_ms;
-            }
-            let wait = Duration::from_millis(wait_ms);
-            tokio::select! {
-                () = sleep(wait) => {}
-                () = self.head.withdrawn(), if !is_withdrawn => is_withdrawn = true,
-            }
+        let state = &self.state;
+        let limit = || Duration::from_millis(state.limits().header_timeout_ms + HEAD_GRACE_MS);
+        match self.head.until_refused(limit, || state.now_ms()).await {
+            HeadRefusal::NoMemory => state.memory.record_exhausted("head"),
+            HeadRefusal::TimedOut => state.memory.record_late("head"),
         }
     }
 
@@ -249,10 +189,11 @@
     /// Records that the system has all bytes of the connection's buffer.
     pub(crate) fn record_flushed(&self) {
         let mut open = self.open.borrow_mut();
-        if open.iter().any(OpenRequest::is_done) {
-            open.retain(|request| !request.is_done());
-            self.received_bytes.set(0);
-            self.set_head_bytes(0);
+        let before = open.len();
+        open.retain(|request| !request.is_done());
+        let done = before - open.len();
+        if done > 0 {
+            self.head.end_requests(done, self.state.now_ms());
         }
     }
 
@@ -284,7 +225,7 @@
             io.peek_late(&mut unread).await;
         }
         if !unread.is_empty() {
-            if self.received_bytes.get() == 0 {
+            if self.head.received_bytes() == 0 {
                 self.record_received(unread.len());
             }
             let id = request_id_in(&unread).unwrap_or_default();
@@ -309,13 +250,16 @@
 
     /// Why the bytes of a request whose head was not read are lost.
     fn unread_cause(&self, is_timeout: bool) -> Cause {
-        let age_ms = self.state.now_ms() - self.received_ms.get();
+        let age_ms = self.state.now_ms() - self.head.received_ms();
         if self.has_caller_left.get() {
             Cause::CallerLeft
         } else if self.is_broken.get() {
             Cause::ConnectionBroke
-        } else if let Some(refusal) = self.refusal.get() {
-            refusal
+        } else if let Some(refusal) = self.head.refusal() {
+            match refusal {
+                HeadRefusal::NoMemory => Cause::NoMemory,
+                HeadRefusal::TimedOut => Cause::HeaderTimeout,
+            }
         } else if is_timeout {
             let is_late = age_ms >= self.state.limits().header_timeout_ms;
             match is_late || !self.has_request() {
@@ -352,9 +296,9 @@
         if self.client == Client::Other {
             return;
         }
-        let received_ms = match self.received_bytes.get() {
+        let received_ms = match self.head.received_bytes() {
             0 => self.state.now_ms(),
-            _ => self.received_ms.get(),
+            _ => self.head.received_ms(),
         };
         self.state.record_unanswered(&Unanswered {
             id,
@@ -387,8 +331,8 @@
         };
         let has_open = !self.open.borrow().is_empty();
         self.log_open(cause);
-        if !has_open && self.received_bytes.get() > 0 {
-            self.log_unread("", cause, self.received_bytes.get());
+        if !has_open && self.head.received_bytes() > 0 {
+            self.log_unread("", cause, self.head.received_bytes());
         }
     }
 }
@@ -437,7 +381,7 @@
 
     /// Records that the rest of the request's body is discarded.
     pub(crate) fn begin_discard(&self) {
-        self.connection.is_discarding.set(true);
+        self.connection.head.begin_discard();
     }
 
     /// Records that a target may get a part of the request from now on.
