--- a/crates/standin/src/fleet/target.rs
+++ b/crates/standin/src/fleet/target.rs
@@ -9,13 +9,13 @@
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
-use hyper::header::{HeaderValue, CONTENT_TYPE};
+use hyper::header::{HeaderName, HeaderValue, CONTENT_TYPE};
 use hyper::{Request, Response, StatusCode};
 use lagoon_adapter::standin::{
-    decode_received_request, leaving_header, limit_header, not_executed_headers, response_headers,
-    ReceivedRequest,
+    decode_received_request, leaving_header, limit_header, load_header, not_executed_headers,
+    response_headers, ReceivedRequest,
 };
-use lagoon_gateway::{TargetEntry, TargetStatus};
+use lagoon_gateway::{TargetEntry, TargetLoad, TargetStatus};
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
@@ -24,6 +24,9 @@
 /// Prefixes of the paths whose requests get an event stream.
 const STREAM_PREFIXES: [&str; 2] = ["/stream/", "/chat/"];
 
+/// Requests that a target runs concurrently at most, by its entry.
+const SLOTS: u32 = 12;
+
 /// Fault injected into a target. Unless stated otherwise it affects one request and
 /// then ends.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -97,10 +100,33 @@
     is_leaving: bool,
     /// Requests per second that this run states in its responses to take.
     limit_per_s: Option<f64>,
+    /// How long work takes, in percent of the usual, which each response reports; `None`
+    /// reports no load.
+    work_percent: Option<u32>,
     /// Times of all requests that were addressed to this target, executed or not.
     arrivals: Vec<Instant>,
 }
 
+impl State {
+    /// Time of a plain response or between two events.
+    fn interval(&self) -> Duration {
+        let percent = self.work_percent.unwrap_or(100);
+        self.event_interval * percent / 100
+    }
+
+    fn load_header(&self) -> Option<(HeaderName, HeaderValue)> {
+        let running = self.executions.iter();
+        let running = running.filter(|execution| execution.state == ExecutionState::Running);
+        let load = TargetLoad {
+            running: running.count() as u32,
+            waiting: 0,
+            slots: SLOTS,
+            work_percent: Some(self.work_percent?),
+        };
+        load_header(&load)
+    }
+}
+
 /// Handle of a simulated target on loopback.
 #[derive(Clone)]
 pub struct Target {
@@ -154,7 +180,7 @@
             address: self.address,
             domain: "d1".into(),
             software_version: state.software_version.clone(),
-            slots: 12,
+            slots: SLOTS,
             status,
             started_unix_ms: Some(state.started_unix_ms),
         }
@@ -189,6 +215,12 @@
         lock(&self.state).limit_per_s = per_s;
     }
 
+    /// Reports in each response from now on how long work takes, in percent of the usual;
+    /// plain responses and stream events take so long, too.
+    pub fn set_work_percent(&self, percent: u32) {
+        lock(&self.state).work_percent = Some(percent);
+    }
+
     /// Times of the requests that were addressed to this target, executed or not.
     pub fn arrivals(&self) -> Vec<Instant> {
         lock(&self.state).arrivals.clone()
@@ -240,6 +272,7 @@
     }
     let limit = state.limit_per_s.and_then(limit_header);
     response.headers_mut().extend(limit);
+    response.headers_mut().extend(state.load_header());
     Ok(response)
 }
 
@@ -308,7 +341,7 @@
     let mut response = if is_stream {
         stream_response(guard, &received, fault)
     } else {
-        let interval = lock(&state).event_interval;
+        let interval = lock(&state).interval();
         sleep(interval).await;
         if fault == TargetFault::DropResponse {
             return Err(ConnectionAborted);
@@ -334,7 +367,7 @@
         move |(guard, event_id, software_version)| async move {
             let (event_count, interval) = {
                 let state = lock(&guard.state);
-                (state.event_count, state.event_interval)
+                (state.event_count, state.interval())
             };
             if event_id > event_count {
                 guard.finish(ExecutionState::Complete);
