--- a/crates/quotas/src/grantor.rs
+++ b/crates/quotas/src/grantor.rs
@@ -58,16 +58,16 @@
 /// Maximum time for which a request waits for a reserved token.
 const MAX_RESERVED_MS: f64 = 1_000.0;
 
-/// Bounds of what is reserved, as a time at the domain's rate and as a share of the slack.
-/// After a takeover, what the old grantor has reserved adds to what the new one grants; see
-/// the bound in docs/design/quotas.md.
+/// As [`MAX_RESERVED_MS`] until a bucket is [`SETTLED_MS`] old. It reserves no more than
+/// what a new bucket grants less than one that continues, so that repeated restarts add
+/// nothing.
+const MAX_NEW_BUCKET_RESERVED_MS: f64 = 400.0;
+
+/// Bound of what is reserved: tokens of this time at the domain's rate and of this share
+/// of the slack. After a takeover, what the old grantor has reserved adds to what the new
+/// one grants; see the bound in docs/design/quotas.md.
 const RESERVED_RATE_S: f64 = 0.25;
-const RESERVED_SLACK_SHARE: f64 = 0.4;
-
-/// Bound of what is reserved, as a time at the rate, until a bucket is [`SETTLED_MS`] old.
-/// It is what a new bucket grants less than one that continues, so that repeated restarts
-/// add nothing.
-const NEW_BUCKET_RESERVED_S: f64 = 0.4;
+const RESERVED_SLACK_SHARE: f64 = 0.35;
 
 /// Age from which a bucket reserves as much as the other bounds allow: two default windows.
 const SETTLED_MS: u64 = 10_000;
@@ -569,15 +569,16 @@
         }
         let bucket = self.bucket(account, terms, role, now_ms);
         let rate_per_s = bucket.rate_per_s;
-        let mut max = (rate_per_s * RESERVED_RATE_S + slack).min(rate_per_s);
-        if now_ms < bucket.begun_ms + SETTLED_MS {
-            max = max.min(rate_per_s * NEW_BUCKET_RESERVED_S);
-        }
+        let max_ms = match now_ms < bucket.begun_ms + SETTLED_MS {
+            true => MAX_NEW_BUCKET_RESERVED_MS,
+            false => MAX_RESERVED_MS,
+        };
+        let max = (rate_per_s * RESERVED_RATE_S + slack).floor();
         let first_ms = bucket.accrual_ms(1.0 - bucket.available()).ceil();
         let interval_ms = 1e3 / rate_per_s;
-        let by_time = ((MAX_RESERVED_MS - first_ms) / interval_ms + 1.0).max(0.0);
-        let by_debt = (max - bucket.reserved_ms.len() as f64).max(0.0).ceil();
-        let tokens = waiting.min(by_time as u32).min(by_debt as u32);
+        let by_time = ((max_ms - first_ms) / interval_ms + 1.0).max(0.0);
+        let by_count = (max - bucket.reserved_ms.len() as f64).max(0.0);
+        let tokens = waiting.min(by_time as u32).min(by_count as u32);
         let reserved = Reserved {
             tokens,
             first_ms: first_ms as u32,
