A test that an attempt reaches the target with the time left

There was a test of the carrier (carrier_subtracts_its_own_time_from_the_ deadline), and none of the VM that has the request of the caller. The new test sends the body 400 ms after the head, to a VM with and without paths of its own, and checks the deadline that the target gets.

--- a/crates/entry/tests/stranded.rs
+++ b/crates/entry/tests/stranded.rs
@@ -562,6 +562,52 @@
     }
 }
 
+/// Time between the head and the body of a request, in which its VM waits, and the
+/// deadline that the request states.
+const BODY_DELAY: Duration = Duration::from_millis(400);
+const DEADLINE_MS: u64 = 5_000;
+
+// Guards against a target that works on after the caller's deadline, as the attempt that
+// another VM carries states the time that the caller gave, and not what is left of it.
+#[parameterized(with_paths = { false }, without_paths = { true })]
+fn attempt_reaches_the_target_with_the_time_left(is_carried: bool) {
+    let fleet = start(2, 1);
+    if is_carried {
+        isolate(&fleet, 0);
+    }
+    let before = carried(&fleet, 0);
+    let id = unique_id();
+    let headers = service_call_headers(&id).join("\r\n");
+    assert!(
+        headers.contains(&format!("-ms: {DEADLINE_MS}")),
+        "{headers}"
+    );
+    let path = format!("/book/{id}");
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n\
+         Expect: 100-continue\r\nContent-Length: 1\r\n{headers}\r\n\r\n"
+    );
+    let mut stream = TcpStream::connect(fleet.vms[0].callers).expect("connection");
+    stream.write_all(head.as_bytes()).expect("head is sent");
+    // The VM has the head once it asks for the body.
+    let mut interim = [0; INTERIM_RESPONSE.len()];
+    stream.read_exact(&mut interim).expect("interim response");
+    assert_eq!(interim, INTERIM_RESPONSE);
+    thread::sleep(BODY_DELAY);
+    stream.write_all(b"p").expect("body is sent");
+    let response = read_response(stream);
+    assert_eq!(response.status, 200, "{response:?}");
+    if is_carried {
+        wait_until("the carried attempt", || carried(&fleet, 0) > before);
+    }
+    let mut executions = fleet.desks.iter().flat_map(|desk| desk.executions());
+    let execution = executions.find(|execution| execution.path == path);
+    let left_ms = execution.expect("ran").received.deadline_ms;
+    let left_ms = left_ms.expect("deadline");
+    let longest_ms = DEADLINE_MS - BODY_DELAY.as_millis() as u64;
+    assert!(left_ms > 1 && left_ms <= longest_ms, "{left_ms}");
+}
+
 /// Time between the head and the body of an attempt to carry, in which the carrier
 /// waits, and the time that the head leaves for the request.
 const CARRIER_WAIT: Duration = Duration::from_millis(400);
