A test of an allowance that its coordinator grants late

Shows the fault in the entry of allowance_of_a_vm_that_stopped_in_an_ outage_is_granted_once: a coordinator may ask others for up to 300 ms each before it grants, and is itself waited for 300 ms.

Reading of messages between VMs moved from upgrade.rs to the fleet of the tests.

--- a/crates/entry/tests/allowances.rs
+++ b/crates/entry/tests/allowances.rs
@@ -3,12 +3,13 @@
 
 mod fleet;
 
-use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use fleet::{call, get, wait_until, Fleet};
+use fleet::{call, get, read_message, wait_for_metric, wait_until, write_reply, Fleet};
 use lagoon_adapter::standin::model_call_headers;
 use lagoon_standin::fleet::StoreFault;
 use nix::sys::signal::Signal;
@@ -222,3 +223,77 @@
     assert_kept(&spent);
     assert!(granted_by_stopping > 0, "callers of it were refused");
 }
+
+/// Encoded numbers of the messages that a VM receives which coordinates allowances.
+const REQUEST_ALLOWANCE: u8 = 4;
+const PROBE: u8 = 6;
+const CLAIM_COORDINATOR: u8 = 7;
+
+/// VM without the store that grants each request for an allowance, after a time.
+struct SlowCoordinator {
+    address: SocketAddr,
+    /// Number of requests that it has received and grants.
+    granted: Arc<AtomicUsize>,
+}
+
+impl SlowCoordinator {
+    fn start(delay: Duration) -> SlowCoordinator {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("address");
+        let granted: Arc<AtomicUsize> = Arc::default();
+        let counter = Arc::clone(&granted);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let counter = Arc::clone(&counter);
+                thread::spawn(move || while answer(&stream, delay, &counter).is_some() {});
+            }
+        });
+        SlowCoordinator { address, granted }
+    }
+}
+
+/// Answers one message; `None` at the end of the connection.
+fn answer(stream: &TcpStream, delay: Duration, granted: &AtomicUsize) -> Option<()> {
+    let message = read_message(stream)?;
+    let body = match *message.first()? {
+        REQUEST_ALLOWANCE => {
+            granted.fetch_add(1, Ordering::SeqCst);
+            thread::sleep(delay);
+            char::from(MAX_CALL_TOKENS as u8).to_string()
+        }
+        PROBE | CLAIM_COORDINATOR => "\u{1}".to_owned(),
+        _ => "\0".to_owned(),
+    };
+    write_reply(stream, "200 OK", &body)
+}
+
+/// Time that a coordinator takes which has to ask other VMs before it grants; it waits for
+/// each of them for up to 300 ms.
+const ASKING_TIME: Duration = Duration::from_millis(400);
+
+// Guards against an allowance that is lost to its program until the store is available
+// again, as the reply of a coordinator that had to ask others came too late.
+#[test]
+fn allowance_is_used_although_its_coordinator_asks_others() {
+    let _turn = await_turn();
+    let fleet = Fleet::start(1);
+    spend_budgets(&fleet);
+    let coordinator = SlowCoordinator::start(ASKING_TIME);
+    let address = coordinator.address;
+    let entry = format!(r#"{{"address":"{address}","domain":"d1","writer":"old/1","protocol":1}}"#);
+    fleet.store.put("vms", "slow", Some(entry.into_bytes()));
+    let vm = &fleet.vms[0];
+    wait_for_metric(vm.peers, "\nlagoon_other_vms 1\n");
+    fleet.store.set_fault(StoreFault::Unavailable);
+    // The VM may have to find out first that the store is out of reach for both.
+    let mut programs = (0..PROGRAMS).cycle();
+    let mut response = None;
+    wait_until("a program that it coordinates", || {
+        let before = coordinator.granted.load(Ordering::SeqCst);
+        response = programs
+            .next()
+            .map(|program| next_call(vm.callers, program));
+        coordinator.granted.load(Ordering::SeqCst) > before
+    });
+    assert_eq!(response, Some((200, MAX_CALL_TOKENS)));
+}
--- a/crates/entry/tests/upgrade.rs
+++ b/crates/entry/tests/upgrade.rs
@@ -2,13 +2,12 @@
 
 mod fleet;
 
-use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::Duration;
 
-use fleet::{call, complete_stream, get, wait_until, Fleet};
+use fleet::{call, complete_stream, get, read_message, wait_until, write_reply, Fleet};
 use lagoon_adapter::standin::kept_turn_headers;
 
 /// Encoded number of `PeerMessage::Probe`.
@@ -68,23 +67,7 @@
 /// Answers one message as a build of protocol version 1; `None` at the end of the
 /// connection.
 fn answer(stream: &TcpStream, log: &Mutex<Vec<u8>>) -> Option<()> {
-    let mut reader = BufReader::new(stream);
-    let mut length = 0;
-    loop {
-        let mut line = String::new();
-        if reader.read_line(&mut line).ok()? == 0 {
-            return None;
-        }
-        let line = line.to_ascii_lowercase();
-        if let Some(value) = line.strip_prefix("content-length:") {
-            length = value.trim().parse().ok()?;
-        }
-        if line == "\r\n" {
-            break;
-        }
-    }
-    let mut body = vec![0; length];
-    reader.read_exact(&mut body).ok()?;
+    let body = read_message(stream)?;
     let number = *body.first()?;
     log.lock()
         .unwrap_or_else(PoisonError::into_inner)
@@ -94,10 +77,7 @@
         0..COPY_TURN => ("200 OK", "\u{1}"),
         _ => ("400 Bad Request", "Hit the end of buffer\n"),
     };
-    let length = body.len();
-    let response = format!("HTTP/1.1 {status}\r\ncontent-length: {length}\r\n\r\n{body}");
-    let mut stream = stream;
-    stream.write_all(response.as_bytes()).ok()
+    write_reply(stream, status, body)
 }
 
 /// Continues turns that don't exist, so that other VMs are asked for them. They are
