--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -5,6 +5,7 @@
 
 mod allowance;
 mod overdrawn;
+mod parts;
 mod reservation;
 mod reserve;
 
@@ -15,7 +16,7 @@
 
 use compact_str::{format_compact, CompactString};
 use lagoon_gateway::{
-    Allowances, BudgetRow, BudgetWrite, ChargeDecision, ChargeRequest, Connectivity,
+    Allowances, BudgetRow, BudgetWrite, ChargeDecision, ChargeRequest, Connectivity, PartsGate,
     ProgramBudgets, ProgramKey, Reserves, StoreCall, StoreError, StoreReply, WaiterId,
 };
 use lagoon_ids::FastMap;
@@ -57,12 +58,19 @@
     claimant: CompactString,
     /// Reserves of the programs whose home this VM is.
     reserves: RefCell<Reserves>,
+    /// Parts of budgets that belong to this VM's failure domain and whose home it is.
+    parts: RefCell<Reserves>,
+    /// What builds are listed beside this one.
+    parts_gate: Cell<PartsGate>,
     /// Whether the rows of programs with a reserve here are being checked.
     is_checking_reserves: Cell<bool>,
     /// Whether nothing existed before this VM started.
     is_first_start: bool,
     /// Time of the last registration of this VM; `None` before it.
     registered_ms: Cell<Option<u64>>,
+    /// Time at which the store was last read to find that the list of VMs is current;
+    /// `None` before.
+    list_checked_ms: Cell<Option<u64>>,
     /// Result of the last connectivity check; `Store` before the first.
     connectivity: Cell<Connectivity>,
     /// Time of the last connectivity check; `None` before the first. Locked
@@ -125,9 +133,12 @@
             allowances: RefCell::default(),
             claimant,
             reserves: RefCell::default(),
+            parts: RefCell::default(),
+            parts_gate: Cell::new(PartsGate::new(is_first_start)),
             is_checking_reserves: Cell::new(false),
             is_first_start,
             registered_ms: Cell::new(None),
+            list_checked_ms: Cell::new(None),
             connectivity: Cell::new(Connectivity::Store),
             checked_ms: Mutex::default(),
             overdrawn_rows: RefCell::default(),
@@ -143,6 +154,7 @@
         request: TokenRequest,
         deadline: Instant,
     ) -> Result<TokenReservation, ChargeDecision> {
+        self.update_parts_gate();
         if self.connectivity.get().allows_offline_grants() {
             return self.reserve_without_store(&request).await;
         }
@@ -346,6 +358,9 @@
             if self.store.is_unavailable() || self.connectivity.get() != Connectivity::Store {
                 self.refresh_connectivity().await;
             }
+            if self.home_state().must_check_domains() && !self.store.is_failing() {
+                self.check_list().await;
+            }
         }
     }
 
@@ -478,6 +493,7 @@
 
     /// Starts the writes that are due although no call waits for them.
     pub(crate) fn flush_due_writes(self: &Rc<Self>) {
+        self.update_parts_gate();
         if self.store.is_unavailable() {
             return;
         }
--- a/crates/entry/src/ledger/reservation.rs
+++ b/crates/entry/src/ledger/reservation.rs
@@ -19,6 +19,9 @@
     /// Granted from the program's reserve by the VM of this name, its home, which
     /// gets the unused ones back.
     Reserve { home: CompactString },
+    /// Granted from the parts of a failure domain by the VM of this name, their home,
+    /// which gets the unused ones back.
+    Part { home: CompactString },
     /// Granted from an allowance by the VM of this name, which gets a report of
     /// the used ones.
     Allowance { coordinator: CompactString },
@@ -109,6 +112,10 @@
                 let unused_tokens = self.granted_tokens - self.used_tokens;
                 budget_client.return_reserve(home.clone(), &self.program, unused_tokens);
             }
+            TokenSource::Part { home } => {
+                let unused_tokens = self.granted_tokens - self.used_tokens;
+                budget_client.return_part(home.clone(), &self.program, unused_tokens);
+            }
             TokenSource::Allowance { coordinator } => {
                 let settlement = AllowanceSettlement {
                     program: self.program.0.clone(),
--- a/crates/entry/src/ledger/reserve.rs
+++ b/crates/entry/src/ledger/reserve.rs
@@ -8,7 +8,7 @@
 use futures::FutureExt;
 use lagoon_gateway::{
     may_release_unconfirmed, ChargeDecision, HomeState, ProgramKey, ReserveRequest, RowCheck,
-    StoreCall, StoreError, StoreReply,
+    RowWrite, StoreCall, StoreError, StoreReply,
 };
 use tokio::task::spawn_local;
 use tokio::time::{sleep, Instant};
@@ -64,6 +64,9 @@
             Err(ChargeDecision::ReserveNeeded) => {}
             result => return result,
         }
+        if self.has_parts(&request.program) {
+            return self.charge_with_parts(request, deadline).await;
+        }
         let (program, held_tokens) = (&request.program, request.max_tokens);
         let granted_tokens = match self.request_release(request).await {
             Some(granted_tokens) => granted_tokens,
@@ -100,6 +103,9 @@
         request: &TokenRequest,
         accepts_fewer: bool,
     ) -> Option<TokenReservation> {
+        if self.uses_parts() {
+            return self.take_part(request, accepts_fewer).await;
+        }
         let program = &request.program;
         let home = self.home_of(program)?;
         let reserve_request = request.reserve_request(accepts_fewer);
@@ -117,20 +123,22 @@
     /// Grants a call tokens of a reserve, and returns their number; 0 if this VM
     /// isn't the program's home, or too few are left.
     pub(crate) fn grant_reserve(&self, request: &ReserveRequest) -> u64 {
-        if !self.is_home(request) {
+        let now_ms = self.clock.now_ms();
+        let may_grant = self.update_parts_gate().may_grant_reserve(now_ms);
+        if !may_grant || !self.is_home(request) {
             return 0;
         }
-        let now_ms = self.clock.now_ms();
         self.reserves.borrow_mut().grant(request, now_ms)
     }
 
     /// Releases a reserve for the program's row, and returns the tokens granted
     /// of it; `None` if this VM isn't the program's home.
     pub(crate) fn release_reserve(&self, request: &ReserveRequest) -> Option<u64> {
-        if !self.is_home(request) {
+        let now_ms = self.clock.now_ms();
+        let may_release = self.update_parts_gate().may_release_reserve(now_ms);
+        if !may_release || !self.is_home(request) {
             return None;
         }
-        let now_ms = self.clock.now_ms();
         self.reserves.borrow_mut().release(request, now_ms)
     }
 
@@ -148,6 +156,7 @@
     pub(super) fn start_reserve_checks(self: &Rc<Self>) {
         let now_ms = self.clock.now_ms();
         let mut due = self.reserves.borrow().programs_to_check(now_ms);
+        due.extend(self.parts.borrow().programs_to_check(now_ms));
         if due.is_empty() || self.is_checking_reserves.get() || self.store.is_failing() {
             return;
         }
@@ -182,7 +191,7 @@
         };
         let row = rows.first();
         let check = RowCheck { row, began_ms };
-        let deletion = self.reserves.borrow_mut().on_row_read(program, check);
+        let deletion = self.on_row_read(program, check);
         let Some(deletion) = deletion else {
             return Ok(());
         };
@@ -190,11 +199,19 @@
         if let StoreReply::Applied { .. } = self.store.call(&deleted).await? {
             let row = None;
             let check = RowCheck { row, began_ms };
-            self.reserves.borrow_mut().on_row_read(program, check);
+            self.on_row_read(program, check);
         }
         Ok(())
     }
 
+    /// Has the reserve and the parts of a program that are due judge its row. A row that
+    /// one of them finds unchanged for long is deleted.
+    fn on_row_read(&self, program: &ProgramKey, check: RowCheck<'_>) -> Option<RowWrite> {
+        let of_reserve = self.reserves.borrow_mut().on_row_read(program, check);
+        let of_parts = self.parts.borrow_mut().on_row_read(program, check);
+        of_reserve.or(of_parts)
+    }
+
     /// Returns unused tokens of a reserve to the program's home.
     pub(super) fn return_reserve(&self, home: CompactString, program: &ProgramKey, tokens: u64) {
         if tokens == 0 {
@@ -209,15 +226,23 @@
     }
 
     fn is_home(&self, request: &ReserveRequest) -> bool {
-        let state = HomeState {
-            uptime_ms: self.clock.now_ms(),
-            is_first_start: self.is_first_start,
-            registered_ms: self.registered_ms.get(),
-            list_age_ms: self.peer_client.listing_age_ms(),
-        };
         let program = ProgramKey(request.program.clone());
         let home = self.home_of(&program);
-        state.is_home(request.retention_ms) && home.is_some_and(|home| self.is_own_name(&home))
+        let is_own = home.is_some_and(|home| self.is_own_name(&home));
+        self.home_state().is_home(request.retention_ms) && is_own
+    }
+
+    pub(super) fn home_state(&self) -> HomeState {
+        let uptime_ms = self.clock.now_ms();
+        let checked_ms = self.list_checked_ms.get();
+        let check_age_ms = checked_ms.map(|checked_ms| uptime_ms.saturating_sub(checked_ms));
+        let ages = [self.peer_client.listing_age_ms(), check_age_ms];
+        HomeState {
+            uptime_ms,
+            is_first_start: self.is_first_start,
+            registered_ms: self.registered_ms.get(),
+            list_age_ms: ages.into_iter().flatten().min(),
+        }
     }
 
     fn home_of(&self, program: &ProgramKey) -> Option<CompactString> {
@@ -226,13 +251,13 @@
         peers.home_of(program, now_ms)
     }
 
-    fn is_own_name(&self, name: &str) -> bool {
+    pub(super) fn is_own_name(&self, name: &str) -> bool {
         *self.peer_client.peers.borrow().own_name() == name
     }
 }
 
 impl TokenRequest {
-    fn reserve_request(&self, accepts_fewer: bool) -> ReserveRequest {
+    pub(super) fn reserve_request(&self, accepts_fewer: bool) -> ReserveRequest {
         ReserveRequest {
             program: self.program.0.clone(),
             budget_tokens: self.budget_tokens,
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -137,6 +137,20 @@
     /// Keep a copy of an encoded turn that the store has, as a cache for the receiver's
     /// failure domain. Response: `true`.
     CacheTurn(Vec<u8>),
+    /// Grant tokens of the parts of a program's budget that belong to the receiver's
+    /// failure domain. Response: their number; 0 if refused.
+    TakePart(ReserveRequest),
+    /// Take back tokens of parts that were not used. Response: `true`.
+    ReturnPart {
+        /// Name of the program.
+        program: CompactString,
+        /// Number of tokens.
+        tokens: u64,
+    },
+    /// Release the parts that belong to the receiver's failure domain for the program's
+    /// row. Response: the tokens granted of them, or `None` if the receiver isn't their
+    /// home.
+    ReleasePart(ReserveRequest),
 }
 
 impl PeerMessage {
@@ -167,6 +181,9 @@
             PeerMessage::ReadFreshness { .. } => 9,
             PeerMessage::RequestQuota(_) | PeerMessage::TransferQuota(_) => 10,
             PeerMessage::CacheTurn(_) => 11,
+            PeerMessage::TakePart(_)
+            | PeerMessage::ReturnPart { .. }
+            | PeerMessage::ReleasePart(_) => 13,
         }
     }
 }
--- a/crates/entry/src/message_handler.rs
+++ b/crates/entry/src/message_handler.rs
@@ -86,6 +86,16 @@
         PeerMessage::ReleaseReserve(request) => {
             postcard::to_allocvec(&budget_client.release_reserve(&request))
         }
+        PeerMessage::TakePart(request) => {
+            postcard::to_allocvec(&budget_client.grant_part(&request))
+        }
+        PeerMessage::ReturnPart { program, tokens } => {
+            budget_client.accept_returned_part(&ProgramKey(program), tokens);
+            postcard::to_allocvec(&true)
+        }
+        PeerMessage::ReleasePart(request) => {
+            postcard::to_allocvec(&budget_client.release_part(&request))
+        }
         PeerMessage::RequestPermit(request) => {
             postcard::to_allocvec(&state.handle_permit_request(&request))
         }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -463,6 +463,34 @@
         released.flatten()
     }
 
+    /// Requests tokens of a failure domain's parts from their home; returns the number
+    /// granted, `None` without a response.
+    pub(crate) async fn take_part(&self, home: &str, request: &ReserveRequest) -> Option<u64> {
+        let message = PeerMessage::TakePart(request.clone());
+        self.request_by_name(home, &message, LOCAL_TIMEOUT).await
+    }
+
+    /// Returns unused tokens of parts; if their home can't be reached, they stay spent.
+    pub(crate) async fn return_part(&self, home: &str, program: &ProgramKey, tokens: u64) {
+        let message = PeerMessage::ReturnPart {
+            program: program.0.clone(),
+            tokens,
+        };
+        let returned = self.request_by_name::<bool>(home, &message, LOCAL_TIMEOUT);
+        if returned.await.is_none() {
+            log::info!(peer = home, tokens; "cannot return unused tokens of a part; they stay spent");
+        }
+    }
+
+    /// Has the home of a failure domain's parts release them; returns the tokens granted
+    /// of them.
+    pub(crate) async fn release_part(&self, home: &str, request: &ReserveRequest) -> Option<u64> {
+        let message = PeerMessage::ReleasePart(request.clone());
+        let released: Option<Option<u64>> =
+            self.request_by_name(home, &message, LOCAL_TIMEOUT).await;
+        released.flatten()
+    }
+
     /// Has another VM hold a copy of a turn; `None` without a reply.
     pub(crate) async fn copy_turn(
         &self,
--- a/crates/entry/tests/compatibility.rs
+++ b/crates/entry/tests/compatibility.rs
@@ -177,6 +177,11 @@
     });
     assert!(newest.protocol() <= PROTOCOL_VERSION);
     let newest = PeerMessage::CacheTurn(Vec::new());
+    assert!(newest.protocol() <= PROTOCOL_VERSION);
+    let newest = PeerMessage::ReturnPart {
+        program: "p".into(),
+        tokens: 1,
+    };
     assert_eq!(newest.protocol(), PROTOCOL_VERSION);
 }
 
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -20,7 +20,7 @@
 use crate::store_versions::StoreVersions;
 
 use program_budget::{PendingWrite, ProgramBudget};
-pub use row::{BudgetRow, ProgramKey, WriterMark};
+pub use row::{BudgetRow, PartRelease, ProgramKey, RowParts, WriterMark};
 
 /// Name of the writer, and how many tokens [`ProgramBudgets`] holds and for how long.
 #[derive(Clone, Debug, PartialEq)]
@@ -132,6 +132,8 @@
     next_sequence: u64,
     programs: FastMap<ProgramKey, ProgramBudget>,
     versions: StoreVersions,
+    /// Whether the first row of a program charges the parts of the failure domains.
+    charges_parts: bool,
 }
 
 impl ProgramBudgets {
@@ -142,6 +144,32 @@
             next_sequence: 1,
             programs: FastMap::default(),
             versions: StoreVersions::default(),
+            charges_parts: false,
+        }
+    }
+
+    /// Sets whether the first row of a program charges the parts of the failure domains.
+    /// Otherwise its reserve has one home.
+    pub fn set_charges_parts(&mut self, charges_parts: bool) {
+        self.charges_parts = charges_parts && self.settings.keeps_reserve;
+    }
+
+    /// Failure domains whose parts are released by the program's row as last seen, and
+    /// those recorded since; `None` if the program has no parts.
+    pub fn released_domains(&self, program: &ProgramKey) -> Option<Vec<CompactString>> {
+        let parts = self.programs.get(program)?.balance().parts?;
+        let released = parts.released.into_iter();
+        Some(released.map(|(domain, _)| domain).collect())
+    }
+
+    /// Records that the home of a failure domain has released its parts. The next write
+    /// of the row charges what was granted of them instead.
+    pub fn record_part_release(&mut self, program: &ProgramKey, release: PartRelease) {
+        if let Some(budget) = self.programs.get_mut(program) {
+            let mut recorded = budget.released_parts.iter();
+            if recorded.all(|other| other.domain != release.domain) {
+                budget.released_parts.push(release);
+            }
         }
     }
 
@@ -176,6 +204,9 @@
         budget.budget_tokens = request.budget_tokens;
         budget.reserve_tokens = self.settings.reserve_tokens(request.budget_tokens);
         budget.max_call_tokens = budget.max_call_tokens.max(request.tokens);
+        if self.charges_parts {
+            budget.charge_parts();
+        }
         if budget.is_fresh(now_ms)
             && budget.held_tokens >= request.tokens
             && budget.waiting.is_empty()
@@ -237,6 +268,9 @@
         if budget.pending.is_some() || !is_due {
             return None;
         }
+        if self.charges_parts {
+            budget.charge_parts();
+        }
         let held_before_tokens = std::mem::take(&mut budget.held_tokens);
         let mut remaining_tokens = budget.remaining_tokens() + held_before_tokens;
         let mut granted = Vec::new();
@@ -285,6 +319,9 @@
         let sequence = self.next_sequence;
         self.next_sequence += 1;
         let budget = self.programs.get_mut(program)?;
+        if self.charges_parts {
+            budget.charge_parts();
+        }
         budget.is_refresh_due = false;
         let mut pending = PendingWrite {
             sequence,
@@ -296,7 +333,8 @@
             row: budget.row.clone(),
         };
         let added_tokens = pending.owned_tokens() + pending.deferred_tokens;
-        let charged_tokens = budget.row.charged_tokens + added_tokens;
+        budget.update_parts(&mut pending.row);
+        let charged_tokens = pending.row.charged_tokens + added_tokens;
         pending.row.charged_tokens = charged_tokens.saturating_sub(held_before_tokens);
         if let (false, Some(granted_tokens)) = (pending.row.is_whole, budget.released_tokens) {
             pending.row.charged_tokens += granted_tokens;
--- a/crates/gateway/src/budget/program_budget.rs
+++ b/crates/gateway/src/budget/program_budget.rs
@@ -1,6 +1,6 @@
 //! Budget of one program as one VM sees it.
 
-use crate::budget::row::{BudgetRow, MAX_WRITERS};
+use crate::budget::row::{BudgetRow, PartRelease, MAX_WRITERS};
 use crate::budget::{BudgetSettings, ChargeDecision, ChargeRequest, Grant, WaiterId};
 use crate::store::Row;
 use crate::store_versions::StoreVersions;
@@ -25,6 +25,10 @@
 /// writes it, as a divisor of the retention.
 const REFRESH_DIVISOR: u64 = 2;
 
+/// Part of a budget, as a divisor, that the first write of a row with parts leaves to
+/// other VMs.
+const KEPT_DIVISOR: u64 = 8;
+
 /// Write in flight, or one whose outcome is unknown.
 #[derive(Clone, Debug)]
 pub(super) struct PendingWrite {
@@ -89,6 +93,8 @@
     /// Tokens granted of a reserve that its home has released, until the row has
     /// them.
     pub(super) released_tokens: Option<u64>,
+    /// Releases of parts by their homes, until the row has them.
+    pub(super) released_parts: Vec<PartRelease>,
     pub(super) max_call_tokens: u64,
     pub(super) waiting: Vec<ChargeRequest>,
     /// Write of the row in flight, if any; there is at most one.
@@ -122,12 +128,43 @@
             (false, Some(granted_tokens)) => granted_tokens,
             (false, None) => self.reserve_tokens,
         };
-        let charged_tokens = self.row.charged_tokens + unavailable_tokens;
+        let charged_tokens = self.balance().charged_tokens + unavailable_tokens;
         self.budget_tokens.saturating_sub(charged_tokens)
     }
 
-    /// Tokens that the home may still hold in reserve.
+    /// Charged tokens and parts of the row as last seen, with the releases that it
+    /// doesn't have yet.
+    pub(super) fn balance(&self) -> BudgetRow {
+        let mut row = BudgetRow {
+            charged_tokens: self.row.charged_tokens,
+            is_whole: self.row.is_whole,
+            parts: self.row.parts.clone(),
+            ..BudgetRow::default()
+        };
+        self.update_parts(&mut row);
+        row
+    }
+
+    /// Adds to a row the releases of parts that it doesn't have yet.
+    pub(super) fn update_parts(&self, row: &mut BudgetRow) {
+        row.enlarge_parts(self.budget_tokens);
+        let releases = self.released_parts.iter();
+        releases.for_each(|release| row.release_part(release));
+    }
+
+    /// Divides the budget of a program without a row, so that its first row charges the
+    /// parts of the failure domains.
+    pub(super) fn charge_parts(&mut self) {
+        if self.version == 0 && self.row == BudgetRow::default() {
+            self.row = BudgetRow::with_parts(self.budget_tokens);
+        }
+    }
+
+    /// Tokens that homes may still hold in reserve.
     fn unreleased_tokens(&self) -> u64 {
+        if let Some(parts) = self.balance().parts {
+            return parts.unreleased() * parts.part_tokens;
+        }
         let is_released = self.row.is_whole || self.released_tokens.is_some();
         if is_released {
             0
@@ -148,6 +185,9 @@
         if row.is_whole {
             self.released_tokens = None;
         }
+        let parts = row.parts.as_ref();
+        self.released_parts
+            .retain(|release| parts.is_some_and(|parts| !parts.is_released_by(&release.domain)));
         self.retention_ms = self.retention_ms.max(row.retention_ms);
         self.row = row;
     }
@@ -221,12 +261,17 @@
     }
 
     /// Tokens to charge ahead for further calls. The first VM of a program, which
-    /// usually sees most of its calls, takes up to half of the budget; later
-    /// writes take up to a quarter of the remaining tokens.
+    /// usually sees most of its calls, takes up to half of the budget, or three eighths if
+    /// the other half is in parts; later writes take up to a quarter of the remaining tokens.
     pub(super) fn prefetch_tokens(&self, settings: &BudgetSettings, remaining_tokens: u64) -> u64 {
         let share = if self.version == 0 {
-            let available_tokens = self.budget_tokens - self.unreleased_tokens();
-            let kept_tokens = available_tokens.saturating_sub(self.budget_tokens / 2);
+            let kept_tokens = match self.row.parts {
+                Some(_) => self.budget_tokens / KEPT_DIVISOR,
+                None => {
+                    let available_tokens = self.budget_tokens - self.unreleased_tokens();
+                    available_tokens.saturating_sub(self.budget_tokens / 2)
+                }
+            };
             remaining_tokens.saturating_sub(kept_tokens)
         } else {
             remaining_tokens / 4
--- a/crates/gateway/src/budget/row.rs
+++ b/crates/gateway/src/budget/row.rs
@@ -6,6 +6,7 @@
 use serde::de::Error;
 use serde::{Deserialize, Deserializer, Serialize};
 
+use crate::reserve::{part_tokens, BUDGET_PARTS};
 use crate::store::RowKey;
 
 const TABLE: &str = "budgets";
@@ -76,6 +77,44 @@
     /// none stated it.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub retention_ms: u64,
+    /// Parts of the budget that belong to failure domains; `None` if the reserve has one
+    /// home instead.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub parts: Option<RowParts>,
+}
+
+/// Parts of a budget that belong to failure domains. `charged_tokens` includes those that
+/// aren't released. So a build that drops this field treats them as spent.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RowParts {
+    /// Tokens of one part.
+    #[serde(deserialize_with = "row_tokens")]
+    pub part_tokens: u64,
+    /// Failure domains that have released their parts, each with their number.
+    pub released: Vec<(CompactString, u64)>,
+}
+
+impl RowParts {
+    /// Number of parts that are not released.
+    pub(super) fn unreleased(&self) -> u64 {
+        let released = self.released.iter().map(|(_, parts)| *parts);
+        BUDGET_PARTS.saturating_sub(released.fold(0, u64::saturating_add))
+    }
+
+    pub(super) fn is_released_by(&self, domain: &str) -> bool {
+        self.released.iter().any(|(other, _)| other == domain)
+    }
+}
+
+/// Release of the parts of a failure domain by their home, which grants no more of them.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PartRelease {
+    /// Failure domain.
+    pub domain: CompactString,
+    /// Number of its parts.
+    pub parts: u64,
+    /// Tokens that the home granted of them, which stay charged.
+    pub granted_tokens: u64,
 }
 
 fn is_zero(number: &u64) -> bool {
@@ -105,6 +144,44 @@
         serde_json::from_slice(value)
     }
 
+    /// First row of a program whose parts belong to failure domains.
+    pub(super) fn with_parts(budget_tokens: u64) -> BudgetRow {
+        let part_tokens = part_tokens(budget_tokens);
+        BudgetRow {
+            charged_tokens: BUDGET_PARTS * part_tokens,
+            is_whole: true,
+            parts: Some(RowParts {
+                part_tokens,
+                released: Vec::new(),
+            }),
+            ..BudgetRow::default()
+        }
+    }
+
+    /// Charges the parts by the size that they have in a larger budget.
+    pub(super) fn enlarge_parts(&mut self, budget_tokens: u64) {
+        let Some(parts) = &mut self.parts else {
+            return;
+        };
+        let added_tokens = part_tokens(budget_tokens).saturating_sub(parts.part_tokens);
+        self.charged_tokens += added_tokens * parts.unreleased();
+        parts.part_tokens += added_tokens;
+    }
+
+    /// Replaces the charge of a failure domain's parts by what its home granted of them.
+    pub(super) fn release_part(&mut self, release: &PartRelease) {
+        let Some(parts) = &mut self.parts else {
+            return;
+        };
+        let count = release.parts.min(parts.unreleased());
+        if parts.is_released_by(&release.domain) || count == 0 {
+            return;
+        }
+        let charged_tokens = self.charged_tokens + release.granted_tokens;
+        self.charged_tokens = charged_tokens.saturating_sub(count * parts.part_tokens);
+        parts.released.push((release.domain.clone(), count));
+    }
+
     /// Sequence number of a writer's last write; 0 if the row doesn't list the
     /// writer.
     pub(super) fn last_sequence_of(&self, writer: &str) -> u64 {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,7 +35,7 @@
 };
 pub use budget::{
     BudgetRow, BudgetSettings, BudgetWrite, ChargeDecision, ChargeRequest, DeferredCharge, Grant,
-    ProgramBudgets, ProgramKey, WaiterId, WriterMark,
+    PartRelease, ProgramBudgets, ProgramKey, RowParts, WaiterId, WriterMark,
 };
 pub use config::{Config, Engine, Limits, Route, RouteKind, Service, TrafficSplit};
 pub use connectivity::{classify_connectivity, Connectivity, CutDoubt, PeerProbe};
@@ -46,12 +46,14 @@
     TargetUpdate,
 };
 pub use lagoon_capacity::{SampleKind, TargetSpeed};
-pub use peers::{PeerEntry, PeerOutcome, Peers, PROTOCOL_VERSION};
+pub use peers::{PartHome, PeerEntry, PeerOutcome, Peers, PROTOCOL_VERSION};
 pub use placement::{place, Placement, PlacementRequest, PlacementSettings};
 pub use reply_timeout::ReplyTimeout;
 pub use request_metadata::{ModelCall, RequestMetadata};
 pub use reserve::{
-    may_release_unconfirmed, reserve_tokens, HomeState, ReserveRequest, Reserves, RowCheck,
+    may_release_parts_unconfirmed, may_release_unconfirmed, part_domains, part_tokens,
+    reserve_tokens, HomeState, PartsGate, ReserveRequest, Reserves, RowCheck, BUDGET_PARTS,
+    PARTS_PROTOCOL,
 };
 pub use retry::{decide_retry, AttemptFailure, Attempts, RetryDecision};
 pub use sentinel::{Sentinel, SentinelSettings, SentinelTable, TableVersions};
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,6 +1,7 @@
 //! Other VMs of the gateway, and the choice of those that a VM asks, probes or
 //! sends gossip to.
 
+use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 
 use compact_str::CompactString;
@@ -10,11 +11,11 @@
 use crate::allowance::record_holders;
 use crate::budget::ProgramKey;
 use crate::connectivity::Connectivity;
-use crate::reserve::UNLISTED_HOME_MS;
+use crate::reserve::{part_domains, PARTS_PROTOCOL, UNLISTED_HOME_MS};
 
 /// Version of the messages that this build sends to other VMs and understands. It
 /// grows with each build that adds a message; docs/design/compatibility.md lists them.
-pub const PROTOCOL_VERSION: u32 = 11;
+pub const PROTOCOL_VERSION: u32 = 13;
 
 /// Entry that a VM registers in the store, as JSON. Later versions may add fields, each
 /// with a default.
@@ -83,6 +84,19 @@
     until_ms: u64,
 }
 
+/// Parts of a program's budget that belong to a failure domain.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PartHome {
+    /// Failure domain.
+    pub domain: CompactString,
+    /// Number of its parts.
+    pub parts: u64,
+    /// VM that grants them; `None` if no VM does.
+    pub home: Option<CompactString>,
+    /// Whether the last request to that VM didn't fail.
+    pub responds: bool,
+}
+
 /// Other VMs by name.
 #[derive(Debug, Default)]
 pub struct Peers {
@@ -93,6 +107,12 @@
     peers: FastMap<CompactString, Peer>,
     /// VMs that are no longer listed, with the time of their removal.
     unlisted: FastMap<CompactString, u64>,
+    /// VMs that are no longer listed in a failure domain, as domain and name, with the
+    /// time since which they are not; `None` until [`Peers::part_homes`] notes it.
+    former: FastMap<(CompactString, CompactString), Option<u64>>,
+    /// Whether a build that knows no parts of budgets was listed since
+    /// [`Peers::take_lists_older`].
+    has_listed_older: bool,
     /// Whether this VM is stopping and no candidate for any role.
     is_stopping: bool,
 }
@@ -111,6 +131,8 @@
             is_own_listed: false,
             peers: FastMap::default(),
             unlisted: FastMap::default(),
+            former: FastMap::default(),
+            has_listed_older: false,
             is_stopping: false,
         }
     }
@@ -149,6 +171,13 @@
             return false;
         }
         self.unlisted.remove(&name);
+        self.has_listed_older |= entry.protocol < PARTS_PROTOCOL;
+        let known = self.peers.get(&name);
+        if let Some(known) = known.filter(|known| known.entry.domain != entry.domain) {
+            let place = (known.entry.domain.clone(), name.clone());
+            self.former.insert(place, None);
+        }
+        self.former.remove(&(entry.domain.clone(), name.clone()));
         let known = self.peers.get(&name).filter(|peer| peer.entry == entry);
         let is_new = known.is_none();
         if is_new {
@@ -180,7 +209,9 @@
     /// Removes a VM whose entry was deleted from the store or is invalid.
     pub fn remove(&mut self, name: &str, now_ms: u64) {
         self.is_own_listed &= name != self.own_name;
-        if let Some((name, _)) = self.peers.remove_entry(name) {
+        if let Some((name, peer)) = self.peers.remove_entry(name) {
+            let place = (peer.entry.domain, name.clone());
+            self.former.insert(place, Some(now_ms));
             self.unlisted.insert(name, now_ms);
         }
     }
@@ -207,6 +238,52 @@
         (!self.unlisted.contains_key(home)).then(|| home.clone())
     }
 
+    /// Failure domains that a program's budget has parts for, with their number and the
+    /// VM that grants them; `None` where that VM was unlisted lately. The own domain comes
+    /// first, then those of the VMs that responded last.
+    pub fn part_homes(&mut self, program: &ProgramKey, now_ms: u64) -> Vec<PartHome> {
+        self.former
+            .retain(|_, removed_ms| now_ms < *removed_ms.get_or_insert(now_ms) + UNLISTED_HOME_MS);
+        let listed = self.peers.iter();
+        let listed = listed.map(|(name, peer)| (&peer.entry.domain, name));
+        let former = self.former.keys().map(|(domain, name)| (domain, name));
+        let own = (&self.own_domain, &self.own_name);
+        let mut domains: BTreeMap<&CompactString, Vec<&CompactString>> = BTreeMap::new();
+        for (domain, name) in listed.chain(former).chain([own]) {
+            domains.entry(domain).or_default().push(name);
+        }
+        let names = domains.keys().map(|domain| (*domain).clone()).collect();
+        let parts = part_domains(program, &names).into_iter();
+        let mut homes: Vec<PartHome> = parts
+            .map(|(domain, parts)| {
+                let names = domains.get(&domain);
+                let home =
+                    names.and_then(|names| rendezvous_hash(&program.0, names.iter().copied()));
+                let place = |name: &CompactString| (domain.clone(), name.clone());
+                let home = home.filter(|name| !self.former.contains_key(&place(name)));
+                let home = home.cloned();
+                let peer = home.as_ref().and_then(|name| self.peers.get(name));
+                let responds = peer.is_none_or(|peer| peer.consecutive_failures == 0);
+                PartHome {
+                    domain,
+                    parts,
+                    home,
+                    responds,
+                }
+            })
+            .collect();
+        homes.sort_by_key(|home| (home.domain != self.own_domain, !home.responds));
+        homes
+    }
+
+    /// Whether a build that knows no parts of budgets is listed, or was since the last
+    /// call.
+    pub fn take_lists_older(&mut self) -> bool {
+        let mut peers = self.peers.values();
+        let lists_older = peers.any(|peer| peer.entry.protocol < PARTS_PROTOCOL);
+        std::mem::take(&mut self.has_listed_older) || lists_older
+    }
+
     /// VMs to ask for the execution of a store call, at most `count`. Those of
     /// other failure domains come first, as a failure that cuts this VM off may
     /// affect its whole domain; `random` spreads the load.
--- a/crates/gateway/src/reserve.rs
+++ b/crates/gateway/src/reserve.rs
@@ -11,16 +11,24 @@
 //! only once no program can remember an earlier run of it, or an earlier home
 //! instead of it.
 
+use std::collections::BTreeSet;
+
 use compact_str::CompactString;
-use lagoon_ids::FastMap;
+use lagoon_ids::{rendezvous_hash, FastMap};
 use serde::{Deserialize, Serialize};
 
 use crate::budget::{BudgetRow, ProgramKey};
 use crate::store::{Row, RowWrite};
 
-/// Part of a budget that is its reserve, as a divisor.
+/// Part of a budget that is its reserve, as a divisor, where it has one home.
 const RESERVE_DIVISOR: u64 = 4;
 
+/// Number of parts that belong to failure domains. Together they are half of the budget.
+pub const BUDGET_PARTS: u64 = 4;
+
+/// Lowest [`PROTOCOL_VERSION`](crate::PROTOCOL_VERSION) of builds that know parts.
+pub const PARTS_PROTOCOL: u32 = 13;
+
 /// Maximum grant as a multiple of the call's expected tokens.
 const MAX_GRANT_FACTOR: u64 = 3;
 
@@ -64,6 +72,34 @@
     budget_tokens / RESERVE_DIVISOR
 }
 
+/// Tokens of each of the parts of a budget that belong to failure domains.
+pub fn part_tokens(budget_tokens: u64) -> u64 {
+    budget_tokens / (2 * BUDGET_PARTS)
+}
+
+/// Failure domains to which the parts of a program's budget belong, with the number of
+/// their parts. The first ones in the program's ranking have one each. Where there are
+/// fewer domains than parts, the first one has the rest.
+pub fn part_domains(
+    program: &ProgramKey,
+    domains: &BTreeSet<CompactString>,
+) -> Vec<(CompactString, u64)> {
+    let mut left = domains.clone();
+    let mut ranked = Vec::new();
+    while ranked.len() < BUDGET_PARTS as usize {
+        let Some(first) = rendezvous_hash(&program.0, &left).cloned() else {
+            break;
+        };
+        left.remove(&first);
+        ranked.push((first, 1));
+    }
+    let rest = BUDGET_PARTS - ranked.len() as u64;
+    if let Some((_, parts)) = ranked.first_mut() {
+        *parts += rest;
+    }
+    ranked
+}
+
 /// Whether a call's program gets its whole budget where its home can't say what it
 /// granted. That may overspend the budget by the reserve. It is for calls that don't
 /// fit into the budget without the reserve, and [`max_allowance_tokens`] leaves room.
@@ -71,11 +107,19 @@
     max_tokens > budget_tokens - reserve_tokens(budget_tokens)
 }
 
-/// Maximum allowance that a program gets by a call of this size: the call, or the
-/// reserve less if the reserve may be released unconfirmed for this or a larger call.
-/// Reserve and allowance together then stay within the program's largest call.
+/// Whether a call's program gets all parts where their homes can't say what they granted.
+/// That may overspend the budget by half of it, so it is for calls that need the whole
+/// budget only: [`max_allowance_tokens`] leaves room for it.
+pub fn may_release_parts_unconfirmed(budget_tokens: u64, max_tokens: u64) -> bool {
+    max_tokens >= budget_tokens
+}
+
+/// Maximum allowance that a program gets by a call of this size: the call, or less by
+/// all parts if they may be released unconfirmed for this or a larger call. Parts and allowance together then stay within the program's largest call.
 pub(crate) fn max_allowance_tokens(budget_tokens: u64, max_tokens: u64) -> u64 {
-    let rest_tokens = max_tokens.saturating_sub(reserve_tokens(budget_tokens));
+    let parts_tokens = BUDGET_PARTS * part_tokens(budget_tokens);
+    let unconfirmed_tokens = parts_tokens.max(reserve_tokens(budget_tokens));
+    let rest_tokens = max_tokens.saturating_sub(unconfirmed_tokens);
     max_tokens.min(rest_tokens.max(budget_tokens / 2))
 }
 
@@ -108,6 +152,101 @@
     }
 }
 
+/// Time since an older build was listed until a home grants parts, and since it appeared
+/// until the only home of a reserve grants it: the longest time that a program lasts,
+/// and the maximum age of a list that shows otherwise.
+const MODE_CHANGE_MS: u64 = MIN_HOME_UPTIME_MS + MAX_LIST_AGE_MS;
+
+/// What this VM may do with reserves beside builds that don't know parts. They charge three
+/// quarters of a budget in the row, and have one home grant the last one.
+#[derive(Clone, Copy, Debug)]
+pub struct PartsGate {
+    is_first_start: bool,
+    /// Times of the first and the last look at the present series of lists with an older
+    /// build; `None` if there was none.
+    older: Option<(u64, u64)>,
+    lists_older: bool,
+}
+
+impl PartsGate {
+    /// Gate of a VM that starts now.
+    pub fn new(is_first_start: bool) -> PartsGate {
+        PartsGate {
+            is_first_start,
+            older: None,
+            lists_older: false,
+        }
+    }
+
+    /// Records whether the list of VMs has an older build.
+    pub fn record(&mut self, lists_older: bool, now_ms: u64) {
+        if lists_older {
+            let is_new = !self.lists_older;
+            let known = self.older.filter(|_| !is_new);
+            let since_ms = known.map_or(now_ms, |(since_ms, _)| since_ms);
+            self.older = Some((since_ms, now_ms));
+        }
+        self.lists_older = lists_older;
+    }
+
+    /// Whether the first row of a program charges the parts of the failure domains. Also
+    /// in doubt, as all builds keep the budget by such a row.
+    pub fn charges_parts(&self, list_age_ms: Option<u64>) -> bool {
+        let is_current = list_age_ms.is_some_and(|age_ms| age_ms <= MAX_LIST_AGE_MS);
+        !(self.lists_older && is_current)
+    }
+
+    /// Whether a home may grant parts: no program can have a row without them.
+    pub fn may_grant_parts(&self, now_ms: u64) -> bool {
+        match self.older {
+            None => self.is_first_start || now_ms >= MODE_CHANGE_MS,
+            Some((_, last_ms)) => !self.lists_older && now_ms >= last_ms + MODE_CHANGE_MS,
+        }
+    }
+
+    /// Whether the only home of a reserve may release it: it may grant it, or might until
+    /// the last older build was no longer listed.
+    pub fn may_release_reserve(&self, now_ms: u64) -> bool {
+        let (Some((_, last_ms)), false) = (self.older, self.lists_older) else {
+            return self.may_grant_reserve(now_ms);
+        };
+        let before = PartsGate {
+            lists_older: true,
+            ..*self
+        };
+        before.may_grant_reserve(last_ms)
+    }
+
+    /// Whether the only home of a reserve may grant it: no program can have got parts.
+    pub fn may_grant_reserve(&self, now_ms: u64) -> bool {
+        let since = self.older.filter(|_| self.lists_older);
+        since.is_some_and(|(since_ms, _)| {
+            let is_first = self.is_first_start && since_ms <= MAX_FIRST_REGISTRATION_MS;
+            is_first || now_ms >= since_ms + MODE_CHANGE_MS
+        })
+    }
+}
+
+impl HomeState {
+    /// Whether this VM's list has all failure domains whose homes may grant parts: it is at
+    /// most as old as a home's, and after a first start it was current once the first VMs
+    /// had registered.
+    pub fn knows_domains(&self) -> bool {
+        self.list_age_ms.is_some_and(|age_ms| {
+            let current_ms = self.uptime_ms.saturating_sub(age_ms);
+            let is_complete = !self.is_first_start || current_ms > MAX_FIRST_REGISTRATION_MS;
+            age_ms <= MAX_LIST_AGE_MS && is_complete
+        })
+    }
+
+    /// Whether the list must be read again to know the failure domains, as the first VMs
+    /// have registered since it was current.
+    pub fn must_check_domains(&self) -> bool {
+        let has_registered = self.uptime_ms > MAX_FIRST_REGISTRATION_MS;
+        has_registered && self.list_age_ms.is_some() && !self.knows_domains()
+    }
+}
+
 /// Request of a VM to a program's home.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ReserveRequest {
@@ -187,15 +326,25 @@
 }
 
 impl Reserves {
-    /// Tokens granted to a call; 0 if too few are left.
+    /// Tokens granted to a call of the reserve that has one home; 0 if too few are left.
     pub fn grant(&mut self, request: &ReserveRequest, now_ms: u64) -> u64 {
+        let total_tokens = reserve_tokens(request.budget_tokens);
+        self.grant_of(request, total_tokens, now_ms)
+    }
+
+    /// Tokens granted to a call of a failure domain's parts; 0 if too few are left.
+    pub fn grant_of_parts(&mut self, request: &ReserveRequest, parts: u64, now_ms: u64) -> u64 {
+        let total_tokens = parts * part_tokens(request.budget_tokens);
+        self.grant_of(request, total_tokens, now_ms)
+    }
+
+    fn grant_of(&mut self, request: &ReserveRequest, total_tokens: u64, now_ms: u64) -> u64 {
         let Some(reserve) = self.reserve(request, now_ms) else {
             return 0;
         };
         if reserve.is_released {
             return 0;
         }
-        let total_tokens = reserve_tokens(request.budget_tokens);
         let left_tokens = total_tokens.saturating_sub(reserve.granted_tokens);
         let granted_tokens = request.share_of(left_tokens);
         reserve.granted_tokens += granted_tokens;
