Quotas: a request waits for a token at most half of the time that it has left

Cause: a request of a program waited for a reserved token up to its deadline, which leaves its target no time.

--- a/crates/entry/src/forward/quota.rs
+++ b/crates/entry/src/forward/quota.rs
@@ -33,6 +33,10 @@
 /// slot of its target meanwhile.
 const MAX_ATTEMPT_WAIT: Duration = Duration::from_millis(250);
 
+/// Part of the time that a request has left for which it may wait for a token, as a divisor.
+/// The rest is for the target: a request that waits until its deadline waits for nothing.
+const WAIT_DIVISOR: u32 = 2;
+
 /// Maximum time that a request of no program waits for a token. Only it is lost if it is
 /// refused, and no token is reserved for it.
 const MAX_OTHER_WAIT: Duration = Duration::from_millis(250);
@@ -64,8 +68,10 @@
     let (max_wait, retry_wait) = match class {
         RequestClass::NewProgram => (Duration::ZERO, Duration::ZERO),
         RequestClass::Running if is_program => {
-            let deadline = metadata.deadline_ms.map(Duration::from_millis);
-            let max_wait = deadline.map_or(MAX_RUNNING_WAIT, |left| left.min(MAX_RUNNING_WAIT));
+            let left = metadata.deadline_ms.map(Duration::from_millis);
+            let max_wait = left.map_or(MAX_RUNNING_WAIT, |left| {
+                MAX_RUNNING_WAIT.min(left / WAIT_DIVISOR)
+            });
             (max_wait, Duration::ZERO)
         }
         RequestClass::Running => (Duration::ZERO, MAX_OTHER_WAIT),
@@ -138,7 +144,7 @@
     pub(super) async fn obtain_quota_token(&mut self) -> Result<(), NoToken> {
         let left = self.deadline().saturating_duration_since(Instant::now());
         let max_wait = match self.metadata.program {
-            Some(_) => left.min(MAX_ATTEMPT_WAIT),
+            Some(_) => MAX_ATTEMPT_WAIT.min(left / WAIT_DIVISOR),
             None => Duration::ZERO,
         };
         self.obtain_quota_token_within(max_wait).await
