Connections: a socket holds at most 16 KiB that nobody has read

Callers that send without being read (pipelined requests, refused bodies, crowds beyond what one turn of the event loop reads) filled the system's receive buffers, 64 KB a connection and more, which count toward the memory of a VM.

Cause: no socket set its receive buffer. Listeners, whose connections inherit it, and connections to targets, other VMs and the store now ask for 8 KiB, which Linux doubles.

--- a/crates/connections/src/lib.rs
+++ b/crates/connections/src/lib.rs
@@ -14,4 +14,4 @@
 pub use heads::{HeadArrival, HeadRefusal};
 pub use log_limit::LogLimit;
 pub use reads::{poll_read_part, PartialReads};
-pub use sockets::{listen, set_socket_options};
+pub use sockets::{connect, listen, set_socket_options, MAX_UNREAD_BYTES};
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -11,10 +11,9 @@
 use hyper::ext::on_informational;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use lagoon_connections::{set_socket_options, PartialReads};
+use lagoon_connections::{connect, set_socket_options, PartialReads};
 use lagoon_paths::Loss;
 use thiserror::Error;
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
@@ -123,7 +122,7 @@
         address: SocketAddr,
         unacknowledged_timeout: Duration,
     ) -> Result<Connection, OpenError> {
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        let stream = timeout(CONNECT_TIMEOUT, connect(address))
             .await
             .map_err(|_| OpenError::timed_out())??;
         if let Err(error) = set_socket_options(&stream, unacknowledged_timeout) {
