Memory: a limit of the whole process, measured at its heap

What callers saw: VMs ended, one after the other, as the platform kills a process above its memory. 900 whole requests at once, each within the limits, took a VM of 88 MB to 109; unfinished heads of 8 KB took it to 94.

Cause: bounds that hold one by one and don't add up. Bytes of bodies followed the memory, connections the descriptors, and what each of them costs besides (hyper's buffers, heads of requests in progress, tasks: some 80 KB a request) was in no account. The C library kept what a crowd had used, so that the next one came on top.

Change: the heap counts what is allocated (cap, around jemalloc), and that, with what sockets may hold, has a limit of seven eighths of limits.memory_mb without the program. Room is asked for at each point where a peer makes the process take more: a connection, a head that grows, a request, a part of a body. The costliest peers lose theirs, now also connections that rest, or the one that asks is refused. What is smaller than 8 and 64 KB keeps a reserve. Bodies are kept in segments of their own in place of a slab, whose untouched pages would count. A resting connection has no task for a request (36 KB before, 20 KB now). Lines about connections that are closed unread are limited.

Why that works: what no account knows is on the heap all the same.

The tests of memory, unanswered requests, malformed and endless bytes and processes pass.

--- a/crates/entry/src/bin/lagoon-entry.rs
+++ b/crates/entry/src/bin/lagoon-entry.rs
@@ -3,8 +3,14 @@
 use std::path::Path;
 use std::process::ExitCode;
 
-use lagoon_entry::{load, parse_args, run, Command, EntrySettings};
+use cap::Cap;
+use lagoon_entry::{load, parse_args, run_within_memory, Command, EntrySettings};
 use lagoon_telemetry::init_logs;
+use tikv_jemallocator::Jemalloc;
+
+/// Heap that counts what is allocated, and returns what is freed to the system.
+#[global_allocator]
+static HEAP: Cap<Jemalloc> = Cap::new(Jemalloc, usize::MAX);
 
 const EXIT_FAILED: u8 = 1;
 const EXIT_BAD_INPUT: u8 = 2;
@@ -39,7 +45,7 @@
     if let Err(error) = init_logs(&settings.log, settings.vm.name.as_str()) {
         return fail(EXIT_BAD_INPUT, &error);
     }
-    let result = run(settings, file);
+    let result = run_within_memory(settings, file, || HEAP.allocated() as u64);
     log::logger().flush();
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/entry/src/caller_io.rs
+++ b/crates/entry/src/caller_io.rs
@@ -69,6 +69,7 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<Result<(), Error>> {
+        self.connection.record_allocated();
         let has_room = buffer.remaining() > 0;
         let read = ready!(poll_read_part(&mut self.stream, cx, buffer));
         match self.noted(read)? {
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -47,7 +47,7 @@
 pub(crate) use attempt::{forwarded_head, FailedAttempt, ResponseStream, TargetResponse};
 use permit::Permit;
 use quota::first_token;
-use reading::{header_bytes, read_body, refuse_unread};
+use reading::{header_bytes, memory_exhausted, read_body, refuse_unread};
 use relay::Relay;
 
 const RESERVATION_TIMEOUT_MS: u64 = 1_500;
@@ -133,6 +133,10 @@
     let (parts, body) = request.into_parts();
     let metadata = decode_request_headers(&parts.headers);
     caller.set_id(&metadata.request_id);
+    if !caller.claim_room() {
+        let response = memory_exhausted(&state, "request");
+        return refuse_unread(&state, body, &caller, response);
+    }
     let limits = state.limits();
     if header_bytes(&parts.headers) > limits.max_header_bytes + HEADER_SLACK_BYTES {
         log::info!(request = metadata.request_id.as_str(), status = 431; "header section too long");
--- a/crates/entry/src/forward/reading.rs
+++ b/crates/entry/src/forward/reading.rs
@@ -35,7 +35,7 @@
         return Err(Box::new(refuse_unread(state, body, caller, too_long())));
     }
     if !state.memory.can_hold(declared) {
-        let response = memory_exhausted(state);
+        let response = memory_exhausted(state, "request body");
         return Err(Box::new(refuse_unread(state, body, caller, response)));
     }
     caller.set_cause(Cause::BodyNotRead);
@@ -60,7 +60,7 @@
             return Err(Box::new(too_late(state)));
         }
         Err(ReadError::TooLong) => too_long(),
-        Err(ReadError::NoMemory) => memory_exhausted(state),
+        Err(ReadError::NoMemory) => memory_exhausted(state, "request body"),
     };
     caller.clear_cause();
     drop(holding);
@@ -114,8 +114,9 @@
     response
 }
 
-fn memory_exhausted(state: &DaemonState) -> Response<ResponseBody> {
-    state.memory.record_exhausted("request body");
+/// Refuses a request for lack of memory for `what`.
+pub(super) fn memory_exhausted(state: &DaemonState, what: &'static str) -> Response<ResponseBody> {
+    state.memory.record_exhausted(what);
     state.metrics.record_response(503, 0);
     response::retryable_unavailable("too many bytes are held", OVERLOADED_RETRY_AFTER_MS)
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -43,8 +43,9 @@
 mod unanswered;
 mod watch;
 
+pub use memory::HeapBytes;
 pub use options::{parse_args, Command, UsageError};
-pub use run::{run, RunError};
+pub use run::{run, run_within_memory, RunError};
 pub use settings::{load, parse, AccountSettings, EntrySettings, SettingsError};
 
 /// Formats of what VMs send each other, which builds of different versions share.
--- a/crates/entry/src/memory.rs
+++ b/crates/entry/src/memory.rs
@@ -6,8 +6,10 @@
 
 use bytes::Bytes;
 use hyper::body::Body;
-use lagoon_connections::{read_body, AddressGuard, AddressLimit, BodyLimits, LogLimit, ReadError};
-use lagoon_memory::{Claim, DiscardGuard, Exhausted, Holding, Memory};
+use lagoon_connections::{
+    read_body, AddressGuard, AddressLimit, BodyLimits, LogLimit, ReadError, MAX_UNREAD_BYTES,
+};
+use lagoon_memory::{Claim, DiscardGuard, Exhausted, Holding, Memory, OutsideGuard, ProcessLimit};
 
 use crate::clock::Clock;
 use crate::metrics::Metrics;
@@ -21,8 +23,26 @@
 /// further ones are closed at once.
 const MAX_DISCARDS: usize = 32;
 
+/// Memory of the process besides its heap: the program, its stack and tables of the
+/// allocator. A program that isn't optimized is larger.
+const PROGRAM_BYTES: u64 = match cfg!(debug_assertions) {
+    true => 20_000_000,
+    false => 10_000_000,
+};
+
+/// Part of the memory for the heap that fragmentation may take up: its divisor.
+const FRAGMENTATION_DIVISOR: u64 = 8;
+
+/// What an open connection takes up while it rests: its buffers, its task and its entries in
+/// tables.
+const CONNECTION_BYTES: u64 = 20_480;
+
+/// Returns the bytes that the heap of the process has allocated.
+pub type HeapBytes = fn() -> u64;
+
 pub(crate) struct PeerMemory {
     memory: Memory,
+    heap_bytes: Option<HeapBytes>,
     clock: Clock,
     metrics: Metrics,
     pub(crate) body_timeout: Duration,
@@ -33,14 +53,24 @@
 impl PeerMemory {
     pub(crate) fn new(
         limits: &EntryLimits,
+        heap_bytes: Option<HeapBytes>,
         max_connections: usize,
         clock: Clock,
         metrics: Metrics,
     ) -> PeerMemory {
-        let held_bytes = limits.memory_mb * 1_000_000 / HELD_MEMORY_DIVISOR;
+        let memory_bytes = limits.memory_mb * 1_000_000;
+        let held_bytes = memory_bytes / HELD_MEMORY_DIVISOR;
+        let memory = match heap_bytes {
+            None => Memory::new(held_bytes, MAX_DISCARDS),
+            Some(heap_bytes) => {
+                let process = process_limit(memory_bytes, heap_bytes);
+                Memory::of_process(held_bytes, MAX_DISCARDS, process)
+            }
+        };
         let by_address = limits.connections_per_address as usize;
         PeerMemory {
-            memory: Memory::new(held_bytes, MAX_DISCARDS),
+            memory,
+            heap_bytes,
             clock,
             metrics,
             body_timeout: Duration::from_millis(limits.body_timeout_ms),
@@ -49,6 +79,25 @@
         }
     }
 
+    /// New holding of an open connection.
+    pub(crate) fn hold_connection(&self) -> Holding {
+        let now_ms = self.clock.now_ms();
+        self.memory
+            .hold_beside(Claim::Withdrawable, CONNECTION_BYTES, now_ms)
+    }
+
+    /// Counts what a socket may have received and nobody has read, until the result is
+    /// dropped.
+    pub(crate) fn count_socket(&self) -> OutsideGuard {
+        self.memory.count_outside(MAX_UNREAD_BYTES)
+    }
+
+    /// Counts the buffers of a connection that are about to be allocated, until the result is
+    /// dropped.
+    pub(crate) fn count_buffers(&self) -> OutsideGuard {
+        self.memory.count_outside(CONNECTION_BYTES)
+    }
+
     /// New holding whose bytes may be withdrawn.
     pub(crate) fn hold(&self) -> Holding {
         self.memory.hold(Claim::Withdrawable, self.clock.now_ms())
@@ -117,8 +166,19 @@
         self.addresses.admit(address)
     }
 
-    /// Updates the gauge of held bytes.
+    /// Updates the gauges of held bytes and of the heap.
     pub(crate) fn update_metrics(&self) {
         self.metrics.set_held_bytes(self.memory.held_bytes());
+        if let Some(heap_bytes) = self.heap_bytes {
+            self.metrics.set_heap_bytes(heap_bytes());
+        }
+    }
+}
+
+fn process_limit(memory_bytes: u64, heap_bytes: HeapBytes) -> ProcessLimit {
+    let free_bytes = memory_bytes.saturating_sub(PROGRAM_BYTES);
+    ProcessLimit {
+        max_bytes: free_bytes - free_bytes / FRAGMENTATION_DIVISOR,
+        heap_bytes,
     }
 }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -52,6 +52,7 @@
     sessions: IntGauge,
     quarantined: IntGauge,
     held_bytes: IntGauge,
+    heap_bytes: IntGauge,
     connections: IntGauge,
     dropped_log_lines: IntGauge,
     target_capacity: GaugeVec,
@@ -213,6 +214,7 @@
                 "Requests refused because targets crashed while they ran",
             )?,
             held_bytes: gauge("lagoon_held_bytes", "Bytes held for callers and targets")?,
+            heap_bytes: gauge("lagoon_heap_bytes", "Bytes that the heap has allocated")?,
             connections: gauge("lagoon_connections", "Connections that are open here")?,
             dropped_log_lines: gauge(
                 "lagoon_dropped_log_lines",
@@ -325,6 +327,10 @@
         self.0.held_bytes.set(bytes as i64);
     }
 
+    pub(crate) fn set_heap_bytes(&self, bytes: u64) {
+        self.0.heap_bytes.set(bytes as i64);
+    }
+
     pub(crate) fn record_unanswered(&self, cause: &str) {
         self.0.unanswered.with_label_values(&[cause]).inc();
     }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -24,6 +24,7 @@
 use crate::forward;
 use crate::freshness;
 use crate::ledger::BudgetClient;
+use crate::memory::HeapBytes;
 use crate::metrics::Metrics;
 use crate::news;
 use crate::panics;
@@ -88,16 +89,45 @@
 /// Fails if the runtime, a signal handler, the metrics or a socket can't be set
 /// up.
 pub fn run(settings: &EntrySettings, file: &Path) -> Result<(), RunError> {
+    run_in_memory(settings, file, None)
+}
+
+/// Like [`run`], within `limits.memory_mb` for the whole process, whose heap `heap_bytes`
+/// measures.
+///
+/// # Errors
+///
+/// As [`run`].
+pub fn run_within_memory(
+    settings: &EntrySettings,
+    file: &Path,
+    heap_bytes: HeapBytes,
+) -> Result<(), RunError> {
+    run_in_memory(settings, file, Some(heap_bytes))
+}
+
+fn run_in_memory(
+    settings: &EntrySettings,
+    file: &Path,
+    heap_bytes: Option<HeapBytes>,
+) -> Result<(), RunError> {
     let runtime = Builder::new_current_thread().enable_all().build()?;
     panics::install_hook();
     let tasks = LocalSet::new();
-    let result = tasks.block_on(&runtime, main_task(settings.clone(), file.to_owned()));
+    let result = tasks.block_on(
+        &runtime,
+        main_task(settings.clone(), file.to_owned(), heap_bytes),
+    );
     // Requests that are still open are logged when their tasks are dropped.
     drop(tasks);
     result
 }
 
-async fn main_task(settings: EntrySettings, file: PathBuf) -> Result<(), RunError> {
+async fn main_task(
+    settings: EntrySettings,
+    file: PathBuf,
+    heap_bytes: Option<HeapBytes>,
+) -> Result<(), RunError> {
     // Before anything else: the default action of each of them ends the process.
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
@@ -147,7 +177,7 @@
         turn_keeper,
         quotas,
     };
-    let state = DaemonState::new(clock, metrics, services, &settings);
+    let state = DaemonState::new(clock, metrics, services, &settings, heap_bytes);
 
     let (stop, stopped) = watch::channel(false);
     start_listeners(&settings, &state, &stopped)?;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -85,8 +85,7 @@
             Ok(_) if state.connections.get() >= state.max_connections => {
                 // Closed before a request is read, so the caller may go to
                 // another VM.
-                log::warn!(connections = state.connections.get(); "connection closed: too many are open");
-                state.record_too_many_connections(client, Cause::TooManyConnections);
+                state.record_closed_unread(client, Cause::TooManyConnections);
             }
             Ok((stream, from)) => {
                 let by_address = match client {
@@ -94,13 +93,17 @@
                     Client::Other => Some(None),
                 };
                 let Some(by_address) = by_address else {
-                    state.record_too_many_connections(client, Cause::TooManyOfAddress);
+                    state.record_closed_unread(client, Cause::TooManyOfAddress);
                     continue;
                 };
+                let connection = CallerConnection::new(&state, client);
+                if client == Client::Caller && !connection.claim_room() {
+                    state.record_closed_unread(client, Cause::NoMemory);
+                    continue;
+                }
                 let guard = ConnectionGuard::new(&state, by_address);
                 let handle = handle.clone();
                 let handle = move |request, open| handle(from.ip(), request, open);
-                let connection = CallerConnection::new(&state, client);
                 let connection =
                     serve_connection(guard, connection, stream, stopped.clone(), handle);
                 tokio::task::spawn_local(connection);
@@ -155,7 +158,8 @@
         let open = caller.begin_request();
         let handle = &handle;
         async move {
-            let handling = async { handle(request, open.clone()).await };
+            // On the heap only while a request is open: connections rest most of the time.
+            let handling = Box::pin(handle(request, open.clone()));
             let mut response = panics::respond_anyway(handling, || open.record_panic()).await;
             if open.announces_close() {
                 let close = HeaderValue::from_static("close");
@@ -199,7 +203,10 @@
         }
     };
     let Parts { io, read_buf, .. } = served.into_parts();
-    caller.end(&ended, io.into_inner(), &read_buf).await;
+    // The buffer may be much larger than what is left in it.
+    let unread = read_buf.to_vec();
+    drop(read_buf);
+    caller.end(&ended, io.into_inner(), unread).await;
     if let Err(error) = ended {
         log::debug!(error = error.to_string(); "incoming connection failed");
     }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -81,8 +81,8 @@
     /// Milliseconds within which the tokens that a call used must be known at
     /// the store; at least 100.
     pub settle_ms: u64,
-    /// Memory of the process in megabytes, a quarter of which bytes that are held
-    /// for callers and targets may take; at least 16.
+    /// Memory of the process in megabytes, all of which it stays within; a quarter of it
+    /// may be bytes that are held for callers and targets. At least 16.
     pub memory_mb: u64,
     /// Milliseconds in which the whole body of a caller's request must arrive; at least
     /// 1,000.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use compact_str::CompactString;
+use lagoon_connections::LogLimit;
 use lagoon_gateway::{
     AdmissionSettings, AffinityTable, Config, Limits, PlacementSettings, ProgramAdmission,
     Sentinel, SentinelSettings, SentinelTable, TargetKey, Targets,
@@ -16,7 +17,7 @@
 use crate::evidence::ConfigEvidence;
 use crate::idle::IdleLimit;
 use crate::ledger::BudgetClient;
-use crate::memory::PeerMemory;
+use crate::memory::{HeapBytes, PeerMemory};
 use crate::metrics::Metrics;
 use crate::peers::PeerClient;
 use crate::permits::Permits;
@@ -83,6 +84,8 @@
     pub(crate) max_connections: usize,
     /// Memory for bytes that are held for peers.
     pub(crate) memory: Rc<PeerMemory>,
+    /// Limits the lines about connections that are closed unread.
+    pub(crate) closed_log: LogLimit,
     pub(crate) affinity: RefCell<AffinityTable>,
     pub(crate) sentinel: RefCell<Sentinel>,
     /// Notified to renew the watch in flight, by table.
@@ -95,10 +98,11 @@
         metrics: Metrics,
         services: Services,
         settings: &EntrySettings,
+        heap_bytes: Option<HeapBytes>,
     ) -> Rc<DaemonState> {
         let limits = &settings.limits;
         let max_connections = limits.descriptors as usize / DESCRIPTORS_PER_CONNECTION;
-        let memory = PeerMemory::new(limits, max_connections, clock, metrics.clone());
+        let memory = PeerMemory::new(limits, heap_bytes, max_connections, clock, metrics.clone());
         let memory = Rc::new(memory);
         Rc::new(DaemonState {
             clock,
@@ -131,6 +135,7 @@
             connections: Cell::new(0),
             max_connections,
             memory,
+            closed_log: LogLimit::default(),
             affinity: RefCell::default(),
             sentinel: RefCell::new(Sentinel::new(
                 SentinelSettings::default(),
--- a/crates/entry/src/unanswered.rs
+++ b/crates/entry/src/unanswered.rs
@@ -11,6 +11,7 @@
 use derive_more::Display;
 use lagoon_adapter::request_id_in;
 use lagoon_connections::{HeadArrival, HeadRefusal};
+use lagoon_memory::OutsideGuard;
 
 use crate::caller_io::CallerIo;
 use crate::state::DaemonState;
@@ -81,6 +82,8 @@
     /// Whether the whole response is in the connection's buffer.
     is_responded: bool,
     cause: Option<Cause>,
+    /// Counts the socket to a target.
+    _socket: OutsideGuard,
 }
 
 /// Who opens the connections of a listener.
@@ -107,6 +110,9 @@
     has_ended: Cell<bool>,
     /// Head that has not arrived whole.
     head: HeadArrival,
+    _socket: OutsideGuard,
+    /// Counts the connection's buffers until they are allocated.
+    buffers: Cell<Option<OutsideGuard>>,
 }
 
 impl CallerConnection {
@@ -120,7 +126,9 @@
             is_broken: Cell::new(false),
             is_stopped: Cell::new(false),
             has_ended: Cell::new(false),
-            head: HeadArrival::new(state.memory.hold()),
+            head: HeadArrival::new(state.memory.hold_connection()),
+            _socket: state.memory.count_socket(),
+            buffers: Cell::new(Some(state.memory.count_buffers())),
         })
     }
 
@@ -149,6 +157,7 @@
             is_passed_on: false,
             is_responded: false,
             cause: None,
+            _socket: self.state.memory.count_socket(),
         });
         RequestGuard {
             connection: Rc::clone(self),
@@ -156,6 +165,17 @@
         }
     }
 
+    /// Makes room in memory for the connection or its next request; `false` if there is
+    /// none.
+    pub(crate) fn claim_room(&self) -> bool {
+        self.head.claim_room(self.state.now_ms()).is_ok()
+    }
+
+    /// Records that the connection's buffers are allocated.
+    pub(crate) fn record_allocated(&self) {
+        self.buffers.take();
+    }
+
     pub(crate) fn record_received(&self, bytes: usize) {
         self.head.record_received(bytes, self.state.now_ms());
     }
@@ -204,7 +224,7 @@
         &self,
         ended: &Result<(), hyper::Error>,
         mut io: CallerIo,
-        unread: &[u8],
+        mut unread: Vec<u8>,
     ) {
         self.has_ended.set(true);
         if ended.is_ok() {
@@ -218,7 +238,6 @@
         if has_open || is_refused || self.client == Client::Other {
             return;
         }
-        let mut unread = unread.to_vec();
         io.peek_rest(&mut unread);
         let is_timeout = ended.as_ref().is_err_and(hyper::Error::is_timeout);
         if unread.is_empty() && !self.has_caller_left.get() && !self.is_broken.get() {
@@ -355,6 +374,11 @@
         }
     }
 
+    /// Makes room in memory for the request; `false` if there is none.
+    pub(crate) fn claim_room(&self) -> bool {
+        self.connection.claim_room()
+    }
+
     pub(crate) fn set_id(&self, id: &CompactString) {
         self.update(|request| request.id = id.clone());
     }
@@ -431,25 +455,37 @@
         config.as_ref().map_or(0, |config| config.version)
     }
 
-    /// Records a connection that is closed because too many are open.
-    pub(crate) fn record_too_many_connections(&self, client: Client, cause: Cause) {
+    /// Counts a connection that is closed before anything is read, and logs that now and
+    /// then.
+    pub(crate) fn record_closed_unread(&self, client: Client, cause: Cause) {
         if client == Client::Other {
             return;
         }
-        self.record_unanswered(&Unanswered {
-            id: "",
-            account: "",
-            cause,
-            age_ms: 0,
-            started_version: self.config_version(),
-            is_passed_on: false,
-            unread_bytes: 0,
-        });
+        self.metrics.record_unanswered(&cause.to_string());
+        if let Some(unlogged) = self.closed_log.admit(self.now_ms()) {
+            let unanswered = Unanswered {
+                id: "",
+                account: "",
+                cause,
+                age_ms: 0,
+                started_version: self.config_version(),
+                is_passed_on: false,
+                unread_bytes: 0,
+            };
+            self.log_unanswered(&unanswered, unlogged);
+        }
     }
 
     fn record_unanswered(&self, unanswered: &Unanswered<'_>) {
+        self.metrics
+            .record_unanswered(&unanswered.cause.to_string());
+        self.log_unanswered(unanswered, 0);
+    }
+
+    /// `unlogged` is the number of connections that ended in the same way since the last
+    /// line.
+    fn log_unanswered(&self, unanswered: &Unanswered<'_>, unlogged: u64) {
         let cause = unanswered.cause;
-        self.metrics.record_unanswered(&cause.to_string());
         let level = match cause {
             Cause::CallerLeft => log::Level::Info,
             _ => log::Level::Warn,
@@ -469,7 +505,8 @@
             passed_on = unanswered.is_passed_on,
             stopping = self.stopping.get(),
             unread_bytes = unanswered.unread_bytes,
-            connections = self.connections.get();
+            connections = self.connections.get(),
+            unlogged;
             "unanswered: {cause}"
         );
     }
--- a/crates/memory/src/accounting.rs
+++ b/crates/memory/src/accounting.rs
@@ -5,18 +5,24 @@
 
 use bytes::Bytes;
 
-use crate::buffer::{Buffer, Slab};
-use crate::{Exhausted, ORDINARY_BYTES};
+use crate::buffer::Buffer;
+use crate::process::ProcessLimit;
+use crate::{Claim, Exhausted, ORDINARY_BYTES};
 
 #[derive(Debug)]
 struct Entry {
     /// Bytes that are counted: the capacity of `buffer`, and what is held elsewhere.
     bytes: u64,
+    /// Bytes that the peer costs besides, such as buffers of its connection; only the limit
+    /// of the process applies to them.
+    fixed_bytes: u64,
     buffer: Buffer,
     /// Time of the first of its bytes.
     since_ms: u64,
     is_withdrawable: bool,
     is_withdrawn: bool,
+    /// Bytes that the owner frees when it learns of the withdrawal.
+    freeing_bytes: u64,
     waker: Option<Waker>,
 }
 
@@ -26,7 +32,12 @@
     fn cost(&self, now_ms: u64) -> (bool, u128) {
         let age_ms = now_ms.saturating_sub(self.since_ms) + 1;
         let is_large = self.bytes > ORDINARY_BYTES;
-        (is_large, u128::from(self.bytes) * u128::from(age_ms))
+        let bytes = self.bytes + self.fixed_bytes;
+        (is_large, u128::from(bytes) * u128::from(age_ms))
+    }
+
+    fn is_candidate(&self) -> bool {
+        self.is_withdrawable && self.bytes + self.fixed_bytes > 0
     }
 }
 
@@ -34,27 +45,39 @@
 pub(crate) struct Accounting {
     max_bytes: u64,
     reserve_bytes: u64,
+    /// `None` if only the holdings are limited.
+    process: Option<ProcessLimit>,
     max_discards: usize,
     discards: usize,
     held_bytes: u64,
+    /// Bytes that may be held outside of the heap, such as by sockets.
+    outside_bytes: u64,
+    /// Bytes of withdrawn holdings that their owners are about to free.
+    freeing_bytes: u64,
     withdrawn_count: u64,
     next_id: u64,
     entries: BTreeMap<u64, Entry>,
-    slab: Slab,
 }
 
 impl Accounting {
-    pub(crate) fn new(max_bytes: u64, reserve_bytes: u64, max_discards: usize) -> Accounting {
+    pub(crate) fn new(
+        max_bytes: u64,
+        reserve_bytes: u64,
+        max_discards: usize,
+        process: Option<ProcessLimit>,
+    ) -> Accounting {
         Accounting {
             max_bytes,
             reserve_bytes,
+            process,
             max_discards,
             discards: 0,
             held_bytes: 0,
+            outside_bytes: 0,
+            freeing_bytes: 0,
             withdrawn_count: 0,
             next_id: 0,
             entries: BTreeMap::new(),
-            slab: Slab::new(max_bytes),
         }
     }
 
@@ -70,15 +93,17 @@
         self.withdrawn_count
     }
 
-    pub(crate) fn open(&mut self, is_withdrawable: bool, now_ms: u64) -> u64 {
+    pub(crate) fn open(&mut self, claim: Claim, fixed_bytes: u64, now_ms: u64) -> u64 {
         let id = self.next_id;
         self.next_id += 1;
         let entry = Entry {
             bytes: 0,
+            fixed_bytes,
             buffer: Buffer::default(),
             since_ms: now_ms,
-            is_withdrawable,
+            is_withdrawable: claim == Claim::Withdrawable,
             is_withdrawn: false,
+            freeing_bytes: 0,
             waker: None,
         };
         self.entries.insert(id, entry);
@@ -86,19 +111,62 @@
     }
 
     pub(crate) fn close(&mut self, id: u64) {
-        if let Some(mut entry) = self.entries.remove(&id) {
-            self.slab.release(&mut entry.buffer);
+        if let Some(entry) = self.entries.remove(&id) {
             self.held_bytes -= entry.bytes;
+            self.freeing_bytes -= entry.freeing_bytes;
         }
     }
 
-    /// Changes the bytes of a holding. If that is too much, withdraws those that cost
-    /// most, or refuses if the holding itself does.
-    pub(crate) fn set(&mut self, id: u64, bytes: u64, now_ms: u64) -> Result<(), Exhausted> {
+    /// Lets the bytes of a holding be withdrawn from now on, or not, unless they were.
+    pub(crate) fn set_claim(&mut self, id: u64, claim: Claim, now_ms: u64) {
+        if let Some(entry) = self.entries.get_mut(&id).filter(|e| !e.is_withdrawn) {
+            entry.is_withdrawable = claim == Claim::Withdrawable;
+            entry.since_ms = now_ms;
+        }
+    }
+
+    pub(crate) fn add_outside(&mut self, bytes: u64) {
+        self.outside_bytes += bytes;
+    }
+
+    pub(crate) fn remove_outside(&mut self, bytes: u64) {
+        self.outside_bytes -= bytes;
+    }
+
+    /// Makes room for a holding that takes this many bytes; withdraws those that cost most,
+    /// or refuses if the holding itself does.
+    fn make_room(&mut self, id: u64, bytes: u64, now_ms: u64) -> Result<(), Exhausted> {
         let max_bytes = match bytes > ORDINARY_BYTES {
             true => self.max_large_bytes(),
             false => self.max_bytes,
         };
+        while self.held_bytes > max_bytes || self.exceeds_process(bytes) {
+            let victim = self.costliest(now_ms).filter(|victim| *victim != id);
+            self.withdraw(victim.ok_or(Exhausted)?);
+        }
+        Ok(())
+    }
+
+    /// Whether the process has more than a holding of this size leaves free.
+    fn exceeds_process(&self, bytes: u64) -> bool {
+        self.process.as_ref().is_some_and(|limit| {
+            let used_bytes = (limit.heap_bytes)() + self.outside_bytes;
+            used_bytes.saturating_sub(self.freeing_bytes) > limit.max_bytes_beside(bytes)
+        })
+    }
+
+    /// Makes room for what a holding costs besides its bytes.
+    pub(crate) fn claim_room(&mut self, id: u64, now_ms: u64) -> Result<(), Exhausted> {
+        let entry = self.entries.get(&id).ok_or(Exhausted)?;
+        if entry.is_withdrawn {
+            return Err(Exhausted);
+        }
+        self.make_room(id, entry.bytes, now_ms)
+    }
+
+    /// Changes the bytes of a holding. If that is too much, withdraws those that cost
+    /// most, or refuses if the holding itself does.
+    pub(crate) fn set(&mut self, id: u64, bytes: u64, now_ms: u64) -> Result<(), Exhausted> {
         let entry = self.entries.get_mut(&id).ok_or(Exhausted)?;
         if entry.is_withdrawn {
             return Err(Exhausted);
@@ -108,23 +176,20 @@
             entry.since_ms = now_ms;
         }
         self.held_bytes = self.held_bytes - previous + bytes;
-        while bytes > previous && self.held_bytes > max_bytes {
-            let victim = self.costliest(now_ms).filter(|victim| *victim != id);
-            let Some(victim) = victim else {
-                if let Some(entry) = self.entries.get_mut(&id) {
-                    entry.bytes = previous;
-                }
-                self.held_bytes = self.held_bytes - bytes + previous;
-                return Err(Exhausted);
-            };
-            self.withdraw(victim);
+        if bytes <= previous {
+            return Ok(());
         }
-        Ok(())
+        self.make_room(id, bytes, now_ms).inspect_err(|_| {
+            if let Some(entry) = self.entries.get_mut(&id) {
+                entry.bytes = previous;
+            }
+            self.held_bytes = self.held_bytes - bytes + previous;
+        })
     }
 
     fn costliest(&self, now_ms: u64) -> Option<u64> {
         let entries = self.entries.iter();
-        let candidates = entries.filter(|(_, entry)| entry.is_withdrawable && entry.bytes > 0);
+        let candidates = entries.filter(|(_, entry)| entry.is_candidate());
         let costliest = candidates.max_by_key(|(_, entry)| entry.cost(now_ms));
         costliest.map(|(id, _)| *id)
     }
@@ -137,8 +202,11 @@
         };
         self.held_bytes -= entry.bytes;
         self.withdrawn_count += 1;
+        let buffer_bytes = entry.buffer.capacity() as u64;
+        entry.freeing_bytes = entry.fixed_bytes + entry.bytes.saturating_sub(buffer_bytes);
+        self.freeing_bytes += entry.freeing_bytes;
         entry.bytes = 0;
-        self.slab.release(&mut entry.buffer);
+        entry.buffer = Buffer::default();
         entry.is_withdrawn = true;
         entry.is_withdrawable = false;
         if let Some(waker) = entry.waker.take() {
@@ -156,11 +224,7 @@
             let bytes = entry.bytes + growth_bytes as u64;
             self.set(id, bytes, now_ms)?;
             let entry = self.entries.get_mut(&id).ok_or(Exhausted)?;
-            let taken = entry.buffer.fill(growth_bytes, data, &mut self.slab);
-            let Some(taken) = taken else {
-                self.set(id, bytes - growth_bytes as u64, now_ms)?;
-                return Err(Exhausted);
-            };
+            let taken = entry.buffer.fill(growth_bytes, data);
             data = &data[taken..];
         }
         Ok(())
@@ -178,8 +242,8 @@
             return Err(Exhausted);
         }
         entry.is_withdrawable = false;
-        let bytes = Bytes::from(entry.buffer.take_content(&self.slab));
-        self.slab.release(&mut entry.buffer);
+        let buffer = std::mem::take(&mut entry.buffer);
+        let bytes = Bytes::from(buffer.into_content());
         self.held_bytes = self.held_bytes - entry.bytes + bytes.len() as u64;
         entry.bytes = bytes.len() as u64;
         Ok(bytes)
--- a/crates/memory/src/holding.rs
+++ b/crates/memory/src/holding.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 
-use crate::{Exhausted, Memory};
+use crate::{Claim, Exhausted, Memory};
 
 /// Bytes that are held on behalf of one peer; released on drop.
 #[derive(Debug)]
@@ -52,6 +52,20 @@
         self.memory.lock().set(self.id, bytes, now_ms)
     }
 
+    /// Makes room for what the holding costs besides its bytes.
+    ///
+    /// # Errors
+    ///
+    /// Like [`Holding::push`].
+    pub fn claim_room(&self, now_ms: u64) -> Result<(), Exhausted> {
+        self.memory.lock().claim_room(self.id, now_ms)
+    }
+
+    /// Lets the bytes be withdrawn from now on, or not. The age of the holding begins anew.
+    pub fn set_claim(&self, claim: Claim, now_ms: u64) {
+        self.memory.lock().set_claim(self.id, claim, now_ms);
+    }
+
     /// Whether the bytes were withdrawn.
     pub fn is_withdrawn(&self) -> bool {
         self.memory.lock().is_withdrawn(self.id)
@@ -103,3 +117,22 @@
         self.0.lock().end_discard();
     }
 }
+
+/// Bytes that are counted outside of the heap.
+#[derive(Debug)]
+pub struct OutsideGuard {
+    memory: Memory,
+    bytes: u64,
+}
+
+impl OutsideGuard {
+    pub(crate) fn new(memory: Memory, bytes: u64) -> OutsideGuard {
+        OutsideGuard { memory, bytes }
+    }
+}
+
+impl Drop for OutsideGuard {
+    fn drop(&mut self) {
+        self.memory.lock().remove_outside(self.bytes);
+    }
+}
--- a/crates/memory/src/lib.rs
+++ b/crates/memory/src/lib.rs
@@ -7,6 +7,7 @@
 mod accounting;
 mod buffer;
 mod holding;
+mod process;
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -14,12 +15,16 @@
 
 use accounting::Accounting;
 
-pub use holding::{DiscardGuard, Holding};
+pub use holding::{DiscardGuard, Holding, OutsideGuard};
+pub use process::ProcessLimit;
 
 /// Holdings up to this size are ordinary: they may use the reserve, and lose bytes only
 /// when there is no larger holding.
 pub const ORDINARY_BYTES: u64 = 65_536;
 
+/// Holdings up to this size may use all memory of the process; larger ones leave a reserve.
+pub const SMALL_BYTES: u64 = 8_192;
+
 /// Part of the limit that only ordinary holdings may use: its divisor.
 const RESERVE_DIVISOR: u64 = 8;
 
@@ -31,7 +36,7 @@
 /// Whether the bytes of a holding may be withdrawn for others.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Claim {
-    /// They may, as long as [`Holding::pin`] isn't called.
+    /// They may, as long as [`Holding::set_claim`] or [`Holding::finish`] isn't called.
     Withdrawable,
     /// They may not.
     Pinned,
@@ -45,10 +50,20 @@
     /// Accounting with this limit of all bytes, and of the peers whose bytes are
     /// discarded at the same time.
     pub fn new(max_bytes: u64, max_discards: usize) -> Memory {
+        Memory::with_limit(max_bytes, max_discards, None)
+    }
+
+    /// Like [`Memory::new`], with a limit of all that the process has in memory.
+    pub fn of_process(max_bytes: u64, max_discards: usize, process: ProcessLimit) -> Memory {
+        Memory::with_limit(max_bytes, max_discards, Some(process))
+    }
+
+    fn with_limit(max_bytes: u64, max_discards: usize, process: Option<ProcessLimit>) -> Memory {
         Memory(Arc::new(Mutex::new(Accounting::new(
             max_bytes,
             max_bytes / RESERVE_DIVISOR,
             max_discards,
+            process,
         ))))
     }
 
@@ -69,10 +84,23 @@
 
     /// New holding without bytes, which are held from this time on.
     pub fn hold(&self, claim: Claim, now_ms: u64) -> Holding {
-        let id = self.lock().open(claim == Claim::Withdrawable, now_ms);
+        self.hold_beside(claim, 0, now_ms)
+    }
+
+    /// Like [`Memory::hold`], for a peer that costs this many bytes of the process besides,
+    /// which are freed with the holding.
+    pub fn hold_beside(&self, claim: Claim, fixed_bytes: u64, now_ms: u64) -> Holding {
+        let id = self.lock().open(claim, fixed_bytes, now_ms);
         Holding::new(self.clone(), id)
     }
 
+    /// Counts bytes that may be held for the process outside of its heap, or that it is about
+    /// to allocate, until the result is dropped.
+    pub fn count_outside(&self, bytes: u64) -> OutsideGuard {
+        self.lock().add_outside(bytes);
+        OutsideGuard::new(self.clone(), bytes)
+    }
+
     /// Permission to receive and discard the bytes of a peer, until it is dropped;
     /// `None` if too many are being discarded.
     pub fn begin_discard(&self) -> Option<DiscardGuard> {
