Slow callers: bounded by bytes, not by a short clock

Beside a crowd of slow readers, attempts of others failed after they had run.

Cause: TCP_USER_TIMEOUT, 0.8 s, also counts the time in which a window is shut, and it was what protected the memory from slow readers: responses that wait to be sent were pinned, and up to 131 KB of a stream waited in hyper, in no account.

Change: callers have 15 s. A response that waits for its caller can be withdrawn for others, those first that cost most; a stream is read only while less than 32 KiB wait, and what waits counts. A response with a stated length reserves it and waits for room, where many at once each took a part and none became whole. Room goes to requests in progress before arrivals: a crowd that came again and again kept a response of 2 MB out for 30 s.

--- a/crates/connections/src/lib.rs
+++ b/crates/connections/src/lib.rs
@@ -4,14 +4,14 @@
 
 mod addresses;
 mod bodies;
-mod heads;
+mod connection_memory;
 mod log_limit;
 mod reads;
 mod sockets;
 
 pub use addresses::{AddressGuard, AddressLimit};
 pub use bodies::{discard, read_body, BodyLimits, ReadError};
-pub use heads::{HeadArrival, HeadRefusal};
+pub use connection_memory::{ConnectionMemory, Refusal};
 pub use log_limit::LogLimit;
 pub use reads::{poll_read_part, PartialReads};
 pub use sockets::{connect, listen, set_socket_options, MAX_UNREAD_BYTES};
--- a/crates/daemon/src/http/connection.rs
+++ b/crates/daemon/src/http/connection.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 
-use lagoon_connections::{poll_read_part, HeadArrival, HeadRefusal};
+use lagoon_connections::{poll_read_part, ConnectionMemory, Refusal};
 use lagoon_memory::Claim;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -16,7 +16,7 @@
 
 pub(super) struct Connection {
     pub(super) bounds: Rc<Bounds>,
-    pub(super) head: HeadArrival,
+    pub(super) held: ConnectionMemory,
     active: ActiveRequests,
     /// Requests whose response is in the connection's buffer.
     responded: RefCell<Vec<ActiveRequestGuard>>,
@@ -29,7 +29,7 @@
             .hold(Claim::Withdrawable, bounds.clock.now_ms());
         Rc::new(Connection {
             bounds: Rc::clone(bounds),
-            head: HeadArrival::new(holding),
+            held: ConnectionMemory::new(holding),
             active: active.clone(),
             responded: RefCell::default(),
         })
@@ -38,7 +38,7 @@
     /// Counts a request as active until the guard is dropped and the system has the
     /// response.
     pub(super) fn begin_request(self: &Rc<Self>) -> RequestGuard {
-        self.head.begin_request(self.bounds.clock.now_ms());
+        self.held.begin_request(self.bounds.clock.now_ms());
         RequestGuard {
             connection: Rc::clone(self),
             active: Some(self.active.track()),
@@ -49,10 +49,10 @@
     pub(super) async fn until_refused(&self) {
         let clock = self.bounds.clock;
         let limit = self.bounds.limits.head_timeout;
-        let refusal = self.head.until_refused(|| limit, || clock.now_ms()).await;
+        let refusal = self.held.until_refused(|| limit, || clock.now_ms()).await;
         self.bounds.record(match refusal {
-            HeadRefusal::TimedOut => Bound::HeadTime,
-            HeadRefusal::NoMemory => Bound::HeadMemory,
+            Refusal::TimedOut => Bound::HeadTime,
+            Refusal::NoMemory => Bound::HeadMemory,
         });
     }
 
@@ -61,7 +61,7 @@
         let responded = std::mem::take(&mut *self.responded.borrow_mut());
         if !responded.is_empty() {
             let now_ms = self.bounds.clock.now_ms();
-            self.head.end_requests(responded.len(), now_ms);
+            self.held.end_requests(responded.len(), now_ms);
         }
     }
 }
@@ -103,7 +103,7 @@
         let bytes = ready!(poll_read_part(&mut self.stream, cx, buffer))?;
         if bytes > 0 {
             let now_ms = self.connection.bounds.clock.now_ms();
-            self.connection.head.record_received(bytes, now_ms);
+            self.connection.held.record_received(bytes, now_ms);
         }
         Poll::Ready(Ok(()))
     }
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -322,7 +322,7 @@
             response.headers_mut().insert(CONNECTION, close);
             return response;
         };
-        self.connection.head.begin_discard();
+        self.connection.held.begin_discard();
         spawn_local(async move {
             let bytes = discard(body).await;
             log::debug!(bytes; "body of a refused request");
--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -90,7 +90,8 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedBody>>> {
-        self.is_unfinished = matches!(self.content, Content::Stream(_));
+        let is_stream = matches!(self.content, Content::Stream(_));
+        self.is_unfinished = is_stream;
         let Some(polled) = panics::catch(|| self.poll_content(cx)) else {
             if let Some(request) = &self.request {
                 request.set_cause(Cause::Panic);
@@ -98,6 +99,9 @@
             return Poll::Ready(Some(Err(TruncatedBody)));
         };
         let chunk = ready!(polled);
+        if let (true, Some(Ok(bytes)), Some(request)) = (is_stream, &chunk, &self.request) {
+            request.record_unsent(bytes.len());
+        }
         self.is_unfinished &= chunk.is_some();
         Poll::Ready(chunk.map(|chunk| chunk.map(Frame::data)))
     }
--- a/crates/entry/src/caller_io.rs
+++ b/crates/entry/src/caller_io.rs
@@ -55,6 +55,13 @@
         }
     }
 
+    fn note_sent(&self, written: Result<usize, Error>) -> Result<usize, Error> {
+        if let Ok(bytes) = written {
+            self.connection.record_sent(bytes);
+        }
+        self.noted(written)
+    }
+
     fn noted<T>(&self, result: Result<T, Error>) -> Result<T, Error> {
         if let Err(error) = &result {
             self.connection.record_error(error);
@@ -88,7 +95,7 @@
         bytes: &[u8],
     ) -> Poll<Result<usize, Error>> {
         let written = ready!(Pin::new(&mut self.stream).poll_write(cx, bytes));
-        Poll::Ready(self.noted(written))
+        Poll::Ready(self.note_sent(written))
     }
 
     fn poll_write_vectored(
@@ -97,7 +104,7 @@
         parts: &[std::io::IoSlice<'_>],
     ) -> Poll<Result<usize, Error>> {
         let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, parts));
-        Poll::Ready(self.noted(written))
+        Poll::Ready(self.note_sent(written))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::{Request, Response, StatusCode};
 use lagoon_adapter::{
     decode_response_headers, is_end_to_end, target_request_headers, AttemptHeaders,
@@ -15,6 +15,7 @@
     AttemptFailure, RouteKind, SampleKind, TargetEntry, TargetKey, UnfinishedAttempt,
 };
 use lagoon_ids::hash64;
+use lagoon_memory::HoldingWatch;
 use lagoon_streams::SoftwareId;
 
 use crate::body::RequestBody;
@@ -272,35 +273,48 @@
                 software: SoftwareId::new(&entry.service, &entry.software_version),
             })));
         }
-        let body = self.read_response_body(body, &connection).await?;
+        let (body, watch) = self.read_response_body(body, &connection).await?;
         in_flight.record_response(head.status());
         connection.release(
             metadata.keep_alive_s,
             metadata.closes_connection || metadata.is_leaving,
         );
-        Ok(TargetResponse::Full(forwarded_head(head).map(|()| body)))
+        let mut response = forwarded_head(head).map(|()| body);
+        response.extensions_mut().insert(watch);
+        Ok(TargetResponse::Full(response))
     }
 
     /// Reads the body of a response that isn't a stream, within the memory for
-    /// bodies.
+    /// bodies. The handle is for the connection on which it is sent.
     async fn read_response_body(
         &self,
         mut body: Incoming,
         connection: &ResponseConnection,
-    ) -> Result<Bytes, FailedAttempt> {
+    ) -> Result<(Bytes, HoldingWatch), FailedAttempt> {
         let memory = &self.state.memory;
         let holding = memory.hold_pinned();
         let limits = BodyLimits::of_size(MAX_BUFFERED_BYTES);
+        let declared_bytes = body.size_hint().lower();
+        let reading = async {
+            // A response that has begun isn't given up for the others; the target waits.
+            if declared_bytes <= MAX_BUFFERED_BYTES as u64 && memory.can_hold(declared_bytes) {
+                memory.wait_for_room(&holding, declared_bytes).await;
+            }
+            memory.read(&holding, &mut body, limits).await
+        };
         let read = tokio::select! {
             biased;
-            read = memory.read(&holding, &mut body, limits) => read,
+            read = reading => read,
             hopeless = connection.until_hopeless(), if self.route.is_repeatable() => {
                 return Err(hopeless.into());
             }
         };
         match read {
             // The caller may read slowly: the bytes are counted until they are sent.
-            Ok(bytes) => Ok(holding.bind(bytes)),
+            Ok(bytes) => {
+                let watch = holding.watch();
+                Ok((holding.bind(bytes), watch))
+            }
             Err(ReadError::Broken(detail)) => {
                 connection.record_broken();
                 Err(FailedAttempt::interrupted(detail))
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -30,6 +30,9 @@
 /// stream up after a pause of about two seconds.
 const MAX_TOKEN_WAIT: Duration = Duration::from_millis(1_000);
 
+/// Bytes that may wait for the caller to read before no more are taken from the target.
+const MAX_UNSENT_BYTES: usize = 32_768;
+
 /// Stream that is being relayed to a caller. Dropping it before the end of the
 /// stream closes the connection to the target, which then stops the execution.
 pub(crate) struct Relay {
@@ -104,6 +107,7 @@
             if self.reader.is_oversized() {
                 self.interrupted("event without end").await?;
             }
+            self.wait_for_caller().await?;
             let deadline = self.request.deadline();
             let Some(stream) = self.stream.as_mut() else {
                 return Ok(None);
@@ -164,6 +168,18 @@
         }
     }
 
+    /// Waits until the caller has read enough of what was sent.
+    async fn wait_for_caller(&mut self) -> Result<(), TruncatedBody> {
+        let sent = self.request.caller.until_sent(MAX_UNSENT_BYTES);
+        tokio::select! {
+            biased;
+            () = self.held.withdrawn() => Err(self.memory_exhausted()),
+            sent = timeout_at(self.request.deadline(), sent) => {
+                sent.map_err(|_| self.cut_off(Cause::OutOfTime))
+            }
+        }
+    }
+
     /// Counts what is kept of the stream.
     fn hold_bytes(&self) -> Result<(), Exhausted> {
         let output_bytes = self.output.as_ref().map_or(0, TurnOutput::capacity_bytes);
--- a/crates/entry/src/memory.rs
+++ b/crates/entry/src/memory.rs
@@ -10,6 +10,7 @@
     read_body, AddressGuard, AddressLimit, BodyLimits, LogLimit, ReadError, MAX_UNREAD_BYTES,
 };
 use lagoon_memory::{Claim, DiscardGuard, Exhausted, Holding, Memory, OutsideGuard, ProcessLimit};
+use tokio::time::sleep;
 
 use crate::clock::Clock;
 use crate::metrics::Metrics;
@@ -37,6 +38,9 @@
 /// tables.
 const CONNECTION_BYTES: u64 = 20_480;
 
+/// Interval at which a response that waits for room asks for it.
+const ROOM_RECHECK: Duration = Duration::from_millis(50);
+
 /// Returns the bytes that the heap of the process has allocated.
 pub type HeapBytes = fn() -> u64;
 
@@ -108,6 +112,14 @@
         self.memory.hold(Claim::Pinned, self.clock.now_ms())
     }
 
+    /// Waits until there is room for a body of this length, as others can't lose theirs for
+    /// it at once.
+    pub(crate) async fn wait_for_room(&self, holding: &Holding, bytes: u64) {
+        while holding.reserve(bytes, self.clock.now_ms()).is_err() {
+            sleep(ROOM_RECHECK).await;
+        }
+    }
+
     /// Changes the number of bytes of a holding without a buffer.
     pub(crate) fn set(&self, holding: &Holding, bytes: usize) -> Result<(), Exhausted> {
         holding.set(bytes as u64, self.clock.now_ms())
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -14,6 +14,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use lagoon_connections::{set_socket_options, AddressGuard};
+use lagoon_memory::HoldingWatch;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
@@ -21,7 +22,6 @@
 use crate::body::ResponseBody;
 use crate::caller_io::CallerIo;
 use crate::carry::{handle_carried, CARRY_PATH};
-use crate::connection::UNACKNOWLEDGED_TIMEOUT;
 use crate::forward::HEADER_SLACK_BYTES;
 use crate::idle::IdleTimer;
 use crate::message::MESSAGE_PATH;
@@ -151,7 +151,7 @@
     F: Fn(Request<Incoming>, RequestGuard) -> R + 'static,
     R: Future<Output = Response<ResponseBody>> + 'static,
 {
-    if let Err(error) = set_socket_options(&stream, UNACKNOWLEDGED_TIMEOUT) {
+    if let Err(error) = set_socket_options(&stream, caller.unacknowledged_timeout()) {
         log::debug!(error = error.to_string(); "cannot set TCP options");
     }
     let service = service_fn(|request| {
@@ -165,6 +165,9 @@
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
+            if let Some(body) = response.extensions_mut().remove::<HoldingWatch>() {
+                open.record_response(body);
+            }
             Ok::<_, Infallible>(response.map(|body| body.answering(open)))
         }
     });
--- a/crates/entry/src/unanswered.rs
+++ b/crates/entry/src/unanswered.rs
@@ -10,15 +10,20 @@
 use compact_str::CompactString;
 use derive_more::Display;
 use lagoon_adapter::request_id_in;
-use lagoon_connections::{HeadArrival, HeadRefusal};
-use lagoon_memory::OutsideGuard;
+use lagoon_connections::{ConnectionMemory, Refusal};
+use lagoon_memory::{HoldingWatch, OutsideGuard};
 
 use crate::caller_io::CallerIo;
+use crate::connection::UNACKNOWLEDGED_TIMEOUT;
 use crate::state::DaemonState;
 
 /// Time for a head that a caller sent within the header timeout to arrive.
 const HEAD_GRACE_MS: u64 = 1_000;
 
+/// Time for which a caller may leave what was sent unread. Linux counts the time in which its
+/// window is shut.
+const CALLER_UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(15);
+
 /// Why a request has no response, or only a part of one.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub(crate) enum Cause {
@@ -109,7 +114,7 @@
     is_stopped: Cell<bool>,
     has_ended: Cell<bool>,
     /// Head that has not arrived whole.
-    head: HeadArrival,
+    held: ConnectionMemory,
     _socket: OutsideGuard,
     /// Counts the connection's buffers until they are allocated.
     buffers: Cell<Option<OutsideGuard>>,
@@ -126,7 +131,7 @@
             is_broken: Cell::new(false),
             is_stopped: Cell::new(false),
             has_ended: Cell::new(false),
-            head: HeadArrival::new(state.memory.hold_connection()),
+            held: ConnectionMemory::new(state.memory.hold_connection()),
             _socket: state.memory.count_socket(),
             buffers: Cell::new(Some(state.memory.count_buffers())),
         })
@@ -138,8 +143,8 @@
 
     /// Whether no request is open, and none has begun to arrive within `patience`.
     pub(crate) fn is_idle(&self, patience: Duration) -> bool {
-        let age_ms = self.state.now_ms() - self.head.received_ms();
-        let arrives = self.head.received_bytes() > 0 && u128::from(age_ms) < patience.as_millis();
+        let age_ms = self.state.now_ms() - self.held.received_ms();
+        let arrives = self.held.received_bytes() > 0 && u128::from(age_ms) < patience.as_millis();
         self.open.borrow().is_empty() && !arrives
     }
 
@@ -147,7 +152,7 @@
     pub(crate) fn begin_request(self: &Rc<Self>) -> RequestGuard {
         let number = self.requests.get();
         self.requests.set(number + 1);
-        self.head.begin_request(self.state.now_ms());
+        self.held.begin_request(self.state.now_ms());
         self.open.borrow_mut().push_back(OpenRequest {
             number,
             id: CompactString::default(),
@@ -168,7 +173,7 @@
     /// Makes room in memory for the connection or its next request; `false` if there is
     /// none.
     pub(crate) fn claim_room(&self) -> bool {
-        self.head.claim_room(self.state.now_ms()).is_ok()
+        self.held.claim_room(self.state.now_ms()).is_ok()
     }
 
     /// Records that the connection's buffers are allocated.
@@ -176,18 +181,44 @@
         self.buffers.take();
     }
 
+    /// Time after which the system closes the connection if sent data stays
+    /// unacknowledged, or the peer's window shut.
+    pub(crate) fn unacknowledged_timeout(&self) -> Duration {
+        match self.client {
+            Client::Caller => CALLER_UNACKNOWLEDGED_TIMEOUT,
+            Client::Other => UNACKNOWLEDGED_TIMEOUT,
+        }
+    }
+
+    pub(crate) fn record_sent(&self, bytes: usize) {
+        self.held.record_sent(bytes, self.state.now_ms());
+    }
+
     pub(crate) fn record_received(&self, bytes: usize) {
-        self.head.record_received(bytes, self.state.now_ms());
+        self.held.record_received(bytes, self.state.now_ms());
     }
 
-    /// Waits until the head that arrives is refused, for lack of memory or time.
+    /// Waits until the connection is to be closed, for lack of memory or as a head takes too
+    /// long.
     pub(crate) async fn until_refused(&self) {
         let state = &self.state;
         let limit = || Duration::from_millis(state.limits().header_timeout_ms + HEAD_GRACE_MS);
-        match self.head.until_refused(limit, || state.now_ms()).await {
-            HeadRefusal::NoMemory => state.memory.record_exhausted("head"),
-            HeadRefusal::TimedOut => state.memory.record_late("head"),
+        match self.held.until_refused(limit, || state.now_ms()).await {
+            Refusal::NoMemory => self.record_withdrawn(),
+            Refusal::TimedOut => state.memory.record_late("head"),
+        }
+    }
+
+    fn record_withdrawn(&self) {
+        let mut open = self.open.borrow_mut();
+        let what = match open.is_empty() {
+            true => "connection",
+            false => "response",
+        };
+        for request in open.iter_mut() {
+            request.cause = Some(Cause::NoMemory);
         }
+        self.state.memory.record_exhausted(what);
     }
 
     pub(crate) fn record_caller_left(&self) {
@@ -208,12 +239,13 @@
 
     /// Records that the system has all bytes of the connection's buffer.
     pub(crate) fn record_flushed(&self) {
+        self.held.record_all_sent(self.state.now_ms());
         let mut open = self.open.borrow_mut();
         let before = open.len();
         open.retain(|request| !request.is_done());
         let done = before - open.len();
         if done > 0 {
-            self.head.end_requests(done, self.state.now_ms());
+            self.held.end_requests(done, self.state.now_ms());
         }
     }
 
@@ -244,7 +276,7 @@
             io.peek_late(&mut unread).await;
         }
         if !unread.is_empty() {
-            if self.head.received_bytes() == 0 {
+            if self.held.received_bytes() == 0 {
                 self.record_received(unread.len());
             }
             let id = request_id_in(&unread).unwrap_or_default();
@@ -269,15 +301,15 @@
 
     /// Why the bytes of a request whose head was not read are lost.
     fn unread_cause(&self, is_timeout: bool) -> Cause {
-        let age_ms = self.state.now_ms() - self.head.received_ms();
+        let age_ms = self.state.now_ms() - self.held.received_ms();
         if self.has_caller_left.get() {
             Cause::CallerLeft
         } else if self.is_broken.get() {
             Cause::ConnectionBroke
-        } else if let Some(refusal) = self.head.refusal() {
+        } else if let Some(refusal) = self.held.refusal() {
             match refusal {
-                HeadRefusal::NoMemory => Cause::NoMemory,
-                HeadRefusal::TimedOut => Cause::HeaderTimeout,
+                Refusal::NoMemory => Cause::NoMemory,
+                Refusal::TimedOut => Cause::HeaderTimeout,
             }
         } else if is_timeout {
             let is_late = age_ms >= self.state.limits().header_timeout_ms;
@@ -315,9 +347,9 @@
         if self.client == Client::Other {
             return;
         }
-        let received_ms = match self.head.received_bytes() {
+        let received_ms = match self.held.received_bytes() {
             0 => self.state.now_ms(),
-            _ => self.head.received_ms(),
+            _ => self.held.received_ms(),
         };
         self.state.record_unanswered(&Unanswered {
             id,
@@ -350,8 +382,8 @@
         };
         let has_open = !self.open.borrow().is_empty();
         self.log_open(cause);
-        if !has_open && self.head.received_bytes() > 0 {
-            self.log_unread("", cause, self.head.received_bytes());
+        if !has_open && self.held.received_bytes() > 0 {
+            self.log_unread("", cause, self.held.received_bytes());
         }
     }
 }
@@ -405,7 +437,24 @@
 
     /// Records that the rest of the request's body is discarded.
     pub(crate) fn begin_discard(&self) {
-        self.connection.head.begin_discard();
+        self.connection.held.begin_discard();
+    }
+
+    /// Records that a whole response with these bytes waits to be sent from now on.
+    pub(crate) fn record_response(&self, bytes: HoldingWatch) {
+        let now_ms = self.connection.state.now_ms();
+        self.connection.held.record_response(bytes, now_ms);
+    }
+
+    /// Records bytes of a stream that wait to be sent from now on.
+    pub(crate) fn record_unsent(&self, bytes: usize) {
+        let now_ms = self.connection.state.now_ms();
+        self.connection.held.record_unsent(bytes, now_ms);
+    }
+
+    /// Waits until at most this many bytes of a stream wait to be sent.
+    pub(crate) async fn until_sent(&self, max_bytes: usize) {
+        self.connection.held.until_sent(max_bytes).await;
     }
 
     /// Records that a target may get a part of the request from now on.
--- a/crates/entry/tests/crowd/mod.rs
+++ b/crates/entry/tests/crowd/mod.rs
@@ -7,6 +7,7 @@
 use std::fs;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -29,6 +30,9 @@
 /// Receive buffer of callers that read slowly.
 const SLOW_RECEIVE_BUFFER: usize = 16_384;
 
+/// Time for a crowd to arrive.
+const ARRIVAL_TIME: Duration = Duration::from_secs(2);
+
 /// Length of one header of a long head.
 const HEADER_BYTES: usize = 1_000;
 
@@ -226,7 +230,29 @@
         })
     }
 
+    /// Runs `act` while the crowd calls; the crowd goes on until that has ended, or its time
+    /// is over.
+    pub(crate) fn run_beside<F>(&self, server: SocketAddr, act: F)
+    where
+        F: FnOnce(),
+    {
+        let has_ended = AtomicBool::new(false);
+        thread::scope(|scope| {
+            scope.spawn(|| self.call_until(server, || has_ended.load(Ordering::SeqCst)));
+            thread::sleep(ARRIVAL_TIME);
+            let _end = EndOnDrop(&has_ended);
+            act();
+        });
+    }
+
     fn call(&self, server: SocketAddr) {
+        self.call_until(server, || false);
+    }
+
+    fn call_until<F>(&self, server: SocketAddr, has_ended: F)
+    where
+        F: Fn() -> bool,
+    {
         let runtime = Builder::new_current_thread().enable_all().build();
         let tasks = LocalSet::new();
         for number in 0..self.callers {
@@ -234,11 +260,23 @@
             tasks.spawn_local(call_again(number, server, behaviour));
         }
         tasks.block_on(&runtime.expect("runtime"), async {
-            sleep(self.time).await;
+            let end = Instant::now() + self.time;
+            while Instant::now() < end && !has_ended() {
+                sleep(SAMPLE_INTERVAL).await;
+            }
         });
     }
 }
 
+/// Sets a flag, also if a check fails.
+struct EndOnDrop<'a>(&'a AtomicBool);
+
+impl Drop for EndOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+}
+
 fn sample(vm: &Vm, peak: &mut Peak) {
     // The process may end at any time.
     let resident_bytes = status_bytes(vm, "VmRSS").unwrap_or_default();
--- a/crates/entry/tests/crowds.rs
+++ b/crates/entry/tests/crowds.rs
@@ -365,6 +365,36 @@
     check(&mut fleet, SMALL, peak);
 }
 
+// Guards against slow readers that hold the memory for responses, so that others lose theirs
+// after they have run, or that a crowd leaves no room for small requests.
+#[parameterized(
+    slow_readers = { Some(respond_with_much), DRIPPING },
+    whole_requests = { None, WHOLE },
+    half_bodies = { None, SMALL_HALF_BODIES },
+    half_heads = { None, LONG_HALF_HEADS },
+)]
+fn ordinary_request_is_answered_beside_a_crowd(
+    act: Option<fn(&mut TcpStream)>,
+    behaviour: Behaviour,
+) {
+    let _turn = take_turn();
+    let fleet = start_fleet(SMALL);
+    if let Some(act) = act {
+        list_only(&fleet, 2, start_server(act));
+    }
+    let crowd = Crowd {
+        callers: 450,
+        behaviours: &[behaviour],
+        time: Duration::from_secs(60),
+    };
+    crowd.run_beside(fleet.callers(), || {
+        wait_until("an ordinary request", || {
+            let headers = service_call_headers("r1");
+            try_call(fleet.callers(), "POST /book/x", &headers, "p").status == 200
+        });
+    });
+}
+
 // Guards against a caller that pauses, and loses the response to a request that has run.
 #[test]
 fn response_is_whole_for_a_caller_that_pauses() {
--- a/crates/memory/src/accounting.rs
+++ b/crates/memory/src/accounting.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 
 use crate::buffer::Buffer;
-use crate::process::ProcessLimit;
+use crate::process::{Demand, ProcessLimit};
 use crate::{Claim, Exhausted, ORDINARY_BYTES};
 
 #[derive(Debug)]
@@ -17,6 +17,8 @@
     /// of the process applies to them.
     fixed_bytes: u64,
     buffer: Buffer,
+    /// Part of `bytes` that is reserved for the buffer.
+    reserved_bytes: u64,
     /// Time of the first of its bytes.
     since_ms: u64,
     is_withdrawable: bool,
@@ -50,7 +52,7 @@
     max_discards: usize,
     discards: usize,
     held_bytes: u64,
-    /// Bytes that may be held outside of the heap, such as by sockets.
+    /// Bytes that may be held outside of the heap, such as by sockets, or are reserved.
     outside_bytes: u64,
     /// Bytes of withdrawn holdings that their owners are about to free.
     freeing_bytes: u64,
@@ -100,6 +102,7 @@
             bytes: 0,
             fixed_bytes,
             buffer: Buffer::default(),
+            reserved_bytes: 0,
             since_ms: now_ms,
             is_withdrawable: claim == Claim::Withdrawable,
             is_withdrawn: false,
@@ -113,6 +116,7 @@
     pub(crate) fn close(&mut self, id: u64) {
         if let Some(entry) = self.entries.remove(&id) {
             self.held_bytes -= entry.bytes;
+            self.outside_bytes -= entry.reserved_bytes;
             self.freeing_bytes -= entry.freeing_bytes;
         }
     }
@@ -135,23 +139,29 @@
 
     /// Makes room for a holding that takes this many bytes; withdraws those that cost most,
     /// or refuses if the holding itself does.
-    fn make_room(&mut self, id: u64, bytes: u64, now_ms: u64) -> Result<(), Exhausted> {
+    fn make_room(
+        &mut self,
+        id: u64,
+        bytes: u64,
+        demand: Demand,
+        now_ms: u64,
+    ) -> Result<(), Exhausted> {
         let max_bytes = match bytes > ORDINARY_BYTES {
             true => self.max_large_bytes(),
             false => self.max_bytes,
         };
-        while self.held_bytes > max_bytes || self.exceeds_process(bytes) {
+        while self.held_bytes > max_bytes || self.exceeds_process(demand) {
             let victim = self.costliest(now_ms).filter(|victim| *victim != id);
             self.withdraw(victim.ok_or(Exhausted)?);
         }
         Ok(())
     }
 
-    /// Whether the process has more than a holding of this size leaves free.
-    fn exceeds_process(&self, bytes: u64) -> bool {
+    /// Whether the process has more than leaves room for this.
+    fn exceeds_process(&self, demand: Demand) -> bool {
         self.process.as_ref().is_some_and(|limit| {
             let used_bytes = (limit.heap_bytes)() + self.outside_bytes;
-            used_bytes.saturating_sub(self.freeing_bytes) > limit.max_bytes_beside(bytes)
+            used_bytes.saturating_sub(self.freeing_bytes) > limit.max_bytes_for(demand)
         })
     }
 
@@ -161,7 +171,8 @@
         if entry.is_withdrawn {
             return Err(Exhausted);
         }
-        self.make_room(id, entry.bytes, now_ms)
+        let bytes = entry.bytes;
+        self.make_room(id, bytes, Demand::Arriving { bytes }, now_ms)
     }
 
     /// Changes the bytes of a holding. If that is too much, withdraws those that cost
@@ -171,6 +182,7 @@
         if entry.is_withdrawn {
             return Err(Exhausted);
         }
+        let is_withdrawable = entry.is_withdrawable;
         let previous = std::mem::replace(&mut entry.bytes, bytes);
         if previous == 0 {
             entry.since_ms = now_ms;
@@ -179,7 +191,11 @@
         if bytes <= previous {
             return Ok(());
         }
-        self.make_room(id, bytes, now_ms).inspect_err(|_| {
+        let demand = match is_withdrawable {
+            true => Demand::Arriving { bytes },
+            false => Demand::Running,
+        };
+        self.make_room(id, bytes, demand, now_ms).inspect_err(|_| {
             if let Some(entry) = self.entries.get_mut(&id) {
                 entry.bytes = previous;
             }
@@ -203,7 +219,9 @@
         self.held_bytes -= entry.bytes;
         self.withdrawn_count += 1;
         let buffer_bytes = entry.buffer.capacity() as u64;
-        entry.freeing_bytes = entry.fixed_bytes + entry.bytes.saturating_sub(buffer_bytes);
+        let elsewhere_bytes = (entry.bytes - entry.reserved_bytes).saturating_sub(buffer_bytes);
+        entry.freeing_bytes = entry.fixed_bytes + elsewhere_bytes;
+        self.outside_bytes -= std::mem::take(&mut entry.reserved_bytes);
         self.freeing_bytes += entry.freeing_bytes;
         entry.bytes = 0;
         entry.buffer = Buffer::default();
@@ -214,14 +232,30 @@
         }
     }
 
+    /// Reserves bytes for the buffer of a holding that has none yet.
+    pub(crate) fn reserve(&mut self, id: u64, bytes: u64, now_ms: u64) -> Result<(), Exhausted> {
+        self.outside_bytes += bytes;
+        if let Err(exhausted) = self.set(id, bytes, now_ms) {
+            self.outside_bytes -= bytes;
+            return Err(exhausted);
+        }
+        if let Some(entry) = self.entries.get_mut(&id) {
+            entry.reserved_bytes = bytes;
+        }
+        Ok(())
+    }
+
     /// Adds bytes to the buffer of a holding. The capacity is counted, so that small chunks
     /// cost no more than large ones.
     pub(crate) fn push(&mut self, id: u64, mut data: &[u8], now_ms: u64) -> Result<(), Exhausted> {
         while !data.is_empty() {
-            let entry = self.entries.get(&id).ok_or(Exhausted)?;
+            let entry = self.entries.get_mut(&id).ok_or(Exhausted)?;
             let growth_bytes = entry.buffer.growth_bytes(data.len());
+            let reserved_bytes = entry.reserved_bytes.min(growth_bytes as u64);
+            entry.reserved_bytes -= reserved_bytes;
             // Also without growth, as it fails if the bytes were withdrawn.
-            let bytes = entry.bytes + growth_bytes as u64;
+            let bytes = entry.bytes + growth_bytes as u64 - reserved_bytes;
+            self.outside_bytes -= reserved_bytes;
             self.set(id, bytes, now_ms)?;
             let entry = self.entries.get_mut(&id).ok_or(Exhausted)?;
             let taken = entry.buffer.fill(growth_bytes, data);
@@ -242,6 +276,7 @@
             return Err(Exhausted);
         }
         entry.is_withdrawable = false;
+        self.outside_bytes -= std::mem::take(&mut entry.reserved_bytes);
         let buffer = std::mem::take(&mut entry.buffer);
         let bytes = Bytes::from(buffer.into_content());
         self.held_bytes = self.held_bytes - entry.bytes + bytes.len() as u64;
@@ -259,6 +294,10 @@
         }
     }
 
+    pub(crate) fn has(&self, id: u64) -> bool {
+        self.entries.contains_key(&id)
+    }
+
     pub(crate) fn is_withdrawn(&self, id: u64) -> bool {
         self.entries.get(&id).is_none_or(|entry| entry.is_withdrawn)
     }
--- a/crates/memory/src/holding.rs
+++ b/crates/memory/src/holding.rs
@@ -1,6 +1,7 @@
 //! Bytes of one peer.
 
 use std::future::{poll_fn, Future};
+use std::task::Poll;
 
 use bytes::Bytes;
 
@@ -28,6 +29,16 @@
         self.memory.lock().push(self.id, data, now_ms)
     }
 
+    /// Reserves bytes for the buffer, which is empty, so that later pushes don't fail up to
+    /// this length.
+    ///
+    /// # Errors
+    ///
+    /// Like [`Holding::push`].
+    pub fn reserve(&self, bytes: u64, now_ms: u64) -> Result<(), Exhausted> {
+        self.memory.lock().reserve(self.id, bytes, now_ms)
+    }
+
     /// Length of the buffer.
     pub fn buffered_bytes(&self) -> usize {
         self.memory.lock().buffered_bytes(self.id)
@@ -76,6 +87,14 @@
         poll_fn(|cx| self.memory.lock().poll_withdrawn(self.id, cx))
     }
 
+    /// Handle to the holding for whoever sends its bytes.
+    pub fn watch(&self) -> HoldingWatch {
+        HoldingWatch {
+            memory: self.memory.clone(),
+            id: self.id,
+        }
+    }
+
     /// These bytes, with which the holding is dropped.
     pub fn bind(self, bytes: Bytes) -> Bytes {
         Bytes::from_owner(HeldBytes {
@@ -85,6 +104,31 @@
     }
 }
 
+/// Handle to a holding that something else owns.
+#[derive(Clone, Debug)]
+pub struct HoldingWatch {
+    memory: Memory,
+    id: u64,
+}
+
+impl HoldingWatch {
+    /// Like [`Holding::set_claim`]; does nothing once the holding is dropped.
+    pub fn set_claim(&self, claim: Claim, now_ms: u64) {
+        self.memory.lock().set_claim(self.id, claim, now_ms);
+    }
+
+    /// Waits until the bytes are withdrawn; doesn't end if the holding is dropped before.
+    pub fn withdrawn(&self) -> impl Future<Output = ()> + '_ {
+        poll_fn(|cx| {
+            let mut accounting = self.memory.lock();
+            match accounting.has(self.id) {
+                true => accounting.poll_withdrawn(self.id, cx),
+                false => Poll::Pending,
+            }
+        })
+    }
+}
+
 impl Drop for Holding {
     fn drop(&mut self) {
         self.memory.lock().close(self.id);
--- a/crates/memory/src/lib.rs
+++ b/crates/memory/src/lib.rs
@@ -15,7 +15,7 @@
 
 use accounting::Accounting;
 
-pub use holding::{DiscardGuard, Holding, OutsideGuard};
+pub use holding::{DiscardGuard, Holding, HoldingWatch, OutsideGuard};
 pub use process::ProcessLimit;
 
 /// Holdings up to this size are ordinary: they may use the reserve, and lose bytes only
