Connections: the store and other VMs keep the system's receive buffers

Tables are read from the store in calls of up to 1 MB; 8 KiB at a time, that takes 64 round trips and more. There are few of these connections, and they are always read, so that they hold no unread bytes for a peer. Connections to VMs that carry attempts keep the small buffers, as those to targets do: a caller that reads slowly stops them.

--- a/crates/entry/src/carry/origin.rs
+++ b/crates/entry/src/carry/origin.rs
@@ -115,7 +115,11 @@
         if let Some(pooled) = self.carrier_pool.take(carrier.address) {
             return Some(pooled);
         }
-        let opened = timeout(CONNECT_PATIENCE, Connection::open(carrier.address)).await;
+        let opened = timeout(
+            CONNECT_PATIENCE,
+            Connection::open_to_carrier(carrier.address),
+        )
+        .await;
         let Ok(Ok(connection)) = opened else {
             self.peer_client.record_unreachable(&carrier.name);
             return None;
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -1,5 +1,6 @@
 //! Outgoing HTTP/1.1 connections.
 
+use std::future::Future;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -14,6 +15,7 @@
 use lagoon_connections::{connect, set_socket_options, PartialReads};
 use lagoon_paths::Loss;
 use thiserror::Error;
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
@@ -110,21 +112,28 @@
 impl Connection {
     /// Opens a connection to the store or another VM.
     pub(crate) async fn open(address: SocketAddr) -> Result<Connection, OpenError> {
-        Connection::open_with(address, UNACKNOWLEDGED_TIMEOUT).await
+        let stream = connect_in_time(TcpStream::connect(address)).await?;
+        Connection::establish(stream, address, UNACKNOWLEDGED_TIMEOUT).await
     }
 
-    /// Opens a connection to a target.
+    /// Opens a connection to a target, which holds few bytes that nobody has read: there is
+    /// one for each open request, whose caller may read slowly.
     pub(crate) async fn open_to_target(address: SocketAddr) -> Result<Connection, OpenError> {
-        Connection::open_with(address, TARGET_UNACKNOWLEDGED_TIMEOUT).await
+        let stream = connect_in_time(connect(address)).await?;
+        Connection::establish(stream, address, TARGET_UNACKNOWLEDGED_TIMEOUT).await
     }
 
-    async fn open_with(
+    /// Opens a connection to a VM that carries attempts, with the same limit.
+    pub(crate) async fn open_to_carrier(address: SocketAddr) -> Result<Connection, OpenError> {
+        let stream = connect_in_time(connect(address)).await?;
+        Connection::establish(stream, address, UNACKNOWLEDGED_TIMEOUT).await
+    }
+
+    async fn establish(
+        stream: TcpStream,
         address: SocketAddr,
         unacknowledged_timeout: Duration,
     ) -> Result<Connection, OpenError> {
-        let stream = timeout(CONNECT_TIMEOUT, connect(address))
-            .await
-            .map_err(|_| OpenError::timed_out())??;
         if let Err(error) = set_socket_options(&stream, unacknowledged_timeout) {
             log::warn!(address = address.to_string(), error = error.to_string(); "cannot set TCP options");
         }
@@ -182,6 +191,14 @@
     }
 }
 
+async fn connect_in_time<F>(connecting: F) -> Result<TcpStream, OpenError>
+where
+    F: Future<Output = std::io::Result<TcpStream>>,
+{
+    let connected = timeout(CONNECT_TIMEOUT, connecting).await;
+    Ok(connected.map_err(|_| OpenError::timed_out())??)
+}
+
 /// Returns what is notified once more than [`MAX_INTERIM_RESPONSES`] came to a request.
 fn notify_of_excess_interims(request: &mut Request<RequestBody>) -> Arc<Notify> {
     let excess = Arc::new(Notify::new());
