--- a/crates/daemon/tests/memory.rs
+++ b/crates/daemon/tests/memory.rs
@@ -176,6 +176,32 @@
     stay(stream, end)
 }
 
+/// Whole request with a head of about 15 KB and a body of this length.
+fn long_request(body_bytes: usize) -> Vec<u8> {
+    let fillers = (0..14).map(|number| format!("filler-{number}: {}\r\n", "v".repeat(1_000)));
+    let fillers: String = fillers.collect();
+    let head = format!(
+        "POST /v1/call/booking HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer grower-desk-key\r\n\
+         {fillers}Content-Length: {body_bytes}\r\n\r\n"
+    );
+    [head.as_bytes(), &BLOCK[..body_bytes]].concat()
+}
+
+/// Sends a whole request and keeps the connection.
+fn whole_request(stream: &mut TcpStream, end: Instant) -> std::io::Result<()> {
+    write_until(stream, &long_request(30_000), end)?;
+    stay(stream, end)
+}
+
+/// Sends request after request without reading a response.
+fn pipeline(stream: &mut TcpStream, end: Instant) -> std::io::Result<()> {
+    let request = long_request(20_000);
+    while Instant::now() < end {
+        write_until(stream, &request, end)?;
+    }
+    Ok(())
+}
+
 /// Sends whole bodies one after the other on one connection, and then one without an end.
 fn bodies_begun_again(stream: &mut TcpStream, end: Instant) -> std::io::Result<()> {
     for _ in 0..3 {
@@ -252,6 +278,19 @@
     });
 }
 
+// Guards against requests that are small one by one, and take up the memory together: those
+// that wait, and those that come before a response was read.
+#[parameterized(
+    whole_requests = { whole_request },
+    pipelined_requests = { pipeline },
+)]
+fn lagoond_endures_long_requests(behaviour: Behaviour) {
+    let _turn = take_turn();
+    let site = Site::start(1);
+    let callers = site.vms[0].callers;
+    endure(&site, |_, end| behaviour(&mut connect(callers)?, end));
+}
+
 // Guards against a VM that holds what such callers send around, behind or after a body.
 #[parameterized(
     extensions_without_end = { endless_extensions },
