Memory: a stream that has begun may use what arrivals leave free

By reading: what a stream keeps for its caller, and what of it waits to be sent, can be withdrawn for others, and so it counted as an arrival when it asked for room itself. A crowd that saturates what arrivals may use would have cut off streams in progress, in place of the connections that come next. Both now ask as requests in progress; they can be withdrawn as before.

--- a/crates/connections/src/connection_memory.rs
+++ b/crates/connections/src/connection_memory.rs
@@ -187,8 +187,12 @@
             bytes if bytes > MIN_HELD_BYTES => bytes,
             _ => 0,
         };
-        let bytes = self.head_bytes.get() + unsent_bytes;
-        if self.holding.set(bytes as u64, now_ms).is_err() {
+        let bytes = (self.head_bytes.get() + unsent_bytes) as u64;
+        let held = match self.open_requests.get() {
+            0 => self.holding.set(bytes, now_ms),
+            _ => self.holding.set_in_progress(bytes, now_ms),
+        };
+        if held.is_err() {
             self.refusal.set(Some(Refusal::NoMemory));
             self.changed.notify_one();
         }
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -184,7 +184,8 @@
     fn hold_bytes(&self) -> Result<(), Exhausted> {
         let output_bytes = self.output.as_ref().map_or(0, TurnOutput::capacity_bytes);
         let bytes = output_bytes + self.reader.partial_bytes();
-        self.request.state.memory.set(&self.held, bytes)
+        let memory = &self.request.state.memory;
+        memory.set_in_progress(&self.held, bytes)
     }
 
     fn memory_exhausted(&mut self) -> TruncatedBody {
--- a/crates/entry/src/memory.rs
+++ b/crates/entry/src/memory.rs
@@ -125,6 +125,11 @@
         holding.set(bytes as u64, self.clock.now_ms())
     }
 
+    /// The same for a response that has begun.
+    pub(crate) fn set_in_progress(&self, holding: &Holding, bytes: usize) -> Result<(), Exhausted> {
+        holding.set_in_progress(bytes as u64, self.clock.now_ms())
+    }
+
     /// Whether a body of this length can be held at all.
     pub(crate) fn can_hold(&self, bytes: u64) -> bool {
         bytes <= self.memory.max_holding_bytes()
--- a/crates/memory/src/accounting.rs
+++ b/crates/memory/src/accounting.rs
@@ -175,14 +175,29 @@
         self.make_room(id, bytes, Demand::Arriving { bytes }, now_ms)
     }
 
+    /// Changes the bytes of a holding, which is in progress if it can't be withdrawn.
+    pub(crate) fn set(&mut self, id: u64, bytes: u64, now_ms: u64) -> Result<(), Exhausted> {
+        let is_withdrawable = self.entries.get(&id).is_some_and(|e| e.is_withdrawable);
+        let demand = match is_withdrawable {
+            true => Demand::Arriving { bytes },
+            false => Demand::Running,
+        };
+        self.set_for(id, bytes, demand, now_ms)
+    }
+
     /// Changes the bytes of a holding. If that is too much, withdraws those that cost
     /// most, or refuses if the holding itself does.
-    pub(crate) fn set(&mut self, id: u64, bytes: u64, now_ms: u64) -> Result<(), Exhausted> {
+    pub(crate) fn set_for(
+        &mut self,
+        id: u64,
+        bytes: u64,
+        demand: Demand,
+        now_ms: u64,
+    ) -> Result<(), Exhausted> {
         let entry = self.entries.get_mut(&id).ok_or(Exhausted)?;
         if entry.is_withdrawn {
             return Err(Exhausted);
         }
-        let is_withdrawable = entry.is_withdrawable;
         let previous = std::mem::replace(&mut entry.bytes, bytes);
         if previous == 0 {
             entry.since_ms = now_ms;
@@ -191,10 +206,6 @@
         if bytes <= previous {
             return Ok(());
         }
-        let demand = match is_withdrawable {
-            true => Demand::Arriving { bytes },
-            false => Demand::Running,
-        };
         self.make_room(id, bytes, demand, now_ms).inspect_err(|_| {
             if let Some(entry) = self.entries.get_mut(&id) {
                 entry.bytes = previous;
--- a/crates/memory/src/holding.rs
+++ b/crates/memory/src/holding.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 
+use crate::process::Demand;
 use crate::{Claim, Exhausted, Memory};
 
 /// Bytes that are held on behalf of one peer; released on drop.
@@ -63,6 +64,17 @@
         self.memory.lock().set(self.id, bytes, now_ms)
     }
 
+    /// Like [`Holding::set`], for a request in progress, whose bytes can be withdrawn all the
+    /// same: it may use what arrivals leave free.
+    ///
+    /// # Errors
+    ///
+    /// Like [`Holding::push`].
+    pub fn set_in_progress(&self, bytes: u64, now_ms: u64) -> Result<(), Exhausted> {
+        let mut accounting = self.memory.lock();
+        accounting.set_for(self.id, bytes, Demand::Running, now_ms)
+    }
+
     /// Makes room for what the holding costs besides its bytes.
     ///
     /// # Errors
--- a/crates/memory/tests/process.rs
+++ b/crates/memory/tests/process.rs
@@ -101,6 +101,9 @@
     let next = memory.hold(Claim::Withdrawable, 0);
     assert_eq!(next.claim_room(0), Err(Exhausted));
     response.set(MB, 0).expect("reserve");
+    let stream = memory.hold(Claim::Withdrawable, 0);
+    assert_eq!(stream.set(MB, 0), Err(Exhausted));
+    stream.set_in_progress(MB, 0).expect("reserve");
 }
 
 // Guards against bytes that sockets hold and nobody counts.
