--- a/crates/entry/tests/soak.rs
+++ b/crates/entry/tests/soak.rs
@@ -65,6 +65,10 @@
 const MAX_STALLED: usize = 24;
 const STALLER_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Requests that are sent without reading a response: number, and length of a header of each.
+const UNREAD_REQUESTS: usize = 40;
+const UNREAD_HEAD_BYTES: usize = 12_000;
+
 /// Time in which a restarted target is listed.
 const RESTART_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -300,7 +304,8 @@
     (moved, uncertain)
 }
 
-/// Begins bodies and doesn't end them, on a bounded number of connections.
+/// Begins bodies and doesn't end them, or sends requests without reading a response, on a
+/// bounded number of connections.
 fn run_staller(seed: u64, vms: &Addresses, stop: &AtomicBool) {
     let mut random = Pcg64::seed_from_u64(seed * 1_000 + CALLERS + 1);
     let headers = service_call_headers("stalled").join("\r\n");
@@ -308,6 +313,10 @@
         "POST /book/x HTTP/1.1\r\nHost: a.example\r\n{headers}\r\nTransfer-Encoding: chunked\r\n\r\n"
     );
     let chunk = vec![b'x'; STALLED_BYTES];
+    // No route has this path, so that no target runs them.
+    let filler = "v".repeat(UNREAD_HEAD_BYTES);
+    let unread = format!("GET /none/x HTTP/1.1\r\nHost: a.example\r\nfiller: {filler}\r\n\r\n");
+    let unread = unread.repeat(UNREAD_REQUESTS);
     let mut stalled = VecDeque::new();
     while !stop.load(Ordering::SeqCst) {
         let address = {
@@ -315,12 +324,11 @@
             vms[random.random_range(0..vms.len())]
         };
         if let Ok(mut stream) = TcpStream::connect_timeout(&address, STALLER_INTERVAL) {
-            let parts = [
-                head.as_bytes(),
-                format!("{:x}\r\n", chunk.len()).as_bytes(),
-                &chunk,
-            ]
-            .concat();
+            let length = format!("{:x}\r\n", chunk.len());
+            let parts = match random.random_bool(0.5) {
+                true => [head.as_bytes(), length.as_bytes(), &chunk].concat(),
+                false => unread.clone().into_bytes(),
+            };
             // A VM may be stopped, suspended or closing the connection.
             let set = stream.set_write_timeout(Some(STALLER_INTERVAL));
             let _ = set.and_then(|()| stream.write_all(&parts));
