--- a/crates/entry/src/unanswered.rs
+++ b/crates/entry/src/unanswered.rs
@@ -113,7 +113,7 @@
     /// Whether the daemon asked the connection to close because it stops.
     is_stopped: Cell<bool>,
     has_ended: Cell<bool>,
-    /// Head that has not arrived whole.
+    /// Head that has not arrived whole, and responses that are not sent.
     held: ConnectionMemory,
     _socket: OutsideGuard,
     /// Counts the connection's buffers until they are allocated.
