Sentinels: evidence expires by its own age, not by that of the message

Cause: the sentinel of their failure domain spoke for 2 s after its last reply, and each message was believed for another 2.5 s. A sentinel that had lost the store vouched for a silent watch for 4.5 s. Told from a sentinel that dies and from a watch that isn't renewed for another failed call by the line `watch renewed`, which now has the age of the evidence and the sentinel.

Messages state the age of the evidence; it expires 1.7 s after it was true, whichever way it came. Evidence is as old as the call that brought it, by the clock that counts suspensions. Short watches end just before a message is due, so that one message a second is enough, and a sentinel makes 1 call a second for a table in place of 1.25. Watches are renewed also while other calls fail.

--- a/crates/entry/src/news.rs
+++ b/crates/entry/src/news.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use lagoon_gateway::{CapacityUpdate, CrashUpdate, GossipMessage};
+use lagoon_gateway::{CapacityUpdate, CrashUpdate, GossipMessage, SentinelMessage};
 use lagoon_limits::LimitUpdate;
 use lagoon_streams::OriginRecord;
 use rand::RngExt;
@@ -140,12 +140,13 @@
 /// Sends the versions that this VM has read to its failure domain, if it is a
 /// sentinel.
 fn send_versions(state: &DaemonState, socket: &UdpSocket) {
-    let versions = state.sentinel.borrow_mut().take_message(state.now_ms());
-    let Some(versions) = versions else {
+    let now_ms = state.evidence_now_ms();
+    let Some(message) = state.sentinel.borrow_mut().take_message(now_ms) else {
         return;
     };
     let news = News {
-        versions,
+        versions: message.versions,
+        ages: message.ages,
         ..News::default()
     };
     let receivers = state.peer_client.peers.borrow().local_addresses();
@@ -304,10 +305,14 @@
         .borrow_mut()
         .apply_updates(from, &news.message.affinities, now_ms);
     state.crash_tracker.apply_updates(&news.crashes);
-    state
-        .sentinel
-        .borrow_mut()
-        .on_message(from, news.versions, now_ms);
+    let message = SentinelMessage {
+        versions: news.versions,
+        ages: news.ages,
+    };
+    let evidence_now_ms = state.evidence_now_ms();
+    let mut sentinel = state.sentinel.borrow_mut();
+    sentinel.on_message(from, &message, evidence_now_ms);
+    drop(sentinel);
     if !news.limits.is_empty() {
         state.apply_limits(&news.limits, &from.to_string());
     }
--- a/crates/entry/src/news/datagram.rs
+++ b/crates/entry/src/news/datagram.rs
@@ -2,7 +2,7 @@
 //! added. A VM ignores what follows the lists that it knows, and takes those that are
 //! missing for empty, so new lists are added at the end only.
 
-use lagoon_gateway::{CapacityUpdate, CrashUpdate, GossipMessage, TableVersions};
+use lagoon_gateway::{CapacityUpdate, CrashUpdate, EvidenceAges, GossipMessage, TableVersions};
 use lagoon_limits::LimitUpdate;
 use lagoon_streams::OriginRecord;
 
@@ -21,6 +21,8 @@
     pub origins: Vec<OriginRecord>,
     /// Speed of targets, and admitted programs.
     pub capacity: Vec<CapacityUpdate>,
+    /// Age of a sentinel's evidence.
+    pub ages: EvidenceAges,
 }
 
 impl News {
@@ -30,7 +32,8 @@
     ///
     /// Fails if a part can't be encoded.
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
-        let has_capacity = !self.capacity.is_empty();
+        let has_ages = self.ages != EvidenceAges::default();
+        let has_capacity = has_ages || !self.capacity.is_empty();
         let has_origins = has_capacity || !self.origins.is_empty();
         let has_limits = has_origins || !self.limits.is_empty();
         let has_versions = has_limits || self.versions != TableVersions::default();
@@ -51,6 +54,9 @@
         if has_capacity {
             bytes = postcard::to_extend(&self.capacity, bytes)?;
         }
+        if has_ages {
+            bytes = postcard::to_extend(&self.ages, bytes)?;
+        }
         Ok(bytes)
     }
 
@@ -85,8 +91,13 @@
         }
         let (origins, remaining) = postcard::take_from_bytes(remaining)?;
         news.origins = origins;
+        if remaining.is_empty() {
+            return Ok(news);
+        }
+        let (capacity, remaining) = postcard::take_from_bytes(remaining)?;
+        news.capacity = capacity;
         if !remaining.is_empty() {
-            (news.capacity, _) = postcard::take_from_bytes(remaining)?;
+            (news.ages, _) = postcard::take_from_bytes(remaining)?;
         }
         Ok(news)
     }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -193,7 +193,7 @@
             follow_table(Rc::clone(&state), Rc::clone(&store), table)
         });
     }
-    start_maintenance(&settings, &state, &store, file);
+    start_maintenance(&settings, &state, file);
     let registration = Registration::new(&settings, writer.clone(), Rc::clone(&store));
     let registration = Rc::new(registration);
     let (task_registration, task_state) = (Rc::clone(&registration), Rc::clone(&state));
@@ -224,16 +224,9 @@
     Ok(())
 }
 
-fn start_maintenance(
-    settings: &EntrySettings,
-    state: &Rc<DaemonState>,
-    store: &Rc<StoreClient>,
-    file: PathBuf,
-) {
-    let (task_state, store) = (Rc::clone(state), Rc::clone(store));
-    spawn_lasting("housekeeping", move || {
-        housekeeping(Rc::clone(&task_state), Rc::clone(&store))
-    });
+fn start_maintenance(settings: &EntrySettings, state: &Rc<DaemonState>, file: PathBuf) {
+    let task_state = Rc::clone(state);
+    spawn_lasting("housekeeping", move || housekeeping(Rc::clone(&task_state)));
     let turn_keeper = Rc::clone(&state.turn_keeper);
     spawn_lasting("deletion of turns", move || {
         Rc::clone(&turn_keeper).sweep_periodically()
@@ -325,7 +318,7 @@
     }
 }
 
-async fn housekeeping(state: Rc<DaemonState>, store: Rc<StoreClient>) {
+async fn housekeeping(state: Rc<DaemonState>) {
     let mut round = 0;
     loop {
         sleep(HOUSEKEEPING_INTERVAL).await;
@@ -337,10 +330,9 @@
         state.budget_client.flush_due_writes();
         state.turn_keeper.maintain();
         state.check_paths();
-        // Watches are renewed at the end of an outage; until then, new ones fail too.
-        if !store.is_failing() {
-            state.renew_watches();
-        }
+        // Also while calls fail: a VM without requests may make no other call that shows
+        // that the store replies again.
+        state.renew_watches();
         state.targets.borrow_mut().remove_expired(state.now_ms());
         if state.targets_loaded.get() {
             state.targets.borrow_mut().observe_versions(state.now_ms());
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -13,7 +13,7 @@
 use lagoon_paths::{CarrierSettings, Carriers, PathSettings, Paths};
 use tokio::sync::Notify;
 
-use crate::clock::Clock;
+use crate::clock::{boot_now_ms, Clock};
 use crate::evidence::ConfigEvidence;
 use crate::idle::IdleLimit;
 use crate::ledger::BudgetClient;
@@ -149,6 +149,12 @@
         self.clock.now_ms()
     }
 
+    /// Time for the age of evidence, by a clock that counts suspensions of the VM if the
+    /// system has one.
+    pub(crate) fn evidence_now_ms(&self) -> u64 {
+        boot_now_ms().unwrap_or_else(|| self.now_ms())
+    }
+
     /// Limits on callers' requests: those of the current configuration, or the
     /// defaults before there is one.
     pub(crate) fn limits(&self) -> Limits {
@@ -168,9 +174,10 @@
         self.renewals[table as usize].notified().await;
     }
 
-    /// Renews watches that have missed changes or for which no VM vouches.
+    /// Renews watches that have missed changes, or without young evidence.
     pub(crate) fn renew_watches(&self) {
-        let due = self.sentinel.borrow_mut().take_renewals(self.now_ms());
+        let now_ms = self.evidence_now_ms();
+        let due = self.sentinel.borrow_mut().take_renewals(now_ms);
         for table in due {
             self.renewals[table as usize].notify_waiters();
         }
--- a/crates/entry/src/streams.rs
+++ b/crates/entry/src/streams.rs
@@ -83,7 +83,7 @@
         let now_ms = self.now_ms();
         let sole = self.targets.borrow_mut().sole_version(service, now_ms);
         let sentinel = self.sentinel.borrow();
-        let is_current = sentinel.is_current(SentinelTable::Targets, now_ms);
+        let is_current = sentinel.is_current(SentinelTable::Targets, self.evidence_now_ms());
         OriginAnswer {
             reply: self.origins.held.borrow().get(stream),
             sole: sole.filter(|_| is_current),
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -9,8 +9,8 @@
 use lagoon_accounts::Accounts;
 use lagoon_adapter::{decode_config, decode_target, CONFIG_KEY, OPERATOR_TABLE, TARGET_TABLE};
 use lagoon_gateway::{
-    AccountRates, Config, ProgramKey, Row, SentinelTable, StoreCall, StoreError, StoreReply,
-    TargetEntry, TargetStatus,
+    evidence_ms, AccountRates, Config, ProgramKey, Row, SentinelTable, StoreCall, StoreError,
+    StoreReply, TargetEntry, TargetStatus, WatchDuration,
 };
 use lagoon_ids::FastSet;
 use tokio::time::sleep;
@@ -25,9 +25,8 @@
 /// is noticed one reply timeout later.
 const MAX_WAIT_MS: u64 = 10_000;
 
-/// Like `MAX_WAIT_MS`, while no other VM vouches for long watches. A watch that got
-/// lost is repeated within this and `OVERDUE_AFTER`.
-const SHORT_MAX_WAIT_MS: u64 = 800;
+/// Like `MAX_WAIT_MS`, of a watch that is repeated as the reply to another one is overdue.
+const REPEATED_MAX_WAIT_MS: u64 = 800;
 
 /// Time after the maximum duration of a watch at which its reply is overdue and the
 /// watch is repeated. The reply timeout of the store is too long for that: with it, a
@@ -132,6 +131,13 @@
     }
 }
 
+/// Reply to a watch, with when it began and how long it was to wait.
+struct Watched {
+    began_ms: u64,
+    wait_ms: u64,
+    reply: Result<StoreReply, StoreError>,
+}
+
 struct TableFollower {
     state: Rc<DaemonState>,
     store: Rc<StoreClient>,
@@ -157,13 +163,14 @@
         }
     }
 
-    /// Records a reply with the store's `version` and these changes.
-    fn record_success(&mut self, version: u64, rows: &[Row]) {
+    /// Records a reply with the store's `version` and these changes, which are the newest
+    /// as of `evidence_ms`.
+    fn record_success(&mut self, version: u64, rows: &[Row], evidence_ms: u64) {
         let now_ms = self.state.now_ms();
         if let Some(table) = self.table.sentinel_table() {
             let newest_change = rows.iter().map(|row| row.version).max();
             let mut sentinel = self.state.sentinel.borrow_mut();
-            sentinel.on_reply(table, version, newest_change, now_ms);
+            sentinel.on_reply(table, version, newest_change, evidence_ms);
         }
         if let Some(since_ms) = self.failing_since_ms.take() {
             let away_ms = now_ms - since_ms;
@@ -184,6 +191,7 @@
         let mut first_version = None;
         let began_ms = self.state.now_ms();
         let began_boot_ms = boot_now_ms();
+        let evidence_ms = self.state.evidence_now_ms();
         loop {
             let call = StoreCall::Read {
                 table: self.table.name(),
@@ -218,7 +226,7 @@
         }
         let budget_client = &self.state.budget_client;
         budget_client.record_store_version(version, began_ms);
-        self.record_success(version, &rows);
+        self.record_success(version, &rows, evidence_ms);
         self.version = version;
         self.newest_config = newest_config(&rows).unwrap_or(REMOVED);
         self.apply_all(rows);
@@ -234,21 +242,23 @@
             let recoveries = self.store.recoveries();
             let started_ms = self.state.now_ms();
             let started_boot_ms = boot_now_ms();
-            let reply = tokio::select! {
-                reply = self.call_watch(wait_ms) => reply,
+            let watched = tokio::select! {
+                watched = self.call_watch(wait_ms) => watched,
                 () = self.renewal_due() => {
-                    let waited_ms = self.state.now_ms() - started_ms;
-                    log::info!(table = self.table.name().as_str(), version = self.version, waited_ms; "watch renewed");
+                    self.log_renewal(started_ms);
                     self.store.close_idle();
                     continue;
                 }
             };
-            match reply {
+            match watched.reply {
                 Ok(StoreReply::Rows { rows, version, .. }) => {
                     let is_changed = !rows.is_empty();
                     let newest = rows.iter().map(|row| row.version).max();
                     self.version = self.version.max(version).max(newest.unwrap_or_default());
-                    self.record_success(self.version, &rows);
+                    let now_ms = self.state.evidence_now_ms();
+                    let evidence_ms =
+                        evidence_ms(watched.began_ms, watched.wait_ms, !is_changed, now_ms);
+                    self.record_success(self.version, &rows, evidence_ms);
                     self.newest_config = newest_config(&rows).unwrap_or(self.newest_config);
                     rows.into_iter().for_each(|row| self.apply(row));
                     self.record_evidence(started_boot_ms);
@@ -273,37 +283,56 @@
         }
     }
 
+    fn log_renewal(&self, started_ms: u64) {
+        let waited_ms = self.state.now_ms() - started_ms;
+        let table = self.table.sentinel_table();
+        let sentinel = self.state.sentinel.borrow();
+        let now_ms = self.state.evidence_now_ms();
+        let age_ms = table.and_then(|table| sentinel.evidence_age_ms(table, now_ms));
+        let evidence_age_ms = age_ms.map_or(-1, |age_ms| age_ms as i64);
+        let voucher = table.and_then(|table| sentinel.voucher(table));
+        let voucher = voucher.map_or_else(String::new, |address| address.to_string());
+        log::info!(table = self.table.name().as_str(), version = self.version, waited_ms, evidence_age_ms, sentinel = voucher.as_str(); "watch renewed");
+    }
+
     /// Executes a watch that waits for `wait_ms` at most, and returns its first reply.
     /// While that is overdue, a short watch is added on another connection, as the fault
     /// that lost one reply may have lost the next, too. None is added while the store counts
     /// as unavailable, so that it isn't called more often then.
-    async fn call_watch(&self, wait_ms: u64) -> Result<StoreReply, StoreError> {
-        let watch = |wait_ms| StoreCall::Watch {
-            table: self.table.name(),
-            after_version: self.version,
-            wait_ms,
-        };
-        let repeated_wait_ms = wait_ms.min(SHORT_MAX_WAIT_MS);
-        let (first, repeated) = (watch(wait_ms), watch(repeated_wait_ms));
+    async fn call_watch(&self, wait_ms: u64) -> Watched {
+        let repeated_wait_ms = wait_ms.min(REPEATED_MAX_WAIT_MS);
         let mut overdue_after = Duration::from_millis(wait_ms) + OVERDUE_AFTER;
         let mut calls = FuturesUnordered::new();
-        calls.push(self.store.call(&first));
+        calls.push(self.call_once(wait_ms));
         loop {
             tokio::select! {
-                Some(reply) = calls.next() => match reply {
+                Some(watched) = calls.next() => match watched.reply {
                     Err(_) if !calls.is_empty() => {}
-                    reply => return reply,
+                    _ => return watched,
                 },
                 () = sleep(overdue_after), if !self.store.is_unavailable() => {
                     log::info!(table = self.table.name().as_str(), version = self.version; "watch repeated, as its reply is overdue");
                     self.store.close_idle();
-                    calls.push(self.store.call(&repeated));
+                    calls.push(self.call_once(repeated_wait_ms));
                     overdue_after = Duration::from_millis(repeated_wait_ms) + OVERDUE_AFTER;
                 }
             }
         }
     }
 
+    async fn call_once(&self, wait_ms: u64) -> Watched {
+        let watch = StoreCall::Watch {
+            table: self.table.name(),
+            after_version: self.version,
+            wait_ms,
+        };
+        Watched {
+            began_ms: self.state.evidence_now_ms(),
+            wait_ms,
+            reply: self.store.call(&watch).await,
+        }
+    }
+
     /// Records that the configuration was read by a call that began at `began_ms`.
     fn record_evidence(&self, began_ms: Option<u64>) {
         if self.table == FollowedTable::Config {
@@ -320,15 +349,17 @@
         let Some(table) = self.table.sentinel_table() else {
             return self.table.max_wait_ms();
         };
-        let now_ms = self.state.now_ms();
-        let mut sentinel = self.state.sentinel.borrow_mut();
-        let may_be_long = sentinel.watch_started(table, now_ms);
-        // No watch is renewed for a sentinel while the store counts as failing, and a VM
-        // without requests may have no other call that shows that it replies.
-        if may_be_long && !self.store.is_failing() {
-            self.table.max_wait_ms()
-        } else {
-            SHORT_MAX_WAIT_MS
+        let now_ms = self.state.evidence_now_ms();
+        let duration = {
+            let mut sentinel = self.state.sentinel.borrow_mut();
+            sentinel.watch_started(table, now_ms)
+        };
+        match duration {
+            // A VM without requests may have no other call that shows that the store
+            // replies again.
+            WatchDuration::Long if self.store.is_failing() => REPEATED_MAX_WAIT_MS,
+            WatchDuration::Long => self.table.max_wait_ms(),
+            WatchDuration::ShortMs(wait_ms) => wait_ms,
         }
     }
 
--- a/crates/entry/tests/compatibility.rs
+++ b/crates/entry/tests/compatibility.rs
@@ -129,7 +129,7 @@
 #[test]
 fn additions_of_later_builds_are_ignored() {
     let samples = samples_by_name();
-    let gossip = &samples["gossip.capacity"];
+    let gossip = &samples["gossip.evidence-ages"];
     let mut extended = gossip.bytes.clone();
     extended.extend([3, 1, 2, 3]);
     (gossip.check)(&extended).expect("read");
--- a/crates/entry/tests/lost_watches.rs
+++ b/crates/entry/tests/lost_watches.rs
@@ -11,7 +11,7 @@
 use lagoon_adapter::standin::{model_call_headers, service_call_headers};
 use lagoon_adapter::{OPERATOR_TABLE, TARGET_TABLE};
 use lagoon_gateway::TargetStatus;
-use lagoon_standin::fleet::{ProxyFault, StoreFault};
+use lagoon_standin::fleet::{FaultProxy, ProxyFault, StoreFault};
 use yare::parameterized;
 
 /// Duration of a fault in which no call fails before its timeout.
@@ -147,6 +147,37 @@
     });
 }
 
+// Guards against an old configuration in force at a VM whose watch got lost, while a
+// sentinel vouches for it that has lost the store itself.
+#[parameterized(
+    soon_after = { 1_000 },
+    long_after = { 4_000 },
+)]
+fn configuration_applies_at_a_vm_whose_sentinel_lost_the_store(cut_after_ms: u64) {
+    let mut fleet = Fleet::start_proxied(0);
+    let sentinel = FaultProxy::start(fleet.store.address);
+    let (proxied, direct) = (fleet.proxies[0].address, fleet.store.address);
+    for store in [sentinel.address, proxied, direct] {
+        fleet.start_vm_at_store(store);
+    }
+    fleet.wait_for_peers();
+    // Watches of VMs that rely on others are long by then.
+    thread::sleep(RECOVERY_TIME);
+    let lost = Instant::now();
+    fleet.proxies[0].set_fault(ProxyFault::Blackhole);
+    thread::sleep(SHORT_FAULT_TIME);
+    fleet.proxies[0].set_fault(ProxyFault::None);
+    thread::sleep(Duration::from_millis(cut_after_ms));
+    sentinel.set_fault(ProxyFault::Blackhole);
+    thread::sleep(SHORT_FAULT_TIME);
+    change_route(&fleet);
+    let due = (Instant::now() + APPLY_TIME).max(lost + SHORT_FAULT_TIME + RECOVERY_TIME);
+    thread::sleep(due - Instant::now());
+    for vm in &fleet.vms[1..] {
+        assert_eq!(status(vm.callers, "GET /seek/x"), 200, "{}", vm.callers);
+    }
+}
+
 /// Duration of a fault that is too short for the VMs' other calls to notice.
 const SHORT_FAULT_TIME: Duration = Duration::from_millis(50);
 
--- a/crates/entry/tests/wire/samples.rs
+++ b/crates/entry/tests/wire/samples.rs
@@ -12,9 +12,9 @@
 };
 use lagoon_gateway::{
     AdmittedPrograms, AffinityUpdate, AllowanceRecord, AllowanceRequest, AllowanceSettlement,
-    BudgetRow, CapacityUpdate, Connectivity, CrashRecord, CrashUpdate, GossipMessage, LoadReport,
-    PeerEntry, ReserveRequest, Row, RowKey, RowWrite, SessionHash, StoreCall, StoreError,
-    StoreReply, TableVersions, TargetHash, TargetSpeed, TargetUpdate, WriterMark,
+    BudgetRow, CapacityUpdate, Connectivity, CrashRecord, CrashUpdate, EvidenceAges, GossipMessage,
+    LoadReport, PeerEntry, ReserveRequest, Row, RowKey, RowWrite, SessionHash, StoreCall,
+    StoreError, StoreReply, TableVersions, TargetHash, TargetSpeed, TargetUpdate, WriterMark,
 };
 use lagoon_limits::{Demand, LimitUpdate, PermitDecision, RunId};
 use lagoon_quotas::{Grant, QuotaDecision, QuotaDemand, QuotaTerms, Reservation, Reserved};
@@ -568,6 +568,14 @@
                 ..News::default()
             },
         ),
+        gossip(
+            "gossip.evidence-ages",
+            News {
+                versions: TableVersions([Some(300), None, Some(7), Some(9)]),
+                ages: EvidenceAges([Some(450), None, Some(20), Some(1_600)]),
+                ..News::default()
+            },
+        ),
     ]
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -54,7 +54,10 @@
     may_release_unconfirmed, reserve_tokens, HomeState, ReserveRequest, Reserves, RowCheck,
 };
 pub use retry::{decide_retry, AttemptFailure, Attempts, RetryDecision};
-pub use sentinel::{Sentinel, SentinelSettings, SentinelTable, TableVersions};
+pub use sentinel::{
+    evidence_ms, EvidenceAges, Sentinel, SentinelMessage, SentinelSettings, SentinelTable,
+    TableVersions, WatchDuration,
+};
 pub use store::{Row, RowKey, RowWrite, StoreCall, StoreError, StoreReply};
 pub use targets::{
     CapacityEstimate, LostAttempt, Target, TargetEntry, TargetKey, TargetLoad, TargetSettings,
--- a/crates/gateway/src/sentinel.rs
+++ b/crates/gateway/src/sentinel.rs
@@ -4,11 +4,16 @@
 //! A watch may get lost without a sign, and an unchanged table gives none either.
 //! Short watches bound the time until that is noticed, but their cost grows with
 //! the fleet. So only some VMs make them, and tell the VMs of their failure
-//! domain the newest versions that they have read. A VM makes long watches while
-//! it hears from a sentinel, and renews one that has missed a version. If it hears
-//! from none, it makes short watches itself and becomes a sentinel once they get
-//! replies. Of two sentinels that hear each other, the one with the higher address
-//! steps down.
+//! domain the newest versions that they have read, and how old the evidence is that
+//! these are the newest. A VM makes long watches while a sentinel's evidence is
+//! young, whenever the message came, and renews one that has missed a version. If
+//! there is no young evidence, it makes short watches itself and becomes a sentinel
+//! once they get replies. Of two sentinels that hear each other, the one with the
+//! higher address steps down.
+//!
+//! All times are of one clock of the VM, which must also count the time for which the
+//! VM is suspended. VMs exchange ages, so their clocks are never compared. A message
+//! that a suspended VM reads late makes its evidence look younger, until it expires.
 
 use std::net::SocketAddr;
 
@@ -39,22 +44,42 @@
     ];
 }
 
-/// Message of a sentinel: the version of the newest change that it has read, by
-/// table in the order of [`SentinelTable::ALL`]; `None` for a table for which it is
-/// no sentinel.
+/// Version of the newest change that a sentinel has read, by table in the order of
+/// [`SentinelTable::ALL`]; `None` for a table for which it is no sentinel.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TableVersions(pub [Option<u64>; TABLE_COUNT]);
 
-/// Intervals and timeouts of [`Sentinel`].
+/// Age in milliseconds of the evidence that these versions are the newest, in the order
+/// of [`TableVersions`]; `None` if it isn't stated.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EvidenceAges(pub [Option<u64>; TABLE_COUNT]);
+
+/// Message of a sentinel to the other VMs of its failure domain.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct SentinelMessage {
+    /// Versions that it has read.
+    pub versions: TableVersions,
+    /// How old its evidence for them is. Earlier builds don't state it.
+    pub ages: EvidenceAges,
+}
+
+/// Intervals and ages of [`Sentinel`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SentinelSettings {
-    /// Time after a sentinel's message for which long watches are allowed.
-    pub vouch_ttl_ms: u64,
-    /// Interval of a sentinel's messages while nothing changes.
+    /// Interval of a sentinel's messages while nothing changes. They are sent at its
+    /// multiples, so that short watches can end before them.
     pub vouch_interval_ms: u64,
-    /// Maximum age of the last reply to a sentinel's watch; over twice the duration
-    /// of a short watch.
-    pub max_reply_age_ms: u64,
+    /// Time before a message at which short watches end, so that it states young
+    /// evidence; longer than a reply of a slow store takes.
+    pub watch_lead_ms: u64,
+    /// Minimum duration of a short watch.
+    pub min_watch_ms: u64,
+    /// Maximum duration of a short watch; longer than the interval of messages.
+    pub max_watch_ms: u64,
+    /// Age from which evidence vouches for no watch; over `vouch_interval_ms` +
+    /// `watch_lead_ms`. With the time of a renewed watch, it bounds the time in which a
+    /// change is in force at a VM whose watch got lost.
+    pub max_age_ms: u64,
     /// Time in which a watch is expected to bring a change that a sentinel has read.
     pub missed_grace_ms: u64,
 }
@@ -62,14 +87,48 @@
 impl Default for SentinelSettings {
     fn default() -> Self {
         SentinelSettings {
-            vouch_ttl_ms: 2_500,
             vouch_interval_ms: 1_000,
-            max_reply_age_ms: 2_000,
+            watch_lead_ms: 350,
+            min_watch_ms: 300,
+            max_watch_ms: 1_100,
+            max_age_ms: 1_700,
             missed_grace_ms: 300,
         }
     }
 }
 
+impl SentinelSettings {
+    /// Duration of a short watch that begins now: until shortly before a message.
+    fn short_watch_ms(&self, now_ms: u64) -> u64 {
+        let interval_ms = self.vouch_interval_ms;
+        let left_ms = interval_ms - (now_ms + self.watch_lead_ms) % interval_ms;
+        let until_next_ms = match left_ms < self.min_watch_ms {
+            true => left_ms + interval_ms,
+            false => left_ms,
+        };
+        until_next_ms.min(self.max_watch_ms)
+    }
+}
+
+/// Time at which a table's versions are known to have been the newest.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+struct Evidence(Option<u64>);
+
+impl Evidence {
+    fn is_younger_than(self, age_ms: u64, now_ms: u64) -> bool {
+        self.0.is_some_and(|at_ms| now_ms < at_ms + age_ms)
+    }
+}
+
+/// Duration of a watch.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WatchDuration {
+    /// Any, as another VM vouches for the watch.
+    Long,
+    /// This VM has to find out itself, in milliseconds, whether the watch is alive.
+    ShortMs(u64),
+}
+
 /// Change that a sentinel has read and this VM hasn't.
 #[derive(Clone, Copy, Debug)]
 struct MissedChange {
@@ -79,17 +138,25 @@
     is_renewed: bool,
 }
 
+/// Message with the youngest evidence of a sentinel with a lower address.
+#[derive(Clone, Copy, Debug)]
+struct Voucher {
+    from: SocketAddr,
+    evidence: Evidence,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct TableState {
     /// Version of the store at the last reply; changes up to it are known.
     read_version: u64,
     /// Version of the newest change that was read.
     newest_change: u64,
-    /// Time of the last reply; `None` before the first.
-    replied_ms: Option<u64>,
+    /// Evidence by the VM's own calls.
+    own: Evidence,
+    /// Evidence by its own calls and by sentinels that knew no newer version.
+    known: Evidence,
     missed: Option<MissedChange>,
-    /// Address and expiry of the last message of a sentinel with a lower address.
-    voucher: Option<(SocketAddr, u64)>,
+    voucher: Option<Voucher>,
     /// Version that a sentinel stated and the store doesn't have; 0 if there is none.
     unfounded: u64,
     /// Whether the watch in flight is a long one.
@@ -97,9 +164,18 @@
 }
 
 impl TableState {
-    fn is_vouched(&self, now_ms: u64) -> bool {
+    fn is_vouched(&self, max_age_ms: u64, now_ms: u64) -> bool {
         let voucher = self.voucher;
-        voucher.is_some_and(|(_, expires_ms)| now_ms < expires_ms)
+        voucher.is_some_and(|voucher| voucher.evidence.is_younger_than(max_age_ms, now_ms))
+    }
+}
+
+/// Evidence of a watch or read with this reply: an empty reply to a watch of `wait_ms`
+/// that began at `began_ms` is from the end of the wait, any other may be from its begin.
+pub fn evidence_ms(began_ms: u64, wait_ms: u64, is_empty: bool, now_ms: u64) -> u64 {
+    match is_empty {
+        true => now_ms.min(began_ms + wait_ms),
+        false => began_ms,
     }
 }
 
@@ -109,7 +185,7 @@
     settings: SentinelSettings,
     own_address: SocketAddr,
     tables: [TableState; TABLE_COUNT],
-    /// Last own message and its time; `None` before the first.
+    /// Versions of the last own message and its time; `None` before the first.
     sent: Option<(TableVersions, u64)>,
 }
 
@@ -126,40 +202,59 @@
 
     /// Whether another VM vouches for long watches of a table.
     pub fn is_vouched(&self, table: SentinelTable, now_ms: u64) -> bool {
-        self.tables[table as usize].is_vouched(now_ms)
+        let max_age_ms = self.settings.max_age_ms;
+        self.tables[table as usize].is_vouched(max_age_ms, now_ms)
     }
 
-    /// Whether a table was read not long ago, or another VM vouches for the watch in
-    /// flight.
+    /// Whether what was read of a table is known to have been the newest not long ago.
     pub fn is_current(&self, table: SentinelTable, now_ms: u64) -> bool {
         let state = &self.tables[table as usize];
-        let oldest_ms = now_ms.saturating_sub(self.settings.max_reply_age_ms);
-        let is_young = state.replied_ms.is_some_and(|replied| replied >= oldest_ms);
-        state.missed.is_none()
-            && state.replied_ms.is_some()
-            && (is_young || state.is_vouched(now_ms))
+        // A short watch takes a while after the evidence of another VM has expired.
+        let max_age_ms = self.settings.max_age_ms + self.settings.min_watch_ms;
+        state.missed.is_none() && state.known.is_younger_than(max_age_ms, now_ms)
     }
 
-    /// Records that a watch begins; returns whether it may be a long one.
-    pub fn watch_started(&mut self, table: SentinelTable, now_ms: u64) -> bool {
+    /// Age of the evidence that the versions read are the newest; `None` if there is
+    /// none.
+    pub fn evidence_age_ms(&self, table: SentinelTable, now_ms: u64) -> Option<u64> {
+        let at_ms = self.tables[table as usize].known.0?;
+        Some(now_ms.saturating_sub(at_ms))
+    }
+
+    /// Sentinel with a lower address that stated the youngest evidence, also if that has
+    /// expired; `None` if there was none.
+    pub fn voucher(&self, table: SentinelTable) -> Option<SocketAddr> {
+        let voucher = self.tables[table as usize].voucher?;
+        Some(voucher.from)
+    }
+
+    /// Records that a watch begins; returns how long it may take.
+    pub fn watch_started(&mut self, table: SentinelTable, now_ms: u64) -> WatchDuration {
+        let max_age_ms = self.settings.max_age_ms;
         let state = &mut self.tables[table as usize];
-        state.is_long = state.is_vouched(now_ms) && state.missed.is_none();
-        state.is_long
+        let is_young = state.known.is_younger_than(max_age_ms, now_ms);
+        state.is_long = is_young && state.is_vouched(max_age_ms, now_ms) && state.missed.is_none();
+        match state.is_long {
+            true => WatchDuration::Long,
+            false => WatchDuration::ShortMs(self.settings.short_watch_ms(now_ms)),
+        }
     }
 
-    /// Records a reply to a read or a watch: the store's version, and that of the
-    /// newest change in the reply, if there is one.
+    /// Records a reply to a read or a watch: the store's version, that of the newest
+    /// change in the reply, if there is one, and the time since which there was no newer
+    /// one, see [`evidence_ms`].
     pub fn on_reply(
         &mut self,
         table: SentinelTable,
         version: u64,
         newest_change: Option<u64>,
-        now_ms: u64,
+        evidence_ms: u64,
     ) {
         let state = &mut self.tables[table as usize];
         state.read_version = state.read_version.max(version);
         state.newest_change = state.newest_change.max(newest_change.unwrap_or_default());
-        state.replied_ms = Some(now_ms);
+        state.own = state.own.max(Evidence(Some(evidence_ms)));
+        state.known = state.known.max(state.own);
         let Some(missed) = state.missed else {
             return;
         };
@@ -172,16 +267,21 @@
     }
 
     /// Handles a message of another VM of the failure domain.
-    pub fn on_message(&mut self, from: SocketAddr, versions: TableVersions, now_ms: u64) {
-        for (state, version) in self.tables.iter_mut().zip(versions.0) {
-            let Some(version) = version else {
+    pub fn on_message(&mut self, from: SocketAddr, message: &SentinelMessage, now_ms: u64) {
+        let stated = message.versions.0.iter().zip(message.ages.0);
+        for (state, (version, age_ms)) in self.tables.iter_mut().zip(stated) {
+            let Some(version) = *version else {
                 continue;
             };
-            if from < self.own_address {
-                state.voucher = Some((from, now_ms + self.settings.vouch_ttl_ms));
+            let evidence = Evidence(age_ms.and_then(|age_ms| now_ms.checked_sub(age_ms)));
+            let is_younger = state.voucher.is_none_or(|known| evidence >= known.evidence);
+            if from < self.own_address && is_younger {
+                state.voucher = Some(Voucher { from, evidence });
             }
             let is_known = version <= state.read_version || version == state.unfounded;
-            if !is_known && state.missed.is_none() {
+            if is_known {
+                state.known = state.known.max(evidence);
+            } else if state.missed.is_none() {
                 state.missed = Some(MissedChange {
                     version,
                     heard_ms: now_ms,
@@ -192,16 +292,16 @@
     }
 
     /// Tables whose watch in flight must be renewed: it has missed a change, or is
-    /// a long one for which no VM vouches any more.
+    /// a long one for which there is no young evidence any more.
     pub fn take_renewals(&mut self, now_ms: u64) -> Vec<SentinelTable> {
-        let grace_ms = self.settings.missed_grace_ms;
+        let settings = self.settings;
         let is_due = |table: &SentinelTable| {
+            let max_age_ms = settings.max_age_ms;
             let state = &mut self.tables[*table as usize];
-            let is_unvouched = state.is_long && !state.is_vouched(now_ms);
-            let missed = state
-                .missed
-                .as_mut()
-                .filter(|missed| !missed.is_renewed && now_ms >= missed.heard_ms + grace_ms);
+            let is_unvouched = state.is_long && !state.known.is_younger_than(max_age_ms, now_ms);
+            let missed = state.missed.as_mut().filter(|missed| {
+                !missed.is_renewed && now_ms >= missed.heard_ms + settings.missed_grace_ms
+            });
             let has_missed = missed.is_some();
             if let Some(missed) = missed {
                 missed.is_renewed = true;
@@ -215,23 +315,30 @@
 
     /// Message to the other VMs of the failure domain, if this VM is a sentinel and
     /// one is due: after a change, and regularly.
-    pub fn take_message(&mut self, now_ms: u64) -> Option<TableVersions> {
-        let oldest_ms = now_ms.saturating_sub(self.settings.max_reply_age_ms);
-        let versions = TableVersions(self.tables.map(|state| {
-            let has_reply = state.replied_ms.is_some_and(|replied| replied >= oldest_ms);
-            let is_sentinel = has_reply && !state.is_vouched(now_ms);
-            is_sentinel.then_some(state.newest_change)
-        }));
-        if versions == TableVersions::default() {
+    pub fn take_message(&mut self, now_ms: u64) -> Option<SentinelMessage> {
+        let mut message = SentinelMessage::default();
+        for table in SentinelTable::ALL {
+            let max_age_ms = self.settings.max_age_ms;
+            let state = &self.tables[table as usize];
+            let has_evidence = state.own.is_younger_than(max_age_ms, now_ms);
+            if has_evidence && !state.is_vouched(max_age_ms, now_ms) {
+                message.versions.0[table as usize] = Some(state.newest_change);
+                // Sender and receiver round their times down.
+                let age_ms = state.own.0.map(|at_ms| now_ms.saturating_sub(at_ms) + 1);
+                message.ages.0[table as usize] = age_ms;
+            }
+        }
+        if message.versions == TableVersions::default() {
             return None;
         }
+        let interval_ms = self.settings.vouch_interval_ms;
         let is_due = self.sent.is_none_or(|(sent, sent_ms)| {
-            sent != versions || now_ms >= sent_ms + self.settings.vouch_interval_ms
+            sent != message.versions || now_ms / interval_ms > sent_ms / interval_ms
         });
         if !is_due {
             return None;
         }
-        self.sent = Some((versions, now_ms));
-        Some(versions)
+        self.sent = Some((message.versions, now_ms));
+        Some(message)
     }
 }
--- a/crates/gateway/tests/sentinel.rs
+++ b/crates/gateway/tests/sentinel.rs
@@ -2,7 +2,10 @@
 
 use std::net::SocketAddr;
 
-use lagoon_gateway::{Sentinel, SentinelSettings, SentinelTable, TableVersions};
+use lagoon_gateway::{
+    evidence_ms, EvidenceAges, Sentinel, SentinelMessage, SentinelSettings, SentinelTable,
+    TableVersions, WatchDuration,
+};
 use proptest::prelude::*;
 
 const TABLES: usize = SentinelTable::ALL.len();
@@ -12,7 +15,6 @@
 /// Ticks between two rounds of renewals and messages.
 const ROUND_TICKS: u64 = 2;
 
-const SHORT_WAIT_MS: u64 = 800;
 const LONG_WAIT_MS: u64 = 10_000;
 const REPLY_TIMEOUT_MS: u64 = 1_500;
 
@@ -77,7 +79,7 @@
                 sentinel: Sentinel::new(SentinelSettings::default(), address),
                 watches: [Watch {
                     started_ms: 0,
-                    wait_ms: SHORT_WAIT_MS,
+                    wait_ms: 0,
                     is_lost: false,
                 }; TABLES],
                 read: [0; TABLES],
@@ -107,11 +109,14 @@
     }
 
     fn start_watch(&mut self, vm: usize, table: SentinelTable) {
-        let is_long = self.vms[vm].sentinel.watch_started(table, self.now_ms);
+        let duration = self.vms[vm].sentinel.watch_started(table, self.now_ms);
         self.watch_count += 1;
         self.vms[vm].watches[table as usize] = Watch {
             started_ms: self.now_ms,
-            wait_ms: if is_long { LONG_WAIT_MS } else { SHORT_WAIT_MS },
+            wait_ms: match duration {
+                WatchDuration::Long => LONG_WAIT_MS,
+                WatchDuration::ShortMs(wait_ms) => wait_ms,
+            },
             is_lost: false,
         };
     }
@@ -138,7 +143,7 @@
                 self.renewal_count += 1;
                 self.start_watch(vm, table);
             }
-            let Some(versions) = self.vms[vm].sentinel.take_message(now_ms) else {
+            let Some(message) = self.vms[vm].sentinel.take_message(now_ms) else {
                 continue;
             };
             let from = self.vms[vm].address;
@@ -146,7 +151,7 @@
                 if other != vm && self.vms[other].is_up && !is_message_lost(vm, other) {
                     self.message_count += 1;
                     let sentinel = &mut self.vms[other].sentinel;
-                    sentinel.on_message(from, versions, now_ms);
+                    sentinel.on_message(from, &message, now_ms);
                 }
             }
         }
@@ -181,7 +186,8 @@
         let version = self.store_version;
         self.vms[vm].read[index] = version;
         let sentinel = &mut self.vms[vm].sentinel;
-        sentinel.on_reply(table, version, change, now_ms);
+        let evidence_ms = evidence_ms(started_ms, wait_ms, !is_new, now_ms);
+        sentinel.on_reply(table, version, change, evidence_ms);
         self.start_watch(vm, table);
     }
 
@@ -255,6 +261,39 @@
         }
     }
 
+    // Guards against evidence that outlives its age on its way through other VMs: watches
+    // get lost unnoticed, and some time later any other VMs lose the store or end, the
+    // sentinel among them.
+    #[test]
+    fn change_is_known_in_time_whichever_vms_vouch_without_the_store(
+        vms in 2..9_usize,
+        lost in silence(),
+        cut_after_ms in 0..9_000_u64,
+        cut_vms in 1..=255_u8,
+        are_ended in any::<bool>(),
+        change in (0..3_000_u64, 0..TABLES),
+    ) {
+        let mut domain = Domain::new(vms);
+        let cut_ms = lost.from_ms + cut_after_ms;
+        let (change_after_ms, table) = change;
+        let changed_ms = cut_ms + change_after_ms;
+        let lost = Silence { until_ms: lost.from_ms + 2 * TICK_MS, ..lost };
+        let cut = Silence { from_ms: cut_ms, until_ms: 60_000, vms: cut_vms, tables: 15 };
+        let silences = [lost.clone(), cut];
+        domain.run_until(cut_ms, &silences, no_loss);
+        let is_cut = |vm: usize| cut_vms & (1 << (vm % 8)) != 0;
+        for vm in (0..vms).filter(|vm| are_ended && is_cut(*vm)) {
+            domain.vms[vm].is_up = false;
+        }
+        domain.run_until(changed_ms, &silences, no_loss);
+        domain.change(table);
+        let due_ms = (lost.until_ms + RECOVERY_MS).max(changed_ms + APPLY_MS);
+        domain.run_until(due_ms, &silences, no_loss);
+        for vm in (0..vms).filter(|vm| !is_cut(*vm)) {
+            prop_assert!(domain.is_current(vm), "VM {vm} at {due_ms}: {domain:?}");
+        }
+    }
+
     // Guards against two VMs that each wait for the other's messages, and against
     // changes that spread by one datagram.
     #[test]
@@ -324,11 +363,11 @@
     for _ in 0..20 {
         let now_ms = domain.now_ms;
         let sentinel = &mut domain.vms[0].sentinel;
-        sentinel.on_message(
-            other,
-            TableVersions([Some(1_000_000), None, None, None]),
-            now_ms,
-        );
+        let message = SentinelMessage {
+            versions: TableVersions([Some(1_000_000), None, None, None]),
+            ages: EvidenceAges([Some(1), None, None, None]),
+        };
+        sentinel.on_message(other, &message, now_ms);
         domain.run_until(now_ms + 1_000, &[], no_loss);
     }
     assert_eq!(domain.renewal_count, 1);
@@ -354,6 +393,34 @@
     assert!(domain.is_current(1) && domain.is_current(2));
 }
 
+// Guards against a VM that relies on a sentinel whose evidence is of unknown age, as earlier
+// builds don't state it, and against one that takes an old message for young evidence.
+#[test]
+fn message_without_young_evidence_vouches_for_no_watch() {
+    let addresses = [7_000, 7_001].map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+    let max_age_ms = SentinelSettings::default().max_age_ms;
+    for (age_ms, is_vouched) in [
+        (None, false),
+        (Some(max_age_ms), false),
+        (Some(max_age_ms - 2), true),
+    ] {
+        let mut vm = Sentinel::new(SentinelSettings::default(), addresses[1]);
+        let message = SentinelMessage {
+            versions: TableVersions([Some(5), None, None, None]),
+            ages: EvidenceAges([age_ms, None, None, None]),
+        };
+        vm.on_reply(SentinelTable::Config, 5, Some(5), 10_000);
+        vm.on_message(addresses[0], &message, 20_000);
+        let is_long = |duration| duration == WatchDuration::Long;
+        let table = SentinelTable::Config;
+        assert_eq!(vm.is_vouched(table, 20_001), is_vouched, "{age_ms:?}");
+        assert_eq!(is_long(vm.watch_started(table, 20_001)), is_vouched);
+        assert_eq!(vm.is_current(table, 20_001), age_ms.is_some());
+        // The evidence expires by its own age, whenever the message came.
+        assert_eq!(vm.take_renewals(20_002).len(), usize::from(is_vouched));
+    }
+}
+
 // Guards against sentinels that all step down as their messages cross.
 #[test]
 fn one_of_two_sentinels_whose_messages_cross_steps_down() {
@@ -365,8 +432,8 @@
         }
         vm.take_message(100).expect("is a sentinel")
     });
-    vms[0].on_message(addresses[1], messages[1], 110);
-    vms[1].on_message(addresses[0], messages[0], 110);
+    vms[0].on_message(addresses[1], &messages[1], 110);
+    vms[1].on_message(addresses[0], &messages[0], 110);
     let is_vouched = |vm: &Sentinel| vm.is_vouched(SentinelTable::Config, 120);
     assert_eq!(vms.each_ref().map(is_vouched), [false, true]);
 }
