Budgets: a release that meets a newer row is repeated at once

Callers of a program with a few tokens left saw 503 "budget held elsewhere" without end, where the budget was spent (402): another VM held the last tokens and could not release them. Each refused call writes the row, and the release, tried each 100 ms, expected the version before; after the conflict only a write that verifies the row followed.

--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -396,7 +396,11 @@
             for (waiter, decision) in decisions {
                 self.deliver_decision(&program, waiter, decision);
             }
-            next = self.budgets.borrow_mut().charge_write(&program);
+            next = match reply {
+                Ok(_) => self.budgets.borrow_mut().next_write(&program, now_ms),
+                // What is due is tried again after a while.
+                Err(_) => self.budgets.borrow_mut().charge_write(&program),
+            };
         }
     }
 
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -260,6 +260,19 @@
         self.begin_write(program, granted, held_before_tokens, held_after_tokens)
     }
 
+    /// Next write after a reply: the one that charges the waiting calls, or the one that
+    /// releases held tokens, if that is due. While the budget runs short, a release that met
+    /// a newer row is repeated at once, as the row may change as often as calls at other VMs
+    /// are refused by it.
+    pub fn next_write(&mut self, program: &ProgramKey, now_ms: u64) -> Option<BudgetWrite> {
+        if let Some(write) = self.charge_write(program) {
+            return Some(write);
+        }
+        let budget = self.programs.get(program)?;
+        let is_due = budget.needs_write(&self.settings, now_ms);
+        is_due.then(|| self.release_write(program)).flatten()
+    }
+
     /// Write that releases the held tokens; `None` if there is nothing to write
     /// or another write of the row is in flight. Its reply also shows whether
     /// earlier writes without a reply were applied.
--- a/crates/gateway/tests/budget.rs
+++ b/crates/gateway/tests/budget.rs
@@ -180,6 +180,32 @@
     );
 }
 
+// Guards against calls that are refused for good for tokens that another VM holds and would
+// release: each refusal writes the row, so that the release never met the row it expected.
+#[test]
+fn release_that_meets_a_newer_row_is_repeated_at_once() {
+    let mut store = Store::default();
+    let (mut a, mut b) = (budgets("a"), budgets("b"));
+    granted(charge(&mut a, &mut store, 1));
+    let refused = (1..).map(|waiter| charge(&mut b, &mut store, waiter));
+    let mut refused = refused.filter(|decision| !matches!(decision, ChargeDecision::Granted(_)));
+    let held = matches!(refused.next(), Some(ChargeDecision::HeldElsewhere { .. }));
+    assert!(held, "the rest is held by the first VM");
+    assert!(!a.transfer_out(&program(), BUDGET, 0));
+    let now_ms = 10_000;
+    assert_eq!(a.programs_to_write(now_ms), [program()]);
+    // By now the row is newer than the one that the release expects.
+    let mut next = a.release_write(&program());
+    let before = store.charged();
+    while let Some(write) = next {
+        let reply = Ok(store.apply(&write.write));
+        a.on_write_reply(&program(), &reply, now_ms);
+        next = a.next_write(&program(), now_ms);
+    }
+    assert!(store.charged() < before, "{before}");
+    assert!(a.programs_to_write(now_ms).is_empty());
+}
+
 #[test]
 fn request_charge_repeats_a_refusal_without_a_write() {
     let mut store = Store::default();
