Allowances: the program's row names the VM that alone grants

Cause: who had granted an allowance was known to some VMs' memory alone until the charge, and a VM that has just started took 'no record' for 'no grant'. Ruled out: a lost charge; the rows never had one.

The write that creates a program's row names its writer as the one that grants, whatever ends, starts or is cut off. The claims, the records and what domains told each other are gone. A stop passes allowances on. A report that comes after its grant was charged in full no longer frees another call's grant.

--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -13,7 +13,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use compact_str::{format_compact, CompactString};
+use compact_str::CompactString;
 use lagoon_gateway::{
     Allowances, BudgetRow, BudgetWrite, ChargeDecision, ChargeRequest, Connectivity,
     ProgramBudgets, ProgramKey, Reserves, StoreCall, StoreError, StoreReply, WaiterId,
@@ -53,8 +53,8 @@
     peer_client: Rc<PeerClient>,
     budgets: RefCell<ProgramBudgets>,
     allowances: RefCell<Allowances>,
-    /// Incarnation of this VM, as the holder of a claim to grant allowances.
-    claimant: CompactString,
+    /// Incarnation of this VM, as the writer of budget rows.
+    writer: CompactString,
     /// Reserves of the programs whose home this VM is.
     reserves: RefCell<Reserves>,
     /// Whether the rows of programs with a reserve here are being checked.
@@ -116,14 +116,13 @@
         writer: &str,
         is_first_start: bool,
     ) -> Rc<BudgetClient> {
-        let claimant = format_compact!("{}/{writer}", peer_client.peers.borrow().own_name());
         Rc::new(BudgetClient {
             clock,
             store,
             peer_client,
             budgets: RefCell::new(budgets),
             allowances: RefCell::default(),
-            claimant,
+            writer: writer.into(),
             reserves: RefCell::default(),
             is_checking_reserves: Cell::new(false),
             is_first_start,
@@ -143,7 +142,7 @@
         request: TokenRequest,
         deadline: Instant,
     ) -> Result<TokenReservation, ChargeDecision> {
-        if self.connectivity.get().allows_offline_grants() {
+        if self.connectivity.get().is_store_out_of_reach() {
             return self.reserve_without_store(&request).await;
         }
         if let Some(reservation) = self.take_from_origin_vm(&request).await {
@@ -336,7 +335,7 @@
 
     /// Whether neither this VM nor any other one that it reaches can use the store.
     pub(crate) fn is_store_out_of_reach(&self) -> bool {
-        self.store.is_unavailable() && self.connectivity.get().allows_offline_grants()
+        self.store.is_unavailable() && self.connectivity.get().is_store_out_of_reach()
     }
 
     /// Checks connectivity periodically while the store is unreachable.
@@ -499,7 +498,7 @@
         }
     }
 
-    /// Removes expired coordinator claims and overdrawn listings, and the store
+    /// Removes expired allowances and overdrawn listings, and the store
     /// rows of programs that have been idle for long.
     pub(crate) async fn remove_expired(self: &Rc<Self>) {
         let now_ms = self.clock.now_ms();
--- a/crates/entry/src/ledger/overdrawn.rs
+++ b/crates/entry/src/ledger/overdrawn.rs
@@ -34,7 +34,7 @@
     /// Waits until a program's deferred charge is written, and lists the program
     /// as overdrawn if its largest call doesn't fit into the rest of its budget.
     pub(super) async fn list_overdrawn(self: Rc<Self>, program: ProgramKey) {
-        while self.budgets.borrow().lacks_room(&program, 0) {
+        while self.budgets.borrow().has_deferred_charges(&program) {
             sleep(RETRY_DELAY).await;
         }
         if !self.budgets.borrow().lacks_room_for_largest_call(&program) {
--- a/crates/entry/src/ledger/reservation.rs
+++ b/crates/entry/src/ledger/reservation.rs
@@ -21,7 +21,7 @@
     Reserve { home: CompactString },
     /// Granted from an allowance by the VM of this name, which gets a report of
     /// the used ones.
-    Allowance { coordinator: CompactString },
+    Allowance { holder: CompactString },
 }
 
 /// Tokens reserved for one call. On drop, their source gets the unused ones
@@ -109,13 +109,13 @@
                 let unused_tokens = self.granted_tokens - self.used_tokens;
                 budget_client.return_reserve(home.clone(), &self.program, unused_tokens);
             }
-            TokenSource::Allowance { coordinator } => {
+            TokenSource::Allowance { holder } => {
                 let settlement = AllowanceSettlement {
                     program: self.program.0.clone(),
                     granted_tokens: self.granted_tokens,
                     used_tokens: self.used_tokens,
                 };
-                budget_client.report_settlement(coordinator.clone(), settlement);
+                budget_client.report_settlement(holder.clone(), settlement);
             }
         }
     }
--- a/crates/entry/src/ledger/reserve.rs
+++ b/crates/entry/src/ledger/reserve.rs
@@ -226,7 +226,7 @@
         peers.home_of(program, now_ms)
     }
 
-    fn is_own_name(&self, name: &str) -> bool {
+    pub(super) fn is_own_name(&self, name: &str) -> bool {
         *self.peer_client.peers.borrow().own_name() == name
     }
 }
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -3,8 +3,8 @@
 use compact_str::CompactString;
 use hyper::StatusCode;
 use lagoon_gateway::{
-    AllowanceRecord, AllowanceRequest, AllowanceSettlement, ReserveRequest, StoreCall, StoreError,
-    StoreReply,
+    AllowanceRecord, AllowanceRequest, AllowanceSettlement, PassedAllowance, ReserveRequest,
+    StoreCall, StoreError, StoreReply,
 };
 use lagoon_limits::RunId;
 use lagoon_streams::StreamId;
@@ -64,8 +64,8 @@
     SettleAllowance(AllowanceSettlement),
     /// Response: whether the store is unavailable to the receiver.
     Probe,
-    /// A VM is about to grant allowances of a program. Response: `false` if
-    /// another VM is recorded as the program's coordinator.
+    /// A VM of an earlier build is about to grant allowances of a program. Response:
+    /// whether the receiver agrees; `false`, as the program's row names who grants.
     ClaimCoordinator {
         /// Name of the program.
         program: CompactString,
@@ -118,8 +118,7 @@
         /// Run of the target.
         run: RunId,
     },
-    /// Hold these records of allowances, and write the charges in them. Response:
-    /// `true`.
+    /// Write the charges in these records of allowances. Response: `true`.
     HoldAllowances(Vec<AllowanceRecord>),
     /// Send how recent the receiver's configuration is. Response:
     /// `Option<`[`FreshnessReply`](crate::evidence::FreshnessReply)`>`; `None` if it doesn't know.
@@ -140,6 +139,8 @@
     /// Grant tokens of an account's quota, and reserve some that are usable later. Response:
     /// [`Reservation`](lagoon_quotas::Reservation).
     ReserveQuota(ReservationRequest),
+    /// Grant these allowances from now on, as the sender is stopping. Response: `true`.
+    PassAllowances(Vec<PassedAllowance>),
 }
 
 impl PeerMessage {
@@ -171,6 +172,7 @@
             PeerMessage::RequestQuota(_) | PeerMessage::TransferQuota(_) => 10,
             PeerMessage::CacheTurn(_) => 11,
             PeerMessage::ReserveQuota(_) => 12,
+            PeerMessage::PassAllowances(_) => 13,
         }
     }
 }
--- a/crates/entry/src/message_handler.rs
+++ b/crates/entry/src/message_handler.rs
@@ -50,18 +50,13 @@
             postcard::to_allocvec(&true)
         }
         PeerMessage::RequestAllowance(allowance_request) => {
-            postcard::to_allocvec(&budget_client.grant_allowance(&allowance_request).await)
+            postcard::to_allocvec(&budget_client.grant_allowance(&allowance_request))
         }
         PeerMessage::SettleAllowance(settlement) => {
             budget_client.settle_allowance(&settlement);
             postcard::to_allocvec(&true)
         }
-        PeerMessage::ClaimCoordinator {
-            program,
-            coordinator,
-        } => {
-            postcard::to_allocvec(&budget_client.agree_to_claim(&ProgramKey(program), &coordinator))
-        }
+        PeerMessage::ClaimCoordinator { .. } => postcard::to_allocvec(&false),
         PeerMessage::CopyTurn(turn) => postcard::to_allocvec(&turn_keeper.hold_copy(&turn)),
         PeerMessage::CacheTurn(turn) => {
             turn_keeper.cache_copy(&turn);
@@ -99,6 +94,10 @@
             budget_client.hold_allowances(&records);
             postcard::to_allocvec(&true)
         }
+        PeerMessage::PassAllowances(passed) => {
+            budget_client.receive_allowances(&passed);
+            postcard::to_allocvec(&true)
+        }
         PeerMessage::ReadFreshness { known_version } => {
             postcard::to_allocvec(&state.evidence.reply(known_version))
         }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -2,11 +2,10 @@
 //!
 //! A VM that can't reach the store relays its writes through another VM. If no
 //! other VM reaches the store either, the VM requests tokens that others hold,
-//! and then an allowance from the program's coordinator.
+//! and then an allowance from the VM that holds it for the program.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,7 +17,8 @@
 use hyper::{Method, Request, StatusCode};
 use lagoon_gateway::{
     classify_connectivity, AllowanceRecord, AllowanceRequest, AllowanceSettlement, Connectivity,
-    CutDoubt, PeerOutcome, PeerProbe, Peers, ProgramKey, ReserveRequest, StoreCall, StoreError,
+    PassedAllowance, PeerOutcome, PeerProbe, Peers, ProgramKey, ReserveRequest, StoreCall,
+    StoreError,
 };
 use lagoon_ids::FastMap;
 use lagoon_limits::RunId;
@@ -62,9 +62,6 @@
 /// domains. After that, a charge in the store is as fast.
 const SURPLUS_TIMEOUT: Duration = Duration::from_millis(30);
 
-/// Time between two probes of a failure domain that was out of reach.
-const MISSED_PROBE_INTERVAL: Duration = Duration::from_millis(200);
-
 /// Idle connections kept per VM.
 const MAX_IDLE_CONNECTIONS: usize = 2;
 
@@ -97,8 +94,6 @@
 pub(crate) struct PeerClient {
     clock: Clock,
     pub(crate) peers: RefCell<Peers>,
-    /// Failure domains that may have grants of which this VM hasn't been told.
-    cut_doubt: RefCell<CutDoubt>,
     idle: RefCell<FastMap<SocketAddr, Vec<Connection>>>,
     /// Number of periodic probes so far; selects the VM that is probed next.
     next_probe: Cell<usize>,
@@ -112,7 +107,6 @@
         PeerClient {
             clock,
             peers: RefCell::new(peers),
-            cut_doubt: RefCell::default(),
             idle: RefCell::default(),
             next_probe: Cell::new(0),
             listing_read_ms: Cell::new(None),
@@ -266,10 +260,6 @@
         let probes = join_all(probes).await;
         let own = self.peers.borrow().own_domain().clone();
         let connectivity = classify_connectivity(&own, &probes);
-        let now_ms = self.clock.now_ms();
-        self.cut_doubt
-            .borrow_mut()
-            .record_probes(&own, &probes, now_ms);
         let answered = probes
             .iter()
             .filter(|probe| probe.is_store_down.is_some())
@@ -278,17 +268,15 @@
         connectivity
     }
 
-    /// Requests tokens of an allowance whose coordinator is another VM. Returns
-    /// the number granted; 0 without a response.
+    /// Requests tokens of an allowance that another VM may hold. Returns the number
+    /// granted; 0 without a response.
     pub(crate) async fn request_allowance(
         &self,
-        coordinator: &str,
+        holder: &str,
         allowance_request: AllowanceRequest,
     ) -> u64 {
         let message = PeerMessage::RequestAllowance(allowance_request);
-        let granted = self
-            .request_by_name(coordinator, &message, PEER_TIMEOUT)
-            .await;
+        let granted = self.request_by_name(holder, &message, PEER_TIMEOUT).await;
         granted.unwrap_or_default()
     }
 
@@ -303,130 +291,42 @@
         self.next_probe.set(next_probe.wrapping_add(1));
         let (name, entry) = &peers[next_probe % peers.len()];
         let response = self.request::<bool>(name, entry.address, &PeerMessage::Probe, PEER_TIMEOUT);
-        match response.await {
-            Ok(_) => {
-                let mut cut_doubt = self.cut_doubt.borrow_mut();
-                cut_doubt.record_reply(&entry.domain, self.clock.now_ms());
-            }
-            Err(error) => {
-                log::debug!(peer = name.as_str(), error = error.to_string(); "VM does not respond to a probe");
-            }
+        if let Err(error) = response.await {
+            log::debug!(peer = name.as_str(), error = error.to_string(); "VM does not respond to a probe");
         }
     }
 
-    /// Finds out when failure domains that were out of reach are in reach again. Sends
-    /// nothing if there are none.
-    pub(crate) async fn watch_missed_domains(self: Rc<Self>) {
-        let mut round = 0;
-        loop {
-            sleep(MISSED_PROBE_INTERVAL).await;
-            self.probe_missed_domains(round).await;
-            round += 1;
-        }
-    }
-
-    /// Probes one VM of each failure domain that was out of reach.
-    async fn probe_missed_domains(&self, round: usize) {
-        let missed: Vec<_> = {
-            let cut_doubt = self.cut_doubt.borrow();
-            let domains = self.peers.borrow().other_domains();
-            let missed = cut_doubt.missed_domains();
-            let probed = missed.filter_map(|domain| {
-                let vms = domains.get(domain)?;
-                Some((domain.clone(), vms[round % vms.len()].clone()))
-            });
-            probed.collect()
-        };
-        let probes = missed.iter().map(|(domain, name)| async move {
-            if self.is_in_reach(name).await {
-                let mut cut_doubt = self.cut_doubt.borrow_mut();
-                cut_doubt.record_reply(domain, self.clock.now_ms());
-            }
-        });
-        join_all(probes).await;
-    }
-
-    /// Whether this VM must not grant allowances, nor agree to grants, as it may not
-    /// know of those of other failure domains.
-    pub(crate) fn forbids_grants(&self, connectivity: Connectivity) -> bool {
-        self.cut_doubt.borrow().forbids_grants(connectivity)
-    }
-
     /// Whether the VM with this name responds at present.
     pub(crate) async fn is_in_reach(&self, name: &str) -> bool {
         let reply = self.request_soon::<bool>(name, &PeerMessage::Probe, LOCAL_TIMEOUT);
         reply.await.is_some()
     }
 
-    /// Asks the VMs that hold the records of a program's allowance whether this VM,
-    /// the incarnation `claimant`, may grant it; `false` unless there are some and all
-    /// agree.
-    pub(crate) async fn confirm_coordinator(
-        &self,
-        program: &ProgramKey,
-        connectivity: Connectivity,
-        claimant: &CompactString,
-    ) -> bool {
-        let now_ms = self.clock.now_ms();
-        let holders = self
-            .peers
-            .borrow()
-            .claim_holders(program, connectivity, now_ms);
-        let message = PeerMessage::ClaimCoordinator {
-            program: program.0.clone(),
-            coordinator: claimant.clone(),
-        };
-        let responses = holders
-            .iter()
-            .map(|name| self.request_by_name::<bool>(name, &message, PEER_TIMEOUT));
-        let responses = join_all(responses).await;
-        !responses.is_empty() && responses.iter().all(|response| *response == Some(true))
-    }
-
-    /// Has another VM hold records of allowances; `false` if it doesn't confirm. A VM
-    /// of an earlier version holds the claims in them.
+    /// Has another VM write the charges in these records; `false` if it doesn't confirm.
     pub(crate) async fn hold_allowances(&self, name: &str, records: &[AllowanceRecord]) -> bool {
-        let Some(address) = self.peers.borrow().address(name) else {
-            return false;
-        };
         let message = PeerMessage::HoldAllowances(records.to_vec());
-        let reply = self.request::<bool>(name, address, &message, LOCAL_TIMEOUT);
-        match reply.await {
-            Ok(is_held) => return is_held,
-            Err(MessageError::NotUnderstood(_)) => {}
-            Err(error) => {
-                log::debug!(peer = name, error = error.to_string(); "cannot pass on records of allowances");
-                return false;
-            }
-        }
-        for record in records {
-            let claim = PeerMessage::ClaimCoordinator {
-                program: record.program.clone(),
-                coordinator: record.coordinator.clone(),
-            };
-            let reply = self.request_by_name::<bool>(name, &claim, LOCAL_TIMEOUT);
-            if reply.await.is_none() || record.uncharged_tokens > 0 {
-                return false;
-            }
-        }
-        true
+        let reply = self.request_by_name::<bool>(name, &message, LOCAL_TIMEOUT);
+        reply.await.unwrap_or(false)
     }
 
-    /// Reports to the coordinator what a call used.
-    pub(crate) async fn report_settlement(
-        &self,
-        coordinator: &str,
-        settlement: AllowanceSettlement,
-    ) {
+    /// Passes allowances on to another VM; `false` if it doesn't confirm.
+    pub(crate) async fn pass_allowances(&self, name: &str, passed: &[PassedAllowance]) -> bool {
+        let message = PeerMessage::PassAllowances(passed.to_vec());
+        let reply = self.request_by_name::<bool>(name, &message, LOCAL_TIMEOUT);
+        reply.await.unwrap_or(false)
+    }
+
+    /// Reports to the holder of an allowance what a call used.
+    pub(crate) async fn report_settlement(&self, holder: &str, settlement: AllowanceSettlement) {
         let response = self
             .request_by_name::<bool>(
-                coordinator,
+                holder,
                 &PeerMessage::SettleAllowance(settlement),
                 LOCAL_TIMEOUT,
             )
             .await;
         if response.is_none() {
-            log::warn!(peer = coordinator; "cannot report a call's usage to the coordinator; its whole grant counts as used");
+            log::warn!(peer = holder; "cannot report a call's usage to the holder of its allowance; its whole grant counts as used");
         }
     }
 
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -235,14 +235,6 @@
     spawn_lasting("connectivity", move || {
         Rc::clone(&budget_client).monitor_connectivity()
     });
-    let budget_client = Rc::clone(&state.budget_client);
-    spawn_lasting("records of allowances", move || {
-        Rc::clone(&budget_client).tell_domains()
-    });
-    let peer_client = Rc::clone(&state.peer_client);
-    spawn_lasting("failure domains out of reach", move || {
-        Rc::clone(&peer_client).watch_missed_domains()
-    });
     let task_state = Rc::clone(state);
     spawn_lasting("evidence of other VMs", move || {
         freshness::keep_evidence(Rc::clone(&task_state))
@@ -397,7 +389,7 @@
     state.hand_over_origins();
     let handed_over = join(
         state.turn_keeper.hand_over(),
-        state.budget_client.hand_over_allowances(),
+        state.budget_client.hand_over_charges(),
     );
     if timeout(HANDOVER_TIMEOUT, handed_over).await.is_err() {
         log::warn!("not all turns and allowances were handed over");
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -428,11 +428,7 @@
         };
         match serde_json::from_slice(&value) {
             Ok(entry) => {
-                let is_new = peers.upsert(name.clone(), entry, row.version);
-                drop(peers);
-                if is_new {
-                    self.state.budget_client.share_records(name);
-                }
+                peers.upsert(name, entry, row.version);
             }
             Err(error) => {
                 self.state.metrics.record_invalid_row(PEER_TABLE);
--- a/crates/entry/tests/compatibility.rs
+++ b/crates/entry/tests/compatibility.rs
@@ -190,6 +190,8 @@
         },
         waiting: 1,
     });
+    assert!(newest.protocol() <= PROTOCOL_VERSION);
+    let newest = PeerMessage::PassAllowances(Vec::new());
     assert_eq!(newest.protocol(), PROTOCOL_VERSION);
 }
 
--- a/crates/gateway/src/allowance.rs
+++ b/crates/gateway/src/allowance.rs
@@ -1,34 +1,29 @@
 //! Tokens that programs may spend while the store is unreachable.
 //!
-//! A budget may be overspent by at most the maximum output tokens of one call. So
-//! among the VMs that are cut off from the store (see
-//! [`crate::classify_connectivity`]) one is the program's coordinator. All its
-//! grants to the program together stay within that maximum, counted in tokens
-//! delivered to callers; a stream that would exceed its grant is cut. What was
-//! spent is charged to the program's budget row once the store is reachable.
+//! A budget may be overspent by at most the maximum output tokens of one call. The write
+//! that creates a program's row names its writer in it: that incarnation of a VM alone, the
+//! program's allowance holder, may grant this allowance, whatever it and other VMs reach.
+//! All its grants together stay within the maximum of a call, counted in tokens delivered
+//! to callers; a stream that would exceed its grant is cut. What was spent is charged to
+//! the row once the store is reachable.
 //!
-//! The group of VMs that may grant can change before deferred charges are
-//! written, and a VM that granted may end or lose its place in the list of VMs.
-//! So the first two VMs of each failure domain, ranked for the program, hold a
-//! record of which incarnation of which VM grants for it (see
-//! [`crate::Peers::claim_holders`]). The coordinator needs the agreement of those
-//! of its group before it grants. A VM that stops grants nothing more, and passes
-//! its records and charges on. A program whose row exceeds its budget after the
-//! charge is listed as overdrawn and gets no further allowance.
+//! As no other VM grants, nothing that others know, and no order of deaths, starts and
+//! partitions, can have an allowance granted twice. A holder that dies takes it along. One
+//! that stops grants nothing more and passes it on, with what it has granted of it.
 
 use compact_str::CompactString;
-use lagoon_ids::{rendezvous_hash, FastMap, FastSet};
+use lagoon_ids::{FastMap, FastSet};
 use serde::{Deserialize, Serialize};
 
 use crate::budget::{DeferredCharge, ProgramKey};
 use crate::connectivity::Connectivity;
 use crate::reserve::max_allowance_tokens;
 
-/// Request for tokens for one call, sent to the coordinator of the call's
-/// program.
+/// Request for tokens for one call, sent to the allowance holder of the
+/// call's program.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct AllowanceRequest {
-    /// Connectivity of the requesting VM; the coordinator must have the same.
+    /// Connectivity of the requesting VM, for earlier builds.
     pub connectivity: Connectivity,
     /// Program of the call, by the name that its caller gives.
     pub program: CompactString,
@@ -40,7 +35,7 @@
     pub expected_tokens: u64,
 }
 
-/// Report to the coordinator of what a call used of its grant.
+/// Report to the allowance holder of what a call used of its grant.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct AllowanceSettlement {
     /// Program of the call, by the name that its caller gives.
@@ -51,18 +46,18 @@
     pub used_tokens: u64,
 }
 
-/// What a VM knows of a program's allowance, for the VMs that hold it too.
+/// Charge that a VM passes on at its end, as it could not write it. The name and two
+/// fields are those of earlier builds, which hold records of allowances together.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct AllowanceRecord {
     /// Program, by the name that its caller gives.
     pub program: CompactString,
-    /// Incarnation of the VM that may have granted tokens, and alone may do so; empty
-    /// if there are two of them, and so no VM may.
+    /// Incarnation of the VM that granted the tokens.
     pub coordinator: CompactString,
-    /// Time since the last claim by any VM.
+    /// Age of an earlier build's record; 0.
     pub age_ms: u64,
-    /// Tokens that the receiver is to charge, as the sender ends; 0 if the sender
-    /// charges what it granted.
+    /// Tokens that the receiver is to charge; 0 in a record of an earlier build that only
+    /// says who grants.
     pub uncharged_tokens: u64,
     /// Tokens that all calls of the program may generate together.
     pub budget_tokens: u64,
@@ -82,6 +77,15 @@
     }
 }
 
+/// Allowance that its holder passes on, as it is stopping.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PassedAllowance {
+    /// Program, by the name that its caller gives.
+    pub program: CompactString,
+    /// Tokens of it that are no longer to be granted.
+    pub used_tokens: u64,
+}
+
 /// Maximum grant as a multiple of the call's expected tokens.
 const MAX_GRANT_FACTOR: u64 = 3;
 
@@ -96,75 +100,58 @@
     max_call_tokens: u64,
     in_flight_tokens: u64,
     spent_tokens: u64,
+    /// Grants of calls that were in flight when they were charged in full. What these
+    /// calls report later has no effect.
+    charged_in_flight_tokens: u64,
 }
 
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum ClaimState {
-    /// This VM waits for the agreement of others, and has granted nothing.
-    Pending,
-    /// The coordinator may have granted tokens.
-    Granted,
-    /// Two VMs are known that may have granted tokens; no VM may grant any more.
-    Contested,
+impl Allowance {
+    fn uncharged_tokens(&self) -> u64 {
+        self.in_flight_tokens + self.spent_tokens
+    }
 }
 
-/// Right of one incarnation of a VM to grant for a program.
-#[derive(Clone, Debug)]
-struct Claim {
-    coordinator: CompactString,
-    /// Time of the last claim by any VM.
-    claimed_ms: u64,
-    state: ClaimState,
+/// Allowance that another VM has passed on to this one.
+#[derive(Clone, Copy, Debug)]
+struct Received {
+    /// Tokens of it that are no longer to be granted.
+    used_tokens: u64,
+    expires_ms: u64,
 }
 
-impl Claim {
-    fn is_of(&self, coordinator: &str) -> bool {
-        self.coordinator == coordinator && self.state != ClaimState::Contested
-    }
-}
-
-/// Allowances that this VM coordinates, and claims of others.
+/// What this VM has granted of the allowances that it holds.
 #[derive(Debug, Default)]
 pub struct Allowances {
     programs: FastMap<ProgramKey, Allowance>,
+    received: FastMap<ProgramKey, Received>,
     overdrawn: FastSet<ProgramKey>,
-    claims: FastMap<ProgramKey, Claim>,
-    /// Programs for which this VM granted or agreed to grants while its failure domain
-    /// was cut off, and of which the other domains have yet to be told.
-    untold: FastSet<ProgramKey>,
     /// Whether this VM is stopping.
     is_stopped: bool,
 }
 
-/// Time after the last claim for which a program's coordinator stays recorded. It
-/// is longer than programs may pause between calls.
-const COORDINATOR_TTL_MS: u64 = 600_000;
+/// Time for which an allowance that was passed on can be granted. It is longer than
+/// programs may pause between calls.
+const RECEIVED_TTL_MS: u64 = 600_000;
 
 impl Allowances {
-    /// Tokens granted to a call; 0 if too few remain, the program is listed as
-    /// overdrawn, its allowance is contested, or this VM is stopping.
-    pub fn grant(&mut self, request: &AllowanceRequest) -> u64 {
+    /// Tokens granted to a call of a program whose allowance this VM holds, by the row or
+    /// as it was passed on; 0 if too few remain, the program is listed as overdrawn, or
+    /// this VM is stopping. `overspent_tokens`: what the row charges beyond the budget.
+    pub fn grant(&mut self, request: &AllowanceRequest, overspent_tokens: u64) -> u64 {
         let program = ProgramKey(request.program.clone());
         if self.is_stopped || self.overdrawn.contains(&program) {
             return 0;
         }
-        if let Some(claim) = self.claims.get_mut(&program) {
-            if claim.state == ClaimState::Contested {
-                return 0;
-            }
-            claim.state = ClaimState::Granted;
-        }
-        if request.connectivity == Connectivity::OwnDomain {
-            self.untold.insert(program.clone());
-        }
+        let received = self.received.get(&program);
+        let used_before_tokens = received.map_or(0, |received| received.used_tokens);
         let allowance = self.programs.entry(program).or_default();
         allowance.budget_tokens = request.budget_tokens;
         allowance.max_call_tokens = allowance.max_call_tokens.max(request.max_tokens);
-        let committed_tokens = allowance.in_flight_tokens + allowance.spent_tokens;
+        let used_tokens = allowance.uncharged_tokens() + used_before_tokens + overspent_tokens;
         // A call that was granted fewer than its maximum asks for the rest, which says
         // nothing of the program's allowance.
         let max_tokens = max_allowance_tokens(request.budget_tokens, allowance.max_call_tokens);
-        let remaining_tokens = max_tokens.saturating_sub(committed_tokens);
+        let remaining_tokens = max_tokens.saturating_sub(used_tokens);
         let expected_tokens = request.expected_tokens.max(1);
         let min_grant_tokens =
             (expected_tokens * MIN_GRANT_NUMERATOR / MIN_GRANT_DENOMINATOR).min(request.max_tokens);
@@ -180,150 +167,82 @@
     /// Replaces the tokens granted to a call by those it used.
     pub fn settle(&mut self, settlement: &AllowanceSettlement) {
         let program = ProgramKey(settlement.program.clone());
-        if let Some(allowance) = self.programs.get_mut(&program) {
-            let in_flight_tokens = allowance.in_flight_tokens;
-            allowance.in_flight_tokens = in_flight_tokens.saturating_sub(settlement.granted_tokens);
-            allowance.spent_tokens += settlement.used_tokens;
+        let Some(allowance) = self.programs.get_mut(&program) else {
+            return;
+        };
+        let granted_tokens = settlement.granted_tokens;
+        if allowance.charged_in_flight_tokens >= granted_tokens {
+            allowance.charged_in_flight_tokens -= granted_tokens;
+            return;
         }
+        let in_flight_tokens = allowance.in_flight_tokens;
+        allowance.in_flight_tokens = in_flight_tokens.saturating_sub(granted_tokens);
+        allowance.spent_tokens += settlement.used_tokens;
     }
 
     /// Charges to write once the store is reachable. Calls in flight are
     /// charged their whole grant.
     pub fn take_deferred_charges(&mut self) -> Vec<DeferredCharge> {
-        let programs = self.programs.drain();
-        programs
-            .map(|(program, allowance)| DeferredCharge {
-                program,
-                tokens: allowance.spent_tokens + allowance.in_flight_tokens,
-                budget_tokens: allowance.budget_tokens,
-                max_call_tokens: allowance.max_call_tokens,
-            })
-            .filter(|charge| charge.tokens > 0)
-            .collect()
-    }
-
-    /// Records `coordinator`, another VM's incarnation, as the one that grants for a
-    /// program; `false` if a different one is recorded.
-    pub fn claim_coordinator(
-        &mut self,
-        program: &ProgramKey,
-        coordinator: &str,
-        now_ms: u64,
-    ) -> bool {
-        self.claim(program, coordinator, ClaimState::Granted, now_ms)
-    }
-
-    /// Records this VM's own incarnation as the one that is about to grant for a
-    /// program; `false` if a different one is recorded.
-    pub fn claim_own(&mut self, program: &ProgramKey, own: &str, now_ms: u64) -> bool {
-        self.claim(program, own, ClaimState::Pending, now_ms)
-    }
-
-    fn claim(
-        &mut self,
-        program: &ProgramKey,
-        coordinator: &str,
-        state: ClaimState,
-        now_ms: u64,
-    ) -> bool {
-        let claim = self.claims.entry(program.clone()).or_insert_with(|| Claim {
-            coordinator: coordinator.into(),
-            claimed_ms: now_ms,
-            state,
+        let mut charges = Vec::new();
+        self.programs.retain(|program, allowance| {
+            let tokens = allowance.uncharged_tokens();
+            if tokens > 0 {
+                charges.push(DeferredCharge {
+                    program: program.clone(),
+                    tokens,
+                    budget_tokens: allowance.budget_tokens,
+                    max_call_tokens: allowance.max_call_tokens,
+                });
+            }
+            allowance.charged_in_flight_tokens += allowance.in_flight_tokens;
+            (allowance.in_flight_tokens, allowance.spent_tokens) = (0, 0);
+            allowance.charged_in_flight_tokens > 0
         });
-        claim.claimed_ms = now_ms;
-        claim.is_of(coordinator)
+        charges
     }
 
-    /// Removes this VM's own claim to a program, which other VMs didn't agree to, so
-    /// that it doesn't outrank what they know. Has no effect once tokens were granted.
-    pub fn withdraw_claim(&mut self, program: &ProgramKey, own: &str) {
-        let claim = self.claims.get(program);
-        if claim.is_some_and(|claim| claim.is_of(own) && claim.state == ClaimState::Pending) {
-            self.claims.remove(program);
-        }
+    /// Whether another VM has passed a program's allowance on to this one.
+    pub fn has_received(&self, program: &ProgramKey) -> bool {
+        self.received.contains_key(program)
     }
 
-    /// Holds what another VM knows of an allowance. It replaces a claim of this VM
-    /// that is pending; with a different one that may have been used, the allowance is
-    /// contested.
-    pub fn hold_record(&mut self, record: &AllowanceRecord, now_ms: u64) {
-        let program = ProgramKey(record.program.clone());
-        let held = Claim {
-            coordinator: record.coordinator.clone(),
-            claimed_ms: now_ms.saturating_sub(record.age_ms),
-            state: ClaimState::Granted,
+    /// Holds an allowance that another VM passes on.
+    pub fn receive(&mut self, passed: &PassedAllowance, now_ms: u64) {
+        let received = Received {
+            used_tokens: passed.used_tokens,
+            expires_ms: now_ms + RECEIVED_TTL_MS,
         };
-        let claim = self.claims.entry(program).or_insert_with(|| held.clone());
-        if claim.state == ClaimState::Pending {
-            *claim = held;
-        } else if claim.coordinator != held.coordinator {
-            claim.state = ClaimState::Contested;
-        }
+        let program = ProgramKey(passed.program.clone());
+        // It was this VM's own: what it has granted of it counts already.
+        self.received.entry(program).or_insert(received);
     }
 
-    /// Grants nothing from now on, as this VM is stopping.
-    pub fn stop(&mut self) {
+    /// Grants nothing from now on, as this VM is stopping. Returns the allowances of
+    /// these programs, of which the row charges some tokens beyond the budget, and those
+    /// that this VM has received, to be passed on.
+    pub fn stop(&mut self, held: Vec<(ProgramKey, u64)>) -> Vec<PassedAllowance> {
         self.is_stopped = true;
-    }
-
-    /// All that this VM knows of allowances that may have been granted, for the VMs
-    /// that hold it too.
-    pub fn records(&self, now_ms: u64) -> Vec<AllowanceRecord> {
-        let claims = self.claims.iter();
-        claims
-            .filter(|(_, claim)| claim.state != ClaimState::Pending)
-            .map(|(program, claim)| AllowanceRecord {
-                program: program.0.clone(),
-                coordinator: match claim.state {
-                    ClaimState::Contested => CompactString::default(),
-                    ClaimState::Pending | ClaimState::Granted => claim.coordinator.clone(),
-                },
-                age_ms: now_ms.saturating_sub(claim.claimed_ms),
-                uncharged_tokens: 0,
-                budget_tokens: 0,
-                max_call_tokens: 0,
-            })
-            .collect()
-    }
-
-    /// Records that another VM of the own failure domain, which may be cut off, may
-    /// grant for a program, so that this VM tells the other domains of it too.
-    pub fn set_untold(&mut self, program: &ProgramKey) {
-        self.untold.insert(program.clone());
-    }
-
-    /// Records that the other failure domains know who granted for a program.
-    pub fn set_told(&mut self, program: &ProgramKey) {
-        self.untold.remove(program);
-    }
-
-    /// What the other failure domains have yet to be told.
-    pub fn untold_records(&self, now_ms: u64) -> Vec<AllowanceRecord> {
-        let mut records = self.records(now_ms);
-        records.retain(|record| {
-            let program = ProgramKey(record.program.clone());
-            self.untold.contains(&program)
+        let received = self.received.drain();
+        let received = received.map(|(program, received)| (program, received.used_tokens));
+        let mut passed: FastMap<ProgramKey, u64> = received.collect();
+        for (program, overspent_tokens) in held {
+            *passed.entry(program).or_default() += overspent_tokens;
+        }
+        let passed = passed.into_iter().map(|(program, used_tokens)| {
+            let allowance = self.programs.get(&program);
+            let uncharged_tokens = allowance.map_or(0, Allowance::uncharged_tokens);
+            PassedAllowance {
+                program: program.0,
+                used_tokens: used_tokens + uncharged_tokens,
+            }
         });
-        records
-    }
-
-    /// Whether the other failure domains have yet to be told of a grant.
-    pub fn has_untold(&self) -> bool {
-        !self.untold.is_empty()
-    }
-
-    /// Whether this VM has granted an allowance to a program.
-    pub fn has_allowance(&self, program: &ProgramKey) -> bool {
-        self.programs.contains_key(program)
+        passed.collect()
     }
 
-    /// Removes claims to programs that had none for `COORDINATOR_TTL_MS`.
+    /// Forgets what was passed on for programs that ended long ago.
     pub fn remove_expired(&mut self, now_ms: u64) {
-        self.claims
-            .retain(|_, claim| now_ms < claim.claimed_ms + COORDINATOR_TTL_MS);
-        let claims = &self.claims;
-        self.untold.retain(|program| claims.contains_key(program));
+        self.received
+            .retain(|_, received| now_ms < received.expires_ms);
     }
 
     /// Marks a program as overdrawn, so that [`Allowances::grant`] returns 0 for it, or
@@ -336,29 +255,9 @@
         }
     }
 
-    /// Whether this VM has granted no allowance.
+    /// Whether this VM has granted nothing that isn't charged.
     pub fn is_empty(&self) -> bool {
-        self.programs.is_empty()
+        let mut granted = self.programs.values();
+        granted.all(|allowance| allowance.uncharged_tokens() == 0)
     }
 }
-
-/// The first two of these VMs in a program's ranking; fewer if there are fewer.
-pub fn record_holders<'a>(
-    program: &ProgramKey,
-    vms: &[&'a CompactString],
-) -> Vec<&'a CompactString> {
-    let ranked = || vms.iter().copied();
-    let first = allowance_coordinator(program, ranked());
-    let rest = ranked().filter(|name| Some(*name) != first);
-    let holders = [first, allowance_coordinator(program, rest)];
-    holders.into_iter().flatten().collect()
-}
-
-/// VM that coordinates a program's allowance, by rendezvous hashing; `None` if
-/// `vms` is empty.
-pub fn allowance_coordinator<'a, I>(program: &ProgramKey, vms: I) -> Option<&'a CompactString>
-where
-    I: IntoIterator<Item = &'a CompactString>,
-{
-    rendezvous_hash(&program.0, vms)
-}
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -316,6 +316,9 @@
             pending.row.is_whole = true;
         }
         pending.row.retention_ms = budget.retention_ms;
+        if budget.version == 0 && budget.row == BudgetRow::default() {
+            pending.row.allowance_holder = Some(self.settings.writer.clone());
+        }
         pending.row.set_mark(WriterMark {
             writer: self.settings.writer.clone(),
             sequence,
@@ -419,13 +422,40 @@
         budget.is_some_and(|budget| budget.remaining_tokens() < budget.max_call_tokens)
     }
 
-    /// Whether tokens that were spent without the store are not charged yet, or
-    /// the row is known to have no room for `tokens`.
-    pub fn lacks_room(&self, program: &ProgramKey, tokens: u64) -> bool {
-        self.programs.get(program).is_some_and(|budget| {
-            let is_known = budget.version > 0;
-            budget.has_deferred_charges() || (is_known && budget.remaining_tokens() < tokens)
-        })
+    /// Incarnation of the VM that alone grants a program's allowance, by its row as last
+    /// seen; `None` if the row isn't known or names none.
+    pub fn allowance_holder(&self, program: &ProgramKey) -> Option<&CompactString> {
+        let budget = self.programs.get(program)?;
+        let is_known = budget.version > 0;
+        budget.row.allowance_holder.as_ref().filter(|_| is_known)
+    }
+
+    /// Whether this VM alone grants a program's allowance.
+    pub fn is_allowance_holder(&self, program: &ProgramKey) -> bool {
+        let holder = self.allowance_holder(program);
+        holder.is_some_and(|holder| *holder == self.settings.writer)
+    }
+
+    /// Tokens that a program's row, as last seen, charges beyond the budget.
+    pub fn overspent_tokens(&self, program: &ProgramKey) -> u64 {
+        let budget = self.programs.get(program);
+        budget.map_or(0, ProgramBudget::overspent_tokens)
+    }
+
+    /// Programs whose allowance this VM alone grants, with the tokens that their rows
+    /// charge beyond the budget. Without those of which a charge isn't confirmed yet.
+    pub fn held_allowances(&self) -> Vec<(ProgramKey, u64)> {
+        let held = self.programs.iter().filter(|(program, budget)| {
+            self.is_allowance_holder(program) && !budget.has_deferred_charges()
+        });
+        held.map(|(program, budget)| (program.clone(), budget.overspent_tokens()))
+            .collect()
+    }
+
+    /// Whether tokens that were spent without the store are not known to be charged.
+    pub fn has_deferred_charges(&self, program: &ProgramKey) -> bool {
+        let budget = self.programs.get(program);
+        budget.is_some_and(ProgramBudget::has_deferred_charges)
     }
 
     /// Writers that hold tokens of a program by its row as last seen, largest
--- a/crates/gateway/src/budget/program_budget.rs
+++ b/crates/gateway/src/budget/program_budget.rs
@@ -116,14 +116,26 @@
 }
 
 impl ProgramBudget {
-    pub(super) fn remaining_tokens(&self) -> u64 {
-        let unavailable_tokens = match (self.row.is_whole, self.released_tokens) {
+    /// Tokens that the row charges, and those of the reserve that it doesn't have.
+    fn unavailable_tokens(&self) -> u64 {
+        let reserved_tokens = match (self.row.is_whole, self.released_tokens) {
             (true, _) => 0,
             (false, Some(granted_tokens)) => granted_tokens,
             (false, None) => self.reserve_tokens,
         };
-        let charged_tokens = self.row.charged_tokens + unavailable_tokens;
-        self.budget_tokens.saturating_sub(charged_tokens)
+        self.row.charged_tokens + reserved_tokens
+    }
+
+    pub(super) fn remaining_tokens(&self) -> u64 {
+        let unavailable_tokens = self.unavailable_tokens();
+        self.budget_tokens.saturating_sub(unavailable_tokens)
+    }
+
+    /// Tokens beyond the budget that the row charges, by its state as last seen. Other
+    /// VMs' charges since then don't go beyond the budget.
+    pub(super) fn overspent_tokens(&self) -> u64 {
+        let unavailable_tokens = self.unavailable_tokens();
+        unavailable_tokens.saturating_sub(self.budget_tokens)
     }
 
     /// Tokens that the home may still hold in reserve.
--- a/crates/gateway/src/budget/row.rs
+++ b/crates/gateway/src/budget/row.rs
@@ -76,6 +76,11 @@
     /// none stated it.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub retention_ms: u64,
+    /// Incarnation of the VM that alone grants the program's allowance: the one that
+    /// created the row. `None` if an earlier build created it or wrote it since, so that
+    /// no VM does.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub allowance_holder: Option<CompactString>,
 }
 
 fn is_zero(number: &u64) -> bool {
--- a/crates/gateway/src/connectivity.rs
+++ b/crates/gateway/src/connectivity.rs
@@ -1,10 +1,7 @@
 //! Connectivity of a VM that can't reach the store.
 //!
-//! At most one group of VMs may grant allowances at a time. A VM takes part
-//! in one of two cases only: every VM that isn't considered dead replies, in
-//! every failure domain, and none reaches the store; or no other failure
-//! domain replies while a majority of its own does. As partitions separate
-//! one failure domain at a time, the two cases never hold at once.
+//! It decides where a VM turns for tokens, and whether a write waits for the store. A VM
+//! whose connectivity isn't clear may be the only one that is cut off.
 
 use compact_str::CompactString;
 use derive_more::Display;
@@ -34,14 +31,14 @@
     /// The own failure domain only.
     #[display("own domain")]
     OwnDomain,
-    /// None of the other cases; no allowance may be granted.
+    /// None of the other cases.
     #[display("unclear")]
     Indeterminate,
 }
 
 impl Connectivity {
-    /// Whether this VM is in the group that may grant allowances.
-    pub fn allows_offline_grants(self) -> bool {
+    /// Whether no VM that this one reaches can use the store, as far as is known.
+    pub fn is_store_out_of_reach(self) -> bool {
         matches!(self, Connectivity::AllDomains | Connectivity::OwnDomain)
     }
 }
@@ -83,63 +80,3 @@
         false => Connectivity::Indeterminate,
     }
 }
-
-/// Time for which a failure domain that was out of reach must be in reach again
-/// before it counts as having told what it granted; over twice the time between two
-/// attempts to tell.
-const TELL_TIME_MS: u64 = 500;
-
-/// Other failure domains that may have been cut off and granted allowances of which
-/// this VM hasn't been told.
-#[derive(Debug, Default)]
-pub struct CutDoubt {
-    /// Domains that were out of reach while another one was in reach, with the time
-    /// since which they are in reach again.
-    missed: FastMap<CompactString, Option<u64>>,
-}
-
-impl CutDoubt {
-    /// Records a round of probes by a VM of the failure domain `own`. Without a reply
-    /// from another domain, it is the own one that is cut off.
-    pub fn record_probes(&mut self, own: &str, probes: &[PeerProbe], now_ms: u64) {
-        let others = probes.iter().filter(|probe| probe.domain != own);
-        let mut replies: FastMap<&CompactString, bool> = FastMap::default();
-        for probe in others {
-            *replies.entry(&probe.domain).or_default() |= probe.is_store_down.is_some();
-        }
-        self.missed.retain(|domain, _| replies.contains_key(domain));
-        if !replies.values().any(|has_replied| *has_replied) {
-            self.missed.values_mut().for_each(|since| *since = None);
-            return;
-        }
-        for (domain, has_replied) in replies {
-            match has_replied {
-                true => self.record_reply(domain, now_ms),
-                false => {
-                    self.missed.insert(domain.clone(), None);
-                }
-            }
-        }
-    }
-
-    /// Records a reply of a VM of another failure domain.
-    pub fn record_reply(&mut self, domain: &str, now_ms: u64) {
-        let Some(since) = self.missed.get_mut(domain) else {
-            return;
-        };
-        let since_ms = *since.get_or_insert(now_ms);
-        if now_ms >= since_ms + TELL_TIME_MS {
-            self.missed.remove(domain);
-        }
-    }
-
-    /// Domains that were out of reach and aren't known to have told what they granted.
-    pub fn missed_domains(&self) -> impl Iterator<Item = &CompactString> {
-        self.missed.keys()
-    }
-
-    /// Whether a VM with this connectivity must not grant, nor agree to grants.
-    pub fn forbids_grants(&self, connectivity: Connectivity) -> bool {
-        connectivity == Connectivity::OwnDomain && !self.missed.is_empty()
-    }
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,15 +30,14 @@
 };
 pub use affinity::AffinityTable;
 pub use allowance::{
-    allowance_coordinator, record_holders, AllowanceRecord, AllowanceRequest, AllowanceSettlement,
-    Allowances,
+    AllowanceRecord, AllowanceRequest, AllowanceSettlement, Allowances, PassedAllowance,
 };
 pub use budget::{
     BudgetRow, BudgetSettings, BudgetWrite, ChargeDecision, ChargeRequest, DeferredCharge, Grant,
     ProgramBudgets, ProgramKey, WaiterId, WriterMark,
 };
 pub use config::{Config, Engine, Limits, Route, RouteKind, Service, TrafficSplit};
-pub use connectivity::{classify_connectivity, Connectivity, CutDoubt, PeerProbe};
+pub use connectivity::{classify_connectivity, Connectivity, PeerProbe};
 pub use crash_log::{fingerprint, CrashLog, CrashRecord, CrashUpdate};
 pub use events::{CompleteEvents, EventReader};
 pub use gossip::{
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,14 +7,12 @@
 use lagoon_ids::{hash64, rendezvous_hash, FastMap};
 use serde::{Deserialize, Serialize};
 
-use crate::allowance::record_holders;
 use crate::budget::ProgramKey;
-use crate::connectivity::Connectivity;
 use crate::reserve::UNLISTED_HOME_MS;
 
 /// Version of the messages that this build sends to other VMs and understands. It
 /// grows with each build that adds a message; docs/design/compatibility.md lists them.
-pub const PROTOCOL_VERSION: u32 = 12;
+pub const PROTOCOL_VERSION: u32 = 13;
 
 /// Entry that a VM registers in the store, as JSON. Later versions may add fields, each
 /// with a default.
@@ -115,7 +113,7 @@
         }
     }
 
-    /// Excludes this VM from the candidates for coordinators, as it is stopping.
+    /// Excludes this VM from the heirs of allowances, as it is stopping.
     pub fn set_stopping(&mut self) {
         self.is_stopping = true;
     }
@@ -142,16 +140,15 @@
     }
 
     /// Adds or updates the entry of a VM; `version` is the version of its row in
-    /// the store. Returns whether this incarnation of the VM is new.
-    pub fn upsert(&mut self, name: CompactString, entry: PeerEntry, version: u64) -> bool {
+    /// the store.
+    pub fn upsert(&mut self, name: CompactString, entry: PeerEntry, version: u64) {
         if name == self.own_name {
             self.is_own_listed = true;
-            return false;
+            return;
         }
         self.unlisted.remove(&name);
         let known = self.peers.get(&name).filter(|peer| peer.entry == entry);
-        let is_new = known.is_none();
-        if is_new {
+        if known.is_none() {
             let peer = Peer {
                 entry,
                 version,
@@ -162,19 +159,6 @@
             };
             self.peers.insert(name, peer);
         }
-        is_new
-    }
-
-    /// Whether a VM, of the own failure domain, is one of those that hold a program's
-    /// record there.
-    pub fn is_record_holder(&self, program: &ProgramKey, name: &str) -> bool {
-        let peers = self.peers.iter();
-        let local = peers.filter(|(_, peer)| peer.entry.domain == self.own_domain);
-        let local = local.map(|(name, _)| name).chain([&self.own_name]);
-        let vms: Vec<&CompactString> = local.collect();
-        record_holders(program, &vms)
-            .iter()
-            .any(|holder| *holder == name)
     }
 
     /// Removes a VM whose entry was deleted from the store or is invalid.
@@ -387,34 +371,6 @@
         since.is_some_and(|since_ms| now_ms >= since_ms + DEAD_AFTER_MS)
     }
 
-    /// Other VMs that must agree before this one grants a program's allowance, and
-    /// that hold the record of it: in each failure domain of the group, the first VM
-    /// in the program's ranking, and the next one that isn't taken for dead. So the
-    /// VM that is first after an end or a change of the list knows of it. Empty if
-    /// no other VM would hold it.
-    pub fn claim_holders(
-        &self,
-        program: &ProgramKey,
-        connectivity: Connectivity,
-        now_ms: u64,
-    ) -> Vec<CompactString> {
-        let mut domains: FastMap<&str, Vec<&CompactString>> = FastMap::default();
-        for name in self.coordinator_candidates(connectivity) {
-            let peer = self.peers.get(name);
-            let domain = peer.map_or(&self.own_domain, |peer| &peer.entry.domain);
-            domains.entry(domain.as_str()).or_default().push(name);
-        }
-        let holders = domains.values().flat_map(|vms| {
-            let vms = || vms.iter().copied();
-            let first = rendezvous_hash(&program.0, vms());
-            let others = vms().filter(|name| Some(*name) != first);
-            let second = others.filter(|name| !self.is_dead(name, now_ms));
-            [first, rendezvous_hash(&program.0, second)]
-        });
-        let others = holders.flatten().filter(|name| **name != self.own_name);
-        others.cloned().collect()
-    }
-
     /// Other failure domains, with the names of their VMs in order.
     pub fn other_domains(&self) -> FastMap<CompactString, Vec<CompactString>> {
         let mut domains: FastMap<CompactString, Vec<CompactString>> = FastMap::default();
@@ -428,30 +384,26 @@
         domains
     }
 
-    /// Other VMs of the own failure domain that hold a program's record when this one
-    /// ends: the first two in the program's ranking that aren't taken for dead.
-    pub fn record_successors(&self, program: &ProgramKey, now_ms: u64) -> Vec<CompactString> {
+    /// VM of the own failure domain to which the holder of a program's allowance passes it
+    /// on when it stops: the first one in the program's ranking that isn't taken for dead,
+    /// this VM included unless it is stopping. `None` if there is none.
+    pub fn allowance_heir(&self, program: &ProgramKey, now_ms: u64) -> Option<CompactString> {
         let is_candidate = |name: &CompactString, peer: &Peer| {
             peer.entry.domain == self.own_domain && !self.is_dead(name, now_ms)
         };
         let others = self.peers.iter();
         let others = others.filter(|(name, peer)| is_candidate(name, peer));
-        let vms: Vec<&CompactString> = others.map(|(name, _)| name).collect();
-        let successors = record_holders(program, &vms);
-        successors.into_iter().cloned().collect()
-    }
-
-    /// VMs of which one coordinates a program's allowance: this one, unless it is
-    /// stopping, and, if grants are allowed, the others of the group that may grant.
-    pub fn coordinator_candidates(&self, connectivity: Connectivity) -> Vec<&CompactString> {
-        let is_member = |peer: &Peer| match connectivity {
-            Connectivity::AllDomains => true,
-            Connectivity::OwnDomain => peer.entry.domain == self.own_domain,
-            Connectivity::Store | Connectivity::Indeterminate => false,
-        };
-        let others = self.peers.iter().filter(|(_, peer)| is_member(peer));
         let own = (!self.is_stopping).then_some(&self.own_name);
-        others.map(|(name, _)| name).chain(own).collect()
+        let vms = others.map(|(name, _)| name).chain(own);
+        rendezvous_hash(&program.0, vms).cloned()
+    }
+
+    /// Name of the VM whose incarnation is this writer of budget rows; `None` if it isn't
+    /// listed.
+    pub fn name_of_writer(&self, writer: &str) -> Option<&CompactString> {
+        let mut peers = self.peers.iter();
+        let found = peers.find(|(_, peer)| peer.entry.writer == writer);
+        found.map(|(name, _)| name)
     }
 
     /// Failure domain of this VM.
--- a/crates/standin/src/fleet/store.rs
+++ b/crates/standin/src/fleet/store.rs
@@ -152,6 +152,11 @@
             partition: "".into(),
             key: key.into(),
         };
+        self.put_row(key, value);
+    }
+
+    /// Like [`Store::put`], for a row of any partition.
+    pub fn put_row(&self, key: RowKey, value: Option<Vec<u8>>) {
         let mut state = lock(&self.state);
         let expected = state.version_of(&key);
         state.apply(&[RowWrite {
