Retries: only at targets that take requests, and no more than the route allows

Cause: decide_retry knew the route and the failure, and not whether the target may still be used, nor how many may have run the request; the same target, and one with a permit, were taken without the check that placement makes; a target that isn't listed counted as ended, and a refusal as full always led to another target. Told apart by the line `try failed`, which now says whether the target takes requests and at how many the request may have run.

Targets that may have run the request and haven't ended are counted. Once max_attempts is reached, it goes to these only, as long as they take requests, or ends at once as what may have run. Whether a target takes requests is asked again when it is claimed, when the connection is there, and by a VM that carries. Whether a drained target has ended is found out by a connection. What was weighed: docs/design/streams.md.

Failed before, on: stream_that_a_drained_target_interrupts_goes_to_no_target, both forms.

--- a/crates/entry/src/carry.rs
+++ b/crates/entry/src/carry.rs
@@ -124,6 +124,8 @@
         is_repeatable: attempt.is_repeatable,
     };
     let build = || {
+        // The target may have been drained while the connection was opened.
+        find_target(state, attempt).ok()?;
         let spent_ms = state.now_ms() - arrived_ms;
         let mut request = Request::new(RequestBody::new([body.clone()]));
         *request.method_mut() = parts.method.clone();
@@ -141,7 +143,8 @@
         Err(NoExchange::NoPath { .. } | NoExchange::NoKeptConnection) => {
             return Err(no_path(state))
         }
-        Err(NoExchange::NotSent(_) | NoExchange::Withdrawn) => return Err(CarryEnd::NotSent),
+        Err(NoExchange::Withdrawn) => return Err(CarryEnd::TargetLeaving),
+        Err(NoExchange::NotSent(_)) => return Err(CarryEnd::NotSent),
         Err(NoExchange::Interrupted(_) | NoExchange::PathLost) => return Err(CarryEnd::Broken),
     };
     let metadata = decode_response_headers(exchange.response.headers());
@@ -159,7 +162,7 @@
     let found = targets.find_run(&attempt.target_id, attempt.run);
     let target = found.and_then(|(key, _)| Some((key, targets.get(key)?)));
     match target {
-        Some((_, target)) if target.is_leaving() => Err(CarryEnd::TargetLeaving),
+        Some((_, target)) if !target.accepts_requests() => Err(CarryEnd::TargetLeaving),
         Some((key, target)) => Ok((key, target.entry.clone())),
         None => Err(CarryEnd::Declined(Decline::UnknownTarget)),
     }
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -12,6 +12,7 @@
 mod turns;
 mod version;
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -121,6 +122,8 @@
     placement: Option<Placement>,
     /// Target of the last attempt; empty before the first.
     target_id: CompactString,
+    /// Its address; `None` before the first attempt.
+    target_address: Option<SocketAddr>,
 }
 
 /// Forwards one request and returns its response.
@@ -346,6 +349,7 @@
         may_have_run: false,
         placement: None,
         target_id: CompactString::default(),
+        target_address: None,
         state,
     })
 }
@@ -561,7 +565,7 @@
     /// is usable.
     fn choose_target(&mut self) -> Option<(TargetKey, TargetEntry)> {
         let placement = self.evaluate_placement()?;
-        let entry = self.target_entry(placement.key)?;
+        let entry = self.usable_target(placement.key)?;
         self.placement = Some(placement);
         self.target_id = entry.id.clone();
         Some((placement.key, entry))
@@ -599,7 +603,10 @@
             }
             match next {
                 RetryDecision::AnotherTarget => {}
-                RetryDecision::SameTarget => same_target = Some(key),
+                RetryDecision::SameTarget(target) => {
+                    self.wait_before_repeat().await;
+                    same_target = Some(target);
+                }
                 RetryDecision::Refuse => {
                     return Err(self.refuse("no target took it", OVERLOADED_RETRY_AFTER_MS))
                 }
@@ -616,9 +623,11 @@
             && self.state.paths.borrow().is_isolated()
     }
 
-    pub(crate) fn target_entry(&self, key: TargetKey) -> Option<TargetEntry> {
+    /// Entry of a target that takes requests at present; `None` if it takes none.
+    pub(crate) fn usable_target(&self, key: TargetKey) -> Option<TargetEntry> {
         let targets = self.state.targets.borrow();
-        targets.get(key).map(|target| target.entry.clone())
+        let target = targets.get(key)?;
+        target.accepts_requests().then(|| target.entry.clone())
     }
 
     fn no_target(&self) -> Box<Response<ResponseBody>> {
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -68,6 +68,11 @@
         }
     }
 
+    /// Target of the attempt.
+    pub(super) fn target(&self) -> TargetKey {
+        self.key
+    }
+
     pub(crate) fn record_progress(&self) {
         let now_ms = self.state.now_ms();
         self.state
@@ -162,6 +167,8 @@
     pub(crate) is_path_lost: bool,
     /// Whether there is no path, and no VM that carries the attempt.
     pub(crate) has_no_carrier: bool,
+    /// Whether another VM knows that the target takes no more requests.
+    pub(crate) is_target_leaving: bool,
 }
 
 impl FailedAttempt {
@@ -185,6 +192,7 @@
             is_unreachable: false,
             is_path_lost: false,
             has_no_carrier: false,
+            is_target_leaving: false,
         }
     }
 
@@ -205,7 +213,7 @@
             NoExchange::NoPath { error, .. } => FailedAttempt::unreachable(error),
             NoExchange::NoKeptConnection => FailedAttempt::unreachable("no kept connection"),
             NoExchange::Withdrawn => {
-                FailedAttempt::not_sent("no connection before the permit expired")
+                FailedAttempt::not_sent("permit expired, or target takes no more requests")
             }
             NoExchange::NotSent(detail) => FailedAttempt::not_sent(detail),
             NoExchange::Interrupted(detail) => FailedAttempt::interrupted(detail),
@@ -238,6 +246,7 @@
         last_event_id: Option<u64>,
     ) -> Result<TargetResponse, FailedAttempt> {
         let sent_unix_ms = unix_now_ms();
+        self.target_address = Some(entry.address);
         let permit = self.permit.take();
         let mut in_flight = InFlightGuard::new(self, key);
         let sending = self.send(key, entry, last_event_id, permit, &mut in_flight);
--- a/crates/entry/src/forward/failure.rs
+++ b/crates/entry/src/forward/failure.rs
@@ -2,13 +2,15 @@
 //! them.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use hyper::Response;
 use lagoon_gateway::{decide_retry, AttemptFailure, RetryDecision, TargetKey};
 use tokio::task::spawn_local;
-use tokio::time::timeout_at;
+use tokio::time::{sleep, timeout_at};
 
 use crate::body::ResponseBody;
+use crate::connection::Connection;
 use crate::forward::{FailedAttempt, ForwardedRequest};
 use crate::suspects::InterruptedAttempt;
 
@@ -16,6 +18,13 @@
 /// from an unreachable failure domain.
 const MAX_DOMAIN_NEIGHBORS: usize = 2;
 
+/// Delay before a request is sent to the same target again; it doubles with each failed
+/// attempt, as a target that is full needs time.
+const REPEAT_DELAY: Duration = Duration::from_millis(5);
+
+/// Time after an interruption by which a target that has ended accepts no connections.
+const END_PROBE_DELAY: Duration = Duration::from_millis(30);
+
 /// `Retry-After` of a request that crashed several targets.
 const QUARANTINE_RETRY_AFTER_MS: u64 = 30_000;
 
@@ -100,9 +109,15 @@
         } else if !failed.is_path_lost {
             self.probe_for_crash(key).await;
         }
-        let is_listed = self.state.targets.borrow().get(key).is_some();
-        let is_target_gone = failed.is_unreachable || !is_listed;
-        let next = decide_retry(&self.route, &self.attempts, failed.failure, is_target_gone);
+        if failed.is_unreachable || failed.failure == AttemptFailure::OtherInstance {
+            self.attempts.record_ended(key);
+        }
+        let mut again_at = self.target_to_repeat_at(key, failed);
+        if again_at.is_none() && !self.attempts.allow_another_target(&self.route) {
+            self.find_out_whether_ended(key).await;
+            again_at = self.target_to_repeat_at(key, failed);
+        }
+        let next = decide_retry(&self.route, &self.attempts, failed.failure, again_at);
         self.state
             .metrics
             .record_failed_attempt(&failed.failure.to_string());
@@ -111,9 +126,50 @@
             target_id = self.target_id.as_str(),
             failure = failed.failure.to_string(),
             detail = failed.detail.as_str(),
+            takes_requests = self.usable_target(key).is_some(),
+            may_have_run_at = self.attempts.ran_at().count(),
             next = next.to_string();
             "try failed"
         );
         next
     }
+
+    /// Target that may have run the request and still takes requests: the one of the
+    /// failed attempt, or else another one.
+    fn target_to_repeat_at(&self, key: TargetKey, failed: &FailedAttempt) -> Option<TargetKey> {
+        let is_usable = |target: &TargetKey| {
+            let is_refused = *target == key && failed.is_target_leaving;
+            !is_refused && self.usable_target(*target).is_some()
+        };
+        let mut usable = self.attempts.ran_at().filter(is_usable);
+        let first = usable.next()?;
+        Some(usable.find(|target| *target == key).unwrap_or(first))
+    }
+
+    /// Finds out whether a target that takes no more requests has ended, which it does
+    /// soon after it was drained. One that hasn't counts towards the route's
+    /// `max_attempts`.
+    async fn find_out_whether_ended(&mut self, key: TargetKey) {
+        let Some(address) = self.target_address else {
+            return;
+        };
+        sleep(END_PROBE_DELAY).await;
+        let probe = timeout_at(self.deadline(), Connection::open_to_target(address));
+        if let Ok(Err(error)) = probe.await {
+            log::info!(
+                request = self.metadata.request_id.as_str(),
+                target_id = self.target_id.as_str(),
+                error = error.to_string();
+                "target that takes no more requests has ended"
+            );
+            self.attempts.record_ended(key);
+        }
+    }
+
+    /// Waits before the request is sent to the same target again.
+    pub(crate) async fn wait_before_repeat(&self) {
+        let doublings = self.attempts.count().saturating_sub(1);
+        let delay = REPEAT_DELAY * 2_u32.saturating_pow(doublings);
+        sleep(delay).await;
+    }
 }
--- a/crates/entry/src/forward/permit.rs
+++ b/crates/entry/src/forward/permit.rs
@@ -41,8 +41,8 @@
 }
 
 impl ForwardedRequest {
-    /// Chooses the target of the next attempt, or takes `same_target`, and gets a
-    /// permit if it has a limit. Waits for room for a short time; `None` if there is
+    /// Chooses the target of the next attempt, or takes `same_target` if it still takes
+    /// requests, and gets a permit if it has a limit. Waits for room for a short time; `None` if there is
     /// none by then, or no target.
     pub(crate) async fn claim_target(
         &mut self,
@@ -52,9 +52,10 @@
         let mut requests = 0;
         loop {
             self.skips_limited = requests >= MAX_PERMIT_REQUESTS;
-            let chosen = match same_target.or(self.permitted_target()) {
-                Some(key) => self.target_entry(key).map(|entry| (key, entry)),
-                None => self.choose_target(),
+            let chosen = match (same_target, self.permitted_target()) {
+                (Some(key), _) => Some((key, self.usable_target(key)?)),
+                (None, Some(permitted)) => Some(permitted),
+                (None, None) => self.choose_target(),
             };
             if let Some((key, entry)) = chosen {
                 if self.obtain_permit(key).await {
@@ -77,12 +78,13 @@
         }
     }
 
-    /// Target of the permit that admission obtained, if it is still usable.
-    fn permitted_target(&mut self) -> Option<TargetKey> {
+    /// Target of the permit that admission obtained, if both are still usable.
+    fn permitted_target(&mut self) -> Option<(TargetKey, TargetEntry)> {
         let now_ms = self.state.now_ms();
         let permit = self.permit.filter(|permit| !permit.is_expired(now_ms))?;
-        self.target_id = self.target_entry(permit.target)?.id;
-        Some(permit.target)
+        let entry = self.usable_target(permit.target)?;
+        self.target_id = entry.id.clone();
+        Some((permit.target, entry))
     }
 
     /// Whether the request may be sent to this target: it has no limit, or a permit
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -11,7 +11,7 @@
 use lagoon_memory::{Exhausted, Holding};
 use lagoon_turns::TurnOutput;
 use tokio::sync::oneshot;
-use tokio::time::{sleep, timeout_at, Instant};
+use tokio::time::{timeout_at, Instant};
 
 use crate::body::{ResponseBody, TruncatedBody};
 use crate::forward::{
@@ -20,9 +20,6 @@
 use crate::ledger::TokenReservation;
 use crate::unanswered::Cause;
 
-/// Delay before an interrupted stream is requested again from the same target.
-const RESUME_DELAY: Duration = Duration::from_millis(5);
-
 /// Events for which tokens must be left; with fewer, further ones are reserved.
 const EVENTS_AHEAD: u64 = 2;
 
@@ -362,9 +359,9 @@
                 return false;
             }
             let chosen = match next {
-                RetryDecision::SameTarget => {
-                    sleep(RESUME_DELAY).await;
-                    self.request.claim_target(Some(key)).await
+                RetryDecision::SameTarget(target) => {
+                    self.request.wait_before_repeat().await;
+                    self.request.claim_target(Some(target)).await
                 }
                 RetryDecision::AnotherTarget => self.request.claim_target(None).await,
                 RetryDecision::Refuse | RetryDecision::UnknownOutcome => None,
--- a/crates/entry/src/forward/sending.rs
+++ b/crates/entry/src/forward/sending.rs
@@ -119,7 +119,10 @@
                 return Err(FailedAttempt::unreachable("no VM reaches the target"));
             }
             Err(NotCarried::TargetLeaving) => {
-                return Err(FailedAttempt::not_sent("the target is about to stop"));
+                return Err(FailedAttempt {
+                    is_target_leaving: true,
+                    ..FailedAttempt::not_sent("the target is about to stop")
+                });
             }
             Err(NotCarried::Withdrawn) => return Err(NoExchange::Withdrawn.into()),
             Err(NotCarried::Interrupted(detail)) => {
@@ -178,7 +181,8 @@
     }
 
     /// Makes the request of an attempt, which may be executed from now on; `None` if
-    /// the permit or the token has expired.
+    /// the permit or the token has expired, or the target takes no more requests: it may
+    /// have been drained since it was chosen.
     fn begin_attempt(
         &mut self,
         entry: &TargetEntry,
@@ -190,6 +194,7 @@
         if permit.is_some_and(|permit| permit.is_expired(now_ms)) {
             return None;
         }
+        self.usable_target(in_flight.target())?;
         let quota_token = self.quota_token.as_mut();
         if quota_token.is_some_and(|token| !token.begin_use()) {
             return None;
--- a/crates/entry/tests/processes.rs
+++ b/crates/entry/tests/processes.rs
@@ -6,13 +6,15 @@
 use std::time::Duration;
 
 use fleet::{
-    call, complete_stream, get, read_response, send_request, wait_until, Fleet, CONFIG, EVENT_COUNT,
+    call, complete_stream, get, read_response, send_request, wait_until, Fleet, FleetOptions,
+    CONFIG, EVENT_COUNT,
 };
 use lagoon_adapter::standin::{model_call_headers, service_call_headers};
 use lagoon_adapter::TARGET_TABLE;
 use lagoon_gateway::{BudgetRow, TargetStatus};
-use lagoon_standin::fleet::{ExecutionState, ProxyFault, StoreFault, TargetFault};
+use lagoon_standin::fleet::{ExecutionState, ProxyFault, StoreFault, Target, TargetFault};
 use nix::sys::signal::Signal;
+use yare::parameterized;
 
 const BUDGET_TOKENS: u64 = 2_000;
 const MAX_CALL_TOKENS: u64 = 288;
@@ -243,6 +245,58 @@
     });
 }
 
+/// State of an engine after it has interrupted a stream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum InterruptedAt {
+    Draining,
+    Unlisted,
+}
+
+// Guards against an interrupted stream that is sent again to a target that was drained
+// while it ran, and against one that goes on at another target though its route allows
+// one only and the first one has not ended.
+#[parameterized(
+    draining = { InterruptedAt::Draining },
+    unlisted = { InterruptedAt::Unlisted },
+)]
+fn stream_that_a_drained_target_interrupts_goes_to_no_target(state: InterruptedAt) {
+    let options = FleetOptions {
+        event_interval: Duration::from_millis(200),
+        ..FleetOptions::default()
+    };
+    let fleet = Fleet::start_with(1, options);
+    for engine in &fleet.engines {
+        engine.set_fault(TargetFault::TruncateAfter(4));
+    }
+    let caller = send_request(
+        fleet.callers(),
+        "POST /stream/x",
+        "a.example",
+        &model_call("r1"),
+        "p",
+    );
+    wait_until("the run", || engine_executions(&fleet) == 1);
+    let is_running = |engine: &&Target| !engine.executions().is_empty();
+    let running = fleet.engines.iter().find(is_running).expect("an engine");
+    for engine in &fleet.engines {
+        // The other one interrupts nothing.
+        if engine.executions().is_empty() {
+            engine.set_fault(TargetFault::None);
+        }
+    }
+    match state {
+        InterruptedAt::Draining => {
+            let entry = running.entry("engines", TargetStatus::Draining);
+            fleet.store.add_target(&entry);
+        }
+        InterruptedAt::Unlisted => fleet.store.remove_target(&running.id),
+    }
+    let response = read_response(caller);
+    assert!(!response.is_complete, "{}", response.body);
+    assert_eq!(response.body.matches("id: ").count(), 4);
+    assert_eq!(engine_executions(&fleet), 1);
+}
+
 #[test]
 fn configuration_change_applies_at_runtime() {
     let fleet = Fleet::start(1);
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -36,9 +36,10 @@
     /// Retry at another target.
     #[display("another target")]
     AnotherTarget,
-    /// Retry at the same target, as the route's `max_attempts` is reached.
+    /// Retry at this target, which may have run the request before, as the route's
+    /// `max_attempts` is reached.
     #[display("same target")]
-    SameTarget,
+    SameTarget(TargetKey),
     /// Respond that the request has not run.
     #[display("refuse")]
     Refuse,
@@ -50,7 +51,8 @@
 /// Failed attempts of one request.
 #[derive(Clone, Debug, Default)]
 pub struct Attempts {
-    interrupted_at: FastSet<TargetKey>,
+    /// Targets that may have run the request and haven't ended since.
+    ran_at: FastSet<TargetKey>,
     failed: u32,
     interrupted: u32,
 }
@@ -79,35 +81,52 @@
         self.failed += 1;
         if failure == AttemptFailure::Interrupted {
             self.interrupted += 1;
-            self.interrupted_at.insert(target);
+            self.ran_at.insert(target);
         }
     }
+
+    /// Records that a target has ended or can't be reached, so that it doesn't count
+    /// towards the route's `max_attempts`.
+    pub fn record_ended(&mut self, target: TargetKey) {
+        self.ran_at.remove(&target);
+    }
+
+    /// Targets that may have run the request and aren't known to have ended.
+    pub fn ran_at(&self) -> impl Iterator<Item = TargetKey> + '_ {
+        self.ran_at.iter().copied()
+    }
+
+    /// Whether a target that has not run the request yet may get it.
+    pub fn allow_another_target(&self, route: &Route) -> bool {
+        (self.ran_at.len() as u32) < route.max_attempts.max(1)
+    }
 }
 
-/// Decision after `failure`, which [`Attempts::record_failure`]
-/// has counted.
+/// Decision after `failure`, which [`Attempts::record_failure`] has counted.
 ///
-/// If the target has `ended`, another one is tried even if the route's
-/// `max_attempts` is reached.
+/// `again_at` is a target of [`Attempts::ran_at`] that still takes requests. Where the
+/// route's `max_attempts` is reached, nothing is sent to any other target, also after a
+/// refusal; without `again_at` the request ends at once.
 pub fn decide_retry(
     route: &Route,
     attempts: &Attempts,
     failure: AttemptFailure,
-    ended: bool,
+    again_at: Option<TargetKey>,
 ) -> RetryDecision {
     let is_exhausted = attempts.failed >= MAX_ATTEMPTS;
-    if failure.is_not_executed() {
-        return match (is_exhausted, attempts.may_have_run()) {
-            (false, _) => RetryDecision::AnotherTarget,
-            (true, false) => RetryDecision::Refuse,
-            (true, true) => RetryDecision::UnknownOutcome,
-        };
+    if is_exhausted && !attempts.may_have_run() {
+        return RetryDecision::Refuse;
     }
-    if !route.is_repeatable() || is_exhausted || attempts.interrupted >= MAX_INTERRUPTED {
+    let is_interrupted = !failure.is_not_executed();
+    let may_repeat = route.is_repeatable() && attempts.interrupted < MAX_INTERRUPTED;
+    if is_exhausted || (is_interrupted && !may_repeat) {
         return RetryDecision::UnknownOutcome;
     }
-    if ended || (attempts.interrupted_at.len() as u32) < route.max_attempts {
+    if attempts.allow_another_target(route) {
         return RetryDecision::AnotherTarget;
     }
-    RetryDecision::SameTarget
+    match again_at {
+        Some(target) => RetryDecision::SameTarget(target),
+        None => RetryDecision::UnknownOutcome,
+    }
 }
