Sentinels: a VM without young evidence makes its shortest watch

While another VM took the place of a sentinel that ended, the domain's lists of targets counted as outdated for up to 0.9 s, and streams that were taken up then were refused: the first short watch lasted until the next message was due, and evidence was current for 2 s.

--- a/crates/gateway/src/sentinel.rs
+++ b/crates/gateway/src/sentinel.rs
@@ -72,7 +72,7 @@
     /// Time before a message at which short watches end, so that it states young
     /// evidence; longer than a reply of a slow store takes.
     pub watch_lead_ms: u64,
-    /// Minimum duration of a short watch.
+    /// Minimum duration of a short watch, and that of one without young evidence.
     pub min_watch_ms: u64,
     /// Maximum duration of a short watch; longer than the interval of messages.
     pub max_watch_ms: u64,
@@ -80,6 +80,9 @@
     /// `watch_lead_ms`. With the time of a renewed watch, it bounds the time in which a
     /// change is in force at a VM whose watch got lost.
     pub max_age_ms: u64,
+    /// Age up to which what was read counts as current; covers the time in which another
+    /// VM takes the place of a sentinel that ended.
+    pub current_age_ms: u64,
     /// Time in which a watch is expected to bring a change that a sentinel has read.
     pub missed_grace_ms: u64,
 }
@@ -92,6 +95,7 @@
             min_watch_ms: 300,
             max_watch_ms: 1_100,
             max_age_ms: 1_700,
+            current_age_ms: 2_500,
             missed_grace_ms: 300,
         }
     }
@@ -209,9 +213,8 @@
     /// Whether what was read of a table is known to have been the newest not long ago.
     pub fn is_current(&self, table: SentinelTable, now_ms: u64) -> bool {
         let state = &self.tables[table as usize];
-        // A short watch takes a while after the evidence of another VM has expired.
-        let max_age_ms = self.settings.max_age_ms + self.settings.min_watch_ms;
-        state.missed.is_none() && state.known.is_younger_than(max_age_ms, now_ms)
+        let current_age_ms = self.settings.current_age_ms;
+        state.missed.is_none() && state.known.is_younger_than(current_age_ms, now_ms)
     }
 
     /// Age of the evidence that the versions read are the newest; `None` if there is
@@ -234,9 +237,10 @@
         let state = &mut self.tables[table as usize];
         let is_young = state.known.is_younger_than(max_age_ms, now_ms);
         state.is_long = is_young && state.is_vouched(max_age_ms, now_ms) && state.missed.is_none();
-        match state.is_long {
-            true => WatchDuration::Long,
-            false => WatchDuration::ShortMs(self.settings.short_watch_ms(now_ms)),
+        match (state.is_long, is_young) {
+            (true, _) => WatchDuration::Long,
+            (false, true) => WatchDuration::ShortMs(self.settings.short_watch_ms(now_ms)),
+            (false, false) => WatchDuration::ShortMs(self.settings.min_watch_ms),
         }
     }
 
--- a/crates/gateway/tests/sentinel.rs
+++ b/crates/gateway/tests/sentinel.rs
@@ -373,6 +373,25 @@
     assert_eq!(domain.renewal_count, 1);
 }
 
+// Guards against streams that are taken up by no VM while another one takes the place of a
+// sentinel that ended.
+#[test]
+fn domain_stays_current_while_a_sentinel_is_replaced() {
+    for phase in 0..20 {
+        let mut domain = Domain::new(4);
+        domain.run_until(10_000 + phase * TICK_MS, &[], no_loss);
+        domain.vms[0].is_up = false;
+        for _ in 0..80 {
+            let now_ms = domain.now_ms;
+            domain.run_until(now_ms + TICK_MS, &[], no_loss);
+            for vm in &domain.vms[1..] {
+                let is_current = |table| vm.sentinel.is_current(table, domain.now_ms);
+                assert!(SentinelTable::ALL.into_iter().all(is_current), "{vm:?}");
+            }
+        }
+    }
+}
+
 // Guards against a sentinel that vouches for watches although its own get no reply.
 #[test]
 fn sentinel_without_replies_is_replaced() {
