Budgets: tokens that are granted too late are returned

Callers were refused (503, or 402 too early) for tokens that nobody used: a reply to RequestAllowance that took over 300 ms, or to TakeReserve over 120 ms, was dropped, and its grant counted as used at the holder or home until the program's end. The request stays open for 5 s now; what comes after its caller has gone on is given back. A call waits for an allowance, its last resort, for 0.6 s.

--- a/crates/entry/src/ledger/allowance.rs
+++ b/crates/entry/src/ledger/allowance.rs
@@ -85,16 +85,17 @@
     /// far as that is known here, and the one to which that passes it on.
     fn allowance_holders(&self, request: &TokenRequest) -> Vec<CompactString> {
         let program = &request.program;
+        let now_ms = self.clock.now_ms();
         let peers = self.peer_client.peers.borrow();
         let budgets = self.budgets.borrow();
         let first = match budgets.allowance_holder(program) {
             Some(writer) if *writer == self.writer => Some(peers.own_name()),
-            Some(writer) => peers.name_of_writer(writer),
+            Some(writer) => peers.name_of_writer(writer, now_ms),
             None => request
                 .origin_vm
                 .and_then(|address| peers.responsive_at(address)),
         };
-        let heir = peers.allowance_heir(program, self.clock.now_ms());
+        let heir = peers.allowance_heir(program, now_ms);
         let mut holders: Vec<CompactString> = first.cloned().into_iter().chain(heir).collect();
         holders.dedup();
         holders
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -6,6 +6,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -28,6 +29,8 @@
 use rand::RngExt;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
 use crate::body::RequestBody;
@@ -58,6 +61,13 @@
 /// Timeout of a message that the other VM handles by itself.
 const LOCAL_TIMEOUT: Duration = Duration::from_millis(120);
 
+/// Maximum time that a call waits for an allowance, its last resort without the store.
+const ALLOWANCE_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Time after which a request for tokens is given up; until then, those of a late reply
+/// are returned.
+const LATE_GRANT_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Timeout of a request for surplus tokens: some round trips between failure
 /// domains. After that, a charge in the store is as fast.
 const SURPLUS_TIMEOUT: Duration = Duration::from_millis(30);
@@ -269,15 +279,60 @@
     }
 
     /// Requests tokens of an allowance that another VM may hold. Returns the number
-    /// granted; 0 without a response.
+    /// granted; 0 without a response in time.
     pub(crate) async fn request_allowance(
-        &self,
+        self: &Rc<Self>,
         holder: &str,
         allowance_request: AllowanceRequest,
     ) -> u64 {
+        let program = allowance_request.program.clone();
         let message = PeerMessage::RequestAllowance(allowance_request);
-        let granted = self.request_by_name(holder, &message, PEER_TIMEOUT).await;
-        granted.unwrap_or_default()
+        let (client, holder_name) = (Rc::clone(self), CompactString::from(holder));
+        let return_late = async move |granted_tokens| {
+            let settlement = AllowanceSettlement {
+                program,
+                granted_tokens,
+                used_tokens: 0,
+            };
+            client.report_settlement(&holder_name, settlement).await;
+        };
+        self.request_grant(holder, message, ALLOWANCE_TIMEOUT, return_late)
+            .await
+    }
+
+    /// Sends a request for tokens, which the receiver counts as granted from then on, and
+    /// waits for their number for `max_wait`. If nobody waits any more when the reply
+    /// comes, `return_late` gives them back. 0 without a reply in time.
+    async fn request_grant<F>(
+        self: &Rc<Self>,
+        name: &str,
+        message: PeerMessage,
+        max_wait: Duration,
+        return_late: F,
+    ) -> u64
+    where
+        F: AsyncFnOnce(u64) + 'static,
+    {
+        let (sender, receiver) = oneshot::channel();
+        let (client, receiver_name) = (Rc::clone(self), CompactString::from(name));
+        spawn_local(async move {
+            let reply = client.request_by_name(&receiver_name, &message, LATE_GRANT_TIMEOUT);
+            let granted_tokens: u64 = reply.await.unwrap_or_default();
+            let Err(granted_tokens) = sender.send(granted_tokens) else {
+                return;
+            };
+            if granted_tokens > 0 {
+                log::info!(peer = receiver_name.as_str(), granted_tokens; "returning tokens that were granted too late");
+                return_late(granted_tokens).await;
+            }
+        });
+        match timeout(max_wait, receiver).await {
+            Ok(granted_tokens) => granted_tokens.unwrap_or_default(),
+            Err(_) => {
+                self.record_unreachable(name);
+                0
+            }
+        }
     }
 
     /// Probes the next VM in turn, so that dead VMs are known before
@@ -331,11 +386,16 @@
     }
 
     /// Requests tokens of a program's reserve from its home; returns the number
-    /// granted, 0 without a response.
-    pub(crate) async fn take_reserve(&self, home: &str, request: &ReserveRequest) -> u64 {
+    /// granted, 0 without a response in time.
+    pub(crate) async fn take_reserve(self: &Rc<Self>, home: &str, request: &ReserveRequest) -> u64 {
+        let program = ProgramKey(request.program.clone());
         let message = PeerMessage::TakeReserve(request.clone());
-        let granted = self.request_by_name(home, &message, LOCAL_TIMEOUT).await;
-        granted.unwrap_or_default()
+        let (client, home_name) = (Rc::clone(self), CompactString::from(home));
+        let return_late = async move |tokens| {
+            client.return_reserve(&home_name, &program, tokens).await;
+        };
+        self.request_grant(home, message, LOCAL_TIMEOUT, return_late)
+            .await
     }
 
     /// Returns unused tokens of a reserve; if the home can't be reached, they stay
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -399,11 +399,12 @@
     }
 
     /// Name of the VM whose incarnation is this writer of budget rows; `None` if it isn't
-    /// listed.
-    pub fn name_of_writer(&self, writer: &str) -> Option<&CompactString> {
+    /// listed, or the last request to it failed a short time ago.
+    pub fn name_of_writer(&self, writer: &str, now_ms: u64) -> Option<&CompactString> {
         let mut peers = self.peers.iter();
-        let found = peers.find(|(_, peer)| peer.entry.writer == writer);
-        found.map(|(name, _)| name)
+        let (name, peer) = peers.find(|(_, peer)| peer.entry.writer == writer)?;
+        let is_available = peer.consecutive_failures == 0 || peer.backoff_until_ms <= now_ms;
+        is_available.then_some(name)
     }
 
     /// Failure domain of this VM.
