--- a/crates/entry/src/forward/permit.rs
+++ b/crates/entry/src/forward/permit.rs
@@ -42,8 +42,8 @@
 
 impl ForwardedRequest {
     /// Chooses the target of the next attempt, or takes `same_target` if it still takes
-    /// requests, and gets a permit if it has a limit. Waits for room for a short time; `None` if there is
-    /// none by then, or no target.
+    /// requests, and gets a permit if it has a limit. Waits for room for a short time;
+    /// `None` if there is none by then, or no target.
     pub(crate) async fn claim_target(
         &mut self,
         same_target: Option<TargetKey>,
