--- a/crates/gateway/tests/sentinel.rs
+++ b/crates/gateway/tests/sentinel.rs
@@ -7,6 +7,7 @@
     TableVersions, WatchDuration,
 };
 use proptest::prelude::*;
+use yare::parameterized;
 
 const TABLES: usize = SentinelTable::ALL.len();
 
@@ -373,6 +374,18 @@
     assert_eq!(domain.renewal_count, 1);
 }
 
+// Guards against a VM that was frozen and takes a reply that waited for it for young evidence.
+#[parameterized(
+    in_time = { true, 905, 900 },
+    read_late = { true, 6_000, 900 },
+    early = { true, 110, 110 },
+    change = { false, 905, 100 },
+    change_read_late = { false, 6_000, 100 },
+)]
+fn evidence_is_as_old_as_the_call_that_brought_it(is_empty: bool, now_ms: u64, expected_ms: u64) {
+    assert_eq!(evidence_ms(100, 800, is_empty, now_ms), expected_ms);
+}
+
 // Guards against streams that are taken up by no VM while another one takes the place of a
 // sentinel that ended.
 #[test]
