--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -27,7 +27,7 @@
 use lagoon_adapter::{budget_exhausted_status, decode_request_headers};
 use lagoon_gateway::{
     fingerprint, place, Attempts, ChargeDecision, Config, Placement, PlacementRequest, ProgramKey,
-    RequestMetadata, RetryDecision, Route, TargetEntry, TargetKey,
+    RequestMetadata, RetryDecision, Route, Target, TargetEntry, TargetKey,
 };
 use lagoon_ids::hash64;
 use lagoon_limits::Demand;
@@ -623,11 +623,19 @@
             && self.state.paths.borrow().is_isolated()
     }
 
+    /// Whether a target takes requests at present.
+    pub(crate) fn is_usable(&self, key: TargetKey) -> bool {
+        let targets = self.state.targets.borrow();
+        targets.get(key).is_some_and(Target::accepts_requests)
+    }
+
     /// Entry of a target that takes requests at present; `None` if it takes none.
     pub(crate) fn usable_target(&self, key: TargetKey) -> Option<TargetEntry> {
         let targets = self.state.targets.borrow();
-        let target = targets.get(key)?;
-        target.accepts_requests().then(|| target.entry.clone())
+        let target = targets
+            .get(key)
+            .filter(|target| target.accepts_requests())?;
+        Some(target.entry.clone())
     }
 
     fn no_target(&self) -> Box<Response<ResponseBody>> {
--- a/crates/entry/src/forward/failure.rs
+++ b/crates/entry/src/forward/failure.rs
@@ -12,7 +12,7 @@
 use crate::body::ResponseBody;
 use crate::connection::Connection;
 use crate::forward::{FailedAttempt, ForwardedRequest};
-use crate::suspects::InterruptedAttempt;
+use crate::suspects::{InterruptedAttempt, CRASH_PROBE_DELAY};
 
 /// Maximum number of targets that are probed to tell a crash of their neighbor
 /// from an unreachable failure domain.
@@ -22,9 +22,6 @@
 /// attempt, as a target that is full needs time.
 const REPEAT_DELAY: Duration = Duration::from_millis(5);
 
-/// Time after an interruption by which a target that has ended accepts no connections.
-const END_PROBE_DELAY: Duration = Duration::from_millis(30);
-
 /// `Retry-After` of a request that crashed several targets.
 const QUARANTINE_RETRY_AFTER_MS: u64 = 30_000;
 
@@ -126,7 +123,7 @@
             target_id = self.target_id.as_str(),
             failure = failed.failure.to_string(),
             detail = failed.detail.as_str(),
-            takes_requests = self.usable_target(key).is_some(),
+            takes_requests = self.is_usable(key),
             may_have_run_at = self.attempts.ran_at().count(),
             next = next.to_string();
             "try failed"
@@ -139,7 +136,7 @@
     fn target_to_repeat_at(&self, key: TargetKey, failed: &FailedAttempt) -> Option<TargetKey> {
         let is_usable = |target: &TargetKey| {
             let is_refused = *target == key && failed.is_target_leaving;
-            !is_refused && self.usable_target(*target).is_some()
+            !is_refused && self.is_usable(*target)
         };
         let mut usable = self.attempts.ran_at().filter(is_usable);
         let first = usable.next()?;
@@ -153,7 +150,7 @@
         let Some(address) = self.target_address else {
             return;
         };
-        sleep(END_PROBE_DELAY).await;
+        sleep(CRASH_PROBE_DELAY).await;
         let probe = timeout_at(self.deadline(), Connection::open_to_target(address));
         if let Ok(Err(error)) = probe.await {
             log::info!(
--- a/crates/entry/src/forward/permit.rs
+++ b/crates/entry/src/forward/permit.rs
@@ -52,10 +52,9 @@
         let mut requests = 0;
         loop {
             self.skips_limited = requests >= MAX_PERMIT_REQUESTS;
-            let chosen = match (same_target, self.permitted_target()) {
-                (Some(key), _) => Some((key, self.usable_target(key)?)),
-                (None, Some(permitted)) => Some(permitted),
-                (None, None) => self.choose_target(),
+            let chosen = match same_target {
+                Some(key) => Some((key, self.usable_target(key)?)),
+                None => self.permitted_target().or_else(|| self.choose_target()),
             };
             if let Some((key, entry)) = chosen {
                 if self.obtain_permit(key).await {
--- a/crates/entry/src/forward/sending.rs
+++ b/crates/entry/src/forward/sending.rs
@@ -194,7 +194,9 @@
         if permit.is_some_and(|permit| permit.is_expired(now_ms)) {
             return None;
         }
-        self.usable_target(in_flight.target())?;
+        if !self.is_usable(in_flight.target()) {
+            return None;
+        }
         let quota_token = self.quota_token.as_mut();
         if quota_token.is_some_and(|token| !token.begin_use()) {
             return None;
--- a/crates/entry/src/suspects.rs
+++ b/crates/entry/src/suspects.rs
@@ -29,8 +29,8 @@
 use crate::tables::CRASH_TABLE;
 
 /// Delay between an interrupted response and the connection attempt that
-/// detects a crash; by then, a crashed target accepts no connections.
-const CRASH_PROBE_DELAY: Duration = Duration::from_millis(30);
+/// detects a crash; by then, a target that crashed or ended accepts no connections.
+pub(crate) const CRASH_PROBE_DELAY: Duration = Duration::from_millis(30);
 
 /// Maximum number of rows that the store writes in one transaction.
 const MAX_ROWS_PER_WRITE: usize = 100;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -95,6 +95,13 @@
     is_stopping: bool,
 }
 
+impl Peer {
+    /// Whether the last request to it did not fail, or that was long enough ago.
+    fn is_available(&self, now_ms: u64) -> bool {
+        self.consecutive_failures == 0 || self.backoff_until_ms <= now_ms
+    }
+}
+
 /// Rank of a VM in the order that `random` gives.
 fn random_rank(name: &str, random: u64) -> u64 {
     hash64(&(hash64(name.as_bytes()) ^ random).to_le_bytes())
@@ -217,9 +224,8 @@
         count: usize,
         now_ms: u64,
     ) -> Vec<(CompactString, SocketAddr)> {
-        let is_available =
-            |peer: &Peer| peer.consecutive_failures == 0 || peer.backoff_until_ms <= now_ms;
-        let available = self.peers.iter().filter(|(_, peer)| is_available(peer));
+        let available = self.peers.iter();
+        let available = available.filter(|(_, peer)| peer.is_available(now_ms));
         let mut names: Vec<&CompactString> = available.map(|(name, _)| name).collect();
         names.sort_by_key(|name| {
             let entry = &self.peers[*name].entry;
@@ -235,9 +241,8 @@
     /// two are of different failure domains, if there are two. VMs that know the
     /// same others give the same order, but for themselves.
     pub fn copy_candidates(&self, key: &str, now_ms: u64) -> Vec<(CompactString, PeerEntry)> {
-        let is_available =
-            |peer: &Peer| peer.consecutive_failures == 0 || peer.backoff_until_ms <= now_ms;
-        let available = self.peers.iter().filter(|(_, peer)| is_available(peer));
+        let available = self.peers.iter();
+        let available = available.filter(|(_, peer)| peer.is_available(now_ms));
         let mut ranked: Vec<_> = available.collect();
         let key_hash = hash64(key.as_bytes());
         ranked.sort_by_key(|(name, _)| random_rank(name, key_hash));
@@ -403,8 +408,7 @@
     pub fn name_of_writer(&self, writer: &str, now_ms: u64) -> Option<&CompactString> {
         let mut peers = self.peers.iter();
         let (name, peer) = peers.find(|(_, peer)| peer.entry.writer == writer)?;
-        let is_available = peer.consecutive_failures == 0 || peer.backoff_until_ms <= now_ms;
-        is_available.then_some(name)
+        peer.is_available(now_ms).then_some(name)
     }
 
     /// Failure domain of this VM.
