--- a/review/rig-3/home.rs
+++ b/review/rig-3/home.rs
@@ -9,7 +9,7 @@
 
 const BUDGET: u64 = 4_608;
 const MOST: u64 = 288;
-const PROGRAMS: usize = 16;
+const PROGRAMS: usize = 12;
 
 /// Time from the start of the machines to that of traffic.
 const TRAFFIC_MS: u64 = 10_000;
@@ -22,7 +22,7 @@
     let store = Store::start();
     store.put("op", "config", Some(&config("", "")));
     let zones = ["a", "b", "c"];
-    for (number, zone) in zones.iter().cycle().take(6).enumerate() {
+    for (number, zone) in zones.iter().cycle().take(12).enumerate() {
         Engine::start(&store, &format!("i-engine{number}"), "engines", zone, 8);
     }
     let proxies: Vec<Proxy> = zones.iter().map(|_| Proxy::start(store.address)).collect();
