Review: run.sh alone reads TROUBLE, and tells the rig

run.sh of each case exported TROUBLE with a default, and the rig read it. Now run.sh reads it, in one place, and passes with or without to the rig, which refuses to run without one of them.

--- a/review/rig-3/main.rs
+++ b/review/rig-3/main.rs
@@ -1,5 +1,6 @@
-// Cases of the third review. Usage: rig-3 CASE FOLDER, from the root of the repository.
-// FOLDER is that of the case, in which record.txt is written.
+// Cases of the third review. Usage: rig CASE FOLDER with|without, from the root of the
+// repository. FOLDER is that of the case, in which record.txt is written; the last word says
+// whether the disruption takes place. run.sh of the case reads TROUBLE and passes it.
 
 #![allow(dead_code)]
 
@@ -12,7 +13,11 @@
     let arguments: Vec<String> = std::env::args().collect();
     let folder = arguments.get(2).expect("folder of the case");
     base::begin_record(&format!("{folder}/record.txt"));
-    let has_trouble = std::env::var("TROUBLE").map_or(true, |trouble| trouble != "0");
+    let has_trouble = match arguments.get(3).map(String::as_str) {
+        Some("with") => true,
+        Some("without") => false,
+        _ => base::could_not_run("neither `with` nor `without` the disruption"),
+    };
     let files = std::env::temp_dir().join(format!("lagoon-review-3-{}", std::process::id()));
     std::fs::create_dir_all(&files).unwrap();
     let files = files.to_str().unwrap().to_owned();
