Allowances: log grants, and what is passed on and received

The holder now logs each request with the version of the row that it knows, what the row charges beyond the budget and whether it received the allowance; both ends log each passed allowance of which some is used. Lines are bounded by the programs that used an allowance.

--- a/crates/entry/src/ledger/allowance.rs
+++ b/crates/entry/src/ledger/allowance.rs
@@ -111,7 +111,17 @@
         if !is_held || budgets.has_deferred_charges(&program) {
             return 0;
         }
-        allowances.grant(request, budgets.overspent_tokens(&program))
+        let overspent_tokens = budgets.overspent_tokens(&program);
+        let granted_tokens = allowances.grant(request, overspent_tokens);
+        log::info!(
+            program = program.0.as_str(),
+            granted_tokens,
+            is_received = allowances.has_received(&program),
+            row_version = budgets.row_version(&program),
+            overspent_tokens;
+            "allowance requested"
+        );
+        granted_tokens
     }
 
     /// Grants no allowance from now on, as this VM is stopping, and passes on those that
@@ -130,6 +140,7 @@
         let by_heir = self.by_heir(passed, |passed| &passed.program);
         let sent = by_heir.iter().map(|(name, passed)| async move {
             for passed in passed.chunks(RECORDS_PER_MESSAGE) {
+                log_used(passed, name, "passing on an allowance");
                 let is_confirmed = self.peer_client.pass_allowances(name, passed).await;
                 log::info!(peer = name.as_str(), allowances = passed.len(), is_confirmed; "passed on allowances");
             }
@@ -139,6 +150,8 @@
 
     /// Holds allowances that another VM passes on.
     pub(crate) fn receive_allowances(&self, passed: &[PassedAllowance]) {
+        log::info!(allowances = passed.len(); "received allowances");
+        log_used(passed, "-", "received an allowance");
         let now_ms = self.clock.now_ms();
         let mut allowances = self.allowances.borrow_mut();
         for passed in passed {
@@ -222,3 +235,10 @@
         spawn_local(async move { peer_client.report_settlement(&holder, settlement).await });
     }
 }
+
+/// Logs the allowances of which some tokens are used.
+fn log_used(passed: &[PassedAllowance], heir: &str, what: &str) {
+    for passed in passed.iter().filter(|passed| passed.used_tokens > 0) {
+        log::info!(program = passed.program.as_str(), used_tokens = passed.used_tokens, heir; "{what}");
+    }
+}
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -436,6 +436,12 @@
         holder.is_some_and(|holder| *holder == self.settings.writer)
     }
 
+    /// Version of a program's row as last seen; 0 if it isn't known.
+    pub fn row_version(&self, program: &ProgramKey) -> u64 {
+        let budget = self.programs.get(program);
+        budget.map_or(0, |budget| budget.version)
+    }
+
     /// Tokens that a program's row, as last seen, charges beyond the budget.
     pub fn overspent_tokens(&self, program: &ProgramKey) -> u64 {
         let budget = self.programs.get(program);
