Allowances: a count of what is used goes along, charged or not

Cause: what was used of an allowance was put together again from how far its charge had got. A VM that stops passed on what it had received, what it had granted and not charged, and, if the row named it, what the row charges beyond the budget. What an heir had granted and charged since stood in none of them.

Change: an allowance is a count of its own, which grants raise, unused rests lower and charges don't touch; it goes along when the allowance is passed on. Only the VM that the row names counts by the row, once its charges are confirmed there, so that a charge that fits into the budget gives the allowance back as before. What the row overspends is a lower bound; the larger of both counts. So a holder needs no knowledge of the row, of other VMs' charges or of the list (docs/design/outage.md).

The unit tests of Allowances state what the row says in place of one number; their expectations are the same.

--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -502,7 +502,7 @@
     /// rows of programs that have been idle for long.
     pub(crate) async fn remove_expired(self: &Rc<Self>) {
         let now_ms = self.clock.now_ms();
-        self.allowances.borrow_mut().remove_expired(now_ms);
+        self.forget_expired_allowances(now_ms);
         self.start_reserve_checks();
         self.remove_expired_overdrawn().await;
         let writes = self
--- a/crates/entry/src/ledger/allowance.rs
+++ b/crates/entry/src/ledger/allowance.rs
@@ -105,20 +105,19 @@
     /// 0 if it holds none, or too few tokens of it are left.
     pub(crate) fn grant_allowance(&self, request: &AllowanceRequest) -> u64 {
         let program = ProgramKey(request.program.clone());
+        let now_ms = self.clock.now_ms();
         let budgets = self.budgets.borrow();
         let mut allowances = self.allowances.borrow_mut();
-        let is_held = budgets.is_allowance_holder(&program) || allowances.has_received(&program);
-        if !is_held || budgets.has_deferred_charges(&program) {
-            return 0;
-        }
-        let overspent_tokens = budgets.overspent_tokens(&program);
-        let granted_tokens = allowances.grant(request, overspent_tokens);
+        let row = budgets.allowance_row(&program);
+        let granted_tokens = allowances.grant(request, row, now_ms);
         log::info!(
             program = program.0.as_str(),
             granted_tokens,
+            used_tokens = allowances.used_tokens(&program),
             is_received = allowances.has_received(&program),
+            is_holder = row.is_holder,
             row_version = budgets.row_version(&program),
-            overspent_tokens;
+            overspent_tokens = row.overspent_tokens;
             "allowance requested"
         );
         granted_tokens
@@ -128,8 +127,8 @@
     /// it holds.
     pub(crate) fn stop_granting(self: &Rc<Self>) {
         self.peer_client.peers.borrow_mut().set_stopping();
-        let held = self.budgets.borrow().held_allowances();
-        let passed = self.allowances.borrow_mut().stop(held);
+        let rows = self.budgets.borrow().allowance_rows();
+        let passed = self.allowances.borrow_mut().stop(rows);
         let budget_client = Rc::clone(self);
         spawn_local(async move { budget_client.pass_on(passed).await });
     }
@@ -148,15 +147,23 @@
         join_all(sent).await;
     }
 
-    /// Holds allowances that another VM passes on.
-    pub(crate) fn receive_allowances(&self, passed: &[PassedAllowance]) {
-        log::info!(allowances = passed.len(); "received allowances");
-        log_used(passed, "-", "received an allowance");
+    /// Holds allowances that another VM passes on; `false` if this VM is stopping, too.
+    pub(crate) fn receive_allowances(&self, passed: &[PassedAllowance]) -> bool {
         let now_ms = self.clock.now_ms();
         let mut allowances = self.allowances.borrow_mut();
-        for passed in passed {
-            allowances.receive(passed, now_ms);
-        }
+        let held = passed
+            .iter()
+            .filter(|passed| allowances.receive(passed, now_ms));
+        let held = held.count();
+        log::info!(allowances = passed.len(), held; "received allowances");
+        log_used(passed, "-", "received an allowance");
+        held == passed.len()
+    }
+
+    pub(super) fn forget_expired_allowances(&self, now_ms: u64) {
+        let budgets = self.budgets.borrow();
+        let mut allowances = self.allowances.borrow_mut();
+        allowances.remove_expired(now_ms, |program| budgets.has_deferred_charges(program));
     }
 
     /// Passes on what this VM granted and could not charge, before its end. Calls in
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -139,7 +139,8 @@
     /// Grant tokens of an account's quota, and reserve some that are usable later. Response:
     /// [`Reservation`](lagoon_quotas::Reservation).
     ReserveQuota(ReservationRequest),
-    /// Grant these allowances from now on, as the sender is stopping. Response: `true`.
+    /// Grant these allowances from now on, as the sender is stopping. Response: `true`;
+    /// `false` if the receiver is stopping, too.
     PassAllowances(Vec<PassedAllowance>),
 }
 
--- a/crates/entry/src/message_handler.rs
+++ b/crates/entry/src/message_handler.rs
@@ -95,8 +95,7 @@
             postcard::to_allocvec(&true)
         }
         PeerMessage::PassAllowances(passed) => {
-            budget_client.receive_allowances(&passed);
-            postcard::to_allocvec(&true)
+            postcard::to_allocvec(&budget_client.receive_allowances(&passed))
         }
         PeerMessage::ReadFreshness { known_version } => {
             postcard::to_allocvec(&state.evidence.reply(known_version))
--- a/crates/entry/tests/allowances.rs
+++ b/crates/entry/tests/allowances.rs
@@ -260,6 +260,46 @@
     assert_kept(&spent);
 }
 
+/// Time in which what was spent without the store is charged after its return.
+const CHARGE_TIME: Duration = Duration::from_millis(1_500);
+
+// Guards against an allowance that is granted again by the second VM to which it is passed
+// on: the first one has granted and charged it, and the second one, which starts without
+// the store, knows neither the row nor the list of overdrawn programs.
+#[test]
+fn allowance_that_is_passed_on_in_two_outages_is_granted_once() {
+    let _turn = await_turn();
+    let mut fleet = Fleet::start(3);
+    let mut spent = spend_budgets(&fleet);
+    // The named holder passes all on to the two others.
+    fleet.vms[0].signal(Signal::SIGTERM);
+    assert!(fleet.vms[0].wait());
+    fleet.restart_vm(0);
+    fleet.wait_for_peers();
+    thread::sleep(TIME_BETWEEN_CUTS);
+    fleet.store.set_fault(StoreFault::Unavailable);
+    call_all(&fleet, 2, CUT_OFF_TIME, &mut spent, |_| false);
+    let granted_by_heirs = granted(&spent);
+    fleet.vms[1].signal(Signal::SIGTERM);
+    assert!(fleet.vms[1].wait());
+    fleet.store.set_fault(StoreFault::None);
+    thread::sleep(CHARGE_TIME);
+    fleet.store.set_fault(StoreFault::Unavailable);
+    let mut started = fleet.vms.remove(1);
+    fleet.spawn_again(&mut started);
+    fleet.vms.insert(1, started);
+    wait_until("answers of the VM that starts", || {
+        get(fleet.vms[1].peers, "/metrics").status == 200
+    });
+    // The others learn that it responds by their next probe of it.
+    thread::sleep(TIME_BETWEEN_CUTS);
+    fleet.vms[2].signal(Signal::SIGTERM);
+    let time = SERVES_WHILE_STOPPING;
+    call_all(&fleet, 2, time, &mut spent, |_| false);
+    assert_kept(&spent);
+    assert!(granted_by_heirs > PROGRAMS / 2, "{spent:?}");
+}
+
 /// Encoded numbers of the messages that a VM receives which holds allowances.
 const REQUEST_ALLOWANCE: u8 = 4;
 const SETTLE_ALLOWANCE: u8 = 5;
--- a/crates/gateway/src/allowance.rs
+++ b/crates/gateway/src/allowance.rs
@@ -9,7 +9,8 @@
 //!
 //! As no other VM grants, nothing that others know, and no order of deaths, starts and
 //! partitions, can have an allowance granted twice. A holder that dies takes it along. One
-//! that stops grants nothing more and passes it on, with what it has granted of it.
+//! that stops grants nothing more and passes it on, with what was granted of it. That is a
+//! count of its own: how much of it the row charges is known to some VMs only.
 
 use compact_str::CompactString;
 use lagoon_ids::{FastMap, FastSet};
@@ -94,64 +95,88 @@
 const MIN_GRANT_NUMERATOR: u64 = 3;
 const MIN_GRANT_DENOMINATOR: u64 = 2;
 
+/// What a program's row, as a VM has last seen it, says of the program's allowance.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct AllowanceRow {
+    /// Whether the row names this VM as the one that grants the allowance.
+    pub is_holder: bool,
+    /// Tokens that the row charges beyond the budget.
+    pub overspent_tokens: u64,
+    /// Whether this VM has charges of tokens that were spent without the store which
+    /// the row may lack.
+    pub has_pending_charges: bool,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Allowance {
     budget_tokens: u64,
     max_call_tokens: u64,
+    /// Tokens that are no longer to be granted: by this VM's grants, and by those of the
+    /// VMs that passed the allowance on. A charge doesn't lower it, as the next holder may
+    /// not know the row.
+    used_tokens: u64,
     in_flight_tokens: u64,
     spent_tokens: u64,
     /// Grants of calls that were in flight when they were charged in full. What these
     /// calls report later has no effect.
     charged_in_flight_tokens: u64,
+    /// Whether another VM has passed the allowance on to this one.
+    is_received: bool,
+    expires_ms: u64,
 }
 
 impl Allowance {
     fn uncharged_tokens(&self) -> u64 {
         self.in_flight_tokens + self.spent_tokens
     }
-}
 
-/// Allowance that another VM has passed on to this one.
-#[derive(Clone, Copy, Debug)]
-struct Received {
-    /// Tokens of it that are no longer to be granted.
-    used_tokens: u64,
-    expires_ms: u64,
+    /// Counts what is used by the row, where the row has all grants of the allowance: only
+    /// the VM that it names has granted, and all of that is charged.
+    fn count_by_row(&mut self, row: AllowanceRow) {
+        if row.is_holder && !row.has_pending_charges && !self.is_received {
+            self.used_tokens = row.overspent_tokens + self.uncharged_tokens();
+        }
+    }
+
+    /// Tokens that are no longer to be granted. What the row charges beyond the budget is
+    /// used in any case.
+    fn used_tokens(&self, row: AllowanceRow) -> u64 {
+        let by_row = row.overspent_tokens + self.uncharged_tokens();
+        self.used_tokens.max(by_row)
+    }
 }
 
-/// What this VM has granted of the allowances that it holds.
+/// The allowances that this VM holds, and what was granted of them.
 #[derive(Debug, Default)]
 pub struct Allowances {
     programs: FastMap<ProgramKey, Allowance>,
-    received: FastMap<ProgramKey, Received>,
     overdrawn: FastSet<ProgramKey>,
     /// Whether this VM is stopping.
     is_stopped: bool,
 }
 
-/// Time for which an allowance that was passed on can be granted. It is longer than
-/// programs may pause between calls.
-const RECEIVED_TTL_MS: u64 = 600_000;
+/// Time without a grant after which an allowance is forgotten; one that was passed on
+/// can't be granted any more. It is longer than programs may pause between calls.
+const ALLOWANCE_TTL_MS: u64 = 600_000;
 
 impl Allowances {
-    /// Tokens granted to a call of a program whose allowance this VM holds, by the row or
-    /// as it was passed on; 0 if too few remain, the program is listed as overdrawn, or
-    /// this VM is stopping. `overspent_tokens`: what the row charges beyond the budget.
-    pub fn grant(&mut self, request: &AllowanceRequest, overspent_tokens: u64) -> u64 {
+    /// Tokens granted to a call of a program; 0 if this VM doesn't hold its allowance, too
+    /// few tokens of it remain, the program is listed as overdrawn, or this VM is stopping.
+    pub fn grant(&mut self, request: &AllowanceRequest, row: AllowanceRow, now_ms: u64) -> u64 {
         let program = ProgramKey(request.program.clone());
-        if self.is_stopped || self.overdrawn.contains(&program) {
+        let is_held = row.is_holder || self.has_received(&program);
+        if !is_held || self.is_stopped || self.overdrawn.contains(&program) {
             return 0;
         }
-        let received = self.received.get(&program);
-        let used_before_tokens = received.map_or(0, |received| received.used_tokens);
         let allowance = self.programs.entry(program).or_default();
+        allowance.expires_ms = now_ms + ALLOWANCE_TTL_MS;
         allowance.budget_tokens = request.budget_tokens;
         allowance.max_call_tokens = allowance.max_call_tokens.max(request.max_tokens);
-        let used_tokens = allowance.uncharged_tokens() + used_before_tokens + overspent_tokens;
+        allowance.count_by_row(row);
         // A call that was granted fewer than its maximum asks for the rest, which says
         // nothing of the program's allowance.
         let max_tokens = max_allowance_tokens(request.budget_tokens, allowance.max_call_tokens);
-        let remaining_tokens = max_tokens.saturating_sub(used_tokens);
+        let remaining_tokens = max_tokens.saturating_sub(allowance.used_tokens(row));
         let expected_tokens = request.expected_tokens.max(1);
         let min_grant_tokens =
             (expected_tokens * MIN_GRANT_NUMERATOR / MIN_GRANT_DENOMINATOR).min(request.max_tokens);
@@ -161,6 +186,7 @@
         let wanted_tokens = request.max_tokens.min(expected_tokens * MAX_GRANT_FACTOR);
         let granted_tokens = remaining_tokens.min(wanted_tokens);
         allowance.in_flight_tokens += granted_tokens;
+        allowance.used_tokens += granted_tokens;
         granted_tokens
     }
 
@@ -175,16 +201,20 @@
             allowance.charged_in_flight_tokens -= granted_tokens;
             return;
         }
+        let before_tokens = allowance.uncharged_tokens();
         let in_flight_tokens = allowance.in_flight_tokens;
         allowance.in_flight_tokens = in_flight_tokens.saturating_sub(granted_tokens);
         allowance.spent_tokens += settlement.used_tokens;
+        let after_tokens = allowance.uncharged_tokens();
+        allowance.used_tokens =
+            (allowance.used_tokens + after_tokens).saturating_sub(before_tokens);
     }
 
     /// Charges to write once the store is reachable. Calls in flight are
     /// charged their whole grant.
     pub fn take_deferred_charges(&mut self) -> Vec<DeferredCharge> {
         let mut charges = Vec::new();
-        self.programs.retain(|program, allowance| {
+        for (program, allowance) in &mut self.programs {
             let tokens = allowance.uncharged_tokens();
             if tokens > 0 {
                 charges.push(DeferredCharge {
@@ -196,53 +226,79 @@
             }
             allowance.charged_in_flight_tokens += allowance.in_flight_tokens;
             (allowance.in_flight_tokens, allowance.spent_tokens) = (0, 0);
-            allowance.charged_in_flight_tokens > 0
-        });
+        }
         charges
     }
 
     /// Whether another VM has passed a program's allowance on to this one.
     pub fn has_received(&self, program: &ProgramKey) -> bool {
-        self.received.contains_key(program)
+        let allowance = self.programs.get(program);
+        allowance.is_some_and(|allowance| allowance.is_received)
     }
 
-    /// Holds an allowance that another VM passes on.
-    pub fn receive(&mut self, passed: &PassedAllowance, now_ms: u64) {
-        let received = Received {
-            used_tokens: passed.used_tokens,
-            expires_ms: now_ms + RECEIVED_TTL_MS,
-        };
+    /// Tokens of a program's allowance that are no longer to be granted, as far as this VM
+    /// counts them itself.
+    pub fn used_tokens(&self, program: &ProgramKey) -> u64 {
+        let allowance = self.programs.get(program);
+        allowance.map_or(0, |allowance| allowance.used_tokens)
+    }
+
+    /// Holds an allowance that another VM passes on; `false`, without effect, if this VM is
+    /// stopping.
+    pub fn receive(&mut self, passed: &PassedAllowance, now_ms: u64) -> bool {
+        if self.is_stopped {
+            return false;
+        }
         let program = ProgramKey(passed.program.clone());
-        // It was this VM's own: what it has granted of it counts already.
-        self.received.entry(program).or_insert(received);
+        let allowance = self.programs.entry(program).or_default();
+        allowance.is_received = true;
+        allowance.expires_ms = now_ms + ALLOWANCE_TTL_MS;
+        // What several VMs pass on are grants of their own.
+        allowance.used_tokens += passed.used_tokens;
+        true
     }
 
-    /// Grants nothing from now on, as this VM is stopping. Returns the allowances of
-    /// these programs, of which the row charges some tokens beyond the budget, and those
-    /// that this VM has received, to be passed on.
-    pub fn stop(&mut self, held: Vec<(ProgramKey, u64)>) -> Vec<PassedAllowance> {
+    /// Grants nothing from now on, as this VM is stopping. Returns the allowances that it
+    /// holds, to be passed on: those that it has received, and those of the programs whose
+    /// rows name it. `rows` are all that are known here.
+    pub fn stop(&mut self, rows: Vec<(ProgramKey, AllowanceRow)>) -> Vec<PassedAllowance> {
         self.is_stopped = true;
-        let received = self.received.drain();
-        let received = received.map(|(program, received)| (program, received.used_tokens));
-        let mut passed: FastMap<ProgramKey, u64> = received.collect();
-        for (program, overspent_tokens) in held {
-            *passed.entry(program).or_default() += overspent_tokens;
+        let received = self.programs.iter_mut();
+        let mut held: FastMap<ProgramKey, AllowanceRow> = received
+            .filter_map(|(program, allowance)| {
+                let was_received = std::mem::take(&mut allowance.is_received);
+                was_received.then(|| (program.clone(), AllowanceRow::default()))
+            })
+            .collect();
+        for (program, row) in rows {
+            let is_received = held.contains_key(&program);
+            if row.is_holder || is_received {
+                let is_holder = row.is_holder && !is_received;
+                held.insert(program, AllowanceRow { is_holder, ..row });
+            }
         }
-        let passed = passed.into_iter().map(|(program, used_tokens)| {
-            let allowance = self.programs.get(&program);
-            let uncharged_tokens = allowance.map_or(0, Allowance::uncharged_tokens);
+        let passed = held.into_iter().map(|(program, row)| {
+            let allowance = self.programs.get(&program).copied();
+            let mut allowance = allowance.unwrap_or_default();
+            allowance.count_by_row(row);
             PassedAllowance {
                 program: program.0,
-                used_tokens: used_tokens + uncharged_tokens,
+                used_tokens: allowance.used_tokens(row),
             }
         });
         passed.collect()
     }
 
-    /// Forgets what was passed on for programs that ended long ago.
-    pub fn remove_expired(&mut self, now_ms: u64) {
-        self.received
-            .retain(|_, received| now_ms < received.expires_ms);
+    /// Forgets allowances of programs that ended long ago, but for those with tokens that
+    /// aren't charged or whose charge `is_pending`.
+    pub fn remove_expired<F>(&mut self, now_ms: u64, is_pending: F)
+    where
+        F: Fn(&ProgramKey) -> bool,
+    {
+        self.programs.retain(|program, allowance| {
+            let is_charged = allowance.uncharged_tokens() == 0 && !is_pending(program);
+            now_ms < allowance.expires_ms || !is_charged
+        });
     }
 
     /// Marks a program as overdrawn, so that [`Allowances::grant`] returns 0 for it, or
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -15,6 +15,7 @@
 use derive_more::Display;
 use lagoon_ids::FastMap;
 
+use crate::allowance::AllowanceRow;
 use crate::reserve::reserve_tokens;
 use crate::store::{RowWrite, StoreError, StoreReply};
 use crate::store_versions::StoreVersions;
@@ -442,19 +443,21 @@
         budget.map_or(0, |budget| budget.version)
     }
 
-    /// Tokens that a program's row, as last seen, charges beyond the budget.
-    pub fn overspent_tokens(&self, program: &ProgramKey) -> u64 {
+    /// What a program's row, as last seen, says of its allowance.
+    pub fn allowance_row(&self, program: &ProgramKey) -> AllowanceRow {
         let budget = self.programs.get(program);
-        budget.map_or(0, ProgramBudget::overspent_tokens)
+        budget.map_or_else(AllowanceRow::default, |budget| AllowanceRow {
+            is_holder: self.is_allowance_holder(program),
+            overspent_tokens: budget.overspent_tokens(),
+            has_pending_charges: budget.has_deferred_charges(),
+        })
     }
 
-    /// Programs whose allowance this VM alone grants, with the tokens that their rows
-    /// charge beyond the budget. Without those of which a charge isn't confirmed yet.
-    pub fn held_allowances(&self) -> Vec<(ProgramKey, u64)> {
-        let held = self.programs.iter().filter(|(program, budget)| {
-            self.is_allowance_holder(program) && !budget.has_deferred_charges()
-        });
-        held.map(|(program, budget)| (program.clone(), budget.overspent_tokens()))
+    /// What the rows of all known programs say of their allowances.
+    pub fn allowance_rows(&self) -> Vec<(ProgramKey, AllowanceRow)> {
+        let programs = self.programs.keys();
+        programs
+            .map(|program| (program.clone(), self.allowance_row(program)))
             .collect()
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,7 +30,8 @@
 };
 pub use affinity::AffinityTable;
 pub use allowance::{
-    AllowanceRecord, AllowanceRequest, AllowanceSettlement, Allowances, PassedAllowance,
+    AllowanceRecord, AllowanceRequest, AllowanceRow, AllowanceSettlement, Allowances,
+    PassedAllowance,
 };
 pub use budget::{
     BudgetRow, BudgetSettings, BudgetWrite, ChargeDecision, ChargeRequest, DeferredCharge, Grant,
--- a/crates/gateway/tests/allowance_schedules.rs
+++ b/crates/gateway/tests/allowance_schedules.rs
@@ -7,11 +7,11 @@
 
 use compact_str::{format_compact, CompactString};
 use lagoon_gateway::{
-    AllowanceRequest, AllowanceSettlement, Allowances, BudgetRow, BudgetSettings, ChargeDecision,
-    ChargeRequest, Connectivity, DeferredCharge, Grant, PassedAllowance, ProgramBudgets,
-    ProgramKey, Row, RowWrite, StoreError, StoreReply, WaiterId,
+    AllowanceRequest, AllowanceRow, AllowanceSettlement, Allowances, BudgetRow, BudgetSettings,
+    ChargeDecision, ChargeRequest, Connectivity, DeferredCharge, Grant, PassedAllowance,
+    ProgramBudgets, ProgramKey, Row, RowWrite, StoreError, StoreReply, WaiterId,
 };
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use yare::parameterized;
@@ -22,7 +22,8 @@
 
 const BUDGET_TOKENS: u64 = 300;
 const MAX_CALL_TOKENS: u64 = 72;
-const EXPECTED_TOKENS: u64 = 24;
+/// Maximum number of tokens that a call expects; a grant is up to three times of it.
+const MAX_EXPECTED_TOKENS: u64 = 24;
 const RETENTION_MS: u64 = 60_000;
 
 const TICK_MS: u64 = 50;
@@ -36,6 +37,10 @@
 
 const SCHEDULES: u64 = 300;
 
+/// Minimum number of requests, in all schedules, whose response shows whether the grants of
+/// a received allowance that are charged go along when it is passed on.
+const MIN_CHAINED_REQUESTS: usize = 20;
+
 /// Which mechanisms are in force.
 #[derive(Clone, Copy, Debug)]
 struct Mechanisms {
@@ -43,12 +48,15 @@
     names_incarnation: bool,
     /// What the row charges beyond the budget counts.
     counts_overspent: bool,
-    /// Nothing is granted until the last charge is confirmed.
+    /// A row counts as complete only once all charges are confirmed.
     awaits_charges: bool,
     /// A VM that is stopping grants nothing.
     stops_granting: bool,
-    /// A VM that is stopping says how much it has granted.
+    /// A VM that is stopping says how much of an allowance is used.
     passes_used: bool,
+    /// That includes what it granted of an allowance that it had received, also once that
+    /// is charged.
+    counts_charged: bool,
 }
 
 const ALL: Mechanisms = Mechanisms {
@@ -57,6 +65,7 @@
     awaits_charges: true,
     stops_granting: true,
     passes_used: true,
+    counts_charged: true,
 };
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -74,6 +83,19 @@
     next_waiter: u64,
     /// Reports of calls in flight: program, grant and tokens used.
     in_flight: Vec<(usize, AllowanceSettlement, usize)>,
+    received: [Option<Received>; PROGRAMS],
+}
+
+/// What this VM knows of an allowance that it received.
+#[derive(Clone, Copy, Debug)]
+struct Received {
+    used_tokens: u64,
+    /// Tokens that it granted of it and charged since.
+    charged_tokens: u64,
+    /// VMs by which the allowance was passed on.
+    hops: usize,
+    /// Whether one of them granted and charged tokens of it.
+    is_charged: bool,
 }
 
 impl Vm {
@@ -86,6 +108,7 @@
             allowances: Allowances::default(),
             next_waiter: 1,
             in_flight: Vec::new(),
+            received: [None; PROGRAMS],
         }
     }
 
@@ -123,6 +146,9 @@
     grants: usize,
     /// Grants by VMs that were stopping.
     late_grants: usize,
+    /// Requests for allowances that were passed on twice or more, and of which a VM between
+    /// charged tokens, to VMs that don't know the row.
+    chained_requests: usize,
 }
 
 fn program_key(program: usize) -> ProgramKey {
@@ -144,6 +170,7 @@
             spent: [0; PROGRAMS],
             grants: 0,
             late_grants: 0,
+            chained_requests: 0,
         }
     }
 
@@ -238,36 +265,37 @@
         }
     }
 
-    /// Whether a VM takes itself for the holder of a program's allowance.
-    fn holds(&self, vm: usize, program: &ProgramKey) -> bool {
-        let vm = &self.vms[vm];
-        let is_named = match self.mechanisms.names_incarnation {
-            true => vm.budgets.is_allowance_holder(program),
-            // A VM that has no record takes that for a proof that nothing was granted.
-            false => true,
-        };
-        is_named || vm.allowances.has_received(program)
+    /// What a VM knows of a program's allowance by the row.
+    fn allowance_row(&self, vm: usize, program: &ProgramKey) -> AllowanceRow {
+        let mut row = self.vms[vm].budgets.allowance_row(program);
+        let mechanisms = self.mechanisms;
+        // A VM that has no record takes that for a proof that nothing was granted.
+        row.is_holder |= !mechanisms.names_incarnation;
+        row.has_pending_charges &= mechanisms.awaits_charges;
+        if !mechanisms.counts_overspent {
+            row.overspent_tokens = 0;
+        }
+        row
     }
 
     fn grant(&mut self, holder: usize, program: usize) -> u64 {
         let key = program_key(program);
-        let (is_held, mechanisms) = (self.holds(holder, &key), self.mechanisms);
-        let vm = &mut self.vms[holder];
-        if !is_held || (mechanisms.awaits_charges && vm.budgets.has_deferred_charges(&key)) {
-            return 0;
-        }
+        let row = self.allowance_row(holder, &key);
+        let expected_tokens = self.random.random_range(4..=MAX_EXPECTED_TOKENS);
         let request = AllowanceRequest {
             connectivity: Connectivity::AllDomains,
             program: key.0.clone(),
             budget_tokens: BUDGET_TOKENS,
             max_tokens: MAX_CALL_TOKENS,
-            expected_tokens: EXPECTED_TOKENS,
-        };
-        let overspent_tokens = match mechanisms.counts_overspent {
-            true => vm.budgets.overspent_tokens(&key),
-            false => 0,
+            expected_tokens,
         };
-        let granted_tokens = vm.allowances.grant(&request, overspent_tokens);
+        let now_ms = self.now_ms;
+        let vm = &mut self.vms[holder];
+        let received = vm.received[program];
+        let is_chained = received.is_some_and(|received| received.hops > 1 && received.is_charged);
+        let knows_row = vm.budgets.row_version(&key) > 0;
+        self.chained_requests += usize::from(is_chained && !knows_row);
+        let granted_tokens = vm.allowances.grant(&request, row, now_ms);
         if granted_tokens > 0 {
             self.grants += 1;
             self.late_grants += usize::from(matches!(vm.phase, Phase::Stopping { .. }));
@@ -315,6 +343,11 @@
         }
         for charge in self.vms[vm].allowances.take_deferred_charges() {
             self.defer(vm, &charge);
+            let program = (0..PROGRAMS).find(|program| program_key(*program) == charge.program);
+            let received = &mut self.vms[vm].received[program.expect("a program")];
+            if let Some(received) = received {
+                received.charged_tokens += charge.tokens;
+            }
         }
         for program in self.vms[vm].budgets.programs_to_write(self.now_ms) {
             self.write_queued(vm, &program);
@@ -337,25 +370,45 @@
     fn stop(&mut self, vm: usize) {
         let end_ms = self.now_ms + self.random.random_range(2_200..7_000);
         self.vms[vm].phase = Phase::Stopping { end_ms };
-        let held = self.vms[vm].budgets.held_allowances();
+        let keys = (0..PROGRAMS).map(program_key);
+        let rows = keys.map(|key| (key.clone(), self.allowance_row(vm, &key)));
+        let rows = rows.collect();
         let passed = match self.mechanisms.stops_granting {
-            true => self.vms[vm].allowances.stop(held),
-            false => Allowances::default().stop(held),
+            true => self.vms[vm].allowances.stop(rows),
+            false => Allowances::default().stop(rows),
         };
         let heir = self.heir(vm);
-        for mut passed in passed {
-            if !self.mechanisms.passes_used {
-                passed.used_tokens = 0;
-            }
-            self.pass(heir, &passed);
+        for passed in passed {
+            self.pass(vm, heir, passed);
         }
     }
 
-    fn pass(&mut self, heir: Option<usize>, passed: &PassedAllowance) {
+    fn pass(&mut self, from: usize, heir: Option<usize>, mut passed: PassedAllowance) {
         let is_lost = self.random.random_bool(LOST);
-        if let Some(heir) = heir.filter(|_| !is_lost) {
-            let now_ms = self.now_ms;
-            self.vms[heir].allowances.receive(passed, now_ms);
+        let program = (0..PROGRAMS).find(|program| program_key(*program).0 == passed.program);
+        let program = program.expect("a program");
+        let before = self.vms[from].received[program].take();
+        let charged_tokens = before.map_or(0, |before| before.charged_tokens);
+        if !self.mechanisms.passes_used {
+            passed.used_tokens = 0;
+        }
+        if !self.mechanisms.counts_charged {
+            let received_tokens = before.map_or(0, |before| before.used_tokens);
+            let used_tokens = passed.used_tokens.saturating_sub(charged_tokens);
+            passed.used_tokens = used_tokens.max(received_tokens);
+        }
+        let Some(heir) = heir.filter(|_| !is_lost) else {
+            return;
+        };
+        let now_ms = self.now_ms;
+        let heir = &mut self.vms[heir];
+        if heir.allowances.receive(&passed, now_ms) {
+            heir.received[program] = Some(Received {
+                used_tokens: passed.used_tokens,
+                charged_tokens: 0,
+                hops: before.map_or(1, |before| before.hops + 1),
+                is_charged: charged_tokens > 0 || before.is_some_and(|before| before.is_charged),
+            });
         }
     }
 
@@ -430,8 +483,8 @@
     }
 }
 
-/// Outages, lost replies, cuts, planned stops and kills of any number of VMs, which may overlap in any
-/// order. Programs begin before the first one.
+/// Outages, lost replies, cuts, planned stops, of single VMs and of all in turn, and kills of
+/// any number of VMs, which may overlap in any order. Programs begin before the first one.
 fn schedule(random: &mut impl Rng) -> Vec<(u64, Event)> {
     let mut events = Vec::new();
     let mut span = |random: &mut dyn Rng, begin: Event, end: Event| {
@@ -459,13 +512,21 @@
         let vm = random.random_range(0..VMS);
         events.push((random.random_range(1_000..END_MS), Event::Stop(vm)));
     }
+    for _ in 0..random.random_range(0..3) {
+        let mut at_ms = random.random_range(1_000..END_MS - 8_000);
+        let mut vms: Vec<usize> = (0..VMS).collect();
+        vms.shuffle(random);
+        for vm in vms {
+            events.push((at_ms, Event::Stop(vm)));
+            at_ms += random.random_range(100..6_000);
+        }
+    }
     events.sort_by_key(|(at_ms, _)| *at_ms);
     events
 }
 
-/// Runs the schedule of a seed; returns whether budgets were kept, and the number of
-/// grants.
-fn run(seed: u64, mechanisms: Mechanisms) -> (bool, usize) {
+/// Runs the schedule of a seed; returns the fleet at its end.
+fn run(seed: u64, mechanisms: Mechanisms) -> Fleet {
     let mut fleet = Fleet::new(seed, mechanisms);
     let events = schedule(&mut fleet.random);
     let mut events = events.into_iter().peekable();
@@ -475,20 +536,25 @@
         }
         fleet.tick();
     }
-    (fleet.is_kept(), fleet.grants)
+    fleet
 }
 
 // Guards against a second allowance of a program by any VM, whatever it knows, and
 // against grants by a VM that is stopping.
 #[test]
 fn budgets_are_kept_whatever_stops_ends_or_is_cut_off() {
-    let mut grants = 0;
+    let (mut grants, mut chained_requests) = (0, 0);
     for seed in 0..SCHEDULES {
-        let (is_kept, granted) = run(seed, ALL);
-        assert!(is_kept, "seed {seed}");
-        grants += granted;
+        let fleet = run(seed, ALL);
+        assert!(fleet.is_kept(), "seed {seed}");
+        grants += fleet.grants;
+        chained_requests += fleet.chained_requests;
     }
     assert!(grants > SCHEDULES as usize, "{grants} grants");
+    assert!(
+        chained_requests > MIN_CHAINED_REQUESTS,
+        "{chained_requests} requests"
+    );
 }
 
 // Guards against a mechanism that no schedule needs, and so none tests.
@@ -498,9 +564,10 @@
     awaits_charges = { Mechanisms { awaits_charges: false, ..ALL } },
     stops_granting = { Mechanisms { stops_granting: false, ..ALL } },
     passes_used = { Mechanisms { passes_used: false, ..ALL } },
+    counts_charged = { Mechanisms { counts_charged: false, ..ALL } },
 )]
 fn budgets_are_not_kept_without(mechanisms: Mechanisms) {
-    let is_broken = (0..SCHEDULES).any(|seed| !run(seed, mechanisms).0);
+    let is_broken = (0..SCHEDULES).any(|seed| !run(seed, mechanisms).is_kept());
     assert!(is_broken, "{mechanisms:?}");
 }
 
--- a/crates/gateway/tests/reserve.rs
+++ b/crates/gateway/tests/reserve.rs
@@ -10,9 +10,9 @@
     step_with_reserve, Cluster, Store, BUDGET, MAX_CALL_TOKENS, RETENTION_MS,
 };
 use lagoon_gateway::{
-    may_release_unconfirmed, reserve_tokens, AllowanceRequest, Allowances, ChargeDecision,
-    Connectivity, HomeState, PeerEntry, Peers, ProgramBudgets, ProgramKey, ReserveRequest,
-    Reserves, Row, RowCheck,
+    may_release_unconfirmed, reserve_tokens, AllowanceRequest, AllowanceRow, Allowances,
+    ChargeDecision, Connectivity, HomeState, PeerEntry, Peers, ProgramBudgets, ProgramKey,
+    ReserveRequest, Reserves, Row, RowCheck,
 };
 use proptest::prelude::*;
 use yare::parameterized;
@@ -224,7 +224,11 @@
                     max_tokens,
                     expected_tokens: max_tokens.div_ceil(3),
                 };
-                allowed += allowances.grant(&request, 0);
+                let row = AllowanceRow {
+                    is_holder: true,
+                    ..AllowanceRow::default()
+                };
+                allowed += allowances.grant(&request, row, 0);
             }
             let spent = budget_tokens + reserve_tokens(budget_tokens) + allowed;
             assert!(
