Attempts: a failure whose status would be a promise may have run

Cause: a response without the header that says that nothing was executed was passed on as the target's answer, whatever its status. 408, 429 and 503 (and 402 to a call of a program with a budget) are promises to the caller, which the target hadn't made.

Change: ForwardedRequest::attempt, through which each response passes, direct, carried by another VM or of a resumption, takes such a response for an attempt that failed and may have run. Requests that may be repeated are tried at another target; the others end with 502. The status can't be changed while the target's stamp is on it, so the 502 is ours, without a stamp. The connection is kept, no crash is looked for. Which statuses promise stands in the adapter; what follows, in decide_retry.

lagoond took an engine's 429 and 503 for not run by the status alone, and its 408 for a rejected request, not run, too; now only Lagoon-Ran says that.

Read for the same fault: all refusals of our own after an attempt was sent look whether it may have run.

--- a/crates/daemon/src/actors/targets/attempt.rs
+++ b/crates/daemon/src/actors/targets/attempt.rs
@@ -22,6 +22,8 @@
 const EVENT_STREAM: &str = "text/event-stream";
 const END_OF_STREAM: &str = "[DONE]";
 const NOT_RUN: &str = "not_run";
+const REQUEST_TIMEOUT: u16 = 408;
+const TOO_MANY_REQUESTS: u16 = 429;
 /// Requests per second that the target takes from all VMs together.
 const LIMIT_HEADER: &str = "Lagoon-Limit";
 
@@ -148,11 +150,14 @@
 ) {
     let status = response.status().as_u16();
     let has_not_run_header = header(&response, "Lagoon-Ran").is_some_and(|ran| ran == NOT_RUN);
-    let is_overloaded = is_chat && matches!(status, 429 | 503);
     match status {
-        _ if has_not_run_header || is_overloaded => {
+        _ if has_not_run_header => {
             reporter.fail(AttemptFailure::NotRun, format!("status {status}"));
         }
+        // The engine doesn't state that it ran nothing.
+        REQUEST_TIMEOUT | TOO_MANY_REQUESTS if is_chat => {
+            reporter.fail(AttemptFailure::Interrupted, format!("status {status}"));
+        }
         400..=499 if is_chat => reporter.fail(AttemptFailure::Rejected, error_text(&mut response)),
         500..=599 => reporter.fail(AttemptFailure::Interrupted, format!("status {status}")),
         _ if is_streamed && is_event_stream(&response) => {
--- a/crates/daemon/tests/malformed.rs
+++ b/crates/daemon/tests/malformed.rs
@@ -129,6 +129,39 @@
     site.vms[0].wait_ready();
 }
 
+// Guards against a call that may have run and is refused as not run, as the target's status
+// was taken for a statement that it isn't.
+#[test]
+fn status_alone_is_no_promise() {
+    let (engine, desk) = (RawTarget::start(), RawTarget::start());
+    let site = Site::start_with(1, Some([engine.address, desk.address]));
+    let client = site.client(0);
+    for status in [408, 429, 503] {
+        engine.set_head(format!("HTTP/1.1 {status} Trouble\r\n"));
+        let chat = client.chat("contract-agent", "one", 8, &[], |_| {});
+        let chat = chat.expect("response");
+        assert_eq!(chat.status, 502, "{status}: {}", chat.text);
+        assert!(chat.text.contains("\"ran\":\"unknown\""), "{}", chat.text);
+        engine.set_head(format!(
+            "HTTP/1.1 {status} Trouble\r\nLagoon-Ran: not_run\r\n"
+        ));
+        let chat = client.chat("contract-agent", "one", 8, &[], |_| {});
+        let chat = chat.expect("response");
+        assert_eq!(chat.status, 503, "{status}: {}", chat.text);
+        assert!(chat.text.contains("\"ran\":\"not_run\""), "{}", chat.text);
+    }
+    desk.set_head("HTTP/1.1 503 Trouble\r\n".to_owned());
+    let headers = [("Lagoon-Program", "p"), ("Lagoon-Call", "1")];
+    let booked = client.call_service("booking", &headers, &json!({"slot": 1}));
+    let booked = booked.expect("response");
+    assert_eq!(booked.status, 502, "{}", booked.text);
+    assert!(
+        booked.text.contains("\"ran\":\"unknown\""),
+        "{}",
+        booked.text
+    );
+}
+
 // Guards against an invalid status, or the body after it, that reaches a caller, and
 // against one that is taken for a promise that the call has not run.
 #[test]
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -7,8 +7,8 @@
 use hyper::body::{Body, Incoming};
 use hyper::{Request, Response, StatusCode};
 use lagoon_adapter::{
-    decode_response_headers, is_end_to_end, target_request_headers, AttemptHeaders,
-    ResponseMetadata,
+    decode_response_headers, is_end_to_end, promises_not_executed, target_request_headers,
+    AttemptHeaders, ResponseMetadata,
 };
 use lagoon_connections::{BodyLimits, ReadError};
 use lagoon_gateway::{
@@ -95,13 +95,13 @@
         }
     }
 
-    /// Records that the response was received completely.
-    pub(crate) fn record_response(&mut self, status: StatusCode) {
+    /// Records that the response was received completely, and whether it shows that the
+    /// target failed.
+    pub(crate) fn record_response(&mut self, status: StatusCode, is_failure: bool) {
         let now_ms = self.state.now_ms();
-        let is_success = !status.is_server_error();
         let mut targets = self.state.targets.borrow_mut();
         let took_ms = now_ms - self.started_ms;
-        targets.record_response(self.key, is_success, took_ms, now_ms);
+        targets.record_response(self.key, !is_failure, took_ms, now_ms);
         if let Some(kind) = self.sample_kind {
             let took_ms = took_ms as f64;
             targets.record_sample(self.key, kind, took_ms, status.is_success(), now_ms);
@@ -196,6 +196,17 @@
         }
     }
 
+    /// Attempt whose response has a status that the target may not have meant as a promise.
+    fn failed(status: StatusCode) -> FailedAttempt {
+        let status = status.as_u16();
+        FailedAttempt {
+            failure: AttemptFailure::Failed,
+            ..FailedAttempt::not_sent(format!(
+                "status {status} of a target that doesn't state that it ran nothing"
+            ))
+        }
+    }
+
     pub(super) fn unreachable<D>(detail: D) -> FailedAttempt
     where
         D: ToString,
@@ -283,11 +294,17 @@
             })));
         }
         let (body, watch) = self.read_response_body(body, &connection).await?;
-        in_flight.record_response(head.status());
+        let status = head.status();
+        // A response that states that nothing was executed has been rejected above.
+        let is_unproven = promises_not_executed(status, self.metadata.model_call.is_some());
+        in_flight.record_response(status, status.is_server_error() || is_unproven);
         connection.release(
             metadata.keep_alive_s,
             metadata.closes_connection || metadata.is_leaving,
         );
+        if is_unproven {
+            return Err(FailedAttempt::failed(status));
+        }
         let mut response = forwarded_head(head).map(|()| body);
         response.extensions_mut().insert(watch);
         Ok(TargetResponse::Full(response))
--- a/crates/entry/src/forward/failure.rs
+++ b/crates/entry/src/forward/failure.rs
@@ -98,10 +98,11 @@
                 }
                 AttemptFailure::Interrupted if failed.is_path_lost => {}
                 AttemptFailure::Interrupted => targets.record_failure(key, now_ms),
-                AttemptFailure::NotExecuted => {}
+                // The response counts already.
+                AttemptFailure::NotExecuted | AttemptFailure::Failed => {}
             }
         }
-        if failed.failure.is_not_executed() {
+        if failed.failure != AttemptFailure::Interrupted {
             self.excluded_targets.push(key);
         } else if !failed.is_path_lost {
             self.probe_for_crash(key).await;
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -318,7 +318,7 @@
         let Some(mut stream) = self.stream.take() else {
             return;
         };
-        stream.in_flight.record_response(self.status);
+        stream.in_flight.record_response(self.status, false);
         let closes_connection = stream.closes_connection;
         stream
             .connection
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -21,12 +21,16 @@
     /// The request was sent and no complete response came.
     #[display("broken")]
     Interrupted,
+    /// The target failed, and responded with a status that would tell the caller that the
+    /// request was not executed, which the target doesn't state.
+    #[display("failed")]
+    Failed,
 }
 
 impl AttemptFailure {
     /// Whether the request surely was not executed.
     pub fn is_not_executed(self) -> bool {
-        !matches!(self, AttemptFailure::Interrupted)
+        !matches!(self, AttemptFailure::Interrupted | AttemptFailure::Failed)
     }
 }
 
@@ -54,12 +58,13 @@
     /// Targets that may have run the request and haven't ended since.
     ran_at: FastSet<TargetKey>,
     failed: u32,
-    interrupted: u32,
+    /// Failed attempts that may have run.
+    possible_runs: u32,
 }
 
-/// Maximum number of interrupted attempts, each of which may have run: a request
-/// that is interrupted three times probably causes the interruptions itself.
-const MAX_INTERRUPTED: u32 = 3;
+/// Maximum number of failed attempts that may have run: a request that fails three times
+/// at targets probably causes that itself.
+const MAX_POSSIBLE_RUNS: u32 = 3;
 
 /// Maximum number of failed attempts of any kind; bounds the work that one
 /// request causes when every target refuses it.
@@ -71,16 +76,16 @@
         self.failed
     }
 
-    /// Whether the request may have been executed, as an attempt was interrupted.
+    /// Whether the request may have been executed by an attempt that failed.
     pub fn may_have_run(&self) -> bool {
-        self.interrupted > 0
+        self.possible_runs > 0
     }
 
     /// Counts a failed attempt.
     pub fn record_failure(&mut self, target: TargetKey, failure: AttemptFailure) {
         self.failed += 1;
-        if failure == AttemptFailure::Interrupted {
-            self.interrupted += 1;
+        if !failure.is_not_executed() {
+            self.possible_runs += 1;
             self.ran_at.insert(target);
         }
     }
@@ -117,9 +122,9 @@
     if is_exhausted && !attempts.may_have_run() {
         return RetryDecision::Refuse;
     }
-    let is_interrupted = !failure.is_not_executed();
-    let may_repeat = route.is_repeatable() && attempts.interrupted < MAX_INTERRUPTED;
-    if is_exhausted || (is_interrupted && !may_repeat) {
+    let may_have_run = !failure.is_not_executed();
+    let may_repeat = route.is_repeatable() && attempts.possible_runs < MAX_POSSIBLE_RUNS;
+    if is_exhausted || (may_have_run && !may_repeat) {
         return RetryDecision::UnknownOutcome;
     }
     if attempts.allow_another_target(route) {
--- a/crates/gateway/tests/retry.rs
+++ b/crates/gateway/tests/retry.rs
@@ -82,6 +82,7 @@
 #[parameterized(
     booking_interrupted = { RouteKind::NonIdempotent, false, AttemptFailure::Interrupted, TakesRequests, Decision::Unknown },
     booking_interrupted_at_ended_target = { RouteKind::NonIdempotent, false, AttemptFailure::Interrupted, Ended, Decision::Unknown },
+    booking_failed = { RouteKind::NonIdempotent, false, AttemptFailure::Failed, TakesRequests, Decision::Unknown },
     booking_not_sent = { RouteKind::NonIdempotent, false, AttemptFailure::NotSent, Ended, Decision::Another },
     booking_not_executed = { RouteKind::NonIdempotent, false, AttemptFailure::NotExecuted, TakesRequests, Decision::Another },
     booking_not_sent_to_drained_target = { RouteKind::NonIdempotent, false, AttemptFailure::NotSent, Drained, Decision::Another },
@@ -89,6 +90,9 @@
     lookup_interrupted = { RouteKind::Idempotent, false, AttemptFailure::Interrupted, TakesRequests, Decision::Same },
     lookup_interrupted_at_ended_target = { RouteKind::Idempotent, false, AttemptFailure::Interrupted, Ended, Decision::Another },
     lookup_interrupted_at_drained_target = { RouteKind::Idempotent, false, AttemptFailure::Interrupted, Drained, Decision::Unknown },
+    lookup_failed = { RouteKind::Idempotent, false, AttemptFailure::Failed, TakesRequests, Decision::Same },
+    stream_failed = { RouteKind::Streaming, true, AttemptFailure::Failed, TakesRequests, Decision::Same },
+    stream_failed_and_not_resumable = { RouteKind::Streaming, false, AttemptFailure::Failed, TakesRequests, Decision::Unknown },
     stream_interrupted = { RouteKind::Streaming, true, AttemptFailure::Interrupted, TakesRequests, Decision::Same },
     stream_interrupted_at_ended_target = { RouteKind::Streaming, true, AttemptFailure::Interrupted, Ended, Decision::Another },
     stream_interrupted_at_drained_target = { RouteKind::Streaming, true, AttemptFailure::Interrupted, Drained, Decision::Unknown },
@@ -150,6 +154,7 @@
 #[parameterized(
     never_ran = { AttemptFailure::NotExecuted, RetryDecision::Refuse },
     may_have_run = { AttemptFailure::Interrupted, RetryDecision::UnknownOutcome },
+    failed = { AttemptFailure::Failed, RetryDecision::UnknownOutcome },
 )]
 fn decide_retry_ends(failure: AttemptFailure, end: RetryDecision) {
     let route = route(RouteKind::Idempotent, false, 2);
@@ -167,11 +172,14 @@
     assert_eq!(ends, Some(end));
 }
 
-#[test]
-fn decide_retry_after_an_interrupted_attempt_never_refuses() {
+#[parameterized(
+    interrupted = { AttemptFailure::Interrupted },
+    failed = { AttemptFailure::Failed },
+)]
+fn decide_retry_after_an_attempt_that_may_have_run_never_refuses(first: AttemptFailure) {
     let route = route(RouteKind::Idempotent, false, 1);
     let mut attempts = Attempts::default();
-    attempts.record_failure(keys()[0], AttemptFailure::Interrupted);
+    attempts.record_failure(keys()[0], first);
     let mut decision = RetryDecision::AnotherTarget;
     for _ in 0..10 {
         let (target, failure) = (keys()[1], AttemptFailure::NotExecuted);
@@ -202,11 +210,12 @@
     );
 }
 
-const FAILURES: [AttemptFailure; 4] = [
+const FAILURES: [AttemptFailure; 5] = [
     AttemptFailure::NotSent,
     AttemptFailure::NotExecuted,
     AttemptFailure::OtherInstance,
     AttemptFailure::Interrupted,
+    AttemptFailure::Failed,
 ];
 
 proptest! {
@@ -224,7 +233,7 @@
     fn request_runs_at_no_more_targets_than_allowed(
         max_attempts in 1..4_u32,
         is_repeatable in any::<bool>(),
-        outcomes in prop::collection::vec((0..4_usize, 0..8_usize, 0..3_usize), 12),
+        outcomes in prop::collection::vec((0..5_usize, 0..8_usize, 0..3_usize), 12),
     ) {
         let kind = match is_repeatable {
             true => RouteKind::Idempotent,
@@ -239,7 +248,7 @@
         for (failure, next, state) in outcomes {
             let failure = FAILURES[failure];
             attempts.record_failure(keys[target], failure);
-            if failure == AttemptFailure::Interrupted && !ran_at.contains(&target) {
+            if !failure.is_not_executed() && !ran_at.contains(&target) {
                 ran_at.push(target);
             }
             states[target] = [TakesRequests, Drained, Ended][state];
--- a/crates/standin/src/fleet/target.rs
+++ b/crates/standin/src/fleet/target.rs
@@ -45,6 +45,9 @@
     /// Every request that starts to run crashes the target, until the fault is
     /// cleared.
     CrashOnRequest,
+    /// Requests are executed and get a response with this status, until the fault is
+    /// cleared.
+    Fail(StatusCode),
     /// The next response carries the id of another request.
     WrongRequestId,
 }
@@ -304,7 +307,8 @@
     }
     let guard = {
         let mut locked = lock(&state);
-        if fault != TargetFault::CrashOnRequest {
+        let is_lasting = matches!(fault, TargetFault::CrashOnRequest | TargetFault::Fail(_));
+        if !is_lasting {
             locked.fault = TargetFault::None;
         }
         locked.executions.push(Execution {
@@ -338,7 +342,10 @@
     let is_stream = STREAM_PREFIXES
         .iter()
         .any(|prefix| path.starts_with(prefix));
-    let mut response = if is_stream {
+    let mut response = if let TargetFault::Fail(status) = fault {
+        guard.finish(ExecutionState::Complete);
+        full_response(status, b"failed".to_vec())
+    } else if is_stream {
         stream_response(guard, &received, fault)
     } else {
         let interval = lock(&state).interval();
