Soak: targets that fail with the status of a refusal

After each fault of a target, it fails requests for half as long with 408, 429, 503 or 500, and callers check 408 like the other promises.

--- a/crates/entry/tests/soak.rs
+++ b/crates/entry/tests/soak.rs
@@ -20,6 +20,7 @@
     call, get, stream_after, try_call, wait_until, Fleet, FleetOptions, Response, CONFIG,
     EVENT_COUNT,
 };
+use hyper::StatusCode;
 use lagoon_adapter::standin::{
     kept_turn_headers, model_call_headers, resumption_headers, service_call_headers,
 };
@@ -533,6 +534,8 @@
             };
             engine.set_fault(fault);
             thread::sleep(duration);
+            engine.set_fault(failure(duration));
+            thread::sleep(duration / 2);
             engine.set_fault(TargetFault::None);
         }
         _ => {
@@ -544,11 +547,25 @@
             };
             desk.set_fault(fault);
             thread::sleep(duration);
+            desk.set_fault(failure(duration));
+            thread::sleep(duration / 2);
             desk.set_fault(TargetFault::None);
         }
     }
 }
 
+/// Failure with one of the statuses that callers would take for a refusal. It depends on
+/// the duration of a fault, so that the random numbers of earlier seeds stay as they were.
+fn failure(duration: Duration) -> TargetFault {
+    let statuses = [
+        StatusCode::REQUEST_TIMEOUT,
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::SERVICE_UNAVAILABLE,
+        StatusCode::INTERNAL_SERVER_ERROR,
+    ];
+    TargetFault::Fail(statuses[duration.as_millis() as usize % statuses.len()])
+}
+
 /// Injects a fault into a proxy, and in half of the cases another fault while it
 /// lasts.
 fn inject_link_fault(fleet: &mut Fleet, random: &mut Pcg64, version: &mut u64) {
@@ -628,7 +645,7 @@
     for outcome in outcomes {
         let ran = executions.get(&outcome.id).copied().unwrap_or(0);
         let response = &outcome.response;
-        if matches!(response.status, 402 | 429 | 503) {
+        if matches!(response.status, 402 | 408 | 429 | 503) {
             assert_eq!(ran, 0, "seed {seed}: refused but executed: {outcome:?}");
         }
         match outcome.kind {
