Budgets: ask other VMs for unused tokens before the budget counts as spent

Cause: the row charges what a call left unused until its VM's next write, 250 ms later, and names as held there only what was held at the last one. A VM that found the budget spent by the row refused the call without asking anybody; the VM through which the program began, which is asked first, was itself.

Change: before it refuses, a VM asks the last three other writers of the row, one after the other, for what the call lacks beyond the rest of the row and the reserve, and charges again. Tokens that arrive end the repetition of an earlier refusal.

Ruled out: a write at the end of each call while the budget runs short (a store call each, and too late for a call that follows at once); a 503 with Retry-After (holds up programs that have spent all).

--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -159,10 +159,40 @@
                 let reservation = || TokenReservation::new(self, program, TokenSource::Row, tokens);
                 is_transferred.then(reservation).ok_or(refusal)
             }
+            Err(refusal @ ChargeDecision::Exhausted { .. }) => {
+                if self.collect_unused_tokens(&request).await {
+                    self.charge_with_release(&request, deadline).await
+                } else {
+                    Err(refusal)
+                }
+            }
             result => result,
         }
     }
 
+    /// Takes the tokens that a call lacks from another VM at which a call has left them
+    /// unused; `false` if none has as many. The row shows them as held there only after
+    /// that VM's next write.
+    async fn collect_unused_tokens(&self, request: &TokenRequest) -> bool {
+        let program = &request.program;
+        let (missing_tokens, writers) = {
+            let budgets = self.budgets.borrow();
+            let missing_tokens = budgets.missing_tokens(program, request.max_tokens);
+            (missing_tokens, budgets.other_writers(program))
+        };
+        let transferred = self
+            .peer_client
+            .request_unused_tokens(program, missing_tokens, &writers);
+        let is_transferred = transferred.await;
+        if is_transferred {
+            let now_ms = self.clock.now_ms();
+            let mut budgets = self.budgets.borrow_mut();
+            budgets.transfer_in(program, missing_tokens, now_ms);
+        }
+        log::info!(program = program.0.as_str(), missing_tokens, writers = writers.len(), is_transferred; "budget short; requested unused tokens");
+        is_transferred
+    }
+
     /// Reserves further tokens for a call that was granted fewer than its maximum: the
     /// rest or, if the program has less, `min_tokens`. Retries until `deadline`; the
     /// result is `None` if there are none by then. If nobody waits for it any more, the
--- a/crates/entry/src/ledger/reserve.rs
+++ b/crates/entry/src/ledger/reserve.rs
@@ -55,7 +55,7 @@
 
     /// Charges a call in the store; if it fits only with the reserve, has the
     /// program's home release that first.
-    async fn charge_with_release(
+    pub(super) async fn charge_with_release(
         self: &Rc<Self>,
         request: &TokenRequest,
         deadline: Instant,
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -50,6 +50,10 @@
 /// Maximum number of VMs that are asked for held tokens for one call.
 const MAX_HOLDERS: usize = 12;
 
+/// Maximum number of VMs that are asked for what a call left unused there, before a call
+/// is refused.
+const MAX_UNUSED_HOLDERS: usize = 3;
+
 const MAX_PROBES_PER_DOMAIN: usize = 4;
 
 /// Delay before a store call that has no reply yet is sent to one more VM.
@@ -207,6 +211,29 @@
         false
     }
 
+    /// Requests surplus tokens from VMs that wrote the program's row; `false` if none
+    /// transfers them.
+    pub(crate) async fn request_unused_tokens(
+        &self,
+        program: &ProgramKey,
+        tokens: u64,
+        writers: &[CompactString],
+    ) -> bool {
+        let now_ms = self.clock.now_ms();
+        let count = writers.len().min(MAX_UNUSED_HOLDERS);
+        let candidates = self
+            .peers
+            .borrow()
+            .holder_candidates(writers, count, now_ms);
+        // One after another, for the reason above.
+        for (_, address) in candidates {
+            if self.request_surplus_tokens(address, program, tokens).await {
+                return true;
+            }
+        }
+        false
+    }
+
     /// Requests surplus tokens from the VM at this address, unless the last
     /// request to it failed. Returns whether it transferred them.
     pub(crate) async fn request_surplus_tokens(
--- a/crates/entry/tests/processes.rs
+++ b/crates/entry/tests/processes.rs
@@ -597,6 +597,24 @@
     assert!(spent > BUDGET_TOKENS - 2 * MAX_CALL_TOKENS, "{spent}");
 }
 
+// Guards against a program that is ended as its budget is spent, although most of a call's
+// tokens are left: a call at another VM has just ended and left them there.
+#[test]
+fn tokens_that_a_call_left_unused_serve_the_next_one_at_another_vm() {
+    let fleet = Fleet::start(2);
+    // One call, and what it leaves unused: a response has 72 tokens.
+    let budget_tokens = MAX_CALL_TOKENS + 100;
+    for program in 0..10 {
+        let name = format!("p{program}");
+        let headers = model_call_headers("r", &name, budget_tokens, MAX_CALL_TOKENS);
+        let statuses = [0, 1].map(|vm| {
+            let vm = fleet.vms[vm].callers;
+            call(vm, "POST /stream/x", &headers, "p").status
+        });
+        assert_eq!(statuses, [200, 200], "{name}");
+    }
+}
+
 // Guards against another allowance for a program that has spent its budget, as the
 // store was too busy to list it.
 #[test]
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -485,6 +485,24 @@
             .collect()
     }
 
+    /// Other writers of a program's row as last seen, newest first.
+    pub fn other_writers(&self, program: &ProgramKey) -> Vec<CompactString> {
+        let Some(budget) = self.programs.get(program) else {
+            return Vec::new();
+        };
+        let own = &self.settings.writer;
+        let marks = budget.row.writers.iter().rev();
+        let others = marks.filter(|mark| mark.writer != *own);
+        others.map(|mark| mark.writer.clone()).collect()
+    }
+
+    /// Tokens that a call of this size lacks, by the row as last seen and what this VM
+    /// holds, even if the reserve is released.
+    pub fn missing_tokens(&self, program: &ProgramKey, tokens: u64) -> u64 {
+        let budget = self.programs.get(program);
+        budget.map_or(0, |budget| budget.missing_tokens(tokens))
+    }
+
     /// Takes held tokens for a call at another VM; `false` if there are too few.
     /// In that case a write soon releases all held tokens, so that the row
     /// doesn't list tokens as held here any more.
@@ -526,6 +544,9 @@
         let budget = self.programs.entry(program.clone()).or_default();
         budget.held_tokens += tokens;
         budget.last_used_ms = now_ms;
+        if tokens > 0 {
+            budget.refusal = None;
+        }
     }
 
     /// Removes idle programs and returns writes that delete their rows. Only the
--- a/crates/gateway/src/budget/program_budget.rs
+++ b/crates/gateway/src/budget/program_budget.rs
@@ -148,6 +148,13 @@
         }
     }
 
+    /// Tokens that a call lacks even with the reserve, by the row as last seen.
+    pub(super) fn missing_tokens(&self, tokens: u64) -> u64 {
+        let available_tokens =
+            self.remaining_tokens() + self.held_tokens + self.unreleased_tokens();
+        tokens.saturating_sub(available_tokens)
+    }
+
     /// Whether a call fits only with the reserve, by the row as last seen.
     pub(super) fn needs_reserve(&self, tokens: u64) -> bool {
         let available_tokens = self.remaining_tokens() + self.held_tokens;
--- a/crates/gateway/tests/budget.rs
+++ b/crates/gateway/tests/budget.rs
@@ -113,6 +113,33 @@
     assert!(a.transfer_out(&program(), MAX_CALL_TOKENS, 0));
 }
 
+// Guards against a budget that counts as spent although calls that ended at another VM
+// left tokens unused there, which the row shows only after that VM's next write.
+#[test]
+fn transfer_of_what_a_call_lacks_follows_a_refusal() {
+    let mut store = Store::default();
+    let (mut a, mut b) = (budgets("a"), budgets("b"));
+    let mut grants = Vec::new();
+    while let ChargeDecision::Granted(grant) = charge(&mut a, &mut store, 1) {
+        grants.push(grant);
+    }
+    let refused = charge(&mut b, &mut store, 1);
+    assert!(
+        matches!(refused, ChargeDecision::Exhausted { .. }),
+        "{refused:?}"
+    );
+    assert_eq!(b.other_writers(&program()), ["a"]);
+    let missing_tokens = b.missing_tokens(&program(), MAX_CALL_TOKENS);
+    assert!(missing_tokens > 0 && missing_tokens <= MAX_CALL_TOKENS);
+    assert!(!a.transfer_out_surplus(&program(), missing_tokens, 0));
+    a.settle(&program(), grants[0], 0, 0);
+    assert!(a.transfer_out_surplus(&program(), missing_tokens, 0));
+    b.transfer_in(&program(), missing_tokens, 0);
+    assert_eq!(b.missing_tokens(&program(), MAX_CALL_TOKENS), 0);
+    granted(charge(&mut b, &mut store, 2));
+    assert!(store.charged() <= BUDGET);
+}
+
 #[test]
 fn transfer_out_surplus_needs_held_tokens_and_a_fresh_row() {
     let mut store = Store::default();
