Attempts, budgets: names, and a refusal that is out of date

An unstated refusal is called that; where a call lacks nothing any more, only the repetition of an earlier refusal is in its way, so no VM is asked.

--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -196,13 +196,13 @@
         }
     }
 
-    /// Attempt whose response has a status that the target may not have meant as a promise.
+    /// Attempt that may have run, whose response has the status of a refusal.
     fn failed(status: StatusCode) -> FailedAttempt {
         let status = status.as_u16();
         FailedAttempt {
             failure: AttemptFailure::Failed,
             ..FailedAttempt::not_sent(format!(
-                "status {status} of a target that doesn't state that it ran nothing"
+                "status {status} without a statement that the request was not executed"
             ))
         }
     }
@@ -295,14 +295,14 @@
         }
         let (body, watch) = self.read_response_body(body, &connection).await?;
         let status = head.status();
-        // A response that states that nothing was executed has been rejected above.
-        let is_unproven = promises_not_executed(status, self.metadata.model_call.is_some());
-        in_flight.record_response(status, status.is_server_error() || is_unproven);
+        // A refusal that the target states has been rejected above.
+        let is_unstated_refusal = promises_not_executed(status, self.metadata.model_call.is_some());
+        in_flight.record_response(status, status.is_server_error() || is_unstated_refusal);
         connection.release(
             metadata.keep_alive_s,
             metadata.closes_connection || metadata.is_leaving,
         );
-        if is_unproven {
+        if is_unstated_refusal {
             return Err(FailedAttempt::failed(status));
         }
         let mut response = forwarded_head(head).map(|()| body);
--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -183,7 +183,8 @@
         let transferred = self
             .peer_client
             .request_unused_tokens(program, missing_tokens, &writers);
-        let is_transferred = transferred.await;
+        // Without any missing, only a repeated refusal is out of date.
+        let is_transferred = missing_tokens == 0 || transferred.await;
         if is_transferred {
             let now_ms = self.clock.now_ms();
             let mut budgets = self.budgets.borrow_mut();
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -539,14 +539,12 @@
         budget.is_some_and(|budget| budget.held_tokens >= tokens)
     }
 
-    /// Adds tokens that another VM held.
+    /// Adds tokens that another VM held. An earlier refusal isn't repeated.
     pub fn transfer_in(&mut self, program: &ProgramKey, tokens: u64, now_ms: u64) {
         let budget = self.programs.entry(program.clone()).or_default();
         budget.held_tokens += tokens;
         budget.last_used_ms = now_ms;
-        if tokens > 0 {
-            budget.refusal = None;
-        }
+        budget.refusal = None;
     }
 
     /// Removes idle programs and returns writes that delete their rows. Only the
